--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+BIN := $(VENV)/bin
+PYTHON ?= python3
+
+.PHONY: install run demo test check format bench clean
+
+$(VENV)/installed: requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+install: $(VENV)/installed
+
+run: install
+	$(BIN)/honcho start --procfile Procfile
+
+demo: install
+	$(BIN)/python -m bench.demo
+
+test: install check
+
+# What CI runs, on an environment that is already installed.
+check:
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+	$(BIN)/python -m pytest
+	$(BIN)/behave --format progress3 --no-capture features
+
+format:
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements over the project's own stand-ins."""
--- /dev/null
+++ b/features/start.feature
@@ -0,0 +1,1 @@
+Feature: The system runs as separate processes
--- /dev/null
+++ b/lagoonpost/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for language models on reclaimable hosts."""
--- /dev/null
+++ b/lagoonpost/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: arguments in, library calls, messages out."""
--- /dev/null
+++ b/lagoonpost/controller/__init__.py
@@ -0,0 +1,1 @@
+"""Lease loops and drivers that carry out placement and version moves."""
--- /dev/null
+++ b/lagoonpost/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: HTTP server, relay and entry list."""
--- /dev/null
+++ b/lagoonpost/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 server and client over h11 and asyncio."""
--- /dev/null
+++ b/lagoonpost/http/server.py
@@ -0,0 +1,315 @@
+"""HTTP/1.1 server: h11 state, asyncio streams, bounded reads and writes."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+import h11
+
+from lagoonpost.http.message import (
+    Address,
+    Headers,
+    Request,
+    Response,
+    make_json_response,
+)
+
+READ_SIZE = 65536
+
+
+class Limits(NamedTuple):
+    """Bounds that keep one caller from holding memory or a connection.
+
+    Attributes:
+        body: Largest request body in bytes.
+        head: Largest request line and headers in bytes.
+        read_seconds: Longest time to receive one whole request.
+        idle_seconds: Longest wait for the next request on a connection.
+        write_seconds: Longest time the peer may leave sent bytes unread.
+        buffer: Unread bytes after which a write waits for the peer.
+    """
+
+    body: int = 4 * 1024 * 1024
+    head: int = 32 * 1024
+    read_seconds: float = 20.0
+    idle_seconds: float = 75.0
+    write_seconds: float = 20.0
+    buffer: int = 256 * 1024
+
+
+class PeerGoneError(Exception):
+    """The peer closed or stopped reading before its response was sent."""
+
+
+class Responder:
+    """Sends one response, whole or in parts, with bounded buffering."""
+
+    def __init__(
+        self,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        limits: Limits,
+    ) -> None:
+        self._connection = connection
+        self._writer = writer
+        self._limits = limits
+        self._chunked = False
+        self.started = False
+        self.finished = False
+
+    async def send(self, response: Response) -> None:
+        """Send a whole response.
+
+        Raises:
+            PeerGoneError: If the peer is gone or reads too slowly.
+        """
+        length = ("content-length", str(len(response.body)))
+        self._head(response.status, (*response.headers, length))
+        parts = self._encode(h11.Data(data=response.body))
+        parts += self._encode(h11.EndOfMessage())
+        self.finished = True
+        await self._write(parts)
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a response whose body follows in parts."""
+        self._head(status, headers)
+        self._chunked = self._connection.their_http_version != b"1.0"
+        await self._write(b"")
+
+    async def write(self, data: bytes) -> None:
+        """Send one part of the body.
+
+        The parts of a stream are framed here and not by h11: at thousands
+        of tokens a second its event objects cost more than the relay
+        itself, and chunk framing is two lines. h11 still owns the state of
+        the connection.
+        """
+        if self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        await self._write(data)
+
+    async def finish(self) -> None:
+        """Send the end of a response that was sent in parts."""
+        end = self._encode(h11.EndOfMessage())
+        self.finished = True
+        await self._write(end)
+
+    def is_gone(self) -> bool:
+        """Tell whether the connection to the peer is known to be lost."""
+        return self._writer.is_closing()
+
+    def _head(self, status: int, headers: Headers) -> None:
+        self.started = True
+        self._writer.write(
+            self._encode(
+                h11.Response(status_code=status, headers=list(headers))
+            )
+        )
+
+    def _encode(self, event: h11.Event) -> bytes:
+        return self._connection.send(event) or b""
+
+    async def _write(self, data: bytes) -> None:
+        if self._writer.is_closing():
+            raise PeerGoneError("connection closed")
+        self._writer.write(data)
+        if self._writer.transport.get_write_buffer_size() == 0:
+            return
+        try:
+            # A caller that never reads would otherwise hold its whole
+            # answer in our memory; it shows as a drain that never ends.
+            async with asyncio.timeout(self._limits.write_seconds):
+                await self._writer.drain()
+        except (TimeoutError, OSError) as error:
+            self._writer.transport.abort()
+            raise PeerGoneError("peer stopped reading") from error
+
+
+Handler = Callable[[Request, Responder], Awaitable[None]]
+
+
+class BadRequestError(Exception):
+    """A request that cannot be read; carries the response to send."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+
+
+class Server:
+    """Listens on one address and hands whole requests to a handler."""
+
+    def __init__(self, handler: Handler, limits: Limits | None = None) -> None:
+        self._handler = handler
+        self._limits = limits or Limits()
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+        self._idle: set[asyncio.StreamWriter] = set()
+        self._closing = False
+
+    async def start(self, address: Address) -> Address:
+        """Listen on ``address`` and return the bound address."""
+        self._server = await asyncio.start_server(
+            self._serve, address.host, address.port, limit=READ_SIZE
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    async def close(self, grace: float) -> None:
+        """Stop listening and let open requests end within ``grace`` s."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._idle):
+            writer.close()
+        if self._connections:
+            await asyncio.wait(self._connections, timeout=grace)
+        for task in tuple(self._connections):
+            task.cancel()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        writer.transport.set_write_buffer_limits(high=self._limits.buffer)
+        try:
+            await self._converse(reader, writer)
+        except (PeerGoneError, OSError, h11.LocalProtocolError):
+            pass
+        finally:
+            self._connections.discard(task)
+            self._idle.discard(writer)
+            writer.close()
+
+    async def _converse(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.head
+        )
+        peer = str(writer.get_extra_info("peername"))
+        while not self._closing:
+            responder = Responder(connection, writer, self._limits)
+            try:
+                request = await self._read(connection, reader, writer, peer)
+            except BadRequestError as error:
+                await _refuse(responder, connection, error)
+                return
+            if request is None:
+                return
+            await self._handler(request, responder)
+            if not responder.finished:
+                # The handler gave up in mid-answer. Closing without the
+                # last chunk is how the caller learns that it is not whole.
+                writer.transport.abort()
+                return
+            if connection.our_state is not h11.DONE:
+                return
+            if connection.their_state is not h11.DONE:
+                return
+            connection.start_next_cycle()
+
+    async def _read(
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        peer: str,
+    ) -> Request | None:
+        head: h11.Request | None = None
+        body = bytearray()
+        idle = self._limits.idle_seconds
+        deadline = asyncio.get_running_loop().time() + idle
+        self._idle.add(writer)
+        while True:
+            try:
+                event = connection.next_event()
+            except h11.RemoteProtocolError as error:
+                status = error.error_status_hint
+                raise BadRequestError(status, str(error)) from error
+            if event is h11.NEED_DATA:
+                data = await _receive(reader, deadline, head is not None)
+                if writer in self._idle:
+                    self._idle.discard(writer)
+                    # The clock of a request starts with its first byte, so
+                    # that a caller who sends a byte a minute is cut off.
+                    loop = asyncio.get_running_loop()
+                    deadline = loop.time() + self._limits.read_seconds
+                connection.receive_data(data)
+            elif isinstance(event, h11.Request):
+                self._idle.discard(writer)
+                head = event
+                _check_length(event, self._limits.body)
+                if connection.they_are_waiting_for_100_continue:
+                    interim = h11.InformationalResponse(
+                        status_code=100, headers=[]
+                    )
+                    writer.write(connection.send(interim) or b"")
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.body:
+                    raise BadRequestError(413, "the body is too large")
+            elif isinstance(event, h11.EndOfMessage):
+                assert head is not None
+                return _make_request(head, bytes(body), peer)
+            else:
+                return None
+
+
+async def _receive(
+    reader: asyncio.StreamReader, deadline: float, started: bool
+) -> bytes:
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await reader.read(READ_SIZE)
+    except TimeoutError as error:
+        if not started:
+            raise PeerGoneError("no request came") from error
+        raise BadRequestError(408, "the request came too slowly") from error
+
+
+def _check_length(head: h11.Request, limit: int) -> None:
+    for name, value in head.headers:
+        if name == b"content-length" and int(value) > limit:
+            raise BadRequestError(413, "the body is too large")
+
+
+def _make_request(head: h11.Request, body: bytes, peer: str) -> Request:
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers
+    )
+    try:
+        url = urlsplit(head.target.decode("ascii"))
+    except ValueError as error:
+        raise BadRequestError(400, "the target is not a URL") from error
+    return Request(
+        head.method.decode("ascii"), url.path, url.query, headers, body, peer
+    )
+
+
+async def _refuse(
+    responder: Responder, connection: h11.Connection, error: BadRequestError
+) -> None:
+    if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    problem = {
+        "type": "about:blank",
+        "title": "Request not readable",
+        "status": error.status,
+        "detail": error.detail,
+        "execution": "not_run",
+    }
+    response = make_json_response(
+        error.status, problem, (("connection", "close"),)
+    )
+    headers = (("content-type", "application/problem+json"),)
+    await responder.send(
+        Response(
+            response.status, headers + response.headers[1:], response.body
+        )
+    )
--- /dev/null
+++ b/lagoonpost/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and gossip between lagoonpost's own processes."""
--- /dev/null
+++ b/lagoonpost/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: tables, objects, cloud API and host list."""
--- /dev/null
+++ b/lagoonpost/runners/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/lagoonpost/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure functions over tables: no I/O, no clock."""
--- /dev/null
+++ b/lagoonpost/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Rows and tables that the systems read."""
