--- /dev/null
+++ b/lagoonpost_standins/table.py
@@ -0,0 +1,58 @@
+"""Rows of the stand-in table service, in memory."""
+
+from collections.abc import Sequence
+
+from lagoonpost.platform.store import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    Write,
+)
+
+
+class Table:
+    """Versioned rows with conditional multi-row transactions.
+
+    Versions come from one counter for all rows, so that a row that is
+    deleted and created again never shows a version it had before.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Row] = {}
+        self._last_version = 0
+
+    def transact(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> Committed | Conflict:
+        """Apply all ``writes`` if all ``conditions`` hold, or nothing."""
+        seen = tuple(self._find(condition.key) for condition in conditions)
+        expected = tuple(condition.version for condition in conditions)
+        if expected != tuple(row.version for row in seen):
+            return Conflict(seen)
+        return Committed(tuple(self._write(write) for write in writes))
+
+    def read(self, keys: Sequence[str]) -> tuple[Row, ...]:
+        """Return one row for each key, in order."""
+        return tuple(self._find(key) for key in keys)
+
+    def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> tuple[Row, ...]:
+        """Return rows with keys that start with ``prefix``, in key order."""
+        keys = sorted(
+            key for key in self._rows if key.startswith(prefix) and key > after
+        )
+        return tuple(self._rows[key] for key in keys[:limit])
+
+    def _find(self, key: str) -> Row:
+        return self._rows.get(key, Row(key, 0))
+
+    def _write(self, write: Write) -> Row:
+        if write.value is None:
+            self._rows.pop(write.key, None)
+            return Row(write.key, 0)
+        self._last_version += 1
+        row = Row(write.key, self._last_version, write.value)
+        self._rows[write.key] = row
+        return row
