Add the stand-in engine and the engine client

The product needs engines that fail on order before its own handling of failed engines can be tested.

Per-token events are decoded by msgspec types after splitting bytes; an SSE library that yields lines was ruled out, for it costs a Python object per line on the path of each token.

--- /dev/null
+++ b/lagoonpost/runners/sse.py
@@ -0,0 +1,118 @@
+"""Reads an engine's server-sent events, many tokens at a time."""
+
+from typing import NamedTuple
+
+import msgspec
+
+_DATA = b"data:"
+_ID = b"id:"
+_DONE = b"[DONE]"
+
+
+class Usage(msgspec.Struct):
+    """Token counts of an answer, as its engine reports them."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prefilled_tokens: int = 0
+
+
+class Tokens(NamedTuple):
+    """Neighbouring tokens of one answer.
+
+    Attributes:
+        offset: Number of the answer's tokens before these.
+        tokens: The tokens.
+    """
+
+    offset: int
+    tokens: list[str]
+
+
+class Closing(NamedTuple):
+    """The closing event: the answer has ``usage.completion_tokens``."""
+
+    finish_reason: str
+    usage: Usage
+
+
+class EngineError(NamedTuple):
+    """The engine ended the answer by an error, or broke the protocol."""
+
+    detail: str
+
+
+StreamEvent = Tokens | Closing | EngineError
+
+
+class _Delta(msgspec.Struct, gc=False):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct, gc=False):
+    delta: _Delta
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct, gc=False):
+    choices: tuple[_Choice, ...] = ()
+    usage: Usage | None = None
+    error: msgspec.Raw | None = None
+
+
+_decode = msgspec.json.Decoder(_Chunk).decode
+
+
+class EventReader:
+    """Cuts the bytes of one response into events.
+
+    The relay's time goes into this loop, so tokens that follow each other
+    come out as one ``Tokens`` per read, and JSON is decoded by type.
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Return the whole events in ``data`` and what came before."""
+        *blocks, self._rest = (self._rest + data).split(b"\n\n")
+        events: list[StreamEvent] = []
+        following = -1
+        tokens: list[str] = []
+        for block in blocks:
+            number = 0
+            chunk = None
+            for line in block.split(b"\n"):
+                if line.startswith(_DATA):
+                    payload = line[5:].strip()
+                    if payload != _DONE:
+                        try:
+                            chunk = _decode(payload)
+                        except msgspec.DecodeError as error:
+                            events.append(EngineError(str(error)))
+                            return events
+                elif line.startswith(_ID):
+                    number = int(line[3:])
+            if chunk is None:
+                continue
+            if number and chunk.choices:
+                content = chunk.choices[0].delta.content or ""
+                if number == following:
+                    tokens.append(content)
+                else:
+                    tokens = [content]
+                    events.append(Tokens(number - 1, tokens))
+                following = number + 1
+            else:
+                events.append(_read_end(chunk))
+                following = -1
+        return events
+
+
+def _read_end(chunk: _Chunk) -> StreamEvent:
+    if chunk.error is not None:
+        return EngineError(bytes(chunk.error).decode())
+    for choice in chunk.choices:
+        if choice.finish_reason and chunk.usage is not None:
+            return Closing(choice.finish_reason, chunk.usage)
+    return EngineError("neither a token nor the end")
--- /dev/null
+++ b/lagoonpost_standins/engine_model.py
@@ -0,0 +1,123 @@
+"""Deterministic answers and a bounded prefix cache for the stand-in engine."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import msgspec
+import xxhash
+
+BLOCK_TOKENS = 16
+NATURAL_TOKENS = 32
+MAX_EVENTS = 4096
+_WORDS = (
+    "clay",
+    "glaze",
+    "kiln",
+    "wheel",
+    "firing",
+    "pitch",
+    "market",
+    "stall",
+    "lesson",
+    "draft",
+    "summer",
+    "Saturday",
+    "price",
+    "seller",
+    "buyer",
+    "teacher",
+)
+
+
+def answer_token(seed: int, index: int) -> str:
+    """Return token ``index`` (from 1) of the answer with ``seed``.
+
+    The index is part of the word, so that a lost, repeated or foreign
+    token shows in a comparison.
+    """
+    digest = xxhash.xxh32_intdigest(index.to_bytes(8, "big"), seed)
+    return f"{_WORDS[digest % len(_WORDS)]}{index} "
+
+
+def answer_seed(messages: Sequence[object]) -> int:
+    """Return the seed of the answer to ``messages``."""
+    return xxhash.xxh32_intdigest(msgspec.json.encode(messages))
+
+
+def answer_text(messages: Sequence[object], tokens: int) -> str:
+    """Return the whole answer of ``tokens`` tokens, for comparisons."""
+    seed = answer_seed(messages)
+    return "".join(answer_token(seed, n + 1) for n in range(tokens))
+
+
+def natural_length(seed: int) -> int:
+    """Return how long an answer gets when the caller sets no limit."""
+    return NATURAL_TOKENS + seed % NATURAL_TOKENS
+
+
+def split_prompt(messages: Sequence[object]) -> list[str]:
+    """Return the prompt's tokens: its words with a mark for each role."""
+    tokens: list[str] = []
+    for message in messages:
+        if isinstance(message, dict):
+            tokens.append(f"<{message.get('role', '')}>")
+            tokens.extend(str(message.get("content", "")).split())
+    return tokens
+
+
+def hash_blocks(tokens: Sequence[str]) -> list[int]:
+    """Return one hash per whole block, each over all tokens before too."""
+    hashes: list[int] = []
+    previous = 0
+    for start in range(0, len(tokens) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
+        block = "\x00".join(tokens[start : start + BLOCK_TOKENS])
+        previous = xxhash.xxh64_intdigest(block.encode(), previous)
+        hashes.append(previous)
+    return hashes
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """Blocks stored in or dropped from the cache at once."""
+
+    seq: int
+    stored: list[int]
+    dropped: list[int]
+
+
+class PrefixCache:
+    """Least recently used blocks of prefixes, in limited memory."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity = max(1, capacity_tokens // BLOCK_TOKENS)
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+        self.events: list[CacheEvent] = []
+        self._seq = 0
+
+    @property
+    def used(self) -> float:
+        """Part of the memory in use, 0 to 1."""
+        return len(self._blocks) / self._capacity
+
+    def count_cached(self, hashes: Sequence[int]) -> int:
+        """Return how many leading tokens need no prefill."""
+        blocks = 0
+        for value in hashes:
+            if value not in self._blocks:
+                break
+            self._blocks.move_to_end(value)
+            blocks += 1
+        return blocks * BLOCK_TOKENS
+
+    def store(self, hashes: Sequence[int]) -> None:
+        """Keep ``hashes`` and drop what was not used for longest."""
+        stored = [value for value in hashes if value not in self._blocks]
+        for value in hashes:
+            self._blocks[value] = None
+            self._blocks.move_to_end(value)
+        dropped: list[int] = []
+        while len(self._blocks) > self._capacity:
+            dropped.append(self._blocks.popitem(last=False)[0])
+        if stored or dropped:
+            self._seq += 1
+            self.events.append(CacheEvent(self._seq, stored, dropped))
+            del self.events[:-MAX_EVENTS]
