Take change tickets in one transaction and watch what is in force

Cause: operators need numbered tickets with the whole new state of all that they touch, of which an accepted one is never lost or reverted.

An accepted ticket writes ticket/N, object/KIND/NAME and the one revision row, conditional on all of them. A write without a reply is settled by reading; while it may still land the answer is "unknown", never "not run".

The watch reads one row a second, reads only the tickets that it lacks, takes tickets from peers in revision order, and is not current after a start or freeze until the store or a current peer has answered.

Ruled out: a nonce per hand-in (the content's digest is enough, as the same ticket is to get the same answer); applying a peer's ticket over a gap (it may refer to what the missing one declares).

--- /dev/null
+++ b/lagoonpost/declarations/state.py
@@ -0,0 +1,199 @@
+"""Adds objects up to the declaration, and finds what does not fit."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+
+from lagoonpost.declarations.schema import (
+    KINDS,
+    MoveSpec,
+    OperatorSpec,
+    RouteSpec,
+    RunnerSpec,
+    ServiceSpec,
+    VersionSpec,
+    WorkspaceSpec,
+)
+from lagoonpost.tables.entity import (
+    Declaration,
+    Move,
+    Operator,
+    Route,
+    Runner,
+    Service,
+    Version,
+    Workspace,
+)
+from lagoonpost.tables.ticket import ABSENT, Fault, ObjectRecord, Snapshot
+
+SHARE_ERROR = 1e-6
+"""Shares are typed as decimals; their sum may be off by rounding."""
+
+
+def declare(snapshot: Snapshot) -> Declaration:
+    """Return the entities that the objects of ``snapshot`` describe.
+
+    Objects that this release cannot read are left out, so that gateways of
+    two releases can serve side by side.
+    """
+    entities: dict[str, list[Any]] = defaultdict(list)
+    for key, record in sorted(snapshot.objects.items()):
+        kind, _, name = key.partition("/")
+        if record.state == ABSENT or kind not in KINDS:
+            continue
+        try:
+            spec = msgspec.convert(record.state, KINDS[kind])
+        except msgspec.ValidationError:
+            continue
+        entities[kind].append(_MAKERS[kind](name, spec, record.ticket))
+    return Declaration(
+        revision=snapshot.revision,
+        services=tuple(entities["service"]),
+        versions=tuple(entities["version"]),
+        workspaces=tuple(entities["workspace"]),
+        runners=tuple(entities["runner"]),
+        moves=tuple(entities["move"]),
+        operators=tuple(entities["operator"]),
+    )
+
+
+def merge_objects(
+    old: Mapping[str, ObjectRecord], number: int, new: Mapping[str, Any]
+) -> dict[str, ObjectRecord]:
+    """Return ``old`` with ticket ``number``'s states where it is newer."""
+    merged = dict(old)
+    for key, state in new.items():
+        if key not in merged or merged[key].ticket < number:
+            merged[key] = ObjectRecord(number, state)
+    return merged
+
+
+def find_misfits(declaration: Declaration) -> Iterator[Fault]:
+    """Yield what refers to something undeclared or clashes."""
+    names = _collect_names(declaration)
+    yield from _find_dangling(declaration, names)
+    yield from _find_shares(declaration)
+    yield from _find_clashes(
+        ("runners." + runner.name, runner.endpoint)
+        for runner in declaration.runners
+    )
+    # One key for two owners would leave open whose request it is.
+    yield from _find_clashes(_list_keys(declaration))
+
+
+class _Names(NamedTuple):
+    services: set[str]
+    versions: set[tuple[str, str]]
+
+
+def _collect_names(declaration: Declaration) -> _Names:
+    return _Names(
+        {service.name for service in declaration.services},
+        {(version.service, version.name) for version in declaration.versions},
+    )
+
+
+def _find_dangling(declaration: Declaration, names: _Names) -> Iterator[Fault]:
+    for version in declaration.versions:
+        if version.service not in names.services:
+            field = f"versions.{version.service}/{version.name}"
+            yield Fault(field, f"no service {version.service!r}")
+    for runner in declaration.runners:
+        if (runner.service, runner.version) not in names.versions:
+            wanted = f"{runner.service}/{runner.version}"
+            field = f"runners.{runner.name}.version"
+            yield Fault(field, f"no version {wanted!r}")
+    for move in declaration.moves:
+        field = f"moves.{move.service}"
+        if move.from_version == move.to_version:
+            yield Fault(f"{field}.to", "the same version as `from`")
+        ends = {"from": move.from_version, "to": move.to_version}
+        for side, version_name in ends.items():
+            if (move.service, version_name) not in names.versions:
+                wanted = f"{move.service}/{version_name}"
+                yield Fault(f"{field}.{side}", f"no version {wanted!r}")
+
+
+def _find_shares(declaration: Declaration) -> Iterator[Fault]:
+    sums: dict[str, float] = defaultdict(float)
+    for version in declaration.versions:
+        sums[version.service] += version.share
+    for service, total in sums.items():
+        if abs(total - 1) > SHARE_ERROR:
+            message = f"shares of all versions add up to {total:g}, not 1"
+            yield Fault(f"versions.{service}", message)
+
+
+def _list_keys(declaration: Declaration) -> Iterator[tuple[str, str]]:
+    for workspace in declaration.workspaces:
+        yield f"workspaces.{workspace.name}", workspace.key_digest
+    for operator in declaration.operators:
+        yield f"operators.{operator.name}", operator.key_digest
+
+
+def _find_clashes(fields: Iterable[tuple[str, str]]) -> Iterator[Fault]:
+    pairs = tuple(fields)
+    counts = Counter(value for _, value in pairs)
+    for field, value in pairs:
+        if counts[value] > 1:
+            yield Fault(field, f"{value} is given {counts[value]} times")
+
+
+def _make_route(spec: RouteSpec) -> Route:
+    return Route(
+        path=spec.path,
+        request_class=spec.request_class,
+        repeatable=spec.repeatable,
+        first_seconds=spec.first,
+        token_seconds=spec.between,
+        timeout=spec.timeout,
+    )
+
+
+def _make_service(name: str, spec: ServiceSpec, ticket: int) -> Service:
+    routes = tuple(_make_route(route) for route in spec.routes)
+    return Service(name, spec.kind, routes, ticket)
+
+
+def _make_version(name: str, spec: VersionSpec, ticket: int) -> Version:
+    service, _, version = name.partition("/")
+    return Version(service, version, spec.share, ticket)
+
+
+def _make_workspace(name: str, spec: WorkspaceSpec, ticket: int) -> Workspace:
+    return Workspace(name, spec.key_sha256, spec.weight, ticket)
+
+
+def _make_runner(name: str, spec: RunnerSpec, ticket: int) -> Runner:
+    return Runner(
+        name=name,
+        endpoint=spec.endpoint,
+        service=spec.service,
+        version=spec.version,
+        host=spec.host,
+        failure_domain=spec.failure_domain,
+        checks_fence=spec.checks_fence,
+        slots=spec.slots,
+        ticket=ticket,
+    )
+
+
+def _make_move(name: str, spec: MoveSpec, ticket: int) -> Move:
+    by = spec.by.timestamp()
+    return Move(name, spec.from_version, spec.to_version, by, ticket)
+
+
+def _make_operator(name: str, spec: OperatorSpec, ticket: int) -> Operator:
+    return Operator(name, spec.key_sha256, ticket)
+
+
+_MAKERS: dict[str, Callable[[str, Any, int], Any]] = {
+    "service": _make_service,
+    "version": _make_version,
+    "workspace": _make_workspace,
+    "runner": _make_runner,
+    "move": _make_move,
+    "operator": _make_operator,
+}
--- /dev/null
+++ b/lagoonpost/gateway/tickets.py
@@ -0,0 +1,163 @@
+"""The operators' HTTP interface: tickets and the declaration in force."""
+
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from lagoonpost.declarations.content import MAX_NUMBER, parse_ticket
+from lagoonpost.gateway.watch import Watch
+from lagoonpost.http.message import (
+    Headers,
+    Request,
+    Response,
+    make_json_response,
+)
+from lagoonpost.platform.declaration import format_record
+from lagoonpost.platform.store import Unavailable
+from lagoonpost.platform.ticket import Intake
+from lagoonpost.tables.ticket import (
+    Accepted,
+    Faults,
+    NotRun,
+    Refused,
+    TicketOutcome,
+    TicketRecord,
+    Unsettled,
+)
+
+TICKETS_PATH = "/v1/tickets"
+DECLARATION_PATH = "/v1/declaration"
+RETRY_SECONDS = 2
+"""When to come back after the store failed: one poll and one try of ours."""
+PAGE = 100
+_STATUS = {"number_taken": 409, "stale": 409, "invalid": 422}
+
+
+class TicketHandlers:
+    """Handles the operators' requests; the caller has checked their key.
+
+    Args:
+        intake: Commits tickets.
+        watch: What is in force on this gateway.
+        publish: Sends an accepted ticket to peers, without waiting.
+    """
+
+    def __init__(
+        self,
+        intake: Intake,
+        watch: Watch,
+        publish: Callable[[TicketRecord], None],
+    ) -> None:
+        self._intake = intake
+        self._watch = watch
+        self._publish = publish
+
+    async def handle(self, request: Request, operator: str) -> Response:
+        """Answer a request for one of this module's paths."""
+        if request.path == DECLARATION_PATH and request.method == "GET":
+            return self.show_declaration(request)
+        if request.path == TICKETS_PATH and request.method == "POST":
+            return await self.submit(request, operator)
+        if request.path == TICKETS_PATH and request.method == "GET":
+            return await self.show_history(request)
+        number = request.path.removeprefix(TICKETS_PATH + "/")
+        if request.method == "GET" and _is_number(number):
+            return await self.show_ticket(int(number))
+        return _make_problem(404, "not_found", "no such resource", "not_run")
+
+    async def submit(self, request: Request, operator: str) -> Response:
+        """POST /v1/tickets: take a ticket."""
+        try:
+            content = msgspec.json.decode(request.body)
+        except msgspec.DecodeError as error:
+            return _make_problem(400, "not_json", str(error), "not_run")
+        ticket = parse_ticket(content)
+        if isinstance(ticket, Faults):
+            invalid = Refused("invalid", "not a ticket", ticket.faults)
+            return _answer(invalid)
+        outcome = await self._intake.submit(ticket, operator)
+        if isinstance(outcome, Accepted):
+            self._watch.take(outcome.record)
+            self._publish(outcome.record)
+        return _answer(outcome)
+
+    async def show_ticket(self, number: int) -> Response:
+        """GET /v1/tickets/N: one accepted ticket."""
+        record = await self._intake.find(number)
+        if isinstance(record, Unavailable):
+            return _answer(NotRun(record.detail))
+        if record is None:
+            detail = f"no ticket {number} was accepted"
+            return _make_problem(404, "not_found", detail, "not_run")
+        return make_json_response(200, format_record(record))
+
+    async def show_history(self, request: Request) -> Response:
+        """GET /v1/tickets?after=N&limit=M: accepted tickets in order."""
+        query = parse_qs(request.query)
+        after = query.get("after", ["0"])[0]
+        limit = query.get("limit", [str(PAGE)])[0]
+        if not _is_number(after) or not _is_number(limit):
+            detail = "after and limit are whole numbers"
+            return _make_problem(400, "bad_query", detail, "not_run")
+        count = max(1, min(int(limit), PAGE))
+        records = await self._intake.list_tickets(int(after), count)
+        if isinstance(records, Unavailable):
+            return _answer(NotRun(records.detail))
+        tickets = [format_record(record) for record in records]
+        return make_json_response(200, {"tickets": tickets})
+
+    def show_declaration(self, request: Request) -> Response:
+        """GET /v1/declaration: what is in force here; ?objects=1 in full."""
+        snapshot = self._watch.snapshot
+        body: dict[str, Any] = {
+            "revision": snapshot.revision,
+            "current": self._watch.is_current(),
+        }
+        if "objects" in parse_qs(request.query):
+            body["objects"] = {
+                key: {"ticket": record.ticket, "state": record.state}
+                for key, record in snapshot.objects.items()
+            }
+        return make_json_response(200, body)
+
+
+def _is_number(text: str) -> bool:
+    plain = text.isascii() and text.isdecimal() and len(text) <= 8
+    return plain and int(text) <= MAX_NUMBER
+
+
+def _answer(outcome: TicketOutcome) -> Response:
+    match outcome:
+        case Accepted(record):
+            body = format_record(record)
+            del body["objects"]
+            return make_json_response(200, {"outcome": "accepted", **body})
+        case Refused(reason, detail, faults):
+            shown = [fault._asdict() for fault in faults]
+            status = _STATUS[reason]
+            return _make_problem(
+                status, reason, detail, "not_run", faults=shown
+            )
+        case NotRun(detail):
+            return _make_problem(503, "store_down", detail, "not_run")
+        case Unsettled(detail):
+            return _make_problem(503, "store_down", detail, "unknown")
+
+
+def _make_problem(
+    status: int, reason: str, detail: str, execution: str, **more: object
+) -> Response:
+    body = {
+        "type": "about:blank",
+        "title": reason,
+        "status": status,
+        "detail": detail,
+        "execution": execution,
+        **more,
+    }
+    headers: Headers = (("content-type", "application/problem+json"),)
+    if status == 503:
+        headers += (("retry-after", str(RETRY_SECONDS)),)
+    return Response(status, headers, msgspec.json.encode(body))
--- /dev/null
+++ b/lagoonpost/systems/ticket.py
@@ -0,0 +1,82 @@
+"""Decides whether a change ticket is accepted."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from lagoonpost.declarations.state import (
+    declare,
+    find_misfits,
+    merge_objects,
+)
+from lagoonpost.tables.ticket import (
+    Accepted,
+    Fault,
+    Refused,
+    Snapshot,
+    Ticket,
+    TicketRecord,
+)
+
+SHOWN = 5
+"""Objects named in one refusal; more do not help an operator."""
+
+
+class Proceed(NamedTuple):
+    """The ticket may be committed; ``after`` is what it leads to."""
+
+    after: Snapshot
+
+
+def judge(
+    ticket: Ticket, digest: str, before: Snapshot, held: TicketRecord | None
+) -> Accepted | Refused | Proceed:
+    """Judge ``ticket`` against one consistent reading of the store.
+
+    Args:
+        ticket: The ticket.
+        digest: SHA-256 of its content.
+        before: All objects.
+        held: The accepted ticket with the same number, if there is one.
+
+    Returns:
+        What to tell the operator, or that it may be committed.
+    """
+    if held is not None:
+        return _compare(held, digest)
+    stale = _find_stale(ticket, before)
+    if stale:
+        return Refused("stale", "; ".join(stale))
+    merged = merge_objects(before.objects, ticket.number, ticket.objects)
+    after = Snapshot(before.revision + 1, merged)
+    faults = tuple(_find_new_misfits(before, after))
+    if faults:
+        return Refused("invalid", "does not fit what is declared", faults)
+    return Proceed(after)
+
+
+def _compare(held: TicketRecord, digest: str) -> Accepted | Refused:
+    if held.digest == digest:
+        return Accepted(held)
+    who = f"by {held.operator}: {held.reason}"
+    detail = f"ticket {held.number} was accepted with other content, {who}"
+    return Refused("number_taken", detail)
+
+
+def _find_stale(ticket: Ticket, before: Snapshot) -> list[str]:
+    newer = [
+        f"{key} was set by ticket {before.objects[key].ticket}"
+        for key in ticket.objects
+        if key in before.objects
+        and before.objects[key].ticket >= ticket.number
+    ]
+    more = len(newer) - SHOWN
+    return newer if more <= 0 else [*newer[:SHOWN], f"and {more} more"]
+
+
+def _find_new_misfits(before: Snapshot, after: Snapshot) -> Iterable[Fault]:
+    # What did not fit before, by a release with laxer checks, must not
+    # block every later ticket; only what this one brings in is refused.
+    known = set(find_misfits(declare(before)))
+    for fault in find_misfits(declare(after)):
+        if fault not in known:
+            yield fault
--- a/lagoonpost/tables/entity.py
+++ b/lagoonpost/tables/entity.py
@@ -79,6 +79,32 @@
     ticket: int = 0
 
 
+class Move(NamedTuple):
+    """Traffic of a service that goes over to another version.
+
+    Attributes:
+        service: The service; it has at most one move at a time.
+        from_version: Version that has the traffic.
+        to_version: Version that is to have it.
+        by: Time to be done by, in seconds since the epoch.
+        ticket: Ticket that declared the move.
+    """
+
+    service: str
+    from_version: str
+    to_version: str
+    by: float
+    ticket: int = 0
+
+
+class Operator(NamedTuple):
+    """Who may hand in tickets; ``key_digest`` as a workspace's."""
+
+    name: str
+    key_digest: str
+    ticket: int = 0
+
+
 class Declaration(NamedTuple):
     """Everything declared, as of one revision."""
 
@@ -87,3 +113,5 @@
     versions: tuple[Version, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
     runners: tuple[Runner, ...] = ()
+    moves: tuple[Move, ...] = ()
+    operators: tuple[Operator, ...] = ()
--- /dev/null
+++ b/lagoonpost/tables/ticket.py
@@ -0,0 +1,115 @@
+"""Change tickets, the rows they leave behind and their outcomes."""
+
+from collections.abc import Mapping
+from typing import Any, Literal, NamedTuple
+
+State = Mapping[str, Any]
+ABSENT: State = {"absent": True}
+
+
+class Fault(NamedTuple):
+    """One thing that is wrong in a ticket.
+
+    Attributes:
+        field: Path of the field, such as ``runners.engine-1.slots``.
+        message: What is wrong and what is allowed.
+        file: File it stands in, if it came from one.
+        line: Line in that file, from 1; 0 if not from a file.
+    """
+
+    field: str
+    message: str
+    file: str = ""
+    line: int = 0
+
+    def __str__(self) -> str:
+        place = f"{self.file}:{self.line}: " if self.file else ""
+        return f"{place}{self.field}: {self.message}"
+
+
+class Faults(NamedTuple):
+    """Everything that is wrong in a ticket; never empty."""
+
+    faults: tuple[Fault, ...]
+
+
+class Ticket(NamedTuple):
+    """A numbered change.
+
+    Attributes:
+        number: Given by the operator, from 1.
+        reason: Why the change is made.
+        objects: Whole new state by object key (``KIND/NAME``).
+    """
+
+    number: int
+    reason: str
+    objects: Mapping[str, State]
+
+
+class TicketRecord(NamedTuple):
+    """An accepted ticket as it is stored and sent to peers.
+
+    Attributes:
+        number: The operator's number.
+        revision: Revision of the declaration that it made.
+        digest: SHA-256 of its content, in hex.
+        reason: Why the change was made.
+        operator: Who handed it in.
+        accepted: Time of acceptance in seconds since the epoch.
+        objects: Whole new state by object key.
+    """
+
+    number: int
+    revision: int
+    digest: str
+    reason: str
+    operator: str
+    accepted: float
+    objects: Mapping[str, State]
+
+
+class ObjectRecord(NamedTuple):
+    """The state of one object and the ticket that set it."""
+
+    ticket: int
+    state: State
+
+
+class Snapshot(NamedTuple):
+    """All objects as of one revision, also the ones set absent."""
+
+    revision: int
+    objects: Mapping[str, ObjectRecord]
+
+
+class Accepted(NamedTuple):
+    """The ticket is committed and was read back."""
+
+    record: TicketRecord
+
+
+RefusalReason = Literal["number_taken", "stale", "invalid"]
+
+
+class Refused(NamedTuple):
+    """The ticket had no effect and this very ticket is not in force."""
+
+    reason: RefusalReason
+    detail: str
+    faults: tuple[Fault, ...] = ()
+
+
+class NotRun(NamedTuple):
+    """The store did not answer; the ticket surely had no effect."""
+
+    detail: str
+
+
+class Unsettled(NamedTuple):
+    """The store went away in mid-write; the same ticket again settles it."""
+
+    detail: str
+
+
+TicketOutcome = Accepted | Refused | NotRun | Unsettled
--- /dev/null
+++ b/test/test_ticket.py
@@ -0,0 +1,273 @@
+"""Tests of lagoonpost.platform.ticket."""
+
+import asyncio
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from memory_store import MemoryStore
+
+from lagoonpost.declarations.content import parse_ticket
+from lagoonpost.platform.declaration import Changed, read_declaration
+from lagoonpost.platform.ticket import Intake, Patience
+from lagoonpost.tables.ticket import (
+    Accepted,
+    NotRun,
+    Refused,
+    Ticket,
+    TicketOutcome,
+    Unsettled,
+)
+
+DIGESTS = {"pottery": "a" * 64, "market": "b" * 64}
+
+
+def make_ticket(number: int, weight: float = 1, **more: Any) -> Ticket:
+    """Return a ticket that sets the workspace ``pottery``."""
+    state = {"key_sha256": DIGESTS["pottery"], "weight": weight}
+    content = {
+        "ticket": number,
+        "reason": "test",
+        "workspaces": {"pottery": state},
+        **more,
+    }
+    ticket = parse_ticket(content)
+    assert isinstance(ticket, Ticket), ticket
+    return ticket
+
+
+def make_other(number: int) -> Ticket:
+    """Return a ticket that sets the workspace ``market``."""
+    state = {"key_sha256": DIGESTS["market"]}
+    ticket = parse_ticket(
+        {"ticket": number, "reason": "o", "workspaces": {"market": state}}
+    )
+    assert isinstance(ticket, Ticket)
+    return ticket
+
+
+async def sleep_not(seconds: float) -> None:
+    await asyncio.sleep(0)
+
+
+def make_intake(store: MemoryStore, tries: int = 5) -> Intake:
+    return Intake(store, Patience(tries), clock=lambda: 0.0, sleep=sleep_not)
+
+
+def submit(store: MemoryStore, *tickets: Ticket) -> list[TicketOutcome]:
+    """Submit in turn, each at a gateway of its own."""
+
+    async def play() -> list[TicketOutcome]:
+        return [
+            await make_intake(store).submit(ticket, "ann")
+            for ticket in tickets
+        ]
+
+    return asyncio.run(play())
+
+
+def race(store: MemoryStore, *tickets: Ticket) -> list[TicketOutcome]:
+    """Submit all at once, each at a gateway of its own."""
+
+    async def play() -> list[TicketOutcome]:
+        calls = [
+            make_intake(store).submit(ticket, "ann") for ticket in tickets
+        ]
+        return await asyncio.gather(*calls)
+
+    return asyncio.run(play())
+
+
+def name(outcome: TicketOutcome) -> str:
+    reason = getattr(outcome, "reason", "")
+    return reason or type(outcome).__name__
+
+
+class TestNumbers:
+    def test_same_ticket_gets_same_answer_at_another_gateway(self) -> None:
+        store = MemoryStore()
+        first, later, again = submit(
+            store, make_ticket(1), make_ticket(2), make_ticket(1)
+        )
+        assert isinstance(first, Accepted)
+        assert isinstance(later, Accepted)
+        assert again == first
+
+    def test_taken_number_is_refused(self) -> None:
+        outcomes = submit(MemoryStore(), make_ticket(1), make_ticket(1, 2))
+        assert [name(outcome) for outcome in outcomes] == [
+            "Accepted",
+            "number_taken",
+        ]
+
+    def test_stale_number_is_refused_with_the_object(self) -> None:
+        outcomes = submit(MemoryStore(), make_ticket(5), make_ticket(4))
+        assert outcomes[1] == Refused(
+            "stale", "workspace/pottery was set by ticket 5"
+        )
+
+    def test_smaller_number_for_untouched_objects_is_taken(self) -> None:
+        outcomes = submit(MemoryStore(), make_ticket(5), make_other(4))
+        assert isinstance(outcomes[1], Accepted)
+        assert outcomes[1].record.revision == 2
+
+    def test_reference_to_undeclared_is_refused(self) -> None:
+        runner = {
+            "endpoint": "127.0.0.1:80",
+            "service": "assistant",
+            "version": "v1",
+            "host": "h",
+            "failure_domain": "a",
+        }
+        ticket = make_ticket(1, runners={"engine-1": runner})
+        store = MemoryStore()
+        (outcome,) = submit(store, ticket)
+        assert isinstance(outcome, Refused)
+        assert [fault.field for fault in outcome.faults] == [
+            "runners.engine-1.version"
+        ]
+        assert not store.rows
+
+
+class TestRace:
+    def test_two_contents_for_one_number(self) -> None:
+        """Two operators take number 1 for different changes at once.
+
+        Both gateways find the number free before either writes. Only one
+        may be accepted, and the other operator must be told, not overwritten.
+        """
+        store = MemoryStore()
+        outcomes = race(store, make_ticket(1, 1), make_ticket(1, 2))
+        assert sorted(map(name, outcomes)) == ["Accepted", "number_taken"]
+
+    def test_one_ticket_through_two_gateways(self) -> None:
+        """An impatient operator hands a ticket in twice, side by side.
+
+        Both must hear the one answer, and only one revision is made.
+        """
+        store = MemoryStore()
+        outcomes = race(store, make_ticket(1), make_ticket(1))
+        assert isinstance(outcomes[0], Accepted)
+        assert outcomes[0] == outcomes[1]
+        assert store.rows["revision"].value["revision"] == 1
+
+    def test_tickets_for_other_objects_get_revisions_of_their_own(
+        self,
+    ) -> None:
+        """Two operators change different workspaces at the same moment.
+
+        Were both written as one revision, a gateway that took the one would
+        never look for the other.
+        """
+        outcomes = race(MemoryStore(), make_ticket(1), make_other(2))
+        revisions = [
+            outcome.record.revision
+            for outcome in outcomes
+            if isinstance(outcome, Accepted)
+        ]
+        assert sorted(revisions) == [1, 2]
+
+    def test_ticket_that_commits_during_a_scan_is_noticed(self) -> None:
+        """A ticket commits between two pages of another gateway's scan.
+
+        It would see a runner without the version that came with it, and
+        refuse the next ticket as not fitting.
+        """
+        store, later = MemoryStore(), MemoryStore()
+        submit(later, make_ticket(1))
+
+        def commit(call: str) -> str:
+            if call == "scan":
+                store.rows.update(later.rows)
+            return ""
+
+        store.fault = commit
+        reading = asyncio.run(read_declaration(store))
+        assert isinstance(reading, Changed)
+
+    def test_conflicting_tickets_end_with_the_highest(self) -> None:
+        store = MemoryStore()
+        tickets = [make_ticket(number, number) for number in (1, 2, 3)]
+        outcomes = race(store, *tickets)
+        assert set(map(name, outcomes)) <= {"Accepted", "stale"}
+        state = store.rows["object/workspace/pottery"].value["state"]
+        assert state["weight"] == 3
+
+
+class TestLostReply:
+    def test_is_settled_by_reading_back(self) -> None:
+        """The write takes effect and its reply is lost.
+
+        The operator must hear accepted, and a retry must not make a second
+        revision.
+        """
+        store = MemoryStore()
+        faults = iter(["lost"])
+        store.fault = lambda call: lose(faults, call)
+        (outcome,) = submit(store, make_ticket(1))
+        assert isinstance(outcome, Accepted)
+        assert store.rows["revision"].value["revision"] == 1
+
+    def test_late_write_is_not_called_not_run(self) -> None:
+        """A write hangs in the platform and takes effect minutes later.
+
+        Reading back finds nothing yet. Told "not run", the operator would
+        drop the change, and it would come into force all the same.
+        """
+        store = MemoryStore()
+        store.fault = lambda call: "late" if call == "transact" else ""
+        (outcome,) = submit(store, make_ticket(1))
+        assert isinstance(outcome, Unsettled)
+        store.fault = lambda call: ""
+        store.deliver()
+        (again,) = submit(store, make_ticket(1))
+        assert isinstance(again, Accepted)
+
+    def test_late_write_has_no_effect_after_another_ticket(self) -> None:
+        """A write hangs, and a second operator's ticket is accepted.
+
+        The hanging write must not come into force over it when it arrives.
+        """
+        store = MemoryStore()
+        store.fault = lambda call: "late" if call == "transact" else ""
+        (hung,) = submit(store, make_ticket(1, 1))
+        assert isinstance(hung, Unsettled)
+        store.fault = lambda call: ""
+        submit(store, make_ticket(2, 2))
+        store.deliver()
+        state = store.rows["object/workspace/pottery"].value["state"]
+        assert state["weight"] == 2
+        (again,) = submit(store, make_ticket(1, 1))
+        assert name(again) == "stale"
+
+    def test_accepted_only_after_reading_back(self) -> None:
+        """The write is confirmed, then the store goes down.
+
+        Accepted means that it was read back; the operator is told to hand
+        the same ticket in again, and then hears accepted.
+        """
+        store = MemoryStore()
+
+        def fail(call: str) -> str:
+            return "down" if "transact" in store.calls[:-1] else ""
+
+        store.fault = fail
+        (outcome,) = submit(store, make_ticket(1))
+        assert isinstance(outcome, Unsettled)
+        store.fault = lambda call: ""
+        (again,) = submit(store, make_ticket(1))
+        assert isinstance(again, Accepted)
+
+
+def lose(faults: Iterator[str], call: str) -> str:
+    return next(faults, "") if call == "transact" else ""
+
+
+class TestStoreDown:
+    @pytest.mark.parametrize("call", ["read", "scan", "transact"])
+    def test_surely_not_run_is_said(self, call: str) -> None:
+        store = MemoryStore()
+        store.fault = lambda met: "down" if met == call else ""
+        (outcome,) = submit(store, make_ticket(1))
+        assert outcome == NotRun("down")
+        assert not store.rows
--- /dev/null
+++ b/test/test_watch.py
@@ -0,0 +1,225 @@
+"""Tests of lagoonpost.gateway.watch."""
+
+import asyncio
+from collections.abc import Sequence
+
+from memory_store import MemoryStore
+from test_ticket import make_ticket, submit
+
+from lagoonpost.gateway.watch import STALL_SECONDS, Watch
+from lagoonpost.platform.declaration import RECENT
+from lagoonpost.tables.entity import Declaration
+from lagoonpost.tables.ticket import Accepted, Snapshot, TicketRecord
+
+
+class Site:
+    """One watch with its store, peers and clock."""
+
+    def __init__(self, store: MemoryStore | None = None) -> None:
+        self.store = store or MemoryStore()
+        self.peers: list[Watch] = []
+        self.now = 100.0
+        self.declared: list[Declaration] = []
+        self.watch = Watch(
+            self.store, self.declared.append, self._ask, lambda: self.now
+        )
+
+    async def _ask(self) -> Sequence[Snapshot]:
+        answers = [peer.answer_peer() for peer in self.peers]
+        return [answer for answer in answers if answer is not None]
+
+    def poll(self) -> None:
+        asyncio.run(self.watch.poll())
+
+    @property
+    def revisions(self) -> list[int]:
+        return [declaration.revision for declaration in self.declared]
+
+    def cut_store(self) -> None:
+        self.watch._store = make_dead_store()
+
+
+def make_dead_store() -> MemoryStore:
+    store = MemoryStore()
+    store.fault = lambda call: "down"
+    return store
+
+
+def accept(store: MemoryStore, *numbers: int) -> list[TicketRecord]:
+    records = []
+    for outcome in submit(store, *map(make_ticket, numbers)):
+        assert isinstance(outcome, Accepted)
+        records.append(outcome.record)
+    return records
+
+
+class TestPoll:
+    def test_learns_each_new_ticket(self) -> None:
+        site = Site()
+        accept(site.store, 1)
+        site.poll()
+        accept(site.store, 2, 3)
+        site.poll()
+        assert site.revisions == [1, 3]
+        assert site.watch.is_current()
+
+    def test_reads_one_row_when_nothing_changed(self) -> None:
+        site = Site()
+        accept(site.store, 1)
+        site.poll()
+        site.store.calls.clear()
+        site.poll()
+        assert site.store.calls == ["read"]
+
+    def test_catches_up_from_far_behind(self) -> None:
+        site = Site()
+        accept(site.store, 1)
+        site.poll()
+        accept(site.store, *range(2, RECENT + 4))
+        site.poll()
+        assert site.watch.declaration.revision == RECENT + 3
+        assert site.watch.declaration.workspaces[0].ticket == RECENT + 3
+
+    def test_never_goes_back_with_the_store(self) -> None:
+        """The platform's operators restore the tables from an old copy.
+
+        The revision row then shows a lower number than the one in force.
+        A gateway that followed it would undo accepted tickets.
+        """
+        site = Site()
+        accept(site.store, 1)
+        old = dict(site.store.rows)
+        accept(site.store, 2)
+        site.poll()
+        site.store.rows = old
+        site.poll()
+        assert site.watch.declaration.revision == 2
+
+
+class TestPeers:
+    def test_ticket_from_peer_is_in_force_without_store(self) -> None:
+        """The store goes down right after a ticket was accepted.
+
+        Only the gateway that took it has its content. The others must have
+        it in force within seconds all the same.
+        """
+        site = Site()
+        first, second = accept(site.store, 1, 2)
+        site.cut_store()
+        site.watch.take(first)
+        site.watch.take(second)
+        assert site.revisions == [1, 2]
+
+    def test_ticket_after_a_gap_waits_for_what_is_missing(self) -> None:
+        """A peer's push of ticket 1 is lost, that of ticket 2 arrives.
+
+        Ticket 2 may refer to what ticket 1 declared, so it must not be in
+        force alone; the peer is asked for its whole state.
+        """
+        site, peer = Site(), Site()
+        records = accept(peer.store, 1, 2)
+        peer.poll()
+        site.cut_store()
+        site.watch.take(records[1])
+        assert site.revisions == []
+        site.peers = [peer.watch]
+        site.poll()
+        assert site.revisions == [2]
+
+    def test_old_peer_that_speaks_up_changes_nothing(self) -> None:
+        """A gateway frozen for minutes thaws and pushes an old ticket."""
+        site = Site()
+        old, _ = accept(site.store, 1, 2)
+        site.poll()
+        site.watch.take(old)
+        site.watch.hear(1)
+        site.watch._take_snapshot(Snapshot(1, {}), "peer")
+        assert site.revisions == [2]
+
+
+class TestStart:
+    def test_waits_for_store_or_peer(self) -> None:
+        """A gateway is replaced while the store is down.
+
+        Serving at once would refuse all callers, as no workspace is known;
+        serving what one frozen peer knows would undo tickets.
+        """
+        store = MemoryStore()
+        accept(store, 1)
+        old, new, site = Site(store), Site(store), Site()
+        old.poll()
+        accept(store, 2)
+        new.poll()
+        site.cut_store()
+        site.poll()
+        assert not site.watch.is_current()
+        site.peers = [old.watch, new.watch]
+        site.poll()
+        assert site.watch.is_current()
+        assert site.watch.declaration.revision == 2
+
+    def test_two_that_start_do_not_confirm_each_other(self) -> None:
+        """All gateways restart while the store is down.
+
+        Each would take the others' empty state for an answer and refuse
+        every caller as unknown.
+        """
+        one, two = Site(), Site()
+        one.peers, two.peers = [two.watch], [one.watch]
+        for site in (one, two, one, two):
+            site.cut_store()
+            site.poll()
+        assert not one.watch.is_current()
+        assert not two.watch.is_current()
+
+
+class TestFreeze:
+    def test_thawed_gateway_asks_before_it_serves(self) -> None:
+        """A gateway is frozen while a ticket takes a workspace's key away.
+
+        The first thing that runs when it thaws may be a caller's request,
+        before any poll; by its old declaration it would let the caller in.
+        """
+        site, peer = Site(), Site()
+        accept(site.store, 1)
+        site.poll()
+        accept(site.store, 2)
+        peer.store = site.store
+        peer.watch._store = site.store
+        peer.poll()
+        site.now += STALL_SECONDS + 1
+        assert not site.watch.is_current()
+        site.cut_store()
+        site.poll()
+        assert not site.watch.is_current()
+        site.peers = [peer.watch]
+        site.poll()
+        assert site.watch.is_current()
+        assert site.revisions == [1, 2]
+
+    def test_frozen_inside_a_poll(self) -> None:
+        """The process stops between a poll's call and its reply.
+
+        The reply tells of the time before the freeze.
+        """
+        site = Site()
+        accept(site.store, 1)
+
+        def freeze(call: str) -> str:
+            site.now += STALL_SECONDS + 1
+            return ""
+
+        site.store.fault = freeze
+        site.poll()
+        assert not site.watch.is_current()
+
+    def test_store_outage_alone_is_no_freeze(self) -> None:
+        """The store is down for an hour; serving goes on."""
+        site = Site()
+        accept(site.store, 1)
+        site.poll()
+        site.cut_store()
+        for _ in range(3600):
+            site.now += 1
+            site.poll()
+        assert site.watch.is_current()
