Relay one streamed answer over failing runners

A caller whose runner dies, freezes, refuses or leaves in mid-answer is to get each token once and in order. The life of an answer is a state table without I/O (systems/relay.py); runners/answer.py carries its actions out: probe over a new connection, move by prompt plus tokens, move the KV cache before a reclaim, in the order of systems/evacuation.py.

Events of earlier attempts are dropped by number: another runner may sample other tokens, so offsets alone would mix two answers.

A timeout around each read was ruled out, for it would end the caller's turn when the caller is slow; each connection is read by one task with one timer that asks when the last token came.

--- /dev/null
+++ b/lagoonpost/runners/answer.py
@@ -0,0 +1,325 @@
+"""Drives one streamed answer: the relay's actions become calls."""
+
+import asyncio
+from collections import deque
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Coroutine,
+    Mapping,
+)
+from typing import NamedTuple
+
+from eliot import log_message
+
+from lagoonpost.http.client import Client
+from lagoonpost.http.message import Address, parse_address
+from lagoonpost.runners.engine import (
+    cancel_answer,
+    open_answer,
+    resume_answer,
+)
+from lagoonpost.runners.kv import KvMover
+from lagoonpost.runners.reading import Reading
+from lagoonpost.systems import relay_event as ev
+from lagoonpost.systems.evacuation import Evacuee
+from lagoonpost.systems.event import Refuse
+from lagoonpost.systems.relay import Phase, Relay, step
+from lagoonpost.systems.relay_event import Execution, FailureKind
+from lagoonpost.tables.answer import Usage
+from lagoonpost.tables.entity import Runner
+
+# The move itself must be over before the runner goes.
+LEAVE_MARGIN = 0.5
+
+Place = Callable[[Runner, FailureKind], Awaitable[Runner | Refuse]]
+
+
+class Generation(NamedTuple):
+    """A request for a streamed answer.
+
+    Attributes:
+        request_id: Id of the request, also of the engine's stream.
+        body: The caller's chat-completions request.
+        tokens: Tokens that the caller already has.
+        priority: Higher is more urgent.
+        deadline: Loop time at which the answer is given up, or None.
+        prompt_tokens: Estimated tokens of the prompt.
+    """
+
+    request_id: str
+    body: Mapping[str, object]
+    tokens: tuple[str, ...] = ()
+    priority: int = 0
+    deadline: float | None = None
+    prompt_tokens: int = 0
+
+
+class Part(NamedTuple):
+    """Neighbouring tokens; ``offset`` tokens of the answer go before."""
+
+    offset: int
+    tokens: list[str]
+    runner: str
+
+    @property
+    def text(self) -> str:
+        """The tokens as one text."""
+        return "".join(self.tokens)
+
+    @property
+    def end(self) -> int:
+        """Number of the answer's tokens up to and with these."""
+        return self.offset + len(self.tokens)
+
+
+class Completed(NamedTuple):
+    """The answer is whole."""
+
+    finish_reason: str
+    usage: Usage
+
+
+class Failed(NamedTuple):
+    """The answer was given up; come back after ``retry_after`` seconds."""
+
+    execution: Execution
+    reason: str
+    retry_after: float | None
+
+
+Outcome = Part | Completed | Failed
+
+
+class RelayedAnswer:
+    """One answer on its way; iterate over it once."""
+
+    def __init__(
+        self,
+        order: Generation,
+        runner: Runner,
+        place: Place,
+        client: Client,
+        mover: KvMover,
+    ) -> None:
+        self._order = order
+        self._place = place
+        self._client = client
+        self._mover = mover
+        self._relay = Relay(list(order.tokens))
+        self._inbox: deque[ev.Event] = deque([ev.Placed(runner)])
+        self._wanted: asyncio.Future[None] | None = None
+        self._reading: Reading | None = None
+        self._placing: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._broken: BaseException | None = None
+
+    @property
+    def runner(self) -> Runner | None:
+        """Where the answer runs now."""
+        return self._relay.runner
+
+    @property
+    def tokens(self) -> list[str]:
+        """The tokens emitted so far; not to be changed."""
+        return self._relay.tokens
+
+    def leave(self, deadline: float) -> None:
+        """Say that the present runner goes at loop time ``deadline``."""
+        relay = self._relay
+        limit = self._order.body.get("max_tokens")
+        end = float("inf")
+        if isinstance(limit, int) and self._reading is not None:
+            end = self._reading.expect_end(limit, len(relay.tokens))
+        move_by = deadline - LEAVE_MARGIN
+        self._post(ev.Leaving(relay.attempt, move_by, end))
+
+    async def __aiter__(self) -> AsyncIterator[Outcome]:
+        """Yield parts as they come, then how it ended.
+
+        Close this iterator when the answer is no longer wanted; its runner
+        is then told to drop it.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = self._order.deadline
+        timer = None
+        if deadline is not None:
+            timer = loop.call_at(deadline, self._post, ev.Expired())
+        try:
+            while self._relay.phase is not Phase.ENDED:
+                event = await self._take()
+                for action in step(self._relay, event):
+                    outcome = self._carry_out(action)
+                    if outcome is not None:
+                        yield outcome
+        finally:
+            if timer is not None:
+                timer.cancel()
+            self._drop()
+
+    def _post(self, event: ev.Event) -> int:
+        self._inbox.append(event)
+        self._wake()
+        return len(self._inbox)
+
+    def _wake(self) -> None:
+        if self._wanted is not None and not self._wanted.done():
+            self._wanted.set_result(None)
+
+    async def _take(self) -> ev.Event:
+        if not self._inbox and self._broken is None:
+            if self._reading is not None:
+                self._reading.resume()
+            self._wanted = asyncio.get_running_loop().create_future()
+            await self._wanted
+        if self._broken is not None:
+            raise self._broken
+        return self._inbox.popleft()
+
+    def _carry_out(self, action: ev.Action) -> Outcome | None:
+        match action:
+            case ev.Emit(offset, tokens):
+                assert self._relay.runner is not None
+                return Part(offset, tokens, self._relay.runner.name)
+            case ev.Finish(reason, usage):
+                return Completed(reason, usage)
+            case ev.Fail(execution, reason, retry_after):
+                return Failed(execution, reason, retry_after)
+            case ev.Open(attempt, runner):
+                self._open(attempt, runner)
+            case ev.Probe(attempt, runner, after):
+                self._probe(attempt, runner, after)
+            case ev.Place(failed, kind):
+                self._ask(failed, kind)
+            case ev.Cancel(runner):
+                address = parse_address(runner.endpoint)
+                name = self._order.request_id
+                self._start(_cancel(self._client, address, name))
+            case ev.Export():
+                self._start(self._export(action))
+        return None
+
+    def _open(self, attempt: int, runner: Runner) -> None:
+        self._close_reading()
+        opening = open_answer(
+            self._client,
+            parse_address(runner.endpoint),
+            self._order.request_id,
+            self._order.body,
+            self._relay.tokens,
+            self._order.priority,
+            runner.version,
+        )
+        self._reading = Reading(opening, attempt, self._post, None)
+        self._watch(self._reading.task)
+
+    def _probe(self, attempt: int, runner: Runner, after: int) -> None:
+        self._log("probed", runner, "")
+        previous = self._reading
+        self._close_reading()
+        opening = resume_answer(
+            self._client,
+            parse_address(runner.endpoint),
+            self._order.request_id,
+            after,
+        )
+        self._reading = Reading(opening, attempt, self._post, previous)
+        self._watch(self._reading.task)
+
+    def _ask(self, failed: Runner, kind: FailureKind) -> None:
+        if self._relay.phase is Phase.PLACING:
+            self._close_reading()
+        if self._placing is None:
+            # One question at a time: a runner that dies after its notice
+            # is answered by the placement that the notice asked for.
+            self._log("moved", failed, kind)
+            self._placing = self._start(self._await_place(failed, kind))
+
+    async def _await_place(self, failed: Runner, kind: FailureKind) -> None:
+        answer = await self._place(failed, kind)
+        self._placing = None
+        if isinstance(answer, Refuse):
+            self._post(ev.NotPlaced(answer.reason, answer.retry_after))
+        else:
+            self._post(ev.Placed(answer))
+
+    async def _export(self, action: ev.Export) -> None:
+        relay = self._relay
+        size = self._order.prompt_tokens + len(relay.tokens)
+        evacuee = Evacuee(self._order.request_id, size, action.deadline)
+        moved = await self._mover.move(evacuee, action.source, action.target)
+        self._log("exported" if moved else "not_exported", action.source, "")
+        self._post(ev.Exported(action.attempt))
+
+    def _start(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        return self._watch(asyncio.create_task(work))
+
+    def _watch(self, task: asyncio.Task[None]) -> asyncio.Task[None]:
+        self._tasks.add(task)
+        task.add_done_callback(self._reap)
+        return task
+
+    def _reap(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        # A broken invariant in a task of this answer would otherwise show
+        # as an answer that never ends; raise it where the answer is read.
+        self._broken = task.exception()
+        self._wake()
+
+    def _close_reading(self) -> None:
+        if self._reading is not None:
+            self._reading.close()
+            self._reading = None
+
+    def _drop(self) -> None:
+        self._close_reading()
+        if self._placing is not None:
+            self._placing.cancel()
+        relay = self._relay
+        if relay.phase is not Phase.ENDED and relay.runner is not None:
+            relay.phase = Phase.ENDED
+            self._carry_out(ev.Cancel(relay.runner))
+
+    def _log(self, what: str, runner: Runner, kind: str) -> None:
+        log_message(
+            message_type=f"lagoonpost:answer:{what}",
+            request=self._order.request_id,
+            runner=runner.name,
+            tokens=len(self._relay.tokens),
+            kind=kind,
+        )
+
+
+async def _cancel(client: Client, address: Address, name: str) -> None:
+    await cancel_answer(client, address, name)
+
+
+def relay_answer(
+    order: Generation,
+    runner: Runner,
+    place: Place,
+    client: Client,
+    mover: KvMover | None = None,
+) -> RelayedAnswer:
+    """Stream the answer to ``order`` from ``runner``, then from others.
+
+    Args:
+        order: What is asked.
+        runner: Where the answer starts.
+        place: Asks the placement for another runner than the one that
+            failed; for ``leaving`` it may take its time, for the answer
+            goes on meanwhile.
+        client: HTTP client.
+        mover: Moves KV caches; one for all answers of a process, so that
+            the answers of one runner leave it in turn.
+
+    Returns:
+        The answer; iterate over it for ``Part`` and, last, ``Completed``
+        or ``Failed``.
+    """
+    return RelayedAnswer(
+        order, runner, place, client, mover or KvMover(client)
+    )
--- a/lagoonpost/runners/engine.py
+++ b/lagoonpost/runners/engine.py
@@ -69,6 +69,7 @@
     body: Mapping[str, object],
     tokens: Sequence[str],
     priority: int,
+    version: str = "",
 ) -> Stream | Refusal:
     """Ask an engine for an answer, from its first token or a later one.
 
@@ -79,12 +80,15 @@
         body: The caller's chat-completions request.
         tokens: The answer's tokens that the caller already has.
         priority: Higher is more urgent.
+        version: The version to run, in place of the body's.
 
     Raises:
         CallFailedError: If the connection fails.
     """
     wanted = dict(body)
     wanted["stream"] = True
+    if version:
+        wanted["version"] = version
     if tokens:
         wanted["continue_tokens"] = tokens
     headers = (
--- /dev/null
+++ b/lagoonpost/runners/kv.py
@@ -0,0 +1,119 @@
+"""Moves KV caches off leaving runners, in the order that saves most."""
+
+import asyncio
+from typing import NamedTuple
+
+import msgspec
+
+from lagoonpost.http.client import CallFailedError, Client
+from lagoonpost.http.message import parse_address
+from lagoonpost.systems.evacuation import Evacuee, Link, choose_next
+from lagoonpost.tables.entity import Runner
+
+# Weight of the newest export in the measured rate of a link.
+RATE_WEIGHT = 0.3
+
+
+class _Job(NamedTuple):
+    evacuee: Evacuee
+    target: Runner
+    done: asyncio.Future[bool]
+
+
+class _Imported(msgspec.Struct):
+    tokens: int
+
+
+class KvMover:
+    """Exports from one runner after another export from it has ended.
+
+    One at a time: side by side, all exports would reach the deadline
+    unfinished and save nothing; in turn, most are whole by then.
+    """
+
+    def __init__(self, client: Client) -> None:
+        self._client = client
+        self._jobs: dict[str, list[_Job]] = {}
+        self._links: dict[str, Link] = {}
+        self._workers: dict[str, asyncio.Task[None]] = {}
+
+    async def move(
+        self, evacuee: Evacuee, source: Runner, target: Runner
+    ) -> bool:
+        """Move one answer's KV cache and tell whether it is whole there.
+
+        Returns by the evacuee's deadline at the latest.
+        """
+        loop = asyncio.get_running_loop()
+        job = _Job(evacuee, target, loop.create_future())
+        self._jobs.setdefault(source.name, []).append(job)
+        if source.name not in self._workers:
+            self._workers[source.name] = asyncio.create_task(
+                self._work(source)
+            )
+        return await job.done
+
+    async def _work(self, source: Runner) -> None:
+        jobs = self._jobs[source.name]
+        try:
+            while jobs:
+                # Answers of one notice ask within one turn of the loop:
+                # choose only after all of them have.
+                await asyncio.sleep(0)
+                await self._run_next(source, jobs)
+        finally:
+            del self._workers[source.name]
+            for job in self._jobs.pop(source.name):
+                _settle(job, moved=False)
+
+    async def _run_next(self, source: Runner, jobs: list[_Job]) -> None:
+        now = asyncio.get_running_loop().time()
+        link = self._links.get(source.name, Link())
+        waiting = [job.evacuee for job in jobs if not job.done.done()]
+        chosen = choose_next(waiting, link, now)
+        if chosen is None:
+            for job in jobs:
+                _settle(job, moved=False)
+            jobs.clear()
+            return
+        job = next(job for job in jobs if job.evacuee is chosen)
+        jobs.remove(job)
+        _settle(job, moved=await self._transfer(source, job))
+
+    async def _transfer(self, source: Runner, job: _Job) -> bool:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        name = job.evacuee.request_id
+        try:
+            async with asyncio.timeout_at(job.evacuee.deadline):
+                exported = await self._client.call(
+                    parse_address(source.endpoint),
+                    "POST",
+                    f"/v1/streams/{name}/export",
+                    timeout=job.evacuee.deadline - started,
+                )
+                if exported.status != 200:
+                    return False
+                imported = await self._client.call(
+                    parse_address(job.target.endpoint),
+                    "POST",
+                    "/v1/kv/import",
+                    exported.body,
+                    timeout=job.evacuee.deadline - started,
+                )
+        except (CallFailedError, TimeoutError):
+            return False
+        if imported.status != 200:
+            return False
+        tokens = msgspec.json.decode(imported.body, type=_Imported).tokens
+        seconds = loop.time() - started
+        link = self._links.get(source.name, Link())
+        self._links[source.name] = link.learn(
+            len(exported.body), tokens, seconds, RATE_WEIGHT
+        )
+        return True
+
+
+def _settle(job: _Job, *, moved: bool) -> None:
+    if not job.done.done():
+        job.done.set_result(moved)
--- a/lagoonpost/runners/sse.py
+++ b/lagoonpost/runners/sse.py
@@ -4,19 +4,15 @@
 
 import msgspec
 
+from lagoonpost.tables.answer import Usage
+
+# Bytes of one event; a token with its frame has a few hundred.
+MOST_REST = 1024 * 1024
 _DATA = b"data:"
 _ID = b"id:"
 _DONE = b"[DONE]"
 
 
-class Usage(msgspec.Struct):
-    """Token counts of an answer, as its engine reports them."""
-
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-    prefilled_tokens: int = 0
-
-
 class Tokens(NamedTuple):
     """Neighbouring tokens of one answer.
 
@@ -79,36 +75,43 @@
         events: list[StreamEvent] = []
         following = -1
         tokens: list[str] = []
+        if len(self._rest) > MOST_REST:
+            return [EngineError("an event is too large")]
         for block in blocks:
-            number = 0
-            chunk = None
-            for line in block.split(b"\n"):
-                if line.startswith(_DATA):
-                    payload = line[5:].strip()
-                    if payload != _DONE:
-                        try:
-                            chunk = _decode(payload)
-                        except msgspec.DecodeError as error:
-                            events.append(EngineError(str(error)))
-                            return events
-                elif line.startswith(_ID):
-                    number = int(line[3:])
+            try:
+                number, chunk = _read_block(block)
+            except (msgspec.DecodeError, ValueError) as error:
+                events.append(EngineError(str(error)))
+                break
             if chunk is None:
                 continue
-            if number and chunk.choices:
-                content = chunk.choices[0].delta.content or ""
-                if number == following:
-                    tokens.append(content)
-                else:
-                    tokens = [content]
-                    events.append(Tokens(number - 1, tokens))
-                following = number + 1
-            else:
+            if number <= 0 or not chunk.choices:
                 events.append(_read_end(chunk))
                 following = -1
+                continue
+            content = chunk.choices[0].delta.content or ""
+            if number == following:
+                tokens.append(content)
+            else:
+                tokens = [content]
+                events.append(Tokens(number - 1, tokens))
+            following = number + 1
         return events
 
 
+def _read_block(block: bytes) -> tuple[int, _Chunk | None]:
+    number = 0
+    chunk = None
+    for line in block.split(b"\n"):
+        if line.startswith(_DATA):
+            payload = line[5:].strip()
+            if payload != _DONE:
+                chunk = _decode(payload)
+        elif line.startswith(_ID):
+            number = int(line[3:])
+    return number, chunk
+
+
 def _read_end(chunk: _Chunk) -> StreamEvent:
     if chunk.error is not None:
         return EngineError(bytes(chunk.error).decode())
