Give the stand-in engine its flags and a graceful end

Stories over real processes need engines of different speed, memory and fencing, which end on SIGTERM as other stand-ins do.

--- a/lagoonpost_standins/engine.py
+++ b/lagoonpost_standins/engine.py
@@ -10,6 +10,7 @@
 from lagoonpost_standins.engine_fault import Counts, Faults
 from lagoonpost_standins.engine_routes import Routes
 from lagoonpost_standins.engine_state import EngineState
+from lagoonpost_standins.stop import GRACE_SECONDS, wait_for_stop
 
 CRASH_STATUS = 70
 LIMITS = Limits(body=64 * 1024 * 1024)
@@ -58,10 +59,9 @@
 async def serve_engine(
     listen: Address, name: str, options: EngineOptions | None = None
 ) -> None:
-    """Serve a stand-in engine until canceled."""
+    """Serve a stand-in engine until SIGTERM or SIGINT."""
     engine = EngineStandin(name, options)
-    await engine.start(listen)
-    try:
-        await asyncio.Event().wait()
-    finally:
-        await engine.close()
+    address = await engine.start(listen)
+    print(f"listening on {address}", flush=True)
+    await wait_for_stop()
+    await engine.close(GRACE_SECONDS)
--- a/lagoonpost_standins/main.py
+++ b/lagoonpost_standins/main.py
@@ -1,17 +1,17 @@
 """Command line of the stand-ins."""
 
 import asyncio
-import signal
+from typing import Any
 
 import click
 
 from lagoonpost.http.message import Address, parse_address
 from lagoonpost.http.server import Handler, Server
+from lagoonpost_standins.engine import serve_engine
+from lagoonpost_standins.engine_batch import EngineOptions
 from lagoonpost_standins.platform import Platform
 from lagoonpost_standins.service import Service
-
-GRACE_SECONDS = 1.0
-
+from lagoonpost_standins.stop import GRACE_SECONDS, wait_for_stop
 
 listen_option = click.option(
     "--listen", type=parse_address, metavar="HOST:PORT", required=True
@@ -38,28 +38,34 @@
     asyncio.run(serve(listen, Service(name).handle))
 
 
+_DEFAULTS = EngineOptions()
+
+
 @main.command()
 @listen_option
 @click.option("--name", default="engine")
-def engine(listen: Address, name: str) -> None:
-    """Model engine."""
-    from lagoonpost_standins.engine import (  # type: ignore[import-not-found, unused-ignore]
-        serve_engine,
-    )
-
-    asyncio.run(serve_engine(listen, name))
+@click.option("--token-rate", default=_DEFAULTS.token_rate)
+@click.option("--prefill-rate", default=_DEFAULTS.prefill_rate)
+@click.option("--slots", default=_DEFAULTS.slots)
+@click.option("--cache-tokens", default=_DEFAULTS.cache_tokens)
+@click.option("--kv-bytes", default=_DEFAULTS.kv_bytes)
+@click.option("--export-rate", default=_DEFAULTS.export_rate)
+@click.option("--keep-seconds", default=_DEFAULTS.keep_seconds)
+@click.option("--report-seconds", default=_DEFAULTS.report_seconds)
+@click.option("--load-seconds", default=_DEFAULTS.load_seconds)
+@click.option("--checks-fence/--ignores-fence", default=True)
+@click.option("--loaded", "versions", multiple=True, metavar="VERSION")
+def engine(listen: Address, name: str, **options: Any) -> None:
+    """Model engine; EngineOptions says what its options mean."""
+    asyncio.run(serve_engine(listen, name, EngineOptions(**options)))
 
 
 async def serve(listen: Address, handler: Handler) -> None:
     """Serve until SIGTERM or SIGINT."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     server = Server(handler)
     address = await server.start(listen)
     click.echo(f"listening on {address}")
-    await stop.wait()
+    await wait_for_stop()
     await server.close(GRACE_SECONDS)
 
 
