Decide on load by token cost, fair share and deadline

The thin decide() sent each request to the less loaded of two runners without a queue, a limit or a refusal. Now requests are costed in tokens, wait in a fair queue per class, are refused at once with a spread Retry-After when their deadline can't be met, and are routed by prefix holder within a bound, else by the better of two, on own work in flight plus aged reports.

--- /dev/null
+++ b/lagoonpost/systems/admission.py
@@ -0,0 +1,120 @@
+"""What is let in: a request whose target can be met, by its fair share.
+
+Pattern of load: more work arrives than the runners can do, for long, or one
+workspace sends ten times its share. A queue without a limit then grows until
+every answer is late, and all capacity goes into answers nobody waits for any
+more; one limit for all lets the heaviest sender take it.
+
+On arrival the wait is worked out from the tokens that go before the request
+in its fair queue, over the rate at which our queues drain. If its first part
+would come after its deadline it is refused at once, with the time after which
+coming back helps. Since what goes ahead depends on the workspace, a workspace
+that sends ten times its share meets its own queue and no one else's.
+
+Thresholds: a wait is predicted from averages, so only ``MARGIN`` of the slack
+is planned with: service times that are spread as an exponential, over ``c``
+slots, give a wait a relative deviation of 1/sqrt(requests ahead); a fifth is
+two deviations at 100 requests ahead and one at 25. Predictions are corrected
+by ``BIAS_GAIN`` of the ratio of seen to predicted waits, clipped to
+``BIAS_MOST`` so that one odd wait can't shut the door.
+"""
+
+from random import Random
+
+from lagoonpost.systems.backoff import spread_delay
+from lagoonpost.systems.cost import count_tokens
+from lagoonpost.systems.event import Refuse
+from lagoonpost.systems.pool import Pool
+from lagoonpost.systems.queueing import SHORT, Waiting
+from lagoonpost.tables.request import RequestRow
+
+MARGIN = 0.8
+BIAS_GAIN = 0.1
+BIAS_MOST = 4.0
+# Waits below this say more about ticks than about the queue.
+BIAS_LEAST_SECONDS = 0.1
+
+OVER_SHARE = 429
+NO_CAPACITY = 503
+
+
+def predict_first(pool: Pool, request: RequestRow) -> float:
+    """Estimate seconds from dispatch to what the deadline asks for."""
+    if pool.service.kind == "plain":
+        route = pool.routes.get(request.route)
+        return pool.rates.slot_seconds(count_tokens(request), route)
+    return pool.rates.first_seconds(request.prompt_tokens)
+
+
+def count_ahead(pool: Pool, request: RequestRow) -> float:
+    """Return the tokens that are served before a new request."""
+    ahead = pool.queues[request.request_class].ahead(request.workspace)
+    if request.request_class not in SHORT:
+        for name in SHORT:
+            ahead += sum(pool.queues[name].backlog.values())
+    return ahead
+
+
+def admit(
+    pool: Pool, request: RequestRow, now: float, rng: Random
+) -> Waiting | Refuse:
+    """Decide on a new request.
+
+    Args:
+        pool: The service's state.
+        request: The request.
+        now: Time in seconds.
+        rng: Seeded generator for the spread of returns.
+
+    Returns:
+        The queue entry to push, or the refusal.
+    """
+    if not pool.loads:
+        return Refuse(
+            request.id, NO_CAPACITY, "no_runner", spread_delay(1.0, rng)
+        )
+    cost = count_tokens(request)
+    queue = pool.queues[request.request_class]
+    ahead = count_ahead(pool, request)
+    drain = pool.drain(pool.routes.get(request.route))
+    first = predict_first(pool, request)
+    wait = 0.0
+    if pool.free < 1 or ahead:
+        # With all slots full, the next one is a mean request's part away.
+        wait = (ahead + pool.rates.mean_cost) / drain
+    bias = pool.bias.get((request.request_class, request.workspace), 1.0)
+    if now + max(wait * bias / MARGIN, 0.0) + first > request.deadline:
+        delay = pool.promises.add(cost, ahead, drain, now)
+        status, reason = _blame(pool, request.workspace)
+        return Refuse(request.id, status, reason, spread_delay(delay, rng))
+    latest = request.deadline - first
+    start = queue.next_start(request.workspace)
+    return Waiting(request, cost, start, latest, now, wait)
+
+
+def learn_wait(pool: Pool, entry: Waiting, now: float) -> None:
+    """Correct predictions by the wait of a dispatched request."""
+    if entry.predicted < BIAS_LEAST_SECONDS:
+        return
+    request = entry.request
+    key = (request.request_class, request.workspace)
+    ratio = min((now - entry.queued) / entry.predicted, BIAS_MOST)
+    old = pool.bias.get(key, 1.0)
+    pool.bias[key] = old + BIAS_GAIN * (ratio - old)
+
+
+def within_share(pool: Pool, workspace: str) -> bool:
+    """Return whether a workspace uses no more than its fair share."""
+    used = pool.used.get(workspace, 0.0)
+    total = sum(pool.used.values())
+    if not used or not total:
+        return True
+    queue = pool.queues["check"]
+    weights = sum(queue.weight(name) for name in pool.used)
+    return used <= total * queue.weight(workspace) / weights
+
+
+def _blame(pool: Pool, workspace: str) -> tuple[int, str]:
+    if len(pool.used) > 1 and not within_share(pool, workspace):
+        return OVER_SHARE, "over_share"
+    return NO_CAPACITY, "no_capacity"
--- /dev/null
+++ b/lagoonpost/systems/dispatch.py
@@ -0,0 +1,261 @@
+"""Taking waiting requests to runners while slots are free."""
+
+import math
+from random import Random
+
+from lagoonpost.systems.admission import learn_wait, within_share
+from lagoonpost.systems.affinity import decay_work
+from lagoonpost.systems.backoff import spread_delay
+from lagoonpost.systems.cost import count_tokens
+from lagoonpost.systems.ejection import count_probe, find_probe
+from lagoonpost.systems.event import Action, Dispatch, Refuse
+from lagoonpost.systems.pool import Moved, Pool
+from lagoonpost.systems.queueing import (
+    CLASSES,
+    SHORT,
+    FairQueue,
+    Waiting,
+    order_classes,
+    reserve_slots,
+)
+from lagoonpost.systems.routing import (
+    Choice,
+    choose_alone,
+    choose_runner,
+    count_version,
+)
+from lagoonpost.tables.load import Flight
+from lagoonpost.tables.request import RequestRow
+
+# One event's work is bounded; what is left goes at the next event or tick.
+MOST_DISPATCHED = 64
+PROTECTED_SECONDS = 5.0
+
+
+def dispatch_waiting(pool: Pool, now: float, rng: Random) -> list[Action]:
+    """Send what can be sent now: moved requests first, then by fair queue.
+
+    Args:
+        pool: The service's state; changed in place.
+        now: Time in seconds.
+        rng: Seeded generator.
+
+    Returns:
+        Dispatches, and refusals of requests whose time has run out.
+    """
+    actions = expire(pool, now, rng)
+    actions += _dispatch_moved(pool, now, rng)
+    for _ in range(MOST_DISPATCHED):
+        entry = _next_entry(pool, now)
+        if entry is None:
+            break
+        choice = _choose(pool, entry.request, now, rng)
+        if choice is None:
+            break
+        queue = pool.queues[entry.request.request_class]
+        queue.remove(entry.request.id)
+        queue.serve(entry)
+        learn_wait(pool, entry, now)
+        pool.budget.earn()
+        count_version(pool, choice.load.runner.version)
+        actions.append(_send(pool, entry.request, choice, now))
+    return actions
+
+
+def expire(pool: Pool, now: float, rng: Random) -> list[Action]:
+    """Refuse at once what can no longer make its target.
+
+    Only requests that never ran are given up for load; an accepted one that
+    is moved is given up at its route's timeout.
+    """
+    actions: list[Action] = []
+    for queue in pool.queues.values():
+        for entry in queue.expired(now):
+            actions.append(_give_up(pool, queue, entry, now, rng))
+    for moved in list(pool.moved.values()):
+        reason = _timed_out(pool, moved, now)
+        if reason:
+            forget(pool, moved.request.id)
+            delay = spread_delay(1.0, rng)
+            actions.append(Refuse(moved.request.id, 503, reason, delay))
+    return actions
+
+
+def review(pool: Pool, now: float, rng: Random) -> list[Action]:
+    """Refuse at once what lost its chance when capacity was lost."""
+    actions: list[Action] = []
+    for name in CLASSES:
+        queue = pool.queues[name]
+        ahead = 0.0
+        if name not in SHORT:
+            ahead = sum(sum(pool.queues[s].backlog.values()) for s in SHORT)
+        for entry in sorted(queue.waiting.values(), key=lambda e: e.start):
+            route = pool.routes.get(entry.request.route)
+            if now + ahead / pool.drain(route) > entry.latest:
+                actions.append(_give_up(pool, queue, entry, now, rng))
+            else:
+                ahead += entry.cost
+    return actions
+
+
+def land(pool: Pool, request_id: str, now: float) -> Flight | None:
+    """Take a request off its runner's count and return its flight."""
+    flight = pool.flights.pop(request_id, None)
+    if flight is None:
+        return None
+    pool.drafts -= flight.request_class == "draft"
+    left = pool.used.get(flight.workspace, 0.0) - flight.cost
+    if left > 1e-6:
+        pool.used[flight.workspace] = left
+    else:
+        pool.used.pop(flight.workspace, None)
+    load = pool.loads.get(flight.runner)
+    # A runner that left took its requests out of the count with it.
+    if load is not None and load.remove(request_id, now):
+        pool.own -= 1
+    return flight
+
+
+def forget(pool: Pool, request_id: str) -> None:
+    """Drop all that is known of a request that has left its runner."""
+    pool.moved.pop(request_id, None)
+    pool.tried.pop(request_id, None)
+    if request_id in pool.alone:
+        pool.alone.discard(request_id)
+        for load in pool.loads.values():
+            if load.exclusive == request_id:
+                load.exclusive = None
+    for queue in pool.queues.values():
+        queue.remove(request_id)
+
+
+def _next_entry(pool: Pool, now: float) -> Waiting | None:
+    if pool.free < 1 and not _probe_due(pool, now):
+        return None
+    _fade_protected(pool, now)
+    kept = reserve_slots(pool.protected, pool.slots)
+    order = order_classes(pool.queues, pool.drafts, pool.own)
+    for name in order:
+        entry = pool.queues[name].head()
+        if entry is None:
+            continue
+        if pool.free >= 1 + kept:
+            return entry
+        if name in SHORT and within_share(pool, entry.request.workspace):
+            return entry
+    return None
+
+
+def _probe_due(pool: Pool, now: float) -> bool:
+    return any(
+        find_probe(loads, set(), now) for loads in pool.versions.values()
+    )
+
+
+def _choose(
+    pool: Pool, request: RequestRow, now: float, rng: Random
+) -> Choice | None:
+    if request.repeatable:
+        tried = pool.tried.get(request.id, set())
+        for version, loads in pool.versions.items():
+            load = find_probe(loads, tried, now)
+            if load is not None and pool.shares.get(version, 1.0) > 0:
+                count_probe(load.health, now)
+                return Choice(load, "probe", (load.runner.name,))
+    return choose_runner(pool, request, now, rng, None)
+
+
+def _choose_moved(
+    pool: Pool, moved: Moved, now: float, rng: Random
+) -> Choice | None:
+    if moved.request.id in pool.alone:
+        return choose_alone(pool, moved.request, now)
+    return choose_runner(pool, moved.request, now, rng, moved.version)
+
+
+def _dispatch_moved(pool: Pool, now: float, rng: Random) -> list[Action]:
+    actions: list[Action] = []
+    for moved in list(pool.moved.values()):
+        if moved.ready > now:
+            continue
+        choice = _choose_moved(pool, moved, now, rng)
+        if choice is None:
+            continue
+        del pool.moved[moved.request.id]
+        actions.append(_send(pool, moved.request, choice, now))
+        if len(actions) >= MOST_DISPATCHED:
+            break
+    return actions
+
+
+def _send(
+    pool: Pool, request: RequestRow, choice: Choice, now: float
+) -> Dispatch:
+    load = choice.load
+    name = load.runner.name
+    cost = count_tokens(request)
+    prefill = pool.prefixes.count_missing(name, request)
+    expected = pool.rates.first_seconds(prefill)
+    if pool.service.kind == "plain":
+        route = pool.routes.get(request.route)
+        expected = pool.rates.slot_seconds(cost, route)
+    flight = Flight(
+        name,
+        load.runner.version,
+        request.workspace,
+        request.request_class,
+        cost,
+        prefill,
+        expected,
+        now,
+    )
+    pool.flights[request.id] = flight
+    load.add(request.id, now)
+    decay_work(load, now)
+    load.assigned += cost
+    pool.own += 1
+    pool.drafts += request.request_class == "draft"
+    _protect(pool, request, cost)
+    pool.used[request.workspace] = pool.used.get(request.workspace, 0.0) + cost
+    pool.prefixes.store(name, request.prefix)
+    return Dispatch(
+        request.id, name, load.runner.version, choice.reason, choice.over
+    )
+
+
+def _give_up(
+    pool: Pool, queue: FairQueue, entry: Waiting, now: float, rng: Random
+) -> Refuse:
+    request = entry.request
+    queue.remove(request.id)
+    pool.tried.pop(request.id, None)
+    ahead = queue.ahead(request.workspace)
+    drain = pool.drain(pool.routes.get(request.route))
+    delay = pool.promises.add(entry.cost, ahead, drain, now)
+    return Refuse(request.id, 503, "late", spread_delay(delay, rng))
+
+
+def _timed_out(pool: Pool, moved: Moved, now: float) -> str | None:
+    request = moved.request
+    if not moved.accepted:
+        return "late" if now > request.deadline else None
+    route = pool.routes.get(request.route)
+    timeout = route.timeout if route else 30.0
+    return "timeout" if now > request.arrived + timeout else None
+
+
+def _protect(pool: Pool, request: RequestRow, cost: float) -> None:
+    # The slot-seconds that short requests within their share take, over
+    # the averaging time, are their offered load in slots.
+    if request.request_class not in SHORT:
+        return
+    if within_share(pool, request.workspace):
+        route = pool.routes.get(request.route)
+        seconds = pool.rates.slot_seconds(cost, route)
+        pool.protected += seconds / PROTECTED_SECONDS
+
+
+def _fade_protected(pool: Pool, now: float) -> None:
+    age = max(0.0, now - pool.protected_at)
+    pool.protected *= math.exp(-age / PROTECTED_SECONDS)
+    pool.protected_at = now
--- /dev/null
+++ b/lagoonpost/systems/ejection.py
@@ -0,0 +1,178 @@
+"""Taking work away from a slow or failing runner, and giving it back.
+
+Pattern of load: one runner turns ten times as slow, or fails, or is slow only
+while it is busy. Routing by requests in flight alone notices late, as its
+requests pile up first; every caller sent there misses the target. The
+opposite fault is worse: under overload all runners look slow, and ejecting
+them one by one leaves nothing.
+
+Evidence is the ratio of seen to expected seconds to the first part, in
+logarithms, averaged by ``GAIN``; a request that is overdue counts while it is
+still waiting. It is compared with the median runner, so that load which slows
+all of them ejects none, and at most ``MOST_EJECTED`` of the runners are out.
+
+An ejected runner gets single probes, ``PROBE_FIRST`` to ``PROBE_LAST``
+seconds apart. One good answer lets one request in, each further good one
+doubles that (slow start) up to half of what it had when it was found slow,
+and then one request a ``GROW_SECONDS`` (as congestion control does), so that
+a runner that is slow only under load settles where it is fast.
+
+Thresholds: answers on healthy runners stay within a factor of ``RATIO`` = 3
+of the mean of their size; two answers at ten times (ln 10 x (1 - 0.6^2) =
+1.47 > ln 3) eject, a single one (0.92 < 1.10) never does. Probes at most 4 s
+apart, and a doubling per answer, bring a recovered runner back within 10 s.
+A third ejected leaves the others at 1.5 times their work, which they bear
+(see headroom); beyond that the fault is not in single runners.
+"""
+
+import math
+from statistics import median
+
+from lagoonpost.systems.pool import Pool
+from lagoonpost.tables.health import Health
+from lagoonpost.tables.load import RunnerLoad
+
+RATIO = 3.0
+GAIN = 0.4
+MOST_EJECTED = 1 / 3
+PROBE_FIRST = 1.0
+PROBE_LAST = 4.0
+GROW_SECONDS = 0.5
+# An error or a cut connection counts as an answer this much too slow.
+FAILURE_RATIO = 10.0
+# Evidence from one answer is clipped, so that one stuck request isn't all.
+RATIO_MOST = 10.0
+OVERDUE_LOOKED_AT = 4
+
+
+def record_outcome(
+    pool: Pool, load: RunnerLoad, ratio: float, sent: float, now: float
+) -> None:
+    """Take in one answer's ratio of seen to expected seconds.
+
+    Args:
+        pool: The service's state.
+        load: The runner.
+        ratio: Seen over expected seconds.
+        sent: Time at which the request was sent.
+        now: Time in seconds.
+    """
+    health = load.health
+    if sent < health.since and health.state != "healthy":
+        # Sent before the runner was ejected: old news.
+        return
+    seen = math.log(min(max(ratio, 1 / RATIO_MOST), RATIO_MOST))
+    health.samples += 1
+    if health.state == "healthy":
+        health.score += GAIN * (seen - health.score)
+        return
+    if seen > math.log(RATIO):
+        _eject(health, load.own, now)
+    elif health.state == "ejected":
+        health.state = "returning"
+        health.limit = 1.0
+    else:
+        _raise_limit(health, load.runner.slots, now)
+    pool.count_slots()
+
+
+def record_failure(
+    pool: Pool, load: RunnerLoad, kind: str, sent: float, now: float
+) -> None:
+    """Take in a failed attempt; a lost connection ejects at once."""
+    record_outcome(pool, load, FAILURE_RATIO, sent, now)
+    if kind == "lost" and load.health.state == "healthy":
+        load.health.score = max(load.health.score, math.log(FAILURE_RATIO))
+        load.health.samples = max(load.health.samples, 2)
+        eject_slow(pool, now)
+
+
+def eject_slow(pool: Pool, now: float) -> list[str]:
+    """Eject runners that are much slower than the median runner.
+
+    Args:
+        pool: The service's state.
+        now: Time in seconds.
+
+    Returns:
+        Names of the runners that were ejected now.
+    """
+    loads = list(pool.loads.values())
+    out = sum(load.health.state == "ejected" for load in loads)
+    room = max(1, int(len(loads) * MOST_EJECTED)) - out
+    if room <= 0 or len(loads) < 2:
+        return []
+    scores = {load.runner.name: _score(pool, load, now) for load in loads}
+    middle = max(0.0, median(scores.values()))
+    slow = [
+        load
+        for load in loads
+        if load.health.state != "ejected"
+        and scores[load.runner.name] > middle + math.log(RATIO)
+    ]
+    slow.sort(key=lambda load: -scores[load.runner.name])
+    for load in slow[:room]:
+        _eject(load.health, load.own, now)
+    if slow:
+        pool.count_slots()
+    return [load.runner.name for load in slow[:room]]
+
+
+def find_probe(
+    loads: list[RunnerLoad], tried: set[str], now: float
+) -> RunnerLoad | None:
+    """Return an ejected runner whose probe is due."""
+    for load in loads:
+        health = load.health
+        due = health.state == "ejected" and now >= health.probe_at
+        if due and load.runner.name not in tried and not load.exclusive:
+            return load
+    return None
+
+
+def count_probe(health: Health, now: float) -> None:
+    """Note that a probe was sent, and when the next one is due."""
+    health.probe_wait = min(health.probe_wait * 2, PROBE_LAST)
+    health.probe_at = now + health.probe_wait
+
+
+def _score(pool: Pool, load: RunnerLoad, now: float) -> float:
+    # A slow runner shows its slowness by what does not come: overdue
+    # requests count as answers of their present age.
+    score = load.health.score
+    for request_id in list(load.awaiting)[:OVERDUE_LOOKED_AT]:
+        flight = pool.flights[request_id]
+        if flight.expected <= 0 or flight.dispatched < load.health.since:
+            continue
+        ratio = (now - flight.dispatched) / flight.expected
+        if ratio > RATIO:
+            seen = math.log(min(ratio, RATIO_MOST))
+            score += GAIN * (seen - score)
+    return score
+
+
+def _eject(health: Health, own: int, now: float) -> None:
+    again = health.state != "healthy"
+    health.ceiling = max(1.0, min(own, health.limit) / 2)
+    health.state = "ejected"
+    health.limit = 0.0
+    health.score = 0.0
+    health.samples = 0
+    health.since = now
+    if not again:
+        health.probe_wait = PROBE_FIRST / 2
+        health.probe_at = now + PROBE_FIRST
+
+
+def _raise_limit(health: Health, slots: int, now: float) -> None:
+    if health.limit < health.ceiling:
+        health.limit = min(health.limit * 2, health.ceiling)
+        health.since = now
+    elif now - health.since >= GROW_SECONDS:
+        health.limit += 1
+        health.since = now
+    if health.limit >= slots:
+        health.state = "healthy"
+        health.limit = math.inf
+        health.ceiling = math.inf
+        health.score = 0.0
--- a/lagoonpost/systems/event.py
+++ b/lagoonpost/systems/event.py
@@ -92,6 +92,12 @@
     verdict: str
 
 
+class Peered(NamedTuple):
+    """The number of gateways that are serving changed."""
+
+    gateways: int
+
+
 class Tick(NamedTuple):
     """Time passed."""
 
@@ -108,6 +114,7 @@
     | Abandoned
     | Leaving
     | Quarantined
+    | Peered
     | Tick
 )
 
--- a/lagoonpost/systems/gateway.py
+++ b/lagoonpost/systems/gateway.py
@@ -1,34 +1,75 @@
 """The gateway's one entry point for decisions: events in, actions out."""
 
+from collections.abc import Callable
 from random import Random
+from typing import Any
 
+from lagoonpost.systems.admission import admit
+from lagoonpost.systems.backoff import back_off
+from lagoonpost.systems.cost import PREFILL_RATIO
+from lagoonpost.systems.dispatch import (
+    dispatch_waiting,
+    forget,
+    land,
+    review,
+)
+from lagoonpost.systems.ejection import (
+    eject_slow,
+    record_failure,
+    record_outcome,
+)
 from lagoonpost.systems.event import (
     Abandoned,
     Action,
     Arrived,
     AttemptFailed,
+    CacheEvents,
     Declared,
-    Dispatch,
     Event,
     Finished,
+    FirstToken,
     Leaving,
+    Peered,
+    Progress,
+    Quarantined,
     Refuse,
+    Reported,
+    Tick,
 )
+from lagoonpost.systems.pool import Moved, Pool
+from lagoonpost.systems.subset import choose_subset
 from lagoonpost.tables.entity import Declaration, Runner
+from lagoonpost.tables.load import Flight, RunnerLoad
 from lagoonpost.tables.request import RequestRow
 
-RETRY_SECONDS = 1.0
+POISON = 422
+NO_CAPACITY = 503
+# First delay before a request that a runner refused is sent again: one tick,
+# as the slot that it needs is taken for a request's length.
+REFUSED_BASE_SECONDS = 0.05
 
 
 class GatewayTables:
-    """All that one gateway's decisions know."""
+    """All that one gateway's decisions know.
 
-    def __init__(self) -> None:
+    Attributes:
+        name: The gateway's name, by which it chooses its runners.
+        gateways: How many gateways there are; 1 while unknown.
+        declaration: The declaration in force.
+        requests: Requests that are waiting or running, by id.
+        pools: State of each service.
+        leaving: Names of runners that will go.
+        verdicts: Verdicts on fingerprints.
+    """
+
+    def __init__(self, name: str = "", gateways: int = 1) -> None:
+        self.name = name
+        self.gateways = gateways
         self.declaration = Declaration()
         self.requests: dict[str, RequestRow] = {}
-        self.running: dict[str, set[str]] = {}
+        self.pools: dict[str, Pool] = {}
         self.leaving: set[str] = set()
-        self.tried: dict[str, set[str]] = {}
+        self.verdicts: dict[str, str] = {}
 
 
 def decide(
@@ -46,61 +87,323 @@
     Returns:
         Actions in the order in which to carry them out.
     """
-    match event:
-        case Declared(declaration):
-            if declaration.revision >= tables.declaration.revision:
-                tables.declaration = declaration
-        case Leaving(runners):
-            tables.leaving |= runners
-        case Arrived(request):
-            tables.requests[request.id] = request
-            return _place(tables, request, rng)
-        case AttemptFailed(request_id, runner, _, retry):
-            tables.running.get(runner, set()).discard(request_id)
-            request = tables.requests[request_id]
-            if not retry:
-                _forget(tables, request_id)
-                return []
-            tables.tried.setdefault(request_id, set()).add(runner)
-            return _place(tables, request, rng)
-        case Finished(request_id) | Abandoned(request_id):
-            _forget(tables, request_id)
-        case _:
-            pass
-    return []
+    actions = _HANDLERS[type(event)](tables, event, now, rng)
+    for action in actions:
+        if isinstance(action, Refuse):
+            tables.requests.pop(action.request_id, None)
+    return actions
 
 
-def _forget(tables: GatewayTables, request_id: str) -> None:
-    tables.requests.pop(request_id, None)
-    tables.tried.pop(request_id, None)
-    for requests in tables.running.values():
-        requests.discard(request_id)
-
-
-def _place(
-    tables: GatewayTables, request: RequestRow, rng: Random
-) -> list[Action]:
-    tried = tables.tried.get(request.id, set())
-    candidates = [
-        runner
-        for runner in tables.declaration.runners
-        if runner.service == request.service
-        and runner.name not in tables.leaving
-        and runner.name not in tried
-    ]
-    if not candidates:
-        _forget(tables, request.id)
-        return [Refuse(request.id, 503, "no_runner", RETRY_SECONDS)]
-
-    def load(runner: Runner) -> int:
-        return len(tables.running.get(runner.name, ()))
-
-    pair = rng.sample(candidates, min(2, len(candidates)))
-    chosen = min(pair, key=load)
-    tables.running.setdefault(chosen.name, set()).add(request.id)
-    names = tuple(runner.name for runner in pair)
-    return [
-        Dispatch(
-            request.id, chosen.name, chosen.version, "least_loaded", names
+def _declare(
+    tables: GatewayTables, event: Declared, now: float, rng: Random
+) -> list[Action]:
+    if event.declaration.revision < tables.declaration.revision:
+        return []
+    tables.declaration = event.declaration
+    for service in event.declaration.services:
+        pool = tables.pools.setdefault(service.name, Pool(service))
+        pool.service = service
+        pool.routes = {route.path: route for route in service.routes}
+        pool.shares = {
+            version.name: version.share
+            for version in event.declaration.versions
+            if version.service == service.name
+        }
+        weights = {
+            workspace.name: workspace.weight
+            for workspace in event.declaration.workspaces
+        }
+        for queue in pool.queues.values():
+            queue.weights = weights
+    _place_runners(tables)
+    return _dispatch_all(tables, now, rng)
+
+
+def _place_runners(tables: GatewayTables) -> None:
+    """Bring each service's runners up to date, keeping known loads."""
+    wanted: dict[str, dict[str, list[Runner]]] = {}
+    for runner in tables.declaration.runners:
+        if runner.name not in tables.leaving:
+            versions = wanted.setdefault(runner.service, {})
+            versions.setdefault(runner.version, []).append(runner)
+    for name, pool in tables.pools.items():
+        known = pool.loads
+        pool.loads = {}
+        pool.versions = {}
+        for version, runners in wanted.get(name, {}).items():
+            pool.versions[version] = []
+            for runner in choose_subset(tables.name, runners, tables.gateways):
+                load = known.get(runner.name) or RunnerLoad(runner)
+                load.runner = runner
+                pool.loads[runner.name] = load
+                pool.versions[version].append(load)
+        pool.domains = len(
+            {load.runner.failure_domain for load in pool.loads.values()}
         )
-    ]
+        pool.count_slots()
+
+
+def _peer(
+    tables: GatewayTables, event: Peered, now: float, rng: Random
+) -> list[Action]:
+    tables.gateways = event.gateways
+    _place_runners(tables)
+    return _dispatch_all(tables, now, rng)
+
+
+def _leave(
+    tables: GatewayTables, event: Leaving, now: float, rng: Random
+) -> list[Action]:
+    tables.leaving |= event.runners
+    actions: list[Action] = []
+    for pool in tables.pools.values():
+        gone = event.runners & pool.loads.keys()
+        for name in gone:
+            del pool.loads[name]
+        for version, loads in pool.versions.items():
+            pool.versions[version] = [
+                load for load in loads if load.runner.name not in gone
+            ]
+        if gone:
+            pool.count_slots()
+            actions += review(pool, now, rng)
+    return actions
+
+
+def _arrive(
+    tables: GatewayTables, event: Arrived, now: float, rng: Random
+) -> list[Action]:
+    request = event.request
+    if tables.verdicts.get(request.fingerprint) == "refused":
+        return [Refuse(request.id, POISON, "poison", None)]
+    pool = tables.pools.get(request.service)
+    if pool is None:
+        return [Refuse(request.id, NO_CAPACITY, "no_runner", 1.0)]
+    if tables.verdicts.get(request.fingerprint) == "alone":
+        tables.requests[request.id] = request
+        _isolate(pool, request, now)
+        return dispatch_waiting(pool, now, rng)
+    entry = admit(pool, request, now, rng)
+    if isinstance(entry, Refuse):
+        return [entry]
+    tables.requests[request.id] = request
+    pool.queues[request.request_class].push(entry)
+    return dispatch_waiting(pool, now, rng)
+
+
+def _report(
+    tables: GatewayTables, event: Reported, now: float, rng: Random
+) -> list[Action]:
+    for pool in tables.pools.values():
+        if event.report.runner in pool.loads:
+            pool.take_report(event.report)
+            return dispatch_waiting(pool, now, rng)
+    return []
+
+
+def _note_cache(
+    tables: GatewayTables, event: CacheEvents, now: float, rng: Random
+) -> list[Action]:
+    for pool in tables.pools.values():
+        if event.runner in pool.loads:
+            pool.prefixes.store(event.runner, event.stored)
+            pool.prefixes.drop(event.runner, event.dropped)
+    return []
+
+
+def _begin(
+    tables: GatewayTables, event: FirstToken, now: float, rng: Random
+) -> list[Action]:
+    pool = _find_pool(tables, event.request_id)
+    flight = pool.flights.get(event.request_id) if pool else None
+    if pool is None or flight is None or flight.runner != event.runner:
+        return []
+    if flight.first is not None or pool.service.kind == "plain":
+        return []
+    pool.flights[event.request_id] = flight._replace(first=now)
+    seconds = now - flight.dispatched
+    load = pool.loads.get(flight.runner)
+    if load is not None:
+        load.awaiting.pop(event.request_id, None)
+        _judge(pool, load, seconds, flight, now)
+    pool.rates.learn_first(flight.prefill, seconds)
+    return []
+
+
+def _finish(
+    tables: GatewayTables, event: Finished, now: float, rng: Random
+) -> list[Action]:
+    pool = _find_pool(tables, event.request_id)
+    if pool is None:
+        return []
+    flight = land(pool, event.request_id, now)
+    request = tables.requests.pop(event.request_id)
+    forget(pool, request.id)
+    if flight is None:
+        return dispatch_waiting(pool, now, rng)
+    seconds = now - flight.dispatched
+    cost = flight.cost
+    if pool.service.kind == "model" and event.tokens:
+        cost = 1.0 + flight.prefill / PREFILL_RATIO + event.tokens
+        queue = pool.queues[request.request_class]
+        queue.correct(request.workspace, cost - flight.cost)
+    load = pool.loads.get(flight.runner)
+    if load is not None and pool.service.kind == "plain":
+        _judge(pool, load, seconds, flight, now)
+    pool.rates.learn_whole(cost, seconds)
+    return dispatch_waiting(pool, now, rng)
+
+
+def _judge(
+    pool: Pool, load: RunnerLoad, seconds: float, flight: Flight, now: float
+) -> None:
+    if flight.expected > 0:
+        ratio = seconds / flight.expected
+        record_outcome(pool, load, ratio, flight.dispatched, now)
+
+
+def _fail(
+    tables: GatewayTables, event: AttemptFailed, now: float, rng: Random
+) -> list[Action]:
+    pool = _find_pool(tables, event.request_id)
+    if pool is None:
+        return []
+    request = tables.requests[event.request_id]
+    flight = land(pool, request.id, now)
+    refused = event.kind == "refused"
+    load = pool.loads.get(event.runner)
+    if load is not None and refused:
+        # It is full by others' requests that no report has shown yet.
+        pool.set_others(load, load.runner.slots - load.own, now)
+    elif load is not None:
+        sent = flight.dispatched if flight else now
+        record_failure(pool, load, event.kind, sent, now)
+    if not event.retry:
+        tables.requests.pop(request.id)
+        forget(pool, request.id)
+        return dispatch_waiting(pool, now, rng)
+    if not refused and not request.repeatable:
+        # It may have run: a second run could book twice.
+        forget(pool, request.id)
+        return [Refuse(request.id, NO_CAPACITY, "may_have_run", None)]
+    if event.kind == "failed" and not pool.budget.spend():
+        forget(pool, request.id)
+        return [Refuse(request.id, NO_CAPACITY, "retry_budget", 1.0)]
+    _retry(pool, request, event, flight, now, rng)
+    return dispatch_waiting(pool, now, rng)
+
+
+def _retry(
+    pool: Pool,
+    request: RequestRow,
+    event: AttemptFailed,
+    flight: Flight | None,
+    now: float,
+    rng: Random,
+) -> None:
+    tried = pool.tried.setdefault(request.id, set())
+    tried.add(event.runner)
+    begun = flight is not None and flight.first is not None
+    accepted = begun or event.kind in ("lost", "silent")
+    delay = 0.0
+    if not accepted:
+        delay = back_off(len(tried), REFUSED_BASE_SECONDS, rng)
+    version = flight.version if flight else ""
+    pool.moved[request.id] = Moved(request, version, accepted, now + delay)
+
+
+def _abandon(
+    tables: GatewayTables, event: Abandoned, now: float, rng: Random
+) -> list[Action]:
+    request = tables.requests.pop(event.request_id, None)
+    if request is None:
+        return []
+    pool = tables.pools[request.service]
+    land(pool, request.id, now)
+    forget(pool, request.id)
+    return dispatch_waiting(pool, now, rng)
+
+
+def _quarantine(
+    tables: GatewayTables, event: Quarantined, now: float, rng: Random
+) -> list[Action]:
+    tables.verdicts[event.fingerprint] = event.verdict
+    if event.verdict != "refused":
+        return _isolate_all(tables, event.fingerprint, now, rng)
+    actions: list[Action] = []
+    for request in list(tables.requests.values()):
+        pool = tables.pools[request.service]
+        if request.fingerprint != event.fingerprint:
+            continue
+        if request.id not in pool.flights:
+            forget(pool, request.id)
+            actions.append(Refuse(request.id, POISON, "poison", None))
+    return actions
+
+
+def _isolate_all(
+    tables: GatewayTables, fingerprint: str, now: float, rng: Random
+) -> list[Action]:
+    for request in tables.requests.values():
+        pool = tables.pools[request.service]
+        if request.fingerprint != fingerprint or request.id in pool.flights:
+            continue
+        forget(pool, request.id)
+        _isolate(pool, request, now)
+    return _dispatch_all(tables, now, rng)
+
+
+def _isolate(pool: Pool, request: RequestRow, now: float) -> None:
+    pool.alone.add(request.id)
+    pool.moved[request.id] = Moved(request, "", False, now)
+
+
+def _tick(
+    tables: GatewayTables, event: Tick, now: float, rng: Random
+) -> list[Action]:
+    actions: list[Action] = []
+    for pool in tables.pools.values():
+        if eject_slow(pool, now):
+            actions += review(pool, now, rng)
+        actions += dispatch_waiting(pool, now, rng)
+    return actions
+
+
+def _ignore(
+    tables: GatewayTables, event: Event, now: float, rng: Random
+) -> list[Action]:
+    return []
+
+
+def _dispatch_all(
+    tables: GatewayTables, now: float, rng: Random
+) -> list[Action]:
+    actions: list[Action] = []
+    for pool in tables.pools.values():
+        actions += dispatch_waiting(pool, now, rng)
+    return actions
+
+
+def _find_pool(tables: GatewayTables, request_id: str) -> Pool | None:
+    # The caller may have gone just before: late news of its request is
+    # no fault.
+    request = tables.requests.get(request_id)
+    return tables.pools[request.service] if request else None
+
+
+_Handler = Callable[[GatewayTables, Any, float, Random], list[Action]]
+_HANDLERS: dict[type[Event], _Handler] = {
+    Declared: _declare,
+    Peered: _peer,
+    Leaving: _leave,
+    Arrived: _arrive,
+    Reported: _report,
+    CacheEvents: _note_cache,
+    FirstToken: _begin,
+    Progress: _ignore,
+    Finished: _finish,
+    AttemptFailed: _fail,
+    Abandoned: _abandon,
+    Quarantined: _quarantine,
+    Tick: _tick,
+}
--- /dev/null
+++ b/lagoonpost/systems/pool.py
@@ -0,0 +1,146 @@
+"""All that a gateway knows of one service: runners, queues, rates."""
+
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from lagoonpost.systems.affinity import PrefixTable
+from lagoonpost.systems.backoff import Promises, RetryBudget
+from lagoonpost.systems.cost import Rates
+from lagoonpost.systems.queueing import CLASSES, FairQueue
+from lagoonpost.tables.entity import RequestClass, Route, Service
+from lagoonpost.tables.load import Flight, RunnerLoad
+from lagoonpost.tables.report import LoadReport
+from lagoonpost.tables.request import RequestRow
+
+# A report's view of other gateways' work fades into the mean of all runners
+# with this time constant: about a request's time in a slot, after which what
+# was counted has left.
+REPORT_FADE = 2.0
+
+
+class Moved(NamedTuple):
+    """An accepted request that waits for another runner.
+
+    Attributes:
+        request: The request.
+        version: Version that began it, or the empty string.
+        accepted: Whether it may no longer be refused for load.
+        ready: Time before which it isn't sent again.
+    """
+
+    request: RequestRow
+    version: str
+    accepted: bool
+    ready: float
+
+
+@dataclass(slots=True)
+class Pool:
+    """One service's runners and requests at one gateway.
+
+    Attributes:
+        service: The declared service.
+        routes: Its routes by path.
+        shares: Share of new work by version.
+        given: New requests given to each version, decayed.
+        loads: Runners that we talk to, by name; leaving ones are gone.
+        slots: Slots that new work may use.
+        own: Our requests in flight at ``loads``.
+        drafts: Our drafts in flight.
+        others: Other gateways' requests, as last reported.
+        used: Tokens in flight by workspace.
+        protected: Offered load of short requests within their share, in
+            slots, averaged.
+        protected_at: Time to which ``protected`` is averaged.
+        bias: Seen over predicted waits, by class and workspace.
+        domains: Failure domains of the declared runners.
+        alone: Suspect requests that must have a runner to themselves.
+    """
+
+    service: Service
+    routes: dict[str, Route] = field(default_factory=dict)
+    shares: dict[str, float] = field(default_factory=dict)
+    given: Counter[str] = field(default_factory=Counter)
+    loads: dict[str, RunnerLoad] = field(default_factory=dict)
+    versions: dict[str, list[RunnerLoad]] = field(default_factory=dict)
+    slots: float = 0.0
+    own: int = 0
+    drafts: int = 0
+    others: float = 0.0
+    domains: int = 1
+    used: dict[str, float] = field(default_factory=dict)
+    protected: float = 0.0
+    protected_at: float = 0.0
+    bias: dict[tuple[RequestClass, str], float] = field(default_factory=dict)
+    flights: dict[str, Flight] = field(default_factory=dict)
+    queues: dict[RequestClass, FairQueue] = field(
+        default_factory=lambda: {name: FairQueue() for name in CLASSES}
+    )
+    alone: set[str] = field(default_factory=set)
+    moved: dict[str, Moved] = field(default_factory=dict)
+    tried: dict[str, set[str]] = field(default_factory=dict)
+    rates: Rates = field(default_factory=Rates)
+    prefixes: PrefixTable = field(default_factory=PrefixTable)
+    promises: Promises = field(default_factory=Promises)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+
+    @property
+    def free(self) -> float:
+        """Slots that are free by own count and reports."""
+        return self.slots - self.own - self.others
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queues."""
+        return sum(len(queue.waiting) for queue in self.queues.values())
+
+    def share(self) -> float:
+        """Return our part of the work in flight, above 0.
+
+        One is added to both sides: a gateway that has nothing in flight yet
+        can still get the next slot.
+        """
+        return (self.own + 1.0) / (self.own + self.others + 1.0)
+
+    def drain(self, route: Route | None) -> float:
+        """Return the tokens a second that leave our queues when full."""
+        seconds = self.rates.slot_seconds(1.0, route)
+        slots = max(self.slots, 1.0)
+        return slots * self.share() / max(seconds, 1e-6)
+
+    def occupancy(self, load: RunnerLoad, now: float) -> float:
+        """Return a runner's requests: own, and others' by aged report."""
+        mean = self.others / max(1, len(self.loads))
+        fresh = math.exp((load.measured - now) / REPORT_FADE)
+        return load.own + fresh * load.others + (1.0 - fresh) * mean
+
+    def take_report(self, report: LoadReport) -> None:
+        """Correct a report by what we had there when it was measured.
+
+        A report that was overtaken by a newer one is dropped.
+        """
+        load = self.loads.get(report.runner)
+        if load is None or report.measured <= load.measured:
+            return
+        own = load.own_at(report.measured)
+        others = max(0.0, report.running + report.waiting - own)
+        self.set_others(load, others, report.measured)
+
+    def set_others(
+        self, load: RunnerLoad, others: float, measured: float
+    ) -> None:
+        """Set what other gateways have at a runner."""
+        self.others = max(0.0, self.others + others - load.others)
+        load.others = others
+        load.measured = measured
+
+    def count_slots(self) -> None:
+        """Sum up slots and work over the runners that are usable now."""
+        self.own = sum(load.own for load in self.loads.values())
+        self.slots = sum(
+            min(load.health.limit, load.runner.slots)
+            for load in self.loads.values()
+        )
+        self.others = sum(load.others for load in self.loads.values())
--- /dev/null
+++ b/lagoonpost/tables/health.py
@@ -0,0 +1,32 @@
+"""How well a runner has answered lately, as one gateway saw it."""
+
+import math
+from dataclasses import dataclass
+from typing import Literal
+
+HealthState = Literal["healthy", "ejected", "returning"]
+
+
+@dataclass(slots=True)
+class Health:
+    """One runner's health.
+
+    Attributes:
+        state: Whether it gets its full work, only probes, or a growing part.
+        score: Average ratio of seen to expected seconds, in logarithms.
+        samples: Outcomes behind ``score``.
+        limit: Own requests that it may have while not healthy.
+        ceiling: Limit above which it was last found slow.
+        since: Time of the last change of state or of the limit.
+        probe_at: Earliest time of the next probe while ejected.
+        probe_wait: Seconds between probes, growing.
+    """
+
+    state: HealthState = "healthy"
+    score: float = 0.0
+    samples: int = 0
+    limit: float = math.inf
+    ceiling: float = math.inf
+    since: float = -math.inf
+    probe_at: float = 0.0
+    probe_wait: float = 0.0
--- /dev/null
+++ b/test/test_systems_gateway.py
@@ -0,0 +1,81 @@
+"""The entry point: properties that hold for any arrivals and any seed."""
+
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bench.player import Call, Player, make_declaration
+from lagoonpost.systems.event import Dispatch, Refuse
+
+calls = st.lists(
+    st.builds(
+        Call,
+        time=st.floats(0, 4),
+        workspace=st.sampled_from(["a", "b", "c"]),
+        request_class=st.sampled_from(["check", "booking", "draft"]),
+        prompt=st.integers(1, 2000),
+        output=st.integers(1, 100),
+        prefix=st.sampled_from([(), (1,), (1, 2), (3, 4)]),
+    ),
+    max_size=60,
+)
+
+
+def play(wanted, seed=1, gateways=1, lost=(), notice=True):
+    player = Player(
+        make_declaration(runners=3, slots=2), seed, gateways=gateways
+    )
+    if lost:
+        player.at(2.0, lambda: player.lose(lost, notice))
+    outcomes = player.play(wanted, 150.0)
+    return player, outcomes
+
+
+class TestDecide:
+    @settings(max_examples=40)
+    @given(calls, st.integers(1, 3))
+    def test_every_request_ends_once(self, wanted, gateways):
+        player, outcomes = play(wanted, gateways=gateways)
+        for outcome in outcomes:
+            ended = (outcome.finished is not None) + (
+                outcome.refused is not None
+            )
+            assert ended == 1
+        sent = Counter(
+            action.request_id
+            for _, action in player.log
+            if isinstance(action, Dispatch)
+        )
+        refused = {
+            action.request_id
+            for _, action in player.log
+            if isinstance(action, Refuse)
+        }
+        assert not refused & sent.keys()
+        assert all(count == 1 for count in sent.values())
+        for tables in player.tables:
+            pool = tables.pools["model"]
+            assert not tables.requests
+            assert not pool.flights
+            assert pool.own == 0
+            assert all(load.own == 0 for load in pool.loads.values())
+
+    @settings(max_examples=10)
+    @given(calls, st.integers(0, 9))
+    def test_same_seed_gives_same_actions(self, wanted, seed):
+        assert play(wanted, seed)[0].log == play(wanted, seed)[0].log
+
+    @settings(max_examples=40)
+    @given(calls, st.booleans())
+    def test_accepted_requests_outlive_a_lost_runner(self, wanted, notice):
+        """An answer breaks off although its request had been accepted.
+
+        A runner is reclaimed, with or without notice, while requests run
+        on it. They ask for another runner while new requests fill the rest.
+        """
+        _, outcomes = play(wanted, lost=["r1"], notice=notice)
+        for outcome in outcomes:
+            if outcome.attempts > 1:
+                assert outcome.call.request_class != "booking"
+                assert outcome.finished is not None
