Add peers: membership, gossip of facts, fetch and hand-over

The gateways need to hear of leaving runners, trips and new revisions without the store. A member keeps three ring neighbours whatever the number of members; news is pushed over them at once and digests in the probes find what a push lost. A full mesh was ruled out, as its probes and connections grow with the members.

Each test was seen red with its guard broken: the later end kept by a merge, the body as tie-break, the check for expired rows, tombstones shorter than a partition, incarnations larger than the claim's, bridges over failure domains, hand-overs remembered, refusals forgotten, not current before the first exchange, current alone after all seeds failed.

--- /dev/null
+++ b/lagoonpost/peers/message.py
@@ -0,0 +1,54 @@
+"""Messages between peers besides gossip: fetching and hand-over."""
+
+from typing import NamedTuple
+
+
+class FetchRequest(NamedTuple):
+    """Ask for documents of a kind with numbers above ``after``."""
+
+    kind: str
+    after: int
+
+
+class Document(NamedTuple):
+    """One numbered document, such as an accepted change ticket."""
+
+    number: int
+    body: bytes
+
+
+class FetchReply(NamedTuple):
+    """Documents in the order of their numbers; ``more`` if some are left."""
+
+    documents: tuple[Document, ...]
+    more: bool
+
+
+class HandOver(NamedTuple):
+    """An accepted request that a leaving gateway gives to a peer.
+
+    Attributes:
+        request_id: Id of the request; a peer takes each id at most once.
+        workspace: Who asked.
+        service: Service asked for.
+        body: Body of the request, byte for byte.
+        tokens: Tokens of the answer so far.
+        runner: Name of the runner that has the stream, or empty.
+        deadline: Seconds left until the request's deadline.
+        stream: Whether the caller wants the answer as a stream.
+    """
+
+    request_id: str
+    workspace: str
+    service: str
+    body: bytes
+    tokens: tuple[str, ...]
+    runner: str
+    deadline: float
+    stream: bool
+
+
+class HandOverReply(NamedTuple):
+    """Whether the peer has accepted the request."""
+
+    accepted: bool
--- /dev/null
+++ b/lagoonpost/peers/node.py
@@ -0,0 +1,329 @@
+"""Runs gossip over the network for one process of the system."""
+
+import asyncio
+import random
+import socket
+import time
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from typing import NamedTuple
+
+from eliot import log_message
+from grpclib.server import Server
+
+from lagoonpost.http.message import Address, parse_address
+from lagoonpost.peers.codec import MessagePackCodec
+from lagoonpost.peers.message import (
+    Document,
+    FetchReply,
+    FetchRequest,
+    HandOver,
+)
+from lagoonpost.peers.pool import ChannelPool, call_once
+from lagoonpost.peers.service import (
+    FETCH,
+    GOSSIP,
+    HAND_OVER,
+    OnFetch,
+    OnHandOver,
+    PeerService,
+    refuse_fetch,
+    refuse_hand_over,
+)
+from lagoonpost.systems.gossip import TICK_SECONDS, Gossip
+from lagoonpost.systems.membership import PROBE_SECONDS, first_incarnation
+from lagoonpost.systems.packet import (
+    Action,
+    Answered,
+    Call,
+    Event,
+    Failed,
+    Flush,
+    Learned,
+    Leave,
+    Packet,
+    Publish,
+    Received,
+    Reply,
+    Tick,
+)
+from lagoonpost.tables.fact import Fact, FactKind
+from lagoonpost.tables.peer import Member, PeerRole
+
+# News of one burst leaves in one packet; ten hops still take only 0.2 s.
+FLUSH_SECONDS = 0.02
+FETCH_TIMEOUT = 5.0
+HAND_OVER_TIMEOUT = 2.0
+HAND_OVER_TRIES = 2
+
+
+class PeerSettings(NamedTuple):
+    """What a process is told about itself and its peers.
+
+    Attributes:
+        name: Unique name of the process.
+        role: What it runs as.
+        region: Region it runs in.
+        failure_domain: Failure domain it runs in.
+        address: Address to listen at; peers reach it there. Port 0 takes
+            a free one.
+        seeds: Addresses at which other members may be found.
+        entry: Address for callers, told to all members, or None.
+    """
+
+    name: str
+    role: PeerRole
+    region: str
+    failure_domain: str
+    address: Address
+    seeds: tuple[Address, ...] = ()
+    entry: Address | None = None
+
+
+def make_clock() -> Callable[[], float]:
+    """Return a clock of seconds since the epoch that is never set back.
+
+    It counts the time a host is suspended, which the loop's clock does
+    not, so that a thawed host finds out that it was away.
+    """
+    kind = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+    offset = time.time() - time.clock_gettime(kind)
+    return lambda: offset + time.clock_gettime(kind)
+
+
+class Peers:
+    """This process among the members of the system."""
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        on_facts: Callable[[Sequence[Fact]], None],
+        on_members: Callable[[Sequence[Member]], None],
+        on_fetch: OnFetch = refuse_fetch,
+        on_hand_over: OnHandOver = refuse_hand_over,
+        clock: Callable[[], float] | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Prepare; nothing runs before ``start``.
+
+        Args:
+            settings: Who this is.
+            on_facts: Told each fact that newly holds, own ones as well.
+            on_members: Told each row that changed, the own one as well.
+            on_fetch: Gives documents of a kind with numbers above one.
+            on_hand_over: Takes over a leaving peer's request, or not.
+            clock: Seconds since the epoch, never set back.
+            rng: Source of random choices.
+        """
+        self._settings = settings
+        self._on_facts = on_facts
+        self._on_members = on_members
+        self._clock = clock or make_clock()
+        self._rng = rng or random.Random()
+        service = PeerService(self._receive, on_fetch, on_hand_over)
+        self._server = Server([service], codec=MessagePackCodec())
+        self._pool = ChannelPool()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._current = asyncio.Event()
+        self._gossip: Gossip
+
+    async def start(self) -> Address:
+        """Listen, look for the others, and return the own address."""
+        listener = socket.create_server(self._settings.address)
+        host, port = listener.getsockname()[:2]
+        address = Address(host, port)
+        now = self._clock()
+        seeds = [str(seed) for seed in self._settings.seeds]
+        self._gossip = Gossip(self._describe(address, now), seeds, now)
+        await self._server.start(sock=listener)
+        self._tick()
+        return address
+
+    def _describe(self, address: Address, now: float) -> Member:
+        settings = self._settings
+        return Member(
+            name=settings.name,
+            address=str(address),
+            role=settings.role,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            incarnation=first_incarnation(now),
+            changed=now,
+            entry=str(settings.entry) if settings.entry else "",
+        )
+
+    async def leave(self) -> None:
+        """Tell the others that this process leaves; go on answering."""
+        self._step(Leave())
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=PROBE_SECONDS)
+
+    async def close(self) -> None:
+        """Leave, unless that was done, and stop."""
+        if self._gossip.view.me.state != "left":
+            await self.leave()
+        for timer in self._timers.values():
+            timer.cancel()
+        for task in set(self._tasks):
+            task.cancel()
+        self._pool.close()
+        self._server.close()
+        await self._server.wait_closed()
+
+    # Views
+
+    @property
+    def me(self) -> Member:
+        """The own row."""
+        return self._gossip.view.me
+
+    def members(self) -> tuple[Member, ...]:
+        """Return all members that are held to run, this one included."""
+        rows = self._gossip.view.members.rows.values()
+        return tuple(row for row in rows if row.serving)
+
+    def facts(self, kind: FactKind) -> tuple[Fact, ...]:
+        """Return all facts of one kind that hold."""
+        return self._gossip.view.facts.of_kind(kind)
+
+    def current(self) -> bool:
+        """Return whether the facts are as new as those of the others.
+
+        While it is False, this process has just started, or was frozen;
+        it must not serve on what it holds.
+        """
+        return self._gossip.current(self._clock())
+
+    async def wait_current(self, timeout: float) -> bool:
+        """Wait for ``current``; return whether it came in time."""
+        if not self.current():
+            # It may still be set from before a freeze.
+            self._current.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._current.wait()
+        return self.current()
+
+    # What the process does with its peers
+
+    def add_seeds(self, addresses: Sequence[Address]) -> None:
+        """Take more addresses at which members may be found."""
+        self._gossip.add_seeds(str(address) for address in addresses)
+
+    def publish(self, fact: Fact) -> None:
+        """Make a fact hold everywhere."""
+        self._step(Publish(fact))
+
+    async def fetch(
+        self, peer: Member, kind: str, after: int
+    ) -> tuple[Document, ...] | None:
+        """Return a peer's documents with numbers above ``after``.
+
+        Returns:
+            All of them in order, or None if the peer did not answer.
+        """
+        address = parse_address(peer.address)
+        documents: list[Document] = []
+        while True:
+            request = FetchRequest(kind, after)
+            reply: FetchReply | None = await call_once(
+                address, FETCH, request, FETCH_TIMEOUT
+            )
+            if reply is None:
+                return None
+            documents.extend(reply.documents)
+            if not reply.more:
+                return tuple(documents)
+            after = reply.documents[-1].number
+
+    async def hand_over(self, member: Member, request: HandOver) -> bool:
+        """Give an accepted request to a peer.
+
+        Returns:
+            True if the peer said that it took the request. False if it
+            refused or did not answer; then it may still have taken it,
+            so a request that must not be repeated needs its own guard.
+        """
+        address = parse_address(member.address)
+        for _ in range(HAND_OVER_TRIES):
+            reply = await call_once(
+                address, HAND_OVER, request, HAND_OVER_TIMEOUT
+            )
+            if reply is not None:
+                accepted: bool = reply.accepted
+                break
+        else:
+            accepted = False
+        log_message(
+            message_type="lagoonpost:peers:handed_over",
+            request=request.request_id,
+            to=member.name,
+            accepted=accepted,
+        )
+        return accepted
+
+    # Events in, actions out
+
+    def _tick(self) -> None:
+        # No next tick is set before this one has ended: an error in it
+        # ends the ticks, and ``current`` turns False within seconds.
+        self._step(Tick())
+        self._arm("tick", TICK_SECONDS, self._tick)
+
+    def _flush(self) -> None:
+        del self._timers["flush"]
+        self._step(Flush())
+
+    def _arm(
+        self, name: str, delay: float, function: Callable[[], None]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._timers[name] = loop.call_later(delay, function)
+
+    def _receive(self, packet: Packet) -> Reply:
+        for action in self._step(Received(packet)):
+            if isinstance(action, Reply):
+                return action
+        raise AssertionError("gossip gave no reply")
+
+    def _step(self, event: Event) -> list[Action]:
+        actions = self._gossip.step(event, self._clock(), self._rng)
+        for action in actions:
+            if isinstance(action, Call):
+                self._spawn(action)
+            elif isinstance(action, Learned):
+                self._tell(action)
+        if self._gossip.view.has_news() and "flush" not in self._timers:
+            self._arm("flush", FLUSH_SECONDS, self._flush)
+        if self.current():
+            self._current.set()
+        return actions
+
+    def _spawn(self, call: Call) -> None:
+        task = asyncio.create_task(self._call(call))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _call(self, call: Call) -> None:
+        address = parse_address(call.address)
+        reply = await self._pool.call(
+            address, GOSSIP, call.packet, PROBE_SECONDS
+        )
+        if reply is None:
+            self._step(Failed(call))
+        else:
+            self._step(Answered(call, reply))
+
+    def _tell(self, learned: Learned) -> None:
+        for row in learned.members:
+            log_message(
+                message_type="lagoonpost:peers:member",
+                member=row.name,
+                state=row.state,
+                incarnation=row.incarnation,
+            )
+        if learned.members:
+            self._on_members(learned.members)
+        if learned.facts:
+            self._on_facts(learned.facts)
--- /dev/null
+++ b/lagoonpost/peers/service.py
@@ -0,0 +1,126 @@
+"""The gRPC methods that a member offers to its peers."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+from grpclib.const import Cardinality, Handler
+from grpclib.server import Stream
+
+from lagoonpost.peers.message import (
+    Document,
+    FetchReply,
+    FetchRequest,
+    HandOver,
+    HandOverReply,
+)
+from lagoonpost.peers.pool import Method
+from lagoonpost.systems.packet import Packet, Reply
+
+GOSSIP = Method("/lagoonpost.Peer/Gossip", Packet, Reply)
+FETCH = Method("/lagoonpost.Peer/Fetch", FetchRequest, FetchReply)
+HAND_OVER = Method("/lagoonpost.Peer/HandOver", HandOver, HandOverReply)
+
+# One reply of Fetch; well within a channel's 4 MiB window, so that a
+# process that catches up takes little memory at either end.
+FETCH_BYTES = 256 * 1024
+# Requests a gateway remembers to have taken. One that leaves hands over
+# its open requests once, some hundreds, and asks again within seconds.
+REMEMBERED_HAND_OVERS = 4096
+
+OnGossip = Callable[[Packet], Reply]
+OnFetch = Callable[[str, int], Sequence[Document]]
+OnHandOver = Callable[[HandOver], Awaitable[bool]]
+
+
+def refuse_fetch(kind: str, after: int) -> Sequence[Document]:
+    """Have no documents of any kind."""
+    return ()
+
+
+async def refuse_hand_over(request: HandOver) -> bool:
+    """Take no request over, as a controller does."""
+    return False
+
+
+class PeerService:
+    """Answers peers; what it answers comes from three callables."""
+
+    def __init__(
+        self,
+        on_gossip: OnGossip,
+        on_fetch: OnFetch,
+        on_hand_over: OnHandOver,
+    ) -> None:
+        self._on_gossip = on_gossip
+        self._on_fetch = on_fetch
+        self._on_hand_over = on_hand_over
+        self._taken: OrderedDict[str, asyncio.Task[bool]] = OrderedDict()
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the methods by path, as grpclib asks for them."""
+        return {
+            method.path: Handler(
+                function,
+                Cardinality.UNARY_UNARY,
+                method.request_type,
+                method.reply_type,
+            )
+            for method, function in (
+                (GOSSIP, self._gossip),
+                (FETCH, self._fetch),
+                (HAND_OVER, self._hand_over),
+            )
+        }
+
+    async def _gossip(self, stream: Stream[Any, Any]) -> None:
+        packet = await stream.recv_message()
+        if packet is not None:
+            await stream.send_message(self._on_gossip(packet))
+
+    async def _fetch(self, stream: Stream[Any, Any]) -> None:
+        request = await stream.recv_message()
+        if request is not None:
+            documents = self._on_fetch(request.kind, request.after)
+            await stream.send_message(_cut(documents))
+
+    async def _hand_over(self, stream: Stream[Any, Any]) -> None:
+        request = await stream.recv_message()
+        if request is not None:
+            accepted = await self._take(request)
+            await stream.send_message(HandOverReply(accepted))
+
+    async def _take(self, request: HandOver) -> bool:
+        # The reply of a hand-over may be lost after the request was taken.
+        # The giver asks again; without this memory it would run twice.
+        task = self._taken.get(request.request_id)
+        if task is None:
+            task = asyncio.ensure_future(self._decide(request))
+            self._taken[request.request_id] = task
+            if len(self._taken) > REMEMBERED_HAND_OVERS:
+                self._taken.popitem(last=False)
+        # The giver's connection may break while the gateway decides.
+        return await asyncio.shield(task)
+
+    async def _decide(self, request: HandOver) -> bool:
+        accepted = False
+        try:
+            accepted = await self._on_hand_over(request)
+        finally:
+            if not accepted:
+                # A refusal is no promise; the giver may ask again later.
+                del self._taken[request.request_id]
+        return accepted
+
+
+def _cut(documents: Sequence[Document]) -> FetchReply:
+    ordered = sorted(documents)
+    size = 0
+    taken: list[Document] = []
+    for document in ordered:
+        size += len(document.body)
+        if taken and size > FETCH_BYTES:
+            break
+        taken.append(document)
+    return FetchReply(tuple(taken), len(taken) < len(ordered))
--- /dev/null
+++ b/lagoonpost/systems/view.py
@@ -0,0 +1,193 @@
+"""One member's tables, what is new in them, and its neighbours."""
+
+from collections.abc import Iterable
+
+from lagoonpost.systems.detection import Detector
+from lagoonpost.systems.membership import (
+    Topology,
+    arrange,
+    choose_links,
+    choose_neighbours,
+    refute,
+)
+from lagoonpost.systems.packet import Call, Learned, Packet, Purpose, Reply
+from lagoonpost.tables.fact import Fact, FactTable
+from lagoonpost.tables.peer import Member, MemberTable
+
+
+class View:
+    """What one member holds of the others and of the facts.
+
+    Attributes:
+        me: The own row, as published last.
+        members: All known members, also the own row and tombstones.
+        facts: All facts that hold.
+        detector: Who does not answer and who is suspect.
+        settled: Whether an exchange has succeeded since the start or the
+            last freeze.
+    """
+
+    def __init__(self, me: Member, settled: bool, now: float) -> None:
+        self.me = me
+        self.members = MemberTable()
+        self.facts = FactTable()
+        self.detector = Detector()
+        self.settled = settled
+        self._topology: Topology | None = None
+        # Rows to push, with the member that each came from.
+        self._member_news: dict[str, str] = {}
+        self._fact_news: dict[str, str] = {}
+        self._learned_members: list[Member] = []
+        self._learned_facts: list[Fact] = []
+        self.adopt_member(me, me.name, now)
+
+    def has_news(self) -> bool:
+        """Return whether there are rows to push."""
+        return bool(self._member_news or self._fact_news)
+
+    def take_news(self) -> "News":
+        """Return the rows to push, once."""
+        news = News(self._member_news, self._fact_news)
+        self._member_news = {}
+        self._fact_news = {}
+        return news
+
+    def take_learned(self) -> Learned | None:
+        """Return the rows that are new since the last call, if any."""
+        if not self._learned_members and not self._learned_facts:
+            return None
+        members = tuple(self._learned_members)
+        learned = Learned(members, tuple(self._learned_facts))
+        self._learned_members.clear()
+        self._learned_facts.clear()
+        return learned
+
+    def adopt(self, rows: Packet | Reply, source: str, now: float) -> None:
+        """Take in all rows of a message that came from ``source``."""
+        for member in rows.members:
+            self.adopt_member(member, source, now)
+        for fact in rows.facts:
+            self.adopt_fact(fact, source, now)
+
+    def adopt_fact(self, fact: Fact, source: str, now: float) -> None:
+        """Take in a fact that came from ``source``."""
+        changed = self.facts.merge(fact, now)
+        if changed is None:
+            return
+        self._learned_facts.append(changed)
+        if self._passes_on(source):
+            self._fact_news[changed.id] = source
+
+    def adopt_member(self, row: Member, source: str, now: float) -> None:
+        """Take in a member's row that came from ``source``."""
+        if row.name == self.me.name and source != self.me.name:
+            corrected = refute(self.me, row, now)
+            if corrected is None:
+                return
+            row, source = corrected, self.me.name
+        changed = self.members.merge(row, now)
+        if changed is None:
+            return
+        if changed.name == self.me.name:
+            self.me = changed
+        if changed.region == self.me.region:
+            self.detector.note(changed, now)
+        self._topology = None
+        self._learned_members.append(changed)
+        if self._passes_on(source):
+            self._member_news[changed.name] = source
+
+    def _passes_on(self, source: str) -> bool:
+        # Whoever joins or thaws gets whole tables that the others have;
+        # passing these on would cost each start a flood of all rows.
+        return self.settled or source == self.me.name
+
+    def drop_expired(self, now: float) -> None:
+        """Forget what has stood long enough."""
+        self.facts.drop_expired(now)
+        self.members.drop_expired(now)
+
+    def find_others(self) -> list[Member]:
+        """Return all serving members but this one."""
+        rows = self.members.rows.values()
+        return [row for row in rows if row.serving and row != self.me]
+
+    def neighbours(self, now: float) -> tuple[str, ...]:
+        """Return the names of those whom this member calls."""
+        if self._topology is None:
+            rows = self.members.rows.values()
+            self._topology = arrange(rows, self.me.region)
+        avoid = self.detector.avoided(now)
+        near = choose_neighbours(self._topology, self.me.name, avoid)
+        return near + choose_links(self._topology, self.me, avoid)
+
+    def buckets(self) -> tuple[int, ...]:
+        """Return the digests of both tables, bucket by bucket."""
+        pairs = zip(
+            self.members.digest.buckets, self.facts.digest.buckets, strict=True
+        )
+        return tuple(one ^ other for one, other in pairs)
+
+    def root(self) -> int:
+        """Return one digest of both tables."""
+        return self.members.digest.root() ^ self.facts.digest.root()
+
+    def call(self, name: str, purpose: Purpose, now: float) -> Call:
+        """Return a call to a known member."""
+        return self.call_place(
+            name, self.members.rows[name].address, purpose, now
+        )
+
+    def call_place(
+        self, name: str, address: str, purpose: Purpose, now: float
+    ) -> Call:
+        """Return a call to an address; ``name`` is empty for a seed."""
+        packet = Packet(self.me.name, root=self.root())
+        if purpose in _SYNCING:
+            packet = Packet(
+                self.me.name, members=(self.me,), buckets=self.buckets()
+            )
+        held = self.members.rows.get(name)
+        if held and held.state != "alive":
+            # Whoever is held dead or suspect has to hear it, to refute.
+            packet = packet._replace(members=(*packet.members, held))
+        return Call(name, address, packet, purpose, now)
+
+    def send(
+        self, name: str, packet: Packet, purpose: Purpose, now: float
+    ) -> Call:
+        """Return a call that takes a packet to a known member."""
+        address = self.members.rows[name].address
+        return Call(name, address, packet, purpose, now)
+
+
+class News:
+    """Rows to push, each with the member it came from."""
+
+    def __init__(self, members: dict[str, str], facts: dict[str, str]) -> None:
+        self._members = members
+        self._facts = facts
+
+    def pack(self, view: View, target: str) -> Packet | None:
+        """Return what is news to ``target``, or None if nothing is."""
+        members = view.members.rows
+        facts = view.facts.rows
+        packet = Packet(
+            view.me.name,
+            tuple(
+                members[key] for key in _pick(self._members, target, members)
+            ),
+            tuple(facts[key] for key in _pick(self._facts, target, facts)),
+        )
+        return packet if packet.members or packet.facts else None
+
+
+def _pick(news: dict[str, str], target: str, rows: Iterable[str]) -> list[str]:
+    held = frozenset(rows)
+    return [
+        key for key, source in news.items() if source != target and key in held
+    ]
+
+
+# Calls that compare whole tables.
+_SYNCING: frozenset[Purpose] = frozenset(("sync", "heal"))
