Let a caller of the HTTP client stop a call right before it leaves

Connecting takes time, and a process can be frozen in it. A booking has a bound on its dispatch that has to hold when the bytes leave, not when the connection is asked for. A call stopped so counts as not sent.

--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client: h11 state, asyncio streams, a small idle pool."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 from typing import NamedTuple
 
@@ -153,6 +153,7 @@
         *,
         timeout: float,
         fresh: bool = False,
+        may_send: Callable[[], bool] | None = None,
     ) -> Response:
         """Call and return the whole response.
 
@@ -166,6 +167,8 @@
             fresh: Use a new connection. An idle one may have been closed
                 or forgotten on the way, which shows only after sending;
                 with a new one, failing to connect means not sent.
+            may_send: Asked right before the first byte leaves; if it says
+                no, the call fails as not sent.
 
         Raises:
             CallFailedError: If no whole response came in time.
@@ -174,7 +177,13 @@
         try:
             async with asyncio.timeout(timeout):
                 stream = await self.open(
-                    address, method, target, body, headers, fresh=fresh
+                    address,
+                    method,
+                    target,
+                    body,
+                    headers,
+                    fresh=fresh,
+                    may_send=may_send,
                 )
                 sent = True
                 async with stream:
@@ -193,6 +202,7 @@
         headers: Headers = (),
         *,
         fresh: bool = False,
+        may_send: Callable[[], bool] | None = None,
     ) -> Stream:
         """Send a request and return its response before its head came."""
         socket = None if fresh else self._take(address)
@@ -211,6 +221,10 @@
         data = connection.send(head) or b""
         data += connection.send(h11.Data(data=body)) or b""
         data += connection.send(h11.EndOfMessage()) or b""
+        # Connecting may have taken long, or the process was frozen in it.
+        if may_send is not None and not may_send():
+            socket.writer.close()
+            raise CallFailedError("too late to send", sent=False)
         socket.writer.write(data)
         return Stream(self, address, socket, connection)
 
--- /dev/null
+++ b/lagoonpost/platform/ledger.py
@@ -0,0 +1,229 @@
+"""Driver of the booking ledger: carries out its decisions on the store."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+
+from lagoonpost.platform.group import GroupWriter
+from lagoonpost.platform.health import StoreHealth
+from lagoonpost.platform.store import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    Store,
+    Unavailable,
+    Write,
+)
+from lagoonpost.systems.booking import (
+    Action,
+    Answered,
+    Choose,
+    Chosen,
+    Event,
+    Found,
+    Lost,
+    NoReply,
+    NoRunner,
+    NotRun,
+    Outcome,
+    Put,
+    Send,
+    Stored,
+)
+from lagoonpost.systems.ledger import (
+    Attempt,
+    LedgerPolicy,
+    begin,
+    find_expired,
+    make_claim,
+    may_send,
+    step,
+)
+from lagoonpost.tables.ledger import LedgerEntry
+
+PREFIX = "ledger/"
+NONCE_BYTES = 16
+DEFAULT_POLICY = LedgerPolicy()
+
+
+class Dispatcher(Protocol):
+    """Chooses runners for one booking and sends it to them."""
+
+    async def choose(self) -> Chosen | NoRunner:
+        """Choose the next runner to try."""
+
+    async def send(
+        self, may_send: Callable[[], bool]
+    ) -> Answered | NotRun | Lost:
+        """Send to the chosen runner.
+
+        Args:
+            may_send: To be asked right before the first byte leaves;
+                if it says no, nothing is sent.
+        """
+
+
+class Ledger:
+    """Takes bookings, each at most once.
+
+    Args:
+        store: Table service.
+        gateway: Name of this process, written into claims.
+        policy: Times of the ledger.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        gateway: str,
+        policy: LedgerPolicy = DEFAULT_POLICY,
+    ) -> None:
+        self._gateway = gateway
+        self._policy = policy
+        self._health = StoreHealth(store)
+        self._writer = GroupWriter(store, self._health)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def take(
+        self, key: str, digest: str, timeout: float, dispatcher: Dispatcher
+    ) -> Outcome:
+        """Run a booking unless its key has been used, and say what came.
+
+        The attempt goes on when the caller of this is cancelled, and after
+        its outcome is known until that is written down.
+
+        Args:
+            key: Key of the ledger row.
+            digest: Digest of the request.
+            timeout: Seconds the runner has for its answer.
+            dispatcher: Reaches the runners.
+        """
+        claim = make_claim(
+            secrets.token_hex(NONCE_BYTES),
+            digest,
+            self._gateway,
+            time.time(),
+            timeout,
+            self._policy,
+        )
+        answer = asyncio.get_running_loop().create_future()
+        task = asyncio.create_task(self._run(key, claim, dispatcher, answer))
+        self._tasks.add(task)
+        task.add_done_callback(lambda done: self._end(done, answer))
+        outcome: Outcome = await answer
+        return outcome
+
+    async def close(self, grace: float) -> None:
+        """Let open attempts end within ``grace`` seconds."""
+        if self._tasks:
+            await asyncio.wait(tuple(self._tasks), timeout=grace)
+        for task in tuple(self._tasks):
+            task.cancel()
+        self._health.close()
+
+    async def _run(
+        self,
+        key: str,
+        claim: LedgerEntry,
+        dispatcher: Dispatcher,
+        answer: asyncio.Future[Outcome],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        attempt, actions = begin(claim, loop.time(), self._policy)
+        while actions:
+            action = actions.pop(0)
+            event = await self._perform(key, attempt, action, dispatcher)
+            if event is not None:
+                attempt, actions = step(attempt, event, loop.time())
+            elif not answer.done():
+                answer.set_result(action)  # type: ignore[arg-type]
+
+    async def _perform(
+        self,
+        key: str,
+        attempt: Attempt,
+        action: Action,
+        dispatcher: Dispatcher,
+    ) -> Event | None:
+        """Carry out ``action``; None if it is an answer to the caller."""
+        loop = asyncio.get_running_loop()
+        match action:
+            case Put(version, entry, delay):
+                if delay:
+                    await asyncio.sleep(delay)
+                return await self._put(key, version, entry)
+            case Choose():
+                return await dispatcher.choose()
+            case Send():
+                return await dispatcher.send(
+                    lambda: may_send(attempt, loop.time())
+                )
+        return None
+
+    async def _put(self, key: str, version: int, entry: LedgerEntry) -> Event:
+        value = msgspec.to_builtins(entry)
+        match await self._writer.put(key, version, value):
+            case Row() as row:
+                return Stored(row.version)
+            case Conflict(rows):
+                return Found(rows[0].version, decode_entry(rows[0].value))
+            case Unavailable(_, applied):
+                return NoReply(applied)
+
+    def _end(
+        self, task: asyncio.Task[None], answer: asyncio.Future[Outcome]
+    ) -> None:
+        self._tasks.discard(task)
+        if answer.done():
+            return
+        if task.cancelled():
+            answer.cancel()
+            return
+        error = task.exception()
+        answer.set_exception(error or AssertionError("no outcome"))
+
+
+def decode_entry(value: Any) -> LedgerEntry | None:
+    """Return the entry in a row's value; None for an absent row."""
+    if value is None:
+        return None
+    return msgspec.convert(value, LedgerEntry)
+
+
+async def sweep(store: Store, after: str, limit: int = 256) -> str | None:
+    """Delete expired rows of one page of the ledger.
+
+    Args:
+        store: Table service.
+        after: Where the page before ended; empty for the first.
+        limit: Rows in a page, and most rows of one transaction.
+
+    Returns:
+        Where this page ended; empty after the last page, None if the store
+        gave no answer.
+    """
+    rows = await store.scan(PREFIX, after, limit)
+    if isinstance(rows, Unavailable):
+        return None
+    versions = {row.key: row.version for row in rows}
+    entries = {
+        row.key: entry
+        for row in rows
+        if (entry := decode_entry(row.value)) is not None
+    }
+    expired = find_expired(entries, time.time())
+    if expired:
+        # A row that changes meanwhile makes the transaction fail whole; the
+        # next round finds the rest.
+        outcome = await store.transact(
+            [Condition(key, versions[key]) for key in expired],
+            [Write(key, None) for key in expired],
+        )
+        if not isinstance(outcome, Committed | Conflict):
+            return None
+    return rows[-1].key if len(rows) == limit else ""
