--- a/lagoonpost/platform/group.py
+++ b/lagoonpost/platform/group.py
@@ -74,18 +74,26 @@
     async def _drain(self) -> None:
         while self._waiting:
             batch = self._take_batch()
-            outcome = await self._store.transact(
-                [waiting.condition for waiting in batch],
-                [waiting.write for waiting in batch],
-            )
-            match outcome:
-                case Committed(rows):
-                    _settle(batch, {row.key: row for row in rows})
-                case Conflict(rows):
-                    self._settle_conflict(batch, rows)
-                case Unavailable():
-                    self._health.report_failure()
-                    _settle(batch, dict.fromkeys(_keys(batch), outcome))
+            try:
+                await self._commit(batch)
+            except BaseException as error:
+                # Nothing would ever answer the writes of this batch.
+                _fail(batch, error)
+                raise
+
+    async def _commit(self, batch: list[_Waiting]) -> None:
+        outcome = await self._store.transact(
+            [waiting.condition for waiting in batch],
+            [waiting.write for waiting in batch],
+        )
+        match outcome:
+            case Committed(rows):
+                _settle(batch, {row.key: row for row in rows})
+            case Conflict(rows):
+                self._settle_conflict(batch, rows)
+            case Unavailable():
+                self._health.report_failure()
+                _settle(batch, dict.fromkeys(_keys(batch), outcome))
 
     def _take_batch(self) -> list[_Waiting]:
         """Take waiting writes in order, one per key, within the bounds."""
@@ -139,3 +147,9 @@
         # The caller of put may have been cancelled in the meantime.
         if not waiting.outcome.done():
             waiting.outcome.set_result(outcomes[waiting.write.key])
+
+
+def _fail(batch: list[_Waiting], error: BaseException) -> None:
+    for waiting in batch:
+        if not waiting.outcome.done():
+            waiting.outcome.set_exception(error)
--- a/lagoonpost/systems/booking.py
+++ b/lagoonpost/systems/booking.py
@@ -29,7 +29,14 @@
 
 
 class NotRun(NamedTuple):
-    """The dispatch surely did not run: refused so, or never sent."""
+    """The dispatch surely did not run.
+
+    Attributes:
+        kind: ``refused`` by the runner, which said so, or ``lost``: never
+            sent.
+    """
+
+    kind: str
 
 
 class NoRunner(NamedTuple):
