--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 install: $(VENV)/installed
 
 run: install
-	$(BIN)/honcho start --procfile Procfile
+	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/honcho --env examples/run.env start
 
 demo: install
 	$(BIN)/python -m bench.demo
--- /dev/null
+++ b/Procfile
@@ -0,0 +1,16 @@
+platform: lagoonpost-standin platform --listen 127.0.0.1:8201
+engine-1: lagoonpost-standin engine --listen 127.0.0.1:8301 --name engine-1
+engine-2: lagoonpost-standin engine --listen 127.0.0.1:8302 --name engine-2
+engine-3: lagoonpost-standin engine --listen 127.0.0.1:8303 --name engine-3
+booking-1: lagoonpost-standin service --listen 127.0.0.1:8401 --name booking-1
+booking-2: lagoonpost-standin service --listen 127.0.0.1:8402 --name booking-2
+gateway-1: lagoonpost gateway --name gateway-1 --listen 127.0.0.1:8101 --peer-listen 127.0.0.1:8151 --seed-peer 127.0.0.1:8152 --seed-peer 127.0.0.1:8153 --platform 127.0.0.1:8201 --failure-domain domain-a --operator-digest c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818
+gateway-2: lagoonpost gateway --name gateway-2 --listen 127.0.0.1:8102 --peer-listen 127.0.0.1:8152 --seed-peer 127.0.0.1:8151 --seed-peer 127.0.0.1:8153 --platform 127.0.0.1:8201 --failure-domain domain-b --operator-digest c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818
+gateway-3: lagoonpost gateway --name gateway-3 --listen 127.0.0.1:8103 --peer-listen 127.0.0.1:8153 --seed-peer 127.0.0.1:8151 --seed-peer 127.0.0.1:8152 --platform 127.0.0.1:8201 --failure-domain domain-c --operator-digest c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818
+gateway-4: lagoonpost gateway --name gateway-4 --listen 127.0.0.1:8104 --peer-listen 127.0.0.1:8154 --seed-peer 127.0.0.1:8151 --seed-peer 127.0.0.1:8152 --seed-peer 127.0.0.1:8153 --platform 127.0.0.1:8201 --failure-domain domain-a --operator-digest c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818
+gateway-5: lagoonpost gateway --name gateway-5 --listen 127.0.0.1:8105 --peer-listen 127.0.0.1:8155 --seed-peer 127.0.0.1:8151 --seed-peer 127.0.0.1:8152 --seed-peer 127.0.0.1:8153 --platform 127.0.0.1:8201 --failure-domain domain-b --operator-digest c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818
+gateway-6: lagoonpost gateway --name gateway-6 --listen 127.0.0.1:8106 --peer-listen 127.0.0.1:8156 --seed-peer 127.0.0.1:8151 --seed-peer 127.0.0.1:8152 --seed-peer 127.0.0.1:8153 --platform 127.0.0.1:8201 --failure-domain domain-c --operator-digest c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818
+gateway-7: lagoonpost gateway --name gateway-7 --listen 127.0.0.1:8107 --peer-listen 127.0.0.1:8157 --seed-peer 127.0.0.1:8151 --seed-peer 127.0.0.1:8152 --seed-peer 127.0.0.1:8153 --platform 127.0.0.1:8201 --failure-domain domain-a --operator-digest c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818
+gateway-8: lagoonpost gateway --name gateway-8 --listen 127.0.0.1:8108 --peer-listen 127.0.0.1:8158 --seed-peer 127.0.0.1:8151 --seed-peer 127.0.0.1:8152 --seed-peer 127.0.0.1:8153 --platform 127.0.0.1:8201 --failure-domain domain-b --operator-digest c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818
+gateway-9: lagoonpost gateway --name gateway-9 --listen 127.0.0.1:8109 --peer-listen 127.0.0.1:8159 --seed-peer 127.0.0.1:8151 --seed-peer 127.0.0.1:8152 --seed-peer 127.0.0.1:8153 --platform 127.0.0.1:8201 --failure-domain domain-c --operator-digest c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818
+start: sh examples/start.sh
--- /dev/null
+++ b/bench/system.py
@@ -0,0 +1,209 @@
+"""A whole system of separate processes on loopback, for demo and stories."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import IO
+
+from lagoonpost.gateway.access import digest_key
+from lagoonpost.http.message import Address
+
+OPERATOR_KEY = "operator-key"
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+START_SECONDS = 30.0
+
+
+def find_port() -> int:
+    """Return a TCP port that is free on loopback now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Process:
+    """One started process, its address and its log."""
+
+    def __init__(self, name: str, arguments: list[str], log: Path) -> None:
+        self.name = name
+        self._arguments = arguments
+        self.log = log
+        self._output: IO[bytes] | None = None
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id while it runs."""
+        assert self._popen is not None
+        return self._popen.pid
+
+    def start(self) -> None:
+        """Start, or start again at the same address."""
+        self._output = self.log.open("ab")
+        environment = {
+            **os.environ,
+            "LAGOONPOST_SIGNING_KEY": "not-a-secret-for-trying-out",
+        }
+        self._popen = subprocess.Popen(
+            [sys.executable, "-m", *self._arguments],
+            stdout=self._output,
+            stderr=subprocess.STDOUT,
+            env=environment,
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process still runs."""
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.send_signal(number)
+
+    def wait(self, timeout: float) -> int:
+        """Wait for the end and return the exit status."""
+        assert self._popen is not None
+        return self._popen.wait(timeout)
+
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self._popen is not None and self._popen.poll() is None
+
+    def stop(self) -> None:
+        """End the process however it is."""
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.kill()
+            self._popen.wait()
+        if self._output is not None:
+            self._output.close()
+
+
+class LocalSystem:
+    """Platform, engines, booking runners and gateways as processes.
+
+    Args:
+        gateways: Number of gateways.
+        engines: Number of engines.
+        services: Number of booking runners.
+        engine_options: Further arguments of the engines.
+    """
+
+    def __init__(
+        self,
+        gateways: int = 3,
+        engines: int = 3,
+        services: int = 2,
+        engine_options: tuple[str, ...] = (),
+    ) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="lagoonpost-")
+        self.processes: dict[str, Process] = {}
+        self.addresses: dict[str, Address] = {}
+        self.engines = [f"engine-{n + 1}" for n in range(engines)]
+        self.services = [f"booking-{n + 1}" for n in range(services)]
+        self.gateways = [f"gateway-{n + 1}" for n in range(gateways)]
+        names = ["platform", *self.engines, *self.services, *self.gateways]
+        for name in names:
+            self.addresses[name] = Address("127.0.0.1", find_port())
+        self._peers = {
+            name: Address("127.0.0.1", find_port()) for name in self.gateways
+        }
+        self._add_standin("platform", "platform")
+        for name in self.engines:
+            self._add_standin(name, "engine", "--name", name, *engine_options)
+        for name in self.services:
+            self._add_standin(name, "service", "--name", name)
+        for number, name in enumerate(self.gateways):
+            self._add_gateway(name, DOMAINS[number % len(DOMAINS)])
+
+    def start(self) -> None:
+        """Start all processes, hand in the first ticket, wait for ready."""
+        for process in self.processes.values():
+            process.start()
+        for name in self.processes:
+            self.wait_listening(name)
+        self._apply_ticket()
+
+    def stop(self) -> None:
+        """End all processes and remove the logs."""
+        for process in self.processes.values():
+            process.stop()
+        self._folder.cleanup()
+
+    def wait_listening(self, name: str) -> None:
+        """Wait until the process takes connections."""
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            try:
+                socket.create_connection(self.addresses[name], 1.0).close()
+            except OSError:
+                time.sleep(0.05)
+            else:
+                return
+        log = self.processes[name].log.read_text()
+        raise RuntimeError(f"{name} does not listen:\n{log[-2000:]}")
+
+    def run_cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run a command of the product's command line."""
+        environment = {
+            **os.environ,
+            "LAGOONPOST_OPERATOR_KEY": OPERATOR_KEY,
+            "LAGOONPOST_KEY": "demo-key",
+            "LAGOONPOST_ENTRY": str(self.addresses[self.gateways[0]]),
+        }
+        return subprocess.run(
+            [sys.executable, "-m", "lagoonpost", *arguments],
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=START_SECONDS,
+            check=False,
+        )
+
+    def _add_standin(self, name: str, kind: str, *options: str) -> None:
+        arguments = ["lagoonpost_standins", kind]
+        arguments += ["--listen", str(self.addresses[name]), *options]
+        self._add(name, arguments)
+
+    def _add_gateway(self, name: str, domain: str) -> None:
+        arguments = ["lagoonpost", "gateway", "--name", name]
+        arguments += ["--listen", str(self.addresses[name])]
+        arguments += ["--peer-listen", str(self._peers[name])]
+        arguments += ["--platform", str(self.addresses["platform"])]
+        arguments += ["--failure-domain", domain]
+        arguments += ["--operator-digest", digest_key(OPERATOR_KEY)]
+        for other in self.gateways[:3]:
+            if other != name:
+                arguments += ["--seed-peer", str(self._peers[other])]
+        self._add(name, arguments)
+
+    def _add(self, name: str, arguments: list[str]) -> None:
+        log = Path(self._folder.name) / f"{name}.log"
+        self.processes[name] = Process(name, arguments, log)
+
+    def _apply_ticket(self) -> None:
+        path = Path(self._folder.name) / "1.yaml"
+        path.write_text(self.write_ticket(1))
+        done = self.run_cli("ticket", "apply", str(path))
+        if done.returncode:
+            raise RuntimeError(f"ticket refused: {done.stdout}{done.stderr}")
+
+    def write_ticket(self, number: int) -> str:
+        """Return the first ticket with this system's addresses."""
+        example = Path(__file__).parent.parent / "examples" / "tickets"
+        text = (example / "1-start.yaml").read_text()
+        head = text[: text.index("runners:")]
+        head = head.replace("ticket: 1", f"ticket: {number}")
+        lines = ["runners:"]
+        members = [(name, "assistant") for name in self.engines]
+        members += [(name, "booking") for name in self.services]
+        for place, (name, service) in enumerate(members):
+            lines += [
+                f"  {name}:",
+                f"    endpoint: {self.addresses[name]}",
+                f"    service: {service}",
+                "    version: v1",
+                f"    host: host-{name}",
+                f"    failure_domain: {DOMAINS[place % len(DOMAINS)]}",
+            ]
+        return head + "\n".join(lines) + "\n"
--- /dev/null
+++ b/lagoonpost/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: entries, retries and resuming, as a library."""
--- /dev/null
+++ b/lagoonpost/cli/ask.py
@@ -0,0 +1,161 @@
+"""The callers' commands: ``ask``, ``book`` and ``check``."""
+
+import asyncio
+import json
+import secrets
+
+import click
+
+from lagoonpost.caller.client import (
+    Caller,
+    Ended,
+    Problem,
+    Resumed,
+    Token,
+)
+from lagoonpost.cli.option import ADDRESS, ExitCode, fail
+from lagoonpost.http.message import Address, Response
+
+entry_option = click.option(
+    "--entry",
+    "entries",
+    type=ADDRESS,
+    multiple=True,
+    envvar="LAGOONPOST_ENTRY",
+    default=("127.0.0.1:8101",),
+    show_default=True,
+    help="An entry to begin with; repeat for more.",
+)
+key_option = click.option(
+    "--key",
+    envvar="LAGOONPOST_KEY",
+    required=True,
+    help="The workspace's bearer key; better set as LAGOONPOST_KEY.",
+)
+
+_EXIT_CODES = {
+    "not_run": ExitCode.NOT_RUN,
+    "unknown": ExitCode.UNKNOWN,
+    "ran": ExitCode.FAILED,
+}
+
+
+@click.command()
+@entry_option
+@key_option
+@click.option("--service", default="assistant", show_default=True)
+@click.option("--max-tokens", default=64, show_default=True)
+@click.argument("prompt")
+def ask(
+    entries: tuple[Address, ...],
+    key: str,
+    service: str,
+    max_tokens: int,
+    prompt: str,
+) -> None:
+    """Stream a draft; resumes it if a gateway or runner goes.
+
+    Example: LAGOONPOST_KEY=demo-key lagoonpost ask "A term plan for glazes"
+    """
+    body = {
+        "model": service,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": max_tokens,
+    }
+    problem = asyncio.run(_stream(entries, key, body))
+    if problem is not None:
+        raise _fail_with(problem)
+
+
+async def _stream(
+    entries: tuple[Address, ...], key: str, body: dict[str, object]
+) -> Problem | None:
+    caller = Caller(entries, key)
+    try:
+        async for event in caller.draft(body):
+            match event:
+                case Token(text):
+                    click.echo(text, nl=False)
+                case Resumed(entry, offset, cause):
+                    note = f"[resumed at {entry}, token {offset}: {cause}]"
+                    click.echo(note, err=True)
+                case Ended(finish_reason, usage):
+                    count = usage.get("completion_tokens", 0)
+                    click.echo()
+                    note = f"[{finish_reason}, {count} tokens]"
+                    click.echo(note, err=True)
+                case Problem():
+                    return event
+    finally:
+        caller.close()
+    return None
+
+
+@click.command()
+@entry_option
+@key_option
+@click.option("--service", default="booking", show_default=True)
+@click.option("--route", default="bookings", show_default=True)
+@click.option("--idempotency-key", help="Drawn at random if not given.")
+@click.argument("body")
+def book(
+    entries: tuple[Address, ...],
+    key: str,
+    service: str,
+    route: str,
+    idempotency_key: str | None,
+    body: str,
+) -> None:
+    """Take a booking, at most once.
+
+    Example: LAGOONPOST_KEY=demo-key lagoonpost book '{"wheel": 3}'
+    """
+    chosen = idempotency_key or secrets.token_hex(12)
+    path = f"/v1/services/{service}/{route}"
+    click.echo(f"[idempotency key {chosen}]", err=True)
+    _print_answer(asyncio.run(_call(entries, key, "POST", path, body, chosen)))
+
+
+@click.command()
+@entry_option
+@key_option
+@click.option("--service", default="booking", show_default=True)
+@click.argument("route")
+def check(
+    entries: tuple[Address, ...], key: str, service: str, route: str
+) -> None:
+    """Ask a plain service; the call may be repeated.
+
+    Example: LAGOONPOST_KEY=demo-key lagoonpost check checks/saturday
+    """
+    path = f"/v1/services/{service}/{route}"
+    _print_answer(asyncio.run(_call(entries, key, "GET", path, "", "")))
+
+
+async def _call(
+    entries: tuple[Address, ...],
+    key: str,
+    method: str,
+    path: str,
+    body: str,
+    idempotency_key: str,
+) -> Response | Problem:
+    caller = Caller(entries, key)
+    try:
+        return await caller.call(
+            method, path, body.encode(), key=idempotency_key
+        )
+    finally:
+        caller.close()
+
+
+def _print_answer(answer: Response | Problem) -> None:
+    if isinstance(answer, Problem):
+        raise _fail_with(answer)
+    click.echo(answer.body)
+
+
+def _fail_with(problem: Problem) -> click.exceptions.Exit:
+    text = json.dumps(problem._asdict())
+    code = _EXIT_CODES.get(problem.execution, ExitCode.FAILED)
+    return fail(text, code)
--- /dev/null
+++ b/lagoonpost/cli/main.py
@@ -0,0 +1,26 @@
+"""The command line: one table of commands, errors as messages."""
+
+import click
+
+from lagoonpost.cli.ask import ask, book, check
+from lagoonpost.cli.entries import entries, status
+from lagoonpost.cli.gateway import gateway
+
+COMMANDS: tuple[click.Command, ...] = (
+    gateway,
+    ask,
+    book,
+    check,
+    entries,
+    status,
+)
+
+
+@click.group(context_settings={"auto_envvar_prefix": "LAGOONPOST"})
+@click.version_option(package_name="lagoonpost")
+def main() -> None:
+    """Serve language models and plain services on reclaimable hosts."""
+
+
+for command in COMMANDS:
+    main.add_command(command)
--- /dev/null
+++ b/lagoonpost/gateway/chat.py
@@ -0,0 +1,218 @@
+"""Chat completions: streamed or whole, resumed, and moved to a peer."""
+
+import asyncio
+from contextlib import aclosing
+from urllib.parse import parse_qs
+
+import msgspec
+
+from lagoonpost.gateway.answer import ActiveAnswer, Sink, WholeAnswer
+from lagoonpost.gateway.generation import Item, generate, make_row
+from lagoonpost.gateway.plain import refuse
+from lagoonpost.gateway.prompt import (
+    ChatCall,
+    InvalidCall,
+    read_chat_call,
+)
+from lagoonpost.gateway.state import Gateway, find_route, make_request_id
+from lagoonpost.gateway.stream import CallerStream
+from lagoonpost.gateway.token import (
+    StreamOrigin,
+    StreamPosition,
+    verify_event_id,
+)
+from lagoonpost.http.message import Request, Response
+from lagoonpost.http.problem import make_problem
+from lagoonpost.http.server import PeerGoneError, Responder
+from lagoonpost.runners.answer import Completed, Failed, Part
+from lagoonpost.systems.event import Abandoned, Refuse
+from lagoonpost.tables.entity import Route, Workspace
+
+PATH = "/v1/chat/completions"
+KEEP_ALIVE_TICK = 1.0
+
+
+async def answer_chat(
+    gateway: Gateway,
+    request: Request,
+    responder: Responder,
+    workspace: Workspace | None,
+) -> None:
+    """Answer a chat-completions request, or resume one."""
+    assert workspace is not None
+    call = read_chat_call(request.body)
+    if isinstance(call, InvalidCall):
+        await responder.send(
+            make_problem(400, "Invalid request", call.detail, "not_run")
+        )
+        return
+    position = _read_position(gateway, request, workspace, call)
+    if isinstance(position, Response):
+        await responder.send(position)
+        return
+    route = _find_chat_route(gateway, call.service)
+    if route is None:
+        detail = f"no model service {call.service!r}"
+        await responder.send(
+            make_problem(404, "Unknown service", detail, "not_run")
+        )
+        return
+    if position is None:
+        origin = StreamOrigin(
+            make_request_id(), workspace.name, call.service, "", call.digest
+        )
+        position = StreamPosition(origin, len(call.continue_tokens))
+    await _run(gateway, call, position, route, responder)
+
+
+async def answer_moved(
+    gateway: Gateway,
+    request: Request,
+    responder: Responder,
+    workspace: Workspace | None,
+) -> None:
+    """Answer a caller whom a leaving gateway sent here for its answer."""
+    assert workspace is not None
+    texts = parse_qs(request.query).get("token", [""])
+    position = verify_event_id(gateway.signing_key, texts[0])
+    request_id = request.path.rpartition("/")[2]
+    if position is None or position.origin.request_id != request_id:
+        await responder.send(_make_forged())
+        return
+    if position.origin.workspace != workspace.name:
+        await responder.send(_make_foreign())
+        return
+    call = _recall(gateway, position)
+    route = _find_chat_route(gateway, position.origin.service)
+    if call is None or route is None:
+        await responder.send(_make_lost())
+        return
+    await _run(gateway, call, position, route, responder)
+
+
+def _recall(gateway: Gateway, position: StreamPosition) -> ChatCall | None:
+    """Return the call of a moved request, if its gateway handed it over."""
+    held = gateway.held.get(position.origin.request_id)
+    if held is None or held.workspace != position.origin.workspace:
+        return None
+    call = read_chat_call(msgspec.json.encode(held.body))
+    assert isinstance(call, ChatCall), "a handed-over call was checked"
+    return call._replace(continue_tokens=held.tokens)
+
+
+def _find_chat_route(gateway: Gateway, name: str) -> Route | None:
+    service = gateway.find_service(name)
+    if service is None or service.kind != "model":
+        return None
+    return find_route(service, PATH)
+
+
+def _read_position(
+    gateway: Gateway,
+    request: Request,
+    workspace: Workspace,
+    call: ChatCall,
+) -> StreamPosition | Response | None:
+    """Return where to resume, None for a new request, or a refusal."""
+    text = request.header("last-event-id")
+    if not text:
+        return None
+    position = verify_event_id(gateway.signing_key, text)
+    if position is None:
+        return _make_forged()
+    if position.origin.workspace != workspace.name:
+        return _make_foreign()
+    if position.origin.body_digest != call.digest:
+        detail = "the event id belongs to a request with another body"
+        return make_problem(409, "Another request", detail, "not_run")
+    if call.continue_tokens and len(call.continue_tokens) != position.offset:
+        detail = "`continue_tokens` are not the tokens up to the event id"
+        return make_problem(409, "Another request", detail, "not_run")
+    return position
+
+
+def _make_forged() -> Response:
+    detail = "the event id was not given out by this system"
+    return make_problem(400, "Invalid event id", detail, "not_run")
+
+
+def _make_foreign() -> Response:
+    # The same answer whether or not such a request ever was: a workspace
+    # learns nothing about another's.
+    detail = "the event id is not of this workspace"
+    return make_problem(403, "Invalid event id", detail, "not_run")
+
+
+def _make_lost() -> Response:
+    detail = "the answer is not held here any more; send the request again"
+    return make_problem(410, "Answer lost", detail, "unknown", 0.0, "lost")
+
+
+async def _run(
+    gateway: Gateway,
+    call: ChatCall,
+    position: StreamPosition,
+    route: Route,
+    responder: Responder,
+) -> None:
+    origin = position.origin
+    answer = ActiveAnswer(origin, call)
+    kind = CallerStream if call.stream else WholeAnswer
+    sink: Sink = kind(responder, gateway.signing_key, origin)
+    row = make_row(origin, call, route)
+    gateway.answers.add(answer)
+    alive = asyncio.create_task(_keep_alive(sink))
+    try:
+        items = generate(gateway, answer, row, position, route)
+        async with aclosing(items):
+            try:
+                async for item in items:
+                    await _deliver(gateway, item, sink)
+            except (PeerGoneError, asyncio.CancelledError):
+                # The caller may come back for the rest at any gateway, so
+                # its runner must not drop the answer with this connection.
+                answer.detach()
+                raise
+    except asyncio.CancelledError:
+        if answer.successor is None:
+            raise
+        # The cancellation came from `ActiveAnswer.move` and ends here.
+        task = asyncio.current_task()
+        assert task is not None
+        task.uncancel()
+        alive.cancel()
+        await sink.move(answer.successor)
+    finally:
+        alive.cancel()
+        gateway.answers.discard(answer)
+        gateway.dispatcher.notify(Abandoned(row.id))
+
+
+async def _keep_alive(sink: Sink) -> None:
+    while True:
+        await asyncio.sleep(KEEP_ALIVE_TICK)
+        await sink.keep_alive()
+
+
+async def _deliver(gateway: Gateway, item: Item, sink: Sink) -> None:
+    match item:
+        case Part():
+            gateway.metrics.counts["tokens"] += len(item.tokens)
+            await sink.write_part(item)
+        case Completed():
+            gateway.metrics.count("completed")
+            await sink.complete(item)
+        case Failed(execution, reason, retry_after):
+            gateway.metrics.count(f"failed.{reason}")
+            await sink.fail(
+                make_problem(
+                    502,
+                    "Answer not completed",
+                    f"the answer could not be completed: {reason}",
+                    execution,
+                    retry_after,
+                    reason,
+                )
+            )
+        case Refuse():
+            await sink.fail(refuse(item))
--- /dev/null
+++ b/lagoonpost/gateway/daemon.py
@@ -0,0 +1,152 @@
+"""The gateway process: wires its parts, starts them and stops them."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+import eliot
+
+from lagoonpost.gateway import server
+from lagoonpost.gateway.booking import Bookings
+from lagoonpost.gateway.departure import move_answers
+from lagoonpost.gateway.load import LoadPoll
+from lagoonpost.gateway.neighbours import Neighbours
+from lagoonpost.gateway.reclaim import NoticeWatch, leave_runner
+from lagoonpost.gateway.settings import GatewaySettings
+from lagoonpost.gateway.state import Gateway
+from lagoonpost.gateway.tickets import TicketHandlers
+from lagoonpost.gateway.watch import Watch
+from lagoonpost.http.message import Request
+from lagoonpost.http.server import Responder, Server
+from lagoonpost.platform.ledger import Ledger
+from lagoonpost.platform.table import TableStore
+from lagoonpost.platform.ticket import Intake
+from lagoonpost.systems.event import Declared
+from lagoonpost.tables.entity import Declaration
+
+PHASE_SECONDS = 0.1
+# What remains of a notice for the sockets to drain after the last move.
+RECLAIM_MARGIN = 1.0
+# For callers to read the event that sends them to another entry.
+MOVE_SECONDS = 2.0
+
+
+class GatewayDaemon:
+    """One gateway, from its settings to its end.
+
+    Attributes:
+        address: Where callers connect.
+        peer_address: Where peers connect.
+    """
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self._settings = settings
+        gateway = self._gateway = Gateway(settings)
+        store = TableStore(gateway.client, settings.platform)
+        self._neighbours = Neighbours(settings, gateway)
+        self._watch = Watch(
+            store, self._declare, self._neighbours.ask_snapshots
+        )
+        self._neighbours.follow(self._watch)
+        gateway.bookings = Bookings(
+            Ledger(store, settings.name), gateway.client
+        )
+        gateway.tickets = TicketHandlers(
+            Intake(store), self._watch, self._neighbours.publish_ticket
+        )
+        self._notices = NoticeWatch(
+            gateway, settings.host, self._leave_runner, self._be_reclaimed
+        )
+        self._loads = LoadPoll(gateway)
+        self._server = Server(self._handle)
+        self.address = settings.listen
+        self.peer_address = settings.peer_listen
+        self._stop = asyncio.Event()
+        self._grace = settings.grace
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or a reclaim notice, then leave gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        await self.start()
+        await self._stop.wait()
+        await self.leave(self._grace)
+
+    async def start(self) -> None:
+        """Listen and begin to follow the declaration."""
+        self.address = await self._server.start(self._settings.listen)
+        entry = self._settings.advertise or self.address
+        self.peer_address = await self._neighbours.start(entry)
+        self._gateway.dispatcher.start()
+        self._spawn(self._watch.run())
+        self._spawn(self._follow_phase())
+        self._spawn(self._notices.run())
+        self._spawn(self._loads.run())
+        eliot.log_message(
+            message_type="lagoonpost:gateway:started",
+            gateway=self._settings.name,
+            address=str(self.address),
+        )
+
+    async def leave(self, grace: float) -> None:
+        """Take no new requests and end or move the accepted ones.
+
+        Args:
+            grace: Seconds for them to end here; what still runs then goes
+                on at another gateway.
+        """
+        self._gateway.phase = "leaving"
+        eliot.log_message(
+            message_type="lagoonpost:gateway:leaving",
+            gateway=self._settings.name,
+            answers=len(self._gateway.answers),
+            grace=grace,
+        )
+        await self._neighbours.peers.leave()
+        await self._server.drain(grace)
+        await move_answers(self._gateway, self._neighbours)
+        await self._server.close(MOVE_SECONDS)
+        await self._gateway.bookings.close(MOVE_SECONDS)
+        await self._neighbours.peers.close()
+        for task in self._tasks:
+            task.cancel()
+        self._gateway.dispatcher.close()
+        self._gateway.client.close()
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        await server.handle(self._gateway, request, responder)
+
+    def _declare(self, declaration: Declaration) -> None:
+        self._gateway.declaration = declaration
+        self._gateway.dispatcher.notify(Declared(declaration))
+
+    def _leave_runner(self, runner: str, deadline: float) -> None:
+        leave_runner(self._gateway, runner, deadline - time.time())
+        self._neighbours.publish_leaving(runner, deadline)
+
+    def _be_reclaimed(self, deadline: float) -> None:
+        left = deadline - time.time() - RECLAIM_MARGIN - MOVE_SECONDS
+        self._grace = min(self._grace, max(0.0, left))
+        self._stop.set()
+
+    async def _follow_phase(self) -> None:
+        # A process that was frozen must not serve by what it knew before;
+        # both of these turn false as soon as it runs again.
+        gateway = self._gateway
+        while gateway.phase != "leaving":
+            current = self._watch.is_current()
+            if gateway.phase == "starting":
+                current = current and self._neighbours.peers.current()
+            gateway.phase = "serving" if current else _not_serving(gateway)
+            await asyncio.sleep(PHASE_SECONDS)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+
+def _not_serving(gateway: Gateway) -> Any:
+    return "starting" if gateway.phase == "starting" else "stale"
--- /dev/null
+++ b/lagoonpost/gateway/departure.py
@@ -0,0 +1,46 @@
+"""What a leaving gateway does with the answers that still run."""
+
+import asyncio
+
+import eliot
+
+from lagoonpost.gateway.answer import ActiveAnswer
+from lagoonpost.gateway.neighbours import Neighbours
+from lagoonpost.gateway.state import Gateway
+from lagoonpost.peers.message import HandOver
+
+
+async def move_answers(gateway: Gateway, neighbours: Neighbours) -> None:
+    """Hand every running answer to a peer and send its caller there.
+
+    An answer that no peer takes stays here until the process ends: its
+    caller is better served by the last seconds than by nothing.
+    """
+    answers = tuple(gateway.answers)
+    await asyncio.gather(
+        *(_move(answer, neighbours) for answer in answers),
+    )
+
+
+async def _move(answer: ActiveAnswer, neighbours: Neighbours) -> None:
+    relayed = answer.relayed
+    runner = relayed.runner if relayed is not None else None
+    request = HandOver(
+        request_id=answer.origin.request_id,
+        workspace=answer.origin.workspace,
+        service=answer.origin.service,
+        body=answer.encode_body(),
+        tokens=tuple(relayed.tokens) if relayed is not None else (),
+        runner=runner.name if runner is not None else "",
+        deadline=0.0,
+        stream=answer.call.stream,
+    )
+    entry = await neighbours.hand_over(request)
+    eliot.log_message(
+        message_type="lagoonpost:gateway:moved",
+        request=answer.origin.request_id,
+        entry=entry,
+        tokens=len(request.tokens),
+    )
+    if entry is not None:
+        answer.move(entry)
--- /dev/null
+++ b/lagoonpost/gateway/dispatcher.py
@@ -0,0 +1,105 @@
+"""Drives the gateway's decisions and hands their actions to requests."""
+
+import asyncio
+from random import Random
+
+import eliot
+
+from lagoonpost.gateway.metrics import Metrics
+from lagoonpost.systems.event import (
+    Abandoned,
+    Action,
+    Arrived,
+    AttemptFailed,
+    Dispatch,
+    Event,
+    Refuse,
+    Tick,
+)
+from lagoonpost.systems.gateway import GatewayTables, decide
+from lagoonpost.tables.request import RequestRow
+
+TICK_SECONDS = 0.05
+
+
+class Dispatcher:
+    """One loop's driver of ``decide``: events in, a future per request."""
+
+    def __init__(self, rng: Random, metrics: Metrics) -> None:
+        self.tables = GatewayTables()
+        self._rng = rng
+        self._metrics = metrics
+        self._waiting: dict[str, asyncio.Future[Dispatch | Refuse]] = {}
+        self._ticker: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to send ticks."""
+        self._ticker = asyncio.create_task(self._tick())
+
+    def close(self) -> None:
+        """Stop sending ticks."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+
+    def notify(self, event: Event) -> None:
+        """Give an event to the decisions and carry out their actions."""
+        now = asyncio.get_running_loop().time()
+        for action in decide(self.tables, event, now, self._rng):
+            self._settle(action)
+
+    async def place(self, request: RequestRow) -> Dispatch | Refuse:
+        """Ask where a new request goes; waits while it is queued."""
+        return await self._ask(request.id, Arrived(request))
+
+    async def replace(
+        self, request_id: str, runner: str, kind: str
+    ) -> Dispatch | Refuse:
+        """Ask for another runner after an attempt failed."""
+        event = AttemptFailed(request_id, runner, kind, retry=True)
+        return await self._ask(request_id, event)
+
+    async def _ask(self, request_id: str, event: Event) -> Dispatch | Refuse:
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Dispatch | Refuse] = loop.create_future()
+        self._waiting[request_id] = future
+        try:
+            self.notify(event)
+            return await future
+        except asyncio.CancelledError:
+            self.notify(Abandoned(request_id))
+            raise
+        finally:
+            self._waiting.pop(request_id, None)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self.notify(Tick())
+
+    def _settle(self, action: Action) -> None:
+        self._log(action)
+        future = self._waiting.get(action.request_id)
+        if future is not None and not future.done():
+            future.set_result(action)
+
+    def _log(self, action: Action) -> None:
+        match action:
+            case Dispatch(request_id, runner, version, reason, over):
+                self._metrics.count("routed")
+                eliot.log_message(
+                    message_type="lagoonpost:gateway:routed",
+                    request=request_id,
+                    runner=runner,
+                    version=version,
+                    reason=reason,
+                    over=over,
+                )
+            case Refuse(request_id, status, reason, retry_after):
+                self._metrics.count(f"refused.{reason}")
+                eliot.log_message(
+                    message_type="lagoonpost:gateway:refused",
+                    request=request_id,
+                    status=status,
+                    reason=reason,
+                    retry_after=retry_after,
+                )
--- /dev/null
+++ b/lagoonpost/gateway/generation.py
@@ -0,0 +1,155 @@
+"""Generates one answer: placement, relay, and what the decisions hear."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+
+from lagoonpost.gateway.answer import ActiveAnswer
+from lagoonpost.gateway.prompt import (
+    ChatCall,
+    count_prompt_tokens,
+    hash_prefixes,
+)
+from lagoonpost.gateway.state import Gateway, make_request_id
+from lagoonpost.gateway.token import StreamOrigin, StreamPosition
+from lagoonpost.runners.answer import (
+    Completed,
+    Failed,
+    Generation,
+    Part,
+    relay_answer,
+)
+from lagoonpost.systems.event import (
+    Dispatch,
+    Finished,
+    FirstToken,
+    Progress,
+    Refuse,
+    Resumed,
+)
+from lagoonpost.systems.relay_event import FailureKind
+from lagoonpost.tables.entity import Route, Runner
+from lagoonpost.tables.request import RequestRow
+
+Item = Part | Completed | Failed | Refuse
+
+# A placeholder for tokens that only the caller has; see `generate`.
+UNKNOWN = ""
+
+
+def make_row(origin: StreamOrigin, call: ChatCall, route: Route) -> RequestRow:
+    """Return a chat request as the decisions see it."""
+    now = asyncio.get_running_loop().time()
+    return RequestRow(
+        # The same request can be resumed here while its earlier connection
+        # is not yet known to be gone, so each run has a row of its own.
+        id=f"{origin.request_id}.{make_request_id()[:6]}",
+        workspace=origin.workspace,
+        service=origin.service,
+        route=route.path,
+        request_class=route.request_class,
+        prompt_tokens=count_prompt_tokens(call.prompt),
+        output_tokens=call.max_tokens,
+        prefix=hash_prefixes(call.service, call.prompt),
+        fingerprint=call.digest,
+        arrived=now,
+        deadline=now + route.first_seconds,
+        repeatable=route.repeatable,
+    )
+
+
+async def generate(
+    gateway: Gateway,
+    answer: ActiveAnswer,
+    row: RequestRow,
+    position: StreamPosition,
+    route: Route,
+) -> AsyncGenerator[Item, None]:
+    """Yield an answer's parts from ``position`` on, then how it ended.
+
+    A resumed answer goes on at the runner that holds it. If that runner is
+    gone, another one continues behind the tokens that the caller sent
+    along. Without them the answer can't go on: other tokens sampled behind
+    the same offset would splice two answers, so it fails instead.
+    """
+    known = answer.call.continue_tokens
+    complete = len(known) >= position.offset
+    tokens = known or (UNKNOWN,) * position.offset
+    holder = _find_holder(gateway, position.origin.runner)
+    if holder is None and not complete:
+        yield Failed("unknown", "lost", 0.0)
+        return
+    if holder is not None:
+        gateway.dispatcher.notify(Resumed(row, holder.name))
+    runner = holder or await _place(gateway, row)
+    if isinstance(runner, Refuse):
+        yield runner
+        return
+
+    async def replace(failed: Runner, kind: FailureKind) -> Runner | Refuse:
+        if not complete:
+            return Refuse(row.id, 410, "lost", 0.0)
+        placed = await gateway.dispatcher.replace(row.id, failed.name, kind)
+        return _find_placed(gateway, placed)
+
+    order = Generation(
+        request_id=row.id.partition(".")[0],
+        body=answer.call.body,
+        tokens=tokens,
+        deadline=row.arrived + route.timeout,
+        prompt_tokens=row.prompt_tokens,
+    )
+    answer.relayed = relay_answer(
+        order,
+        runner,
+        replace,
+        gateway.client,
+        gateway.mover,
+        attach=holder is not None,
+    )
+    async with aclosing(answer.relayed.outcomes()) as outcomes:
+        async for outcome in outcomes:
+            _notify(gateway, row, outcome, answer.relayed.runner)
+            yield outcome
+
+
+def _notify(
+    gateway: Gateway,
+    row: RequestRow,
+    outcome: Part | Completed | Failed,
+    runner: Runner | None,
+) -> None:
+    name = runner.name if runner else ""
+    match outcome:
+        case Part(offset, tokens, at):
+            if offset == 0:
+                gateway.dispatcher.notify(FirstToken(row.id, at))
+            gateway.dispatcher.notify(Progress(row.id, at, len(tokens)))
+        case Completed(_, usage):
+            count = usage.completion_tokens
+            gateway.dispatcher.notify(Finished(row.id, name, count))
+        case _:
+            pass
+
+
+def _find_holder(gateway: Gateway, name: str) -> Runner | None:
+    runner = gateway.find_runner(name) if name else None
+    if runner is None or gateway.is_leaving(name):
+        return None
+    return runner
+
+
+async def _place(gateway: Gateway, row: RequestRow) -> Runner | Refuse:
+    return _find_placed(gateway, await gateway.dispatcher.place(row))
+
+
+def _find_placed(
+    gateway: Gateway, placed: Dispatch | Refuse
+) -> Runner | Refuse:
+    if isinstance(placed, Refuse):
+        return placed
+    runner = gateway.find_runner(placed.runner)
+    if runner is None:
+        # The declaration changed between the decision and now.
+        return Refuse("", 503, "no_runner", 1.0)
+    return runner
--- /dev/null
+++ b/lagoonpost/gateway/neighbours.py
@@ -0,0 +1,166 @@
+"""What a gateway tells its peers and learns from them."""
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from lagoonpost.gateway.answer import Held
+from lagoonpost.gateway.reclaim import leave_runner
+from lagoonpost.gateway.settings import GatewaySettings
+from lagoonpost.gateway.state import EntryMember, Gateway
+from lagoonpost.gateway.watch import Watch
+from lagoonpost.http.message import Address
+from lagoonpost.peers.message import Document, HandOver
+from lagoonpost.peers.node import Peers, PeerSettings
+from lagoonpost.systems.event import Peered
+from lagoonpost.tables.fact import Fact
+from lagoonpost.tables.peer import Member
+from lagoonpost.tables.ticket import Snapshot, TicketRecord
+
+SNAPSHOT = "snapshot"
+# Peers asked for a snapshot: one that is dead and one that is behind still
+# leave one that knows.
+ASKED = 3
+ASK_SECONDS = 1.5
+LEAVING_SECONDS = 3600.0
+HELD_SECONDS = 600.0
+
+
+class Neighbours:
+    """Wires a gateway to its peers: facts, members, snapshots, hand-over."""
+
+    def __init__(self, settings: GatewaySettings, gateway: Gateway) -> None:
+        self._settings = settings
+        self._gateway = gateway
+        self._watch: Watch | None = None
+        self.peers: Peers
+        self._accepted_by = ""
+        self._learners: dict[str, Callable[[Fact], None]] = {
+            "revision": self._learn_revision,
+            "runner_leaving": self._learn_leaving,
+        }
+
+    def follow(self, watch: Watch) -> None:
+        """Tell ``watch`` of newer revisions from now on."""
+        self._watch = watch
+
+    async def start(self, entry: Address) -> Address:
+        """Meet the peers; callers reach this gateway at ``entry``."""
+        settings = self._settings
+        self.peers = Peers(
+            PeerSettings(
+                name=settings.name,
+                role="gateway",
+                region=settings.region,
+                failure_domain=settings.failure_domain,
+                address=settings.peer_listen,
+                seeds=settings.seeds,
+                entry=entry,
+            ),
+            self._learn_facts,
+            self._learn_members,
+            self._give_documents,
+            self._take_over,
+        )
+        address = await self.peers.start()
+        self._gateway.members = self.list_entries
+        return address
+
+    def publish_ticket(self, record: TicketRecord) -> None:
+        """Tell all that a newer declaration was accepted here."""
+        name = self.peers.me.name.encode()
+        self.peers.publish(Fact("revision", "", record.revision, name))
+
+    def publish_leaving(self, runner: str, deadline: float) -> None:
+        """Tell all that a runner will go at ``deadline`` of the epoch."""
+        body = msgspec.msgpack.encode(deadline)
+        end = deadline + LEAVING_SECONDS
+        self.peers.publish(Fact("runner_leaving", runner, 1, body, end))
+
+    def list_entries(self) -> tuple[EntryMember, ...]:
+        """Return the gateways that callers can be sent to."""
+        return tuple(
+            EntryMember(row.name, row.entry, row.region, row.failure_domain)
+            for row in self.peers.members()
+            if row.role == "gateway" and row.entry
+        )
+
+    def list_others(self) -> list[Member]:
+        """Return the other gateways."""
+        me = self.peers.me.name
+        return [
+            row
+            for row in self.peers.members()
+            if row.role == "gateway" and row.name != me
+        ]
+
+    async def ask_snapshots(self) -> Sequence[Snapshot]:
+        """Return the declarations that a few peers have in force."""
+        others = self.list_others()
+        self._gateway.rng.shuffle(others)
+        others.sort(key=lambda row: row.name != self._accepted_by)
+        asked = [self._fetch_snapshot(row) for row in others[:ASKED]]
+        found = await asyncio.gather(*asked)
+        return [snapshot for snapshot in found if snapshot is not None]
+
+    async def hand_over(self, request: HandOver) -> str | None:
+        """Give a request to a peer and return its entry address."""
+        others = self.list_others()
+        self._gateway.rng.shuffle(others)
+        for row in others:
+            if await self.peers.hand_over(row, request):
+                return row.entry
+        return None
+
+    async def _fetch_snapshot(self, member: Member) -> Snapshot | None:
+        try:
+            async with asyncio.timeout(ASK_SECONDS):
+                found = await self.peers.fetch(member, SNAPSHOT, -1)
+        except TimeoutError:
+            return None
+        if not found:
+            return None
+        return msgspec.msgpack.decode(found[-1].body, type=Snapshot)
+
+    def _give_documents(self, kind: str, after: int) -> Sequence[Document]:
+        snapshot = self._watch.answer_peer() if self._watch else None
+        if kind != SNAPSHOT or snapshot is None:
+            return ()
+        if snapshot.revision <= after:
+            return ()
+        body = msgspec.msgpack.encode(snapshot)
+        return (Document(snapshot.revision, body),)
+
+    async def _take_over(self, request: HandOver) -> bool:
+        if self._gateway.phase != "serving":
+            return False
+        now = asyncio.get_running_loop().time()
+        self._gateway.held[request.request_id] = Held(
+            request.service,
+            request.workspace,
+            msgspec.json.decode(request.body),
+            request.tokens,
+            now + HELD_SECONDS,
+        )
+        return True
+
+    def _learn_facts(self, facts: Sequence[Fact]) -> None:
+        for fact in facts:
+            learner = self._learners.get(fact.kind)
+            if learner is not None:
+                learner(fact)
+
+    def _learn_revision(self, fact: Fact) -> None:
+        self._accepted_by = fact.body.decode()
+        if self._watch is not None:
+            self._watch.hear(fact.rank)
+
+    def _learn_leaving(self, fact: Fact) -> None:
+        deadline = msgspec.msgpack.decode(fact.body, type=float)
+        leave_runner(self._gateway, fact.key, deadline - time.time())
+
+    def _learn_members(self, members: Sequence[Member]) -> None:
+        count = max(1, len(self.list_entries()))
+        self._gateway.dispatcher.notify(Peered(count))
--- /dev/null
+++ b/lagoonpost/gateway/plain.py
@@ -0,0 +1,218 @@
+"""Calls of plain services: idempotent ones here, others by the ledger."""
+
+import asyncio
+
+from lagoonpost.gateway.booking import BookingCall
+from lagoonpost.gateway.prompt import count_prompt_tokens
+from lagoonpost.gateway.state import Gateway, find_route, make_request_id
+from lagoonpost.http.client import CallFailedError
+from lagoonpost.http.message import (
+    Headers,
+    Request,
+    Response,
+    parse_address,
+)
+from lagoonpost.http.problem import make_problem
+from lagoonpost.systems.event import (
+    AttemptFailed,
+    Dispatch,
+    Finished,
+    Refuse,
+)
+from lagoonpost.tables.entity import Route, Runner, Service, Workspace
+from lagoonpost.tables.request import RequestRow
+
+PREFIX = "/v1/services/"
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+PASSED_HEADERS = frozenset({"content-type", "accept", "accept-language"})
+HOP_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "content-length"}
+)
+
+
+async def call_plain(
+    gateway: Gateway, workspace: Workspace, request: Request
+) -> Response:
+    """Run a call of a plain service and return its answer byte for byte."""
+    name, _, path = request.path[len(PREFIX) :].partition("/")
+    service = gateway.find_service(name)
+    if service is None or service.kind != "plain":
+        return make_problem(
+            404, "Unknown service", f"no plain service {name!r}", "not_run"
+        )
+    route = find_route(service, path)
+    if route is None:
+        return make_problem(
+            404, "Unknown route", f"{name!r} has no route {path!r}", "not_run"
+        )
+    repeatable = route.repeatable or request.method in SAFE_METHODS
+    row = _make_row(gateway, workspace, service, route, request, repeatable)
+    target = f"/{path}?{request.query}" if request.query else f"/{path}"
+    if repeatable:
+        return await _call_repeatable(gateway, row, route, request, target)
+    return await _call_once(gateway, row, route, request, target)
+
+
+def _make_row(
+    gateway: Gateway,
+    workspace: Workspace,
+    service: Service,
+    route: Route,
+    request: Request,
+    repeatable: bool,
+) -> RequestRow:
+    now = asyncio.get_running_loop().time()
+    return RequestRow(
+        id=make_request_id(),
+        workspace=workspace.name,
+        service=service.name,
+        route=route.path,
+        request_class=route.request_class,
+        prompt_tokens=count_prompt_tokens(request.body),
+        output_tokens=1,
+        prefix=(),
+        fingerprint="",
+        arrived=now,
+        deadline=now + route.first_seconds,
+        repeatable=repeatable,
+    )
+
+
+async def _call_repeatable(
+    gateway: Gateway,
+    row: RequestRow,
+    route: Route,
+    request: Request,
+    target: str,
+) -> Response:
+    until = row.arrived + route.timeout
+    placed = await gateway.dispatcher.place(row)
+    while isinstance(placed, Dispatch):
+        runner = gateway.find_runner(placed.runner)
+        left = until - asyncio.get_running_loop().time()
+        if runner is None or left <= 0:
+            failed = AttemptFailed(row.id, placed.runner, "lost", retry=False)
+            gateway.dispatcher.notify(failed)
+            return make_problem(
+                504,
+                "Timeout",
+                f"no answer within {route.timeout:g} s",
+                "unknown",
+                retry_after=1.0,
+            )
+        outcome = await _try_runner(
+            gateway, runner, row, request, target, left
+        )
+        if isinstance(outcome, Response):
+            gateway.dispatcher.notify(Finished(row.id, runner.name, 1))
+            return outcome
+        placed = await gateway.dispatcher.replace(row.id, runner.name, outcome)
+    return refuse(placed)
+
+
+async def _try_runner(
+    gateway: Gateway,
+    runner: Runner,
+    row: RequestRow,
+    request: Request,
+    target: str,
+    timeout: float,
+) -> Response | str:
+    """Return the answer, or the kind of the attempt's failure."""
+    try:
+        answer = await gateway.client.call(
+            parse_address(runner.endpoint),
+            request.method,
+            target,
+            request.body,
+            pass_headers(request, row.id),
+            timeout=timeout,
+        )
+    except CallFailedError:
+        return "lost"
+    if answer.status >= 500:
+        return "refused" if answer.status == 503 else "failed"
+    return Response(answer.status, _answer_headers(answer), answer.body)
+
+
+async def _call_once(
+    gateway: Gateway,
+    row: RequestRow,
+    route: Route,
+    request: Request,
+    target: str,
+) -> Response:
+    used = ""
+
+    async def place(failed: str | None, kind: str | None) -> Runner | Refuse:
+        nonlocal used
+        if failed is None:
+            placed = await gateway.dispatcher.place(row)
+        else:
+            placed = await gateway.dispatcher.replace(
+                row.id, failed, kind or "failed"
+            )
+        if isinstance(placed, Refuse):
+            return placed
+        runner = gateway.find_runner(placed.runner)
+        if runner is None:
+            return Refuse(row.id, 503, "no_runner", 1.0)
+        used = runner.name
+        return runner
+
+    call = BookingCall(
+        request_id=row.id,
+        workspace=row.workspace,
+        key=request.header("idempotency-key"),
+        method=request.method,
+        path=target,
+        headers=(*pass_headers(request, row.id), *_pass_key(row, request)),
+        body=request.body,
+        service=row.service,
+        timeout=route.timeout,
+    )
+    answer = await gateway.bookings.book(call, place)
+    gateway.dispatcher.notify(Finished(row.id, used, 1))
+    return Response(answer.status, _answer_headers(answer), answer.body)
+
+
+def pass_headers(request: Request, request_id: str) -> Headers:
+    """Return the headers that a runner gets of the caller's."""
+    kept = tuple(
+        (name, value)
+        for name, value in request.headers
+        if name in PASSED_HEADERS
+    )
+    return (*kept, ("x-request-id", request_id))
+
+
+def _pass_key(row: RequestRow, request: Request) -> Headers:
+    key = request.header("idempotency-key")
+    if key is None:
+        return ()
+    # Two workspaces may choose the same key; to a runner that keeps keys
+    # as well these must be two calls.
+    return (("idempotency-key", f"{row.workspace}/{key}"),)
+
+
+def _answer_headers(answer: Response) -> Headers:
+    kept = tuple(
+        (name, value)
+        for name, value in answer.headers
+        if name not in HOP_HEADERS
+    )
+    # A check that some cache on the way kept would tell the caller
+    # yesterday's date, so no answer may be kept.
+    return (*kept, ("cache-control", "no-store"))
+
+
+def refuse(action: Refuse) -> Response:
+    """Return the answer to a request that the decisions refused."""
+    return make_problem(
+        action.status,
+        "Not accepted",
+        f"the request was not run: {action.reason}",
+        "not_run",
+        retry_after=action.retry_after,
+        reason=action.reason,
+    )
--- /dev/null
+++ b/lagoonpost/gateway/prompt.py
@@ -0,0 +1,98 @@
+"""What a chat request costs and which prefixes it shares, estimated."""
+
+from typing import Any, NamedTuple
+
+import msgspec
+import xxhash
+
+# The engines do not say how they split text. Four bytes a token is the
+# usual figure for Latin scripts; admission needs proportions, not counts.
+BYTES_PER_TOKEN = 4
+PREFIX_BLOCK = 64
+PREFIX_BYTES = PREFIX_BLOCK * BYTES_PER_TOKEN
+# Longer prompts are told apart well enough by their first 16,384 tokens.
+MAX_BLOCKS = 256
+DEFAULT_OUTPUT_TOKENS = 256
+MAX_OUTPUT_TOKENS = 32768
+
+
+class ChatCall(NamedTuple):
+    """The checked parts of a chat-completions request.
+
+    Attributes:
+        service: The declared service, from ``model``.
+        body: The whole request as sent, without lagoonpost's extensions.
+        stream: Whether the caller wants server-sent events.
+        max_tokens: Most tokens to generate.
+        continue_tokens: Tokens the caller already has of a lost stream.
+        digest: Digest of ``body``, equal for the same request.
+        prompt: The messages as bytes, for prefixes and costs.
+    """
+
+    service: str
+    body: dict[str, Any]
+    stream: bool
+    max_tokens: int
+    continue_tokens: tuple[str, ...]
+    digest: str
+    prompt: bytes
+
+
+class InvalidCall(NamedTuple):
+    """Why a body is not a chat-completions request."""
+
+    detail: str
+
+
+class _Shape(msgspec.Struct):
+    model: str
+    messages: list[dict[str, Any]]
+    stream: bool = False
+    max_tokens: int | None = None
+    continue_tokens: list[str] = []
+
+
+def read_chat_call(body: bytes) -> ChatCall | InvalidCall:
+    """Check and read the body of a chat-completions request."""
+    try:
+        shape = msgspec.json.decode(body, type=_Shape)
+        whole = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return InvalidCall(str(error))
+    if not shape.messages:
+        return InvalidCall("`messages` is empty")
+    max_tokens = shape.max_tokens or DEFAULT_OUTPUT_TOKENS
+    if not 1 <= max_tokens <= MAX_OUTPUT_TOKENS:
+        return InvalidCall(f"`max_tokens` is not 1 to {MAX_OUTPUT_TOKENS}")
+    for name in ("continue_tokens", "stream"):
+        whole.pop(name, None)
+    canonical = msgspec.json.encode(whole, order="sorted")
+    return ChatCall(
+        service=shape.model,
+        body=whole,
+        stream=shape.stream,
+        max_tokens=max_tokens,
+        continue_tokens=tuple(shape.continue_tokens),
+        digest=xxhash.xxh3_128_hexdigest(canonical),
+        prompt=msgspec.json.encode(shape.messages),
+    )
+
+
+def hash_prefixes(service: str, prompt: bytes) -> tuple[int, ...]:
+    """Return the hashes of the prompt's growing prefixes, shortest first.
+
+    Each hash covers all blocks up to its own, so that two prompts share a
+    hash only if they share everything before it.
+    """
+    state = xxhash.xxh3_64(service.encode())
+    hashes = []
+    end = min(len(prompt) // PREFIX_BYTES, MAX_BLOCKS) * PREFIX_BYTES
+    for start in range(0, end, PREFIX_BYTES):
+        state.update(prompt[start : start + PREFIX_BYTES])
+        hashes.append(state.intdigest())
+    return tuple(hashes)
+
+
+def count_prompt_tokens(prompt: bytes) -> int:
+    """Return the estimated number of tokens of a prompt."""
+    return len(prompt) // BYTES_PER_TOKEN + 1
--- /dev/null
+++ b/lagoonpost/gateway/reclaim.py
@@ -0,0 +1,87 @@
+"""Reclaim notices: who leaves, and what that does to running answers."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import eliot
+
+from lagoonpost.gateway.state import Gateway
+from lagoonpost.platform.cloud import Notice, fetch_notices
+from lagoonpost.platform.store import Unavailable
+from lagoonpost.systems.event import Leaving
+
+# A leaving endpoint may get no new work after a few seconds, and the cloud
+# gives only seconds of notice, so each one counts.
+POLL_SECONDS = 0.5
+
+
+class NoticeWatch:
+    """Polls the platform's notices and tells each one once.
+
+    Args:
+        gateway: The gateway whose runners it looks for.
+        host: Host that this process runs on.
+        on_runner: Called with a runner's name and its end in seconds since
+            the epoch.
+        on_self: Called with the end of this process's own host.
+    """
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        host: str,
+        on_runner: Callable[[str, float], None],
+        on_self: Callable[[float], None],
+    ) -> None:
+        self._gateway = gateway
+        self._host = host
+        self._on_runner = on_runner
+        self._on_self = on_self
+        self._seen: set[Notice] = set()
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        platform = self._gateway.settings.platform
+        while True:
+            found = await fetch_notices(self._gateway.client, platform)
+            if not isinstance(found, Unavailable):
+                for notice in found:
+                    self._take(notice)
+            await asyncio.sleep(POLL_SECONDS)
+
+    def _take(self, notice: Notice) -> None:
+        if notice in self._seen:
+            return
+        self._seen.add(notice)
+        eliot.log_message(
+            message_type="lagoonpost:gateway:notice",
+            host=notice.host,
+            seconds=round(notice.deadline - time.time(), 3),
+        )
+        for runner in self._gateway.declaration.runners:
+            if runner.host == notice.host:
+                self._on_runner(runner.name, notice.deadline)
+        if notice.host == self._host:
+            self._on_self(notice.deadline)
+
+
+def leave_runner(gateway: Gateway, runner: str, seconds: float) -> None:
+    """Send no new work to a runner and move its answers off it.
+
+    Args:
+        gateway: The gateway.
+        runner: Name of the runner that will go.
+        seconds: Time until it goes.
+    """
+    if runner in gateway.leaving:
+        return
+    gateway.leaving.add(runner)
+    gateway.dispatcher.notify(Leaving(frozenset({runner})))
+    deadline = asyncio.get_running_loop().time() + max(0.0, seconds)
+    for answer in tuple(gateway.answers):
+        relayed = answer.relayed
+        if relayed is None or relayed.runner is None:
+            continue
+        if relayed.runner.name == runner:
+            relayed.leave(deadline)
--- /dev/null
+++ b/lagoonpost/gateway/server.py
@@ -0,0 +1,178 @@
+"""Takes the callers' requests: keys, phases and one table of routes."""
+
+from collections.abc import Awaitable, Callable
+from typing import Literal, NamedTuple
+
+import eliot
+
+from lagoonpost.gateway import chat, entries, plain, status
+from lagoonpost.gateway.access import find_operator, find_workspace
+from lagoonpost.gateway.state import Gateway
+from lagoonpost.http.message import Request, Response
+from lagoonpost.http.problem import make_problem
+from lagoonpost.http.server import PeerGoneError, Responder
+from lagoonpost.tables.entity import Workspace
+
+Access = Literal["open", "workspace", "operator"]
+Call = Callable[
+    [Gateway, Request, Responder, Workspace | None], Awaitable[None]
+]
+
+# Where to come back to after a refusal by a gateway that is leaving or
+# not yet current: other entries serve already, so soon.
+PHASE_RETRY_SECONDS = 1.0
+
+
+class Endpoint(NamedTuple):
+    """One entry of the route table; ``path`` may end in ``*``.
+
+    ``serving`` says that it needs a gateway that serves.
+    """
+
+    method: str
+    path: str
+    access: Access
+    serving: bool
+    call: Call
+
+
+def _answer_by(
+    handler: Callable[[Gateway, Request], Awaitable[Response]],
+) -> Call:
+    async def call(
+        gateway: Gateway,
+        request: Request,
+        responder: Responder,
+        workspace: Workspace | None,
+    ) -> None:
+        await responder.send(await handler(gateway, request))
+
+    return call
+
+
+async def _call_plain(
+    gateway: Gateway,
+    request: Request,
+    responder: Responder,
+    workspace: Workspace | None,
+) -> None:
+    assert workspace is not None
+    answer = await plain.call_plain(gateway, workspace, request)
+    await responder.send(answer)
+
+
+async def _list_entries(
+    gateway: Gateway,
+    request: Request,
+    responder: Responder,
+    workspace: Workspace | None,
+) -> None:
+    known = find_workspace(gateway.declaration, request)
+    name = known.name if known else ""
+    await responder.send(entries.list_entries(gateway, name))
+
+
+async def _handle_ticket(
+    gateway: Gateway,
+    request: Request,
+    responder: Responder,
+    workspace: Workspace | None,
+) -> None:
+    operator = (
+        find_operator(
+            gateway.settings.operator_digests, gateway.declaration, request
+        )
+        or ""
+    )
+    await responder.send(await gateway.tickets.handle(request, operator))
+
+
+ENDPOINTS = (
+    Endpoint(
+        "POST", "/v1/chat/completions", "workspace", True, chat.answer_chat
+    ),
+    Endpoint("GET", "/v1/requests/*", "workspace", False, chat.answer_moved),
+    Endpoint("*", "/v1/services/*", "workspace", True, _call_plain),
+    Endpoint("GET", "/v1/entries", "open", False, _list_entries),
+    Endpoint("GET", "/healthz", "open", False, _answer_by(status.get_health)),
+    Endpoint("GET", "/readyz", "open", False, _answer_by(status.get_ready)),
+    Endpoint(
+        "GET", "/v1/status", "operator", False, _answer_by(status.get_status)
+    ),
+    Endpoint("*", "/v1/tickets", "operator", False, _handle_ticket),
+    Endpoint("*", "/v1/tickets/*", "operator", False, _handle_ticket),
+    Endpoint("GET", "/v1/declaration", "operator", False, _handle_ticket),
+)
+
+
+def find_endpoint(request: Request) -> Endpoint | Response:
+    """Return the endpoint of a request, or why there is none."""
+    known = False
+    for endpoint in ENDPOINTS:
+        prefix = endpoint.path.removesuffix("*")
+        matches = request.path == endpoint.path or (
+            prefix != endpoint.path and request.path.startswith(prefix)
+        )
+        if matches and endpoint.method in (request.method, "*"):
+            return endpoint
+        known = known or matches
+    if known:
+        return make_problem(
+            405,
+            "Method not allowed",
+            f"{request.path} does not take {request.method}",
+            "not_run",
+        )
+    return make_problem(
+        404, "Not found", f"no such path: {request.path}", "not_run"
+    )
+
+
+async def handle(
+    gateway: Gateway, request: Request, responder: Responder
+) -> None:
+    """Answer one request; the server's handler."""
+    endpoint = find_endpoint(request)
+    if isinstance(endpoint, Response):
+        await responder.send(endpoint)
+        return
+    allowed = _check_access(gateway, endpoint, request)
+    if isinstance(allowed, Response):
+        await responder.send(allowed)
+        return
+    try:
+        await endpoint.call(gateway, request, responder, allowed)
+    except PeerGoneError:
+        gateway.metrics.count("caller_gone")
+        eliot.log_message(
+            message_type="lagoonpost:gateway:caller_gone", path=request.path
+        )
+        raise
+
+
+def _check_access(
+    gateway: Gateway, endpoint: Endpoint, request: Request
+) -> Workspace | Response | None:
+    if endpoint.serving and gateway.phase != "serving":
+        return make_problem(
+            503,
+            "Not serving",
+            f"this gateway is {gateway.phase}; use another entry",
+            "not_run",
+            retry_after=PHASE_RETRY_SECONDS,
+            reason=gateway.phase,
+        )
+    if endpoint.access == "workspace":
+        workspace = find_workspace(gateway.declaration, request)
+        return workspace or _make_unauthorized("a workspace's")
+    if endpoint.access == "operator" and not find_operator(
+        gateway.settings.operator_digests, gateway.declaration, request
+    ):
+        return _make_unauthorized("an operator's")
+    return None
+
+
+def _make_unauthorized(whose: str) -> Response:
+    return make_problem(
+        401, "Key not accepted", f"needs {whose} bearer key", "not_run"
+    )
--- /dev/null
+++ b/lagoonpost/gateway/state.py
@@ -0,0 +1,95 @@
+"""What the handlers of one gateway share."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from random import Random
+from typing import Literal, NamedTuple
+
+from lagoonpost.gateway.answer import ActiveAnswer, Held
+from lagoonpost.gateway.booking import Bookings
+from lagoonpost.gateway.dispatcher import Dispatcher
+from lagoonpost.gateway.metrics import Metrics
+from lagoonpost.gateway.settings import GatewaySettings
+from lagoonpost.gateway.tickets import TicketHandlers
+from lagoonpost.http.client import Client
+from lagoonpost.runners.kv import KvMover
+from lagoonpost.tables.entity import (
+    Declaration,
+    Route,
+    Runner,
+    Service,
+)
+
+Phase = Literal["starting", "serving", "stale", "leaving"]
+
+
+class EntryMember(NamedTuple):
+    """A gateway that callers can be sent to."""
+
+    name: str
+    address: str
+    region: str
+    failure_domain: str
+
+
+class Gateway:
+    """Tables, clients and phase of one gateway process."""
+
+    tickets: TicketHandlers
+    bookings: Bookings
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self.settings = settings
+        self.metrics = Metrics(settings.statsd)
+        seed = settings.seed
+        rng = Random(secrets.randbits(64) if seed is None else seed)
+        self.rng = rng
+        self.dispatcher = Dispatcher(rng, self.metrics)
+        self.client = Client()
+        self.declaration = Declaration()
+        self.phase: Phase = "starting"
+        self.signing_key = settings.signing_key.encode()
+        self.started = asyncio.get_running_loop().time()
+        self.answers: set[ActiveAnswer] = set()
+        self.held: dict[str, Held] = {}
+        self.mover = KvMover(self.client)
+        self.leaving: set[str] = set()
+        self.members: Callable[[], tuple[EntryMember, ...]] = tuple
+
+    def is_leaving(self, runner: str) -> bool:
+        """Tell whether a runner is known to go."""
+        return runner in self.leaving
+
+    def describe_runner(self, runner: str) -> str:
+        """Return a runner's state in a word, for operators."""
+        return "leaving" if self.is_leaving(runner) else "serving"
+
+    def find_service(self, name: str) -> Service | None:
+        """Return the declared service of this name."""
+        for service in self.declaration.services:
+            if service.name == name:
+                return service
+        return None
+
+    def find_runner(self, name: str) -> Runner | None:
+        """Return the declared runner of this name."""
+        for runner in self.declaration.runners:
+            if runner.name == name:
+                return runner
+        return None
+
+
+def find_route(service: Service, path: str) -> Route | None:
+    """Return the route of a service that covers ``path``."""
+    for route in service.routes:
+        if route.path == path:
+            return route
+        if route.path.endswith("*") and path.startswith(route.path[:-1]):
+            return route
+    return None
+
+
+def make_request_id() -> str:
+    """Return a new request id of 96 random bits."""
+    return secrets.token_hex(12)
--- /dev/null
+++ b/lagoonpost/gateway/status.py
@@ -0,0 +1,54 @@
+"""Health, readiness and the operators' view of one gateway."""
+
+import asyncio
+from collections import Counter
+
+from lagoonpost.gateway.state import Gateway
+from lagoonpost.http.message import Request, Response, make_json_response
+
+
+async def get_health(gateway: Gateway, request: Request) -> Response:
+    """Answer 200 while the process works, also while it leaves."""
+    return make_json_response(200, {"phase": gateway.phase})
+
+
+async def get_ready(gateway: Gateway, request: Request) -> Response:
+    """Answer 200 only while new requests are taken."""
+    status = 200 if gateway.phase == "serving" else 503
+    return make_json_response(
+        status,
+        {
+            "phase": gateway.phase,
+            "revision": gateway.declaration.revision,
+        },
+    )
+
+
+async def get_status(gateway: Gateway, request: Request) -> Response:
+    """Return counts, members and runners as this gateway sees them."""
+    now = asyncio.get_running_loop().time()
+    runners = [
+        {
+            "name": runner.name,
+            "service": runner.service,
+            "version": runner.version,
+            "failure_domain": runner.failure_domain,
+            "state": gateway.describe_runner(runner.name),
+        }
+        for runner in gateway.declaration.runners
+    ]
+    states = Counter(str(runner["state"]) for runner in runners)
+    return make_json_response(
+        200,
+        {
+            "gateway": gateway.settings.name,
+            "phase": gateway.phase,
+            "uptime": round(now - gateway.started, 1),
+            "revision": gateway.declaration.revision,
+            "members": [member._asdict() for member in gateway.members()],
+            "runners": runners,
+            "runner_states": states,
+            "counts": gateway.metrics.counts,
+            "answers": len(gateway.answers),
+        },
+    )
--- a/lagoonpost/http/problem.py
+++ b/lagoonpost/http/problem.py
@@ -43,6 +43,7 @@
         value["reason"] = reason
     fields: Headers = (("content-type", PROBLEM_TYPE),)
     if retry_after is not None:
+        value["retry_after"] = round(retry_after, 3)
         # The header holds whole seconds; never 0, which would bring every
         # refused caller back at once.
         seconds = max(1, math.ceil(retry_after))
--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -157,8 +157,8 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
-    async def close(self, grace: float) -> None:
-        """Stop listening and let open requests end within ``grace`` s."""
+    async def drain(self, grace: float) -> None:
+        """Stop listening and wait up to ``grace`` s for open requests."""
         self._closing = True
         if self._server is not None:
             self._server.close()
@@ -166,6 +166,10 @@
             writer.close()
         if self._connections:
             await asyncio.wait(self._connections, timeout=grace)
+
+    async def close(self, grace: float) -> None:
+        """Drain, then cancel what is left."""
+        await self.drain(grace)
         for task in tuple(self._connections):
             task.cancel()
 
--- a/lagoonpost/runners/answer.py
+++ b/lagoonpost/runners/answer.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import (
-    AsyncIterator,
+    AsyncGenerator,
     Awaitable,
     Callable,
     Coroutine,
@@ -102,15 +102,19 @@
         place: Place,
         client: Client,
         mover: KvMover,
+        attach: bool = False,
     ) -> None:
         self._order = order
         self._place = place
         self._client = client
         self._mover = mover
         self._relay = Relay(list(order.tokens))
-        self._inbox: deque[ev.Event] = deque([ev.Placed(runner)])
+        self._inbox: deque[ev.Event] = deque(
+            [ev.Attached(runner) if attach else ev.Placed(runner)]
+        )
         self._wanted: asyncio.Future[None] | None = None
         self._reading: Reading | None = None
+        self._detached = False
         self._placing: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._broken: BaseException | None = None
@@ -135,7 +139,18 @@
         move_by = deadline - LEAVE_MARGIN
         self._post(ev.Leaving(relay.attempt, move_by, end))
 
-    async def __aiter__(self) -> AsyncIterator[Outcome]:
+    def detach(self) -> None:
+        """Leave the answer to its runner when the iterator is closed.
+
+        The caller goes on reading it by another gateway.
+        """
+        self._detached = True
+
+    def __aiter__(self) -> AsyncGenerator[Outcome, None]:
+        """Return the one iteration over the outcomes."""
+        return self.outcomes()
+
+    async def outcomes(self) -> AsyncGenerator[Outcome, None]:
         """Yield parts as they come, then how it ended.
 
         Close this iterator when the answer is no longer wanted; its runner
@@ -279,6 +294,8 @@
         if self._placing is not None:
             self._placing.cancel()
         relay = self._relay
+        if self._detached:
+            return
         if relay.phase is not Phase.ENDED and relay.runner is not None:
             relay.phase = Phase.ENDED
             self._carry_out(ev.Cancel(relay.runner))
@@ -303,6 +320,8 @@
     place: Place,
     client: Client,
     mover: KvMover | None = None,
+    *,
+    attach: bool = False,
 ) -> RelayedAnswer:
     """Stream the answer to ``order`` from ``runner``, then from others.
 
@@ -315,11 +334,13 @@
         client: HTTP client.
         mover: Moves KV caches; one for all answers of a process, so that
             the answers of one runner leave it in turn.
+        attach: The runner already has the answer; read it from behind the
+            tokens of ``order`` on.
 
     Returns:
         The answer; iterate over it for ``Part`` and, last, ``Completed``
         or ``Failed``.
     """
     return RelayedAnswer(
-        order, runner, place, client, mover or KvMover(client)
+        order, runner, place, client, mover or KvMover(client), attach
     )
--- a/lagoonpost/systems/dispatch.py
+++ b/lagoonpost/systems/dispatch.py
@@ -24,7 +24,7 @@
     choose_runner,
     count_version,
 )
-from lagoonpost.tables.load import Flight
+from lagoonpost.tables.load import Flight, RunnerLoad
 from lagoonpost.tables.request import RequestRow
 
 # One event's work is bounded; what is left goes at the next event or tick.
@@ -199,8 +199,34 @@
     if pool.service.kind == "plain":
         route = pool.routes.get(request.route)
         expected = pool.rates.slot_seconds(cost, route)
-    flight = Flight(
-        name,
+    _launch(pool, request, load, prefill, expected, now)
+    pool.prefixes.store(name, request.prefix)
+    return Dispatch(
+        request.id, name, load.runner.version, choice.reason, choice.over
+    )
+
+
+def attach(
+    pool: Pool, request: RequestRow, load: RunnerLoad, now: float
+) -> None:
+    """Count a request that already runs there, for a caller who is back."""
+    _launch(pool, request, load, 0, 0.0, now)
+    # Its first part went out long ago: it says nothing of the runner now.
+    pool.flights[request.id] = pool.flights[request.id]._replace(first=now)
+    load.awaiting.pop(request.id, None)
+
+
+def _launch(
+    pool: Pool,
+    request: RequestRow,
+    load: RunnerLoad,
+    prefill: int,
+    expected: float,
+    now: float,
+) -> None:
+    cost = count_tokens(request)
+    pool.flights[request.id] = Flight(
+        load.runner.name,
         load.runner.version,
         request.workspace,
         request.request_class,
@@ -209,7 +235,6 @@
         expected,
         now,
     )
-    pool.flights[request.id] = flight
     load.add(request.id, now)
     decay_work(load, now)
     load.assigned += cost
@@ -217,10 +242,6 @@
     pool.drafts += request.request_class == "draft"
     _protect(pool, request, cost)
     pool.used[request.workspace] = pool.used.get(request.workspace, 0.0) + cost
-    pool.prefixes.store(name, request.prefix)
-    return Dispatch(
-        request.id, name, load.runner.version, choice.reason, choice.over
-    )
 
 
 def _give_up(
--- a/lagoonpost/systems/event.py
+++ b/lagoonpost/systems/event.py
@@ -19,6 +19,13 @@
     request: RequestRow
 
 
+class Resumed(NamedTuple):
+    """A caller came back for an answer that this runner already holds."""
+
+    request: RequestRow
+    runner: str
+
+
 class Reported(NamedTuple):
     """A load report came in."""
 
@@ -105,6 +112,7 @@
 Event = (
     Declared
     | Arrived
+    | Resumed
     | Reported
     | CacheEvents
     | FirstToken
--- a/lagoonpost/systems/gateway.py
+++ b/lagoonpost/systems/gateway.py
@@ -8,6 +8,7 @@
 from lagoonpost.systems.backoff import back_off
 from lagoonpost.systems.cost import PREFILL_RATIO
 from lagoonpost.systems.dispatch import (
+    attach,
     dispatch_waiting,
     forget,
     land,
@@ -34,6 +35,7 @@
     Quarantined,
     Refuse,
     Reported,
+    Resumed,
     Tick,
 )
 from lagoonpost.systems.pool import Moved, Pool
@@ -191,6 +193,20 @@
     return dispatch_waiting(pool, now, rng)
 
 
+def _resume(
+    tables: GatewayTables, event: Resumed, now: float, rng: Random
+) -> list[Action]:
+    pool = tables.pools.get(event.request.service)
+    if pool is None:
+        return []
+    tables.requests[event.request.id] = event.request
+    load = pool.loads.get(event.runner)
+    # A runner outside of this gateway's subset is not counted here.
+    if load is not None:
+        attach(pool, event.request, load, now)
+    return []
+
+
 def _report(
     tables: GatewayTables, event: Reported, now: float, rng: Random
 ) -> list[Action]:
@@ -397,6 +413,7 @@
     Peered: _peer,
     Leaving: _leave,
     Arrived: _arrive,
+    Resumed: _resume,
     Reported: _report,
     CacheEvents: _note_cache,
     FirstToken: _begin,
--- a/lagoonpost/systems/relay.py
+++ b/lagoonpost/systems/relay.py
@@ -22,6 +22,7 @@
 from lagoonpost.systems.relay_event import (
     Action,
     Arrived,
+    Attached,
     AttemptFailed,
     Cancel,
     Closed,
@@ -144,6 +145,14 @@
     return [Open(relay.attempt, event.runner)]
 
 
+def _attach(relay: Relay, event: Attached) -> list[Action]:
+    relay.attempt += 1
+    relay.runner = event.runner
+    # The runner had it, so nothing may say later that it was not run.
+    relay.execution = "ran"
+    return _probe(relay)
+
+
 def _refuse(relay: Relay, event: NotPlaced) -> list[Action]:
     return _fail(relay, event.reason, event.retry_after)
 
@@ -329,6 +338,7 @@
 _BY_PHASE: dict[Phase, dict[type, Callable[..., list[Action]]]] = {
     Phase.PLACING: {
         Placed: _start,
+        Attached: _attach,
         NotPlaced: _refuse,
         Expired: _expire,
     },
--- a/lagoonpost/systems/relay_event.py
+++ b/lagoonpost/systems/relay_event.py
@@ -15,6 +15,12 @@
     runner: Runner
 
 
+class Attached(NamedTuple):
+    """The runner already has the answer; read it from there."""
+
+    runner: Runner
+
+
 class NotPlaced(NamedTuple):
     """The placement has no runner left."""
 
@@ -86,6 +92,7 @@
 
 Event = (
     Placed
+    | Attached
     | NotPlaced
     | Opened
     | Arrived
