--- a/lagoonpost/systems/relay.py
+++ b/lagoonpost/systems/relay.py
@@ -268,9 +268,8 @@
     if relay.successor is not None:
         return _switch(relay)
     relay.moves += 1
-    # A new number at once: tokens of the old attempt that arrive while the
-    # placement decides must not be emitted behind the new one's back.
-    relay.attempt += 1
+    # While the placement decides, tokens of the old attempt find no row in
+    # the table; once it has decided, they carry an old number.
     relay.phase = Phase.PLACING
     actions: list[Action] = []
     if kind in ("silent", "leaving", "lost"):
