Move running answers off a leaving gateway without loss

Cause: a gateway whose host is reclaimed cut off its callers. Ruled out: relaying on through the peer (both hosts may go), keeping the answer in the store (a write per token). Seen red first: the redirected caller got only the tokens behind the hand-over, as the peer did not put the earlier ones before them. Conclusion: the last event id is enough for a caller even then, since the peer fills in the tokens that it was handed.

--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,145 @@
+"""Open-loop load of streamed drafts over loopback, with histograms."""
+
+import asyncio
+import random
+import time
+from typing import Any, NamedTuple
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from lagoonpost.http.message import Address
+
+MAX_MICROSECONDS = 60_000_000
+DIGITS = 3
+# A run that is stuck ends by itself.
+LONGEST_SECONDS = 60.0
+_FIELD = b"id: "
+
+
+class LoadPlan(NamedTuple):
+    """What to send.
+
+    Attributes:
+        addresses: Servers, taken in turn.
+        key: Bearer key; empty for engines.
+        rate: Arrivals a second, Poisson distributed.
+        seconds: How long requests arrive.
+        tokens: Tokens of each answer.
+        seed: Seed of the arrivals.
+    """
+
+    addresses: tuple[Address, ...]
+    key: str
+    rate: float
+    seconds: float
+    tokens: int
+    seed: int = 1
+
+
+class LoadResult:
+    """What callers got; times in microseconds."""
+
+    def __init__(self) -> None:
+        self.first = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
+        self.gaps = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
+        self.tokens = 0
+        self.whole = 0
+        self.failed = 0
+        self.elapsed = 0.0
+
+    def describe(self) -> dict[str, float]:
+        """Return the figures as milliseconds and rates."""
+        return {
+            "first_median_ms": self.first.get_value_at_percentile(50) / 1e3,
+            "first_p99_ms": self.first.get_value_at_percentile(99) / 1e3,
+            "gap_median_ms": self.gaps.get_value_at_percentile(50) / 1e3,
+            "gap_p95_ms": self.gaps.get_value_at_percentile(95) / 1e3,
+            "gap_p99_ms": self.gaps.get_value_at_percentile(99) / 1e3,
+            "tokens_per_second": self.tokens / self.elapsed,
+            "whole": self.whole,
+            "failed": self.failed,
+        }
+
+
+async def run_load(plan: LoadPlan) -> LoadResult:
+    """Send drafts as planned and wait for all of them."""
+    result = LoadResult()
+    rng = random.Random(plan.seed)
+    started = time.perf_counter()
+    tasks: list[asyncio.Task[None]] = []
+    due = 0.0
+    number = 0
+    while due < plan.seconds:
+        await asyncio.sleep(started + due - time.perf_counter())
+        address = plan.addresses[number % len(plan.addresses)]
+        sending = _send(plan, address, number, result)
+        tasks.append(asyncio.create_task(sending))
+        due += rng.expovariate(plan.rate)
+        number += 1
+    await asyncio.wait(tasks, timeout=LONGEST_SECONDS)
+    for task in tasks:
+        if not task.done():
+            task.cancel()
+            result.failed += 1
+    result.elapsed = time.perf_counter() - started
+    return result
+
+
+async def _send(
+    plan: LoadPlan, address: Address, number: int, result: LoadResult
+) -> None:
+    request = _make_request(plan, address, number)
+    started = last = time.perf_counter()
+    try:
+        reader, writer = await asyncio.open_connection(*address)
+    except OSError:
+        result.failed += 1
+        return
+    writer.write(request)
+    seen = 0
+    whole = False
+    try:
+        # Counting bytes costs the load tool a tenth of what parsing would,
+        # so that it is not what is measured.
+        while data := await reader.read(65536):
+            now = time.perf_counter()
+            count = data.count(_FIELD)
+            if count and not seen:
+                result.first.record_value(int((now - started) * 1e6))
+            elif count:
+                gap = max(1, int((now - last) * 1e6 / count))
+                result.gaps.record_value(gap, count)
+            if count:
+                last = now
+            seen += count
+            if b"data: [DONE]" in data:
+                whole = True
+                break
+    except OSError:
+        pass
+    finally:
+        writer.close()
+    result.tokens += seen
+    result.whole += whole
+    result.failed += not whole
+
+
+def _make_request(plan: LoadPlan, address: Address, number: int) -> bytes:
+    content = f"Summarise the listings of weekend {number}, seed {plan.seed}"
+    chat: dict[str, Any] = {
+        "model": "assistant",
+        "messages": [{"role": "user", "content": content}],
+        "max_tokens": plan.tokens,
+        "stream": True,
+    }
+    body = msgspec.json.encode(chat)
+    lines = [
+        "POST /v1/chat/completions HTTP/1.1",
+        f"host: {address}",
+        f"content-length: {len(body)}",
+        f"x-request-id: load-{plan.seed}-{number}",
+    ]
+    if plan.key:
+        lines.append(f"authorization: Bearer {plan.key}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/bench/system.py
+++ b/bench/system.py
@@ -87,6 +87,7 @@
         engines: Number of engines.
         services: Number of booking runners.
         engine_options: Further arguments of the engines.
+        slots: Requests that each runner is declared to run side by side.
     """
 
     def __init__(
@@ -95,7 +96,9 @@
         engines: int = 3,
         services: int = 2,
         engine_options: tuple[str, ...] = (),
+        slots: int = 8,
     ) -> None:
+        self._slots = slots
         self._folder = tempfile.TemporaryDirectory(prefix="lagoonpost-")
         self.processes: dict[str, Process] = {}
         self.addresses: dict[str, Address] = {}
@@ -203,6 +206,7 @@
                 f"    endpoint: {self.addresses[name]}",
                 f"    service: {service}",
                 "    version: v1",
+                f"    slots: {self._slots}",
                 f"    host: host-{name}",
                 f"    failure_domain: {DOMAINS[place % len(DOMAINS)]}",
             ]
--- a/lagoonpost/gateway/answer.py
+++ b/lagoonpost/gateway/answer.py
@@ -50,15 +50,26 @@
 
 
 class WholeAnswer:
-    """Sink that answers a caller who waits for the whole answer."""
+    """Sink that answers a caller who waits for the whole answer.
+
+    Args:
+        responder: The caller's open response.
+        key: Key that signs event ids.
+        origin: The answer.
+        tokens: Tokens that come before those written here.
+    """
 
     def __init__(
-        self, responder: Responder, key: bytes, origin: StreamOrigin
+        self,
+        responder: Responder,
+        key: bytes,
+        origin: StreamOrigin,
+        tokens: tuple[str, ...] = (),
     ) -> None:
         self._responder = responder
         self._key = key
         self._origin = origin
-        self._texts: list[str] = []
+        self._texts = list(tokens)
 
     async def write_part(self, part: Part) -> None:
         """Keep the tokens until the answer is whole."""
--- a/lagoonpost/gateway/chat.py
+++ b/lagoonpost/gateway/chat.py
@@ -62,6 +62,7 @@
             make_request_id(), workspace.name, call.service, "", call.digest
         )
         position = StreamPosition(origin, len(call.continue_tokens))
+    call = _complete_from_held(gateway, call, position)
     await _run(gateway, call, position, route, responder)
 
 
@@ -100,6 +101,24 @@
     return call._replace(continue_tokens=held.tokens)
 
 
+def _complete_from_held(
+    gateway: Gateway, call: ChatCall, position: StreamPosition
+) -> ChatCall:
+    """Add the tokens that a leaving gateway handed over, if needed.
+
+    A caller that sends only its last event id can then go on even when
+    the runner is gone as well.
+    """
+    held = gateway.held.get(position.origin.request_id)
+    if call.continue_tokens or held is None:
+        return call
+    if held.workspace != position.origin.workspace:
+        return call
+    if len(held.tokens) < position.offset:
+        return call
+    return call._replace(continue_tokens=held.tokens[: position.offset])
+
+
 def _find_chat_route(gateway: Gateway, name: str) -> Route | None:
     service = gateway.find_service(name)
     if service is None or service.kind != "model":
@@ -157,8 +176,7 @@
 ) -> None:
     origin = position.origin
     answer = ActiveAnswer(origin, call)
-    kind = CallerStream if call.stream else WholeAnswer
-    sink: Sink = kind(responder, gateway.signing_key, origin)
+    sink = _make_sink(gateway, call, origin, responder)
     row = make_row(origin, call, route)
     gateway.answers.add(answer)
     alive = asyncio.create_task(_keep_alive(sink))
@@ -188,6 +206,18 @@
         gateway.dispatcher.notify(Abandoned(row.id))
 
 
+def _make_sink(
+    gateway: Gateway,
+    call: ChatCall,
+    origin: StreamOrigin,
+    responder: Responder,
+) -> Sink:
+    key = gateway.signing_key
+    if call.stream:
+        return CallerStream(responder, key, origin)
+    return WholeAnswer(responder, key, origin, call.continue_tokens)
+
+
 async def _keep_alive(sink: Sink) -> None:
     while True:
         await asyncio.sleep(KEEP_ALIVE_TICK)
--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -92,6 +92,10 @@
             address=str(self.address),
         )
 
+    def count_answers(self) -> int:
+        """Return the number of chat requests that run here."""
+        return len(self._gateway.answers)
+
     async def leave(self, grace: float) -> None:
         """Take no new requests and end or move the accepted ones.
 
--- a/test/stack.py
+++ b/test/stack.py
@@ -141,6 +141,12 @@
                         break
                     await asyncio.sleep(0.02)
 
+    async def wait_answer(self, gateway: int = 0) -> None:
+        """Wait until a chat request runs on a gateway."""
+        async with asyncio.timeout(READY_SECONDS):
+            while not self.gateways[gateway].count_answers():
+                await asyncio.sleep(0.01)
+
     async def _start_gateway(self, number: int) -> None:
         seeds = tuple(daemon.peer_address for daemon in self.gateways[:1])
         daemon = GatewayDaemon(
