--- a/lagoonpost/gateway/neighbours.py
+++ b/lagoonpost/gateway/neighbours.py
@@ -137,7 +137,10 @@
         if self._gateway.phase != "serving":
             return False
         now = asyncio.get_running_loop().time()
-        self._gateway.held[request.request_id] = Held(
+        held = self._gateway.held
+        for request_id in [key for key in held if held[key].until < now]:
+            del held[request_id]
+        held[request.request_id] = Held(
             request.service,
             request.workspace,
             msgspec.json.decode(request.body),
--- a/test/stack.py
+++ b/test/stack.py
@@ -144,7 +144,8 @@
     async def wait_answer(self, gateway: int = 0) -> None:
         """Wait until a chat request runs on a gateway."""
         async with asyncio.timeout(READY_SECONDS):
-            while not self.gateways[gateway].count_answers():
+            daemon = self.gateways[gateway]
+            while not daemon.count_answers():  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
     async def _start_gateway(self, number: int) -> None:
