--- a/bench/system.py
+++ b/bench/system.py
@@ -1,5 +1,7 @@
 """A whole system of separate processes on loopback, for demo and stories."""
 
+import asyncio
+import json
 import os
 import signal
 import socket
@@ -7,9 +9,11 @@
 import sys
 import tempfile
 import time
+from http.client import HTTPConnection
 from pathlib import Path
 from typing import IO
 
+from bench.submit import submit
 from lagoonpost.gateway.access import digest_key
 from lagoonpost.http.message import Address
 
@@ -187,9 +191,32 @@
     def _apply_ticket(self) -> None:
         path = Path(self._folder.name) / "1.yaml"
         path.write_text(self.write_ticket(1))
-        done = self.run_cli("ticket", "apply", str(path))
-        if done.returncode:
-            raise RuntimeError(f"ticket refused: {done.stdout}{done.stderr}")
+        entry = self.addresses[self.gateways[0]]
+        asyncio.run(submit(entry, path, OPERATOR_KEY))
+        self.wait_ready()
+
+    def wait_ready(self) -> None:
+        """Wait until every running gateway serves."""
+        for name in self.gateways:
+            if self.processes[name].is_running():
+                self._wait_gateway(name)
+
+    def _wait_gateway(self, name: str) -> None:
+        host, port = self.addresses[name]
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            connection = HTTPConnection(host, port, timeout=2.0)
+            try:
+                connection.request("GET", "/readyz")
+                answer = connection.getresponse()
+                if answer.status == 200 and json.load(answer)["revision"]:
+                    return
+            except OSError:
+                pass
+            finally:
+                connection.close()
+            time.sleep(0.05)
+        raise RuntimeError(f"{name} is not ready")
 
     def write_ticket(self, number: int) -> str:
         """Return the first ticket with this system's addresses."""
