--- a/bench/system.py
+++ b/bench/system.py
@@ -177,7 +177,7 @@
         arguments += ["--listen", str(self.addresses[name])]
         arguments += ["--peer-listen", str(self._peers[name])]
         arguments += ["--platform", str(self.addresses["platform"])]
-        arguments += ["--failure-domain", domain]
+        arguments += ["--failure-domain", domain, "--host", f"host-{name}"]
         arguments += ["--operator-digest", digest_key(OPERATOR_KEY)]
         for other in self.gateways[:3]:
             if other != name:
@@ -189,12 +189,17 @@
         self.processes[name] = Process(name, arguments, log)
 
     def _apply_ticket(self) -> None:
-        path = Path(self._folder.name) / "1.yaml"
-        path.write_text(self.write_ticket(1))
+        path = self.write_file("1.yaml", self.write_ticket(1))
         entry = self.addresses[self.gateways[0]]
         asyncio.run(submit(entry, path, OPERATOR_KEY))
         self.wait_ready()
 
+    def write_file(self, name: str, text: str) -> Path:
+        """Write a file that goes with the system and return its path."""
+        path = Path(self._folder.name) / name
+        path.write_text(text)
+        return path
+
     def wait_ready(self) -> None:
         """Wait until every running gateway serves."""
         for name in self.gateways:
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,12 @@
+"""Starts nothing; ends each scenario's processes."""
+
+from typing import Any
+
+
+def before_scenario(context: Any, scenario: Any) -> None:
+    context.system = None
+
+
+def after_scenario(context: Any, scenario: Any) -> None:
+    if context.system is not None:
+        context.system.stop()
--- a/features/start.feature
+++ /dev/null
@@ -1,1 +0,0 @@
-Feature: The system runs as separate processes
--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -236,7 +236,8 @@
                 status = error.error_status_hint
                 raise BadRequestError(status, str(error)) from error
             if event is h11.NEED_DATA:
-                data = await _receive(reader, deadline, head is not None)
+                started = writer not in self._idle
+                data = await _receive(reader, deadline, started)
                 if writer in self._idle:
                     self._idle.discard(writer)
                     # The clock of a request starts with its first byte, so
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -9,7 +9,7 @@
     Response,
     parse_address,
 )
-from lagoonpost.http.server import Limits, Responder, Server
+from lagoonpost.http.server import Limits, PeerGoneError, Responder, Server
 
 LOOPBACK = Address("127.0.0.1", 0)
 
@@ -53,6 +53,64 @@
         assert b'"not_run"' in answer.body
 
 
+class TestSlowCallers:
+    def test_a_caller_that_never_reads_holds_bounded_memory(self) -> None:
+        """A caller asks for a long answer and never reads a byte of it.
+
+        Everything written for it would pile up in our memory. The write
+        waits instead, and gives the caller up after a while.
+        """
+        part = b"x" * 65536
+        limits = Limits(write_seconds=0.3, buffer=4 * len(part))
+        written = 0
+        gone = asyncio.Event()
+
+        async def pour(request: Request, responder: Responder) -> None:
+            nonlocal written
+            await responder.start(200, ())
+            try:
+                while written < 4096:
+                    await responder.write(part)
+                    written += 1
+            except PeerGoneError:
+                gone.set()
+
+        async def story() -> None:
+            server = Server(pour, limits)
+            address = await server.start(LOOPBACK)
+            client = Client()
+            stream = await client.open(address, "GET", "/")
+            async with asyncio.timeout(20):
+                await gone.wait()
+            stream.close()
+            await server.close(0.0)
+
+        asyncio.run(story())
+        assert written < 1024
+
+    def test_a_caller_that_sends_too_slowly_is_told_so(self) -> None:
+        """A caller sends the head of a request and then nothing more.
+
+        Without a limit on the time for one request it would hold its
+        connection for good.
+        """
+
+        async def story() -> bytes:
+            server = Server(_echo, Limits(read_seconds=0.3))
+            address = await server.start(LOOPBACK)
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"POST / HTTP/1.1\r\nhost: x\r\n")
+            async with asyncio.timeout(20):
+                answer = await reader.read()
+            writer.close()
+            await server.close(0.0)
+            return answer
+
+        answer = asyncio.run(story())
+        assert answer.startswith(b"HTTP/1.1 408")
+        assert b'"execution":"not_run"' in answer
+
+
 class TestAddress:
     def test_parses_host_and_port(self) -> None:
         assert parse_address("127.0.0.1:80") == Address("127.0.0.1", 80)
