--- /dev/null
+++ b/lagoonpost/cli/ticket.py
@@ -0,0 +1,330 @@
+"""``lagoonpost ticket``: check, plan, apply and look up change tickets."""
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Coroutine
+from enum import IntEnum
+from pathlib import Path
+from typing import Any
+
+import click
+
+from lagoonpost.declarations.content import format_content
+from lagoonpost.declarations.file import load_ticket
+from lagoonpost.declarations.plan import list_changes
+from lagoonpost.http.client import CallFailedError, Client
+from lagoonpost.http.message import Address, Response, parse_address
+from lagoonpost.tables.ticket import Faults, Ticket
+
+CALL_SECONDS = 10.0
+"""Longer than a gateway tries to settle one ticket."""
+POLL_SECONDS = 0.2
+
+
+class Exit(IntEnum):
+    """Exit codes; 2 is a wrong command line, by click."""
+
+    DONE = 0
+    FAULTY = 1
+    REFUSED = 3
+    NOT_RUN = 4
+    UNKNOWN = 5
+    NOT_IN_FORCE = 6
+    NOT_FOUND = 7
+
+
+_CODES = {400: Exit.FAULTY, 422: Exit.FAULTY, 404: Exit.NOT_FOUND}
+
+
+class AddressType(click.ParamType[Address]):
+    """HOST:PORT on the command line."""
+
+    name = "HOST:PORT"
+
+    def convert(
+        self,
+        value: Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Address:
+        """Parse ``value``."""
+        if isinstance(value, Address):
+            return value
+        try:
+            return parse_address(value)
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
+
+
+class Gateways:
+    """Calls the gateways with the operator's key."""
+
+    def __init__(self, entries: tuple[Address, ...], key: str) -> None:
+        self.entries = entries
+        self._headers = (
+            ("authorization", f"Bearer {key}"),
+            ("content-type", "application/json"),
+        )
+        self._client = Client()
+
+    async def call(
+        self, entry: Address, method: str, path: str, body: object = None
+    ) -> Response:
+        """Call one gateway."""
+        data = b"" if body is None else json.dumps(body).encode()
+        return await self._client.call(
+            entry, method, path, data, self._headers, timeout=CALL_SECONDS
+        )
+
+    async def call_any(
+        self, method: str, path: str, body: object = None
+    ) -> Response:
+        """Call gateways in turn until one answers other than 503.
+
+        This is safe for tickets too: the same ticket gets the same answer
+        at each gateway.
+        """
+        # The first gateway may have written before it failed. That a later
+        # one did not run the ticket must not turn "unknown" to "not run".
+        details, executions = [], set()
+        for entry in self.entries:
+            try:
+                response = await self.call(entry, method, path, body)
+            except CallFailedError as error:
+                details.append(f"{entry}: {error}")
+                executions.add("unknown" if error.sent else "not_run")
+                continue
+            if response.status != 503:
+                return response
+            problem = json.loads(response.body)
+            details.append(f"{entry}: {problem['detail']}")
+            executions.add(problem["execution"])
+        execution = "unknown" if "unknown" in executions else "not_run"
+        failure = {"detail": "; ".join(details), "execution": execution}
+        return Response(503, (), json.dumps(failure).encode())
+
+
+@click.group()
+@click.option(
+    "--entry",
+    "entries",
+    type=AddressType(),
+    multiple=True,
+    envvar="LAGOONPOST_ENTRIES",
+    help="Gateway; give each one, so that `apply` can wait for all.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.pass_context
+def ticket(
+    context: click.Context, entries: tuple[Address, ...], as_json: bool
+) -> None:
+    r"""Hand in numbered change tickets.
+
+    The operator's key is read from LAGOONPOST_OPERATOR_KEY, so that it does
+    not show in the list of processes.
+
+    \b
+    Exit codes: 0 done, 1 faulty ticket, 2 wrong command line,
+    3 refused (number taken, stale), 4 not run, 5 unknown: hand the same
+    ticket in again, 6 accepted but not yet in force everywhere, 7 not found.
+    """
+    context.obj = {"entries": entries, "json": as_json}
+
+
+@ticket.command()
+@click.argument("file", type=click.Path(exists=True, path_type=Path))
+@click.pass_obj
+def check(settings: dict[str, Any], file: Path) -> None:
+    """Check FILE without a gateway.
+
+    Example: lagoonpost ticket check examples/tickets/1-start.yaml
+    """
+    loaded = _load(settings, file)
+    text = f"ticket {loaded.number}: {len(loaded.objects)} objects, no faults"
+    _print(settings, text, {"ticket": loaded.number, "faults": []})
+
+
+@ticket.command()
+@click.argument("file", type=click.Path(exists=True, path_type=Path))
+@click.pass_obj
+def plan(settings: dict[str, Any], file: Path) -> None:
+    """Show what FILE would change in what is in force."""
+    loaded = _load(settings, file)
+
+    async def run(gateways: Gateways) -> Response:
+        return await gateways.call_any("GET", "/v1/declaration?objects=1")
+
+    body = _read(settings, _run(settings, run))
+    states = {key: row["state"] for key, row in body["objects"].items()}
+    changes = list_changes(states, loaded.objects)
+    stale = [
+        f"{key} was set by ticket {body['objects'][key]['ticket']}"
+        for key in loaded.objects
+        if body["objects"].get(key, {"ticket": 0})["ticket"] >= loaded.number
+    ]
+    lines = [str(change) for change in changes]
+    lines += [f"would be refused: {line}" for line in stale]
+    listed = [change._asdict() for change in changes]
+    text = "\n".join(lines) or "nothing changes"
+    _print(settings, text, {"changes": listed, "stale": stale})
+    if stale:
+        sys.exit(Exit.REFUSED)
+
+
+@ticket.command()
+@click.argument("file", type=click.Path(exists=True, path_type=Path))
+@click.option(
+    "--wait", default=30.0, show_default=True, help="Seconds to wait."
+)
+@click.pass_obj
+def apply(settings: dict[str, Any], file: Path, wait: float) -> None:
+    """Hand FILE in and wait until it is in force at all entries."""
+    loaded = _load(settings, file)
+
+    async def run(gateways: Gateways) -> tuple[Response, int]:
+        body = format_content(loaded)
+        response = await gateways.call_any("POST", "/v1/tickets", body)
+        if response.status != 200:
+            return response, 0
+        revision = json.loads(response.body)["revision"]
+        click.echo(f"accepted as revision {revision}", err=True)
+        return response, await _wait(gateways, revision, wait)
+
+    response, reached = _run(settings, run)
+    body = _read(settings, response)
+    total = len(settings["entries"])
+    body |= {"in_force": reached, "gateways": total}
+    text = f"ticket {loaded.number}: in force at {reached} of {total} gateways"
+    _print(settings, text, body)
+    if reached < total:
+        sys.exit(Exit.NOT_IN_FORCE)
+
+
+@ticket.command()
+@click.argument("number", type=int)
+@click.pass_obj
+def status(settings: dict[str, Any], number: int) -> None:
+    """Show ticket NUMBER, and at how many entries it is in force."""
+
+    async def run(gateways: Gateways) -> tuple[Response, int]:
+        path = f"/v1/tickets/{number}"
+        response = await gateways.call_any("GET", path)
+        if response.status != 200:
+            return response, 0
+        revision = json.loads(response.body)["revision"]
+        return response, await _count_in_force(gateways, revision)
+
+    response, reached = _run(settings, run)
+    body = _read(settings, response)
+    total = len(settings["entries"])
+    body |= {"in_force": reached, "gateways": total}
+    text = (
+        f"{_describe(body)}\nin force at {reached} of {total} gateways\n"
+        + "\n".join(f"  {key}" for key in body["objects"])
+    )
+    _print(settings, text, body)
+
+
+@ticket.command()
+@click.option("--after", default=0, help="Only higher numbers.")
+@click.option("--limit", default=20, show_default=True)
+@click.pass_obj
+def history(settings: dict[str, Any], after: int, limit: int) -> None:
+    """List accepted tickets by number."""
+
+    async def run(gateways: Gateways) -> Response:
+        path = f"/v1/tickets?after={after}&limit={limit}"
+        return await gateways.call_any("GET", path)
+
+    body = _read(settings, _run(settings, run))
+    _print(settings, "\n".join(map(_describe, body["tickets"])), body)
+
+
+def _describe(record: dict[str, Any]) -> str:
+    number, revision = record["number"], record["revision"]
+    who = f"by {record['operator']}: {record['reason']}"
+    return f"ticket {number}, revision {revision}, {who}"
+
+
+async def _wait(gateways: Gateways, revision: int, seconds: float) -> int:
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + seconds
+    total = len(gateways.entries)
+    shown = -1
+    while True:
+        reached = await _count_in_force(gateways, revision)
+        if reached != shown:
+            click.echo(f"in force at {reached} of {total}", err=True)
+            shown = reached
+        if reached == total or loop.time() >= deadline:
+            return reached
+        await asyncio.sleep(POLL_SECONDS)
+
+
+async def _count_in_force(gateways: Gateways, revision: int) -> int:
+    async def ask(entry: Address) -> bool:
+        try:
+            response = await gateways.call(entry, "GET", "/v1/declaration")
+        except CallFailedError:
+            return False
+        if response.status != 200:
+            return False
+        body = json.loads(response.body)
+        return bool(body["current"] and body["revision"] >= revision)
+
+    return sum(await asyncio.gather(*map(ask, gateways.entries)))
+
+
+def _load(settings: dict[str, Any], file: Path) -> Ticket:
+    loaded = load_ticket(file)
+    if isinstance(loaded, Faults):
+        faults = [fault._asdict() for fault in loaded.faults]
+        _print(
+            settings, "\n".join(map(str, loaded.faults)), {"faults": faults}
+        )
+        sys.exit(Exit.FAULTY)
+    return loaded
+
+
+def _run(settings: dict[str, Any], job: Any) -> Any:
+    if not settings["entries"]:
+        raise click.UsageError("give at least one --entry HOST:PORT")
+    key = _read_key()
+    gateways = Gateways(settings["entries"], key)
+    work: Coroutine[Any, Any, Any] = job(gateways)
+    return asyncio.run(work)
+
+
+def _read_key() -> str:
+    key = os.environ.get("LAGOONPOST_OPERATOR_KEY", "")
+    if not key:
+        raise click.UsageError("LAGOONPOST_OPERATOR_KEY is not set")
+    return key
+
+
+def _read(settings: dict[str, Any], response: Response) -> dict[str, Any]:
+    body: dict[str, Any] = json.loads(response.body)
+    if response.status == 200:
+        return body
+    lines = [f"{body.get('title', 'failed')}: {body.get('detail', '')}"]
+    for fault in body.get("faults", ()):
+        lines.append(f"  {fault['field']}: {fault['message']}")
+    if body.get("execution") == "unknown":
+        lines.append("Unknown outcome: hand the same ticket in again.")
+    _print(settings, "\n".join(lines), body)
+    sys.exit(_choose_code(response.status, body))
+
+
+def _choose_code(status: int, body: dict[str, Any]) -> Exit:
+    if status in _CODES:
+        return _CODES[status]
+    if status == 409:
+        return Exit.REFUSED
+    unknown = body.get("execution") != "not_run"
+    return Exit.UNKNOWN if unknown else Exit.NOT_RUN
+
+
+def _print(settings: dict[str, Any], text: str, body: object) -> None:
+    click.echo(json.dumps(body) if settings["json"] else text)
--- /dev/null
+++ b/lagoonpost/declarations/plan.py
@@ -0,0 +1,36 @@
+"""Compares a ticket's states with those in force."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+from lagoonpost.tables.ticket import ABSENT, State
+
+
+class Change(NamedTuple):
+    """One field that a ticket changes; None is absent or the default."""
+
+    key: str
+    field: str
+    old: Any
+    new: Any
+
+    def __str__(self) -> str:
+        return f"{self.key} {self.field}: {self.old!r} -> {self.new!r}"
+
+
+def list_changes(
+    old: Mapping[str, State], new: Mapping[str, State]
+) -> list[Change]:
+    """Return each field that ``new`` sets to another value than ``old``."""
+    return [
+        change
+        for key, state in new.items()
+        for change in _compare(key, old.get(key, ABSENT), state)
+    ]
+
+
+def _compare(key: str, old: State, new: State) -> Iterator[Change]:
+    fields = dict.fromkeys((*old, *new))
+    for field in fields:
+        if old.get(field) != new.get(field):
+            yield Change(key, field, old.get(field), new.get(field))
--- /dev/null
+++ b/test/test_tickets.py
@@ -0,0 +1,149 @@
+"""Tests of lagoonpost.gateway.tickets, driven by the command line."""
+
+import asyncio
+import json
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+from memory_store import MemoryStore
+
+from lagoonpost.cli.ticket import Exit, ticket
+from lagoonpost.gateway.tickets import TicketHandlers
+from lagoonpost.gateway.watch import Watch
+from lagoonpost.http.message import Address, Request
+from lagoonpost.http.server import Responder, Server
+from lagoonpost.platform.ticket import Intake, Patience
+
+START = Path(__file__).parent.parent / "examples/tickets/1-start.yaml"
+
+
+class Gateway:
+    """Ticket handlers behind a server."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.watch = Watch(store, lambda _: None)
+        intake = Intake(store, Patience(2, 0.0))
+        self.handlers = TicketHandlers(intake, self.watch, lambda _: None)
+        self.server = Server(self._handle)
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        await responder.send(await self.handlers.handle(request, "ann"))
+
+
+class Site:
+    """Gateways on a loop of their own, as the command blocks this one."""
+
+    def __init__(self, count: int) -> None:
+        self.store = MemoryStore()
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread.start()
+        self.gateways = [Gateway(self.store) for _ in range(count)]
+        self.entries = [self._start(gateway) for gateway in self.gateways]
+
+    def _start(self, gateway: Gateway) -> Address:
+        start = gateway.server.start(Address("127.0.0.1", 0))
+        return asyncio.run_coroutine_threadsafe(start, self.loop).result(10)
+
+    def poll(self) -> None:
+        for gateway in self.gateways:
+            poll = gateway.watch.poll()
+            asyncio.run_coroutine_threadsafe(poll, self.loop).result(10)
+
+    def close(self) -> None:
+        for gateway in self.gateways:
+            close = gateway.server.close(0.0)
+            asyncio.run_coroutine_threadsafe(close, self.loop).result(10)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    def invoke(self, *arguments: str) -> Result:
+        entries = [f"--entry={entry}" for entry in self.entries]
+        return CliRunner(env={"LAGOONPOST_OPERATOR_KEY": "k"}).invoke(
+            ticket, [*entries, "--json", *arguments]
+        )
+
+
+@pytest.fixture
+def site() -> Iterator[Site]:
+    site = Site(2)
+    site.poll()
+    yield site
+    site.close()
+
+
+class TestCommand:
+    def test_apply_counts_the_gateways_in_force(self, site: Site) -> None:
+        first = site.invoke("apply", "--wait=0", str(START))
+        assert first.exit_code == Exit.NOT_IN_FORCE
+        assert json.loads(first.stdout)["in_force"] == 1
+        site.poll()
+        again = site.invoke("apply", "--wait=0", str(START))
+        assert again.exit_code == Exit.DONE
+        assert json.loads(again.stdout)["in_force"] == 2
+
+    def test_plan_then_refused_as_taken(
+        self, site: Site, tmp_path: Path
+    ) -> None:
+        site.invoke("apply", "--wait=0", str(START))
+        site.poll()
+        other = tmp_path / "other.yaml"
+        text = START.read_text().replace("first: 1.9", "first: 2.9")
+        other.write_text(text.replace("ticket: 1", "ticket: 2"))
+        planned = json.loads(site.invoke("plan", str(other)).stdout)
+        assert [change["key"] for change in planned["changes"]] == [
+            "service/assistant"
+        ]
+        other.write_text(text)
+        refused = site.invoke("apply", str(other))
+        assert refused.exit_code == Exit.REFUSED
+        assert json.loads(refused.stdout)["title"] == "number_taken"
+
+    def test_status_and_history(self, site: Site) -> None:
+        assert site.invoke("status", "1").exit_code == Exit.NOT_FOUND
+        site.invoke("apply", "--wait=0", str(START))
+        assert json.loads(site.invoke("status", "1").stdout)["in_force"] == 1
+        tickets = json.loads(site.invoke("history").stdout)["tickets"]
+        assert [record["number"] for record in tickets] == [1]
+
+    @pytest.mark.parametrize(
+        ("fault", "code"), [("down", Exit.NOT_RUN), ("late", Exit.UNKNOWN)]
+    )
+    def test_store_failures_have_codes_of_their_own(
+        self, site: Site, fault: str, code: Exit
+    ) -> None:
+        site.store.fault = lambda call: fault if call == "transact" else ""
+        result = site.invoke("apply", str(START))
+        assert result.exit_code == code
+
+    def test_unknown_at_one_gateway_stays_unknown(self, site: Site) -> None:
+        """The first gateway's write hangs, the second finds the store down.
+
+        The second surely did not run the ticket, the first perhaps did. An
+        operator who is told "not run" would drop a change that comes.
+        """
+        plan = iter(["late", "down", "down", "down"])
+        site.store.fault = lambda call: (
+            next(plan) if call == "transact" else ""
+        )
+        assert site.invoke("apply", str(START)).exit_code == Exit.UNKNOWN
+
+    def test_faulty_file_is_not_sent(self, site: Site, tmp_path: Path) -> None:
+        faulty = tmp_path / "faulty.yaml"
+        faulty.write_text("ticket: 1\n")
+        result = site.invoke("apply", str(faulty))
+        assert result.exit_code == Exit.FAULTY
+        assert not site.store.rows
+
+    def test_faulty_request_is_refused_by_the_gateway(
+        self, site: Site
+    ) -> None:
+        request = Request("POST", "/v1/tickets", "", (), b'{"ticket": 0}', "")
+        handlers = site.gateways[0].handlers
+        response = asyncio.run(handlers.submit(request, "ann"))
+        assert response.status == 422
+        assert b'"ticket"' in response.body
