--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -120,12 +120,12 @@
         self._on_members = on_members
         self._clock = clock or make_clock()
         self._rng = rng or random.Random()
-        service = PeerService(self._receive, on_fetch, on_hand_over)
-        self._server = Server([service], codec=MessagePackCodec())
+        self._service = PeerService(self._receive, on_fetch, on_hand_over)
         self._pool = ChannelPool()
         self._tasks: set[asyncio.Task[None]] = set()
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._current = asyncio.Event()
+        self._server: Server
         self._gossip: Gossip
 
     async def start(self) -> Address:
@@ -136,6 +136,8 @@
         now = self._clock()
         seeds = [str(seed) for seed in self._settings.seeds]
         self._gossip = Gossip(self._describe(address, now), seeds, now)
+        # A server is bound to the loop in which it is made.
+        self._server = Server([self._service], codec=MessagePackCodec())
         await self._server.start(sock=listener)
         self._tick()
         return address
--- a/test/test_node.py
+++ b/test/test_node.py
@@ -35,11 +35,11 @@
 
 
 async def wait_for(holds: Callable[[], bool]) -> None:
-    for _ in range(1500):
+    for _ in range(1000):
         if holds():
             return
         await asyncio.sleep(0.02)
-    raise AssertionError("did not come to hold in 30 s")
+    raise AssertionError("did not come to hold in 20 s")
 
 
 async def close_all(members: Sequence[Peers]) -> None:
@@ -81,6 +81,23 @@
 
         asyncio.run(play())
 
+    def test_made_before_the_loop_runs(self):
+        """A daemon starts but none of its peers can reach it.
+
+        It was put together before its loop ran, and its server was bound
+        to another loop, which never does.
+        """
+        first = make_peers("gateway-0", ())
+
+        async def play():
+            seed = await first.start()
+            second = make_peers("gateway-1", (seed,))
+            await second.start()
+            await wait_for(lambda: len(second.members()) == 2)
+            await close_all([first, second])
+
+        asyncio.run(play())
+
     def test_first_of_all_is_current_alone(self):
         async def play():
             gone = make_peers("gateway-0", ())
