--- a/lagoonpost/systems/gateway.py
+++ b/lagoonpost/systems/gateway.py
@@ -118,7 +118,11 @@
         }
         for queue in pool.queues.values():
             queue.weights = weights
+    tables.leaving &= {runner.name for runner in event.declaration.runners}
     _place_runners(tables)
+    for pool in tables.pools.values():
+        domains = {load.runner.failure_domain for load in pool.loads.values()}
+        pool.domains = len(domains)
     return _dispatch_all(tables, now, rng)
 
 
@@ -140,9 +144,6 @@
                 load.runner = runner
                 pool.loads[runner.name] = load
                 pool.versions[version].append(load)
-        pool.domains = len(
-            {load.runner.failure_domain for load in pool.loads.values()}
-        )
         pool.count_slots()
 
 
@@ -165,18 +166,17 @@
     tables: GatewayTables, event: Leaving, now: float, rng: Random
 ) -> list[Action]:
     tables.leaving |= event.runners
+    hit = [
+        pool
+        for pool in tables.pools.values()
+        if not event.runners.isdisjoint(pool.loads)
+    ]
+    if hit:
+        # Others take the place of those that leave our subset.
+        _place_runners(tables)
     actions: list[Action] = []
-    for pool in tables.pools.values():
-        gone = event.runners & pool.loads.keys()
-        for name in gone:
-            del pool.loads[name]
-        for version, loads in pool.versions.items():
-            pool.versions[version] = [
-                load for load in loads if load.runner.name not in gone
-            ]
-        if gone:
-            pool.count_slots()
-            actions += review(pool, now, rng)
+    for pool in hit:
+        actions += review(pool, now, rng)
     return actions
 
 
