--- a/bench/system.py
+++ b/bench/system.py
@@ -1,6 +1,5 @@
 """A whole system of separate processes on loopback, for demo and stories."""
 
-import asyncio
 import json
 import os
 import signal
@@ -13,7 +12,8 @@
 from pathlib import Path
 from typing import IO
 
-from bench.submit import submit
+import psutil
+
 from lagoonpost.gateway.access import digest_key
 from lagoonpost.http.message import Address
 
@@ -70,6 +70,11 @@
         assert self._popen is not None
         return self._popen.wait(timeout)
 
+    def is_frozen(self) -> bool:
+        """Tell whether the process is stopped or has ended."""
+        status = psutil.Process(self.pid).status()
+        return status in (psutil.STATUS_STOPPED, psutil.STATUS_ZOMBIE)
+
     def is_running(self) -> bool:
         """Tell whether the process has not ended."""
         return self._popen is not None and self._popen.poll() is None
@@ -190,8 +195,17 @@
 
     def _apply_ticket(self) -> None:
         path = self.write_file("1.yaml", self.write_ticket(1))
-        entry = self.addresses[self.gateways[0]]
-        asyncio.run(submit(entry, path, OPERATOR_KEY))
+        self.apply_ticket(path)
+
+    def apply_ticket(self, path: Path) -> None:
+        """Hand in a ticket and wait until it is in force everywhere."""
+        entries = []
+        for name in self.gateways:
+            if not self.processes[name].is_frozen():
+                entries += ["--entry", str(self.addresses[name])]
+        done = self.run_cli("ticket", *entries, "apply", str(path))
+        if done.returncode:
+            raise RuntimeError(f"ticket: {done.stdout}{done.stderr}")
         self.wait_ready()
 
     def write_file(self, name: str, text: str) -> Path:
@@ -203,7 +217,7 @@
     def wait_ready(self) -> None:
         """Wait until every running gateway serves."""
         for name in self.gateways:
-            if self.processes[name].is_running():
+            if not self.processes[name].is_frozen():
                 self._wait_gateway(name)
 
     def _wait_gateway(self, name: str) -> None:
--- a/examples/start.sh
+++ b/examples/start.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Hands in the first ticket and says what to try; honcho keeps it running.
 set -eu
-python -m bench.submit examples/tickets/1-start.yaml
+lagoonpost ticket apply examples/tickets/1-start.yaml
 cat <<'TEXT'
 lagoonpost is up: 9 gateways, 3 engines, 2 booking runners. In another shell:
   export LAGOONPOST_KEY=demo-key LAGOONPOST_OPERATOR_KEY=operator-key LAGOONPOST_ENTRY=127.0.0.1:8101
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -11,8 +11,7 @@
 from behave import given, then, when
 
 from bench.demo import Draft, make_body
-from bench.submit import submit
-from bench.system import OPERATOR_KEY, LocalSystem
+from bench.system import LocalSystem
 from lagoonpost.caller.client import (
     Caller,
     Ended,
@@ -216,7 +215,7 @@
         "ticket: 2\nreason: market leaves\n"
         "workspaces:\n  market: {absent: true}\n",
     )
-    asyncio.run(submit(system.addresses["gateway-1"], path, OPERATOR_KEY))
+    system.apply_ticket(path)
     # Longer than a poll and the store's timeout together.
     time.sleep(5.0)
     system.processes["gateway-3"].send(signal.SIGCONT)
--- a/lagoonpost/cli/main.py
+++ b/lagoonpost/cli/main.py
@@ -5,6 +5,7 @@
 from lagoonpost.cli.ask import ask, book, check
 from lagoonpost.cli.entries import entries, status
 from lagoonpost.cli.gateway import gateway
+from lagoonpost.cli.ticket import ticket
 
 COMMANDS: tuple[click.Command, ...] = (
     gateway,
@@ -13,6 +14,7 @@
     check,
     entries,
     status,
+    ticket,
 )
 
 
