Refuse poison requests at every gateway

The verdicts of systems/quarantine.py had no evidence and no effect yet. A gateway now reports a runner that was lost under a request, unless it was leaving or the request never reached it, and a suspect's completion; both spread as facts, and each gateway gives the changed verdicts to its decisions. A suspect is retried alone, not on the version or runner that was lost under it; a convicted request is not retried, and what of it still runs anywhere is given up with 422 before it takes that runner down too. Once a request is convicted, those that were beside it are free again.

--- a/lagoonpost/gateway/chat.py
+++ b/lagoonpost/gateway/chat.py
@@ -30,6 +30,8 @@
 
 PATH = "/v1/chat/completions"
 KEEP_ALIVE_TICK = 1.0
+# A caller whose request crashes runners is told that it is its request.
+_FAILED_STATUSES = {"poison": 422}
 
 
 async def answer_chat(
@@ -236,7 +238,7 @@
             gateway.metrics.count(f"failed.{reason}")
             await sink.fail(
                 make_problem(
-                    502,
+                    _FAILED_STATUSES.get(reason, 502),
                     "Answer not completed",
                     f"the answer could not be completed: {reason}",
                     execution,
--- a/lagoonpost/gateway/generation.py
+++ b/lagoonpost/gateway/generation.py
@@ -89,6 +89,10 @@
     async def replace(failed: Runner, kind: FailureKind) -> Runner | Refuse:
         if not complete:
             return Refuse(row.id, 410, "lost", 0.0)
+        if kind == "lost" and answer.relayed and answer.relayed.reached:
+            # Before the request is placed again, for the verdict decides
+            # whether it may run beside others, or at all.
+            gateway.quarantine.note_loss(row, failed)
         placed = await gateway.dispatcher.replace(row.id, failed.name, kind)
         return _find_placed(gateway, placed)
 
@@ -110,6 +114,8 @@
     async with aclosing(answer.relayed.outcomes()) as outcomes:
         async for outcome in outcomes:
             _notify(gateway, row, outcome, answer.relayed.runner)
+            if isinstance(outcome, Completed):
+                gateway.quarantine.note_completion(row)
             yield outcome
 
 
--- a/lagoonpost/gateway/neighbours.py
+++ b/lagoonpost/gateway/neighbours.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lagoonpost.gateway.answer import Held
+from lagoonpost.gateway.quarantine import QuarantineDesk
 from lagoonpost.gateway.reclaim import leave_runner
 from lagoonpost.gateway.settings import GatewaySettings
 from lagoonpost.gateway.state import EntryMember, Gateway
@@ -37,7 +38,10 @@
         self._watch: Watch | None = None
         self.peers: Peers
         self._accepted_by = ""
+        gateway.quarantine = QuarantineDesk(gateway, self._publish)
         self._learners: dict[str, Callable[[Fact], None]] = {
+            "crash_seen": gateway.quarantine.learn,
+            "poison_verdict": gateway.quarantine.learn,
             "revision": self._learn_revision,
             "runner_leaving": self._learn_leaving,
         }
@@ -68,6 +72,9 @@
         self._gateway.members = self.list_entries
         return address
 
+    def _publish(self, fact: Fact) -> None:
+        self.peers.publish(fact)
+
     def publish_ticket(self, record: TicketRecord) -> None:
         """Tell all that a newer declaration was accepted here."""
         name = self.peers.me.name.encode()
--- /dev/null
+++ b/lagoonpost/gateway/quarantine.py
@@ -0,0 +1,132 @@
+"""Gathers lost runners and completions, and spreads what they prove."""
+
+import time
+from collections.abc import Callable
+
+import eliot
+import msgspec
+
+from lagoonpost.gateway.state import Gateway
+from lagoonpost.systems.event import Quarantined
+from lagoonpost.systems.quarantine import Loss, Quarantine
+from lagoonpost.tables.entity import Runner
+from lagoonpost.tables.fact import Fact
+from lagoonpost.tables.request import RequestRow
+
+# Longer than a caller goes on resending, and a bound on what is held.
+KEEP_SECONDS = 24 * 3600.0
+# A conviction outranks each time, in milliseconds, of a completion.
+_CONVICTED = 2**62
+
+
+class QuarantineDesk:
+    """One gateway's evidence on requests that crash runners.
+
+    Args:
+        gateway: Whose requests are judged.
+        publish: Spreads a fact to the other gateways.
+    """
+
+    def __init__(
+        self, gateway: Gateway, publish: Callable[[Fact], None]
+    ) -> None:
+        self._gateway = gateway
+        self._publish = publish
+        self._cases: dict[str, Quarantine] = {}
+        self._verdicts: dict[str, dict[str, str]] = {}
+
+    def note_loss(self, row: RequestRow, runner: Runner) -> None:
+        """Take in that a runner was lost under a request."""
+        # Who left as announced was not crashed by what it ran.
+        if self._gateway.is_leaving(runner.name):
+            return
+        now = time.time()
+        beside = self._count_beside(row, runner)
+        loss = Loss(row.fingerprint, runner.name, runner.version, now, beside)
+        if not self._find_case(row.service).add(loss):
+            return
+        key = f"{row.service}/{row.fingerprint}/{runner.name}"
+        body = msgspec.msgpack.encode(loss)
+        self._publish(Fact("crash_seen", key, 1, body, now + KEEP_SECONDS))
+        self._apply(row.service)
+
+    def note_completion(self, row: RequestRow) -> None:
+        """Take in that a request completed."""
+        case = self._cases.get(row.service)
+        if case is None or not case.is_suspect(row.fingerprint):
+            return
+        now = time.time()
+        case.clear(row.fingerprint, now)
+        key = f"{row.service}/{row.fingerprint}"
+        rank = int(now * 1000)
+        end = now + KEEP_SECONDS
+        self._publish(Fact("poison_verdict", key, rank, b"", end))
+        self._apply(row.service)
+
+    def learn(self, fact: Fact) -> None:
+        """Take in what another gateway saw."""
+        service, fingerprint, *_ = fact.key.split("/")
+        case = self._find_case(service)
+        if fact.kind == "crash_seen":
+            case.add(msgspec.msgpack.decode(fact.body, type=Loss))
+        elif fact.rank == _CONVICTED:
+            case.refuse(fingerprint)
+        else:
+            case.clear(fingerprint, fact.rank / 1000)
+        self._apply(service)
+
+    def _find_case(self, service: str) -> Quarantine:
+        return self._cases.setdefault(service, Quarantine())
+
+    def _count_beside(self, row: RequestRow, runner: Runner) -> int:
+        pool = self._gateway.dispatcher.tables.pools.get(row.service)
+        flights = pool.flights.items() if pool else ()
+        return sum(
+            flight.runner == runner.name and request_id != row.id
+            for request_id, flight in flights
+        )
+
+    def _apply(self, service: str) -> None:
+        """Tell the decisions which verdicts have changed."""
+        case = self._cases[service]
+        case.forget(time.time() - KEEP_SECONDS)
+        serving = {
+            version.name
+            for version in self._gateway.declaration.versions
+            if version.service == service and version.share > 0
+        }
+        before = self._verdicts.get(service, {})
+        after = dict[str, str](case.judge(serving))
+        self._verdicts[service] = after
+        for fingerprint in before.keys() | after.keys():
+            verdict = after.get(fingerprint, "free")
+            if verdict == before.get(fingerprint, "free"):
+                continue
+            self._tell(service, fingerprint, verdict, case.avoid(fingerprint))
+
+    def _tell(
+        self,
+        service: str,
+        fingerprint: str,
+        verdict: str,
+        avoid: frozenset[str],
+    ) -> None:
+        eliot.log_message(
+            message_type="lagoonpost:gateway:quarantined",
+            service=service,
+            fingerprint=fingerprint,
+            verdict=verdict,
+        )
+        self._gateway.dispatcher.notify(
+            Quarantined(fingerprint, verdict, avoid)
+        )
+        if verdict == "refused":
+            key = f"{service}/{fingerprint}"
+            self._publish(Fact("poison_verdict", key, _CONVICTED))
+            self._give_up(fingerprint)
+
+    def _give_up(self, fingerprint: str) -> None:
+        # What still runs elsewhere would take its runner down as well.
+        for answer in tuple(self._gateway.answers):
+            if answer.call.digest == fingerprint and answer.relayed:
+                answer.relayed.give_up("poison", None)
--- a/lagoonpost/gateway/state.py
+++ b/lagoonpost/gateway/state.py
@@ -4,7 +4,7 @@
 import secrets
 from collections.abc import Callable
 from random import Random
-from typing import Literal, NamedTuple
+from typing import TYPE_CHECKING, Literal, NamedTuple
 
 from lagoonpost.gateway.answer import ActiveAnswer, Held
 from lagoonpost.gateway.booking import Bookings
@@ -21,6 +21,9 @@
     Service,
 )
 
+if TYPE_CHECKING:
+    from lagoonpost.gateway.quarantine import QuarantineDesk
+
 Phase = Literal["starting", "serving", "stale", "leaving"]
 
 
@@ -38,6 +41,7 @@
 
     tickets: TicketHandlers
     bookings: Bookings
+    quarantine: "QuarantineDesk"
 
     def __init__(self, settings: GatewaySettings) -> None:
         self.settings = settings
--- a/lagoonpost/runners/answer.py
+++ b/lagoonpost/runners/answer.py
@@ -129,6 +129,15 @@
         """The tokens emitted so far; not to be changed."""
         return self._relay.tokens
 
+    @property
+    def reached(self) -> bool:
+        """Whether its present attempt may have reached the runner."""
+        return self._relay.reached
+
+    def give_up(self, reason: str, retry_after: float | None) -> None:
+        """End the answer now; its runner is told to drop it."""
+        self._post(ev.Expired(reason, retry_after))
+
     def leave(self, deadline: float) -> None:
         """Say that the present runner goes at loop time ``deadline``."""
         relay = self._relay
--- a/lagoonpost/systems/dispatch.py
+++ b/lagoonpost/systems/dispatch.py
@@ -119,15 +119,20 @@
     """Drop all that is known of a request that has left its runner."""
     pool.moved.pop(request_id, None)
     pool.tried.pop(request_id, None)
-    if request_id in pool.alone:
-        pool.alone.discard(request_id)
-        for load in pool.loads.values():
-            if load.exclusive == request_id:
-                load.exclusive = None
+    release(pool, request_id)
     for queue in pool.queues.values():
         queue.remove(request_id)
 
 
+def release(pool: Pool, request_id: str) -> None:
+    """Give the runner that a suspect had to itself back to all."""
+    if pool.alone.pop(request_id, None) is None:
+        return
+    for load in pool.loads.values():
+        if load.exclusive == request_id:
+            load.exclusive = None
+
+
 def _next_entry(pool: Pool, now: float) -> Waiting | None:
     free = pool.free
     if free < 1 and _probe_due(pool, now):
--- a/lagoonpost/systems/event.py
+++ b/lagoonpost/systems/event.py
@@ -93,10 +93,18 @@
 
 
 class Quarantined(NamedTuple):
-    """A fingerprint was given a verdict: ``alone`` or ``refused``."""
+    """A fingerprint was given a verdict.
+
+    Attributes:
+        fingerprint: Of the request.
+        verdict: ``alone``, ``refused``, or ``free`` when it is neither
+            any more.
+        avoid: Versions to avoid while it is run alone.
+    """
 
     fingerprint: str
     verdict: str
+    avoid: frozenset[str] = frozenset()
 
 
 class Peered(NamedTuple):
--- a/lagoonpost/systems/gateway.py
+++ b/lagoonpost/systems/gateway.py
@@ -13,6 +13,7 @@
     dispatch_waiting,
     forget,
     land,
+    release,
     review,
 )
 from lagoonpost.systems.ejection import (
@@ -63,6 +64,7 @@
         pools: State of each service.
         leaving: Names of runners that will go.
         verdicts: Verdicts on fingerprints.
+        avoid: Versions that a suspect fingerprint should not run on.
     """
 
     def __init__(self, name: str = "", gateways: int = 1) -> None:
@@ -73,6 +75,7 @@
         self.pools: dict[str, Pool] = {}
         self.leaving: set[str] = set()
         self.verdicts: dict[str, str] = {}
+        self.avoid: dict[str, frozenset[str]] = {}
 
 
 def decide(
@@ -191,7 +194,7 @@
         return [Refuse(request.id, NO_CAPACITY, "no_runner", 1.0)]
     if tables.verdicts.get(request.fingerprint) == "alone":
         tables.requests[request.id] = request
-        _isolate(pool, request, now)
+        _isolate(tables, pool, request, now)
         return dispatch_waiting(pool, now, rng)
     entry = admit(pool, request, now, rng)
     if isinstance(entry, Refuse):
@@ -314,7 +317,14 @@
     if event.kind == "failed" and not pool.budget.spend():
         forget(pool, request.id)
         return [Refuse(request.id, NO_CAPACITY, "retry_budget", 1.0)]
+    verdict = tables.verdicts.get(request.fingerprint)
+    if verdict == "refused":
+        # It would take the next runner down as well.
+        forget(pool, request.id)
+        return [Refuse(request.id, POISON, "poison", None)]
     _retry(pool, request, event, flight, now, rng)
+    if verdict == "alone":
+        _isolate(tables, pool, request, now)
     return dispatch_waiting(pool, now, rng)
 
 
@@ -352,7 +362,11 @@
 def _quarantine(
     tables: GatewayTables, event: Quarantined, now: float, rng: Random
 ) -> list[Action]:
+    if event.verdict == "free":
+        tables.verdicts.pop(event.fingerprint, None)
+        return _release_all(tables, event.fingerprint, now, rng)
     tables.verdicts[event.fingerprint] = event.verdict
+    tables.avoid[event.fingerprint] = event.avoid
     if event.verdict != "refused":
         return _isolate_all(tables, event.fingerprint, now, rng)
     actions: list[Action] = []
@@ -374,12 +388,28 @@
         if request.fingerprint != fingerprint or request.id in pool.flights:
             continue
         forget(pool, request.id)
-        _isolate(pool, request, now)
+        _isolate(tables, pool, request, now)
     return _dispatch_all(tables, now, rng)
 
 
-def _isolate(pool: Pool, request: RequestRow, now: float) -> None:
-    pool.alone.add(request.id)
+def _release_all(
+    tables: GatewayTables, fingerprint: str, now: float, rng: Random
+) -> list[Action]:
+    tables.avoid.pop(fingerprint, None)
+    for request in tables.requests.values():
+        pool = tables.pools[request.service]
+        waits = request.id in pool.alone and request.id not in pool.flights
+        if waits and request.fingerprint == fingerprint:
+            forget(pool, request.id)
+            pool.moved[request.id] = Moved(request, "", True, now)
+    return _dispatch_all(tables, now, rng)
+
+
+def _isolate(
+    tables: GatewayTables, pool: Pool, request: RequestRow, now: float
+) -> None:
+    release(pool, request.id)
+    pool.alone[request.id] = tables.avoid.get(request.fingerprint, frozenset())
     pool.moved[request.id] = Moved(request, "", False, now)
 
 
--- a/lagoonpost/systems/pool.py
+++ b/lagoonpost/systems/pool.py
@@ -61,7 +61,8 @@
         used: Tokens in flight by workspace.
         bias: Seen over predicted waits, by class and workspace.
         domains: Failure domains of the declared runners.
-        alone: Suspect requests that must have a runner to themselves.
+        alone: Suspect requests that must have a runner to themselves, and
+            the versions that each should not run on.
     """
 
     service: Service
@@ -84,7 +85,7 @@
     queues: dict[RequestClass, FairQueue] = field(
         default_factory=lambda: {name: FairQueue() for name in CLASSES}
     )
-    alone: set[str] = field(default_factory=set)
+    alone: dict[str, frozenset[str]] = field(default_factory=dict)
     moved: dict[str, Moved] = field(default_factory=dict)
     tried: dict[str, set[str]] = field(default_factory=dict)
     rates: Rates = field(default_factory=Rates)
--- a/lagoonpost/systems/relay.py
+++ b/lagoonpost/systems/relay.py
@@ -104,6 +104,7 @@
         tokens: What was emitted, and what came before this gateway.
         attempt: Number of the attempt whose tokens count.
         runner: Where the attempt runs.
+        reached: Whether the attempt may have reached its runner.
         successor: Where it will go when its runner leaves.
     """
 
@@ -119,6 +120,7 @@
         self.probes = 0
         self.moves = 0
         self.execution: Execution = "not_run"
+        self.reached = False
 
 
 def step(relay: Relay, event: Event) -> list[Action]:
@@ -141,6 +143,7 @@
     relay.early.clear()
     relay.closed = None
     relay.probes = 0
+    relay.reached = False
     relay.phase = Phase.OPENING
     return [Open(relay.attempt, event.runner)]
 
@@ -150,6 +153,7 @@
     relay.runner = event.runner
     # The runner had it, so nothing may say later that it was not run.
     relay.execution = "ran"
+    relay.reached = True
     return _probe(relay)
 
 
@@ -168,12 +172,13 @@
     actions: list[Action] = []
     if relay.phase is not Phase.PLACING and relay.runner is not None:
         actions.append(Cancel(relay.runner))
-    return actions + _fail(relay, "deadline", RETRY_SECONDS)
+    return actions + _fail(relay, event.reason, event.retry_after)
 
 
 def _begin_reading(relay: Relay, event: Opened) -> list[Action]:
     relay.phase = Phase.STREAMING
     relay.execution = "ran"
+    relay.reached = True
     return []
 
 
@@ -254,6 +259,7 @@
 
 
 def _fail_attempt(relay: Relay, event: AttemptFailed) -> list[Action]:
+    relay.reached = relay.reached or event.execution != "not_run"
     if relay.execution == "not_run":
         relay.execution = event.execution
     return _move(relay, event.kind)
--- a/lagoonpost/systems/relay_event.py
+++ b/lagoonpost/systems/relay_event.py
@@ -87,7 +87,10 @@
 
 
 class Expired(NamedTuple):
-    """The request's own deadline passed."""
+    """The answer is given up for a reason outside of its runner."""
+
+    reason: str = "deadline"
+    retry_after: float | None = 1.0
 
 
 Event = (
--- a/lagoonpost/systems/routing.py
+++ b/lagoonpost/systems/routing.py
@@ -98,12 +98,24 @@
     """
     loads = list(pool.loads.values())
     kept = [load for load in loads if load.exclusive == request.id]
+    tried = pool.tried.get(request.id, set())
+    avoid = pool.alone[request.id]
+
+    def rank(load: RunnerLoad) -> tuple[bool, bool, bool, float]:
+        # A runner that was just lost is the emptiest of all, and a version
+        # on which the suspect was lost settles nothing once more.
+        return (
+            load.runner.name in tried,
+            load.health.state == "ejected",
+            load.runner.version in avoid,
+            pool.occupancy(load, now),
+        )
+
     if not kept:
         kept = [load for load in loads if load.exclusive is None]
-        kept.sort(key=lambda load: pool.occupancy(load, now))
     if not kept:
         return None
-    load = kept[0]
+    load = min(kept, key=rank)
     load.exclusive = request.id
     if pool.occupancy(load, now) > 0.5:
         return None
--- /dev/null
+++ b/test/test_gateway_quarantine.py
@@ -0,0 +1,184 @@
+"""Tests of lagoonpost.gateway.quarantine over gateways and engines."""
+
+import asyncio
+from random import Random
+
+import msgspec
+from stack import CHAT, Stack, make_chat, play
+
+from lagoonpost.systems.event import (
+    Action,
+    Arrived,
+    AttemptFailed,
+    Declared,
+    Dispatch,
+    Event,
+    Finished,
+    Quarantined,
+    Refuse,
+)
+from lagoonpost.systems.gateway import GatewayTables, decide
+from lagoonpost.tables.entity import (
+    Declaration,
+    Route,
+    Runner,
+    Service,
+    Version,
+    Workspace,
+)
+from lagoonpost.tables.request import RequestRow
+from lagoonpost_standins.engine_batch import EngineOptions
+from lagoonpost_standins.engine_fault import Faults
+from lagoonpost_standins.engine_model import answer_text
+
+MARKER = "crash me"
+SLOW = EngineOptions(token_rate=100.0, prefill_rate=1e6)
+TOKENS = 150
+
+
+def _arm(stack: Stack, **faults: object) -> set[str]:
+    """Let engines die of the marker; return the names of those that did."""
+    lost: set[str] = set()
+    closing: list[asyncio.Future[None]] = []
+    for name, engine in stack.engines.items():
+
+        def crash(name: str = name) -> None:
+            if name not in lost:
+                lost.add(name)
+                closing.append(
+                    asyncio.ensure_future(stack.engines[name].close())
+                )
+
+        engine.state.batch.crash = crash
+        engine.set_faults(Faults(**faults))  # type: ignore[arg-type]
+    return lost
+
+
+async def _ask_innocent(stack: Stack, number: int) -> bool:
+    prompt = f"innocent {number}"
+    answer = await stack.call(
+        "POST", CHAT, make_chat(prompt, TOKENS), gateway=number % 2
+    )
+    expected = answer_text([{"role": "user", "content": prompt}], TOKENS)
+    return answer.status == 200 and expected.encode() in answer.body
+
+
+async def _wait_refused(stack: Stack) -> None:
+    """Wait until every gateway has heard of the conviction."""
+    async with asyncio.timeout(20):
+        for daemon in stack.gateways:
+            verdicts = daemon._gateway.dispatcher.tables.verdicts
+            while "refused" not in verdicts.values():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+
+class TestPoisonRequest:
+    def test_is_refused_everywhere_after_two_runners(self) -> None:
+        """Runners go down one after another, and drafts break off.
+
+        One request crashes each runner that runs it; its caller sends it
+        again and again, now to one gateway, now to the other. Both know of
+        the verdict as soon as the facts have spread.
+        """
+
+        async def story(stack: Stack) -> None:
+            lost = _arm(stack, crash_marker=MARKER, crash_after=5)
+            innocent = [
+                asyncio.ensure_future(_ask_innocent(stack, n))
+                for n in range(6)
+            ]
+            await stack.wait_answer()
+            body = make_chat(MARKER, TOKENS)
+            first = await stack.call("POST", CHAT, body)
+            assert first.status == 422, first.body
+            await _wait_refused(stack)
+            for n in range(6):
+                again = await stack.call("POST", CHAT, body, gateway=n % 2)
+                problem = msgspec.json.decode(again.body)
+                assert again.status == 422
+                assert problem["execution"] == "not_run"
+            assert len(lost) == 2
+            assert all(await asyncio.gather(*innocent))
+
+        play(story, gateways=2, engines=5, options=SLOW)
+
+    def test_lost_runner_convicts_nobody(self) -> None:
+        """A runner dies by itself; what ran there runs whole elsewhere."""
+
+        async def story(stack: Stack) -> None:
+            drafts = [
+                asyncio.ensure_future(_ask_innocent(stack, n))
+                for n in range(6)
+            ]
+            await stack.wait_answer()
+            await stack.engines["engine-1"].close()
+            assert all(await asyncio.gather(*drafts))
+            for n in range(6):
+                assert await _ask_innocent(stack, n)
+
+        play(story, gateways=2, engines=4, options=SLOW)
+
+
+class _Decisions:
+    """Two runners and one request that was sent to one of them."""
+
+    def __init__(self) -> None:
+        self.tables = GatewayTables()
+        route = Route(CHAT, "draft", True, 1.9)
+        runners = tuple(
+            Runner(f"e{n}", "127.0.0.1:1", "m", "v1", f"h{n}", "d")
+            for n in range(2)
+        )
+        self.decide(
+            Declared(
+                Declaration(
+                    1,
+                    (Service("m", "model", (route,)),),
+                    (Version("m", "v1"),),
+                    (Workspace("w", ""),),
+                    runners,
+                )
+            )
+        )
+        self.lost = self.send("r1")
+
+    def decide(self, event: Event) -> list[Action]:
+        return decide(self.tables, event, 1.0, Random(1))
+
+    def send(self, name: str) -> str:
+        row = RequestRow(
+            name, "w", "m", CHAT, "draft", 9, 9, (), name, 1.0, 9.0, True
+        )
+        (action,) = self.decide(Arrived(row))
+        assert isinstance(action, Dispatch)
+        return action.runner
+
+    def fail(self) -> list[Action]:
+        event = AttemptFailed("r1", self.lost, "lost", retry=True)
+        return self.decide(event)
+
+
+class TestRetry:
+    def test_convicted_request_is_not_retried(self) -> None:
+        play = _Decisions()
+        play.decide(Quarantined("r1", "refused"))
+        assert play.fail() == [Refuse("r1", 422, "poison", None)]
+
+    def test_suspect_waits_until_its_runner_is_idle(self) -> None:
+        play = _Decisions()
+        other = play.send("r2")
+        assert other != play.lost
+        play.decide(Quarantined("r1", "alone"))
+        assert play.fail() == []
+        (action,) = play.decide(Finished("r2", other, 9))
+        assert isinstance(action, Dispatch)
+        assert (action.runner, action.reason) == (other, "alone")
+
+    def test_freed_suspect_runs_beside_others(self) -> None:
+        play = _Decisions()
+        other = play.send("r2")
+        play.decide(Quarantined("r1", "alone"))
+        assert play.fail() == []
+        (action,) = play.decide(Quarantined("r1", "free"))
+        assert isinstance(action, Dispatch)
+        assert action.runner == other
