--- a/test/peer_network.py
+++ b/test/peer_network.py
@@ -206,6 +206,20 @@
             assert node.current(self.now), name
 
 
+def start_settled(network: Network, size: int) -> None:
+    """Start two regions of four failure domains that know each other."""
+    for number in range(size):
+        region = ("north", "south")[number % 2]
+        domain = f"{region}-d{number // 2 % 4}"
+        network.start(f"{region}-{number}", (), region, domain)
+    rows = [node.view.me for node in network.nodes.values()]
+    for node in network.nodes.values():
+        for row in rows:
+            node.view.adopt_member(row, node.view.me.name, network.now)
+        node.view.take_news()
+        node.view.take_learned()
+
+
 def start_cluster(
     network: Network, size: int, regions: Iterable[str] = ("north",)
 ) -> list[str]:
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -3,7 +3,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
-from peer_network import Network, start_cluster
+from peer_network import Network, start_cluster, start_settled
 
 from lagoonpost.tables.fact import Fact
 
@@ -23,6 +23,23 @@
         network.run(2.0)
         assert all(TRIP.id in network.facts(name) for name in names)
 
+    def test_320_members_that_lose_a_failure_domain(self):
+        """A runner gets work for seconds after its notice.
+
+        At the size of the target, a failure domain with an eighth of the
+        members goes in the same moment.
+        """
+        network = Network()
+        start_settled(network, 320)
+        network.run(1.0)
+        for name, node in list(network.nodes.items()):
+            if node.view.me.failure_domain == "south-d1":
+                network.kill(name)
+        assert len(network.nodes) == 280
+        network.publish("north-100", TRIP)
+        network.run(2.0)
+        assert all(TRIP.id in network.facts(name) for name in network.nodes)
+
     def test_each_fact_costs_each_member_few_calls(self):
         """A reclaim of a failure domain takes the gateways' processors.
 
