--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -41,6 +41,7 @@
 
     def __init__(self, process: asyncio.subprocess.Process) -> None:
         self._process = process
+        self.address = ""
         self.usage = psutil.Process(process.pid)
 
     async def read(self) -> str:
@@ -97,7 +98,9 @@
         stdout=asyncio.subprocess.PIPE,
         limit=2**22,
     )
-    return Member(process)
+    member = Member(process)
+    member.address = await member.read()
+    return member
 
 
 async def start_all(
@@ -109,7 +112,7 @@
     for number in range(size):
         member = await start_member(number, seeds[:3], plan)
         stack.push_async_callback(member.stop)
-        seeds.append(await member.read())
+        seeds.append(member.address)
         members.append(member)
     for _ in range(120):
         reports = [await member.report() for member in members]
