Add leases on shards of the controllers' work

One holder at a time without comparing clocks: a contender times the row from when it first saw a version, the holder from before it sent it. Runners that ignore fencing numbers get orders only with ample lease left and only after the longest order since the lease was taken.

--- /dev/null
+++ b/lagoonpost/controller/loop.py
@@ -0,0 +1,103 @@
+"""Runs a controller's work on each shard while its lease is held."""
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable, Collection
+
+from lagoonpost.platform.clock import read_clock
+from lagoonpost.platform.lease import DEFAULT_POLICY, LeaseKeeper
+from lagoonpost.platform.store import Store
+from lagoonpost.systems.lease import LeasePolicy
+from lagoonpost.systems.shard import Claim, choose_claim, rank_controller
+
+TICK_SECONDS = 0.2
+NONCE_BYTES = 16
+
+Work = Callable[[str, LeaseKeeper], Awaitable[None]]
+
+
+class Controller:
+    """Holds shards of the work and runs it.
+
+    Args:
+        store: Table service.
+        name: Name of this controller.
+        shards: Names of all shards.
+        work: Runs on one shard until it is cancelled; it asks its keeper
+            before each effect whether the lease is still held.
+        list_live: Returns the names of the controllers that are alive.
+        policy: Times of the leases.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        name: str,
+        shards: Collection[str],
+        work: Work,
+        list_live: Callable[[], Collection[str]],
+        policy: LeasePolicy = DEFAULT_POLICY,
+    ) -> None:
+        nonce = secrets.token_hex(NONCE_BYTES)
+        self._name = name
+        self._work = work
+        self._list_live = list_live
+        self._policy = policy
+        self._keepers = {
+            shard: LeaseKeeper(store, shard, name, nonce, policy)
+            for shard in shards
+        }
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Work until ``stop``, then release all shards.
+
+        Raises:
+            ExceptionGroup: If the work on shards failed.
+        """
+        async with asyncio.TaskGroup() as group:
+            for shard, keeper in self._keepers.items():
+                group.create_task(self._follow(shard, keeper, stop))
+
+    async def _follow(
+        self, shard: str, keeper: LeaseKeeper, stop: asyncio.Event
+    ) -> None:
+        keeping = asyncio.create_task(keeper.run())
+        try:
+            while not stop.is_set():
+                keeper.want(*self._choose(shard, None))
+                if keeper.is_held():
+                    await self._hold(shard, keeper, stop)
+                await _wait(stop)
+            await keeper.release()
+        finally:
+            keeping.cancel()
+
+    async def _hold(
+        self, shard: str, keeper: LeaseKeeper, stop: asyncio.Event
+    ) -> None:
+        """Run the work until the lease ends or is handed over."""
+        began = read_clock()
+        work = asyncio.ensure_future(self._work(shard, keeper))
+        while keeper.is_held() and not stop.is_set() and not work.done():
+            if not self._choose(shard, read_clock() - began).wanted:
+                break
+            await _wait(stop)
+        # The work must be over before the lease is given away.
+        work.cancel()
+        await asyncio.wait([work])
+        if not work.cancelled():
+            work.result()
+        if keeper.is_held():
+            await keeper.release()
+
+    def _choose(self, shard: str, held: float | None) -> Claim:
+        rank = rank_controller(shard, self._name, self._list_live())
+        return choose_claim(rank, held, self._policy.duration)
+
+
+async def _wait(stop: asyncio.Event) -> None:
+    try:
+        async with asyncio.timeout(TICK_SECONDS):
+            await stop.wait()
+    except TimeoutError:
+        pass
--- /dev/null
+++ b/lagoonpost/platform/lease.py
@@ -0,0 +1,176 @@
+"""Driver of one lease: keeps it in the store as its decisions say."""
+
+import asyncio
+from typing import Any
+
+import eliot
+import msgspec
+
+from lagoonpost.platform.clock import read_clock
+from lagoonpost.platform.store import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    Store,
+    Unavailable,
+    Write,
+)
+from lagoonpost.systems.lease import (
+    Lease,
+    LeasePolicy,
+    NoReply,
+    Pause,
+    Put,
+    Read,
+    Reply,
+    Seen,
+    Stored,
+    choose_action,
+    get_fence,
+    is_held,
+    may_order,
+    take_reply,
+)
+from lagoonpost.tables.lease import LeaseRow
+
+PREFIX = "lease/"
+POLL_SECONDS = 0.01
+DEFAULT_POLICY = LeasePolicy()
+
+
+class LeaseKeeper:
+    """Takes, renews and releases one lease.
+
+    Args:
+        store: Table service.
+        name: Name of the lease.
+        holder: Name of this process.
+        nonce: Unique to this process.
+        policy: Times of the lease.
+
+    Attributes:
+        lease: The lease as this process sees it.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        name: str,
+        holder: str,
+        nonce: str,
+        policy: LeasePolicy = DEFAULT_POLICY,
+    ) -> None:
+        self.lease = Lease(holder, nonce, policy)
+        self._store = store
+        self._key = PREFIX + name
+        self._changed = asyncio.Event()
+
+    def is_held(self) -> bool:
+        """Tell whether this process may work by the lease right now."""
+        return is_held(self.lease, read_clock())
+
+    def may_order(self, checks_fence: bool) -> bool:
+        """Tell whether an order may leave at this moment."""
+        return may_order(self.lease, read_clock(), checks_fence)
+
+    @property
+    def fence(self) -> int:
+        """Fencing number of the lease, to be sent with each order."""
+        return get_fence(self.lease)
+
+    def want(self, wanted: bool, delay: float = 0.0) -> None:
+        """Ask for the lease, or for its release once work has stopped.
+
+        Args:
+            wanted: Whether to hold it.
+            delay: Seconds to leave to contenders that come before.
+        """
+        if (wanted, delay) != (self.lease.wanted, self.lease.delay):
+            self.lease = self.lease._replace(wanted=wanted, delay=delay)
+            self._changed.set()
+
+    async def release(self) -> None:
+        """Give the lease away; the work under it must have stopped.
+
+        If the store does not answer for a while, others wait for the lease
+        to end instead.
+        """
+        self.want(False)
+        try:
+            async with asyncio.timeout(self.lease.policy.retry):
+                while self._is_ours():  # noqa: ASYNC110
+                    await asyncio.sleep(POLL_SECONDS)
+        except TimeoutError:
+            pass
+
+    def _is_ours(self) -> bool:
+        row = self.lease.row
+        return (
+            row is not None
+            and row.nonce == self.lease.nonce
+            and bool(row.holder)
+        )
+
+    async def run(self) -> None:
+        """Keep the lease until cancelled."""
+        while True:
+            held = self.is_held()
+            self.lease, action = choose_action(self.lease, read_clock())
+            match action:
+                case Pause(seconds):
+                    await self._pause(seconds)
+                case Put() | Read():
+                    await self._call(action)
+            if held != self.is_held():
+                self._log()
+
+    async def _call(self, action: Put | Read) -> None:
+        reply = await self._perform(action)
+        put = action if isinstance(action, Put) else None
+        self.lease = take_reply(self.lease, put, reply, read_clock())
+        if isinstance(reply, NoReply):
+            await self._pause(self.lease.policy.retry)
+
+    async def _perform(self, action: Put | Read) -> Reply:
+        if isinstance(action, Read):
+            rows = await self._store.read([self._key])
+            return (
+                NoReply() if isinstance(rows, Unavailable) else _see(rows[0])
+            )
+        outcome = await self._store.transact(
+            [Condition(self._key, action.version)],
+            [Write(self._key, msgspec.to_builtins(action.row))],
+        )
+        match outcome:
+            case Committed(rows):
+                return Stored(rows[0].version)
+            case Conflict(rows):
+                return _see(rows[0])
+            case Unavailable():
+                return NoReply()
+
+    async def _pause(self, seconds: float) -> None:
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    def _log(self) -> None:
+        eliot.log_message(
+            message_type="lagoonpost:controller:lease",
+            lease=self._key,
+            holder=self.lease.holder,
+            held=self.is_held(),
+            fence=self.fence,
+        )
+
+
+def _see(row: Row) -> Seen:
+    return Seen(row.version, _decode(row.value))
+
+
+def _decode(value: Any) -> LeaseRow | None:
+    return None if value is None else msgspec.convert(value, LeaseRow)
--- a/lagoonpost/platform/ledger.py
+++ b/lagoonpost/platform/ledger.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from lagoonpost.platform.clock import read_clock
 from lagoonpost.platform.group import GroupWriter
 from lagoonpost.platform.health import StoreHealth
 from lagoonpost.platform.store import (
@@ -133,13 +134,12 @@
         dispatcher: Dispatcher,
         answer: asyncio.Future[Outcome],
     ) -> None:
-        loop = asyncio.get_running_loop()
-        attempt, actions = begin(claim, loop.time(), self._policy)
+        attempt, actions = begin(claim, read_clock(), self._policy)
         while actions:
             action = actions.pop(0)
             event = await self._perform(key, attempt, action, dispatcher)
             if event is not None:
-                attempt, actions = step(attempt, event, loop.time())
+                attempt, actions = step(attempt, event, read_clock())
             elif not answer.done():
                 answer.set_result(action)  # type: ignore[arg-type]
 
@@ -151,7 +151,6 @@
         dispatcher: Dispatcher,
     ) -> Event | None:
         """Carry out ``action``; None if it is an answer to the caller."""
-        loop = asyncio.get_running_loop()
         match action:
             case Put(version, entry, delay):
                 if delay:
@@ -161,7 +160,7 @@
                 return await dispatcher.choose()
             case Send():
                 return await dispatcher.send(
-                    lambda: may_send(attempt, loop.time())
+                    lambda: may_send(attempt, read_clock())
                 )
         return None
 
--- /dev/null
+++ b/lagoonpost/systems/lease.py
@@ -0,0 +1,255 @@
+"""The leases' decisions: one holder at a time, without comparing clocks.
+
+No time of day is stored. A contender times the row by its own clock from the
+moment at which it first saw this version of it. The holder times its lease
+from the moment before it sent the write that made this version, which is
+earlier than anybody can have seen it. So the holder's time ends first, however
+slow the store is and wherever either of them is paused.
+"""
+
+from typing import NamedTuple
+
+from lagoonpost.tables.lease import LeaseRow
+
+
+class LeasePolicy(NamedTuple):
+    """Times of leases, in seconds.
+
+    Attributes:
+        duration: How long a lease lasts without renewal. A pause shorter
+            than this costs nothing, and work stands still for about this
+            long when a holder dies.
+        margin: By how much the holder stops earlier. It covers clocks that
+            run up to 2 % faster than each other over ``duration``, and the
+            time between a check and what it allows.
+        renew: Age at which the holder renews, so that two renewals may fail
+            before the lease lapses.
+        retry: Pause after a call that the store did not answer.
+        poll: Pause between looks at a lease that another one holds.
+        order: Longest time from sending an order to its effect.
+    """
+
+    duration: float = 15.0
+    margin: float = 1.0
+    renew: float = 5.0
+    retry: float = 1.0
+    poll: float = 5.0
+    order: float = 5.0
+
+
+class Read(NamedTuple):
+    """Read the row."""
+
+
+class Put(NamedTuple):
+    """Write the row if it has ``version``."""
+
+    version: int
+    row: LeaseRow
+
+
+class Pause(NamedTuple):
+    """Do nothing for some seconds."""
+
+    seconds: float
+
+
+Action = Read | Put | Pause
+
+
+class Stored(NamedTuple):
+    """The conditional write took effect; the row has this version."""
+
+    version: int
+
+
+class Seen(NamedTuple):
+    """The row as it is, by a read or a conflict; 0 and None: absent."""
+
+    version: int
+    row: LeaseRow | None
+
+
+class NoReply(NamedTuple):
+    """The store did not answer; a write may have taken effect."""
+
+
+Reply = Stored | Seen | NoReply
+
+
+class Lease(NamedTuple):
+    """One process's view of one lease.
+
+    Attributes:
+        holder: Name of this process.
+        nonce: Unique to this process.
+        policy: Times.
+        delay: Seconds to wait beyond the lease's end before taking it, so
+            that the preferred contender comes first.
+        wanted: Whether this process wants to hold it.
+        version: Version of the row as last seen; -1 before that.
+        row: The row as last seen.
+        seen: Own time at which this version was first seen.
+        sent: Own time right before the write that is under way was sent.
+        until: Own time at which the lease ends; 0 if it is not held.
+        taken: Own time at which it was taken.
+        unsure: Whether the row must be read before anything else.
+    """
+
+    holder: str
+    nonce: str
+    policy: LeasePolicy
+    delay: float = 0.0
+    wanted: bool = True
+    version: int = -1
+    row: LeaseRow | None = None
+    seen: float = 0.0
+    sent: float = 0.0
+    until: float = 0.0
+    taken: float = 0.0
+    unsure: bool = True
+
+
+def is_held(lease: Lease, now: float) -> bool:
+    """Tell whether this process holds the lease and may work by it."""
+    return now < lease.until - lease.policy.margin
+
+
+def get_fence(lease: Lease) -> int:
+    """Return the fencing number of the lease as last seen."""
+    return lease.row.fence if lease.row else 0
+
+
+def may_order(lease: Lease, now: float, checks_fence: bool) -> bool:
+    """Tell whether an order may be sent to a runner at this very moment.
+
+    A runner that ignores the fencing number takes any order, so a late one
+    of an earlier holder would undo what the new holder ordered. Two rules
+    keep their orders apart: each holder sends only what takes effect while
+    it still holds the lease, and a new holder first waits for the longest
+    order to be over, which is also safe when the earlier one did not know
+    how long its order took.
+
+    Args:
+        lease: The lease under which the order is given.
+        now: Own time.
+        checks_fence: Whether the runner refuses old fencing numbers.
+    """
+    if checks_fence:
+        return is_held(lease, now)
+    waited = now >= lease.taken + lease.policy.order
+    return waited and is_held(lease, now + lease.policy.order)
+
+
+def choose_action(lease: Lease, now: float) -> tuple[Lease, Action]:
+    """Return what to do next.
+
+    Args:
+        lease: The lease as last seen.
+        now: Own time, in seconds.
+    """
+    if lease.unsure:
+        return lease, Read()
+    if is_held(lease, now):
+        return _keep(lease, now)
+    if not lease.wanted:
+        return lease, Pause(lease.policy.poll)
+    free = _find_free(lease)
+    if now < free:
+        # Looking at the row again shows a renewal, which starts a new wait.
+        pause = min(free - now, lease.policy.poll)
+        return lease._replace(unsure=True), Pause(pause)
+    row = LeaseRow(
+        lease.holder,
+        lease.nonce,
+        get_fence(lease) + 1,
+        lease.policy.duration,
+    )
+    return _send(lease, row, now)
+
+
+def _keep(lease: Lease, now: float) -> tuple[Lease, Action]:
+    row = lease.row
+    assert row is not None
+    if not lease.wanted:
+        # Whoever asked for this has stopped its work. The lease ends here
+        # before the row says so.
+        lease = lease._replace(until=0.0)
+        return _send(lease, row._replace(holder=""), now)
+    age = now - (lease.until - lease.policy.duration)
+    if age < lease.policy.renew:
+        return lease, Pause(lease.policy.renew - age)
+    return _send(lease, row, now)
+
+
+def _find_free(lease: Lease) -> float:
+    """Return the own time from which the lease may be taken."""
+    if lease.row is None or not lease.row.holder:
+        return lease.seen + lease.delay
+    # Our own row after we lost track of it counts as anybody's: an order
+    # given under its fencing number may still be under way.
+    return lease.seen + lease.row.duration + lease.delay
+
+
+def _send(lease: Lease, row: LeaseRow, now: float) -> tuple[Lease, Action]:
+    return lease._replace(sent=now), Put(lease.version, row)
+
+
+def take_reply(
+    lease: Lease, put: Put | None, reply: Reply, now: float
+) -> Lease:
+    """Return the lease after the store's reply.
+
+    Args:
+        lease: The lease as it was when the call was made.
+        put: What was written; None for a read.
+        reply: What came back.
+        now: Own time, in seconds.
+    """
+    match reply:
+        case Stored(version):
+            assert put is not None
+            return _store(lease, put, version, now)
+        case Seen(version, row):
+            return _see(lease, version, row, now)
+        case NoReply():
+            # The write may have taken effect. What is held ends when it
+            # would have ended without it, and a read shows what is there.
+            return lease._replace(unsure=True)
+
+
+def _store(lease: Lease, put: Put, version: int, now: float) -> Lease:
+    held = put.row.holder == lease.holder
+    renewed = held and lease.row is not None and put.row == lease.row
+    return lease._replace(
+        version=version,
+        row=put.row,
+        seen=now,
+        # Counted from before the write was sent: others can only have seen
+        # it later. Counted from its reply, a slow store would let this end
+        # after another one's wait.
+        until=lease.sent + lease.policy.duration if held else 0.0,
+        taken=lease.taken if renewed else now,
+        unsure=False,
+    )
+
+
+def _see(
+    lease: Lease, version: int, row: LeaseRow | None, now: float
+) -> Lease:
+    if version == lease.version and lease.row == row:
+        return lease._replace(unsure=False)
+    ours = row is not None and row.nonce == lease.nonce
+    kept = ours and lease.until > 0 and get_fence(lease) == _fence(row)
+    return lease._replace(
+        version=version,
+        row=row,
+        seen=now,
+        # A renewal with a lost reply: still ours, until the earlier end.
+        until=lease.until if kept else 0.0,
+        unsure=False,
+    )
+
+
+def _fence(row: LeaseRow | None) -> int:
+    return row.fence if row else 0
--- /dev/null
+++ b/lagoonpost/systems/shard.py
@@ -0,0 +1,47 @@
+"""Which controller works on which shard of the controllers' work.
+
+Pattern of load: all work under one lease is one process's work, and stands
+still for a lease's length when that process dies. Split over shards by
+rendezvous hashing, a death stops only the dead one's shards and moves no
+others.
+
+Thresholds: the list of live controllers may be wrong, so each contender
+waits one lease longer for each one ranked before it, and a shard whose
+preferred controller never comes still has a holder. A holder that is not the
+preferred one hands over after ``STAY`` seconds, four leases, so that a
+flapping list costs at most one short gap a minute.
+"""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from lagoonpost.systems.subset import score
+
+STAY = 60.0
+MOST_RANK = 3
+
+
+class Claim(NamedTuple):
+    """Whether a controller wants a shard, and how long it lets others go."""
+
+    wanted: bool
+    delay: float
+
+
+def rank_controller(shard: str, name: str, live: Collection[str]) -> int:
+    """Return how many live controllers are preferred for ``shard``."""
+    own = score(shard, name)
+    return sum(score(shard, each) > own for each in live if each != name)
+
+
+def choose_claim(rank: int, held: float | None, duration: float) -> Claim:
+    """Decide whether to take, keep or hand over a shard.
+
+    Args:
+        rank: Number of live controllers that are preferred.
+        held: Seconds for which it has been held, or None.
+        duration: Length of a lease, in seconds.
+    """
+    if held is not None:
+        return Claim(rank == 0 or held < STAY, 0.0)
+    return Claim(True, min(rank, MOST_RANK) * duration)
--- /dev/null
+++ b/test/lease_model.py
@@ -0,0 +1,163 @@
+"""A played world for leases: a store, controllers and runners."""
+
+from typing import NamedTuple
+
+from lagoonpost.platform.store import Committed, Condition, Write
+from lagoonpost.systems.lease import (
+    Lease,
+    LeasePolicy,
+    NoReply,
+    Pause,
+    Put,
+    Read,
+    Reply,
+    Seen,
+    Stored,
+    choose_action,
+    get_fence,
+    is_held,
+    may_order,
+    take_reply,
+)
+from lagoonpost_standins.table import Table
+
+KEY = "lease/shard"
+POLICY = LeasePolicy()
+
+
+class Order(NamedTuple):
+    """An order that leaves a controller and takes effect later."""
+
+    holder: "Holder"
+    fence: int
+    leaves: float
+    latest: float
+
+
+class Holder:
+    """One controller with a clock of its own."""
+
+    def __init__(self, number: int, rate: float) -> None:
+        name = f"controller-{number}"
+        self.lease = Lease(name, f"nonce-{number}", POLICY)
+        self.call: Put | Read | None = None
+        self.reply: Reply | None = None
+        self._offset = 1000.0 * number
+        self._rate = rate
+
+    def clock(self, now: float) -> float:
+        """Return this controller's time at world time ``now``."""
+        return self._offset + self._rate * now
+
+    def is_held(self, now: float) -> bool:
+        """Tell whether this controller may work."""
+        return is_held(self.lease, self.clock(now))
+
+
+class World:
+    """The store, the controllers, and a runner that checks no fence."""
+
+    def __init__(self, rates: list[float]) -> None:
+        self.now = 0.0
+        self.table = Table()
+        self.holders = [Holder(*each) for each in enumerate(rates)]
+        self.late: list[Put] = []
+        self.orders: list[Order] = []
+        self.applied: list[int] = []
+
+    def go_on(self, holder: Holder, fault: str = "none") -> None:
+        """Let a controller take its next step: send, effect or reply."""
+        if holder.call is None:
+            lease, action = choose_action(holder.lease, holder.clock(self.now))
+            holder.lease = lease
+            holder.call = None if isinstance(action, Pause) else action
+        elif holder.reply is None:
+            holder.reply = self._serve(holder.call, fault)
+        else:
+            put = holder.call if isinstance(holder.call, Put) else None
+            holder.lease = take_reply(
+                holder.lease, put, holder.reply, holder.clock(self.now)
+            )
+            holder.call = holder.reply = None
+
+    def _serve(self, call: Put | Read, fault: str) -> Reply:
+        if fault == "late" and isinstance(call, Put):
+            self.late.append(call)
+        if fault in ("late", "dropped"):
+            return NoReply()
+        reply = self.write(call) if isinstance(call, Put) else self._read()
+        return NoReply() if fault == "lost_reply" else reply
+
+    def _read(self) -> Reply:
+        row = self.table.read([KEY])[0]
+        return Seen(row.version, row.value)
+
+    def write(self, put: Put) -> Reply:
+        """Apply a conditional write."""
+        outcome = self.table.transact(
+            [Condition(KEY, put.version)], [Write(KEY, put.row)]
+        )
+        row = outcome.rows[0]
+        if isinstance(outcome, Committed):
+            return Stored(row.version)
+        return Seen(row.version, row.value)
+
+    def order(self, holder: Holder, pause: float) -> None:
+        """Let a controller order the runner, if it may.
+
+        It may be paused between asking and sending.
+        """
+        if may_order(holder.lease, holder.clock(self.now), False):
+            leaves = self.now + pause
+            fence = get_fence(holder.lease)
+            latest = leaves + POLICY.order
+            self.orders.append(Order(holder, fence, leaves, latest))
+
+    def want(self, holder: Holder, wanted: bool) -> None:
+        """Ask for the lease, or stop the work and ask for its release."""
+        holder.lease = holder.lease._replace(wanted=wanted)
+        if not wanted:
+            self.orders = [
+                order
+                for order in self.orders
+                if order.holder is not holder or order.leaves <= self.now
+            ]
+
+    def acquire(self, holder: Holder) -> None:
+        """Let one controller alone go on until it could have the lease."""
+        for _ in range(8):
+            self.go_on(holder)
+        row = holder.lease.row
+        if row is not None and row.holder and not holder.is_held(self.now):
+            free = holder.lease.seen + row.duration - holder.clock(self.now)
+            self.wait(max(0.0, free) / 0.99)
+        for _ in range(8):
+            self.go_on(holder)
+
+    def apply(self, order: Order) -> None:
+        """Let an order take effect at the runner."""
+        self.orders.remove(order)
+        self.applied.append(order.fence)
+
+    def wait(self, seconds: float) -> None:
+        """Let time pass; no order takes longer than the longest."""
+        self.now += seconds
+        for order in [o for o in self.orders if o.latest < self.now]:
+            self.apply(order)
+
+    def check(self) -> None:
+        """Check that one works at a time and that no order goes back."""
+        held = [each for each in self.holders if each.is_held(self.now)]
+        assert len(held) <= 1
+        assert self.applied == sorted(self.applied)
+
+    def finish(self) -> None:
+        """With all faults gone, one controller gets the lease and keeps it."""
+        for holder in self.holders:
+            holder.lease = holder.lease._replace(wanted=True)
+        for _ in range(60):
+            self.wait(1.0)
+            for holder in self.holders * 3:
+                self.go_on(holder)
+            self.check()
+        assert any(each.is_held(self.now) for each in self.holders)
--- /dev/null
+++ b/test/test_lease.py
@@ -0,0 +1,219 @@
+"""Tests of lagoonpost.systems.lease, its driver and the controller loop."""
+
+import asyncio
+from collections import Counter
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from lease_model import Holder, World
+from memory_store import MemoryStore
+
+from lagoonpost.controller.loop import Controller
+from lagoonpost.platform.lease import LeaseKeeper
+from lagoonpost.systems.lease import LeasePolicy
+from lagoonpost.systems.shard import STAY, choose_claim, rank_controller
+
+RATES = strategies.sampled_from([0.99, 1.0, 1.01])
+FAULTS = strategies.sampled_from(
+    ["none", "none", "none", "lost_reply", "late", "dropped"]
+)
+SECONDS = strategies.sampled_from([0.5, 2.0, 4.0, 5.0, 9.0, 14.5, 40.0])
+INDEXES = strategies.integers(0, 2)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Controllers that are paused at any point, over a failing store.
+
+    A paused or dead controller is one that takes no step while time passes;
+    when it goes on, it acts on what it knew before.
+    """
+
+    world: World
+
+    @initialize(rates=strategies.lists(RATES, min_size=3, max_size=3))
+    def begin(self, rates: list[float]) -> None:
+        self.world = World(rates)
+
+    def holder(self, index: int) -> Holder:
+        return self.world.holders[index]
+
+    @rule(index=INDEXES, fault=FAULTS)
+    def go_on(self, index: int, fault: str) -> None:
+        self.world.go_on(self.holder(index), fault)
+
+    @rule(index=INDEXES, steps=strategies.integers(2, 7))
+    def go_on_well(self, index: int, steps: int) -> None:
+        for _ in range(steps):
+            self.world.go_on(self.holder(index))
+
+    @rule(index=INDEXES)
+    def acquire(self, index: int) -> None:
+        self.world.acquire(self.holder(index))
+
+    @rule(pause=strategies.sampled_from([0.0, 4.0]))
+    def order(self, pause: float) -> None:
+        for holder in self.world.holders:
+            self.world.order(holder, pause)
+
+    @precondition(lambda self: self.world.orders)
+    @rule(data=strategies.data())
+    def arrive(self, data: strategies.DataObject) -> None:
+        order = data.draw(strategies.sampled_from(self.world.orders))
+        if order.leaves <= self.world.now:
+            self.world.apply(order)
+
+    @precondition(lambda self: self.world.late)
+    @rule()
+    def arrive_late(self) -> None:
+        self.world.write(self.world.late.pop())
+
+    @rule(index=INDEXES, wanted=strategies.booleans())
+    def want(self, index: int, wanted: bool) -> None:
+        self.world.want(self.holder(index), wanted)
+
+    @rule(seconds=SECONDS)
+    def wait(self, seconds: float) -> None:
+        self.world.wait(seconds)
+
+    @invariant()
+    def keep_promises(self) -> None:
+        self.world.check()
+
+    def teardown(self) -> None:
+        self.world.finish()
+
+
+class TestLease(LeaseMachine.TestCase):
+    settings = settings(max_examples=300, stateful_step_count=50)
+
+
+class TestOrders:
+    def test_new_holder_waits_for_orders_of_the_one_before(self) -> None:
+        """A controller hands a lease over with an order still under way.
+
+        The runner ignores fencing numbers. If the next controller ordered
+        at once, the older order would come last and undo the newer one.
+        """
+        world = World([1.0, 1.0])
+        old, new = world.holders
+        world.acquire(old)
+        world.wait(6.0)
+        world.order(old, 0.0)
+        world.want(old, False)
+        world.go_on(old)
+        world.go_on(old)
+        world.acquire(new)
+        world.order(new, 0.0)
+        assert [order.holder for order in world.orders] == [old]
+        world.wait(5.5)
+        world.order(new, 0.0)
+        world.wait(5.5)
+        assert world.applied == [1, 2]
+
+    def test_short_pause_before_an_order_does_no_harm(self) -> None:
+        """A controller is paused between asking and sending an order.
+
+        Its lease ends meanwhile and the next holder orders the runner. With
+        little of the lease left the order would arrive after that.
+        """
+        world = World([1.0, 1.0])
+        old, new = world.holders
+        world.acquire(old)
+        for _ in range(3):
+            world.go_on(new)
+        world.wait(13.0)
+        world.order(old, 4.0)
+        world.acquire(new)
+        world.wait(5.1)
+        world.order(new, 0.0)
+        for order in reversed(world.orders):
+            world.apply(order)
+        world.check()
+
+    def test_released_lease_is_held_by_one_only(self) -> None:
+        """A lease is released, and the reply to the release is slow.
+
+        Another controller takes the lease before the first one has heard
+        that it was given away.
+        """
+        world = World([1.0, 1.0])
+        old, new = world.holders
+        world.acquire(old)
+        world.want(old, False)
+        world.go_on(old)
+        world.go_on(old)
+        world.acquire(new)
+        assert new.is_held(world.now)
+        assert not old.is_held(world.now)
+
+
+QUICK = LeasePolicy(0.6, 0.1, 0.1, 0.1, 0.1, 0.1)
+SHARDS = ("a", "b", "c", "d")
+
+
+class TestController:
+    def test_shards_move_when_a_controller_stops(self) -> None:
+        async def play() -> None:
+            store = MemoryStore()
+            working: Counter[str] = Counter()
+            live = {"one", "two"}
+            fences: dict[str, list[int]] = {shard: [] for shard in SHARDS}
+
+            async def work(shard: str, keeper: LeaseKeeper) -> None:
+                working[shard] += 1
+                fences[shard].append(keeper.fence)
+                assert working[shard] == 1
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    working[shard] -= 1
+
+            async def wait_for_all() -> None:
+                while working.total() < len(SHARDS):  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+
+            stops = {name: asyncio.Event() for name in live}
+            tasks = {
+                name: asyncio.create_task(
+                    Controller(
+                        store, name, SHARDS, work, lambda: live, QUICK
+                    ).run(stops[name])
+                )
+                for name in live
+            }
+            async with asyncio.timeout(30.0):
+                await wait_for_all()
+                live.discard("one")
+                stops["one"].set()
+                await tasks["one"]
+                await wait_for_all()
+                stops["two"].set()
+                await tasks["two"]
+            assert working.total() == 0
+            assert all(each == sorted(set(each)) for each in fences.values())
+
+        asyncio.run(play())
+
+
+class TestShard:
+    def test_ranks_are_one_order_for_all(self) -> None:
+        live = [f"controller-{each}" for each in range(9)]
+        ranks = [rank_controller("shard", name, live) for name in live]
+        assert sorted(ranks) == list(range(9))
+
+    def test_holder_that_is_not_preferred_hands_over_after_a_while(
+        self,
+    ) -> None:
+        assert choose_claim(1, STAY - 1, 15.0).wanted
+        assert not choose_claim(1, STAY, 15.0).wanted
+        assert choose_claim(0, STAY, 15.0).wanted
+
+    def test_contender_leaves_time_to_those_before_it(self) -> None:
+        assert choose_claim(0, None, 15.0).delay == 0.0
+        assert choose_claim(2, None, 15.0).delay == 30.0
