--- a/bench/player.py
+++ b/bench/player.py
@@ -12,6 +12,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from lagoonpost.systems.backoff import outage_delay
 from lagoonpost.systems.event import (
     Action,
     Arrived,
@@ -61,7 +62,19 @@
 
 
 class Call(NamedTuple):
-    """One request that a caller will send."""
+    """One request that a caller will send.
+
+    Attributes:
+        time: When it is sent.
+        workspace: Who pays.
+        request_class: Its class; also the name of its route.
+        prompt: Prompt tokens.
+        output: Tokens that it will generate.
+        prefix: Hashes of its prompt's blocks.
+        expected: Tokens that the gateway expects; ``output`` if None.
+        again: Whether a refused caller comes back at once.
+        heeds: Whether it comes back when it was told to.
+    """
 
     time: float
     workspace: str = "w0"
@@ -71,6 +84,7 @@
     prefix: tuple[int, ...] = ()
     expected: int | None = None
     again: bool = False
+    heeds: bool = False
 
 
 @dataclass(slots=True)
@@ -229,6 +243,8 @@
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._open = 0
+        self.store_down: Callable[[float], bool] = lambda now: False
+        self.store_down_since = 0.0
         self._returning = True
         self._home: dict[str, int] = {}
         for index in range(gateways):
@@ -262,6 +278,11 @@
         index = self.rng.randrange(len(self.tables))
         self._home[request_id] = index
         self.outcomes[request_id] = Outcome(call, self.now)
+        if call.request_class == "booking" and self.store_down(self.now):
+            # Without the ledger a booking can't be claimed.
+            down = self.now - self.store_down_since
+            self._refuse(request_id, outage_delay(down, self.rng))
+            return
         target = TARGETS[call.request_class]
         request = RequestRow(
             request_id,
@@ -287,11 +308,14 @@
             if isinstance(action, Dispatch):
                 self._dispatch(index, action)
             else:
-                outcome = self.outcomes[action.request_id]
-                outcome.refused = self.now
-                self._open -= 1
-                outcome.retry_after = action.retry_after
-                self._return(outcome.call, action.retry_after)
+                self._refuse(action.request_id, action.retry_after)
+
+    def _refuse(self, request_id: str, retry_after: float | None) -> None:
+        outcome = self.outcomes[request_id]
+        outcome.refused = self.now
+        outcome.retry_after = retry_after
+        self._open -= 1
+        self._return(outcome.call, retry_after)
 
     def lose(self, names: Iterable[str], notice: bool = True) -> None:
         """Lose runners; their requests ask for others."""
@@ -317,6 +341,8 @@
     def _return(self, call: Call, retry_after: float | None) -> None:
         if call.again and self._returning:
             self._plan_call(call._replace(time=self.now + RETURN_SECONDS))
+        elif call.heeds and retry_after is not None:
+            self._plan_call(call._replace(time=self.now + retry_after))
 
     def _dispatch(self, index: int, action: Dispatch) -> None:
         fake = self.runners[action.runner]
--- /dev/null
+++ b/lagoonpost/systems/attempt.py
@@ -0,0 +1,142 @@
+"""What a runner's answer or failure under a request means.
+
+Pattern of load: a runner or a whole failure domain goes with all requests on
+it, and each asks for another runner at the same time. If they queue behind
+new arrivals, accepted answers stop in the middle; if errors are retried
+without limit, a fault of the service multiplies its load.
+
+Requests that a runner lost go ahead of new work and are never refused for
+load. An error answer is retried from a budget. A refusal by a full runner
+goes back with jitter, until the request's deadline. What may not run twice is
+retried only if a runner refused it, as then it has not run.
+
+Thresholds: the first delay after a refusal is one tick, as the slot that it
+needs is taken for a request's length; the budget's are in backoff.
+"""
+
+from random import Random
+
+from lagoonpost.systems.backoff import back_off, spread_delay
+from lagoonpost.systems.cost import PREFILL_RATIO
+from lagoonpost.systems.dispatch import forget, land
+from lagoonpost.systems.ejection import record_failure, record_outcome
+from lagoonpost.systems.event import (
+    AttemptFailed,
+    Finished,
+    FirstToken,
+    Refuse,
+)
+from lagoonpost.systems.pool import Moved, Pool
+from lagoonpost.tables.load import Flight, RunnerLoad
+from lagoonpost.tables.request import RequestRow
+
+REFUSED_BASE_SECONDS = 0.05
+FAILED_RETRY_SECONDS = 1.0
+FAILED = 503
+
+
+def begin_answer(pool: Pool, event: FirstToken, now: float) -> None:
+    """Learn from the first part of an answer."""
+    flight = pool.flights.get(event.request_id)
+    if flight is None or flight.runner != event.runner:
+        return
+    if flight.first is not None or pool.service.kind == "plain":
+        return
+    pool.flights[event.request_id] = flight._replace(first=now)
+    seconds = now - flight.dispatched
+    load = pool.loads.get(flight.runner)
+    if load is not None:
+        load.awaiting.pop(event.request_id, None)
+        _judge(pool, load, seconds, flight, now)
+    pool.rates.learn_first(flight.prefill, seconds)
+
+
+def finish_answer(
+    pool: Pool, request: RequestRow, event: Finished, now: float
+) -> None:
+    """Take a whole answer off the books and learn from it."""
+    flight = land(pool, request.id, now)
+    forget(pool, request.id)
+    if flight is None:
+        return
+    seconds = now - flight.dispatched
+    cost = flight.cost
+    if pool.service.kind == "model" and event.tokens:
+        cost = 1.0 + flight.prefill / PREFILL_RATIO + event.tokens
+        queue = pool.queues[request.request_class]
+        queue.correct(request.workspace, cost - flight.cost)
+    load = pool.loads.get(flight.runner)
+    if load is not None and pool.service.kind == "plain":
+        _judge(pool, load, seconds, flight, now)
+    if load is not None and not load.reported:
+        pool.raise_quota(load)
+    pool.rates.learn_whole(cost, seconds)
+
+
+def fail_attempt(
+    pool: Pool,
+    request: RequestRow,
+    event: AttemptFailed,
+    now: float,
+    rng: Random,
+) -> list[Refuse]:
+    """Take in a failed attempt; queue the request again or refuse it.
+
+    Args:
+        pool: The service's state.
+        request: The request.
+        event: How it failed and whether it wants another runner.
+        now: Time in seconds.
+        rng: Seeded generator.
+
+    Returns:
+        The refusal, if the request is given up.
+    """
+    flight = land(pool, request.id, now)
+    refused = event.kind == "refused"
+    load = pool.loads.get(event.runner)
+    if load is not None and refused:
+        pool.take_refusal(load, now, rng)
+    elif load is not None:
+        sent = flight.dispatched if flight else now
+        record_failure(pool, load, event.kind, sent, now)
+    if not event.retry:
+        forget(pool, request.id)
+        return []
+    if not refused and not request.repeatable:
+        # It may have run: a second run could book twice.
+        forget(pool, request.id)
+        return [Refuse(request.id, FAILED, "may_have_run", None)]
+    if event.kind == "failed" and not pool.budget.spend():
+        forget(pool, request.id)
+        delay = spread_delay(FAILED_RETRY_SECONDS, rng)
+        return [Refuse(request.id, FAILED, "retry_budget", delay)]
+    _retry(pool, request, event, flight, now, rng)
+    return []
+
+
+def _retry(
+    pool: Pool,
+    request: RequestRow,
+    event: AttemptFailed,
+    flight: Flight | None,
+    now: float,
+    rng: Random,
+) -> None:
+    tried = pool.tried.setdefault(request.id, set())
+    tried.add(event.runner)
+    begun = flight is not None and flight.first is not None
+    accepted = begun or event.kind in ("lost", "silent")
+    delay = 0.0
+    if not accepted:
+        delay = back_off(len(tried), REFUSED_BASE_SECONDS, rng)
+    version = flight.version if flight else ""
+    pool.moved[request.id] = Moved(request, version, accepted, now + delay)
+
+
+def _judge(
+    pool: Pool, load: RunnerLoad, seconds: float, flight: Flight, now: float
+) -> None:
+    if flight.expected > 0:
+        ratio = seconds / flight.expected
+        record_outcome(pool, load, ratio, flight.dispatched, now)
--- a/lagoonpost/systems/backoff.py
+++ b/lagoonpost/systems/backoff.py
@@ -22,6 +22,7 @@
 RETRY_LEAST = 0.5
 RETRY_CAP = 30.0
 SPREAD = 0.5
+OUTAGE_LEAST = 1.0
 EARN = 0.1
 BURST = 16.0
 
@@ -32,6 +33,23 @@
     return delay * (1.0 + SPREAD * rng.random())
 
 
+def outage_delay(elapsed: float, rng: Random) -> float:
+    """Return when to come back from an outage of unknown end.
+
+    What has lasted long lasts on: the rest is taken to be as long as what
+    was. Callers that were refused over an outage so come back over as long
+    a time after it, and not all in its first second.
+
+    Args:
+        elapsed: Seconds since the outage was first seen.
+        rng: Seeded generator.
+
+    Returns:
+        Seconds.
+    """
+    return spread_delay(max(elapsed, OUTAGE_LEAST), rng)
+
+
 def back_off(attempt: int, base: float, rng: Random) -> float:
     """Return a delay in seconds before a retry, doubling with full jitter.
 
--- a/lagoonpost/systems/gateway.py
+++ b/lagoonpost/systems/gateway.py
@@ -1,13 +1,15 @@
 """The gateway's one entry point for decisions: events in, actions out."""
 
-import math
 from collections.abc import Callable
 from random import Random
 from typing import Any
 
 from lagoonpost.systems.admission import admit
-from lagoonpost.systems.backoff import back_off
-from lagoonpost.systems.cost import PREFILL_RATIO
+from lagoonpost.systems.attempt import (
+    begin_answer,
+    fail_attempt,
+    finish_answer,
+)
 from lagoonpost.systems.dispatch import (
     attach,
     dispatch_waiting,
@@ -16,11 +18,7 @@
     release,
     review,
 )
-from lagoonpost.systems.ejection import (
-    eject_slow,
-    record_failure,
-    record_outcome,
-)
+from lagoonpost.systems.ejection import eject_slow
 from lagoonpost.systems.event import (
     Abandoned,
     Action,
@@ -40,17 +38,14 @@
     Resumed,
     Tick,
 )
-from lagoonpost.systems.pool import Moved, Pool
+from lagoonpost.systems.pool import Moved, Pool, first_quota
 from lagoonpost.systems.subset import choose_subset
 from lagoonpost.tables.entity import Declaration, Runner
-from lagoonpost.tables.load import Flight, RunnerLoad
+from lagoonpost.tables.load import RunnerLoad
 from lagoonpost.tables.request import RequestRow
 
 POISON = 422
 NO_CAPACITY = 503
-# First delay before a request that a runner refused is sent again: one tick,
-# as the slot that it needs is taken for a request's length.
-REFUSED_BASE_SECONDS = 0.05
 
 
 class GatewayTables:
@@ -143,20 +138,15 @@
         for version, runners in wanted.get(name, {}).items():
             pool.versions[version] = []
             for runner in choose_subset(tables.name, runners, tables.gateways):
-                load = known.get(runner.name) or _meet(tables, runner)
+                load = known.get(runner.name) or RunnerLoad(runner)
                 load.runner = runner
+                if not load.reported:
+                    load.quota = first_quota(runner, tables.gateways)
                 pool.loads[runner.name] = load
                 pool.versions[version].append(load)
         pool.count_slots()
 
 
-def _meet(tables: GatewayTables, runner: Runner) -> RunnerLoad:
-    # Before its first report we take our part of it: gateways that start
-    # together would else each fill the whole runner.
-    quota = math.ceil(runner.slots / tables.gateways)
-    return RunnerLoad(runner, quota=quota)
-
-
 def _peer(
     tables: GatewayTables, event: Peered, now: float, rng: Random
 ) -> list[Action]:
@@ -242,18 +232,8 @@
     tables: GatewayTables, event: FirstToken, now: float, rng: Random
 ) -> list[Action]:
     pool = _find_pool(tables, event.request_id)
-    flight = pool.flights.get(event.request_id) if pool else None
-    if pool is None or flight is None or flight.runner != event.runner:
-        return []
-    if flight.first is not None or pool.service.kind == "plain":
-        return []
-    pool.flights[event.request_id] = flight._replace(first=now)
-    seconds = now - flight.dispatched
-    load = pool.loads.get(flight.runner)
-    if load is not None:
-        load.awaiting.pop(event.request_id, None)
-        _judge(pool, load, seconds, flight, now)
-    pool.rates.learn_first(flight.prefill, seconds)
+    if pool is not None:
+        begin_answer(pool, event, now)
     return []
 
 
@@ -263,32 +243,10 @@
     pool = _find_pool(tables, event.request_id)
     if pool is None:
         return []
-    flight = land(pool, event.request_id, now)
-    request = tables.requests.pop(event.request_id)
-    forget(pool, request.id)
-    if flight is None:
-        return dispatch_waiting(pool, now, rng)
-    seconds = now - flight.dispatched
-    cost = flight.cost
-    if pool.service.kind == "model" and event.tokens:
-        cost = 1.0 + flight.prefill / PREFILL_RATIO + event.tokens
-        queue = pool.queues[request.request_class]
-        queue.correct(request.workspace, cost - flight.cost)
-    load = pool.loads.get(flight.runner)
-    if load is not None and pool.service.kind == "plain":
-        _judge(pool, load, seconds, flight, now)
-    pool.rates.learn_whole(cost, seconds)
+    finish_answer(pool, tables.requests.pop(event.request_id), event, now)
     return dispatch_waiting(pool, now, rng)
 
 
-def _judge(
-    pool: Pool, load: RunnerLoad, seconds: float, flight: Flight, now: float
-) -> None:
-    if flight.expected > 0:
-        ratio = seconds / flight.expected
-        record_outcome(pool, load, ratio, flight.dispatched, now)
-
-
 def _fail(
     tables: GatewayTables, event: AttemptFailed, now: float, rng: Random
 ) -> list[Action]:
@@ -296,55 +254,25 @@
     if pool is None:
         return []
     request = tables.requests[event.request_id]
-    flight = land(pool, request.id, now)
-    refused = event.kind == "refused"
-    load = pool.loads.get(event.runner)
-    if load is not None and refused:
-        # It is full by others' requests that no report has shown yet.
-        pool.set_others(load, load.runner.slots - load.own, now)
-        pool.set_quota(load, load.own, rng)
-    elif load is not None:
-        sent = flight.dispatched if flight else now
-        record_failure(pool, load, event.kind, sent, now)
     if not event.retry:
-        tables.requests.pop(request.id)
-        forget(pool, request.id)
-        return dispatch_waiting(pool, now, rng)
-    if not refused and not request.repeatable:
-        # It may have run: a second run could book twice.
-        forget(pool, request.id)
-        return [Refuse(request.id, NO_CAPACITY, "may_have_run", None)]
-    if event.kind == "failed" and not pool.budget.spend():
-        forget(pool, request.id)
-        return [Refuse(request.id, NO_CAPACITY, "retry_budget", 1.0)]
+        del tables.requests[event.request_id]
+    refusals = fail_attempt(pool, request, event, now, rng)
+    if event.retry and not refusals:
+        refusals = _apply_verdict(tables, pool, request, now)
+    return [*refusals, *dispatch_waiting(pool, now, rng)]
+
+
+def _apply_verdict(
+    tables: GatewayTables, pool: Pool, request: RequestRow, now: float
+) -> list[Refuse]:
     verdict = tables.verdicts.get(request.fingerprint)
     if verdict == "refused":
         # It would take the next runner down as well.
         forget(pool, request.id)
         return [Refuse(request.id, POISON, "poison", None)]
-    _retry(pool, request, event, flight, now, rng)
     if verdict == "alone":
         _isolate(tables, pool, request, now)
-    return dispatch_waiting(pool, now, rng)
-
-
-def _retry(
-    pool: Pool,
-    request: RequestRow,
-    event: AttemptFailed,
-    flight: Flight | None,
-    now: float,
-    rng: Random,
-) -> None:
-    tried = pool.tried.setdefault(request.id, set())
-    tried.add(event.runner)
-    begun = flight is not None and flight.first is not None
-    accepted = begun or event.kind in ("lost", "silent")
-    delay = 0.0
-    if not accepted:
-        delay = back_off(len(tried), REFUSED_BASE_SECONDS, rng)
-    version = flight.version if flight else ""
-    pool.moved[request.id] = Moved(request, version, accepted, now + delay)
+    return []
 
 
 def _abandon(
--- a/lagoonpost/systems/pool.py
+++ b/lagoonpost/systems/pool.py
@@ -10,7 +10,12 @@
 from lagoonpost.systems.backoff import Promises, RetryBudget
 from lagoonpost.systems.cost import Rates
 from lagoonpost.systems.queueing import CLASSES, FairQueue
-from lagoonpost.tables.entity import RequestClass, Route, Service
+from lagoonpost.tables.entity import (
+    RequestClass,
+    Route,
+    Runner,
+    Service,
+)
 from lagoonpost.tables.load import Flight, RunnerLoad
 from lagoonpost.tables.report import LoadReport
 from lagoonpost.tables.request import RequestRow
@@ -23,6 +28,17 @@
 # engine bears half as much again (see headroom).
 AHEAD_MOST = 1 / 8
 REPORT_GAIN = 0.2
+FIRST_PARTS = 3
+
+
+def first_quota(runner: Runner, gateways: int) -> int:
+    """Return our requests at a runner that has not reported yet.
+
+    Gateways that start together would else each fill the whole runner. A
+    workspace uses few gateways (see entry), so one may get several parts.
+    """
+    part = min(1.0, FIRST_PARTS / max(1, gateways))
+    return max(1, math.ceil(runner.slots * part))
 
 
 class Moved(NamedTuple):
@@ -131,7 +147,7 @@
         load = self.loads.get(report.runner)
         if load is None or report.measured <= load.measured:
             return
-        if load.measured > -math.inf:
+        if load.reported:
             gap = now - load.measured
             self.gap += REPORT_GAIN * (gap - self.gap)
         own = load.own_at(report.measured)
@@ -164,6 +180,29 @@
         target = slots + self._count_ahead(load)
         part = (target - own - load.others) * self.share()
         quota = max(1, own + math.floor(part + rng.random()))
+        self._change_quota(load, quota)
+
+    def take_refusal(self, load: RunnerLoad, now: float, rng: Random) -> None:
+        """Learn from a runner's refusal that others fill it."""
+        if not load.reported:
+            self._change_quota(load, max(1, load.own))
+            load.ended = 0
+            return
+        self.set_others(load, load.runner.slots - load.own, now)
+        self.set_quota(load, load.own, rng)
+
+    def raise_quota(self, load: RunnerLoad) -> None:
+        """Let a runner without reports have one more after a full round.
+
+        A refusal cuts the quota back to what runs, so gateways that share a
+        runner feel their way to what it takes together.
+        """
+        load.ended += 1
+        if load.ended >= load.quota:
+            load.ended = 0
+            self._change_quota(load, min(load.quota + 1, load.runner.slots))
+
+    def _change_quota(self, load: RunnerLoad, quota: int) -> None:
         old, load.quota = self.usable(load), quota
         self.quota += self.usable(load) - old
 
--- a/lagoonpost/tables/load.py
+++ b/lagoonpost/tables/load.py
@@ -51,6 +51,7 @@
         assigned_at: Time to which ``assigned`` is decayed.
         exclusive: Request that has the runner to itself, if any.
         flights: Ids of our requests there, oldest first.
+        ended: Requests that ended since ``quota`` grew, without reports.
         awaiting: Those of them that have not shown a first part.
         changes: Recent changes of ``own``, to look back at a report's time.
         health: How well it answered lately.
@@ -61,6 +62,7 @@
     others: float = 0.0
     measured: float = -math.inf
     quota: int = 0
+    ended: int = 0
     assigned: float = 0.0
     assigned_at: float = 0.0
     exclusive: str | None = None
@@ -69,6 +71,11 @@
     changes: deque[tuple[float, int]] = field(default_factory=deque)
     health: Health = field(default_factory=Health)
 
+    @property
+    def reported(self) -> bool:
+        """Whether it has ever reported its load."""
+        return self.measured > -math.inf
+
     def add(self, request_id: str, now: float) -> None:
         """Count a request that we send there."""
         self.flights[request_id] = None
