Keep the runners that were tried while a request changes its verdict

Cause: taking a request out of isolation forgot which runner had been lost under it, so it could be sent back there. Ruled out: ejecting sooner (a healthy runner would go for one cut connection). Also: no event per part of an answer to the decisions, which made no use of it.

--- a/lagoonpost/gateway/generation.py
+++ b/lagoonpost/gateway/generation.py
@@ -23,7 +23,6 @@
     Dispatch,
     Finished,
     FirstToken,
-    Progress,
     Refuse,
     Resumed,
 )
@@ -127,10 +126,9 @@
 ) -> None:
     name = runner.name if runner else ""
     match outcome:
-        case Part(offset, tokens, at):
+        case Part(offset, _, at):
             if offset == 0:
                 gateway.dispatcher.notify(FirstToken(row.id, at))
-            gateway.dispatcher.notify(Progress(row.id, at, len(tokens)))
         case Completed(_, usage):
             count = usage.completion_tokens
             gateway.dispatcher.notify(Finished(row.id, name, count))
--- a/lagoonpost/systems/dispatch.py
+++ b/lagoonpost/systems/dispatch.py
@@ -117,8 +117,17 @@
 
 def forget(pool: Pool, request_id: str) -> None:
     """Drop all that is known of a request that has left its runner."""
-    pool.moved.pop(request_id, None)
     pool.tried.pop(request_id, None)
+    withdraw(pool, request_id)
+
+
+def withdraw(pool: Pool, request_id: str) -> None:
+    """Stop waiting for a runner; the ones that were tried stay known.
+
+    Without them a request that crashes nothing would go back to the runner
+    that was just lost under it.
+    """
+    pool.moved.pop(request_id, None)
     release(pool, request_id)
     for queue in pool.queues.values():
         queue.remove(request_id)
--- a/lagoonpost/systems/gateway.py
+++ b/lagoonpost/systems/gateway.py
@@ -17,6 +17,7 @@
     land,
     release,
     review,
+    withdraw,
 )
 from lagoonpost.systems.ejection import eject_slow
 from lagoonpost.systems.event import (
@@ -315,7 +316,7 @@
         pool = tables.pools[request.service]
         if request.fingerprint != fingerprint or request.id in pool.flights:
             continue
-        forget(pool, request.id)
+        withdraw(pool, request.id)
         _isolate(tables, pool, request, now)
     return _dispatch_all(tables, now, rng)
 
@@ -328,7 +329,7 @@
         pool = tables.pools[request.service]
         waits = request.id in pool.alone and request.id not in pool.flights
         if waits and request.fingerprint == fingerprint:
-            forget(pool, request.id)
+            withdraw(pool, request.id)
             pool.moved[request.id] = Moved(request, "", True, now)
     return _dispatch_all(tables, now, rng)
 
