List entries by weight and bounded load

Cause: each workspace got three gateways whatever its size. The list now comes from systems/entry.py and is worked out only when members or the declaration change. After: the list spans three failure domains and drops a leaving gateway (test_gateway, TestEntries).

--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -11,6 +11,7 @@
 from lagoonpost.gateway import server
 from lagoonpost.gateway.booking import Bookings
 from lagoonpost.gateway.departure import move_answers
+from lagoonpost.gateway.entries import EntryLists
 from lagoonpost.gateway.load import LoadPoll
 from lagoonpost.gateway.neighbours import Neighbours
 from lagoonpost.gateway.reclaim import NoticeWatch, leave_runner
@@ -50,6 +51,7 @@
             store, self._declare, self._neighbours.ask_snapshots
         )
         self._neighbours.follow(self._watch)
+        gateway.entries = EntryLists(gateway)
         gateway.bookings = Bookings(
             Ledger(store, settings.name), gateway.client
         )
--- a/lagoonpost/gateway/entries.py
+++ b/lagoonpost/gateway/entries.py
@@ -1,45 +1,43 @@
 """The entry list: which gateways a caller is told to use."""
 
-import xxhash
-
 from lagoonpost.gateway.state import EntryMember, Gateway
 from lagoonpost.http.message import Response, make_json_response
+from lagoonpost.systems.entry import LEAST, assign_entries, rank_members
 
 # A caller keeps the list this long. A gateway that dies stays listed with
 # some callers for as long, and they turn to the next entry by themselves.
 TTL_SECONDS = 20
-ENTRIES = 3
-
 
-def rank_entries(
-    members: tuple[EntryMember, ...], workspace: str
-) -> tuple[EntryMember, ...]:
-    """Return the members by rendezvous hash, one domain after another.
 
-    A workspace keeps its few gateways while others come and go, and its
-    first entries lie in different failure domains, so that losing one
-    domain leaves its callers an entry that they already know.
-    """
+class EntryLists:
+    """All workspaces' lists, worked out anew only when something changed."""
 
-    def weigh(member: EntryMember) -> int:
-        return xxhash.xxh3_64_intdigest(f"{workspace}/{member.name}".encode())
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+        self._made_of: tuple[tuple[EntryMember, ...], int] | None = None
+        self._lists: dict[str, tuple[EntryMember, ...]] = {}
 
-    ranked = sorted(members, key=weigh, reverse=True)
-    seen: dict[str, int] = {}
-    rounds = []
-    for member in ranked:
-        rounds.append(seen.get(member.failure_domain, 0))
-        seen[member.failure_domain] = rounds[-1] + 1
-    order = sorted(range(len(ranked)), key=lambda place: rounds[place])
-    return tuple(ranked[place] for place in order)
+    def choose(self, workspace: str) -> tuple[EntryMember, ...]:
+        """Return the entries of a workspace, or some if it has none."""
+        gateway = self._gateway
+        members = tuple(sorted(gateway.members()))
+        made_of = (members, gateway.declaration.revision)
+        if made_of != self._made_of:
+            weights = {
+                declared.name: declared.weight
+                for declared in gateway.declaration.workspaces
+            }
+            self._lists = assign_entries(members, weights)
+            self._made_of = made_of
+        known = self._lists.get(workspace)
+        return known or tuple(rank_members(members, workspace)[:LEAST])
 
 
 def list_entries(gateway: Gateway, workspace: str) -> Response:
     """Return the ranked entry addresses with their time to live."""
-    ranked = rank_entries(gateway.members(), workspace)[:ENTRIES]
     entries = [
         {"address": entry.address, "failure_domain": entry.failure_domain}
-        for entry in ranked
+        for entry in gateway.entries.choose(workspace)
     ]
     return make_json_response(
         200,
--- a/lagoonpost/gateway/state.py
+++ b/lagoonpost/gateway/state.py
@@ -22,6 +22,7 @@
 )
 
 if TYPE_CHECKING:
+    from lagoonpost.gateway.entries import EntryLists
     from lagoonpost.gateway.quarantine import QuarantineDesk
 
 Phase = Literal["starting", "serving", "stale", "leaving"]
@@ -42,6 +43,7 @@
     tickets: TicketHandlers
     bookings: Bookings
     quarantine: "QuarantineDesk"
+    entries: "EntryLists"
 
     def __init__(self, settings: GatewaySettings) -> None:
         self.settings = settings
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -138,6 +138,22 @@
     return "".join(texts)
 
 
+class TestEntries:
+    def test_lists_other_domains_and_not_a_leaving_gateway(self) -> None:
+        async def story(stack: Stack) -> list[list[dict[str, str]]]:
+            lists = []
+            for _ in range(2):
+                answer = await stack.call("GET", "/v1/entries", gateway=1)
+                lists.append(msgspec.json.decode(answer.body)["entries"])
+                await stack.gateways[0].leave(0.0)
+            return lists
+
+        before, after = play(story, gateways=4)
+        assert len({entry["failure_domain"] for entry in before}) == 3
+        assert len(after) == 3
+        assert "domain-a" in {entry["failure_domain"] for entry in after}
+
+
 class TestAccess:
     def test_refuses_unknown_and_missing_keys(self) -> None:
         async def story(stack: Stack) -> list[Response]:
