--- a/lagoonpost/cli/ask.py
+++ b/lagoonpost/cli/ask.py
@@ -13,7 +13,13 @@
     Resumed,
     Token,
 )
-from lagoonpost.cli.option import ADDRESS, ExitCode, fail
+from lagoonpost.cli.option import (
+    ADDRESS,
+    KEY_VARIABLE,
+    ExitCode,
+    fail,
+    read_secret,
+)
 from lagoonpost.http.message import Address, Response
 
 entry_option = click.option(
@@ -26,13 +32,6 @@
     show_default=True,
     help="An entry to begin with; repeat for more.",
 )
-key_option = click.option(
-    "--key",
-    envvar="LAGOONPOST_KEY",
-    required=True,
-    help="The workspace's bearer key; better set as LAGOONPOST_KEY.",
-)
-
 _EXIT_CODES = {
     "not_run": ExitCode.NOT_RUN,
     "unknown": ExitCode.UNKNOWN,
@@ -42,13 +41,11 @@
 
 @click.command()
 @entry_option
-@key_option
 @click.option("--service", default="assistant", show_default=True)
 @click.option("--max-tokens", default=64, show_default=True)
 @click.argument("prompt")
 def ask(
     entries: tuple[Address, ...],
-    key: str,
     service: str,
     max_tokens: int,
     prompt: str,
@@ -57,6 +54,7 @@
 
     Example: LAGOONPOST_KEY=demo-key lagoonpost ask "A term plan for glazes"
     """
+    key = read_secret(KEY_VARIABLE)
     body = {
         "model": service,
         "messages": [{"role": "user", "content": prompt}],
@@ -93,14 +91,12 @@
 
 @click.command()
 @entry_option
-@key_option
 @click.option("--service", default="booking", show_default=True)
 @click.option("--route", default="bookings", show_default=True)
 @click.option("--idempotency-key", help="Drawn at random if not given.")
 @click.argument("body")
 def book(
     entries: tuple[Address, ...],
-    key: str,
     service: str,
     route: str,
     idempotency_key: str | None,
@@ -110,6 +106,7 @@
 
     Example: LAGOONPOST_KEY=demo-key lagoonpost book '{"wheel": 3}'
     """
+    key = read_secret(KEY_VARIABLE)
     chosen = idempotency_key or secrets.token_hex(12)
     path = f"/v1/services/{service}/{route}"
     click.echo(f"[idempotency key {chosen}]", err=True)
@@ -118,16 +115,14 @@
 
 @click.command()
 @entry_option
-@key_option
 @click.option("--service", default="booking", show_default=True)
 @click.argument("route")
-def check(
-    entries: tuple[Address, ...], key: str, service: str, route: str
-) -> None:
+def check(entries: tuple[Address, ...], service: str, route: str) -> None:
     """Ask a plain service; the call may be repeated.
 
     Example: LAGOONPOST_KEY=demo-key lagoonpost check checks/saturday
     """
+    key = read_secret(KEY_VARIABLE)
     path = f"/v1/services/{service}/{route}"
     _print_answer(asyncio.run(_call(entries, key, "GET", path, "", "")))
 
--- a/lagoonpost/cli/entries.py
+++ b/lagoonpost/cli/entries.py
@@ -2,11 +2,19 @@
 
 import asyncio
 import json
+import os
 from typing import Any
 
 import click
 
-from lagoonpost.cli.option import ADDRESS, ExitCode, fail
+from lagoonpost.cli.option import (
+    ADDRESS,
+    KEY_VARIABLE,
+    OPERATOR_KEY_VARIABLE,
+    ExitCode,
+    fail,
+    read_secret,
+)
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address
 
@@ -17,12 +25,12 @@
 @click.option(
     "--entry", type=ADDRESS, envvar="LAGOONPOST_ENTRY", required=True
 )
-@click.option("--key", envvar="LAGOONPOST_KEY", default="")
-def entries(entry: Address, key: str) -> None:
+def entries(entry: Address) -> None:
     """Print the entries that a workspace is told to use.
 
     Example: lagoonpost entries --entry 127.0.0.1:8101
     """
+    key = os.environ.get(KEY_VARIABLE, "")
     answer = asyncio.run(_get(entry, "/v1/entries", key))
     for listed in answer["entries"]:
         click.echo(f"{listed['address']}  {listed['failure_domain']}")
@@ -32,14 +40,14 @@
 @click.option(
     "--entry", type=ADDRESS, envvar="LAGOONPOST_ENTRY", required=True
 )
-@click.option("--operator-key", envvar="LAGOONPOST_OPERATOR_KEY", default="")
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
-def status(entry: Address, operator_key: str, as_json: bool) -> None:
+def status(entry: Address, as_json: bool) -> None:
     """Show gateways, runners and refusals as one gateway sees them.
 
     Example: lagoonpost status --entry 127.0.0.1:8101
     """
-    answer = asyncio.run(_get(entry, "/v1/status", operator_key))
+    key = read_secret(OPERATOR_KEY_VARIABLE)
+    answer = asyncio.run(_get(entry, "/v1/status", key))
     if as_json:
         click.echo(json.dumps(answer))
         return
--- a/lagoonpost/cli/gateway.py
+++ b/lagoonpost/cli/gateway.py
@@ -1,67 +1,113 @@
-"""The ``gateway`` command: settings in, daemon up."""
+"""The ``gateway`` and ``settings`` commands: settings in, daemon up."""
 
 import asyncio
+import os
 import sys
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import click
 import eliot
 
-from lagoonpost.cli.option import ADDRESS, ExitCode, fail
+from lagoonpost.cli.option import ExitCode, fail
 from lagoonpost.gateway.daemon import GatewayDaemon
-from lagoonpost.gateway.settings import GatewaySettings, check_settings
+from lagoonpost.gateway.settings import (
+    SECRETS,
+    GatewaySettings,
+    read_settings,
+)
 
+SIGNING_KEY_VARIABLE = "LAGOONPOST_SIGNING_KEY"
+Command = TypeVar("Command", bound=Callable[..., Any])
 
-@click.command()
-@click.option("--name", required=True, help="Unique name of this instance.")
-@click.option("--listen", type=ADDRESS, required=True, help="For callers.")
-@click.option("--advertise", type=ADDRESS, help="What callers are told.")
-@click.option("--peer-listen", type=ADDRESS, help="For other instances.")
-@click.option(
-    "--seed-peer",
-    "seeds",
-    type=ADDRESS,
-    multiple=True,
-    help="Another instance's peer address; repeat for more.",
-)
-@click.option(
-    "--platform", type=ADDRESS, required=True, help="The table service."
+# Flag, parameter, help. All are text here: the settings module checks them
+# together, so that one start shows every fault.
+_OPTIONS = (
+    ("--name", "name", "Unique name of this instance."),
+    ("--listen", "listen", "HOST:PORT for callers."),
+    ("--advertise", "advertise", "HOST:PORT that callers are told."),
+    ("--peer-listen", "peer_listen", "HOST:PORT for other instances."),
+    ("--seed-peer", "seeds", "Peer address of another instance; repeat."),
+    ("--platform", "platform", "HOST:PORT of the platform's tables."),
+    ("--region", "region", "Region of this host."),
+    ("--failure-domain", "failure_domain", "Failure domain of this host."),
+    ("--host", "host", "This host's name in the cloud's notices."),
+    ("--operator-digest", "operator_digests", "SHA-256 of a key; repeat."),
+    ("--grace", "grace", "Seconds to end requests at a planned stop."),
+    ("--statsd", "statsd", "HOST:PORT where metrics go."),
+    ("--seed", "seed", "Seed of the decisions, for repeatable runs."),
 )
-@click.option("--region", default="r1", show_default=True)
-@click.option("--failure-domain", default="a", show_default=True)
-@click.option("--host", default="", help="This host's name in the cloud.")
-@click.option(
-    "--signing-key",
-    envvar="LAGOONPOST_SIGNING_KEY",
-    required=True,
-    help="Signs event ids; set it in the environment, not as a flag.",
-)
-@click.option(
-    "--operator-digest",
-    "operator_digests",
-    multiple=True,
-    help="SHA-256 of an operator's key.",
-)
-@click.option("--grace", default=25.0, show_default=True, help="Seconds.")
-@click.option("--statsd", type=ADDRESS, help="Where metrics go.")
-@click.option("--seed", type=int, help="Seed of the decisions.")
+_REPEATED = frozenset({"seeds", "operator_digests"})
+
+
+def make_variable(parameter: str) -> str:
+    """Return the environment variable of a gateway setting."""
+    return f"LAGOONPOST_{parameter.upper()}"
+
+
+def _gateway_options(command: Command) -> Command:
+    for flag, parameter, text in reversed(_OPTIONS):
+        command = click.option(
+            flag,
+            parameter,
+            multiple=parameter in _REPEATED,
+            envvar=make_variable(parameter),
+            show_envvar=True,
+            help=text,
+        )(command)
+    return command
+
+
+@click.command()
+@_gateway_options
 def gateway(**values: Any) -> None:
     """Run a gateway until SIGTERM.
 
-    Example: LAGOONPOST_SIGNING_KEY=... lagoonpost gateway --name gw-1
-    --listen 127.0.0.1:8101 --platform 127.0.0.1:8201
+    Example: lagoonpost gateway --name gw-1 --listen 127.0.0.1:8101
+    --platform 127.0.0.1:8201, with LAGOONPOST_SIGNING_KEY set
     """
-    given = {
-        name: value for name, value in values.items() if value is not None
-    }
-    settings = GatewaySettings(**given)
-    faults = check_settings(settings)
-    if faults:
-        lines = (f"--{fault.setting}: {fault.allowed}" for fault in faults)
-        raise fail("settings\n  " + "\n  ".join(lines), ExitCode.USAGE)
+    settings = _check(values)
     eliot.to_file(sys.stdout)
     asyncio.run(_run(settings))
 
 
+@click.command()
+@_gateway_options
+@click.pass_context
+def settings(context: click.Context, /, **values: Any) -> None:
+    """Print the gateway settings in force and where each comes from.
+
+    Example: lagoonpost settings --name gw-1 --listen 127.0.0.1:8101
+    """
+    checked = _check(values)
+    for name, value in checked._asdict().items():
+        origin = _find_origin(context, name, values.get(name))
+        shown = "(secret)" if name in SECRETS else _format(value)
+        click.echo(f"{name.replace('_', '-'):<18}{shown:<28}{origin}")
+
+
+def _find_origin(context: click.Context, name: str, value: Any) -> str:
+    if name in SECRETS:
+        return "environment"
+    source = context.get_parameter_source(name)
+    return source.name.lower() if source and value else "default"
+
+
+def _check(values: dict[str, Any]) -> GatewaySettings:
+    # Not a flag: the arguments of a process are for all to see.
+    values["signing_key"] = os.environ.get(SIGNING_KEY_VARIABLE)
+    checked = read_settings(values)
+    if isinstance(checked, list):
+        lines = "\n  ".join(str(fault) for fault in checked)
+        raise fail(f"wrong settings\n  {lines}", ExitCode.USAGE)
+    return checked
+
+
+def _format(value: Any) -> str:
+    if isinstance(value, tuple) and not hasattr(value, "_fields"):
+        return " ".join(str(each) for each in value) or "-"
+    return "-" if value in (None, "") else str(value)
+
+
 async def _run(settings: GatewaySettings) -> None:
     await GatewayDaemon(settings).run()
--- a/lagoonpost/cli/main.py
+++ b/lagoonpost/cli/main.py
@@ -4,7 +4,7 @@
 
 from lagoonpost.cli.ask import ask, book, check
 from lagoonpost.cli.entries import entries, status
-from lagoonpost.cli.gateway import gateway
+from lagoonpost.cli.gateway import gateway, settings
 from lagoonpost.cli.ticket import ticket
 
 COMMANDS: tuple[click.Command, ...] = (
@@ -14,6 +14,7 @@
     check,
     entries,
     status,
+    settings,
     ticket,
 )
 
--- a/lagoonpost/cli/option.py
+++ b/lagoonpost/cli/option.py
@@ -1,5 +1,6 @@
 """Option types and exit codes that the commands share."""
 
+import os
 from enum import IntEnum
 from typing import Any
 
@@ -14,9 +15,12 @@
     OK = 0
     FAILED = 1
     USAGE = 2
-    NOT_RUN = 3
-    UNKNOWN = 4
-    UNREACHABLE = 5
+    REFUSED = 3
+    NOT_RUN = 4
+    UNKNOWN = 5
+    NOT_IN_FORCE = 6
+    NOT_FOUND = 7
+    UNREACHABLE = 8
 
 
 class AddressType(click.ParamType[Address]):
@@ -40,6 +44,19 @@
 
 
 ADDRESS = AddressType()
+KEY_VARIABLE = "LAGOONPOST_KEY"
+OPERATOR_KEY_VARIABLE = "LAGOONPOST_OPERATOR_KEY"
+
+
+def read_secret(variable: str) -> str:
+    """Return a secret from the environment, or exit with how to give it.
+
+    Secrets are no flags: the arguments of a process are for all to see.
+    """
+    secret = os.environ.get(variable)
+    if not secret:
+        raise fail(f"set {variable} in the environment", ExitCode.USAGE)
+    return secret
 
 
 def fail(message: str, code: ExitCode) -> click.exceptions.Exit:
--- a/lagoonpost/gateway/generation.py
+++ b/lagoonpost/gateway/generation.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 
+import eliot
+
 from lagoonpost.gateway.answer import ActiveAnswer
 from lagoonpost.gateway.prompt import (
     ChatCall,
@@ -129,13 +131,27 @@
         case Part(offset, _, at):
             if offset == 0:
                 gateway.dispatcher.notify(FirstToken(row.id, at))
+                gateway.metrics.time("first_token", _count_seconds(row))
         case Completed(_, usage):
             count = usage.completion_tokens
             gateway.dispatcher.notify(Finished(row.id, name, count))
+            gateway.metrics.time("answer", _count_seconds(row))
+            eliot.log_message(
+                message_type="lagoonpost:gateway:answered",
+                request=row.id,
+                workspace=row.workspace,
+                runner=name,
+                tokens=count,
+                seconds=round(_count_seconds(row), 3),
+            )
         case _:
             pass
 
 
+def _count_seconds(row: RequestRow) -> float:
+    return asyncio.get_running_loop().time() - row.arrived
+
+
 def _find_holder(gateway: Gateway, name: str) -> Runner | None:
     runner = gateway.find_runner(name) if name else None
     if runner is None or gateway.is_leaving(name):
--- a/lagoonpost/gateway/settings.py
+++ b/lagoonpost/gateway/settings.py
@@ -1,11 +1,14 @@
 """The gateway's settings, checked all at once."""
 
 import re
-from typing import NamedTuple
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
 
-from lagoonpost.http.message import Address
+from lagoonpost.http.message import Address, parse_address
 
-KEY_BYTES = 16
+KEY_LENGTH = 16
+MAX_GRACE = 3600.0
+SECRETS = frozenset({"signing_key"})
 _DIGEST = re.compile(r"[0-9a-f]{64}\Z")
 _NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}\Z")
 
@@ -16,14 +19,14 @@
     Attributes:
         name: Unique name of this instance.
         listen: Where callers connect.
-        advertise: What callers are told; ``listen`` if None.
+        platform: Address of the platform's table service.
+        signing_key: Secret that all gateways share, for event ids.
         peer_listen: Where other instances connect.
+        advertise: What callers are told; ``listen`` if None.
         seeds: Addresses of some other instances.
-        platform: Address of the platform's table service.
         region: Region of this host.
         failure_domain: Failure domain of this host.
         host: Name of this host in the cloud's notices.
-        signing_key: Secret that all gateways share, for event ids.
         operator_digests: SHA-256 of the operators' keys, in hex.
         grace: Seconds for accepted requests to end at a planned stop.
         statsd: Where metrics go; None sends none.
@@ -47,38 +50,100 @@
 
 
 class SettingFault(NamedTuple):
-    """One wrong setting: its name and what is allowed."""
+    """One wrong setting, with its value unless that is a secret."""
 
     setting: str
+    value: str
     allowed: str
 
+    def __str__(self) -> str:
+        flag = "--" + self.setting.replace("_", "-")
+        if self.setting in SECRETS:
+            flag = f"LAGOONPOST_{self.setting.upper()}"
+        return f"{flag}: {self.value!r} is not {self.allowed}"
+
+
+class _Rule(NamedTuple):
+    read: Callable[[str], Any]
+    allowed: str
+
+
+def _read_name(text: str) -> str:
+    if not _NAME.match(text):
+        raise ValueError(text)
+    return text
+
+
+def _read_key(text: str) -> str:
+    if len(text) < KEY_LENGTH:
+        raise ValueError("too short")
+    return text
+
+
+def _read_digest(text: str) -> str:
+    if not _DIGEST.match(text):
+        raise ValueError(text)
+    return text
+
+
+def _read_grace(text: str) -> float:
+    grace = float(text)
+    if not 0 <= grace <= MAX_GRACE:
+        raise ValueError(text)
+    return grace
+
+
+_ADDRESS = _Rule(parse_address, "HOST:PORT with a port from 1 to 65535")
+_PLACE = _Rule(_read_name, "a name of a-z, 0-9, '.' and '-'")
+_RULES: dict[str, _Rule] = {
+    "name": _PLACE,
+    "listen": _ADDRESS,
+    "platform": _ADDRESS,
+    "signing_key": _Rule(
+        _read_key, f"a secret of {KEY_LENGTH} characters or more"
+    ),
+    "peer_listen": _ADDRESS,
+    "advertise": _ADDRESS,
+    "seeds": _ADDRESS,
+    "region": _PLACE,
+    "failure_domain": _PLACE,
+    "host": _PLACE,
+    "operator_digests": _Rule(_read_digest, "a SHA-256 in 64 hex digits"),
+    "grace": _Rule(_read_grace, f"a number from 0 to {MAX_GRACE:g}"),
+    "statsd": _ADDRESS,
+    "seed": _Rule(int, "a whole number"),
+}
+_REQUIRED = ("name", "listen", "platform", "signing_key")
+
+
+def read_settings(
+    values: Mapping[str, str | tuple[str, ...] | None],
+) -> GatewaySettings | list[SettingFault]:
+    """Check all values and return the settings, or every fault.
+
+    Args:
+        values: Text by setting; None or empty for one that is not given.
+    """
+    faults: list[SettingFault] = []
+    read: dict[str, Any] = {}
+    for name in _REQUIRED:
+        if not values.get(name):
+            allowed = f"given; it has to be {_RULES[name].allowed}"
+            faults.append(SettingFault(name, "", allowed))
+    for name, value in values.items():
+        if not value:
+            continue
+        texts = value if isinstance(value, tuple) else (value,)
+        found = [_read(name, text, faults) for text in texts]
+        read[name] = tuple(found) if isinstance(value, tuple) else found[0]
+    return faults or GatewaySettings(**read)
+
 
-def check_settings(settings: GatewaySettings) -> list[SettingFault]:
-    """Return every fault of the settings; values of secrets never appear."""
-    checks = (
-        (
-            "name",
-            bool(_NAME.match(settings.name)),
-            "1 to 63 of a-z, 0-9, '.' and '-', not starting with the last two",
-        ),
-        (
-            "signing-key",
-            len(settings.signing_key) >= KEY_BYTES,
-            f"at least {KEY_BYTES} characters, the same on all gateways",
-        ),
-        (
-            "operator-digest",
-            all(map(_DIGEST.match, settings.operator_digests)),
-            "the SHA-256 of a key as 64 hex digits",
-        ),
-        ("grace", 0 <= settings.grace <= 3600, "0 to 3600 seconds"),
-        (
-            "failure-domain",
-            bool(settings.failure_domain),
-            "the failure domain of this host",
-        ),
-        ("region", bool(settings.region), "the region of this host"),
-    )
-    return [
-        SettingFault(name, allowed) for name, ok, allowed in checks if not ok
-    ]
+def _read(name: str, text: str, faults: list[SettingFault]) -> Any:
+    rule = _RULES[name]
+    try:
+        return rule.read(text)
+    except ValueError:
+        shown = "(secret)" if name in SECRETS else text
+        faults.append(SettingFault(name, shown, rule.allowed))
+        return None
