Keep a freed suspect off the runner that was lost under it

Since two in a row are asked for, the freed request could go back to the lost runner. It now keeps what it has tried.

--- a/lagoonpost/systems/gateway.py
+++ b/lagoonpost/systems/gateway.py
@@ -328,7 +328,10 @@
         pool = tables.pools[request.service]
         waits = request.id in pool.alone and request.id not in pool.flights
         if waits and request.fingerprint == fingerprint:
+            # It still avoids the runners that it was lost on.
+            tried = pool.tried.get(request.id, set())
             forget(pool, request.id)
+            pool.tried[request.id] = tried
             pool.moved[request.id] = Moved(request, "", True, now)
     return _dispatch_all(tables, now, rng)
 
