--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -98,6 +98,10 @@
         """Return the number of chat requests that run here."""
         return len(self._gateway.answers)
 
+    def count_held(self) -> int:
+        """Return the number of requests that peers handed over to here."""
+        return len(self._gateway.held)
+
     async def leave(self, grace: float) -> None:
         """Take no new requests and end or move the accepted ones.
 
--- a/test/stack.py
+++ b/test/stack.py
@@ -148,6 +148,11 @@
             while not daemon.count_answers():  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
+    async def cut(self, daemon: GatewayDaemon) -> None:
+        """Close a gateway's connections at once, as a crash would."""
+        await daemon._server.close(0.0)
+        await daemon._neighbours.peers.close()
+
     async def _start_gateway(self, number: int) -> None:
         seeds = tuple(daemon.peer_address for daemon in self.gateways[:1])
         daemon = GatewayDaemon(
--- a/test/test_departure.py
+++ b/test/test_departure.py
@@ -115,6 +115,35 @@
         whole, text = play(story, gateways=3, options=SLOW)
         assert text == whole
 
+    def test_the_successor_dies_as_well(self) -> None:
+        """The peer that took a draft over dies before its caller comes.
+
+        The caller finds nobody there, and goes on at a third gateway by
+        what it holds itself: the last event id and the tokens so far.
+        """
+
+        async def story(stack: Stack) -> tuple[str, str, list[Any]]:
+            whole = await stack.call("POST", CHAT, make_chat(PROMPT, TOKENS))
+
+            async def leave() -> None:
+                (busy,) = [g for g in stack.gateways if g.count_answers()]
+                others = [g for g in stack.gateways if g is not busy]
+                leaving = asyncio.create_task(busy.leave(0.0))
+                while not any(g.count_held() for g in others):  # noqa: ASYNC110
+                    await asyncio.sleep(0)
+                (successor,) = [g for g in others if g.count_held()]
+                await stack.cut(successor)
+                await leaving
+
+            text, rest = await draft(stack, 20, leave)
+            return pick_text(whole), text, rest
+
+        whole, text, rest = play(story, gateways=3, options=SLOW)
+        assert text == whole
+        causes = [e.cause for e in rest if isinstance(e, Resumed)]
+        assert causes[0] == "moved"
+        assert len(causes) == 2
+
 
 class TestPlannedStop:
     def test_cuts_off_nothing_that_ends_within_its_grace(self) -> None:
