--- /dev/null
+++ b/features/steps/booking.py
@@ -0,0 +1,213 @@
+"""Steps of the stories about bookings."""
+
+import asyncio
+import signal
+import time
+from typing import Any
+
+import msgspec
+from behave import given, then, when
+
+from bench.probe import book, count_runs, fetch_counts, order_faults
+from lagoonpost.http.message import Response
+
+KEY = "pitch-9"
+PATIENCE = 60.0
+PAUSE = 0.2
+
+
+def order_services(context: Any, faults: dict[str, Any]) -> None:
+    system = context.system
+    for name in system.services:
+        asyncio.run(order_faults(system.addresses[name], faults))
+
+
+def order_platform(context: Any, faults: dict[str, Any]) -> None:
+    address = context.system.addresses["platform"]
+    asyncio.run(order_faults(address, faults))
+
+
+def read_execution(answer: Response) -> str:
+    if answer.status == 200:
+        return "ran"
+    execution: str = msgspec.json.decode(answer.body)["execution"]
+    return execution
+
+
+async def wait_for_run(context: Any) -> None:
+    """Wait until a runner has a booking in hand."""
+    system = context.system
+    async with asyncio.timeout(PATIENCE):
+        while True:
+            for name in system.services:
+                counts = await fetch_counts(system.addresses[name])
+                if counts["calls"]:
+                    return
+            await asyncio.sleep(0.02)
+
+
+@given("bookings take {seconds:d} second")
+def slow_services(context: Any, seconds: int) -> None:
+    order_services(context, {"slow": float(seconds)})
+
+
+@given("the store takes {seconds:d} second")
+def slow_store(context: Any, seconds: int) -> None:
+    order_platform(context, {"slow": float(seconds)})
+
+
+@when("gateway-1 gets SIGKILL while it runs a booking")
+def kill_gateway(context: Any) -> None:
+    async def run() -> None:
+        call = asyncio.create_task(book(context.system, "gateway-1", KEY))
+        await wait_for_run(context)
+        context.system.processes["gateway-1"].send(signal.SIGKILL)
+        await asyncio.wait([call])
+        assert call.exception() is not None
+
+    asyncio.run(run())
+    context.answers = []
+
+
+@when("gateway-1 is frozen for {seconds:d} seconds under a claim")
+def freeze_gateway(context: Any, seconds: int) -> None:
+    process = context.system.processes["gateway-1"]
+
+    async def run() -> Response:
+        call = asyncio.create_task(book(context.system, "gateway-1", KEY))
+        # Half of what the store takes: the claim is sent, not answered.
+        await asyncio.sleep(0.5)
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        assert await count_runs(context.system, KEY) == 0
+        await order_faults(context.system.addresses["platform"], {})
+        process.send(signal.SIGCONT)
+        return await call
+
+    context.answers = [asyncio.run(run())]
+
+
+@when("the store loses {replies:d} replies")
+def lose_replies(context: Any, replies: int) -> None:
+    order_platform(context, {"lose_replies": replies})
+    context.answers = []
+
+
+@when("runners cut a booking after its effect")
+def cut_runners(context: Any) -> None:
+    order_services(context, {"cut": "after"})
+    context.answers = []
+
+
+@when("runners refuse all bookings")
+def refuse_bookings(context: Any) -> None:
+    order_services(context, {"refuse": 1_000_000})
+    context.answers = []
+
+
+@when("{name} is dead, whom no notice announced")
+def kill_runner(context: Any, name: str) -> None:
+    context.system.processes[name].stop()
+
+
+@then("{bookings:d} bookings are taken, each once, at the first try")
+def check_taken_once(context: Any, bookings: int) -> None:
+    for number in range(bookings):
+        key = f"pitch-{number}"
+        answer = asyncio.run(book(context.system, "gateway-1", key))
+        assert answer.status == 200, answer
+        assert asyncio.run(count_runs(context.system, key)) == 1
+
+
+@when("runners have room again")
+def accept_bookings(context: Any) -> None:
+    order_services(context, {})
+
+
+@when("the caller asks {gateway} once")
+def ask_once(context: Any, gateway: str) -> None:
+    context.answers.append(asyncio.run(book(context.system, gateway, KEY)))
+
+
+@when("the caller asks {gateway} for {seconds:d} seconds")
+def ask_for(context: Any, gateway: str, seconds: int) -> None:
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        ask_once(context, gateway)
+        time.sleep(PAUSE)
+
+
+@when("the caller asks {gateway} until the booking is taken")
+def ask_until_taken(context: Any, gateway: str) -> None:
+    deadline = time.monotonic() + PATIENCE
+    ask_once(context, gateway)
+    while context.answers[-1].status != 200:
+        assert time.monotonic() < deadline, context.answers[-1]
+        time.sleep(PAUSE)
+        ask_once(context, gateway)
+    context.through = gateway
+
+
+@when("the store is down from the run of a booking until after its answer")
+def lose_store(context: Any) -> None:
+    platform = context.system.addresses["platform"]
+
+    async def run() -> Response:
+        call = asyncio.create_task(book(context.system, "gateway-1", KEY))
+        await wait_for_run(context)
+        await order_faults(platform, {"down": True})
+        answer = await call
+        await order_faults(platform, {})
+        return answer
+
+    context.answers = [asyncio.run(run())]
+
+
+@when("{bookings:d} bookings are each sent to all gateways at once")
+def send_to_all(context: Any, bookings: int) -> None:
+    system = context.system
+
+    async def run() -> None:
+        await asyncio.gather(
+            *(
+                book(system, gateway, f"pitch-{number}")
+                for number in range(bookings)
+                for gateway in system.gateways
+            )
+        )
+
+    asyncio.run(run())
+    context.bookings = bookings
+
+
+@then("all answers said {execution}")
+def check_executions(context: Any, execution: str) -> None:
+    seen = {read_execution(answer) for answer in context.answers}
+    assert seen == {execution}, context.answers
+    # Whoever is given up on is told when to come back.
+    assert all(answer.header("retry-after") for answer in context.answers)
+
+
+@then("the booking ran {runs:d} times")
+def check_run_count(context: Any, runs: int) -> None:
+    assert asyncio.run(count_runs(context.system, KEY)) == runs
+
+
+@then("it ran through {gateway}")
+def check_gateway(context: Any, gateway: str) -> None:
+    assert context.through == gateway
+    assert context.answers[0].status != 200, context.answers
+
+
+@then("both answers are the same")
+def check_same(context: Any) -> None:
+    first, last = context.answers[0], context.answers[-1]
+    assert first.status == 200, first
+    assert first.body == last.body, (first, last)
+
+
+@then("each of them ran once")
+def check_each(context: Any) -> None:
+    for number in range(context.bookings):
+        runs = asyncio.run(count_runs(context.system, f"pitch-{number}"))
+        assert runs == 1, (number, runs)
--- a/lagoonpost/gateway/booking.py
+++ b/lagoonpost/gateway/booking.py
@@ -71,7 +71,7 @@
         Args:
             call: The call.
             place: Chooses a runner; takes the name of the one that did not
-                run the call and the kind of its failure, or None for both.
+                run the call and ``refused``, or None for both at first.
         """
         dispatcher = _Dispatcher(self._client, call, place)
         outcome = await self._ledger.take(
@@ -120,7 +120,10 @@
             may_send,
         )
         if isinstance(outcome, NotRun):
-            self._failure = outcome.kind
+            # Also when the runner could not be reached: to the decisions
+            # "lost" means that a call may have run, and they let no other
+            # runner have it. This one surely did not run.
+            self._failure = "refused"
         return outcome
 
 
--- a/lagoonpost/gateway/booking_answer.py
+++ b/lagoonpost/gateway/booking_answer.py
@@ -88,9 +88,11 @@
 
 
 def _refused(outcome: Refused, wall: float) -> Response:
-    detail = "The call was not run."
+    detail = "This call was not run."
     if outcome.retry_after is not None:
-        detail += " It may be sent again with the same key."
+        # An earlier call with the key may have run, and a caller that took
+        # a new key now would book twice.
+        detail += " Send it again with the same key."
     return make_problem(
         outcome.status,
         "Not run",
--- a/lagoonpost/platform/health.py
+++ b/lagoonpost/platform/health.py
@@ -7,10 +7,11 @@
 
 One failed call makes the store suspect: a read follows, and calls wait for
 it, so that one lost reply costs nobody a refusal. If the read fails as well,
-calls are refused until a later read succeeds. Reads come every
-``PROBE_SECONDS``: at 320 gateways that is 640 reads a second, a third of what
-the store is rated for, and a gateway serves again at most that long after the
-store does.
+calls are refused until a later read succeeds. A probe has as long as any
+call, so that a store that is slow, but answers in time, is not given up.
+Probes come every ``PROBE_SECONDS``: at 320 gateways that is 640 reads a
+second, a third of what the store is rated for, and a gateway serves again at
+most that long after the store does.
 """
 
 import asyncio
@@ -21,7 +22,6 @@
 from lagoonpost.platform.store import Store, Unavailable
 
 PROBE_SECONDS = 0.5
-PROBE_TIMEOUT = 1.0
 PROBE_KEY = "health"
 
 State = Literal["up", "suspect", "down"]
@@ -62,11 +62,7 @@
         self._enter("up")
 
     async def _answers(self) -> bool:
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT):
-                outcome = await self._store.read([PROBE_KEY])
-        except TimeoutError:
-            return False
+        outcome = await self._store.read([PROBE_KEY])
         return not isinstance(outcome, Unavailable)
 
     def _enter(self, state: State) -> None:
--- a/lagoonpost/runners/plain.py
+++ b/lagoonpost/runners/plain.py
@@ -75,9 +75,9 @@
             may_send=may_send,
         )
     except CallFailedError as error:
-        return Lost("runner_lost") if error.sent else NotRun("lost")
+        return Lost("runner_lost") if error.sent else NotRun()
     if answer.status in REFUSALS and _says_not_run(answer):
-        return NotRun("refused")
+        return NotRun()
     kept = drop_connection_headers(answer.headers)
     return Answered(RecordedAnswer(answer.status, kept, answer.body))
 
--- a/lagoonpost/systems/booking.py
+++ b/lagoonpost/systems/booking.py
@@ -29,14 +29,7 @@
 
 
 class NotRun(NamedTuple):
-    """The dispatch surely did not run.
-
-    Attributes:
-        kind: ``refused`` by the runner, which said so, or ``lost``: never
-            sent.
-    """
-
-    kind: str
+    """The dispatch surely did not run: refused so, or never sent."""
 
 
 class NoRunner(NamedTuple):
