--- a/lagoonpost/peers/pool.py
+++ b/lagoonpost/peers/pool.py
@@ -1,7 +1,9 @@
 """Connections to peers: few, reused, and closed once one goes silent."""
 
 import asyncio
+import time
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from grpclib.client import Channel, UnaryUnaryMethod
@@ -13,6 +15,8 @@
 # A member calls 3 neighbours, a bridge 5; the rest is for the helpers of
 # indirect probes and for neighbours that have just changed.
 POOL_CHANNELS = 8
+# Neighbours are called every five seconds at the least.
+IDLE_SECONDS = 15.0
 
 _CODEC = MessagePackCodec()
 _FAILURES = (
@@ -32,13 +36,27 @@
     reply_type: Any
 
 
+class _Kept:
+    """A kept channel, its calls under way and when it was last used."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.channel = Channel(address.host, address.port, codec=_CODEC)
+        self.calls = 0
+        self.used = 0.0
+
+
 class ChannelPool:
     """A bounded number of channels, least recently used closed first."""
 
-    def __init__(self, limit: int = POOL_CHANNELS) -> None:
+    def __init__(
+        self,
+        limit: int = POOL_CHANNELS,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._limit = limit
-        self._channels: OrderedDict[Address, Channel] = OrderedDict()
-        self._busy: dict[Channel, int] = {}
+        self._clock = clock
+        self._kept: OrderedDict[Address, _Kept] = OrderedDict()
 
     async def call(
         self, address: Address, method: Method, request: Any, timeout: float
@@ -48,52 +66,47 @@
         Returns:
             The reply, or None if none came in ``timeout`` seconds.
         """
-        channel = self._open(address)
-        self._busy[channel] = self._busy.get(channel, 0) + 1
+        kept = self._open(address)
+        kept.calls += 1
         try:
-            reply = await _call(channel, method, request, timeout)
+            reply = await _call(kept.channel, method, request, timeout)
         finally:
-            self._release(channel)
+            kept.calls -= 1
         if reply is None:
             # Something between the ends may have lost track of the
             # connection: calls on it time out while new connections work.
             # It is never used again after an unanswered call.
-            self._discard(address, channel)
+            self._discard(kept)
         self._shrink()
         return reply
 
-    def _open(self, address: Address) -> Channel:
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = Channel(address.host, address.port, codec=_CODEC)
-            self._channels[address] = channel
-        self._channels.move_to_end(address)
-        return channel
-
-    def _release(self, channel: Channel) -> None:
-        self._busy[channel] -= 1
-        if not self._busy[channel]:
-            del self._busy[channel]
-
-    def _discard(self, address: Address, channel: Channel) -> None:
-        if self._channels.get(address) is channel:
-            del self._channels[address]
-        channel.close()
+    def _open(self, address: Address) -> _Kept:
+        kept = self._kept.get(address)
+        if kept is None:
+            kept = self._kept[address] = _Kept(address)
+        self._kept.move_to_end(address)
+        kept.used = self._clock()
+        return kept
+
+    def _discard(self, kept: _Kept) -> None:
+        if self._kept.get(kept.address) is kept:
+            del self._kept[kept.address]
+        kept.channel.close()
 
     def _shrink(self) -> None:
-        excess = len(self._channels) - self._limit
-        for address, channel in list(self._channels.items()):
-            if excess <= 0:
-                return
-            if channel not in self._busy:
-                self._discard(address, channel)
-                excess -= 1
+        # Without an end for unused channels, all who start would keep
+        # theirs to the few seeds, which then hold one for each member.
+        oldest = self._clock() - IDLE_SECONDS
+        for kept in list(self._kept.values()):
+            excess = len(self._kept) > self._limit
+            if not kept.calls and (excess or kept.used < oldest):
+                self._discard(kept)
 
     def close(self) -> None:
         """Close all channels."""
-        for channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        for kept in self._kept.values():
+            kept.channel.close()
+        self._kept.clear()
 
 
 async def call_once(
