--- a/test/baselines.py
+++ b/bench/baseline.py
@@ -1,26 +1,32 @@
 """Simple ways to decide, with which the decisions are compared."""
 
+from random import Random
+
 from lagoonpost.systems.event import (
+    Action,
     Arrived,
     AttemptFailed,
     Declared,
     Dispatch,
+    Event,
     Finished,
     Leaving,
 )
+from lagoonpost.tables.entity import Runner
+from lagoonpost.tables.request import RequestRow
 
 
 class Baseline:
     """State of one gateway that knows its own work only."""
 
-    def __init__(self, index=0, gateways=1):
-        self.runners = []
-        self.waiting = []
-        self.requests = {}
-        self.own = {}
+    def __init__(self, index: int = 0, gateways: int = 1) -> None:
+        self.runners: list[Runner] = []
+        self.waiting: list[RequestRow] = []
+        self.requests: dict[str, RequestRow] = {}
+        self.own: dict[str, int] = {}
         self.turn = 0
 
-    def follow(self, event):
+    def follow(self, event: Event) -> list[RequestRow]:
         """Take in an event; return the requests to place."""
         match event:
             case Declared(declaration):
@@ -30,19 +36,22 @@
             case Arrived(request):
                 self.requests[request.id] = request
                 return [request]
-            case Finished(request_id, runner):
+            case Finished(_, runner):
                 self.own[runner] -= 1
             case AttemptFailed(request_id, runner):
                 self.own[runner] -= 1
                 return [self.requests[request_id]]
         return []
 
-    def send(self, request, runner):
+    def send(self, request: RequestRow, runner: Runner) -> Dispatch:
+        """Count and dispatch a request."""
         self.own[runner.name] = self.own.get(runner.name, 0) + 1
         return Dispatch(request.id, runner.name, runner.version, "baseline")
 
 
-def decide_at_random(tables, event, now, rng):
+def decide_at_random(
+    tables: Baseline, event: Event, now: float, rng: Random
+) -> list[Action]:
     """Send each request to a random runner at once."""
     return [
         tables.send(request, rng.choice(tables.runners))
@@ -50,9 +59,11 @@
     ]
 
 
-def decide_in_turn(tables, event, now, rng):
+def decide_in_turn(
+    tables: Baseline, event: Event, now: float, rng: Random
+) -> list[Action]:
     """Send requests to the runners in turn (round robin)."""
-    actions = []
+    actions: list[Action] = []
     for request in tables.follow(event):
         tables.turn += 1
         runner = tables.runners[tables.turn % len(tables.runners)]
@@ -60,10 +71,12 @@
     return actions
 
 
-def decide_first_come(tables, event, now, rng):
+def decide_first_come(
+    tables: Baseline, event: Event, now: float, rng: Random
+) -> list[Action]:
     """Queue without limit; first come, first served on a free slot."""
     tables.waiting += tables.follow(event)
-    actions = []
+    actions: list[Action] = []
     while tables.waiting:
         free = [
             r for r in tables.runners if tables.own.get(r.name, 0) < r.slots
--- a/test/test_systems_gateway.py
+++ b/test/test_systems_gateway.py
@@ -79,3 +79,24 @@
             if outcome.attempts > 1:
                 assert outcome.call.request_class != "booking"
                 assert outcome.finished is not None
+
+    @settings(max_examples=20)
+    @given(st.integers(1, 400), st.integers(1, 60))
+    def test_more_load_never_opens_the_door(self, count, output):
+        """Of equal requests of one instant, none gets in after a refusal."""
+        same = Call(1.0, output=output)
+        _, outcomes = play([same] * count)
+        let_in = [o.refused != o.arrived for o in outcomes]
+        assert let_in == sorted(let_in, reverse=True)
+
+    def test_drafts_do_not_starve(self):
+        """Nobody's draft begins while checks keep coming.
+
+        Checks alone are three times what the runners can do, and go first.
+        """
+        checks = [Call(0.01 * i, "c", output=50) for i in range(3000)]
+        drafts = [Call(2.0 * i, "d", "draft", output=100) for i in range(12)]
+        player = Player(make_declaration(runners=4, slots=4))
+        outcomes = player.play(checks + drafts, 100.0)
+        asked = [o for o in outcomes if o.call.workspace == "d"]
+        assert all(o.good for o in asked)
