Move versions by time alone and take them back by drawn shares

Cause: traffic has to be at a new version by its time, a bad one may harm 1% of the move's requests, and neither controller nor store may be needed.

First try: Fisher's noncentral hypergeometric ratio of both versions' requests in one interval on one gateway.

First try: each route waits for 20 requests of the new version.

A ticket that touches a declared move or one of its versions has to state all three, else it is refused as overlapping.

--- /dev/null
+++ b/bench/moves.py
@@ -0,0 +1,258 @@
+"""Plays version moves with seeds and counts what callers get.
+
+Run ``python -m bench.moves [SEEDS]``; it prints one line for each case. The
+figures do not depend on the machine.
+"""
+
+import sys
+from collections import Counter
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from functools import cache, partial
+from typing import NamedTuple
+
+import numpy as np
+import numpy.typing as npt
+
+from lagoonpost.systems.evidence import (
+    INTERVAL_SECONDS,
+    Counts,
+    Evidence,
+    add_interval,
+    is_worse,
+    weigh,
+)
+from lagoonpost.systems.move import (
+    LONGEST_SECONDS,
+    MoveRow,
+    TooNear,
+    begin_move,
+    compute_share,
+    find_stage,
+    finish,
+    take_back,
+)
+from lagoonpost.tables.entity import Move
+
+GATEWAYS = tuple(f"gateway-{index}" for index in range(9))
+ROUTES = ("bookings", "checks/*")
+PARTS = (0.3, 0.7)
+QUESTIONS = ("failed", "slow")
+PROCESSES = 3
+
+Array = npt.NDArray[np.float64]
+Rates = tuple[float, float]
+"""Chance that a request fails, and that it is slow, 0 to 1."""
+GOOD: Rates = (0.002, 0.04)
+
+
+class Point(NamedTuple):
+    """Where in its move a route is when a chance is asked for."""
+
+    route: str
+    time: float
+    share: float
+
+
+class Case(NamedTuple):
+    """A kind of version and what it meets.
+
+    Attributes:
+        good: Whether it should end as done.
+        new: Chances of the new version's requests.
+        old: Chances of the old version's requests.
+        rate: Requests a second over all routes and gateways.
+        seconds: From the ticket to the deadline.
+    """
+
+    good: bool
+    new: Callable[[Point], Rates]
+    old: Callable[[Point], Rates] = lambda point: GOOD
+    rate: float = 30.0
+    seconds: float = 600.0
+
+
+class Result(NamedTuple):
+    """What one move ended with.
+
+    Attributes:
+        outcome: As reported, or ``too_near``.
+        ended: Seconds from the ticket to its end.
+        harmed: Requests of the new version that failed or were slow where
+            it does so more often than the old one; also those that meet it
+            while the trip spreads.
+        traffic: Requests of the service from the ticket to the deadline.
+    """
+
+    outcome: str
+    ended: float
+    harmed: int
+    traffic: float
+
+
+def _is_outage(point: Point) -> bool:
+    return 100 <= point.time % 250 < 130
+
+
+def _hit_both(point: Point) -> Rates:
+    return (0.6, 0.3) if _is_outage(point) else GOOD
+
+
+CASES: dict[str, Case] = {
+    "bad at once": Case(False, lambda p: (0.5, 0.04)),
+    "bad at once, one in ten": Case(False, lambda p: (0.1, 0.04)),
+    "bad later": Case(False, lambda p: (0.5, 0.04) if p.time > 330 else GOOD),
+    "bad in the bake": Case(
+        False, lambda p: (0.5, 0.04) if p.time > 480 else GOOD
+    ),
+    "only under load": Case(
+        False, lambda p: (0.3, 0.2) if p.share >= 0.5 else GOOD
+    ),
+    "only on one route": Case(
+        False, lambda p: (0.5, 0.04) if p.route == "bookings" else GOOD
+    ),
+    "slower, not failing": Case(False, lambda p: (0.002, 0.35)),
+    "bad with little traffic": Case(False, lambda p: (0.5, 0.04), rate=1.0),
+    "good": Case(True, lambda p: GOOD),
+    "good but noisy": Case(
+        True, lambda p: (0.06, 0.15), old=lambda p: (0.05, 0.13)
+    ),
+    "good with little traffic": Case(True, lambda p: GOOD, rate=0.1),
+    "good under an outage of both": Case(True, _hit_both, old=_hit_both),
+    "good in a short time": Case(True, lambda p: GOOD, seconds=96.0),
+    "deadline too near": Case(False, lambda p: GOOD, seconds=60.0),
+}
+
+
+class _Play:
+    """One move of one service, interval by interval."""
+
+    def __init__(self, case: Case, ticket: int) -> None:
+        self.case = case
+        move = Move("booking", "v1", "v2", case.seconds, ticket)
+        self.row: MoveRow | TooNear = begin_move(move, 0.0)
+        questions = [(r, q) for r in ROUTES for q in QUESTIONS]
+        self.evidence = dict.fromkeys(questions, Evidence())
+        self.intervals = case.seconds / INTERVAL_SECONDS
+        self.harmed = 0
+
+    def step(self, now: float, rng: np.random.Generator) -> None:
+        """Play the interval that ends at ``now``."""
+        row = self.row
+        if isinstance(row, TooNear) or row.outcome != "moving":
+            return
+        # What the last interval showed has spread by the end of this one.
+        worse = [
+            f"{question} on {route}"
+            for (route, question), evidence in self.evidence.items()
+            if is_worse(evidence, len(self.evidence))
+        ]
+        self._run(row, now, rng)
+        if worse:
+            self.row = take_back(row, worse[0], now)
+            return
+        self.row = finish(row, now)
+
+    def get_result(self) -> Result:
+        """Return how the move ended."""
+        traffic = self.case.rate * self.case.seconds
+        if isinstance(self.row, TooNear):
+            return Result("too_near", 0.0, self.harmed, traffic)
+        row = self.row
+        return Result(row.outcome, row.ended, self.harmed, traffic)
+
+    def _run(self, row: MoveRow, now: float, rng: np.random.Generator) -> None:
+        # Axes: question, route, version (new, old), gateway.
+        begun = now - INTERVAL_SECONDS
+        shares = _list_shares(row, begun)[None, :, :]
+        mean = self.case.rate * INTERVAL_SECONDS / len(GATEWAYS)
+        runs = rng.poisson(mean * np.array(PARTS)[:, None, None] * shares)
+        chances = self._list_chances(now, shares)
+        bad = rng.binomial(runs, chances)
+        worse = chances[:, :, 0] != chances[:, :, 1]
+        self.harmed += int((bad[:, :, 0] * worse).max(axis=0).sum())
+        weighs = bad.sum(axis=2)
+        for place, key in enumerate(self.evidence):
+            route, question = divmod(place, len(QUESTIONS))
+            ratios = [
+                weigh(
+                    Counts(
+                        float(shares[0, 0, gateway]),
+                        int(bad[question, route, 0, gateway]),
+                        int(bad[question, route, 1, gateway]),
+                    )
+                )
+                for gateway in weighs[question, route].nonzero()[0]
+            ]
+            self.evidence[key] = add_interval(
+                self.evidence[key], ratios, self.intervals
+            )
+
+    def _list_chances(self, now: float, shares: Array) -> Array:
+        chances = np.empty((len(QUESTIONS), len(ROUTES), 2, 1))
+        for index, route in enumerate(ROUTES):
+            point = Point(route, now, float(shares[0, 0].mean()))
+            chances[:, index, 0, 0] = self.case.new(point)
+            chances[:, index, 1, 0] = self.case.old(point)
+        return chances
+
+
+def _list_shares(row: MoveRow, now: float) -> Array:
+    return _list_stage_shares(row.move.ticket, find_stage(row, now))
+
+
+@cache
+def _list_stage_shares(ticket: int, stage: int) -> Array:
+    # The same shares for all moves with one ticket number, as its few first
+    # gateways depend on it alone.
+    row = begin_move(Move("", "", "", LONGEST_SECONDS, ticket), 0.0)
+    assert isinstance(row, MoveRow)
+    times = np.arange(0.0, LONGEST_SECONDS, 10.0)
+    now = next(time for time in times if find_stage(row, time) == stage)
+    new = np.array(
+        [compute_share(row, name, GATEWAYS, now, now) for name in GATEWAYS]
+    )
+    return np.stack([new, 1 - new])
+
+
+def play(names: Sequence[str], seed: int) -> list[Result]:
+    """Play one case, or several side by side, with one seed."""
+    rng = np.random.default_rng([*"".join(names).encode(), seed])
+    plays = [_Play(CASES[name], int(rng.integers(50)) + 1) for name in names]
+    longest = max(CASES[name].seconds for name in names)
+    for interval in range(1, int(longest / INTERVAL_SECONDS) + 1):
+        for one in plays:
+            one.step(interval * INTERVAL_SECONDS, rng)
+    return [one.get_result() for one in plays]
+
+
+def _summarise(name: str, results: Sequence[Result]) -> str:
+    ends = Counter(result.outcome for result in results)
+    latest = max(result.ended for result in results)
+    outcomes = ", ".join(f"{end} {count}" for end, count in ends.items())
+    line = f"{name}: {outcomes}; latest end {latest:.0f} s"
+    line += f" of {CASES[name].seconds:.0f}"
+    if CASES[name].good:
+        return line
+    parts = sorted(result.harmed / result.traffic for result in results)
+    median, over = parts[len(parts) // 2], sum(part > 0.01 for part in parts)
+    return (
+        f"{line}; harmed: median {median:.2%}, worst {parts[-1]:.2%}, "
+        f"over 1% in {over}"
+    )
+
+
+def main(seeds: int) -> None:
+    """Print one line for each case."""
+    groups = [(name,) for name in CASES] + [("bad at once", "good")]
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        for names in groups:
+            jobs = pool.map(partial(play, names), range(seeds), chunksize=25)
+            columns = zip(*jobs, strict=True)
+            for name, results in zip(names, columns, strict=True):
+                label = " + ".join(names) + ":" if len(names) > 1 else ""
+                print(label, _summarise(name, results), flush=True)
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 1000)
--- a/lagoonpost/cli/ticket.py
+++ b/lagoonpost/cli/ticket.py
@@ -127,8 +127,9 @@
 
     \b
     Exit codes: 0 done, 1 faulty ticket, 2 wrong command line,
-    3 refused (number taken, stale), 4 not run, 5 unknown: hand the same
-    ticket in again, 6 accepted but not yet in force everywhere, 7 not found.
+    3 refused (number taken, stale, overlaps a move), 4 not run,
+    5 unknown: hand the same ticket in again, 6 accepted but not yet in
+    force everywhere, 7 not found.
     """
     context.obj = {"entries": entries, "json": as_json}
 
--- a/lagoonpost/gateway/tickets.py
+++ b/lagoonpost/gateway/tickets.py
@@ -32,7 +32,12 @@
 RETRY_SECONDS = 2
 """When to come back after the store failed: one poll and one try of ours."""
 PAGE = 100
-_STATUS = {"number_taken": 409, "stale": 409, "invalid": 422}
+_STATUS = {
+    "number_taken": 409,
+    "stale": 409,
+    "overlaps_move": 409,
+    "invalid": 422,
+}
 
 
 class TicketHandlers:
--- a/lagoonpost/systems/ticket.py
+++ b/lagoonpost/systems/ticket.py
@@ -1,6 +1,6 @@
 """Decides whether a change ticket is accepted."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from lagoonpost.declarations.state import (
@@ -46,6 +46,10 @@
     stale = _find_stale(ticket, before)
     if stale:
         return Refused("stale", "; ".join(stale))
+    parted = tuple(_find_parted_moves(ticket, before))
+    if parted:
+        detail = "a move and its two versions change together"
+        return Refused("overlaps_move", detail, parted)
     merged = merge_objects(before.objects, ticket.number, ticket.objects)
     after = Snapshot(before.revision + 1, merged)
     faults = tuple(_find_new_misfits(before, after))
@@ -73,6 +77,28 @@
     return newer if more <= 0 else [*newer[:SHOWN], f"and {more} more"]
 
 
+def _find_parted_moves(ticket: Ticket, before: Snapshot) -> Iterator[Fault]:
+    # A ticket that changed a version in the middle of its move, or dropped
+    # the move alone, would leave open which share is in force: the ticket's,
+    # the move's, or after `done` the old version's again, with all traffic.
+    for move in declare(before).moves:
+        whole = {
+            f"move/{move.service}": f"moves.{move.service}",
+            **{
+                f"version/{move.service}/{name}": (
+                    f"versions.{move.service}/{name}"
+                )
+                for name in (move.from_version, move.to_version)
+            },
+        }
+        if not whole.keys() & ticket.objects.keys():
+            continue
+        for key, field in whole.items():
+            if key not in ticket.objects:
+                message = f"missing; the move of ticket {move.ticket} stands"
+                yield Fault(field, message)
+
+
 def _find_new_misfits(before: Snapshot, after: Snapshot) -> Iterable[Fault]:
     # What did not fit before, by a release with laxer checks, must not
     # block every later ticket; only what this one brings in is refused.
--- a/lagoonpost/tables/ticket.py
+++ b/lagoonpost/tables/ticket.py
@@ -89,7 +89,7 @@
     record: TicketRecord
 
 
-RefusalReason = Literal["number_taken", "stale", "invalid"]
+RefusalReason = Literal["number_taken", "stale", "overlaps_move", "invalid"]
 
 
 class Refused(NamedTuple):
--- /dev/null
+++ b/test/test_move.py
@@ -0,0 +1,163 @@
+"""Tests of lagoonpost.systems.move, also over played moves."""
+
+from collections import Counter
+from functools import reduce
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bench.moves import CASES, GATEWAYS, Result, play
+from lagoonpost.systems.move import (
+    SPREAD_SECONDS,
+    STAGES,
+    MoveRow,
+    TooNear,
+    begin_move,
+    compute_share,
+    find_earliest,
+    find_stage,
+    finish,
+    merge_moves,
+    take_back,
+)
+from lagoonpost.tables.entity import Move
+
+SEEDS = 5
+"""In CI; bench/moves.py plays 1,000."""
+GOOD = [name for name, case in CASES.items() if case.good]
+BAD = [
+    name
+    for name in CASES
+    if name not in (*GOOD, "deadline too near", "bad with little traffic")
+]
+
+
+def begin(by: float, load_seconds: float = 0.0) -> MoveRow:
+    move = Move("booking", "v1", "v2", by, ticket=7)
+    row = begin_move(move, 0.0, load_seconds)
+    assert isinstance(row, MoveRow)
+    return row
+
+
+def list_shares(row: MoveRow, now: float) -> list[float]:
+    return [compute_share(row, name, GATEWAYS, now, now) for name in GATEWAYS]
+
+
+class TestDeadline:
+    def test_too_near_is_said_at_once(self) -> None:
+        """A ticket gives a version two minutes, and loading takes three.
+
+        The operator hears at once which deadline can be met, instead of
+        missing it later.
+        """
+        move = Move("booking", "v1", "v2", by=120.0)
+        begun = begin_move(move, 0.0, load_seconds=180.0)
+        assert begun == TooNear(find_earliest(0.0, 180.0))
+        later = move._replace(by=find_earliest(0.0, 180.0))
+        assert isinstance(begin_move(later, 0.0, 180.0), MoveRow)
+
+    @given(st.floats(0, 5000), st.floats(0, 1000))
+    def test_what_may_begin_ends_in_time(
+        self, extra: float, load: float
+    ) -> None:
+        row = begin(find_earliest(0.0, load) + extra, load)
+        assert row.end + SPREAD_SECONDS < row.move.by
+        assert finish(row, row.end).outcome == "moving"
+        assert finish(row, row.end + SPREAD_SECONDS).outcome == "done"
+
+    @given(st.floats(0, 200))
+    def test_each_stage_has_its_least_time(self, extra: float) -> None:
+        """A near deadline must not squeeze the bake out of a move."""
+        row = begin(find_earliest(0.0, 0.0) + extra)
+        seconds = Counter(find_stage(row, now) for now in range(int(row.end)))
+        for index, stage in enumerate(STAGES):
+            assert seconds[index] >= stage.least_seconds - 1
+
+
+class TestEnd:
+    def test_trip_is_final(self) -> None:
+        """A gateway hears of a trip after the move was done, or of both.
+
+        No request goes back to a bad version.
+        """
+        row = begin(600.0)
+        tripped = take_back(row, "failed on bookings", 50.0)
+        assert finish(tripped, 1e6) == tripped
+        assert take_back(tripped, "other", 60.0) == tripped
+        done = finish(row, 1e6)
+        assert merge_moves(done, tripped) == tripped
+        assert merge_moves(tripped, row) == tripped
+
+    @given(st.permutations(range(4)))
+    def test_merges_in_any_order(self, order: list[int]) -> None:
+        row = begin(600.0)
+        facts = [
+            row,
+            finish(row, 600.0),
+            take_back(row, "failed on bookings", 50.0),
+            take_back(row, "slow on checks/*", 49.0),
+        ]
+        merged = reduce(merge_moves, [facts[index] for index in order])
+        assert merged == facts[3]
+
+
+class TestShare:
+    def test_adds_up_over_gateways(self) -> None:
+        row, seen = begin(600.0), set()
+        for now in range(int(row.end)):
+            stage = find_stage(row, now)
+            shares = list_shares(row, now)
+            mean = sum(shares) / len(shares)
+            assert mean == pytest.approx(STAGES[stage].share)
+            users = sum(share > 0 for share in shares)
+            assert users == (3 if stage == 0 else 9)
+            seen.add(stage)
+        assert seen == set(range(len(STAGES)))
+
+    def test_unloaded_and_ended_moves_have_one_version(self) -> None:
+        row = begin(600.0, load_seconds=100.0)
+        back = take_back(row, "", 1.0)
+        done = finish(row, 1e6)
+        assert set(list_shares(row, 99.0)) == {0.0}
+        assert set(list_shares(back, 300.0)) == {0.0}
+        assert set(list_shares(done, 1e6)) == {1.0}
+
+    def test_gateway_cut_off_sends_the_new_version_nothing(self) -> None:
+        """A gateway loses its peers, and the version trips elsewhere.
+
+        It cannot hear of the trip, so it must not wait for it.
+        """
+        row, now = begin(600.0), 500.0
+        heard = now - SPREAD_SECONDS - 0.1
+        share = compute_share(row, GATEWAYS[0], GATEWAYS, now, heard)
+        assert share == 0.0
+
+
+class TestPlayed:
+    """Moves with seeds, of which bench/moves.py plays more."""
+
+    @pytest.mark.parametrize("name", BAD)
+    def test_bad_is_taken_back_with_little_harm(self, name: str) -> None:
+        for result in self._play(name):
+            assert result.outcome == "taken_back"
+            assert result.harmed <= 0.01 * result.traffic
+
+    @pytest.mark.parametrize("name", GOOD)
+    def test_good_is_done_in_time(self, name: str) -> None:
+        for result in self._play(name):
+            assert result.outcome == "done"
+            assert result.ended <= CASES[name].seconds
+
+    def test_bad_with_little_traffic_is_taken_back(self) -> None:
+        # 600 requests in all: the evidence takes more than 6 bad ones.
+        for result in self._play("bad with little traffic"):
+            assert result.outcome == "taken_back"
+
+    def test_two_at_once_end_each_by_its_own(self) -> None:
+        for seed in range(SEEDS):
+            bad, good = play(["bad at once", "good"], seed)
+            assert (bad.outcome, good.outcome) == ("taken_back", "done")
+
+    def _play(self, name: str) -> list[Result]:
+        return [play([name], seed)[0] for seed in range(SEEDS)]
--- a/test/test_ticket.py
+++ b/test/test_ticket.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
 from memory_store import MemoryStore
 
 from lagoonpost.declarations.content import parse_ticket
+from lagoonpost.declarations.file import load_ticket
 from lagoonpost.platform.declaration import Changed, read_declaration
 from lagoonpost.platform.ticket import Intake, Patience
 from lagoonpost.tables.ticket import (
@@ -19,6 +21,11 @@
     Unsettled,
 )
 
+START = Path(__file__).parent.parent / "examples/tickets/1-start.yaml"
+RUNNERS = {
+    "booking-1": {"absent": True},
+    "booking-2": {"absent": True},
+}
 DIGESTS = {"pottery": "a" * 64, "market": "b" * 64}
 
 
@@ -129,6 +136,42 @@
         assert not store.rows
 
 
+class TestMoveOverlap:
+    def test_parts_of_a_declared_move_change_together(self) -> None:
+        """An operator drops a version's old share while it is moving.
+
+        Had it been taken, the ticket and the move would each claim another
+        share; and dropping the move alone after it was done would send all
+        traffic back to the old version.
+        """
+        store = MemoryStore()
+        start = load_ticket(START)
+        assert isinstance(start, Ticket)
+        versions = {"booking/v1": {"share": 1}, "booking/v2": {"share": 0}}
+        moves = {
+            "booking": {"from": "v1", "to": "v2", "by": "2030-01-01T00:00:00Z"}
+        }
+        tidy = {"booking/v1": {"absent": True}, "booking/v2": {"share": 1}}
+        gone = {"booking": {"absent": True}}
+        outcomes = submit(
+            store,
+            start,
+            make_ticket(2, versions=versions, moves=moves),
+            make_ticket(3, versions=tidy),
+            make_ticket(4, moves=gone),
+            make_ticket(5, 2),
+            make_ticket(6, versions=tidy, moves=gone, runners=RUNNERS),
+        )
+        assert list(map(name, outcomes)) == [
+            "Accepted",
+            "Accepted",
+            "overlaps_move",
+            "overlaps_move",
+            "Accepted",
+            "Accepted",
+        ]
+
+
 class TestRace:
     def test_two_contents_for_one_number(self) -> None:
         """Two operators take number 1 for different changes at once.
