--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -125,6 +125,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._current = asyncio.Event()
+        self._closed = False
         self._server: Server
         self._gossip: Gossip
 
@@ -165,10 +166,13 @@
         """Leave, unless that was done, and stop."""
         if self._gossip.view.me.state != "left":
             await self.leave()
+        self._closed = True
         for timer in self._timers.values():
             timer.cancel()
-        for task in set(self._tasks):
+        tasks = set(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         self._pool.close()
         self._server.close()
         await self._server.wait_closed()
@@ -303,6 +307,10 @@
         return actions
 
     def _spawn(self, call: Call) -> None:
+        if self._closed:
+            # A peer may still ask while the server closes; a call made
+            # for it would open a channel that nobody closes.
+            return
         task = asyncio.create_task(self._call(call))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/test/test_pool.py
+++ b/test/test_pool.py
@@ -19,6 +19,9 @@
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         return Address(*self._server.sockets[0].getsockname()[:2])
 
+    def close(self) -> None:
+        self._server.close()
+
     async def _accept(self, reader, writer):
         self.accepted += 1
         self.open += 1
@@ -53,6 +56,7 @@
                 assert await call is None
             await wait_for(lambda: (peer.accepted, peer.open) == (2, 0))
             pool.close()
+            peer.close()
 
         asyncio.run(play())
 
@@ -70,9 +74,12 @@
             await kept.channel.__connect__()
             await wait_for(lambda: seed.open == 1)
             now = IDLE_SECONDS + 1.0
-            other = await SilentPeer().start()
-            await pool.call(other, GOSSIP, Packet("a"), 0.1)
+            other = SilentPeer()
+            call = pool.call(await other.start(), GOSSIP, Packet("a"), 0.1)
+            assert await call is None
             await wait_for(lambda: seed.open == 0)
             pool.close()
+            seed.close()
+            other.close()
 
         asyncio.run(play())
