Carry out version moves on every gateway

Cause: the pure moves had no driver. Each gateway begins the moves that the declaration names, gossips its counts of bad requests each 2 s, judges all gateways' counts alike and trips the move for all; a trip is a fact that needs neither controller nor store. The store keeps the row at the begin and the end, written apart from the ticks so that a slow store can't keep a bad version in use. Ruled out: a controller that collects the evidence (a bad version would be in use until its lease is taken over). One try on a check takes a third of its route's timeout now, so that a frozen runner leaves time to ask others.

--- a/lagoonpost/cli/entries.py
+++ b/lagoonpost/cli/entries.py
@@ -66,6 +66,12 @@
             f"{runner['version']:<12} {runner['failure_domain']:<10}"
             f"{runner['state']}"
         )
+    for move in answer["moves"]:
+        click.echo(
+            f"  move    {move['service']} {move['from']} -> {move['to']}: "
+            f"{move['outcome']} {move['reason']} share {move['share']:.2%}, "
+            f"{move['seconds_left']:.0f} s left, {move['evidence']}"
+        )
     for name, count in sorted(answer["counts"].items()):
         click.echo(f"  {name} {count}")
 
--- /dev/null
+++ b/lagoonpost/gateway/attempt.py
@@ -0,0 +1,80 @@
+"""How one attempt of a request went, as evidence on its version."""
+
+import asyncio
+
+from lagoonpost.gateway.state import Gateway
+from lagoonpost.runners.answer import Completed, Failed, Part
+from lagoonpost.tables.entity import Route, Runner
+from lagoonpost.tables.request import RequestRow
+
+# Kinds of failure that speak against a runner's version. A refusal says
+# that it is full, and a reclaim comes from the cloud.
+FAULTS = frozenset({"failed", "lost", "silent"})
+
+
+class Attempt:
+    """Times one request's attempts against its route's targets.
+
+    Args:
+        gateway: The gateway that runs it.
+        row: The request.
+        route: Its route, with the targets.
+    """
+
+    def __init__(
+        self, gateway: Gateway, row: RequestRow, route: Route
+    ) -> None:
+        self._gateway = gateway
+        self._row = row
+        self._route = route
+        self._loop = asyncio.get_running_loop()
+        self._first: float | None = None
+        self._tokens = 0
+        self.begin()
+
+    def begin(self) -> None:
+        """Start the clock of the next attempt."""
+        self._sent = self._loop.time()
+        # The chance that the new version had when this attempt was sent; by
+        # its end the share may be another.
+        self._share = self._gateway.moves.share(self._row.service)
+        self._first = None
+        self._tokens = 0
+
+    def note_failure(self, runner: Runner) -> None:
+        """Take in that the runner failed under the attempt."""
+        self._note(runner, failed=True, slow=False)
+
+    def note_answer(self, runner: Runner) -> None:
+        """Take in that a plain service answered whole."""
+        late = self._loop.time() - self._sent > self._route.first_seconds
+        self._note(runner, failed=False, slow=late)
+
+    def note(
+        self, outcome: Part | Completed | Failed, runner: Runner | None
+    ) -> None:
+        """Take in what came of a draft."""
+        if runner is None:
+            return
+        match outcome:
+            case Part(_, tokens, _):
+                if self._first is None:
+                    self._first = self._loop.time()
+                self._tokens += len(tokens)
+            case Completed():
+                self._note(runner, failed=False, slow=self._is_slow())
+            case _:
+                pass
+
+    def _is_slow(self) -> bool:
+        if self._first is None:
+            return False
+        if self._first - self._sent > self._route.first_seconds:
+            return True
+        spent = self._loop.time() - self._first
+        return spent > self._route.token_seconds * max(1, self._tokens)
+
+    def _note(self, runner: Runner, *, failed: bool, slow: bool) -> None:
+        self._gateway.moves.note(
+            self._row, runner, self._share, failed=failed, slow=slow
+        )
--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -13,6 +13,7 @@
 from lagoonpost.gateway.departure import move_answers
 from lagoonpost.gateway.entries import EntryLists
 from lagoonpost.gateway.load import LoadPoll
+from lagoonpost.gateway.moves import VersionMoves
 from lagoonpost.gateway.neighbours import Neighbours
 from lagoonpost.gateway.reclaim import NoticeWatch, leave_runner
 from lagoonpost.gateway.settings import GatewaySettings
@@ -62,6 +63,14 @@
             gateway, settings.host, self._leave_runner, self._be_reclaimed
         )
         self._loads = LoadPoll(gateway)
+        self._moves = VersionMoves(
+            gateway,
+            store,
+            self._neighbours.publish,
+            self._neighbours.is_current,
+        )
+        gateway.moves = self._moves
+        self._neighbours.learn(self._moves.learners)
         self._server = Server(self._handle)
         self.address = settings.listen
         self.peer_address = settings.peer_listen
@@ -88,6 +97,8 @@
         self._spawn(self._follow_phase())
         self._spawn(self._notices.run())
         self._spawn(self._loads.run())
+        self._spawn(self._moves.run())
+        self._spawn(self._moves.run_records())
         eliot.log_message(
             message_type="lagoonpost:gateway:started",
             gateway=self._settings.name,
@@ -132,7 +143,8 @@
 
     def _declare(self, declaration: Declaration) -> None:
         self._gateway.declaration = declaration
-        self._gateway.dispatcher.notify(Declared(declaration))
+        in_force = self._moves.apply(declaration)
+        self._gateway.dispatcher.notify(Declared(in_force))
 
     def _leave_runner(self, runner: str, deadline: float) -> None:
         leave_runner(self._gateway, runner, deadline - time.time())
@@ -150,7 +162,7 @@
         while gateway.phase != "leaving":
             current = self._watch.is_current()
             if gateway.phase == "starting":
-                current = current and self._neighbours.peers.current()
+                current = current and self._neighbours.is_current()
             gateway.phase = "serving" if current else _not_serving(gateway)
             await asyncio.sleep(PHASE_SECONDS)
 
--- a/lagoonpost/gateway/generation.py
+++ b/lagoonpost/gateway/generation.py
@@ -7,6 +7,7 @@
 import eliot
 
 from lagoonpost.gateway.answer import ActiveAnswer
+from lagoonpost.gateway.attempt import FAULTS, Attempt
 from lagoonpost.gateway.prompt import (
     ChatCall,
     count_prompt_tokens,
@@ -87,7 +88,11 @@
         yield runner
         return
 
+    attempt = Attempt(gateway, row, route)
+
     async def replace(failed: Runner, kind: FailureKind) -> Runner | Refuse:
+        if kind in FAULTS:
+            attempt.note_failure(failed)
         if not complete:
             return Refuse(row.id, 410, "lost", 0.0)
         if kind == "lost" and answer.relayed and answer.relayed.reached:
@@ -95,6 +100,7 @@
             # whether it may run beside others, or at all.
             gateway.quarantine.note_loss(row, failed)
         placed = await gateway.dispatcher.replace(row.id, failed.name, kind)
+        attempt.begin()
         return _find_placed(gateway, placed)
 
     order = Generation(
@@ -115,6 +121,7 @@
     async with aclosing(answer.relayed.outcomes()) as outcomes:
         async for outcome in outcomes:
             _notify(gateway, row, outcome, answer.relayed.runner)
+            attempt.note(outcome, answer.relayed.runner)
             if isinstance(outcome, Completed):
                 gateway.quarantine.note_completion(row)
             yield outcome
--- /dev/null
+++ b/lagoonpost/gateway/moves.py
@@ -0,0 +1,298 @@
+"""Carries out version moves: shares, evidence, trips and their report."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+import eliot
+import msgspec
+
+from lagoonpost.gateway.state import Gateway
+from lagoonpost.platform.store import Condition, Store, Unavailable, Write
+from lagoonpost.systems.event import Declared
+from lagoonpost.systems.move import (
+    MoveRow,
+    TooNear,
+    begin_move,
+    compute_share,
+    finish,
+)
+from lagoonpost.systems.rollout import Outcome, Report, Rollout
+from lagoonpost.tables.entity import Declaration, Move, Runner
+from lagoonpost.tables.fact import Fact
+from lagoonpost.tables.request import RequestRow
+
+TICK_SECONDS = 0.25
+# Evidence says nothing any more once its interval is judged.
+EVIDENCE_SECONDS = 30.0
+RECORD_SECONDS = 1.0
+STORE_PREFIX = "move/"
+
+
+def make_key(move: Move) -> str:
+    """Return the key of a move, the same on all gateways."""
+    return f"{move.service}/{move.ticket}"
+
+
+class VersionMoves:
+    """Drives the moves that the declaration names, on one gateway.
+
+    Every gateway does the same from the same facts, so that a move goes on
+    and ends without a controller. The store keeps its row for gateways
+    that start when no peer is left who knows it.
+
+    Args:
+        gateway: The gateway.
+        store: The platform's tables.
+        publish: Makes a fact hold on all gateways, this one included.
+        is_current: Whether peers were heard lately.
+    """
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        store: Store,
+        publish: Callable[[Fact], None],
+        is_current: Callable[[], bool],
+    ) -> None:
+        self._gateway = gateway
+        self._store = store
+        self._publish = publish
+        self._is_current = is_current
+        self._rollouts: dict[str, Rollout] = {}
+        self._rows: dict[str, MoveRow] = {}
+        self._reports: dict[str, list[Report]] = {}
+        self._shares: dict[str, float] = {}
+        self._recorded: dict[str, str] = {}
+        self._heard = time.time()
+        self.learners: dict[str, Callable[[Fact], None]] = {
+            "move_begun": self._learn_row,
+            "version_tripped": self._learn_row,
+            "move_evidence": self._learn_report,
+        }
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            if self._gateway.phase != "starting":
+                await self.tick(time.time())
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def tick(self, now: float) -> None:
+        """Begin, judge and end moves, and put their shares in force."""
+        if self._is_current():
+            self._heard = now
+        for move in self._gateway.declaration.moves:
+            key = make_key(move)
+            if key not in self._rollouts:
+                await self._begin(key, move, now)
+            if key in self._rollouts:
+                self._judge(key, now)
+        self._put_in_force(now)
+
+    async def run_records(self) -> None:
+        """Write rows to the store until cancelled.
+
+        Apart from the ticks, for a store that is slow must not keep a bad
+        version in use.
+        """
+        while True:
+            for key in tuple(self._rollouts):
+                await self._record(key)
+            await asyncio.sleep(RECORD_SECONDS)
+
+    def share(self, service: str) -> float:
+        """Return the new version's present share of a service here."""
+        return self._shares.get(service, 0.0)
+
+    def note(
+        self,
+        row: RequestRow,
+        runner: Runner,
+        share: float,
+        *,
+        failed: bool,
+        slow: bool,
+    ) -> None:
+        """Count how an attempt of a request went."""
+        outcome = Outcome(row.route, runner.version, share, failed, slow)
+        for rollout in self._find(row.service):
+            rollout.note(outcome, time.time())
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the moves for operators."""
+        now = time.time()
+        return [
+            {
+                "service": rollout.row.move.service,
+                "from": rollout.row.move.from_version,
+                "to": rollout.row.move.to_version,
+                "ticket": rollout.row.move.ticket,
+                "outcome": rollout.row.outcome,
+                "reason": rollout.row.reason,
+                "share": round(self.share(rollout.row.move.service), 4),
+                "evidence": rollout.describe_evidence(),
+                "seconds_left": round(rollout.row.move.by - now, 1),
+            }
+            for rollout in self._rollouts.values()
+        ]
+
+    def _find(self, service: str) -> list[Rollout]:
+        return [
+            rollout
+            for rollout in self._rollouts.values()
+            if rollout.row.move.service == service
+        ]
+
+    async def _begin(self, key: str, move: Move, now: float) -> None:
+        row = self._rows.get(key)
+        if row is None:
+            row = await self._read_row(key)
+        if row is None:
+            row = self._make_row(move, now)
+            body = msgspec.msgpack.encode(row)
+            # Gateways that begin at the same time publish slightly other
+            # rows; the larger one holds everywhere.
+            self._publish(Fact("move_begun", key, 1, body))
+            row = self._rows.get(key, row)
+        service = self._gateway.find_service(move.service)
+        routes = len(service.routes) if service else 1
+        self._rollouts[key] = Rollout(row, routes)
+        for report in self._reports.pop(key, ()):
+            self._rollouts[key].hear(report)
+        self._log(row)
+
+    def _make_row(self, move: Move, now: float) -> MoveRow:
+        begun = begin_move(move, now)
+        if not isinstance(begun, TooNear):
+            return begun
+        reason = f"too near; the earliest time is {begun.earliest:.0f}"
+        return MoveRow(move, now, now, "taken_back", reason, now)
+
+    def _judge(self, key: str, now: float) -> None:
+        rollout = self._rollouts[key]
+        if rollout.row.outcome != "moving":
+            return
+        name = self._gateway.settings.name
+        for report in rollout.close(name, now):
+            fact_key = f"{key}/{report.interval}/{name}"
+            body = msgspec.msgpack.encode(report)
+            end = now + EVIDENCE_SECONDS
+            self._publish(Fact("move_evidence", fact_key, 1, body, end))
+        if rollout.judge(now):
+            self._trip(key, rollout.describe_evidence(), now)
+        elif not self._has_runner(rollout.row.move):
+            self._trip(key, "no runner serves the new version", now)
+        elif finish(rollout.row, now) != rollout.row:
+            rollout.row = finish(rollout.row, now)
+            self._log(rollout.row)
+
+    def _trip(self, key: str, reason: str, now: float) -> None:
+        row = self._rollouts[key].trip(reason, now)
+        body = msgspec.msgpack.encode(row)
+        self._publish(Fact("version_tripped", key, 1, body))
+        self._log(row)
+
+    def _has_runner(self, move: Move) -> bool:
+        return any(
+            runner.service == move.service
+            and runner.version == move.to_version
+            and not self._gateway.is_leaving(runner.name)
+            for runner in self._gateway.declaration.runners
+        )
+
+    def _learn_row(self, fact: Fact) -> None:
+        row = msgspec.msgpack.decode(fact.body, type=MoveRow)
+        rollout = self._rollouts.get(fact.key)
+        if rollout is None:
+            known = self._rows.get(fact.key)
+            if known is None or known.outcome == "moving":
+                self._rows[fact.key] = row
+            return
+        if fact.kind == "move_begun":
+            # Two gateways began at once: all climb by the same row.
+            if rollout.row.outcome == "moving":
+                rollout.row = row
+        elif rollout.merge(row):
+            self._log(rollout.row)
+        self._put_in_force(time.time())
+
+    def _learn_report(self, fact: Fact) -> None:
+        report = msgspec.msgpack.decode(fact.body, type=Report)
+        service, ticket, _ = fact.key.split("/", 2)
+        key = f"{service}/{ticket}"
+        if key in self._rollouts:
+            self._rollouts[key].hear(report)
+        else:
+            self._reports.setdefault(key, []).append(report)
+
+    def _put_in_force(self, now: float) -> None:
+        """Give the decisions the shares as of now, if they changed."""
+        shares = {
+            rollout.row.move.service: self._compute(rollout.row, now)
+            for rollout in self._rollouts.values()
+        }
+        if shares == self._shares:
+            return
+        self._shares = shares
+        self._gateway.dispatcher.notify(
+            Declared(self.apply(self._gateway.declaration))
+        )
+
+    def apply(self, declaration: Declaration) -> Declaration:
+        """Return the declaration with the shares of the moves under way."""
+        wanted: dict[tuple[str, str], float] = {}
+        for rollout in self._rollouts.values():
+            move = rollout.row.move
+            share = self._shares.get(move.service, 0.0)
+            wanted[move.service, move.to_version] = share
+            wanted[move.service, move.from_version] = 1.0 - share
+        versions = tuple(
+            version._replace(
+                share=wanted.get(
+                    (version.service, version.name), version.share
+                )
+            )
+            for version in declaration.versions
+        )
+        return declaration._replace(versions=versions)
+
+    def _compute(self, row: MoveRow, now: float) -> float:
+        names = [member.name for member in self._gateway.members()]
+        me = self._gateway.settings.name
+        heard = self._heard if len(names) > 1 else now
+        return compute_share(row, me, names or [me], now, heard)
+
+    async def _read_row(self, key: str) -> MoveRow | None:
+        found = await self._store.read([STORE_PREFIX + key])
+        if isinstance(found, Unavailable) or found[0].value is None:
+            return None
+        return msgspec.convert(found[0].value, type=MoveRow)
+
+    async def _record(self, key: str) -> None:
+        """Write a move's row at its beginning and its end."""
+        row = self._rollouts[key].row
+        if self._recorded.get(key) == row.outcome:
+            return
+        found = await self._store.read([STORE_PREFIX + key])
+        if isinstance(found, Unavailable):
+            return
+        if found[0].value is not None:
+            kept = msgspec.convert(found[0].value, type=MoveRow)
+            if kept.outcome == row.outcome:
+                self._recorded[key] = row.outcome
+                return
+        condition = Condition(STORE_PREFIX + key, found[0].version)
+        write = Write(STORE_PREFIX + key, msgspec.to_builtins(row))
+        await self._store.transact([condition], [write])
+
+    def _log(self, row: MoveRow) -> None:
+        eliot.log_message(
+            message_type="lagoonpost:gateway:version_move",
+            service=row.move.service,
+            ticket=row.move.ticket,
+            to=row.move.to_version,
+            outcome=row.outcome,
+            reason=row.reason,
+        )
--- a/lagoonpost/gateway/neighbours.py
+++ b/lagoonpost/gateway/neighbours.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
@@ -38,7 +38,7 @@
         self._watch: Watch | None = None
         self.peers: Peers
         self._accepted_by = ""
-        gateway.quarantine = QuarantineDesk(gateway, self._publish)
+        gateway.quarantine = QuarantineDesk(gateway, self.publish)
         self._learners: dict[str, Callable[[Fact], None]] = {
             "crash_seen": gateway.quarantine.learn,
             "poison_verdict": gateway.quarantine.learn,
@@ -72,9 +72,18 @@
         self._gateway.members = self.list_entries
         return address
 
-    def _publish(self, fact: Fact) -> None:
+    def publish(self, fact: Fact) -> None:
+        """Make a fact hold on all gateways."""
         self.peers.publish(fact)
 
+    def is_current(self) -> bool:
+        """Return whether the facts here are as new as the others'."""
+        return self.peers.current()
+
+    def learn(self, learners: Mapping[str, Callable[[Fact], None]]) -> None:
+        """Have facts of more kinds told to ``learners``."""
+        self._learners.update(learners)
+
     def publish_ticket(self, record: TicketRecord) -> None:
         """Tell all that a newer declaration was accepted here."""
         name = self.peers.me.name.encode()
--- a/lagoonpost/gateway/plain.py
+++ b/lagoonpost/gateway/plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from lagoonpost.gateway.attempt import FAULTS, Attempt
 from lagoonpost.gateway.booking import BookingCall
 from lagoonpost.gateway.prompt import count_prompt_tokens
 from lagoonpost.gateway.state import Gateway, find_route, make_request_id
@@ -12,7 +13,7 @@
     Response,
     parse_address,
 )
-from lagoonpost.http.problem import make_problem
+from lagoonpost.http.problem import make_problem, read_execution
 from lagoonpost.systems.event import (
     AttemptFailed,
     Dispatch,
@@ -25,6 +26,9 @@
 PREFIX = "/v1/services/"
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 PASSED_HEADERS = frozenset({"content-type", "accept", "accept-language"})
+# Part of a route's timeout that one runner has for a call that may be
+# repeated.
+TRY_PART = 1 / 3
 HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length"}
 )
@@ -87,6 +91,7 @@
 ) -> Response:
     until = row.arrived + route.timeout
     placed = await gateway.dispatcher.place(row)
+    attempt = Attempt(gateway, row, route)
     while isinstance(placed, Dispatch):
         runner = gateway.find_runner(placed.runner)
         left = until - asyncio.get_running_loop().time()
@@ -100,12 +105,19 @@
                 "unknown",
                 retry_after=1.0,
             )
+        # A frozen runner would use up the whole time; a third of it leaves
+        # two more runners to ask, and is long beside the target.
+        timeout = min(left, route.timeout * TRY_PART)
         outcome = await _try_runner(
-            gateway, runner, row, request, target, left
+            gateway, runner, row, request, target, timeout
         )
         if isinstance(outcome, Response):
+            attempt.note_answer(runner)
             gateway.dispatcher.notify(Finished(row.id, runner.name, 1))
             return outcome
+        if outcome in FAULTS:
+            attempt.note_failure(runner)
+        attempt.begin()
         placed = await gateway.dispatcher.replace(row.id, runner.name, outcome)
     return refuse(placed)
 
@@ -142,7 +154,8 @@
     request: Request,
     target: str,
 ) -> Response:
-    used = ""
+    used: Runner | None = None
+    attempt = Attempt(gateway, row, route)
 
     async def place(failed: str | None, kind: str | None) -> Runner | Refuse:
         nonlocal used
@@ -157,7 +170,8 @@
         runner = gateway.find_runner(placed.runner)
         if runner is None:
             return Refuse(row.id, 503, "no_runner", 1.0)
-        used = runner.name
+        used = runner
+        attempt.begin()
         return runner
 
     call = BookingCall(
@@ -172,10 +186,22 @@
         timeout=route.timeout,
     )
     answer = await gateway.bookings.book(call, place)
-    gateway.dispatcher.notify(Finished(row.id, used, 1))
+    if used is not None:
+        _note_booking(attempt, used, answer)
+    gateway.dispatcher.notify(Finished(row.id, used.name if used else "", 1))
     return Response(answer.status, _answer_headers(answer), answer.body)
 
 
+def _note_booking(attempt: Attempt, runner: Runner, answer: Response) -> None:
+    # A problem of ours about a call that may have run is the runner's fault;
+    # one about a call that was not run says nothing of it.
+    execution = read_execution(answer.headers, answer.body)
+    if execution == "unknown":
+        attempt.note_failure(runner)
+    elif execution is None:
+        attempt.note_answer(runner)
+
+
 def pass_headers(request: Request, request_id: str) -> Headers:
     """Return the headers that a runner gets of the caller's."""
     kept = tuple(
--- a/lagoonpost/gateway/state.py
+++ b/lagoonpost/gateway/state.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from lagoonpost.gateway.entries import EntryLists
+    from lagoonpost.gateway.moves import VersionMoves
     from lagoonpost.gateway.quarantine import QuarantineDesk
 
 Phase = Literal["starting", "serving", "stale", "leaving"]
@@ -44,6 +45,7 @@
     bookings: Bookings
     quarantine: "QuarantineDesk"
     entries: "EntryLists"
+    moves: "VersionMoves"
 
     def __init__(self, settings: GatewaySettings) -> None:
         self.settings = settings
--- a/lagoonpost/gateway/status.py
+++ b/lagoonpost/gateway/status.py
@@ -48,6 +48,7 @@
             "members": [member._asdict() for member in gateway.members()],
             "runners": runners,
             "runner_states": states,
+            "moves": gateway.moves.describe(),
             "counts": gateway.metrics.counts,
             "answers": len(gateway.answers),
         },
--- a/lagoonpost/tables/fact.py
+++ b/lagoonpost/tables/fact.py
@@ -9,6 +9,8 @@
     "runner_leaving",
     "host_leaving",
     "version_tripped",
+    "move_begun",
+    "move_evidence",
     "poison_verdict",
     "crash_seen",
     "revision",
--- a/test/stack.py
+++ b/test/stack.py
@@ -182,7 +182,7 @@
         check = {"path": "checks/*", "class": "check", "repeatable": True}
         check |= {"first": 0.5, "timeout": 5}
         runners = {
-            name: self._declare_runner(name, place)
+            name: self.declare_runner(name, place)
             for place, name in enumerate([*self.engines, "booking-1"])
         }
         return {
@@ -201,7 +201,8 @@
             "runners": runners,
         }
 
-    def _declare_runner(self, name: str, place: int) -> dict[str, Any]:
+    def declare_runner(self, name: str, place: int) -> dict[str, Any]:
+        """Return the declaration of a runner of this stack."""
         return {
             "endpoint": str(self.addresses[name]),
             "service": "booking" if name == "booking-1" else "assistant",
