--- a/lagoonpost/gateway/generation.py
+++ b/lagoonpost/gateway/generation.py
@@ -93,7 +93,7 @@
         if kind == "lost" and answer.relayed and answer.relayed.reached:
             # Before the request is placed again, for the verdict decides
             # whether it may run beside others, or at all.
-            gateway.quarantine.note_loss(row, failed)
+            await gateway.quarantine.note_loss(row, failed)
         placed = await gateway.dispatcher.replace(row.id, failed.name, kind)
         return _find_placed(gateway, placed)
 
--- a/lagoonpost/gateway/quarantine.py
+++ b/lagoonpost/gateway/quarantine.py
@@ -1,5 +1,6 @@
 """Gathers lost runners and completions, and spreads what they prove."""
 
+import asyncio
 import time
 from collections.abc import Callable
 
@@ -15,6 +16,10 @@
 
 # Longer than a caller goes on resending, and a bound on what is held.
 KEEP_SECONDS = 24 * 3600.0
+# Twenty times the time that a fact takes to all gateways (10 to 25 ms over
+# loopback); the connections of a dead process are closed in no time.
+SETTLE_SECONDS = 0.5
+CLOCK_SLACK = 0.01
 # A conviction outranks each time, in milliseconds, of a completion.
 _CONVICTED = 2**62
 
@@ -34,9 +39,13 @@
         self._publish = publish
         self._cases: dict[str, Quarantine] = {}
         self._verdicts: dict[str, dict[str, str]] = {}
+        self._accused: dict[str, float] = {}
 
-    def note_loss(self, row: RequestRow, runner: Runner) -> None:
-        """Take in that a runner was lost under a request."""
+    async def note_loss(self, row: RequestRow, runner: Runner) -> None:
+        """Take in that a runner was lost under a request.
+
+        Returns when the verdict on the request stands.
+        """
         # Who left as announced was not crashed by what it ran.
         if self._gateway.is_leaving(runner.name):
             return
@@ -49,6 +58,9 @@
         body = msgspec.msgpack.encode(loss)
         self._publish(Fact("crash_seen", key, 1, body, now + KEEP_SECONDS))
         self._apply(row.service)
+        if row.fingerprint in self._accused:
+            await asyncio.sleep(SETTLE_SECONDS)
+            self._apply(row.service)
 
     def note_completion(self, row: RequestRow) -> None:
         """Take in that a request completed."""
@@ -97,6 +109,11 @@
         }
         before = self._verdicts.get(service, {})
         after = dict[str, str](case.judge(serving))
+        for fingerprint in before.keys() | after.keys():
+            if after.get(fingerprint) != "refused":
+                self._accused.pop(fingerprint, None)
+            elif not self._stands(service, fingerprint):
+                after[fingerprint] = "alone"
         self._verdicts[service] = after
         for fingerprint in before.keys() | after.keys():
             verdict = after.get(fingerprint, "free")
@@ -104,6 +121,25 @@
                 continue
             self._tell(service, fingerprint, verdict, case.avoid(fingerprint))
 
+    def _stands(self, service: str, fingerprint: str) -> bool:
+        """Tell whether a conviction is old enough to be pronounced.
+
+        Two suspects on one runner, each sent by another gateway, both look
+        as if they had been alone on it until both losses are known
+        everywhere. Without the wait the innocent one is refused for good.
+        """
+        if self._verdicts.get(service, {}).get(fingerprint) == "refused":
+            return True
+        if self._cases[service].is_refused(fingerprint):
+            return True
+        loop = asyncio.get_running_loop()
+        since = self._accused.get(fingerprint)
+        if since is None:
+            self._accused[fingerprint] = loop.time()
+            loop.call_later(SETTLE_SECONDS, self._apply, service)
+            return False
+        return loop.time() - since >= SETTLE_SECONDS - CLOCK_SLACK
+
     def _tell(
         self,
         service: str,
@@ -121,6 +157,8 @@
             Quarantined(fingerprint, verdict, avoid)
         )
         if verdict == "refused":
+            self._accused.pop(fingerprint, None)
+            self._cases[service].refuse(fingerprint)
             key = f"{service}/{fingerprint}"
             self._publish(Fact("poison_verdict", key, _CONVICTED))
             self._give_up(fingerprint)
--- a/lagoonpost/runners/reading.py
+++ b/lagoonpost/runners/reading.py
@@ -6,7 +6,11 @@
 from lagoonpost.http.client import CallFailedError, Stream
 from lagoonpost.runners.engine import Refusal
 from lagoonpost.runners.sse import Closing, EventReader, Tokens
-from lagoonpost.systems.relay import SILENCE_FLOOR, silence_limit
+from lagoonpost.systems.relay import (
+    FIRST_SILENCE,
+    SILENCE_FLOOR,
+    silence_limit,
+)
 from lagoonpost.systems.relay_event import (
     Arrived,
     AttemptFailed,
@@ -19,9 +23,12 @@
     Rejected,
 )
 
-# A head that takes longer comes from a frozen process: a live one sends it
-# before it queues the request. One region takes milliseconds.
-HEAD_SECONDS = 1.5
+# A probe's head that takes longer comes from a frozen process: a live one
+# sends it at once, and one region takes milliseconds. A new request's head
+# waits as long as a first token: 200 requests sent at once to a runner short
+# of processor time took more than 1.5 s, and moving them all spreads the
+# overload to the next runner.
+PROBE_SECONDS = 1.5
 # Weight of the newest gap in the mean.
 GAP_WEIGHT = 0.125
 # Events read ahead of a caller who reads slowly; then reading pauses, and
@@ -86,8 +93,9 @@
 
     async def _run(self, opening: Awaitable[Stream | Refusal]) -> None:
         attempt = self._attempt
+        patience = PROBE_SECONDS if self._probing else FIRST_SILENCE
         try:
-            async with asyncio.timeout(HEAD_SECONDS):
+            async with asyncio.timeout(patience):
                 answer = await opening
         except TimeoutError:
             self._post(AttemptFailed(attempt, "lost", "unknown"))
--- a/lagoonpost/systems/gateway.py
+++ b/lagoonpost/systems/gateway.py
@@ -15,7 +15,6 @@
     dispatch_waiting,
     forget,
     land,
-    release,
     review,
     withdraw,
 )
@@ -39,7 +38,7 @@
     Resumed,
     Tick,
 )
-from lagoonpost.systems.pool import Moved, Pool, first_quota
+from lagoonpost.systems.pool import Isolation, Moved, Pool, first_quota
 from lagoonpost.systems.subset import choose_subset
 from lagoonpost.tables.entity import Declaration, Runner
 from lagoonpost.tables.load import RunnerLoad
@@ -316,7 +315,6 @@
         pool = tables.pools[request.service]
         if request.fingerprint != fingerprint or request.id in pool.flights:
             continue
-        withdraw(pool, request.id)
         _isolate(tables, pool, request, now)
     return _dispatch_all(tables, now, rng)
 
@@ -337,9 +335,21 @@
 def _isolate(
     tables: GatewayTables, pool: Pool, request: RequestRow, now: float
 ) -> None:
-    release(pool, request.id)
-    pool.alone[request.id] = tables.avoid.get(request.fingerprint, frozenset())
-    pool.moved[request.id] = Moved(request, "", False, now)
+    suspects = sorted(
+        fingerprint
+        for fingerprint, verdict in tables.verdicts.items()
+        if verdict == "alone"
+    )
+    moved = pool.moved.get(request.id)
+    accepted = moved is not None and moved.accepted
+    withdraw(pool, request.id)
+    pool.alone[request.id] = Isolation(
+        tables.avoid.get(request.fingerprint, frozenset()),
+        suspects.index(request.fingerprint),
+    )
+    # A request that had begun may wait for its runner past the time by
+    # which its first token was due; it must not be refused as late then.
+    pool.moved[request.id] = Moved(request, "", accepted, now)
 
 
 def _tick(
--- a/lagoonpost/systems/pool.py
+++ b/lagoonpost/systems/pool.py
@@ -41,6 +41,19 @@
     return max(1, math.ceil(runner.slots * part))
 
 
+class Isolation(NamedTuple):
+    """Where a suspect request should run alone.
+
+    Attributes:
+        avoid: Versions on which it was lost before.
+        turn: Its place among all suspects; gateways that know the same
+            suspects thereby send them to different runners.
+    """
+
+    avoid: frozenset[str]
+    turn: int
+
+
 class Moved(NamedTuple):
     """An accepted request that waits for another runner.
 
@@ -77,8 +90,7 @@
         used: Tokens in flight by workspace.
         bias: Seen over predicted waits, by class and workspace.
         domains: Failure domains of the declared runners.
-        alone: Suspect requests that must have a runner to themselves, and
-            the versions that each should not run on.
+        alone: Suspect requests that must have a runner to themselves.
     """
 
     service: Service
@@ -101,7 +113,7 @@
     queues: dict[RequestClass, FairQueue] = field(
         default_factory=lambda: {name: FairQueue() for name in CLASSES}
     )
-    alone: dict[str, frozenset[str]] = field(default_factory=dict)
+    alone: dict[str, Isolation] = field(default_factory=dict)
     moved: dict[str, Moved] = field(default_factory=dict)
     tried: dict[str, set[str]] = field(default_factory=dict)
     rates: Rates = field(default_factory=Rates)
--- a/lagoonpost/systems/quarantine.py
+++ b/lagoonpost/systems/quarantine.py
@@ -89,6 +89,10 @@
         """Take in that a request was convicted, here or elsewhere."""
         self._refused.add(fingerprint)
 
+    def is_refused(self, fingerprint: str) -> bool:
+        """Tell whether a conviction was taken in."""
+        return fingerprint in self._refused
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Tell whether a completion of this request is worth telling."""
         return any(loss.fingerprint == fingerprint for loss in self._counted())
--- a/lagoonpost/systems/routing.py
+++ b/lagoonpost/systems/routing.py
@@ -90,32 +90,33 @@
     """Choose a runner for a request that may run beside no other.
 
     A suspect of crashing runners is run alone, so that a crash convicts it
-    and harms no other caller. The emptiest runner is kept free of new work
-    until it is idle.
+    and harms no other caller. Its runner is kept free of new work until it is
+    idle.
 
     Returns:
         The choice, or None while the runner still has other requests.
     """
-    loads = list(pool.loads.values())
-    kept = [load for load in loads if load.exclusive == request.id]
+    loads = sorted(pool.loads.values(), key=lambda load: load.runner.name)
     tried = pool.tried.get(request.id, set())
-    avoid = pool.alone[request.id]
+    avoid, turn = pool.alone[request.id]
+    kept = [load for load in loads if load.exclusive == request.id]
+    free = [load for load in loads if load.exclusive is None]
 
-    def rank(load: RunnerLoad) -> tuple[bool, bool, bool, float]:
+    def rank(load: RunnerLoad) -> tuple[bool, bool, bool, int]:
         # A runner that was just lost is the emptiest of all, and a version
-        # on which the suspect was lost settles nothing once more.
+        # on which the suspect was lost settles nothing once more. Two
+        # suspects on one runner, each sent there by another gateway, would
+        # both look guilty of its loss, so they take turns, not the emptiest.
         return (
             load.runner.name in tried,
             load.health.state == "ejected",
             load.runner.version in avoid,
-            pool.occupancy(load, now),
+            (loads.index(load) - turn) % len(loads),
         )
 
-    if not kept:
-        kept = [load for load in loads if load.exclusive is None]
-    if not kept:
+    if not kept and not free:
         return None
-    load = min(kept, key=rank)
+    load = min(kept or free, key=rank)
     load.exclusive = request.id
     if pool.occupancy(load, now) > 0.5:
         return None
--- a/test/test_gateway_quarantine.py
+++ b/test/test_gateway_quarantine.py
@@ -16,6 +16,7 @@
     Finished,
     Quarantined,
     Refuse,
+    Tick,
 )
 from lagoonpost.systems.gateway import GatewayTables, decide
 from lagoonpost.tables.entity import (
@@ -182,3 +183,24 @@
         (action,) = play.decide(Quarantined("r1", "free"))
         assert isinstance(action, Dispatch)
         assert action.runner == other
+
+    def test_suspect_that_had_begun_is_never_late(self) -> None:
+        """A frozen runner is noticed when the first token is long due."""
+        play = _Decisions()
+        other = play.send("r2")
+        play.decide(Quarantined("r1", "alone"))
+        assert play.fail() == []
+        late = decide(play.tables, Tick(), 20.0, Random(1))
+        assert late == []
+        (action,) = play.decide(Finished("r2", other, 9))
+        assert isinstance(action, Dispatch)
+
+    def test_suspects_of_two_gateways_go_to_different_runners(self) -> None:
+        chosen = set()
+        for name in ("s1", "s2"):
+            play = _Decisions()
+            play.decide(Finished("r1", play.lost, 9))
+            play.decide(Quarantined("s1", "alone"))
+            play.decide(Quarantined("s2", "alone"))
+            chosen.add(play.send(name))
+        assert len(chosen) == 2
