Test that a conviction waits for all of its evidence

The story over processes that found it plays the race only now and then; this test gives one gateway's desk the same facts in the order that convicted an innocent draft.

--- a/test/test_gateway_quarantine.py
+++ b/test/test_gateway_quarantine.py
@@ -1,11 +1,13 @@
 """Tests of lagoonpost.gateway.quarantine over gateways and engines."""
 
 import asyncio
+import time
 from random import Random
 
 import msgspec
 from stack import CHAT, Stack, make_chat, play
 
+from lagoonpost.gateway.quarantine import SETTLE_SECONDS
 from lagoonpost.systems.event import (
     Action,
     Arrived,
@@ -19,6 +21,7 @@
     Tick,
 )
 from lagoonpost.systems.gateway import GatewayTables, decide
+from lagoonpost.systems.quarantine import Loss
 from lagoonpost.tables.entity import (
     Declaration,
     Route,
@@ -27,12 +30,14 @@
     Version,
     Workspace,
 )
+from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.request import RequestRow
 from lagoonpost_standins.engine_batch import EngineOptions
 from lagoonpost_standins.engine_fault import Faults
 from lagoonpost_standins.engine_model import answer_text
 
 MARKER = "crash me"
+POISON = "poison"
 SLOW = EngineOptions(token_rate=100.0, prefill_rate=1e6)
 TOKENS = 150
 
@@ -120,6 +125,43 @@
         play(story, gateways=2, engines=4, options=SLOW)
 
 
+def _make_fact(fingerprint: str, runner: str, now: float) -> Fact:
+    at = now + 10.0 * int(runner[-1])
+    loss = Loss(fingerprint, runner, "v1", at, 0)
+    key = f"assistant/{fingerprint}/{runner}"
+    return Fact("crash_seen", key, 1, msgspec.msgpack.encode(loss))
+
+
+class TestSettling:
+    def test_innocent_suspect_beside_the_poison_is_not_refused(self) -> None:
+        """A draft is refused for good that did nothing.
+
+        Two gateways sent it and the poison request, both suspects, to one
+        runner. The news of the draft's loss comes first.
+        """
+
+        async def story(stack: Stack) -> None:
+            gateway = stack.gateways[0]._gateway
+            learn = gateway.quarantine.learn
+            verdicts = gateway.dispatcher.tables.verdicts
+            now = time.time()
+            for fingerprint, runner in (
+                ("draft", "e1"),
+                (POISON, "e1"),
+                ("draft", "e2"),
+            ):
+                learn(_make_fact(fingerprint, runner, now))
+            assert verdicts["draft"] == "alone"
+            learn(_make_fact(POISON, "e2", now))
+            await asyncio.sleep(2 * SETTLE_SECONDS)
+            assert verdicts["draft"] == "alone"
+            learn(_make_fact(POISON, "e3", now))
+            await asyncio.sleep(2 * SETTLE_SECONDS)
+            assert verdicts == {POISON: "refused"}
+
+        play(story, engines=1)
+
+
 class _Decisions:
     """Two runners and one request that was sent to one of them."""
 
