--- a/lagoonpost/runners/engine.py
+++ b/lagoonpost/runners/engine.py
@@ -1,6 +1,6 @@
 """Client of model engines: answers, load, cache events and orders."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, TypeVar
 
 import msgspec
@@ -172,9 +172,21 @@
 
 
 async def send_order(
-    client: Client, address: Address, order: EngineOrder, timeout: float
+    client: Client,
+    address: Address,
+    order: EngineOrder,
+    timeout: float,
+    may_send: Callable[[], bool] | None = None,
 ) -> Response | None:
-    """Send an order; None if it is unknown whether it took effect."""
+    """Send an order; None if it is unknown whether it took effect.
+
+    Args:
+        client: HTTP client.
+        address: The runner's endpoint.
+        order: The order.
+        timeout: Seconds for the whole call.
+        may_send: Asked right before the first byte leaves.
+    """
     try:
         return await client.call(
             address,
@@ -183,6 +195,7 @@
             msgspec.json.encode(order),
             timeout=timeout,
             fresh=True,
+            may_send=may_send,
         )
     except CallFailedError:
         return None
