Let a leaving gateway ask for news while it still serves

Once a member has left, it is on no ring and nobody pushes to it, so it knew of no runner that left after it while its accepted drafts went on. It now compares digests with one neighbour each second. test_leaving_member_goes_on_hearing was seen red before the change; pytest test/test_gossip.py: 20 passed.

--- a/lagoonpost/systems/gossip.py
+++ b/lagoonpost/systems/gossip.py
@@ -119,21 +119,23 @@
         for row in view.detector.judge(view.members.rows, now):
             view.adopt_member(row, view.me.name, now)
         if view.me.state == "left":
-            return []
-        actions = self._probe_next(now)
+            # Nobody pushes to it any more, yet it still serves what it
+            # has accepted; so it asks.
+            return self._call_next("sync", now)
+        actions = self._call_next("probe", now)
         if not view.settled:
             actions.extend(self._join(now))
         if rng.randrange(HEAL_TICKS) == 0:
             actions.extend(self._heal(now, rng))
         return actions
 
-    def _probe_next(self, now: float) -> list[Action]:
+    def _call_next(self, purpose: Purpose, now: float) -> list[Action]:
         names = self.view.neighbours(now)
         if not names:
             return []
         self._turn += 1
         name = names[self._turn % len(names)]
-        return self._call_each((name,), "probe", now)
+        return self._call_each((name,), purpose, now)
 
     def _join(self, now: float) -> list[Action]:
         known = self._call_each(self.view.neighbours(now), "sync", now)
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -5,6 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 from peer_network import Network, start_cluster, start_settled
 
+from lagoonpost.systems.packet import Leave
 from lagoonpost.tables.fact import Fact
 
 HOUR = 3600.0
@@ -72,6 +73,21 @@
         network.run(30.0)
         assert TRIP.id in network.facts(victim)
 
+    def test_leaving_member_goes_on_hearing(self):
+        """A draft that a leaving gateway still relays is lost.
+
+        It resumed the draft at a runner that was leaving too: nobody
+        pushed it any facts once it had left the rings.
+        """
+        network = Network()
+        names = start_cluster(network, 8)
+        network.step(names[3], Leave())
+        network.run(10.0)
+        assert all(names[3] not in network.serving(name) for name in names)
+        network.publish(names[0], TRIP)
+        network.run(2.0)
+        assert TRIP.id in network.facts(names[3])
+
     def test_one_in_five_messages_lost(self):
         network = Network(loss=0.2, twice=0.2)
         names = [f"north-{number}" for number in range(12)]
