--- a/lagoonpost/cli/ticket.py
+++ b/lagoonpost/cli/ticket.py
@@ -2,115 +2,43 @@
 
 import asyncio
 import json
-import os
-import sys
-from collections.abc import Coroutine
-from enum import IntEnum
+import time
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import click
 
+from lagoonpost.cli.operator import Gateways
+from lagoonpost.cli.option import (
+    ADDRESS,
+    OPERATOR_KEY_VARIABLE,
+    ExitCode,
+    read_secret,
+)
 from lagoonpost.declarations.content import format_content
 from lagoonpost.declarations.file import load_ticket
 from lagoonpost.declarations.plan import list_changes
-from lagoonpost.http.client import CallFailedError, Client
-from lagoonpost.http.message import Address, Response, parse_address
+from lagoonpost.http.client import CallFailedError
+from lagoonpost.http.message import Address, Response
+from lagoonpost.systems.ticket import find_near_deadlines
 from lagoonpost.tables.ticket import Faults, Ticket
 
-CALL_SECONDS = 10.0
-"""Longer than a gateway tries to settle one ticket."""
 POLL_SECONDS = 0.2
-
-
-class Exit(IntEnum):
-    """Exit codes; 2 is a wrong command line, by click."""
-
-    DONE = 0
-    FAULTY = 1
-    REFUSED = 3
-    NOT_RUN = 4
-    UNKNOWN = 5
-    NOT_IN_FORCE = 6
-    NOT_FOUND = 7
-
-
-_CODES = {400: Exit.FAULTY, 422: Exit.FAULTY, 404: Exit.NOT_FOUND}
-
-
-class AddressType(click.ParamType[Address]):
-    """HOST:PORT on the command line."""
-
-    name = "HOST:PORT"
-
-    def convert(
-        self,
-        value: Any,
-        param: click.Parameter | None,
-        ctx: click.Context | None,
-    ) -> Address:
-        """Parse ``value``."""
-        if isinstance(value, Address):
-            return value
-        try:
-            return parse_address(value)
-        except ValueError as error:
-            self.fail(str(error), param, ctx)
-
-
-class Gateways:
-    """Calls the gateways with the operator's key."""
-
-    def __init__(self, entries: tuple[Address, ...], key: str) -> None:
-        self.entries = entries
-        self._headers = (
-            ("authorization", f"Bearer {key}"),
-            ("content-type", "application/json"),
-        )
-        self._client = Client()
-
-    async def call(
-        self, entry: Address, method: str, path: str, body: object = None
-    ) -> Response:
-        """Call one gateway."""
-        data = b"" if body is None else json.dumps(body).encode()
-        return await self._client.call(
-            entry, method, path, data, self._headers, timeout=CALL_SECONDS
-        )
-
-    async def call_any(
-        self, method: str, path: str, body: object = None
-    ) -> Response:
-        """Call gateways in turn until one answers other than 503.
-
-        This is safe for tickets too: the same ticket gets the same answer
-        at each gateway.
-        """
-        # The first gateway may have written before it failed. That a later
-        # one did not run the ticket must not turn "unknown" to "not run".
-        details, executions = [], set()
-        for entry in self.entries:
-            try:
-                response = await self.call(entry, method, path, body)
-            except CallFailedError as error:
-                details.append(f"{entry}: {error}")
-                executions.add("unknown" if error.sent else "not_run")
-                continue
-            if response.status != 503:
-                return response
-            problem = json.loads(response.body)
-            details.append(f"{entry}: {problem['detail']}")
-            executions.add(problem["execution"])
-        execution = "unknown" if "unknown" in executions else "not_run"
-        failure = {"detail": "; ".join(details), "execution": execution}
-        return Response(503, (), json.dumps(failure).encode())
+_CODES = {
+    400: ExitCode.FAILED,
+    422: ExitCode.FAILED,
+    404: ExitCode.NOT_FOUND,
+    409: ExitCode.REFUSED,
+}
+_T = TypeVar("_T")
 
 
 @click.group()
 @click.option(
     "--entry",
     "entries",
-    type=AddressType(),
+    type=ADDRESS,
     multiple=True,
     envvar="LAGOONPOST_ENTRIES",
     help="Gateway; give each one, so that `apply` can wait for all.",
@@ -171,7 +99,7 @@
     text = "\n".join(lines) or "nothing changes"
     _print(settings, text, {"changes": listed, "stale": stale})
     if stale:
-        sys.exit(Exit.REFUSED)
+        raise click.exceptions.Exit(ExitCode.REFUSED)
 
 
 @ticket.command()
@@ -200,7 +128,7 @@
     text = f"ticket {loaded.number}: in force at {reached} of {total} gateways"
     _print(settings, text, body)
     if reached < total:
-        sys.exit(Exit.NOT_IN_FORCE)
+        raise click.exceptions.Exit(ExitCode.NOT_IN_FORCE)
 
 
 @ticket.command()
@@ -285,24 +213,28 @@
         _print(
             settings, "\n".join(map(str, loaded.faults)), {"faults": faults}
         )
-        sys.exit(Exit.FAULTY)
+        raise click.exceptions.Exit(ExitCode.FAILED)
+    # Said before the ticket is handed in, when its time can still be changed.
+    for warning in find_near_deadlines(loaded, time.time()):
+        click.echo(f"warning: {warning}", err=True)
     return loaded
 
 
-def _run(settings: dict[str, Any], job: Any) -> Any:
+def _run(
+    settings: dict[str, Any], job: Callable[[Gateways], Awaitable[_T]]
+) -> _T:
     if not settings["entries"]:
         raise click.UsageError("give at least one --entry HOST:PORT")
-    key = _read_key()
-    gateways = Gateways(settings["entries"], key)
-    work: Coroutine[Any, Any, Any] = job(gateways)
-    return asyncio.run(work)
+    key = read_secret(OPERATOR_KEY_VARIABLE)
 
+    async def run() -> _T:
+        gateways = Gateways(settings["entries"], key)
+        try:
+            return await job(gateways)
+        finally:
+            gateways.close()
 
-def _read_key() -> str:
-    key = os.environ.get("LAGOONPOST_OPERATOR_KEY", "")
-    if not key:
-        raise click.UsageError("LAGOONPOST_OPERATOR_KEY is not set")
-    return key
+    return asyncio.run(run())
 
 
 def _read(settings: dict[str, Any], response: Response) -> dict[str, Any]:
@@ -315,16 +247,15 @@
     if body.get("execution") == "unknown":
         lines.append("Unknown outcome: hand the same ticket in again.")
     _print(settings, "\n".join(lines), body)
-    sys.exit(_choose_code(response.status, body))
+    raise click.exceptions.Exit(_choose_code(response.status, body))
 
 
-def _choose_code(status: int, body: dict[str, Any]) -> Exit:
+def _choose_code(status: int, body: dict[str, Any]) -> ExitCode:
     if status in _CODES:
         return _CODES[status]
-    if status == 409:
-        return Exit.REFUSED
-    unknown = body.get("execution") != "not_run"
-    return Exit.UNKNOWN if unknown else Exit.NOT_RUN
+    if body.get("execution") == "not_run":
+        return ExitCode.NOT_RUN
+    return ExitCode.UNKNOWN
 
 
 def _print(settings: dict[str, Any], text: str, body: object) -> None:
--- a/lagoonpost/gateway/neighbours.py
+++ b/lagoonpost/gateway/neighbours.py
@@ -24,7 +24,9 @@
 # Peers asked for a snapshot: one that is dead and one that is behind still
 # leave one that knows.
 ASKED = 3
-ASK_SECONDS = 1.5
+# Less than the watch waits for all of them (PEER_SECONDS in watch.py): one
+# silent peer must not cost the answers of the others.
+ASK_SECONDS = 0.8
 LEAVING_SECONDS = 3600.0
 HELD_SECONDS = 600.0
 
--- a/lagoonpost/gateway/tickets.py
+++ b/lagoonpost/gateway/tickets.py
@@ -1,6 +1,7 @@
 """The operators' HTTP interface: tickets and the declaration in force."""
 
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Sequence
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -17,8 +18,10 @@
 from lagoonpost.platform.declaration import format_record
 from lagoonpost.platform.store import Unavailable
 from lagoonpost.platform.ticket import Intake
+from lagoonpost.systems.ticket import find_near_deadlines
 from lagoonpost.tables.ticket import (
     Accepted,
+    Fault,
     Faults,
     NotRun,
     Refused,
@@ -47,6 +50,7 @@
         intake: Commits tickets.
         watch: What is in force on this gateway.
         publish: Sends an accepted ticket to peers, without waiting.
+        clock: Seconds since the epoch.
     """
 
     def __init__(
@@ -54,10 +58,12 @@
         intake: Intake,
         watch: Watch,
         publish: Callable[[TicketRecord], None],
+        clock: Callable[[], float] = time.time,
     ) -> None:
         self._intake = intake
         self._watch = watch
         self._publish = publish
+        self._clock = clock
 
     async def handle(self, request: Request, operator: str) -> Response:
         """Answer a request for one of this module's paths."""
@@ -86,6 +92,8 @@
         if isinstance(outcome, Accepted):
             self._watch.take(outcome.record)
             self._publish(outcome.record)
+            near = find_near_deadlines(ticket, self._clock())
+            return _accept(outcome.record, near)
         return _answer(outcome)
 
     async def show_ticket(self, number: int) -> Response:
@@ -133,12 +141,19 @@
     return plain and int(text) <= MAX_NUMBER
 
 
+def _accept(record: TicketRecord, near: Sequence[Fault]) -> Response:
+    body = format_record(record)
+    del body["objects"]
+    warnings = [str(fault) for fault in near]
+    return make_json_response(
+        200, {"outcome": "accepted", **body, "warnings": warnings}
+    )
+
+
 def _answer(outcome: TicketOutcome) -> Response:
     match outcome:
         case Accepted(record):
-            body = format_record(record)
-            del body["objects"]
-            return make_json_response(200, {"outcome": "accepted", **body})
+            return _accept(record, ())
         case Refused(reason, detail, faults):
             shown = [fault._asdict() for fault in faults]
             status = _STATUS[reason]
--- a/lagoonpost/systems/ticket.py
+++ b/lagoonpost/systems/ticket.py
@@ -8,6 +8,7 @@
     find_misfits,
     merge_objects,
 )
+from lagoonpost.systems.move import find_earliest
 from lagoonpost.tables.ticket import (
     Accepted,
     Fault,
@@ -58,6 +59,28 @@
     return Proceed(after)
 
 
+def find_near_deadlines(ticket: Ticket, now: float) -> list[Fault]:
+    """Return the moves of ``ticket`` that cannot be done by their time.
+
+    They are said and not refused: a refusal that depends on the time could
+    meet a write of the same ticket that is still under way, and the ticket
+    would be both refused and in force. Their moves end as soon as they begin
+    (`lagoonpost.systems.move.begin_move`).
+    """
+    earliest = find_earliest(now, 0.0)
+    alone = Snapshot(0, merge_objects({}, ticket.number, ticket.objects))
+    return [
+        Fault(
+            f"moves.{move.service}.by",
+            f"too near by {earliest - move.by:.0f} s, even if"
+            f" {move.to_version} is loaded; all requests stay with"
+            f" {move.from_version}",
+        )
+        for move in declare(alone).moves
+        if move.by < earliest
+    ]
+
+
 def _compare(held: TicketRecord, digest: str) -> Accepted | Refused:
     if held.digest == digest:
         return Accepted(held)
--- a/test/test_ticket.py
+++ b/test/test_ticket.py
@@ -136,6 +136,19 @@
         assert not store.rows
 
 
+class TestExamples:
+    def test_are_accepted_in_order(self) -> None:
+        tickets = [
+            load_ticket(path) for path in sorted(START.parent.glob("*.yaml"))
+        ]
+        outcomes = submit(
+            MemoryStore(),
+            *[ticket for ticket in tickets if isinstance(ticket, Ticket)],
+        )
+        assert len(outcomes) == 3
+        assert set(map(name, outcomes)) == {"Accepted"}
+
+
 class TestMoveOverlap:
     def test_parts_of_a_declared_move_change_together(self) -> None:
         """An operator drops a version's old share while it is moving.
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -10,7 +10,8 @@
 from click.testing import CliRunner, Result
 from memory_store import MemoryStore
 
-from lagoonpost.cli.ticket import Exit, ticket
+from lagoonpost.cli.option import ExitCode
+from lagoonpost.cli.ticket import ticket
 from lagoonpost.gateway.tickets import TicketHandlers
 from lagoonpost.gateway.watch import Watch
 from lagoonpost.http.message import Address, Request
@@ -79,11 +80,11 @@
 class TestCommand:
     def test_apply_counts_the_gateways_in_force(self, site: Site) -> None:
         first = site.invoke("apply", "--wait=0", str(START))
-        assert first.exit_code == Exit.NOT_IN_FORCE
+        assert first.exit_code == ExitCode.NOT_IN_FORCE
         assert json.loads(first.stdout)["in_force"] == 1
         site.poll()
         again = site.invoke("apply", "--wait=0", str(START))
-        assert again.exit_code == Exit.DONE
+        assert again.exit_code == ExitCode.OK
         assert json.loads(again.stdout)["in_force"] == 2
 
     def test_plan_then_refused_as_taken(
@@ -100,21 +101,38 @@
         ]
         other.write_text(text)
         refused = site.invoke("apply", str(other))
-        assert refused.exit_code == Exit.REFUSED
+        assert refused.exit_code == ExitCode.REFUSED
         assert json.loads(refused.stdout)["title"] == "number_taken"
 
+    def test_deadline_too_near_is_said_at_once(
+        self, site: Site, tmp_path: Path
+    ) -> None:
+        """An operator types last month's date as a move's deadline.
+
+        The command says so before and the gateway in its answer.
+        """
+        site.invoke("apply", "--wait=0", str(START))
+        late = tmp_path / "late.yaml"
+        text = (START.parent / "2-move.yaml").read_text()
+        late.write_text(text.replace("2027-01-31", "2026-01-31"))
+        result = site.invoke("apply", "--wait=0", str(late))
+        assert "moves.booking.by: too near" in result.stderr
+        (warning,) = json.loads(result.stdout)["warnings"]
+        assert warning.startswith("moves.booking.by: too near")
+
     def test_status_and_history(self, site: Site) -> None:
-        assert site.invoke("status", "1").exit_code == Exit.NOT_FOUND
+        assert site.invoke("status", "1").exit_code == ExitCode.NOT_FOUND
         site.invoke("apply", "--wait=0", str(START))
         assert json.loads(site.invoke("status", "1").stdout)["in_force"] == 1
         tickets = json.loads(site.invoke("history").stdout)["tickets"]
         assert [record["number"] for record in tickets] == [1]
 
     @pytest.mark.parametrize(
-        ("fault", "code"), [("down", Exit.NOT_RUN), ("late", Exit.UNKNOWN)]
+        ("fault", "code"),
+        [("down", ExitCode.NOT_RUN), ("late", ExitCode.UNKNOWN)],
     )
     def test_store_failures_have_codes_of_their_own(
-        self, site: Site, fault: str, code: Exit
+        self, site: Site, fault: str, code: ExitCode
     ) -> None:
         site.store.fault = lambda call: fault if call == "transact" else ""
         result = site.invoke("apply", str(START))
@@ -130,13 +148,13 @@
         site.store.fault = lambda call: (
             next(plan) if call == "transact" else ""
         )
-        assert site.invoke("apply", str(START)).exit_code == Exit.UNKNOWN
+        assert site.invoke("apply", str(START)).exit_code == ExitCode.UNKNOWN
 
     def test_faulty_file_is_not_sent(self, site: Site, tmp_path: Path) -> None:
         faulty = tmp_path / "faulty.yaml"
         faulty.write_text("ticket: 1\n")
         result = site.invoke("apply", str(faulty))
-        assert result.exit_code == Exit.FAULTY
+        assert result.exit_code == ExitCode.FAILED
         assert not site.store.rows
 
     def test_faulty_request_is_refused_by_the_gateway(
