Find slow runners by the pace of streams that are under way

Tokens per stream are now compared with the median runner's twice a second, and probes are one in 50 requests.

The slow-runner cases now also run with five gateways.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -14,8 +14,10 @@
     Arrived,
     Declared,
     Dispatch,
+    Event,
     Finished,
     FirstToken,
+    Progress,
     Reported,
     Tick,
 )
@@ -69,11 +71,12 @@
         "arrived": [],
         "finished": [],
         "reported": [],
+        "progress": [],
         "tick": [],
     }
     now = 0.0
 
-    def run(kind: str, event: Arrived | Finished | Reported | Tick) -> None:
+    def run(kind: str, event: Event) -> None:
         begin = perf_counter()
         actions = decide(tables, event, now, rng)
         spent[kind].append(perf_counter() - begin)
@@ -92,6 +95,8 @@
         name = names[number % len(names)]
         own = tables.pools["model"].loads[name].own
         run("reported", Reported(LoadReport(name, now, own, 0, 0)))
+        if flights:
+            run("progress", Progress(*flights[-1], 1))
         if number % 5 == 0:
             run("tick", Tick())
     return {kind: median(times) * 1e6 for kind, times in spent.items()}
--- a/bench/player.py
+++ b/bench/player.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -23,6 +24,7 @@
     Finished,
     FirstToken,
     Leaving,
+    Progress,
     Reported,
     Tick,
 )
@@ -42,6 +44,7 @@
 TICK_SECONDS = 0.05
 REPORT_SECONDS = 0.25
 REPORT_LAG_SECONDS = 0.15
+PROGRESS_SECONDS = 0.1
 TOKEN_SECONDS = 0.02
 PREFILL_SECONDS = 0.0005
 BLOCK = 64
@@ -122,6 +125,8 @@
     prefill: float
     decode: float
     output: int
+    begun: float = math.inf
+    told: int = 0
 
 
 @dataclass(slots=True)
@@ -159,6 +164,7 @@
         while self.waiting and len(self.running) < most:
             job = self.waiting.pop(0)
             self.running[job.id] = job
+            job.begun = self.virtual + job.prefill
             heappush(self.steps, (self.virtual + job.prefill, "first", job.id))
             end = self.virtual + job.prefill + job.decode
             heappush(self.steps, (end, "finished", job.id))
@@ -251,6 +257,7 @@
             self.send(index, Declared(declaration))
             self._tick(index)
         self._report()
+        self._show_progress()
 
     def at(self, time: float, action: Callable[[], None]) -> None:
         """Do something at a time."""
@@ -409,6 +416,19 @@
         self._open -= 1
         return Finished(job.id, name, job.output)
 
+    def _show_progress(self) -> None:
+        for fake in self.runners.values():
+            fake.advance(self.now)
+            for job in list(fake.running.values()):
+                span = max(0.0, fake.virtual - job.begun)
+                done = int(span / TOKEN_SECONDS)
+                tokens = min(done, job.output) - job.told
+                if tokens > 0:
+                    job.told += tokens
+                    name = fake.runner.name
+                    self.send(job.gateway, Progress(job.id, name, tokens))
+        self.at(self.now + PROGRESS_SECONDS, self._show_progress)
+
     def _tick(self, index: int) -> None:
         self.send(index, Tick())
         self.at(self.now + TICK_SECONDS, lambda: self._tick(index))
--- a/lagoonpost/systems/ejection.py
+++ b/lagoonpost/systems/ejection.py
@@ -8,8 +8,10 @@
 
 Evidence is the ratio of seen to expected seconds to the first part, in
 logarithms, averaged by ``GAIN``; a request that is overdue counts while it is
-still waiting. It is compared with the median runner, so that load which slows
-all of them ejects none, and at most ``MOST_EJECTED`` of the runners are out.
+still waiting. Every ``PACE_SECONDS`` the tokens per stream count likewise:
+streams that are under way show a slow runner without new requests to be
+harmed. It is compared with the median runner, so that load which slows all of
+them ejects none, and at most ``MOST_EJECTED`` of the runners are out.
 
 An ejected runner gets single probes, ``PROBE_FIRST`` to ``PROBE_LAST``
 seconds apart and at most one in ``PROBE_EVERY`` requests. One good answer
@@ -22,15 +24,19 @@
 end leave it none. Between three and seven times only ejection keeps callers
 away; and a runner that fails at once looks idle, so it draws all work.
 
-Thresholds: answers on healthy runners stay within a factor of ``RATIO`` = 3
-of the mean of their size; two answers at ten times (ln 10 x (1 - 0.6^2) =
-1.47 > ln 3) eject, a single one (0.92 < 1.10) never does. Probes at most 4 s
-apart, and a doubling per answer, bring a recovered runner back within 10 s;
-one request in 30 is less than the 5% that may be slow. A third ejected leaves
-the others at 1.5 times their work, which they bear (see headroom); beyond
-that the fault is not in single runners. The floor doesn't hold for a runner
-that lost ``LOST_MOST`` connections in a row: it is no capacity that could be
-missed, and a whole failure domain may be more than a third.
+Thresholds: at 38 ms between tokens a stream brings 13 in ``PACE_SECONDS``;
+with fewer than ``PACE_TOKENS`` expected, a third of them could be chance.
+With fewer than ``PACE_LEAST`` runners the median says nothing. Answers on
+healthy runners stay within a factor of ``RATIO`` = 3 of the mean of their
+size; two answers at ten times (ln 10 x (1 - 0.6^2) = 1.47 > ln 3) eject, a
+single one (0.92 < 1.10) never does. Probes at most 4 s apart, and a doubling
+per answer, bring a recovered runner back within 10 s. Each gateway probes by
+itself and one request in 50 is 2%: with one in 30, five gateways together
+gave a slow runner over 5% of new work. A third ejected leaves the others at
+1.5 times their work, which they bear (see headroom); beyond that the fault is
+not in single runners. The floor doesn't hold for a runner that lost
+``LOST_MOST`` connections in a row: it is no capacity that could be missed,
+and a whole failure domain may be more than a third.
 """
 
 import math
@@ -45,7 +51,7 @@
 MOST_EJECTED = 1 / 3
 PROBE_FIRST = 1.0
 PROBE_LAST = 4.0
-PROBE_EVERY = 30
+PROBE_EVERY = 50
 GROW_SECONDS = 0.5
 # An error or a cut connection counts as an answer this much too slow.
 FAILURE_RATIO = 10.0
@@ -53,6 +59,9 @@
 RATIO_MOST = 10.0
 OVERDUE_LOOKED_AT = 4
 LOST_MOST = 2
+PACE_SECONDS = 0.5
+PACE_LEAST = 3
+PACE_TOKENS = 10
 
 
 def record_outcome(
@@ -101,6 +110,36 @@
         pool.count_slots()
 
 
+def compare_pace(pool: Pool, now: float) -> None:
+    """Take in how fast each runner's streams went on since last time."""
+    seconds = now - pool.paced_at
+    if seconds < PACE_SECONDS:
+        return
+    pool.paced_at = now
+    # Tokens and stream-seconds of each runner since the last comparison.
+    seen: dict[str, tuple[int, float]] = {}
+    for load in pool.loads.values():
+        streams = load.own - len(load.awaiting)
+        if streams and load.streams:
+            spent = (streams + load.streams) / 2 * seconds
+            seen[load.runner.name] = (load.tokens, spent)
+        load.streams = streams
+        load.tokens = 0
+    if len(seen) < PACE_LEAST:
+        return
+    middle = median(tokens / spent for tokens, spent in seen.values())
+    for name, (tokens, spent) in seen.items():
+        expected = middle * spent
+        if expected < PACE_TOKENS:
+            continue
+        load = pool.loads[name]
+        ratio = min(expected / max(tokens, 1), RATIO_MOST)
+        # Streams that an ejected runner still has are no new evidence
+        # against it, but show when it has recovered.
+        if load.health.state != "ejected" or ratio < RATIO:
+            record_outcome(pool, load, ratio, now, now)
+
+
 def eject_slow(pool: Pool, now: float) -> list[str]:
     """Eject runners that are much slower than the median runner.
 
@@ -170,7 +209,8 @@
 
 def _eject(health: Health, own: int, now: float) -> None:
     again = health.state != "healthy"
-    health.ceiling = max(1.0, min(own, health.limit) / 2)
+    if health.state != "ejected":
+        health.ceiling = max(1.0, min(own, health.limit) / 2)
     health.state = "ejected"
     health.limit = 0.0
     health.score = 0.0
--- a/lagoonpost/systems/gateway.py
+++ b/lagoonpost/systems/gateway.py
@@ -19,7 +19,7 @@
     review,
     withdraw,
 )
-from lagoonpost.systems.ejection import eject_slow
+from lagoonpost.systems.ejection import compare_pace, eject_slow
 from lagoonpost.systems.event import (
     Abandoned,
     Action,
@@ -347,15 +347,20 @@
 ) -> list[Action]:
     actions: list[Action] = []
     for pool in tables.pools.values():
+        compare_pace(pool, now)
         if eject_slow(pool, now):
             actions += review(pool, now, rng)
         actions += dispatch_waiting(pool, now, rng)
     return actions
 
 
-def _ignore(
-    tables: GatewayTables, event: Event, now: float, rng: Random
+def _progress(
+    tables: GatewayTables, event: Progress, now: float, rng: Random
 ) -> list[Action]:
+    pool = _find_pool(tables, event.request_id)
+    load = pool.loads.get(event.runner) if pool else None
+    if load is not None:
+        load.tokens += event.tokens
     return []
 
 
@@ -385,7 +390,7 @@
     Reported: _report,
     CacheEvents: _note_cache,
     FirstToken: _begin,
-    Progress: _ignore,
+    Progress: _progress,
     Finished: _finish,
     AttemptFailed: _fail,
     Abandoned: _abandon,
--- a/lagoonpost/systems/pool.py
+++ b/lagoonpost/systems/pool.py
@@ -73,6 +73,7 @@
         drafts: Our drafts in flight.
         others: Other gateways' requests, as last reported.
         quota: Own requests that we may have at ``loads``.
+        paced_at: Time at which the runners' token pace was last compared.
         gap: Mean seconds from what a report measured to the next report.
         used: Tokens in flight by workspace.
         bias: Seen over predicted waits, by class and workspace.
@@ -94,6 +95,7 @@
     others: float = 0.0
     quota: float = 0.0
     gap: float = 0.0
+    paced_at: float = 0.0
     domains: int = 1
     used: dict[str, float] = field(default_factory=dict)
     bias: dict[tuple[RequestClass, str], float] = field(default_factory=dict)
--- a/lagoonpost/tables/load.py
+++ b/lagoonpost/tables/load.py
@@ -52,6 +52,9 @@
         exclusive: Request that has the runner to itself, if any.
         flights: Ids of our requests there, oldest first.
         ended: Requests that ended since ``quota`` grew, without reports.
+        tokens: Tokens that our streams there brought since ``streams`` was
+            counted.
+        streams: Streams that we had there then.
         awaiting: Those of them that have not shown a first part.
         changes: Recent changes of ``own``, to look back at a report's time.
         health: How well it answered lately.
@@ -63,6 +66,8 @@
     measured: float = -math.inf
     quota: int = 0
     ended: int = 0
+    tokens: int = 0
+    streams: int = 0
     assigned: float = 0.0
     assigned_at: float = 0.0
     exclusive: str | None = None
--- a/test/test_ejection.py
+++ b/test/test_ejection.py
@@ -19,6 +19,11 @@
     slow_when_busy,
 )
 from bench.player import Player, draw_arrivals, make_declaration
+from lagoonpost.systems.ejection import (
+    PACE_SECONDS,
+    compare_pace,
+    eject_slow,
+)
 from lagoonpost.systems.event import Dispatch
 
 
@@ -61,8 +66,11 @@
         ids=["ten", "five", "busy"],
     )
     @pytest.mark.parametrize("seed", [1, 2, 3])
-    def test_it_loses_its_work_and_gets_it_back(self, slowdown, seed):
-        _, outcomes = play_slow(slowdown, seed)
+    @pytest.mark.parametrize("gateways", [1, 5])
+    def test_it_loses_its_work_and_gets_it_back(
+        self, slowdown, seed, gateways
+    ):
+        _, outcomes = play_slow(slowdown, seed, gateways=gateways)
         assert slow_share(outcomes, SLOW_BEGIN + 2, SLOW_END) < 0.05
         before = slow_share(outcomes, 3, SLOW_BEGIN)
         after = slow_share(outcomes, SLOW_END + 10, SLOW_SECONDS)
@@ -80,3 +88,20 @@
             for runner in tables.pools["model"].loads.values():
                 assert runner.health.state == "healthy"
                 assert runner.health.since < 0
+
+    @pytest.mark.parametrize("mean", [1, 5, 50])
+    def test_few_tokens_are_no_evidence(self, mean):
+        """A healthy runner is ejected because its model is slow.
+
+        Streams of a large model bring some tokens in half a second, on one
+        runner none and on another twice as many, by chance.
+        """
+        rng = Random(1)
+        player = Player(make_declaration(6, 8))
+        pool = player.tables[0].pools["model"]
+        for step in range(2000):
+            for load in pool.loads.values():
+                load.own = load.streams = 1
+                load.tokens = sum(rng.random() < 0.1 for _ in range(mean * 10))
+            compare_pace(pool, (step + 1) * PACE_SECONDS)
+            assert eject_slow(pool, (step + 1) * PACE_SECONDS) == []
