--- a/bench/system.py
+++ b/bench/system.py
@@ -97,6 +97,7 @@
         services: Number of booking runners.
         engine_options: Further arguments of the engines.
         slots: Requests that each runner is declared to run side by side.
+        controllers: Number of controllers.
     """
 
     def __init__(
@@ -106,6 +107,7 @@
         services: int = 2,
         engine_options: tuple[str, ...] = (),
         slots: int = 8,
+        controllers: int = 0,
     ) -> None:
         self._slots = slots
         self._folder = tempfile.TemporaryDirectory(prefix="lagoonpost-")
@@ -114,6 +116,7 @@
         self.engines = [f"engine-{n + 1}" for n in range(engines)]
         self.services = [f"booking-{n + 1}" for n in range(services)]
         self.gateways = [f"gateway-{n + 1}" for n in range(gateways)]
+        self.controllers = [f"controller-{n + 1}" for n in range(controllers)]
         names = ["platform", *self.engines, *self.services, *self.gateways]
         for name in names:
             self.addresses[name] = Address("127.0.0.1", find_port())
@@ -127,12 +130,14 @@
             self._add_standin(name, "service", "--name", name)
         for number, name in enumerate(self.gateways):
             self._add_gateway(name, DOMAINS[number % len(DOMAINS)])
+        for number, name in enumerate(self.controllers):
+            self._add_controller(name, DOMAINS[number % len(DOMAINS)])
 
     def start(self) -> None:
         """Start all processes, hand in the first ticket, wait for ready."""
         for process in self.processes.values():
             process.start()
-        for name in self.processes:
+        for name in self.addresses:
             self.wait_listening(name)
         self._apply_ticket()
 
@@ -189,6 +194,14 @@
                 arguments += ["--seed-peer", str(self._peers[other])]
         self._add(name, arguments)
 
+    def _add_controller(self, name: str, domain: str) -> None:
+        arguments = ["lagoonpost", "controller", "--name", name]
+        arguments += ["--platform", str(self.addresses["platform"])]
+        arguments += ["--failure-domain", domain]
+        for seed in self._peers.values():
+            arguments += ["--seed-peer", str(seed)]
+        self._add(name, arguments)
+
     def _add(self, name: str, arguments: list[str]) -> None:
         log = Path(self._folder.name) / f"{name}.log"
         self.processes[name] = Process(name, arguments, log)
--- a/lagoonpost/cli/gateway.py
+++ b/lagoonpost/cli/daemon.py
@@ -1,4 +1,4 @@
-"""The ``gateway`` and ``settings`` commands: settings in, daemon up."""
+"""The ``gateway``, ``controller`` and ``settings`` commands."""
 
 import asyncio
 import os
@@ -10,10 +10,13 @@
 import eliot
 
 from lagoonpost.cli.option import ExitCode, fail
+from lagoonpost.controller.daemon import ControllerDaemon
 from lagoonpost.gateway.daemon import GatewayDaemon
-from lagoonpost.gateway.settings import (
+from lagoonpost.settings import (
     SECRETS,
+    ControllerSettings,
     GatewaySettings,
+    Settings,
     read_settings,
 )
 
@@ -41,45 +44,61 @@
 
 
 def make_variable(parameter: str) -> str:
-    """Return the environment variable of a gateway setting."""
+    """Return the environment variable of a setting."""
     return f"LAGOONPOST_{parameter.upper()}"
 
 
-def _gateway_options(command: Command) -> Command:
-    for flag, parameter, text in reversed(_OPTIONS):
-        command = click.option(
-            flag,
-            parameter,
-            multiple=parameter in _REPEATED,
-            envvar=make_variable(parameter),
-            show_envvar=True,
-            help=text,
-        )(command)
-    return command
+def _add_options(fields: tuple[str, ...]) -> Callable[[Command], Command]:
+    def decorate(command: Command) -> Command:
+        for flag, parameter, text in reversed(_OPTIONS):
+            if parameter in fields:
+                command = click.option(
+                    flag,
+                    parameter,
+                    multiple=parameter in _REPEATED,
+                    envvar=make_variable(parameter),
+                    show_envvar=True,
+                    help=text,
+                )(command)
+        return command
+
+    return decorate
 
 
 @click.command()
-@_gateway_options
+@_add_options(GatewaySettings._fields)
 def gateway(**values: Any) -> None:
     """Run a gateway until SIGTERM.
 
     Example: lagoonpost gateway --name gw-1 --listen 127.0.0.1:8101
     --platform 127.0.0.1:8201, with LAGOONPOST_SIGNING_KEY set
     """
-    settings = _check(values)
+    checked = _check(GatewaySettings, values)
     eliot.to_file(sys.stdout)
-    asyncio.run(_run(settings))
+    asyncio.run(_run_gateway(checked))
 
 
 @click.command()
-@_gateway_options
+@_add_options(ControllerSettings._fields)
+def controller(**values: Any) -> None:
+    """Run a controller until SIGTERM.
+
+    Example: lagoonpost controller --name ct-1 --platform 127.0.0.1:8201
+    """
+    checked = _check(ControllerSettings, values)
+    eliot.to_file(sys.stdout)
+    asyncio.run(_run_controller(checked))
+
+
+@click.command()
+@_add_options(GatewaySettings._fields)
 @click.pass_context
 def settings(context: click.Context, /, **values: Any) -> None:
     """Print the gateway settings in force and where each comes from.
 
     Example: lagoonpost settings --name gw-1 --listen 127.0.0.1:8101
     """
-    checked = _check(values)
+    checked = _check(GatewaySettings, values)
     for name, value in checked._asdict().items():
         origin = _find_origin(context, name, values.get(name))
         shown = "(secret)" if name in SECRETS else _format(value)
@@ -93,10 +112,11 @@
     return source.name.lower() if source and value else "default"
 
 
-def _check(values: dict[str, Any]) -> GatewaySettings:
-    # Not a flag: the arguments of a process are for all to see.
-    values["signing_key"] = os.environ.get(SIGNING_KEY_VARIABLE)
-    checked = read_settings(values)
+def _check(kind: type[Settings], values: dict[str, Any]) -> Settings:
+    if "signing_key" in kind._fields:
+        # Not a flag: the arguments of a process are for all to see.
+        values["signing_key"] = os.environ.get(SIGNING_KEY_VARIABLE)
+    checked = read_settings(kind, values)
     if isinstance(checked, list):
         lines = "\n  ".join(str(fault) for fault in checked)
         raise fail(f"wrong settings\n  {lines}", ExitCode.USAGE)
@@ -109,5 +129,10 @@
     return "-" if value in (None, "") else str(value)
 
 
-async def _run(settings: GatewaySettings) -> None:
-    await GatewayDaemon(settings).run()
+# A daemon is made within its loop, which its parts ask for.
+async def _run_gateway(checked: GatewaySettings) -> None:
+    await GatewayDaemon(checked).run()
+
+
+async def _run_controller(checked: ControllerSettings) -> None:
+    await ControllerDaemon(checked).run()
--- a/lagoonpost/cli/main.py
+++ b/lagoonpost/cli/main.py
@@ -3,12 +3,13 @@
 import click
 
 from lagoonpost.cli.ask import ask, book, check
+from lagoonpost.cli.daemon import controller, gateway, settings
 from lagoonpost.cli.entries import entries, status
-from lagoonpost.cli.gateway import gateway, settings
 from lagoonpost.cli.ticket import ticket
 
 COMMANDS: tuple[click.Command, ...] = (
     gateway,
+    controller,
     ask,
     book,
     check,
--- /dev/null
+++ b/lagoonpost/controller/daemon.py
@@ -0,0 +1,132 @@
+"""The controller process: leases, orders to runners and the sweep."""
+
+import asyncio
+import signal
+from collections.abc import Collection, Sequence
+
+import eliot
+import xxhash
+
+from lagoonpost.controller.loop import Controller
+from lagoonpost.controller.order import Orders
+from lagoonpost.controller.sweep import SHARD as SWEEP_SHARD
+from lagoonpost.controller.sweep import sweep_ledger
+from lagoonpost.gateway.watch import Watch
+from lagoonpost.http.client import Client
+from lagoonpost.peers.node import Peers, PeerSettings
+from lagoonpost.platform.lease import LeaseKeeper
+from lagoonpost.platform.table import TableStore
+from lagoonpost.settings import ControllerSettings
+from lagoonpost.systems.order import Wanted
+from lagoonpost.tables.entity import Declaration, Runner
+from lagoonpost.tables.fact import Fact
+from lagoonpost.tables.peer import Member
+
+# Enough that at 320 controllers no one of them has a large part of 2,800
+# runners, and few enough that leases cost the store under 10 writes a second.
+RUNNER_SHARDS = 16
+RUNNER_PREFIX = "runners-"
+RECONCILE_SECONDS = 1.0
+
+
+class ControllerDaemon:
+    """One controller, from its settings to its end."""
+
+    def __init__(self, settings: ControllerSettings) -> None:
+        self._settings = settings
+        self._client = Client()
+        self._store = TableStore(self._client, settings.platform)
+        self._declaration = Declaration()
+        self._watch = Watch(self._store, self._declare)
+        self._peers = Peers(
+            PeerSettings(
+                name=settings.name,
+                role="controller",
+                region=settings.region,
+                failure_domain=settings.failure_domain,
+                address=settings.peer_listen,
+                seeds=settings.seeds,
+            ),
+            self._learn_facts,
+            self._learn_members,
+        )
+        shards = [f"{RUNNER_PREFIX}{n}" for n in range(RUNNER_SHARDS)]
+        self._controller = Controller(
+            self._store,
+            settings.name,
+            [*shards, SWEEP_SHARD],
+            self._work,
+            self._list_live,
+        )
+
+    async def run(self) -> None:
+        """Work until SIGTERM, then release all leases."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        await self._peers.start()
+        watching = asyncio.create_task(self._watch.run())
+        eliot.log_message(
+            message_type="lagoonpost:controller:started",
+            controller=self._settings.name,
+        )
+        try:
+            await self._controller.run(stop)
+        finally:
+            watching.cancel()
+            await self._peers.close()
+            self._client.close()
+
+    def _declare(self, declaration: Declaration) -> None:
+        self._declaration = declaration
+
+    def _learn_facts(self, facts: Sequence[Fact]) -> None:
+        for fact in facts:
+            if fact.kind == "revision":
+                self._watch.hear(fact.rank)
+
+    def _learn_members(self, members: Sequence[Member]) -> None:
+        """Ignore changes: the live members are read when needed."""
+
+    def _list_live(self) -> Collection[str]:
+        return [
+            member.name
+            for member in self._peers.members()
+            if member.role == "controller"
+        ]
+
+    async def _work(self, shard: str, keeper: LeaseKeeper) -> None:
+        if shard == SWEEP_SHARD:
+            await sweep_ledger(self._store, keeper)
+            return
+        orders = Orders(self._client, keeper)
+        while keeper.is_held():
+            # A controller that has not caught up would order runners back
+            # to what an earlier declaration wanted.
+            if self._watch.is_current():
+                runners = self._list_runners(shard)
+                wanted = {
+                    runner.name: Wanted((runner.version,))
+                    for runner in runners
+                }
+                await orders.reconcile(runners, wanted)
+            await asyncio.sleep(RECONCILE_SECONDS)
+
+    def _list_runners(self, shard: str) -> list[Runner]:
+        models = {
+            service.name
+            for service in self._declaration.services
+            if service.kind == "model"
+        }
+        return [
+            runner
+            for runner in self._declaration.runners
+            if runner.service in models and choose_shard(runner.name) == shard
+        ]
+
+
+def choose_shard(runner: str) -> str:
+    """Return the shard that a runner belongs to, the same everywhere."""
+    number = xxhash.xxh3_64_intdigest(runner.encode()) % RUNNER_SHARDS
+    return f"{RUNNER_PREFIX}{number}"
--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -16,7 +16,6 @@
 from lagoonpost.gateway.moves import VersionMoves
 from lagoonpost.gateway.neighbours import Neighbours
 from lagoonpost.gateway.reclaim import NoticeWatch, leave_runner
-from lagoonpost.gateway.settings import GatewaySettings
 from lagoonpost.gateway.state import Gateway
 from lagoonpost.gateway.tickets import TicketHandlers
 from lagoonpost.gateway.watch import Watch
@@ -25,6 +24,7 @@
 from lagoonpost.platform.ledger import Ledger
 from lagoonpost.platform.table import TableStore
 from lagoonpost.platform.ticket import Intake
+from lagoonpost.settings import GatewaySettings
 from lagoonpost.systems.event import Declared
 from lagoonpost.tables.entity import Declaration
 
--- a/lagoonpost/gateway/neighbours.py
+++ b/lagoonpost/gateway/neighbours.py
@@ -9,12 +9,12 @@
 from lagoonpost.gateway.answer import Held
 from lagoonpost.gateway.quarantine import QuarantineDesk
 from lagoonpost.gateway.reclaim import leave_runner
-from lagoonpost.gateway.settings import GatewaySettings
 from lagoonpost.gateway.state import EntryMember, Gateway
 from lagoonpost.gateway.watch import Watch
 from lagoonpost.http.message import Address
 from lagoonpost.peers.message import Document, HandOver
 from lagoonpost.peers.node import Peers, PeerSettings
+from lagoonpost.settings import GatewaySettings
 from lagoonpost.systems.event import Peered
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.peer import Member
--- a/lagoonpost/gateway/state.py
+++ b/lagoonpost/gateway/state.py
@@ -10,10 +10,10 @@
 from lagoonpost.gateway.booking import Bookings
 from lagoonpost.gateway.dispatcher import Dispatcher
 from lagoonpost.gateway.metrics import Metrics
-from lagoonpost.gateway.settings import GatewaySettings
 from lagoonpost.gateway.tickets import TicketHandlers
 from lagoonpost.http.client import Client
 from lagoonpost.runners.kv import KvMover
+from lagoonpost.settings import GatewaySettings
 from lagoonpost.tables.entity import (
     Declaration,
     Route,
--- a/lagoonpost/gateway/settings.py
+++ b/lagoonpost/settings.py
@@ -1,8 +1,8 @@
-"""The gateway's settings, checked all at once."""
+"""Settings of the daemons, checked all at once."""
 
 import re
 from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from lagoonpost.http.message import Address, parse_address
 
@@ -49,6 +49,17 @@
     seed: int | None = None
 
 
+class ControllerSettings(NamedTuple):
+    """How one controller runs; the fields mean what a gateway's do."""
+
+    name: str
+    platform: Address
+    peer_listen: Address = Address("127.0.0.1", 0)
+    seeds: tuple[Address, ...] = ()
+    region: str = "r1"
+    failure_domain: str = "a"
+
+
 class SettingFault(NamedTuple):
     """One wrong setting, with its value unless that is a secret."""
 
@@ -113,21 +124,23 @@
     "statsd": _ADDRESS,
     "seed": _Rule(int, "a whole number"),
 }
-_REQUIRED = ("name", "listen", "platform", "signing_key")
+Settings = TypeVar("Settings", GatewaySettings, ControllerSettings)
 
 
 def read_settings(
+    kind: type[Settings],
     values: Mapping[str, str | tuple[str, ...] | None],
-) -> GatewaySettings | list[SettingFault]:
+) -> Settings | list[SettingFault]:
     """Check all values and return the settings, or every fault.
 
     Args:
+        kind: The daemon's settings; fields without a default are required.
         values: Text by setting; None or empty for one that is not given.
     """
     faults: list[SettingFault] = []
     read: dict[str, Any] = {}
-    for name in _REQUIRED:
-        if not values.get(name):
+    for name in kind._fields:
+        if name not in kind._field_defaults and not values.get(name):
             allowed = f"given; it has to be {_RULES[name].allowed}"
             faults.append(SettingFault(name, "", allowed))
     for name, value in values.items():
@@ -136,7 +149,7 @@
         texts = value if isinstance(value, tuple) else (value,)
         found = [_read(name, text, faults) for text in texts]
         read[name] = tuple(found) if isinstance(value, tuple) else found[0]
-    return faults or GatewaySettings(**read)
+    return faults or kind(**read)
 
 
 def _read(name: str, text: str, faults: list[SettingFault]) -> Any:
--- a/test/stack.py
+++ b/test/stack.py
@@ -10,10 +10,10 @@
 from lagoonpost.caller.client import Caller
 from lagoonpost.gateway.access import digest_key
 from lagoonpost.gateway.daemon import GatewayDaemon
-from lagoonpost.gateway.settings import GatewaySettings
 from lagoonpost.http.client import Client
 from lagoonpost.http.message import Address, Headers, Response
 from lagoonpost.http.server import Server
+from lagoonpost.settings import GatewaySettings
 from lagoonpost_standins.engine import EngineStandin
 from lagoonpost_standins.engine_batch import EngineOptions
 from lagoonpost_standins.platform import Platform
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -1,9 +1,9 @@
-"""Tests of lagoonpost.gateway.settings and the command that shows them."""
+"""Tests of lagoonpost.settings and the command that shows them."""
 
 from click.testing import CliRunner
 
 from lagoonpost.cli.main import main
-from lagoonpost.gateway.settings import GatewaySettings, read_settings
+from lagoonpost.settings import GatewaySettings, read_settings
 
 GOOD = {
     "name": "gw-1",
@@ -15,19 +15,22 @@
 
 class TestReadSettings:
     def test_reads_good_ones(self) -> None:
-        settings = read_settings({**GOOD, "seeds": ("127.0.0.1:1",)})
+        settings = read_settings(
+            GatewaySettings, {**GOOD, "seeds": ("127.0.0.1:1",)}
+        )
         assert isinstance(settings, GatewaySettings)
         assert settings.seeds[0].port == 1
 
     def test_names_every_fault_at_once(self) -> None:
         faults = read_settings(
+            GatewaySettings,
             {
                 "name": "Gw 1",
                 "listen": "127.0.0.1",
                 "signing_key": "short-secret",
                 "grace": "-1",
                 "operator_digests": ("abc",),
-            }
+            },
         )
         assert isinstance(faults, list)
         assert {fault.setting for fault in faults} == {
