--- a/bench/load.py
+++ b/bench/load.py
@@ -15,6 +15,7 @@
 # A run that is stuck ends by itself.
 LONGEST_SECONDS = 60.0
 _FIELD = b"id: "
+_REFUSED = (b"HTTP/1.1 503", b"HTTP/1.1 429")
 
 
 class LoadPlan(NamedTuple):
@@ -27,6 +28,7 @@
         seconds: How long requests arrive.
         tokens: Tokens of each answer.
         seed: Seed of the arrivals.
+        first_seconds: Target until the first token.
     """
 
     addresses: tuple[Address, ...]
@@ -35,6 +37,7 @@
     seconds: float
     tokens: int
     seed: int = 1
+    first_seconds: float = 1.9
 
 
 class LoadResult:
@@ -43,8 +46,12 @@
     def __init__(self) -> None:
         self.first = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
         self.gaps = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
+        self.refusals = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
         self.tokens = 0
+        self.sent = 0
         self.whole = 0
+        self.in_time = 0
+        self.refused = 0
         self.failed = 0
         self.elapsed = 0.0
 
@@ -57,7 +64,11 @@
             "gap_p95_ms": self.gaps.get_value_at_percentile(95) / 1e3,
             "gap_p99_ms": self.gaps.get_value_at_percentile(99) / 1e3,
             "tokens_per_second": self.tokens / self.elapsed,
+            "sent": self.sent,
             "whole": self.whole,
+            "in_time": self.in_time,
+            "refused": self.refused,
+            "refusal_p99_ms": self.refusals.get_value_at_percentile(99) / 1e3,
             "failed": self.failed,
         }
 
@@ -98,14 +109,20 @@
         return
     writer.write(request)
     seen = 0
-    whole = False
+    first = 0.0
+    whole = refused = False
     try:
         # Counting bytes costs the load tool a tenth of what parsing would,
         # so that it is not what is measured.
         while data := await reader.read(65536):
             now = time.perf_counter()
             count = data.count(_FIELD)
+            if not seen and data.startswith(_REFUSED):
+                refused = True
+                result.refusals.record_value(int((now - started) * 1e6))
+                break
             if count and not seen:
+                first = now - started
                 result.first.record_value(int((now - started) * 1e6))
             elif count:
                 gap = max(1, int((now - last) * 1e6 / count))
@@ -120,9 +137,12 @@
         pass
     finally:
         writer.close()
+    result.sent += 1
     result.tokens += seen
     result.whole += whole
-    result.failed += not whole
+    result.in_time += whole and first <= plan.first_seconds
+    result.refused += refused
+    result.failed += not (whole or refused)
 
 
 def _make_request(plan: LoadPlan, address: Address, number: int) -> bytes:
