--- a/lagoonpost/gateway/neighbours.py
+++ b/lagoonpost/gateway/neighbours.py
@@ -10,7 +10,7 @@
 from lagoonpost.gateway.quarantine import QuarantineDesk
 from lagoonpost.gateway.reclaim import leave_runner
 from lagoonpost.gateway.state import EntryMember, Gateway
-from lagoonpost.gateway.watch import Watch
+from lagoonpost.gateway.watch import PEER_SECONDS, Watch
 from lagoonpost.http.message import Address
 from lagoonpost.peers.message import Document, HandOver
 from lagoonpost.peers.node import Peers, PeerSettings
@@ -24,9 +24,9 @@
 # Peers asked for a snapshot: one that is dead and one that is behind still
 # leave one that knows.
 ASKED = 3
-# Less than the watch waits for all of them (PEER_SECONDS in watch.py): one
-# silent peer must not cost the answers of the others.
-ASK_SECONDS = 0.8
+# Less than the watch waits for all of them: one silent peer must not cost
+# the answers of the others.
+ASK_SECONDS = 0.8 * PEER_SECONDS
 LEAVING_SECONDS = 3600.0
 HELD_SECONDS = 600.0
 
