--- a/test/test_relay.py
+++ b/test/test_relay.py
@@ -23,6 +23,7 @@
 from lagoonpost.systems.relay_event import (
     Action,
     Arrived,
+    Attached,
     AttemptFailed,
     Cancel,
     Closed,
@@ -140,9 +141,15 @@
     def reading(self) -> bool:
         return self.relay.phase not in (Phase.PLACING, Phase.ENDED)
 
-    @initialize()
-    def start(self) -> None:
-        self.feed(Placed(_runner("e0")))
+    @initialize(attach=st.booleans())
+    def start(self, attach: bool) -> None:
+        if attach:
+            # Another gateway began it; this one reads on at its runner.
+            self.engine = _Engine(1, 0)
+            self.engine.made = 3
+            self.feed(Attached(_runner("e0")))
+        else:
+            self.feed(Placed(_runner("e0")))
 
     @precondition(lambda self: self.reading())
     @rule(count=st.integers(1, 4))
