Let a request in while a slot is free, whatever is predicted

Played with reports once a second, five gateways overfilled the runners in their first second, learned that first parts come after the target, and then refused every request for good while all runners were idle: no answer came that could correct the estimate. The same follows any spell in which all runners are slow. A prediction now refuses only what would have to wait.

Red run: with refusal by prediction alone, test_service_recovers fails.

--- a/lagoonpost/systems/admission.py
+++ b/lagoonpost/systems/admission.py
@@ -90,17 +90,21 @@
     free = pool.free
     if is_protected(pool, request, start):
         free += protected_room(pool)
-    if free < 1 or ahead:
+    idle = free >= 1 and not ahead
+    if not idle:
         # With all slots full, the next one is a mean request's part away.
         wait = (ahead + pool.rates.mean_cost) / drain
     bias = pool.bias.get((request.request_class, request.workspace), 1.0)
     number = max(1.0, ahead / pool.rates.mean_cost)
     longest = wait * bias * (1.0 + DEVIATIONS / math.sqrt(number))
-    if now + longest + first > request.deadline:
+    # While a slot is free a request is let in whatever is predicted. If one
+    # slow spell makes every prediction miss its target, nothing would run
+    # any more, and nothing would ever correct the prediction.
+    if not idle and now + longest + first > request.deadline:
         delay = pool.promises.add(cost, ahead, drain, now)
         status, reason = _blame(queue, request.workspace)
         return Refuse(request.id, status, reason, spread_delay(delay, rng))
-    latest = request.deadline - first
+    latest = max(request.deadline - first, now)
     return Waiting(request, cost, start, latest, now, wait)
 
 
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -70,6 +70,23 @@
         assert good_part(o for o in outcomes if o.arrived >= 10.0) >= 0.99
 
 
+class TestSlowSpell:
+    """A service refuses everyone although its runners are idle.
+
+    All runners are slow for a while, so that every answer begins after its
+    target. What was learned then says that no target can be met; if all are
+    refused for it, no answer ever says otherwise.
+    """
+
+    def test_service_recovers(self):
+        player = Player(make_declaration(RUNNERS, SLOTS))
+        for fake in player.runners.values():
+            fake.slowdown = lambda now, _: 30.0 if 3.0 <= now < 8.0 else 1.0
+        calls = draw_arrivals(Random(1), CAPACITY * 0.5, 0.0, 30.0, CHECK)
+        outcomes = player.play(calls, 120.0)
+        assert good_part(o for o in outcomes if o.arrived >= 13.0) >= 0.99
+
+
 class TestHeavyWorkspace:
     """A small caller waits because another one sends ten times its share."""
 
