Wait for a frozen process to stand; take ports below the outgoing range

Cause: two faults of the stories' scaffolding. SIGSTOP takes effect a moment later, so that the ticket command sometimes waited 30 s for the gateway that was being frozen (seen twice in full runs on a loaded machine); and a port of the outgoing range was taken again before its process listened (once). Ruled out: a longer limit, which would only have made it rarer.

--- a/bench/system.py
+++ b/bench/system.py
@@ -2,12 +2,14 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+from contextlib import suppress
 from http.client import HTTPConnection
 from pathlib import Path
 from typing import IO
@@ -20,14 +22,24 @@
 OPERATOR_KEY = "operator-key"
 DOMAINS = ("domain-a", "domain-b", "domain-c")
 START_SECONDS = 30.0
+PORTS = (15000, 32000)
+_given: set[int] = set()
 
 
 def find_port() -> int:
-    """Return a TCP port that is free on loopback now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a TCP port that is free on loopback now.
+
+    It lies below the range that the kernel takes for outgoing connections:
+    one from that range is sometimes taken again before it is listened on.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        if port in _given:
+            continue
+        _given.add(port)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 class Process:
@@ -70,6 +82,12 @@
         assert self._popen is not None
         return self._popen.wait(timeout)
 
+    def freeze(self) -> None:
+        """Stop the process as SIGSTOP does, and wait until it stands."""
+        self.send(signal.SIGSTOP)
+        while not self.is_frozen():
+            time.sleep(0.01)
+
     def is_frozen(self) -> bool:
         """Tell whether the process is stopped or has ended."""
         status = psutil.Process(self.pid).status()
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -209,7 +209,7 @@
         call(system, "gateway-3", "GET", CHECK, key="market-key")
     )
     assert answer.status == 200, answer
-    system.processes["gateway-3"].send(signal.SIGSTOP)
+    system.processes["gateway-3"].freeze()
     path = system.write_file(
         "2.yaml",
         "ticket: 2\nreason: market leaves\n"
--- a/lagoonpost/systems/shard.py
+++ b/lagoonpost/systems/shard.py
@@ -11,9 +11,9 @@
 rank contend: each contender reads the row 696 times an hour (bench/store),
 and 320 controllers that all contend for 17 shards would read 1,050 rows a
 second, half of what the store has for everything. Four that are dead and
-still listed delay a shard until membership drops them, some 9 s. A holder that is not the
-preferred one hands over after ``STAY`` seconds, four leases, so that a
-flapping list costs at most one short gap a minute.
+still listed delay a shard until membership drops them, some 9 s. A holder
+that is not the preferred one hands over after ``STAY`` seconds, four leases,
+so that a flapping list costs at most one short gap a minute.
 """
 
 from collections.abc import Collection
