Describe peers: ways weighed, measured costs, what operators see

bench/gossip.py now also counts open connections and tells mean from most memory.

A region lost for good is judged by the first process that starts there: test seen red with verdicts switched off.

--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -62,6 +62,8 @@
         times = self.usage.cpu_times()
         report["cpu"] = times.user + times.system
         report["rss"] = self.usage.memory_info().rss / 1e6
+        open_now = self.usage.net_connections(kind="tcp")
+        report["open"] = sum(row.status == "ESTABLISHED" for row in open_now)
         return report
 
     async def stop(self) -> None:
@@ -182,7 +184,9 @@
         "max bytes/s": max(traffic),
         "core %": statistics.mean(cores),
         "max core %": max(cores),
-        "RSS MB": max(row["rss"] for row in third),
+        "RSS MB": statistics.mean(row["rss"] for row in third),
+        "max RSS MB": max(row["rss"] for row in third),
+        "max open": max(row["open"] for row in third),
         "B/fact": (statistics.mean(burst) - quiet) / plan.burst,
         "median s": statistics.median(spread),
         "all s": max(spread),
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -287,6 +287,21 @@
         assert len(facts) == 61
         assert "south-5" not in network.serving(names[0])
 
+    def test_lost_region_is_judged_by_its_first_new_member(self):
+        """Callers are sent to a region that is gone for good.
+
+        No other region judges its members, and none of them is left to.
+        """
+        network = Network()
+        names = start_cluster(network, 8, ("north", "south"))
+        for name in names[8:]:
+            network.kill(name)
+        network.run(60.0)
+        assert len(network.serving(names[0])) == 16
+        network.start("south-new", names[:1], "south")
+        network.run(60.0)
+        network.check_converged()
+
     def test_halves_of_a_region_find_each_other(self):
         """Two entry lists go on side by side for good.
 
