Tell the decisions the pace of streams; name peering by its term

Cause: the decisions now judge a runner by the pace of streams under way as well, and the gateway no longer told them of progress, so a runner that slows down within its answers was not ejected over processes.

--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -14,7 +14,7 @@
 from lagoonpost.gateway.entries import EntryLists
 from lagoonpost.gateway.load import LoadPoll
 from lagoonpost.gateway.moves import VersionMoves
-from lagoonpost.gateway.neighbours import Neighbours
+from lagoonpost.gateway.peering import Peering
 from lagoonpost.gateway.reclaim import NoticeWatch, leave_runner
 from lagoonpost.gateway.state import Gateway
 from lagoonpost.gateway.tickets import TicketHandlers
@@ -47,17 +47,15 @@
         self._settings = settings
         gateway = self._gateway = Gateway(settings)
         store = TableStore(gateway.client, settings.platform)
-        self._neighbours = Neighbours(settings, gateway)
-        self._watch = Watch(
-            store, self._declare, self._neighbours.ask_snapshots
-        )
-        self._neighbours.follow(self._watch)
+        self._peering = Peering(settings, gateway)
+        self._watch = Watch(store, self._declare, self._peering.ask_snapshots)
+        self._peering.follow(self._watch)
         gateway.entries = EntryLists(gateway)
         gateway.bookings = Bookings(
             Ledger(store, settings.name), gateway.client
         )
         gateway.tickets = TicketHandlers(
-            Intake(store), self._watch, self._neighbours.publish_ticket
+            Intake(store), self._watch, self._peering.publish_ticket
         )
         self._notices = NoticeWatch(
             gateway, settings.host, self._leave_runner, self._be_reclaimed
@@ -66,11 +64,11 @@
         self._moves = VersionMoves(
             gateway,
             store,
-            self._neighbours.publish,
-            self._neighbours.is_current,
+            self._peering.publish,
+            self._peering.is_current,
         )
         gateway.moves = self._moves
-        self._neighbours.learn(self._moves.learners)
+        self._peering.learn(self._moves.learners)
         self._server = Server(self._handle)
         self.address = settings.listen
         self.peer_address = settings.peer_listen
@@ -91,7 +89,7 @@
         """Listen and begin to follow the declaration."""
         self.address = await self._server.start(self._settings.listen)
         entry = self._settings.advertise or self.address
-        self.peer_address = await self._neighbours.start(entry)
+        self.peer_address = await self._peering.start(entry)
         self._gateway.dispatcher.start()
         self._spawn(self._watch.run())
         self._spawn(self._follow_phase())
@@ -127,12 +125,12 @@
             answers=len(self._gateway.answers),
             grace=grace,
         )
-        await self._neighbours.peers.leave()
+        await self._peering.peers.leave()
         await self._server.drain(grace)
-        await move_answers(self._gateway, self._neighbours)
+        await move_answers(self._gateway, self._peering)
         await self._server.close(MOVE_SECONDS)
         await self._gateway.bookings.close(MOVE_SECONDS)
-        await self._neighbours.peers.close()
+        await self._peering.peers.close()
         for task in self._tasks:
             task.cancel()
         self._gateway.dispatcher.close()
@@ -148,7 +146,7 @@
 
     def _leave_runner(self, runner: str, deadline: float) -> None:
         leave_runner(self._gateway, runner, deadline - time.time())
-        self._neighbours.publish_leaving(runner, deadline)
+        self._peering.publish_leaving(runner, deadline)
 
     def _be_reclaimed(self, deadline: float) -> None:
         left = deadline - time.time() - RECLAIM_MARGIN - MOVE_SECONDS
@@ -162,7 +160,7 @@
         while gateway.phase != "leaving":
             current = self._watch.is_current()
             if gateway.phase == "starting":
-                current = current and self._neighbours.is_current()
+                current = current and self._peering.is_current()
             gateway.phase = "serving" if current else _not_serving(gateway)
             await asyncio.sleep(PHASE_SECONDS)
 
--- a/lagoonpost/gateway/departure.py
+++ b/lagoonpost/gateway/departure.py
@@ -5,12 +5,12 @@
 import eliot
 
 from lagoonpost.gateway.answer import ActiveAnswer
-from lagoonpost.gateway.neighbours import Neighbours
+from lagoonpost.gateway.peering import Peering
 from lagoonpost.gateway.state import Gateway
 from lagoonpost.peers.message import HandOver
 
 
-async def move_answers(gateway: Gateway, neighbours: Neighbours) -> None:
+async def move_answers(gateway: Gateway, peering: Peering) -> None:
     """Hand every running answer to a peer and send its caller there.
 
     An answer that no peer takes stays here until the process ends: its
@@ -18,11 +18,11 @@
     """
     answers = tuple(gateway.answers)
     await asyncio.gather(
-        *(_move(answer, neighbours) for answer in answers),
+        *(_move(answer, peering) for answer in answers),
     )
 
 
-async def _move(answer: ActiveAnswer, neighbours: Neighbours) -> None:
+async def _move(answer: ActiveAnswer, peering: Peering) -> None:
     relayed = answer.relayed
     runner = relayed.runner if relayed is not None else None
     request = HandOver(
@@ -35,7 +35,7 @@
         deadline=0.0,
         stream=answer.call.stream,
     )
-    entry = await neighbours.hand_over(request)
+    entry = await peering.hand_over(request)
     eliot.log_message(
         message_type="lagoonpost:gateway:moved",
         request=answer.origin.request_id,
--- a/lagoonpost/gateway/generation.py
+++ b/lagoonpost/gateway/generation.py
@@ -26,6 +26,7 @@
     Dispatch,
     Finished,
     FirstToken,
+    Progress,
     Refuse,
     Resumed,
 )
@@ -135,10 +136,11 @@
 ) -> None:
     name = runner.name if runner else ""
     match outcome:
-        case Part(offset, _, at):
+        case Part(offset, tokens, at):
             if offset == 0:
                 gateway.dispatcher.notify(FirstToken(row.id, at))
                 gateway.metrics.time("first_token", _count_seconds(row))
+            gateway.dispatcher.notify(Progress(row.id, at, len(tokens)))
         case Completed(_, usage):
             count = usage.completion_tokens
             gateway.dispatcher.notify(Finished(row.id, name, count))
--- a/lagoonpost/gateway/neighbours.py
+++ b/lagoonpost/gateway/peering.py
@@ -31,7 +31,7 @@
 HELD_SECONDS = 600.0
 
 
-class Neighbours:
+class Peering:
     """Wires a gateway to its peers: facts, members, snapshots, hand-over."""
 
     def __init__(self, settings: GatewaySettings, gateway: Gateway) -> None:
--- a/test/stack.py
+++ b/test/stack.py
@@ -151,7 +151,7 @@
     async def cut(self, daemon: GatewayDaemon) -> None:
         """Close a gateway's connections at once, as a crash would."""
         await daemon._server.close(0.0)
-        await daemon._neighbours.peers.close()
+        await daemon._peering.peers.close()
 
     async def _start_gateway(self, number: int) -> None:
         seeds = tuple(daemon.peer_address for daemon in self.gateways[:1])
