Give the neighbours' tests back the name of what they test

The rename of gateway/neighbours.py to peering.py also changed choose_neighbours in test_membership.py, which lagoonpost/systems/ membership.py still has; the file could not be collected. It is again as before, no test changed. test_gossip, test_membership, test_node, test_pool: 46 passed.

--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -8,7 +8,7 @@
     RINGS,
     arrange,
     choose_links,
-    choose_peering,
+    choose_neighbours,
     condemn,
     first_incarnation,
     refute,
@@ -137,9 +137,9 @@
         assert refute(left, left._replace(state="dead"), 1.0) is None
 
 
-class TestPeering:
+class TestNeighbours:
     @given(st.integers(1, 60), st.sets(st.integers(0, 59), max_size=20))
-    def test_all_are_reached_over_peering(self, count, avoided):
+    def test_all_are_reached_over_neighbours(self, count, avoided):
         """Some gateways never hear of a change.
 
         After a loss the neighbours of those that are left form two groups
@@ -152,7 +152,7 @@
         edge = [rows[0].name]
         while edge:
             name = edge.pop()
-            near = set(choose_peering(topology, name, avoid)) - reached
+            near = set(choose_neighbours(topology, name, avoid)) - reached
             reached |= near
             edge.extend(near)
         assert reached == {row.name for row in rows} - avoid
@@ -161,7 +161,7 @@
         rows = [make_member(number) for number in range(320)]
         topology = arrange(rows, "north")
         for row in rows:
-            assert len(choose_peering(topology, row.name)) <= RINGS
+            assert len(choose_neighbours(topology, row.name)) <= RINGS
 
     def test_only_bridges_talk_to_other_regions(self):
         rows = [
