Count a lost runner once against its version, and a reclaim not at all

Cause: each request on a lost host counted against the version that ran there, so one loss of a new version's few runners could take a good one back. It counts once per runner, gateway and ten seconds now; a runner that is leaving does not count. Seen red: 20 in place of 1 without the first guard, 1 in place of 0 without the second. After: test_attempt, test_moves and test_gateway pass.

--- a/lagoonpost/gateway/attempt.py
+++ b/lagoonpost/gateway/attempt.py
@@ -10,6 +10,8 @@
 # Kinds of failure that speak against a runner's version. A refusal says
 # that it is full, and a reclaim comes from the cloud.
 FAULTS = frozenset({"failed", "lost", "silent"})
+# Of these, kinds that all requests of a runner share when it goes.
+SHARED = frozenset({"lost", "silent"})
 
 
 class Attempt:
@@ -41,8 +43,14 @@
         self._first = None
         self._tokens = 0
 
-    def note_failure(self, runner: Runner) -> None:
+    def note_failure(self, runner: Runner, kind: str) -> None:
         """Take in that the runner failed under the attempt."""
+        if kind not in FAULTS or self._gateway.is_leaving(runner.name):
+            return
+        # A lost host fails all that ran there. Counted one by one, a single
+        # loss of the new version's few runners would take a good one back.
+        if kind in SHARED and not self._gateway.moves.lose(runner.name):
+            return
         self._note(runner, failed=True, slow=False)
 
     def note_answer(self, runner: Runner) -> None:
--- a/lagoonpost/gateway/generation.py
+++ b/lagoonpost/gateway/generation.py
@@ -7,7 +7,7 @@
 import eliot
 
 from lagoonpost.gateway.answer import ActiveAnswer
-from lagoonpost.gateway.attempt import FAULTS, Attempt
+from lagoonpost.gateway.attempt import Attempt
 from lagoonpost.gateway.prompt import (
     ChatCall,
     count_prompt_tokens,
@@ -92,8 +92,7 @@
     attempt = Attempt(gateway, row, route)
 
     async def replace(failed: Runner, kind: FailureKind) -> Runner | Refuse:
-        if kind in FAULTS:
-            attempt.note_failure(failed)
+        attempt.note_failure(failed, kind)
         if not complete:
             return Refuse(row.id, 410, "lost", 0.0)
         if kind == "lost" and answer.relayed and answer.relayed.reached:
--- a/lagoonpost/gateway/moves.py
+++ b/lagoonpost/gateway/moves.py
@@ -27,6 +27,9 @@
 # Evidence says nothing any more once its interval is judged.
 EVIDENCE_SECONDS = 30.0
 RECORD_SECONDS = 1.0
+# Failures of one runner within this time are one loss of it: an answer's
+# connection is known to be lost within seconds of the others'.
+LOST_SECONDS = 10.0
 STORE_PREFIX = "move/"
 
 
@@ -65,6 +68,7 @@
         self._reports: dict[str, list[Report]] = {}
         self._shares: dict[str, float] = {}
         self._recorded: dict[str, str] = {}
+        self._lost: dict[str, float] = {}
         self._heard = time.time()
         self.learners: dict[str, Callable[[Fact], None]] = {
             "move_begun": self._learn_row,
@@ -106,6 +110,18 @@
         """Return the new version's present share of a service here."""
         return self._shares.get(service, 0.0)
 
+    def lose(self, runner: str) -> bool:
+        """Take in that a runner was lost; True if that is news.
+
+        It is news again after ``LOST_SECONDS``, also if requests failed all
+        the while: a version that crashes at every start has to be found.
+        """
+        now = time.time()
+        if now - self._lost.get(runner, 0.0) <= LOST_SECONDS:
+            return False
+        self._lost[runner] = now
+        return True
+
     def note(
         self,
         row: RequestRow,
--- a/lagoonpost/gateway/plain.py
+++ b/lagoonpost/gateway/plain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lagoonpost.gateway.attempt import FAULTS, Attempt
+from lagoonpost.gateway.attempt import Attempt
 from lagoonpost.gateway.booking import BookingCall
 from lagoonpost.gateway.prompt import count_prompt_tokens
 from lagoonpost.gateway.state import Gateway, find_route, make_request_id
@@ -115,8 +115,7 @@
             attempt.note_answer(runner)
             gateway.dispatcher.notify(Finished(row.id, runner.name, 1))
             return outcome
-        if outcome in FAULTS:
-            attempt.note_failure(runner)
+        attempt.note_failure(runner, outcome)
         attempt.begin()
         placed = await gateway.dispatcher.replace(row.id, runner.name, outcome)
     return refuse(placed)
@@ -197,7 +196,7 @@
     # one about a call that was not run says nothing of it.
     execution = read_execution(answer.headers, answer.body)
     if execution == "unknown":
-        attempt.note_failure(runner)
+        attempt.note_failure(runner, "failed")
     elif execution is None:
         attempt.note_answer(runner)
 
