Say unknown where a try may have run; poll busy runners four times a second

Causes, found in reading the decisions' figures against the gateway: - A check that was given up after tries that reached a runner was answered not_run (red: test_gateway, TestGivenUp). It is unknown now, and a service's own failure is passed on as it is. - A booking runner that can't be reached was reported as busy, so it was never ejected. Cache events are no longer asked for: their hashes can't be matched.

--- a/lagoonpost/gateway/booking.py
+++ b/lagoonpost/gateway/booking.py
@@ -123,7 +123,7 @@
             # Also when the runner could not be reached: to the decisions
             # "lost" means that a call may have run, and they let no other
             # runner have it. This one surely did not run.
-            self._failure = "refused"
+            self._failure = outcome.kind
         return outcome
 
 
--- a/lagoonpost/gateway/dispatcher.py
+++ b/lagoonpost/gateway/dispatcher.py
@@ -25,8 +25,8 @@
 class Dispatcher:
     """One loop's driver of ``decide``: events in, a future per request."""
 
-    def __init__(self, rng: Random, metrics: Metrics) -> None:
-        self.tables = GatewayTables()
+    def __init__(self, name: str, rng: Random, metrics: Metrics) -> None:
+        self.tables = GatewayTables(name)
         self._rng = rng
         self._metrics = metrics
         self._waiting: dict[str, asyncio.Future[Dispatch | Refuse]] = {}
--- a/lagoonpost/gateway/load.py
+++ b/lagoonpost/gateway/load.py
@@ -1,34 +1,50 @@
-"""Polls the runners of this gateway's subset for load and cache events."""
+"""Polls the runners of this gateway's subset for their load.
+
+Cache events are not asked for: an engine names blocks by hashes of its own
+tokens, which a gateway does not have. What it knows of caches is where it
+sent which prefix itself.
+"""
 
 import asyncio
 
 from lagoonpost.gateway.state import Gateway
 from lagoonpost.http.message import parse_address
-from lagoonpost.runners.engine import fetch_cache_events, fetch_load
-from lagoonpost.systems.event import CacheEvents, Reported
+from lagoonpost.runners.engine import fetch_load
+from lagoonpost.systems.event import Reported
 from lagoonpost.tables.entity import Runner
 
-# Own in-flight work corrects a report, so that only other gateways' work
-# shows late; a second is a few percent of a draft's length.
-POLL_SECONDS = 1.0
+# Reports of runners in use. Played with reports once a second, goodput at
+# five times the capacity fell from 0.98 to 0.78 (docs/design/load.md).
+BUSY_SECONDS = 0.25
+# A runner that nobody uses changes by others' work only, which the next
+# dispatch there finds out.
+IDLE_SECONDS = 2.0
+TICK_SECONDS = 0.125
 # Engines report with a lag that they do not state.
-REPORT_AGE = 0.5
+REPORT_AGE = 0.2
 
 
 class LoadPoll:
-    """Asks each engine of the subset once a second."""
+    """Asks the engines of the subset: often while they are in use."""
 
     def __init__(self, gateway: Gateway) -> None:
         self._gateway = gateway
-        self._seen: dict[str, int] = {}
+        self._loop = asyncio.get_running_loop()
+        self._due: dict[str, float] = {}
+        self._asking: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            await asyncio.gather(*map(self._ask, self._choose()))
-            await asyncio.sleep(POLL_SECONDS)
+            now = self._loop.time()
+            for runner in self._list_runners():
+                # One that hangs is asked once, and holds up no other.
+                waits = runner.name in self._asking
+                if not waits and now >= self._due.get(runner.name, 0.0):
+                    self._start(runner)
+            await asyncio.sleep(TICK_SECONDS)
 
-    def _choose(self) -> list[Runner]:
+    def _list_runners(self) -> list[Runner]:
         tables = self._gateway.dispatcher.tables
         return [
             load.runner
@@ -37,23 +53,21 @@
             for load in pool.loads.values()
         ]
 
+    def _start(self, runner: Runner) -> None:
+        task = asyncio.create_task(self._ask(runner))
+        self._asking[runner.name] = task
+        task.add_done_callback(lambda _: self._asking.pop(runner.name))
+
     async def _ask(self, runner: Runner) -> None:
         client = self._gateway.client
         address = parse_address(runner.endpoint)
-        now = asyncio.get_running_loop().time()
+        now = self._loop.time()
         report = await fetch_load(
             client, address, runner.name, REPORT_AGE, now
         )
+        busy = report is not None and report.running + report.waiting > 0
+        pause = BUSY_SECONDS if busy else IDLE_SECONDS
+        self._due[runner.name] = now + pause
         if report is None:
             return
         self._gateway.dispatcher.notify(Reported(report))
-        after = self._seen.get(runner.name, 0)
-        events = await fetch_cache_events(client, address, after)
-        if not events:
-            return
-        self._seen[runner.name] = events[-1].seq
-        stored = tuple(block for event in events for block in event.stored)
-        dropped = tuple(block for event in events for block in event.dropped)
-        self._gateway.dispatcher.notify(
-            CacheEvents(runner.name, stored, dropped)
-        )
--- a/lagoonpost/gateway/plain.py
+++ b/lagoonpost/gateway/plain.py
@@ -13,7 +13,12 @@
     Response,
     parse_address,
 )
-from lagoonpost.http.problem import make_problem, read_execution
+from lagoonpost.http.problem import (
+    Execution,
+    make_problem,
+    read_execution,
+)
+from lagoonpost.runners.plain import drop_connection_headers, is_refusal
 from lagoonpost.systems.event import (
     AttemptFailed,
     Dispatch,
@@ -29,9 +34,6 @@
 # Part of a route's timeout that one runner has for a call that may be
 # repeated.
 TRY_PART = 1 / 3
-HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "content-length"}
-)
 
 
 async def call_plain(
@@ -90,6 +92,7 @@
     target: str,
 ) -> Response:
     until = row.arrived + route.timeout
+    tried = _Tried()
     placed = await gateway.dispatcher.place(row)
     attempt = Attempt(gateway, row, route)
     while isinstance(placed, Dispatch):
@@ -98,27 +101,41 @@
         if runner is None or left <= 0:
             failed = AttemptFailed(row.id, placed.runner, "lost", retry=False)
             gateway.dispatcher.notify(failed)
-            return make_problem(
-                504,
-                "Timeout",
-                f"no answer within {route.timeout:g} s",
-                "unknown",
-                retry_after=1.0,
-            )
+            return tried.give_up(Refuse(row.id, 504, "timeout", 1.0))
         # A frozen runner would use up the whole time; a third of it leaves
         # two more runners to ask, and is long beside the target.
         timeout = min(left, route.timeout * TRY_PART)
-        outcome = await _try_runner(
-            gateway, runner, row, request, target, timeout
+        kind = await _try_runner(
+            gateway, runner, row, request, target, timeout, tried
         )
-        if isinstance(outcome, Response):
+        if kind is None:
             attempt.note_answer(runner)
             gateway.dispatcher.notify(Finished(row.id, runner.name, 1))
-            return outcome
-        attempt.note_failure(runner, outcome)
+            return tried.answer
+        attempt.note_failure(runner, kind)
         attempt.begin()
-        placed = await gateway.dispatcher.replace(row.id, runner.name, outcome)
-    return refuse(placed)
+        placed = await gateway.dispatcher.replace(row.id, runner.name, kind)
+    return tried.give_up(placed)
+
+
+class _Tried:
+    """What came of a call's attempts so far.
+
+    Attributes:
+        answer: The last answer of a runner; status 0 before the first.
+        may_have_run: Whether a runner may have run the call.
+    """
+
+    def __init__(self) -> None:
+        self.answer = Response(0)
+        self.may_have_run = False
+
+    def give_up(self, refusal: Refuse) -> Response:
+        """Return what to tell the caller when no attempt is left."""
+        if self.answer.status:
+            # The service's own words on its failure say more than ours.
+            return self.answer
+        return refuse(refusal, "unknown" if self.may_have_run else "not_run")
 
 
 async def _try_runner(
@@ -128,8 +145,9 @@
     request: Request,
     target: str,
     timeout: float,
-) -> Response | str:
-    """Return the answer, or the kind of the attempt's failure."""
+    tried: _Tried,
+) -> str | None:
+    """Call one runner; return the kind of its failure, or None."""
     try:
         answer = await gateway.client.call(
             parse_address(runner.endpoint),
@@ -139,11 +157,16 @@
             pass_headers(request, row.id),
             timeout=timeout,
         )
-    except CallFailedError:
-        return "lost"
-    if answer.status >= 500:
-        return "refused" if answer.status == 503 else "failed"
-    return Response(answer.status, _answer_headers(answer), answer.body)
+    except CallFailedError as error:
+        tried.may_have_run = tried.may_have_run or error.sent
+        return "lost" if error.sent else "unreached"
+    if is_refusal(answer):
+        return "refused"
+    tried.may_have_run = True
+    tried.answer = Response(
+        answer.status, _answer_headers(answer), answer.body
+    )
+    return "failed" if answer.status >= 500 else None
 
 
 async def _call_once(
@@ -221,23 +244,24 @@
 
 
 def _answer_headers(answer: Response) -> Headers:
-    kept = tuple(
-        (name, value)
-        for name, value in answer.headers
-        if name not in HOP_HEADERS
-    )
+    kept = drop_connection_headers(answer.headers)
     # A check that some cache on the way kept would tell the caller
     # yesterday's date, so no answer may be kept.
     return (*kept, ("cache-control", "no-store"))
 
 
-def refuse(action: Refuse) -> Response:
-    """Return the answer to a request that the decisions refused."""
+def refuse(action: Refuse, execution: Execution = "not_run") -> Response:
+    """Return the answer to a request that the decisions refused.
+
+    Args:
+        action: The refusal.
+        execution: Whether an earlier attempt of the request was run.
+    """
     return make_problem(
         action.status,
         "Not accepted",
-        f"the request was not run: {action.reason}",
-        "not_run",
+        f"no runner could be used: {action.reason}",
+        execution,
         retry_after=action.retry_after,
         reason=action.reason,
     )
--- a/lagoonpost/gateway/state.py
+++ b/lagoonpost/gateway/state.py
@@ -53,7 +53,7 @@
         seed = settings.seed
         rng = Random(secrets.randbits(64) if seed is None else seed)
         self.rng = rng
-        self.dispatcher = Dispatcher(rng, self.metrics)
+        self.dispatcher = Dispatcher(settings.name, rng, self.metrics)
         self.client = Client()
         self.declaration = Declaration()
         self.phase: Phase = "starting"
--- a/lagoonpost/runners/plain.py
+++ b/lagoonpost/runners/plain.py
@@ -75,12 +75,15 @@
             may_send=may_send,
         )
     except CallFailedError as error:
-        return Lost("runner_lost") if error.sent else NotRun()
-    if answer.status in REFUSALS and _says_not_run(answer):
+        return Lost("runner_lost") if error.sent else NotRun("unreached")
+    if is_refusal(answer):
         return NotRun()
     kept = drop_connection_headers(answer.headers)
     return Answered(RecordedAnswer(answer.status, kept, answer.body))
 
 
-def _says_not_run(answer: Response) -> bool:
+def is_refusal(answer: Response) -> bool:
+    """Tell whether a runner says that it did not run the call."""
+    if answer.status not in REFUSALS:
+        return False
     return read_execution(answer.headers, answer.body) == "not_run"
--- a/lagoonpost/systems/attempt.py
+++ b/lagoonpost/systems/attempt.py
@@ -33,6 +33,8 @@
 REFUSED_BASE_SECONDS = 0.05
 FAILED_RETRY_SECONDS = 1.0
 FAILED = 503
+# Kinds of failure after which the request surely has not run.
+NOT_RUN = frozenset({"refused", "unreached"})
 
 
 def begin_answer(pool: Pool, event: FirstToken, now: float) -> None:
@@ -103,7 +105,7 @@
     if not event.retry:
         forget(pool, request.id)
         return []
-    if not refused and not request.repeatable:
+    if event.kind not in NOT_RUN and not request.repeatable:
         # It may have run: a second run could book twice.
         forget(pool, request.id)
         return [Refuse(request.id, FAILED, "may_have_run", None)]
@@ -126,7 +128,7 @@
     tried = pool.tried.setdefault(request.id, set())
     tried.add(event.runner)
     begun = flight is not None and flight.first is not None
-    accepted = begun or event.kind in ("lost", "silent")
+    accepted = begun or event.kind in ("lost", "silent", "unreached")
     delay = 0.0
     if not accepted:
         delay = back_off(len(tried), REFUSED_BASE_SECONDS, rng)
--- a/lagoonpost/systems/booking.py
+++ b/lagoonpost/systems/booking.py
@@ -29,7 +29,9 @@
 
 
 class NotRun(NamedTuple):
-    """The dispatch surely did not run: refused so, or never sent."""
+    """The dispatch surely did not run: ``refused`` so, or ``unreached``."""
+
+    kind: str = "refused"
 
 
 class NoRunner(NamedTuple):
--- a/lagoonpost/systems/ejection.py
+++ b/lagoonpost/systems/ejection.py
@@ -59,6 +59,7 @@
 RATIO_MOST = 10.0
 OVERDUE_LOOKED_AT = 4
 LOST_MOST = 2
+LOST_KINDS = frozenset({"lost", "unreached"})
 PACE_SECONDS = 0.5
 PACE_LEAST = 3
 PACE_TOKENS = 10
@@ -102,7 +103,7 @@
     """Take in a failed attempt; lost connections eject at once."""
     health = load.health
     record_outcome(pool, load, FAILURE_RATIO, sent, now)
-    if kind != "lost":
+    if kind not in LOST_KINDS:
         return
     health.lost += 1
     if health.lost >= LOST_MOST and health.state == "healthy":
--- a/lagoonpost/systems/event.py
+++ b/lagoonpost/systems/event.py
@@ -69,8 +69,9 @@
     Attributes:
         request_id: The request.
         runner: The runner that failed.
-        kind: ``refused`` (busy or not running it), ``failed`` (an error
-            answer), ``lost`` (connection cut or unreachable), ``silent``.
+        kind: ``refused`` (busy or not running it), ``unreached`` (nothing
+            was sent), ``failed`` (an error answer), ``lost`` (connection
+            cut), ``silent``.
         retry: Whether the request wants another runner.
     """
 
--- a/lagoonpost_standins/service.py
+++ b/lagoonpost_standins/service.py
@@ -37,6 +37,7 @@
         freeze: Stop the process (as SIGSTOP) at this point.
         cut: Close the connection at this point of the next booking.
         slow: Seconds that each call takes.
+        fail: Status with which each call fails.
     """
 
     refuse: int
@@ -44,6 +45,7 @@
     freeze: Point
     cut: Point
     slow: float
+    fail: int
 
 
 class Service:
@@ -67,6 +69,9 @@
             await responder.send(REFUSAL)
             return
         await asyncio.sleep(self.faults.get("slow", 0.0))
+        if "fail" in self.faults:
+            await responder.send(Response(self.faults["fail"], (), b"broken"))
+            return
         if request.method == "GET":
             await responder.send(self._check())
             return
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -318,6 +318,32 @@
         assert play(story).status == 200
 
 
+class TestGivenUp:
+    def test_a_check_that_may_have_run_is_not_called_not_run(self) -> None:
+        """The only runner takes a check and loses its connection, always.
+
+        The check may have run each time, so the refusal that comes when no
+        try is left must not say that it was not run.
+        """
+
+        async def story(stack: Stack) -> Response:
+            stack.service.faults = {"slow": 60.0}
+            return await stack.call("GET", "/v1/services/booking/checks/a")
+
+        problem = read_problem(play(story))
+        assert problem["execution"] == "unknown"
+        assert problem["retry_after"] > 0
+
+    def test_a_service_s_own_failure_is_passed_on(self) -> None:
+        async def story(stack: Stack) -> Response:
+            stack.service.faults = {"fail": 500}
+            return await stack.call("GET", "/v1/services/booking/checks/a")
+
+        answer = play(story)
+        assert answer.status == 500
+        assert answer.body == b"broken"
+
+
 class TestProblem:
     def test_unknown_problem_ends_a_draft(self) -> None:
         async def story(stack: Stack) -> list[Any]:
