Spread when callers of a store outage come back

Cause: all bookings refused during an outage were told 2 s, and would have met the store together. Seen red: one time for all 20 without it.

--- a/lagoonpost/gateway/booking.py
+++ b/lagoonpost/gateway/booking.py
@@ -3,6 +3,7 @@
 import hashlib
 import time
 from collections.abc import Awaitable, Callable
+from random import Random
 from typing import NamedTuple
 
 import eliot
@@ -12,6 +13,7 @@
 from lagoonpost.http.message import Headers, Response, parse_address
 from lagoonpost.platform.ledger import PREFIX, Ledger
 from lagoonpost.runners.plain import call_once
+from lagoonpost.systems.backoff import outage_delay
 from lagoonpost.systems.booking import (
     Answered,
     Chosen,
@@ -21,6 +23,7 @@
     Outcome,
 )
 from lagoonpost.systems.event import Refuse
+from lagoonpost.systems.ledger import STORE_DOWN
 from lagoonpost.tables.entity import Runner
 
 
@@ -59,11 +62,15 @@
     Args:
         ledger: Ledger over the table service.
         client: HTTP client to the runners.
+        rng: Spreads when refused callers come back.
     """
 
-    def __init__(self, ledger: Ledger, client: Client) -> None:
+    def __init__(
+        self, ledger: Ledger, client: Client, rng: Random | None = None
+    ) -> None:
         self._ledger = ledger
         self._client = client
+        self._rng = rng or Random()
 
     async def book(self, call: BookingCall, place: Place) -> Response:
         """Run ``call`` at most once and return what to tell the caller.
@@ -77,10 +84,18 @@
         outcome = await self._ledger.take(
             make_row_key(call), make_digest(call), call.timeout, dispatcher
         )
-        answer = make_answer(outcome, time.time())
+        answer = make_answer(self._spread(outcome), time.time())
         _log(call, dispatcher, outcome, answer)
         return answer
 
+    def _spread(self, outcome: Outcome) -> Outcome:
+        if outcome != STORE_DOWN:
+            return outcome
+        # All bookings of an outage would come back in the same second, and
+        # the store, just back, would go down under them again.
+        delay = outage_delay(self._ledger.count_outage(), self._rng)
+        return STORE_DOWN._replace(retry_after=delay)
+
     async def close(self, grace: float) -> None:
         """Let open bookings end within ``grace`` seconds."""
         await self._ledger.close(grace)
--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -52,7 +52,7 @@
         self._peering.follow(self._watch)
         gateway.entries = EntryLists(gateway)
         gateway.bookings = Bookings(
-            Ledger(store, settings.name), gateway.client
+            Ledger(store, settings.name), gateway.client, gateway.rng
         )
         gateway.tickets = TicketHandlers(
             Intake(store), self._watch, self._peering.publish_ticket
--- a/lagoonpost/platform/health.py
+++ b/lagoonpost/platform/health.py
@@ -28,10 +28,15 @@
 
 
 class StoreHealth:
-    """State of the store as one process sees it."""
+    """State of the store as one process sees it.
+
+    Attributes:
+        state: ``up``, ``suspect`` after a failure, or ``down``.
+    """
 
     def __init__(self, store: Store) -> None:
         self.state: State = "up"
+        self._since = 0.0
         self._store = store
         self._probing: asyncio.Task[None] | None = None
         self._first_probe = asyncio.Event()
@@ -42,11 +47,18 @@
             await self._first_probe.wait()
         return self.state == "up"
 
+    def count_outage(self) -> float:
+        """Return for how many seconds the store has not answered."""
+        if self.state == "up":
+            return 0.0
+        return asyncio.get_running_loop().time() - self._since
+
     def report_failure(self) -> None:
         """Take note that a call got no answer."""
         if self.state != "up":
             return
         self.state = "suspect"
+        self._since = asyncio.get_running_loop().time()
         self._first_probe.clear()
         self._probing = asyncio.create_task(self._probe())
 
--- a/lagoonpost/platform/ledger.py
+++ b/lagoonpost/platform/ledger.py
@@ -119,6 +119,10 @@
         outcome: Outcome = await answer
         return outcome
 
+    def count_outage(self) -> float:
+        """Return for how many seconds the store has not answered."""
+        return self._health.count_outage()
+
     async def close(self, grace: float) -> None:
         """Let open attempts end within ``grace`` seconds."""
         if self._tasks:
--- a/test/test_booking.py
+++ b/test/test_booking.py
@@ -274,6 +274,24 @@
 
         play(story)
 
+    def test_callers_of_an_outage_come_back_apart(self) -> None:
+        """Twenty bookings are refused while the store is down.
+
+        Told one time to come back, all would meet the store in the second
+        in which it is back, and take it down again.
+        """
+
+        async def story(world: World) -> None:
+            world.platform.faults = {"down": True}
+            await world.book()
+            told = set()
+            for number in range(20):
+                answer = await world.book(CALL._replace(key=f"key-{number}"))
+                told.add(msgspec.json.decode(answer.body)["retry_after"])
+            assert len(told) == 20
+
+        play(story)
+
     def test_lost_reply_to_the_void_ends_as_unknown(self) -> None:
         """No runner is free, and the store is lost before the void.
 
