Let the library's caller follow a leaving gateway's redirect

A caller that waits for a whole answer got the 303 as its answer; it goes to the peer now, and asks again for a booking that is in progress under its key.

--- a/lagoonpost/caller/client.py
+++ b/lagoonpost/caller/client.py
@@ -22,6 +22,8 @@
 """Longest silence of a stream: gateways send a comment every 5 s."""
 ATTEMPTS = 12
 PAUSE_SECONDS = 0.2
+REDIRECT = 303
+IN_PROGRESS = "in_progress"
 
 
 class Token(NamedTuple):
@@ -130,7 +132,7 @@
     async def call(
         self, method: str, path: str, body: bytes = b"", key: str = ""
     ) -> Response | Problem:
-        """Call a plain service, at other entries where that is safe.
+        """Call for a whole answer, at other entries where that is safe.
 
         Args:
             method: HTTP method.
@@ -142,9 +144,11 @@
         if key:
             headers = (*headers, ("idempotency-key", key))
         last = Problem(503, "not_run", "no entry could be reached")
+        target: Address | None = None
         for attempt in range(ATTEMPTS):
             entries = await self.list_entries()
-            entry = entries[attempt % len(entries)]
+            entry = target or entries[attempt % len(entries)]
+            target = None
             try:
                 answer = await self._client.call(
                     entry,
@@ -160,10 +164,19 @@
                 last = Problem(502, execution, str(error))
                 await self._pause(attempt)
                 continue
+            if answer.status == REDIRECT:
+                # The gateway is leaving; another one has the answer.
+                location = answer.header("location") or ""
+                target, path = parse_location(location)
+                method, body = "GET", b""
+                continue
             if answer.status < 400:
                 return answer
             last = _read_problem(answer.body)
-            if last.execution != "not_run" or last.retry_after is None:
+            # With its idempotency key a call that is still in progress can
+            # be asked for again without running twice.
+            again = last.execution == "not_run" or last.reason == IN_PROGRESS
+            if not again or last.retry_after is None:
                 return last
             await asyncio.sleep(last.retry_after)
         return last
--- a/lagoonpost/controller/daemon.py
+++ b/lagoonpost/controller/daemon.py
@@ -11,11 +11,11 @@
 from lagoonpost.controller.order import Orders
 from lagoonpost.controller.sweep import SHARD as SWEEP_SHARD
 from lagoonpost.controller.sweep import sweep_ledger
-from lagoonpost.gateway.watch import Watch
 from lagoonpost.http.client import Client
 from lagoonpost.peers.node import Peers, PeerSettings
 from lagoonpost.platform.lease import LeaseKeeper
 from lagoonpost.platform.table import TableStore
+from lagoonpost.platform.watch import Watch
 from lagoonpost.settings import ControllerSettings
 from lagoonpost.systems.order import Wanted
 from lagoonpost.tables.entity import Declaration, Runner
--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -18,12 +18,12 @@
 from lagoonpost.gateway.reclaim import NoticeWatch, leave_runner
 from lagoonpost.gateway.state import Gateway
 from lagoonpost.gateway.tickets import TicketHandlers
-from lagoonpost.gateway.watch import Watch
 from lagoonpost.http.message import Request
 from lagoonpost.http.server import Responder, Server
 from lagoonpost.platform.ledger import Ledger
 from lagoonpost.platform.table import TableStore
 from lagoonpost.platform.ticket import Intake
+from lagoonpost.platform.watch import Watch
 from lagoonpost.settings import GatewaySettings
 from lagoonpost.systems.event import Declared
 from lagoonpost.tables.entity import Declaration
--- a/lagoonpost/gateway/peering.py
+++ b/lagoonpost/gateway/peering.py
@@ -10,10 +10,10 @@
 from lagoonpost.gateway.quarantine import QuarantineDesk
 from lagoonpost.gateway.reclaim import leave_runner
 from lagoonpost.gateway.state import EntryMember, Gateway
-from lagoonpost.gateway.watch import PEER_SECONDS, Watch
 from lagoonpost.http.message import Address
 from lagoonpost.peers.message import Document, HandOver
 from lagoonpost.peers.node import Peers, PeerSettings
+from lagoonpost.platform.watch import PEER_SECONDS, Watch
 from lagoonpost.settings import GatewaySettings
 from lagoonpost.systems.event import Peered
 from lagoonpost.tables.fact import Fact
--- a/lagoonpost/gateway/tickets.py
+++ b/lagoonpost/gateway/tickets.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from lagoonpost.declarations.content import MAX_NUMBER, parse_ticket
-from lagoonpost.gateway.watch import Watch
 from lagoonpost.http.message import (
     Headers,
     Request,
@@ -18,6 +17,7 @@
 from lagoonpost.platform.declaration import format_record
 from lagoonpost.platform.store import Unavailable
 from lagoonpost.platform.ticket import Intake
+from lagoonpost.platform.watch import Watch
 from lagoonpost.systems.ticket import find_near_deadlines
 from lagoonpost.tables.ticket import (
     Accepted,
--- a/test/test_departure.py
+++ b/test/test_departure.py
@@ -89,6 +89,23 @@
         assert redirect.status == 303
         assert pick_text(answer) == whole
 
+    def test_the_library_s_caller_follows_to_the_peer(self) -> None:
+        async def story(stack: Stack) -> tuple[Any, str]:
+            body = make_chat(PROMPT, TOKENS)
+            whole = await stack.call("POST", CHAT, body, gateway=1)
+            caller = stack.make_caller()
+            waiting = asyncio.create_task(caller.call("POST", CHAT, body))
+            while not any(g.count_answers() for g in stack.gateways):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            (busy,) = [g for g in stack.gateways if g.count_answers()]
+            await busy.leave(0.0)
+            answer = await waiting
+            caller.close()
+            return answer, pick_text(whole)
+
+        answer, whole = play(story, gateways=3, options=SLOW)
+        assert pick_text(answer) == whole
+
     def test_the_runner_goes_as_well(self) -> None:
         """The gateway's host and the runner's are reclaimed together.
 
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -13,10 +13,10 @@
 from lagoonpost.cli.option import ExitCode
 from lagoonpost.cli.ticket import ticket
 from lagoonpost.gateway.tickets import TicketHandlers
-from lagoonpost.gateway.watch import Watch
 from lagoonpost.http.message import Address, Request
 from lagoonpost.http.server import Responder, Server
 from lagoonpost.platform.ticket import Intake, Patience
+from lagoonpost.platform.watch import Watch
 
 START = Path(__file__).parent.parent / "examples/tickets/1-start.yaml"
 
