Give all commands one option and variable for entries

ticket took LAGOONPOST_ENTRIES and the other commands LAGOONPOST_ENTRY with one address only. One option serves all; status and entries ask the first entry that answers.

--- a/lagoonpost/cli/ask.py
+++ b/lagoonpost/cli/ask.py
@@ -14,24 +14,14 @@
     Token,
 )
 from lagoonpost.cli.option import (
-    ADDRESS,
     KEY_VARIABLE,
     ExitCode,
+    entry_option,
     fail,
     read_secret,
 )
 from lagoonpost.http.message import Address, Response
 
-entry_option = click.option(
-    "--entry",
-    "entries",
-    type=ADDRESS,
-    multiple=True,
-    envvar="LAGOONPOST_ENTRY",
-    default=("127.0.0.1:8101",),
-    show_default=True,
-    help="An entry to begin with; repeat for more.",
-)
 _EXIT_CODES = {
     "not_run": ExitCode.NOT_RUN,
     "unknown": ExitCode.UNKNOWN,
--- a/lagoonpost/cli/entries.py
+++ b/lagoonpost/cli/entries.py
@@ -3,51 +3,48 @@
 import asyncio
 import json
 import os
+from contextlib import suppress
 from typing import Any
 
 import click
 
 from lagoonpost.cli.option import (
-    ADDRESS,
     KEY_VARIABLE,
     OPERATOR_KEY_VARIABLE,
     ExitCode,
+    entry_option,
     fail,
     read_secret,
 )
 from lagoonpost.http.client import CallFailedError, Client
-from lagoonpost.http.message import Address
+from lagoonpost.http.message import Address, Response
 
 CALL_SECONDS = 3.0
 
 
 @click.command()
-@click.option(
-    "--entry", type=ADDRESS, envvar="LAGOONPOST_ENTRY", required=True
-)
-def entries(entry: Address) -> None:
+@entry_option
+def entries(entries: tuple[Address, ...]) -> None:
     """Print the entries that a workspace is told to use.
 
     Example: lagoonpost entries --entry 127.0.0.1:8101
     """
     key = os.environ.get(KEY_VARIABLE, "")
-    answer = asyncio.run(_get(entry, "/v1/entries", key))
+    answer = asyncio.run(_get(entries, "/v1/entries", key))
     for listed in answer["entries"]:
         click.echo(f"{listed['address']}  {listed['failure_domain']}")
 
 
 @click.command()
-@click.option(
-    "--entry", type=ADDRESS, envvar="LAGOONPOST_ENTRY", required=True
-)
+@entry_option
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
-def status(entry: Address, as_json: bool) -> None:
+def status(entries: tuple[Address, ...], as_json: bool) -> None:
     """Show gateways, runners and refusals as one gateway sees them.
 
     Example: lagoonpost status --entry 127.0.0.1:8101
     """
     key = read_secret(OPERATOR_KEY_VARIABLE)
-    answer = asyncio.run(_get(entry, "/v1/status", key))
+    answer = asyncio.run(_get(entries, "/v1/status", key))
     if as_json:
         click.echo(json.dumps(answer))
         return
@@ -76,17 +73,25 @@
         click.echo(f"  {name} {count}")
 
 
-async def _get(entry: Address, path: str, key: str) -> dict[str, Any]:
+async def _get(
+    entries: tuple[Address, ...], path: str, key: str
+) -> dict[str, Any]:
+    """Ask the first entry that answers."""
     client = Client()
     headers = (("authorization", f"Bearer {key}"),) if key else ()
     try:
-        answer = await client.call(
-            entry, "GET", path, headers=headers, timeout=CALL_SECONDS
-        )
-    except CallFailedError as error:
-        raise fail(str(error), ExitCode.UNREACHABLE) from error
+        for entry in entries:
+            with suppress(CallFailedError):
+                answer = await client.call(
+                    entry, "GET", path, headers=headers, timeout=CALL_SECONDS
+                )
+                return _read(answer)
     finally:
         client.close()
+    raise fail("no entry answers", ExitCode.UNREACHABLE)
+
+
+def _read(answer: Response) -> dict[str, Any]:
     value: dict[str, Any] = json.loads(answer.body)
     if answer.status >= 400:
         raise fail(value.get("detail", "refused"), ExitCode.FAILED)
--- a/lagoonpost/cli/option.py
+++ b/lagoonpost/cli/option.py
@@ -44,6 +44,17 @@
 
 
 ADDRESS = AddressType()
+entry_option = click.option(
+    "--entry",
+    "entries",
+    type=ADDRESS,
+    multiple=True,
+    envvar="LAGOONPOST_ENTRY",
+    default=("127.0.0.1:8101",),
+    show_default=True,
+    show_envvar=True,
+    help="HOST:PORT of a gateway; repeat for more.",
+)
 KEY_VARIABLE = "LAGOONPOST_KEY"
 OPERATOR_KEY_VARIABLE = "LAGOONPOST_OPERATOR_KEY"
 
--- a/lagoonpost/cli/ticket.py
+++ b/lagoonpost/cli/ticket.py
@@ -11,9 +11,9 @@
 
 from lagoonpost.cli.operator import Gateways
 from lagoonpost.cli.option import (
-    ADDRESS,
     OPERATOR_KEY_VARIABLE,
     ExitCode,
+    entry_option,
     read_secret,
 )
 from lagoonpost.declarations.content import format_content
@@ -35,14 +35,7 @@
 
 
 @click.group()
-@click.option(
-    "--entry",
-    "entries",
-    type=ADDRESS,
-    multiple=True,
-    envvar="LAGOONPOST_ENTRIES",
-    help="Gateway; give each one, so that `apply` can wait for all.",
-)
+@entry_option
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 @click.pass_context
 def ticket(
@@ -50,6 +43,8 @@
 ) -> None:
     r"""Hand in numbered change tickets.
 
+    Give each gateway as an entry, so that `apply` can wait for all.
+
     The operator's key is read from LAGOONPOST_OPERATOR_KEY, so that it does
     not show in the list of processes.
 
