Tell of runners declared after their notice; serve only with peers' news

Causes, found in reading: a notice that was seen before the declaration named its runners was taken as done with, so a gateway that started during a reclaim would have sent new work there; a thawed gateway served as soon as the store answered, without the facts that it missed. Past notices no longer speak of a host that has its name again, and a cancelled connection at a close is not logged as an error. Seen red, each guard removed: told by host (times out), past notices (engine-1 leaves), phase by the store alone (never stale).

--- a/lagoonpost/gateway/chat.py
+++ b/lagoonpost/gateway/chat.py
@@ -1,7 +1,7 @@
 """Chat completions: streamed or whole, resumed, and moved to a peer."""
 
 import asyncio
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from urllib.parse import parse_qs
 
 import msgspec
@@ -221,9 +221,10 @@
 
 
 async def _keep_alive(sink: Sink) -> None:
-    while True:
-        await asyncio.sleep(KEEP_ALIVE_TICK)
-        await sink.keep_alive()
+    with suppress(PeerGoneError):
+        while True:
+            await asyncio.sleep(KEEP_ALIVE_TICK)
+            await sink.keep_alive()
 
 
 async def _deliver(gateway: Gateway, item: Item, sink: Sink) -> None:
--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -29,6 +29,8 @@
 from lagoonpost.tables.entity import Declaration
 
 PHASE_SECONDS = 0.1
+# An exchange takes a second at most, and the third peer asked answers.
+PEER_PATIENCE = 5.0
 # What remains of a notice for the sockets to drain after the last move.
 RECLAIM_MARGIN = 1.0
 # For callers to read the event that sends them to another entry.
@@ -72,6 +74,7 @@
         self._server = Server(self._handle)
         self.address = settings.listen
         self.peer_address = settings.peer_listen
+        self._deaf_since: float | None = None
         self._stop = asyncio.Event()
         self._grace = settings.grace
         self._tasks: list[asyncio.Task[None]] = []
@@ -154,16 +157,28 @@
         self._stop.set()
 
     async def _follow_phase(self) -> None:
-        # A process that was frozen must not serve by what it knew before;
-        # both of these turn false as soon as it runs again.
         gateway = self._gateway
         while gateway.phase != "leaving":
-            current = self._watch.is_current()
-            if gateway.phase == "starting":
-                current = current and self._peering.is_current()
+            current = self._watch.is_current() and self._hears_peers()
             gateway.phase = "serving" if current else _not_serving(gateway)
             await asyncio.sleep(PHASE_SECONDS)
 
+    def _hears_peers(self) -> bool:
+        """Tell whether facts are current, or no peer is there to ask.
+
+        A process that was frozen does not know which runners have left and
+        which versions were taken back since. It shows by `is_current`, which
+        turns false as soon as it runs again. Where no peer answers for a
+        while, serving by the store alone is better than not at all.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._peering.is_current():
+            self._deaf_since = None
+            return True
+        if self._deaf_since is None:
+            self._deaf_since = now
+        return now - self._deaf_since > PEER_PATIENCE
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
--- a/lagoonpost/gateway/reclaim.py
+++ b/lagoonpost/gateway/reclaim.py
@@ -14,6 +14,8 @@
 # A leaving endpoint may get no new work after a few seconds, and the cloud
 # gives only seconds of notice, so each one counts.
 POLL_SECONDS = 0.5
+# A notice that is past says nothing of a host that has its name again.
+PAST_SECONDS = 60.0
 
 
 class NoticeWatch:
@@ -39,6 +41,7 @@
         self._on_runner = on_runner
         self._on_self = on_self
         self._seen: set[Notice] = set()
+        self._told: set[tuple[str, float]] = set()
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -51,19 +54,25 @@
             await asyncio.sleep(POLL_SECONDS)
 
     def _take(self, notice: Notice) -> None:
-        if notice in self._seen:
+        left = notice.deadline - time.time()
+        if left < -PAST_SECONDS:
             return
-        self._seen.add(notice)
-        eliot.log_message(
-            message_type="lagoonpost:gateway:notice",
-            host=notice.host,
-            seconds=round(notice.deadline - time.time(), 3),
-        )
+        if notice not in self._seen:
+            self._seen.add(notice)
+            eliot.log_message(
+                message_type="lagoonpost:gateway:notice",
+                host=notice.host,
+                seconds=round(left, 3),
+            )
+            if notice.host == self._host:
+                self._on_self(notice.deadline)
+        # At each poll: the declaration may name a runner of the host only
+        # after the notice was seen, as when this gateway has just started.
         for runner in self._gateway.declaration.runners:
-            if runner.host == notice.host:
+            told = (runner.name, notice.deadline)
+            if runner.host == notice.host and told not in self._told:
+                self._told.add(told)
                 self._on_runner(runner.name, notice.deadline)
-        if notice.host == self._host:
-            self._on_self(notice.deadline)
 
 
 def leave_runner(gateway: Gateway, runner: str, seconds: float) -> None:
--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -184,6 +184,11 @@
             await self._converse(reader, writer)
         except (PeerGoneError, OSError, h11.LocalProtocolError):
             pass
+        except asyncio.CancelledError:
+            # Cancelled by `close`; asyncio's own callback would log it as an
+            # error of the connection.
+            if not self._closing:
+                raise
         finally:
             self._connections.discard(task)
             self._idle.discard(writer)
