--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -21,7 +21,8 @@
     Reported,
     Tick,
 )
-from lagoonpost.systems.gateway import GatewayTables, decide
+from lagoonpost.systems.gateway import decide
+from lagoonpost.systems.gateway_tables import GatewayTables
 from lagoonpost.tables.report import LoadReport
 from lagoonpost.tables.request import RequestRow
 
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -15,7 +15,8 @@
 from lagoonpost.gateway.state import EntryMember
 from lagoonpost.systems.entry import assign_entries
 from lagoonpost.systems.event import Declared, Peered
-from lagoonpost.systems.gateway import GatewayTables, decide
+from lagoonpost.systems.gateway import decide
+from lagoonpost.systems.gateway_tables import GatewayTables
 from lagoonpost.tables.entity import (
     Declaration,
     Route,
--- a/bench/player.py
+++ b/bench/player.py
@@ -28,7 +28,8 @@
     Reported,
     Tick,
 )
-from lagoonpost.systems.gateway import GatewayTables, decide
+from lagoonpost.systems.gateway import decide
+from lagoonpost.systems.gateway_tables import GatewayTables
 from lagoonpost.tables.entity import (
     Declaration,
     RequestClass,
--- a/lagoonpost/gateway/dispatcher.py
+++ b/lagoonpost/gateway/dispatcher.py
@@ -16,7 +16,8 @@
     Refuse,
     Tick,
 )
-from lagoonpost.systems.gateway import GatewayTables, decide
+from lagoonpost.systems.gateway import decide
+from lagoonpost.systems.gateway_tables import GatewayTables
 from lagoonpost.tables.request import RequestRow
 
 TICK_SECONDS = 0.05
--- a/lagoonpost/systems/gateway.py
+++ b/lagoonpost/systems/gateway.py
@@ -16,7 +16,6 @@
     forget,
     land,
     review,
-    withdraw,
 )
 from lagoonpost.systems.ejection import compare_pace, eject_slow
 from lagoonpost.systems.event import (
@@ -38,43 +37,22 @@
     Resumed,
     Tick,
 )
-from lagoonpost.systems.pool import Isolation, Moved, Pool, first_quota
+from lagoonpost.systems.gateway_tables import GatewayTables
+from lagoonpost.systems.isolation import (
+    POISON,
+    apply_quarantine,
+    apply_verdict,
+    dispatch_all,
+    isolate,
+)
+from lagoonpost.systems.pool import Pool, first_quota
 from lagoonpost.systems.subset import choose_subset
-from lagoonpost.tables.entity import Declaration, Runner
+from lagoonpost.tables.entity import Runner
 from lagoonpost.tables.load import RunnerLoad
-from lagoonpost.tables.request import RequestRow
 
-POISON = 422
-# Facts are known to all in 0.18 s at worst of 72 members (bench/gossip).
-HEARD_SECONDS = 0.25
 NO_CAPACITY = 503
 
 
-class GatewayTables:
-    """All that one gateway's decisions know.
-
-    Attributes:
-        name: The gateway's name, by which it chooses its runners.
-        gateways: How many gateways there are; 1 while unknown.
-        declaration: The declaration in force.
-        requests: Requests that are waiting or running, by id.
-        pools: State of each service.
-        leaving: Names of runners that will go.
-        verdicts: Verdicts on fingerprints.
-        avoid: Versions that a suspect fingerprint should not run on.
-    """
-
-    def __init__(self, name: str = "", gateways: int = 1) -> None:
-        self.name = name
-        self.gateways = gateways
-        self.declaration = Declaration()
-        self.requests: dict[str, RequestRow] = {}
-        self.pools: dict[str, Pool] = {}
-        self.leaving: set[str] = set()
-        self.verdicts: dict[str, str] = {}
-        self.avoid: dict[str, frozenset[str]] = {}
-
-
 def decide(
     tables: GatewayTables, event: Event, now: float, rng: Random
 ) -> list[Action]:
@@ -123,7 +101,7 @@
     for pool in tables.pools.values():
         domains = {load.runner.failure_domain for load in pool.loads.values()}
         pool.domains = len(domains)
-    return _dispatch_all(tables, now, rng)
+    return dispatch_all(tables, now, rng)
 
 
 def _place_runners(tables: GatewayTables) -> None:
@@ -154,7 +132,7 @@
 ) -> list[Action]:
     tables.gateways = event.gateways
     _place_runners(tables)
-    return _dispatch_all(tables, now, rng)
+    return dispatch_all(tables, now, rng)
 
 
 def _leave(
@@ -186,7 +164,7 @@
         return [Refuse(request.id, NO_CAPACITY, "no_runner", 1.0)]
     if tables.verdicts.get(request.fingerprint) == "alone":
         tables.requests[request.id] = request
-        _isolate(tables, pool, request, now)
+        isolate(tables, pool, request, now)
         return dispatch_waiting(pool, now, rng)
     entry = admit(pool, request, now, rng)
     if isinstance(entry, Refuse):
@@ -260,23 +238,10 @@
         del tables.requests[event.request_id]
     refusals = fail_attempt(pool, request, event, now, rng)
     if event.retry and not refusals:
-        refusals = _apply_verdict(tables, pool, request, now)
+        refusals = apply_verdict(tables, pool, request, now)
     return [*refusals, *dispatch_waiting(pool, now, rng)]
 
 
-def _apply_verdict(
-    tables: GatewayTables, pool: Pool, request: RequestRow, now: float
-) -> list[Refuse]:
-    verdict = tables.verdicts.get(request.fingerprint)
-    if verdict == "refused":
-        # It would take the next runner down as well.
-        forget(pool, request.id)
-        return [Refuse(request.id, POISON, "poison", None)]
-    if verdict == "alone":
-        _isolate(tables, pool, request, now)
-    return []
-
-
 def _abandon(
     tables: GatewayTables, event: Abandoned, now: float, rng: Random
 ) -> list[Action]:
@@ -289,78 +254,6 @@
     return dispatch_waiting(pool, now, rng)
 
 
-def _quarantine(
-    tables: GatewayTables, event: Quarantined, now: float, rng: Random
-) -> list[Action]:
-    if event.verdict == "free":
-        tables.verdicts.pop(event.fingerprint, None)
-        return _release_all(tables, event.fingerprint, now, rng)
-    tables.verdicts[event.fingerprint] = event.verdict
-    tables.avoid[event.fingerprint] = event.avoid
-    if event.verdict != "refused":
-        return _isolate_all(tables, event.fingerprint, now, rng)
-    actions: list[Action] = []
-    for request in list(tables.requests.values()):
-        pool = tables.pools[request.service]
-        if request.fingerprint != event.fingerprint:
-            continue
-        if request.id not in pool.flights:
-            forget(pool, request.id)
-            actions.append(Refuse(request.id, POISON, "poison", None))
-    return actions
-
-
-def _isolate_all(
-    tables: GatewayTables, fingerprint: str, now: float, rng: Random
-) -> list[Action]:
-    for request in tables.requests.values():
-        pool = tables.pools[request.service]
-        if request.id in pool.flights:
-            continue
-        # A new suspect changes the turns of those that wait already.
-        if request.fingerprint == fingerprint or request.id in pool.alone:
-            _isolate(tables, pool, request, now)
-    return _dispatch_all(tables, now, rng)
-
-
-def _release_all(
-    tables: GatewayTables, fingerprint: str, now: float, rng: Random
-) -> list[Action]:
-    tables.avoid.pop(fingerprint, None)
-    for request in tables.requests.values():
-        pool = tables.pools[request.service]
-        waits = request.id in pool.alone and request.id not in pool.flights
-        if waits and request.fingerprint == fingerprint:
-            withdraw(pool, request.id)
-            pool.moved[request.id] = Moved(request, "", True, now)
-    return _dispatch_all(tables, now, rng)
-
-
-def _isolate(
-    tables: GatewayTables, pool: Pool, request: RequestRow, now: float
-) -> None:
-    suspects = sorted(
-        fingerprint
-        for fingerprint, verdict in tables.verdicts.items()
-        if verdict == "alone"
-    )
-    moved = pool.moved.get(request.id)
-    accepted = moved is not None and moved.accepted
-    # Other gateways' suspects of the same lost runner are not known yet, and
-    # one of them would be sent to the same next runner by its gateway.
-    ready = now + HEARD_SECONDS
-    if moved is not None and request.id in pool.alone:
-        ready = moved.ready
-    withdraw(pool, request.id)
-    pool.alone[request.id] = Isolation(
-        tables.avoid.get(request.fingerprint, frozenset()),
-        suspects.index(request.fingerprint),
-    )
-    # A request that had begun may wait for its runner past the time by
-    # which its first token was due; it must not be refused as late then.
-    pool.moved[request.id] = Moved(request, "", accepted, ready)
-
-
 def _tick(
     tables: GatewayTables, event: Tick, now: float, rng: Random
 ) -> list[Action]:
@@ -383,15 +276,6 @@
     return []
 
 
-def _dispatch_all(
-    tables: GatewayTables, now: float, rng: Random
-) -> list[Action]:
-    actions: list[Action] = []
-    for pool in tables.pools.values():
-        actions += dispatch_waiting(pool, now, rng)
-    return actions
-
-
 def _find_pool(tables: GatewayTables, request_id: str) -> Pool | None:
     # The caller may have gone just before: late news of its request is
     # no fault.
@@ -413,6 +297,6 @@
     Finished: _finish,
     AttemptFailed: _fail,
     Abandoned: _abandon,
-    Quarantined: _quarantine,
+    Quarantined: apply_quarantine,
     Tick: _tick,
 }
--- /dev/null
+++ b/lagoonpost/systems/isolation.py
@@ -0,0 +1,120 @@
+"""Runs suspect requests alone and refuses convicted ones.
+
+Pattern of load: a few requests that may crash their runners, among many that
+don't, over several gateways. Sent beside others each of them takes those down
+as well; sent by two gateways to one runner they look alike.
+
+A suspect waits ``HEARD_SECONDS`` for what other gateways know, and then has a
+runner to itself, by its turn among all suspects. The verdicts themselves are
+worked out in lagoonpost.systems.quarantine.
+"""
+
+from random import Random
+
+from lagoonpost.systems.dispatch import dispatch_waiting, forget, withdraw
+from lagoonpost.systems.event import Action, Quarantined, Refuse
+from lagoonpost.systems.gateway_tables import GatewayTables
+from lagoonpost.systems.pool import Isolation, Moved, Pool
+from lagoonpost.tables.request import RequestRow
+
+POISON = 422
+# Facts are known to all in 0.18 s at worst of 72 members (bench/gossip).
+HEARD_SECONDS = 0.25
+
+
+def apply_quarantine(
+    tables: GatewayTables, event: Quarantined, now: float, rng: Random
+) -> list[Action]:
+    """Take in a verdict and return what follows for waiting requests."""
+    if event.verdict == "free":
+        tables.verdicts.pop(event.fingerprint, None)
+        return _release_all(tables, event.fingerprint, now, rng)
+    tables.verdicts[event.fingerprint] = event.verdict
+    tables.avoid[event.fingerprint] = event.avoid
+    if event.verdict != "refused":
+        return _isolate_all(tables, event.fingerprint, now, rng)
+    actions: list[Action] = []
+    for request in list(tables.requests.values()):
+        pool = tables.pools[request.service]
+        if request.fingerprint != event.fingerprint:
+            continue
+        if request.id not in pool.flights:
+            forget(pool, request.id)
+            actions.append(Refuse(request.id, POISON, "poison", None))
+    return actions
+
+
+def _isolate_all(
+    tables: GatewayTables, fingerprint: str, now: float, rng: Random
+) -> list[Action]:
+    for request in tables.requests.values():
+        pool = tables.pools[request.service]
+        if request.id in pool.flights:
+            continue
+        # A new suspect changes the turns of those that wait already.
+        if request.fingerprint == fingerprint or request.id in pool.alone:
+            isolate(tables, pool, request, now)
+    return dispatch_all(tables, now, rng)
+
+
+def _release_all(
+    tables: GatewayTables, fingerprint: str, now: float, rng: Random
+) -> list[Action]:
+    tables.avoid.pop(fingerprint, None)
+    for request in tables.requests.values():
+        pool = tables.pools[request.service]
+        waits = request.id in pool.alone and request.id not in pool.flights
+        if waits and request.fingerprint == fingerprint:
+            withdraw(pool, request.id)
+            pool.moved[request.id] = Moved(request, "", True, now)
+    return dispatch_all(tables, now, rng)
+
+
+def isolate(
+    tables: GatewayTables, pool: Pool, request: RequestRow, now: float
+) -> None:
+    """Have a suspect request wait for a runner of its own."""
+    suspects = sorted(
+        fingerprint
+        for fingerprint, verdict in tables.verdicts.items()
+        if verdict == "alone"
+    )
+    moved = pool.moved.get(request.id)
+    accepted = moved is not None and moved.accepted
+    # Other gateways' suspects of the same lost runner are not known yet, and
+    # one of them would be sent to the same next runner by its gateway.
+    ready = now + HEARD_SECONDS
+    if moved is not None and request.id in pool.alone:
+        ready = moved.ready
+    withdraw(pool, request.id)
+    pool.alone[request.id] = Isolation(
+        tables.avoid.get(request.fingerprint, frozenset()),
+        suspects.index(request.fingerprint),
+    )
+    # A request that had begun may wait for its runner past the time by
+    # which its first token was due; it must not be refused as late then.
+    pool.moved[request.id] = Moved(request, "", accepted, ready)
+
+
+def apply_verdict(
+    tables: GatewayTables, pool: Pool, request: RequestRow, now: float
+) -> list[Refuse]:
+    """Refuse or isolate a request that wants another runner, if judged."""
+    verdict = tables.verdicts.get(request.fingerprint)
+    if verdict == "refused":
+        # It would take the next runner down as well.
+        forget(pool, request.id)
+        return [Refuse(request.id, POISON, "poison", None)]
+    if verdict == "alone":
+        isolate(tables, pool, request, now)
+    return []
+
+
+def dispatch_all(
+    tables: GatewayTables, now: float, rng: Random
+) -> list[Action]:
+    """Send what can be sent now of every service."""
+    actions: list[Action] = []
+    for pool in tables.pools.values():
+        actions += dispatch_waiting(pool, now, rng)
+    return actions
--- a/test/test_gateway_quarantine.py
+++ b/test/test_gateway_quarantine.py
@@ -20,11 +20,9 @@
     Refuse,
     Tick,
 )
-from lagoonpost.systems.gateway import (
-    HEARD_SECONDS,
-    GatewayTables,
-    decide,
-)
+from lagoonpost.systems.gateway import decide
+from lagoonpost.systems.gateway_tables import GatewayTables
+from lagoonpost.systems.isolation import HEARD_SECONDS
 from lagoonpost.systems.quarantine import Loss
 from lagoonpost.tables.entity import (
     Declaration,
