--- a/lagoonpost/http/message.py
+++ b/lagoonpost/http/message.py
@@ -1,5 +1,6 @@
 """Plain HTTP messages that server, client and handlers share."""
 
+from ipaddress import ip_address
 from typing import NamedTuple
 
 import msgspec
@@ -26,14 +27,16 @@
 
 
 def parse_address(text: str) -> Address:
-    """Parse ``HOST:PORT``.
+    """Parse ``HOST:PORT``, where the host is an IP address.
 
     Raises:
-        ValueError: If ``text`` has no port or the port is not 1 to 65535.
+        ValueError: If it is none, or the port is not 1 to 65535.
     """
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdecimal():
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    if not port.isdecimal():
         raise ValueError(f"{text!r} is not HOST:PORT")
+    ip_address(host)
     if not 1 <= int(port) <= 65535:
         raise ValueError(f"port {port} is not within 1 to 65535")
     return Address(host, int(port))
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from lagoonpost.http.client import Client
 from lagoonpost.http.message import (
     Address,
@@ -114,3 +116,11 @@
 class TestAddress:
     def test_parses_host_and_port(self) -> None:
         assert parse_address("127.0.0.1:80") == Address("127.0.0.1", 80)
+        assert parse_address("[::1]:80") == Address("::1", 80)
+
+    def test_refuses_what_is_no_ip_address_and_port(self) -> None:
+        for text in ("", ":80", "host:80", "127.0.0.1", "127.0.0.1:0"):
+            with pytest.raises(ValueError):
+                parse_address(text)
+        with pytest.raises(ValueError):
+            parse_address("127.0.0.1:80127.0.0.1:81")
