Forget a move that the declaration replaced

Cause, found in reading: shares were kept by service and given to each known move, so that after a bad version was taken back, a new move to a fixed version would have given its share to the bad one as well. Seen red: the bad version's share was 0.75 in place of 0.

--- a/lagoonpost/gateway/moves.py
+++ b/lagoonpost/gateway/moves.py
@@ -87,6 +87,7 @@
         """Begin, judge and end moves, and put their shares in force."""
         if self._is_current():
             self._heard = now
+        self._forget_replaced()
         for move in self._gateway.declaration.moves:
             key = make_key(move)
             if key not in self._rollouts:
@@ -154,6 +155,16 @@
             for rollout in self._rollouts.values()
         ]
 
+    def _forget_replaced(self) -> None:
+        """Drop moves that the declaration does not name any more.
+
+        A move that was taken back and then replaced by one to another
+        version would get the new one's share for its own bad version.
+        """
+        declared = {make_key(move) for move in self._gateway.declaration.moves}
+        for key in self._rollouts.keys() - declared:
+            del self._rollouts[key]
+
     def _find(self, service: str) -> list[Rollout]:
         return [
             rollout
--- a/test/test_moves.py
+++ b/test/test_moves.py
@@ -9,6 +9,9 @@
 from stack import CHAT, FAST, OPERATOR_KEY, Stack, make_chat, play
 from test_gateway import PROMPT
 
+from lagoonpost.systems.move import MoveRow
+from lagoonpost.systems.rollout import Rollout
+from lagoonpost.tables.entity import Move, Version
 from lagoonpost_standins.engine_fault import Faults
 
 # At the first share of 1 in 100, some 15 of these would meet a version that
@@ -114,3 +117,45 @@
         for move in moves:
             assert move["reason"].startswith("too near")
             assert move["share"] == 0
+
+    def test_a_replaced_move_has_no_share(self) -> None:
+        """A bad version was taken back, and a fixed one gets its own move.
+
+        The share of the new move must not go to the version of the old one,
+        which is bad.
+        """
+
+        async def story(stack: Stack) -> dict[str, float]:
+            gateway = stack.gateways[0]._gateway
+            now = time.time()
+            bad = Move("assistant", "v1", "v2", now + 900, 2)
+            fixed = Move("assistant", "v1", "v3", now + 900, 3)
+            gateway.moves._rollouts = {
+                "assistant/2": Rollout(
+                    MoveRow(bad, now - 900, now + 800, "taken_back"), 1
+                ),
+                "assistant/3": Rollout(
+                    MoveRow(fixed, now - 900, now + 100), 1
+                ),
+            }
+            runners = (
+                each._replace(version="v3")
+                if each.name == "engine-1"
+                else each
+                for each in gateway.declaration.runners
+            )
+            gateway.declaration = gateway.declaration._replace(
+                moves=(fixed,),
+                runners=tuple(runners),
+                versions=tuple(
+                    Version("assistant", name, share)
+                    for name, share in (("v1", 1.0), ("v2", 0.0), ("v3", 0.0))
+                ),
+            )
+            await gateway.moves.tick(now)
+            applied = gateway.moves.apply(gateway.declaration)
+            return {each.name: each.share for each in applied.versions}
+
+        shares = play(story)
+        assert shares["v2"] == 0.0
+        assert shares["v3"] == 1.0 - shares["v1"] == 0.75
