--- a/lagoonpost/gateway/load.py
+++ b/lagoonpost/gateway/load.py
@@ -16,9 +16,10 @@
 # Reports of runners in use. Played with reports once a second, goodput at
 # five times the capacity fell from 0.98 to 0.78 (docs/design/load.md).
 BUSY_SECONDS = 0.25
-# A runner that nobody uses changes by others' work only, which the next
-# dispatch there finds out.
-IDLE_SECONDS = 2.0
+# As often, although nothing changes there by us: a suspect request is sent to
+# a runner that looks idle. With reports 2 s old it ran beside other gateways'
+# drafts, and each poison request cost a third runner.
+IDLE_SECONDS = 0.25
 TICK_SECONDS = 0.125
 # Engines report with a lag that they do not state.
 REPORT_AGE = 0.2
