--- a/lagoonpost/gateway/load.py
+++ b/lagoonpost/gateway/load.py
@@ -13,20 +13,18 @@
 from lagoonpost.systems.event import Reported
 from lagoonpost.tables.entity import Runner
 
-# Reports of runners in use. Played with reports once a second, goodput at
-# five times the capacity fell from 0.98 to 0.78 (docs/design/load.md).
-BUSY_SECONDS = 0.25
-# As often, although nothing changes there by us: a suspect request is sent to
-# a runner that looks idle. With reports 2 s old it ran beside other gateways'
-# drafts, and each poison request cost a third runner.
-IDLE_SECONDS = 0.25
+# Played with reports once a second, goodput at five times the capacity fell
+# from 0.98 to 0.78 (docs/design/load.md). Idle runners are asked as often: a
+# suspect request is sent to a runner that looks idle, and with reports 2 s
+# old it ran beside other gateways' drafts and cost a third runner.
+POLL_SECONDS = 0.25
 TICK_SECONDS = 0.125
 # Engines report with a lag that they do not state.
 REPORT_AGE = 0.2
 
 
 class LoadPoll:
-    """Asks the engines of the subset: often while they are in use."""
+    """Asks each engine of the subset, one call at a time."""
 
     def __init__(self, gateway: Gateway) -> None:
         self._gateway = gateway
@@ -66,9 +64,7 @@
         report = await fetch_load(
             client, address, runner.name, REPORT_AGE, now
         )
-        busy = report is not None and report.running + report.waiting > 0
-        pause = BUSY_SECONDS if busy else IDLE_SECONDS
-        self._due[runner.name] = now + pause
+        self._due[runner.name] = now + POLL_SECONDS
         if report is None:
             return
         self._gateway.dispatcher.notify(Reported(report))
