--- a/bench/store.py
+++ b/bench/store.py
@@ -12,9 +12,9 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from lagoonpost.platform.lease import LeaseKeeper
-from lagoonpost.platform.ledger import Ledger
-from lagoonpost.platform.store import (
+from lagoonpost.store.lease import LeaseKeeper
+from lagoonpost.store.ledger import Ledger
+from lagoonpost.store.store import (
     Committed,
     Condition,
     Conflict,
--- a/lagoonpost/cli/main.py
+++ b/lagoonpost/cli/main.py
@@ -5,11 +5,13 @@
 from lagoonpost.cli.ask import ask, book, check
 from lagoonpost.cli.daemon import controller, gateway, settings
 from lagoonpost.cli.entries import entries, status
+from lagoonpost.cli.serve import serve
 from lagoonpost.cli.ticket import ticket
 
 COMMANDS: tuple[click.Command, ...] = (
     gateway,
     controller,
+    serve,
     ask,
     book,
     check,
--- a/lagoonpost/controller/daemon.py
+++ b/lagoonpost/controller/daemon.py
@@ -13,10 +13,10 @@
 from lagoonpost.controller.sweep import sweep_ledger
 from lagoonpost.http.client import Client
 from lagoonpost.peers.node import Peers, PeerSettings
-from lagoonpost.platform.lease import LeaseKeeper
-from lagoonpost.platform.table import TableStore
-from lagoonpost.platform.watch import Watch
 from lagoonpost.settings import ControllerSettings
+from lagoonpost.store.lease import LeaseKeeper
+from lagoonpost.store.table import TableStore
+from lagoonpost.store.watch import Watch
 from lagoonpost.systems.order import Wanted
 from lagoonpost.tables.entity import Declaration, Runner
 from lagoonpost.tables.fact import Fact
--- a/lagoonpost/controller/loop.py
+++ b/lagoonpost/controller/loop.py
@@ -4,9 +4,9 @@
 import secrets
 from collections.abc import Awaitable, Callable, Collection
 
-from lagoonpost.platform.clock import read_clock
-from lagoonpost.platform.lease import DEFAULT_POLICY, LeaseKeeper
-from lagoonpost.platform.store import Store
+from lagoonpost.store.clock import read_clock
+from lagoonpost.store.lease import DEFAULT_POLICY, LeaseKeeper
+from lagoonpost.store.store import Store
 from lagoonpost.systems.lease import LeasePolicy
 from lagoonpost.systems.shard import Claim, choose_claim, rank_controller
 
--- a/lagoonpost/controller/order.py
+++ b/lagoonpost/controller/order.py
@@ -7,9 +7,9 @@
 
 from lagoonpost.http.client import Client
 from lagoonpost.http.message import parse_address
-from lagoonpost.platform.clock import read_clock
-from lagoonpost.platform.lease import LeaseKeeper
 from lagoonpost.runners.engine import EngineOrder, send_order
+from lagoonpost.store.clock import read_clock
+from lagoonpost.store.lease import LeaseKeeper
 from lagoonpost.systems.order import Given, Wanted, choose_due
 from lagoonpost.tables.entity import Runner
 
--- a/lagoonpost/controller/sweep.py
+++ b/lagoonpost/controller/sweep.py
@@ -16,9 +16,9 @@
 
 import eliot
 
-from lagoonpost.platform.lease import LeaseKeeper
-from lagoonpost.platform.ledger import sweep
-from lagoonpost.platform.store import Store
+from lagoonpost.store.lease import LeaseKeeper
+from lagoonpost.store.ledger import sweep
+from lagoonpost.store.store import Store
 
 SHARD = "ledger-sweep"
 PAGE_SECONDS = 1.0
--- /dev/null
+++ b/lagoonpost/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway that forwards calls unchanged to runners."""
--- /dev/null
+++ b/lagoonpost/forwarding/belief.py
@@ -0,0 +1,185 @@
+"""What this gateway holds true: the configuration and the runners.
+
+Everything here has a version, and only grows: news comes from the store and
+from peers, in any order and more than once.
+"""
+
+import math
+from collections.abc import Callable
+from typing import NamedTuple
+
+import eliot
+
+from lagoonpost.platform.configuration import (
+    UnreadableError,
+    decode_configuration,
+)
+from lagoonpost.platform.endpoint import decode_endpoint
+from lagoonpost.systems.route import RouteTable
+from lagoonpost.tables.endpoint import Endpoint
+
+LAPSE_SECONDS = 2.2
+"""How long a missing entry is kept after the store's return. Entries of
+runners that live are back within two seconds; a tenth more for the feed."""
+
+
+class Entry(NamedTuple):
+    """What is known of a runner's entry.
+
+    Attributes:
+        version: Version of the row.
+        endpoint: The entry; None if it is deleted or can't be read.
+        raw: The row's bytes as others are told them; None if deleted.
+    """
+
+    version: int
+    endpoint: Endpoint | None
+    raw: bytes | None
+
+
+class Belief:
+    """The newest configuration and runners that are known here.
+
+    Args:
+        clock: Steady clock in seconds.
+
+    Attributes:
+        routes: The configuration in force; None while none is known.
+        raw_configuration: Its bytes, for peers that ask.
+        entries: Entries of runners by id, deleted ones included.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self.routes: RouteTable | None = None
+        self.raw_configuration = b""
+        self.entries: dict[str, Entry] = {}
+        self._lapsing: dict[str, int] = {}
+        self._store_back = -math.inf
+        self.on_configuration: list[Callable[[RouteTable], None]] = []
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 if none is."""
+        return self.routes.configuration.version if self.routes else 0
+
+    def take_configuration(self, raw: bytes, source: str) -> bool:
+        """Take a configuration if it is newer than the one in force."""
+        try:
+            configuration = decode_configuration(raw)
+        except UnreadableError as error:
+            eliot.log_message(
+                message_type="lagoonpost:belief:unreadable",
+                source=source,
+                detail=str(error),
+            )
+            return False
+        if configuration.version <= self.version:
+            return False
+        self.routes = RouteTable(configuration)
+        self.raw_configuration = raw
+        eliot.log_message(
+            message_type="lagoonpost:belief:configuration",
+            version=configuration.version,
+            source=source,
+            routes=len(configuration.routes),
+        )
+        for told in self.on_configuration:
+            told(self.routes)
+        return True
+
+    def take_entry(
+        self, key: str, version: int, raw: bytes | None, source: str
+    ) -> bool:
+        """Take a runner's entry, or its deletion, if it is newer.
+
+        Returns:
+            Whether it changed anything.
+        """
+        held = self.entries.get(key)
+        if held is not None and held.version >= version:
+            return False
+        if raw is None and self._is_lapsing(key, held, version):
+            return False
+        self._lapsing.pop(key, None)
+        endpoint = None
+        if raw is not None:
+            try:
+                endpoint = decode_endpoint(key, raw)
+            except UnreadableError as error:
+                eliot.log_message(
+                    message_type="lagoonpost:belief:unreadable",
+                    source=source,
+                    detail=str(error),
+                )
+        self.entries[key] = Entry(version, endpoint, raw)
+        if held is None or held.endpoint != endpoint:
+            eliot.log_message(
+                message_type="lagoonpost:belief:runner",
+                runner=key,
+                version=version,
+                source=source,
+                state=_describe(endpoint),
+                service=endpoint.service if endpoint else "",
+                failure_domain=endpoint.failure_domain if endpoint else "",
+            )
+        return True
+
+    def _is_lapsing(self, key: str, held: Entry | None, version: int) -> bool:
+        """Keep an entry that was deleted while the store was away.
+
+        Runners can't renew their entries then, so that all of them lapse at
+        once while all of them serve. It shows as deletions around the
+        store's return; those that live are written anew soon after it.
+        """
+        if held is None or held.endpoint is None:
+            return False
+        if self._clock() >= self._store_back + LAPSE_SECONDS:
+            return False
+        self._lapsing[key] = version
+        return True
+
+    def note_store_back(self) -> None:
+        """Begin the time in which lapsed entries may be written anew."""
+        self._store_back = self._clock()
+
+    def drop_lapsed(self) -> list[str]:
+        """Delete what was not written anew in time; return the ids."""
+        if self._clock() < self._store_back + LAPSE_SECONDS:
+            return []
+        lapsed = list(self._lapsing.items())
+        self._lapsing.clear()
+        return [
+            key
+            for key, version in lapsed
+            if self.take_entry(key, version, None, "lapsed")
+        ]
+
+    def find_runners(self, service: str) -> list[Endpoint]:
+        """Return the runners of a service that may get new work."""
+        return [
+            entry.endpoint
+            for entry in self.entries.values()
+            if entry.endpoint is not None
+            and entry.endpoint.service == service
+            and not entry.endpoint.leaving
+        ]
+
+    def find_all(self, service: str) -> list[Endpoint]:
+        """Return all runners of a service, leaving ones included."""
+        return [
+            entry.endpoint
+            for entry in self.entries.values()
+            if entry.endpoint is not None and entry.endpoint.service == service
+        ]
+
+    def is_known(self, runner: str) -> bool:
+        """Tell whether a runner still has an entry."""
+        entry = self.entries.get(runner)
+        return entry is not None and entry.endpoint is not None
+
+
+def _describe(endpoint: Endpoint | None) -> str:
+    if endpoint is None:
+        return "gone"
+    return "leaving" if endpoint.leaving else "ready"
--- /dev/null
+++ b/lagoonpost/forwarding/daemon.py
@@ -0,0 +1,218 @@
+"""The forwarding gateway's process: wires its parts, starts and stops them."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+import eliot
+
+from lagoonpost.forwarding.belief import Belief
+from lagoonpost.forwarding.directory import Directory
+from lagoonpost.forwarding.exchange import Exchange
+from lagoonpost.forwarding.follow import BeliefFollower
+from lagoonpost.forwarding.front import Front
+from lagoonpost.forwarding.shared import Shared
+from lagoonpost.forwarding.usage import UsageCount
+from lagoonpost.http.client import Client
+from lagoonpost.http.server import Limits, Server
+from lagoonpost.peers.node import make_clock
+from lagoonpost.platform.settings import read_host_settings
+from lagoonpost.platform.store import PlatformStore
+from lagoonpost.store.clock import read_clock
+from lagoonpost.systems.route import RouteTable
+from lagoonpost.tables.gateway_report import GatewayReport
+
+LAME_SECONDS = 2.5
+"""How long a leaving gateway goes on taking connections: callers ask for the
+entries again after two seconds."""
+END_SECONDS = 0.7
+"""What is left of the grace for the process to end."""
+UPKEEP_SECONDS = 0.2
+"""Pause between rounds of small work that nothing triggers."""
+
+
+class ForwardingDaemon:
+    """One forwarding gateway, from its settings to its end."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        settings = self._settings = read_host_settings(path)
+        rng = random.Random()
+        self._client = Client()
+        self._belief = Belief(read_clock)
+        self._store = PlatformStore(self._client, settings.store)
+        usage = UsageCount(settings.bounds.usage_window, make_clock())
+        self._usage = usage
+        self._front = Front(
+            self._belief,
+            self._client,
+            usage,
+            settings.bounds,
+            rng,
+            log_exchange,
+        )
+        self._shared = Shared(
+            settings, self._belief, self._report, self._hear, rng
+        )
+        self._front.shared = self._shared
+        self._follower = BeliefFollower(
+            self._store,
+            self._belief,
+            self._shared.publish_entry,
+            self._shared.publish_configuration,
+        )
+        self._server = Server(
+            self._front.handle, Limits(), cancel_when_gone=True
+        )
+        self._belief.on_configuration.append(self._apply_limits)
+        directory = Directory(
+            self._shared.entries,
+            self._is_ready,
+            settings.bounds.ttl_most,
+            rng,
+        )
+        self._small_servers = [
+            (address, Server(directory.handle))
+            for address in (settings.ready, settings.directory)
+            if address is not None
+        ]
+        self._leaving = False
+        self._stop = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then leave gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._start()
+        await self._stop.wait()
+        await self._leave()
+
+    async def _start(self) -> None:
+        settings = self._settings
+        self._spawn(self._follower.run())
+        await self._shared.start()
+        await self._server.start(settings.entry)
+        for address, server in self._small_servers:
+            await server.start(address)
+        self._spawn(self._shared.run())
+        self._spawn(self._shared.keep_seeds(self._store))
+        self._spawn(self._keep_up())
+        eliot.log_message(
+            message_type="lagoonpost:forwarding:started",
+            settings=settings._asdict(),
+            run=self._shared.run_id,
+        )
+
+    def _reload(self) -> None:
+        """Read the settings again; addresses stay as they were."""
+        settings = read_host_settings(self._path)
+        eliot.log_message(
+            message_type="lagoonpost:forwarding:reloaded",
+            changed=[
+                name
+                for name, value in settings._asdict().items()
+                if value != getattr(self._settings, name)
+            ],
+        )
+
+    async def _leave(self) -> None:
+        self._leaving = True
+        grace = self._settings.bounds.grace_seconds
+        loop = asyncio.get_running_loop()
+        end = loop.time() + grace - END_SECONDS
+        eliot.log_message(
+            message_type="lagoonpost:forwarding:leaving", grace=grace
+        )
+        self._server.leave()
+        await self._shared.peers.leave()
+        await asyncio.sleep(min(LAME_SECONDS, grace / 3))
+        await self._server.drain(end - loop.time())
+        for task in self._tasks:
+            task.cancel()
+        await self._server.close(0.0)
+        eliot.log_message(message_type="lagoonpost:forwarding:stopped")
+
+    def _is_ready(self) -> bool:
+        return self._belief.routes is not None and not self._leaving
+
+    def _apply_limits(self, routes: RouteTable) -> None:
+        limits = routes.configuration.limits
+        self._server.limits = self._server.limits._replace(
+            body=limits.body,
+            head=limits.head,
+            idle_seconds=limits.idle_seconds,
+        )
+
+    def _report(self, name: str, run: str) -> GatewayReport:
+        front = self._front
+        return GatewayReport(
+            name=name,
+            run=run,
+            work=front.placement.report(),
+            used={k: round(v) for k, v in front.quotas.used.items()},
+            begun=self._usage.begun,
+            store_lost=self._follower.lost,
+            prompt_tokens=front.prompt_tokens,
+            output_tokens=front.output_tokens,
+            version=self._belief.version,
+        )
+
+    def _hear(self, report: GatewayReport) -> None:
+        self._front.quotas.hear(f"{report.name}/{report.run}", report.used)
+
+    async def _keep_up(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_SECONDS)
+            self._front.placement.hear(self._shared.sum_work())
+            for key in self._belief.drop_lapsed():
+                self._shared.publish_entry(key)
+            self._front.placement.forget_missing(
+                key
+                for key in self._belief.entries
+                if self._belief.is_known(key)
+            )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._end_if_broken)
+        self._tasks.append(task)
+
+    def _end_if_broken(self, task: asyncio.Task[None]) -> None:
+        """End the process if one of its parts failed.
+
+        A gateway that goes on without hearing of changes would serve by an
+        old configuration for good; one that ends is started anew.
+        """
+        if task.cancelled() or task.exception() is None:
+            return
+        eliot.log_message(
+            message_type="lagoonpost:forwarding:broken",
+            detail=repr(task.exception()),
+        )
+        self._stop.set()
+
+
+def log_exchange(exchange: Exchange) -> None:
+    """Write the line of one request."""
+    route = exchange.route
+    eliot.log_message(
+        message_type="lagoonpost:forwarding:request",
+        request=exchange.arrival.id,
+        route=route.name if route else "",
+        workspace=exchange.workspace.name if exchange.workspace else "",
+        version=exchange.version,
+        outcome=exchange.outcome,
+        status=exchange.status,
+        steps=exchange.steps,
+        first_byte=_round(exchange.first_byte),
+        took=_round(exchange.now() - exchange.started),
+    )
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 4)
--- /dev/null
+++ b/lagoonpost/forwarding/follow.py
@@ -0,0 +1,166 @@
+"""Follows the store's tables: one read, then the feed, and again on a gap."""
+
+import asyncio
+from collections.abc import Callable
+
+import eliot
+
+from lagoonpost.forwarding.belief import Belief
+from lagoonpost.platform.store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    ENDPOINT_TABLE,
+    FeedRow,
+    HistoryLost,
+    Page,
+    PlatformStore,
+    pause_after_failure,
+)
+from lagoonpost.store.store import Unavailable
+
+WAIT_SECONDS = 3.0
+"""How long a feed's call is held back. A connection that has gone silent for
+good is given up a second later; longer waits would save calls but leave the
+gateway without news for as long."""
+
+OnChange = Callable[[FeedRow], None]
+
+
+class TableFollower:
+    """Follows one table.
+
+    Args:
+        store: The store.
+        table: Name of the table.
+        on_row: Told each row that changed; deleted ones have no value.
+        on_all: Told the keys of all rows after a whole read.
+        on_back: Told that the store answers again.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        table: str,
+        on_row: OnChange,
+        on_all: Callable[[Page], None],
+        on_back: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._on_row = on_row
+        self._on_all = on_all
+        self._on_back = on_back
+        self._version: int | None = None
+        self.lost = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            answer = await self._ask()
+            if isinstance(answer, Unavailable):
+                self._note_lost(answer)
+                await pause_after_failure()
+                continue
+            self._note_back()
+            if isinstance(answer, HistoryLost):
+                eliot.log_message(
+                    message_type="lagoonpost:store:history_lost",
+                    table=self._table,
+                    version=self._version,
+                )
+                self._version = None
+                continue
+            whole = self._version is None
+            self._version = max(self._version or 0, answer.version)
+            if whole:
+                self._on_all(answer)
+            for row in answer.rows:
+                self._on_row(row)
+
+    async def _ask(self) -> Page | HistoryLost | Unavailable:
+        if self._version is None:
+            return await self._store.read_table(self._table)
+        return await self._store.follow_table(
+            self._table, self._version, WAIT_SECONDS
+        )
+
+    def _note_lost(self, answer: Unavailable) -> None:
+        if not self.lost:
+            self.lost = True
+            eliot.log_message(
+                message_type="lagoonpost:store:lost",
+                table=self._table,
+                detail=answer.detail,
+            )
+
+    def _note_back(self) -> None:
+        if self.lost:
+            self.lost = False
+            eliot.log_message(
+                message_type="lagoonpost:store:regained", table=self._table
+            )
+            self._on_back()
+
+
+class BeliefFollower:
+    """Keeps a belief up to date by the store.
+
+    Args:
+        store: The store.
+        belief: What to keep.
+        publish_entry: Told each runner's id that changed.
+        publish_configuration: Told when a newer configuration is in force.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        belief: Belief,
+        publish_entry: Callable[[str], None],
+        publish_configuration: Callable[[], None],
+    ) -> None:
+        self._belief = belief
+        self._publish_entry = publish_entry
+        self._publish_configuration = publish_configuration
+        self.operator = TableFollower(
+            store,
+            CONFIGURATION_TABLE,
+            self._take_operator_row,
+            lambda page: None,
+            lambda: None,
+        )
+        self.endpoints = TableFollower(
+            store,
+            ENDPOINT_TABLE,
+            self._take_endpoint_row,
+            self._take_all,
+            belief.note_store_back,
+        )
+
+    @property
+    def lost(self) -> bool:
+        """Whether the store does not answer here."""
+        return self.operator.lost or self.endpoints.lost
+
+    async def run(self) -> None:
+        """Follow all tables until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.operator.run())
+            group.create_task(self.endpoints.run())
+
+    def _take_operator_row(self, row: FeedRow) -> None:
+        if row.key != CONFIGURATION_KEY or row.value is None:
+            return
+        if self._belief.take_configuration(row.value, "store"):
+            self._publish_configuration()
+
+    def _take_endpoint_row(self, row: FeedRow) -> None:
+        if self._belief.take_entry(row.key, row.version, row.value, "store"):
+            self._publish_entry(row.key)
+
+    def _take_all(self, page: Page) -> None:
+        """Delete what a whole read no longer has."""
+        present = {row.key for row in page.rows}
+        for key, entry in list(self._belief.entries.items()):
+            if key not in present and entry.endpoint is not None:
+                self._take_endpoint_row(FeedRow(key, page.version, None))
--- /dev/null
+++ b/lagoonpost/forwarding/front.py
@@ -0,0 +1,365 @@
+"""Forwards callers' requests to runners: one path for all kinds."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from lagoonpost.forwarding.attempt import (
+    Began,
+    Broken,
+    NotRun,
+    Outcome,
+    RunnerCall,
+    Silent,
+    Unreachable,
+    Whole,
+    send_request,
+)
+from lagoonpost.forwarding.belief import Belief
+from lagoonpost.forwarding.exchange import Exchange
+from lagoonpost.forwarding.refusal import (
+    ANSWER_LOST,
+    NO_CONFIGURATION,
+    NO_KEY,
+    NO_ROUTE,
+    NO_RUNNER,
+    NOT_SENT,
+    TOO_LATE,
+    Refusal,
+    make_refusal,
+)
+from lagoonpost.forwarding.shared import Shared
+from lagoonpost.forwarding.usage import UsageCount
+from lagoonpost.http.client import Client
+from lagoonpost.http.events import EventCutter, RawEvent
+from lagoonpost.http.message import Request
+from lagoonpost.http.server import Responder
+from lagoonpost.platform.headers import (
+    Instructions,
+    make_returned,
+    read_arrival,
+)
+from lagoonpost.platform.settings import Bounds
+from lagoonpost.systems.budget import RetryBudget
+from lagoonpost.systems.placement import Choice, Placement
+from lagoonpost.systems.quota import Quotas, count_units
+from lagoonpost.systems.route import choose_service
+
+MOST_SENDS = 4
+"""Runners that one request is offered to, those that did not run it
+included: each costs the caller a round trip or a connection's time-out."""
+SILENCE_SECONDS = 1.2
+"""Pause in a stream after which its runner is taken to be lost, four times
+the longest that counts as good; callers give up after two seconds and more."""
+FIRST_SILENCE_SECONDS = 1.0
+"""Least wait for the first byte before another runner is tried."""
+MOST_URGENCY = 9
+
+
+class Front:
+    """Handles callers' requests.
+
+    Args:
+        belief: Configuration and runners.
+        shared: What is known of the other gateways.
+        client: HTTP client.
+        usage: Counts of begun requests.
+        bounds: Promised times and shares.
+        rng: Source of random choices.
+        log: Told each exchange that ended.
+    """
+
+    def __init__(
+        self,
+        belief: Belief,
+        client: Client,
+        usage: UsageCount,
+        bounds: Bounds,
+        rng: random.Random,
+        log: Callable[[Exchange], None],
+    ) -> None:
+        self._belief = belief
+        self._client = client
+        self._usage = usage
+        self._bounds = bounds
+        self._rng = rng
+        self._log = log
+        self.shared: Shared
+        self.placement = Placement()
+        self.quotas = Quotas()
+        self.output_tokens: dict[str, int] = {}
+        self.prompt_tokens: dict[str, int] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request."""
+        loop = asyncio.get_running_loop()
+        exchange = Exchange(request, read_arrival(request.headers), loop.time)
+        try:
+            refusal = self._admit(exchange)
+            if refusal is None:
+                refusal = await self._forward(exchange, responder)
+            if refusal is not None:
+                exchange.note_refused(refusal)
+                await responder.send(make_refusal(refusal))
+        except asyncio.CancelledError:
+            exchange.outcome = "caller_gone"
+            raise
+        finally:
+            self._log(exchange)
+
+    # Admission
+
+    def _admit(self, exchange: Exchange) -> Refusal | None:
+        """Find route, workspace and service, and take from the quota."""
+        routes = self._belief.routes
+        if routes is None:
+            return NO_CONFIGURATION
+        arrival = exchange.arrival
+        exchange.version = self._belief.version
+        route = routes.find_route(arrival.host, exchange.request.target)
+        if route is None:
+            return NO_ROUTE
+        exchange.route = route
+        workspace = routes.find_workspace(arrival.key)
+        if workspace is None and routes.needs_key and not route.public:
+            return NO_KEY
+        exchange.workspace = None if route.public else workspace
+        service = choose_service(route, self._rng)
+        exchange.set_service(
+            service, routes.configuration.services.get(service)
+        )
+        if not self._belief.find_runners(service):
+            return NO_RUNNER
+        return self._take_quota(exchange)
+
+    def _take_quota(self, exchange: Exchange) -> Refusal | None:
+        workspace = exchange.workspace
+        if workspace is None:
+            return None
+        tokens = exchange.arrival.tokens
+        total = None if tokens is None else tokens.prompt + tokens.output
+        cost = count_units(workspace, total)
+        wait = self.quotas.take(
+            workspace, cost, self.shared.heard_part(), exchange.now()
+        )
+        if wait is None:
+            exchange.units = cost
+            return None
+        detail = "the workspace is over its quota"
+        return Refusal(429, "over_quota", detail, retry_after=wait)
+
+    # Forwarding
+
+    async def _forward(
+        self, exchange: Exchange, responder: Responder
+    ) -> Refusal | None:
+        """Offer the request to runners until one answers."""
+        budget = self._budget(exchange.wanted.service)
+        budget.note_request(exchange.now())
+        try:
+            async with asyncio.timeout_at(exchange.deadline):
+                return await self._try_runners(exchange, responder, budget)
+        except TimeoutError:
+            exchange.outcome = "timeout"
+            if responder.started:
+                return None
+            return TOO_LATE if exchange.may_have_run else NOT_SENT
+        finally:
+            if not exchange.may_have_run and exchange.workspace is not None:
+                self.quotas.give_back(exchange.workspace, exchange.units)
+
+    async def _try_runners(
+        self, exchange: Exchange, responder: Responder, budget: RetryBudget
+    ) -> Refusal | None:
+        while True:
+            choice = self._choose(exchange)
+            if choice is None:
+                return exchange.last_refusal or NO_RUNNER
+            if exchange.arrivals and not budget.take(
+                self.shared.count_gateways(), exchange.now()
+            ):
+                exchange.note("no_budget")
+                return exchange.last_refusal or NO_RUNNER
+            outcome = await self._send(exchange, choice, responder)
+            exchange.note_outcome(choice, outcome)
+            if responder.finished or exchange.outcome == "answered":
+                return None
+            if not exchange.may_send_again():
+                return self._give_up(exchange, responder)
+
+    def _give_up(
+        self, exchange: Exchange, responder: Responder
+    ) -> Refusal | None:
+        # A stream that has begun can only be broken off: the caller sees
+        # from its missing end that it is not whole.
+        if responder.started:
+            exchange.outcome = "broken_off"
+            return None
+        return exchange.last_refusal or ANSWER_LOST
+
+    def _choose(self, exchange: Exchange) -> Choice | None:
+        if len(exchange.tried) >= MOST_SENDS:
+            return None
+        runners = [
+            each
+            for each in self._belief.find_runners(exchange.wanted.service)
+            if each.id not in exchange.tried
+        ]
+        return self.placement.choose(
+            runners, exchange.wanted, exchange.now(), self._rng
+        )
+
+    async def _send(
+        self, exchange: Exchange, choice: Choice, responder: Responder
+    ) -> Outcome:
+        exchange.note_sent(choice)
+        placement = self.placement
+        wanted = exchange.wanted
+        placement.note_sent(choice, wanted, exchange.now())
+        sent = exchange.now()
+        began = False
+        try:
+            outcome = await send_request(
+                self._client,
+                choice.endpoint,
+                exchange.request,
+                exchange.arrival.id,
+                self._instruct(exchange, choice),
+                self._find_patience(exchange, choice),
+            )
+            self._learn(exchange, choice, outcome, exchange.now() - sent)
+            began = isinstance(outcome, Began | Whole)
+            if isinstance(outcome, Whole):
+                await self._answer_whole(exchange, outcome, responder)
+            elif isinstance(outcome, Began):
+                outcome = await self._relay(exchange, outcome, responder)
+            return outcome
+        finally:
+            placement.note_ended(choice, began)
+
+    def _instruct(self, exchange: Exchange, choice: Choice) -> Instructions:
+        workspace = exchange.workspace
+        return Instructions(
+            runner=choice.endpoint.id,
+            left=exchange.deadline - exchange.now(),
+            workspace=workspace.name if workspace else "",
+            last_event=exchange.last_event,
+            urgency=min(MOST_URGENCY, exchange.priority)
+            if exchange.wanted.engine
+            else None,
+        )
+
+    def _find_patience(
+        self, exchange: Exchange, choice: Choice
+    ) -> float | None:
+        """Return how long a runner may be silent before its first byte.
+
+        Only where another runner may be asked: the silence of one that may
+        be at work on a booking is no reason to end it.
+        """
+        if not exchange.idempotent:
+            return None
+        return max(
+            FIRST_SILENCE_SECONDS, 2 * exchange.target, 4 * choice.seconds
+        )
+
+    def _learn(
+        self,
+        exchange: Exchange,
+        choice: Choice,
+        outcome: Outcome,
+        took: float,
+    ) -> None:
+        state = self.placement.state(choice.endpoint.id)
+        now = exchange.now()
+        match outcome:
+            case Unreachable():
+                state.note_unreachable(now)
+            case NotRun() | Broken():
+                state.note_outcome(True)
+            case Silent():
+                state.note_outcome(True)
+                state.note_unreachable(now)
+            case Whole(response):
+                state.note_reached()
+                state.note_outcome(response.status >= 500)
+            case Began():
+                state.note_reached()
+                state.note_outcome(False)
+        if isinstance(outcome, Whole | Began):
+            self.placement.note_first_byte(choice, exchange.wanted, took, now)
+            if exchange.note_began() and exchange.workspace is not None:
+                self._usage.note_begun(exchange.workspace.name)
+            if isinstance(outcome, Began):
+                self._count_prompt(exchange, choice)
+
+    def _count_prompt(self, exchange: Exchange, choice: Choice) -> None:
+        service = exchange.wanted.service
+        before = self.prompt_tokens.get(service, 0)
+        self.prompt_tokens[service] = before + choice.unread
+
+    # Answers
+
+    async def _answer_whole(
+        self, exchange: Exchange, outcome: Whole, responder: Responder
+    ) -> None:
+        response = outcome.response
+        if exchange.may_repeat_failure(response.status):
+            exchange.kept = response
+            return
+        headers = make_returned(response.headers)
+        await responder.send(response._replace(headers=headers))
+        exchange.note_answered(response.status)
+
+    async def _relay(
+        self, exchange: Exchange, began: Began, responder: Responder
+    ) -> Outcome:
+        """Pass a stream's events on as they come, whole ones only."""
+        call = began.call
+        cutter = EventCutter()
+        data: bytes | Broken | Silent = began.first
+        try:
+            while isinstance(data, bytes) and data:
+                await self._pass_on(
+                    exchange, call, cutter.feed(data), responder
+                )
+                data = await call.read(self._stream_patience(exchange))
+        finally:
+            call.close()
+        if not isinstance(data, bytes):
+            return data
+        if cutter.rest:
+            return Broken("the stream ended within an event")
+        if responder.started:
+            await responder.finish()
+        exchange.note_answered(call.status)
+        return began
+
+    async def _pass_on(
+        self,
+        exchange: Exchange,
+        call: RunnerCall,
+        events: list[RawEvent],
+        responder: Responder,
+    ) -> None:
+        fresh = [event for event in events if exchange.take_event(event)]
+        if not fresh:
+            return
+        if not responder.started:
+            exchange.note_first_byte()
+            await responder.start(call.status, make_returned(call.headers))
+        await responder.write(b"".join(event.data for event in fresh))
+
+    def _stream_patience(self, exchange: Exchange) -> float | None:
+        return SILENCE_SECONDS if exchange.idempotent else None
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(
+                self._bounds.budget_ratio,
+                self._bounds.budget_floor,
+                self._bounds.budget_window,
+            )
+        return budget
--- /dev/null
+++ b/lagoonpost/forwarding/log.py
@@ -0,0 +1,66 @@
+"""Writes structured log lines to standard output without ever blocking."""
+
+import asyncio
+import json
+import os
+from collections import deque
+from typing import Any
+
+import eliot
+
+MOST_LINES = 2000
+"""Lines that wait for a reader who is slow; more are counted and dropped."""
+
+
+class LogWriter:
+    """An eliot destination with a bounded ring.
+
+    A reader that stops reading would otherwise stop the whole process at
+    its next line, and every request with it.
+    """
+
+    def __init__(self, descriptor: int = 1) -> None:
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._dropped = 0
+        self._armed = False
+
+    def install(self) -> None:
+        """Take all of eliot's messages."""
+        os.set_blocking(self._descriptor, False)
+        eliot.add_destinations(self)
+
+    def __call__(self, message: dict[str, Any]) -> None:
+        """Take one message."""
+        if len(self._lines) >= MOST_LINES:
+            self._dropped += 1
+            return
+        for noise in ("task_uuid", "task_level"):
+            message.pop(noise, None)
+        self._lines.append(_encode(message))
+        if not self._armed:
+            self._armed = True
+            try:
+                asyncio.get_running_loop().call_soon(self._flush)
+            except RuntimeError:
+                self._flush()
+
+    def _flush(self) -> None:
+        self._armed = False
+        if self._dropped:
+            dropped = {"message_type": "lagoonpost:log:dropped"}
+            self._lines.append(_encode({**dropped, "lines": self._dropped}))
+            self._dropped = 0
+        while self._lines:
+            line = self._lines.popleft()
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                written = 0
+            if written < len(line):
+                self._lines.appendleft(line[written:])
+                return
+
+
+def _encode(message: dict[str, Any]) -> bytes:
+    return (json.dumps(message, default=str) + "\n").encode()
--- /dev/null
+++ b/lagoonpost/forwarding/refusal.py
@@ -0,0 +1,60 @@
+"""Answers of our own: why a request was not served, and when to return."""
+
+from typing import NamedTuple
+
+from lagoonpost.http.message import Headers, Response
+from lagoonpost.http.problem import Execution, make_problem
+
+
+class Refusal(NamedTuple):
+    """A final answer that no runner gave.
+
+    Attributes:
+        status: HTTP status.
+        reason: Short word for logs and metrics.
+        detail: What happened and what the caller can do.
+        execution: Whether the request was run.
+        retry_after: Seconds until coming back helps; None if it won't.
+    """
+
+    status: int
+    reason: str
+    detail: str
+    execution: Execution = "not_run"
+    retry_after: float | None = None
+
+
+NO_CONFIGURATION = Refusal(
+    503, "no_configuration", "this gateway has just started", retry_after=0.5
+)
+NO_ROUTE = Refusal(404, "no_route", "no route leads to this path")
+NO_KEY = Refusal(401, "no_key", "the key is not known")
+NO_RUNNER = Refusal(
+    503, "no_runner", "no runner of the service serves", retry_after=0.5
+)
+TOO_LATE = Refusal(
+    504, "timeout", "no answer came in time", execution="unknown"
+)
+NOT_SENT = Refusal(
+    503, "not_sent", "no runner took it in time", retry_after=0.5
+)
+ANSWER_LOST = Refusal(
+    502, "answer_lost", "the runner's answer was lost", execution="unknown"
+)
+
+
+def make_refusal(refusal: Refusal) -> Response:
+    """Return the response for a refusal."""
+    headers: Headers = ()
+    if refusal.retry_after is not None:
+        # Fractions are understood, and whole seconds would be as long as
+        # most callers wait in all.
+        headers = (("retry-after", f"{refusal.retry_after:.2f}"),)
+    return make_problem(
+        refusal.status,
+        refusal.reason.replace("_", " "),
+        refusal.detail,
+        refusal.execution,
+        reason=refusal.reason,
+        headers=headers,
+    )
--- /dev/null
+++ b/lagoonpost/forwarding/usage.py
@@ -0,0 +1,35 @@
+"""Counts the requests that runners began, by workspace and window."""
+
+from collections.abc import Callable
+
+KEPT_WINDOWS = 8
+"""Windows that are reported to the others: the present one and those whose
+report may still be due."""
+
+
+class UsageCount:
+    """This gateway's counts.
+
+    Args:
+        seconds: Length of a window.
+        clock: Seconds since the epoch.
+    """
+
+    def __init__(self, seconds: float, clock: Callable[[], float]) -> None:
+        self._seconds = seconds
+        self._clock = clock
+        self.begun: dict[int, dict[str, int]] = {}
+
+    def window(self) -> int:
+        """Return the number of the present window."""
+        return int(self._clock() // self._seconds)
+
+    def note_begun(self, workspace: str) -> None:
+        """Count one request in the present window."""
+        window = self.window()
+        counts = self.begun.get(window)
+        if counts is None:
+            counts = self.begun[window] = {}
+            for old in [w for w in self.begun if w <= window - KEPT_WINDOWS]:
+                del self.begun[old]
+        counts[workspace] = counts.get(workspace, 0) + 1
--- a/lagoonpost/gateway/booking.py
+++ b/lagoonpost/gateway/booking.py
@@ -11,8 +11,8 @@
 from lagoonpost.gateway.booking_answer import make_answer
 from lagoonpost.http.client import Client
 from lagoonpost.http.message import Headers, Response, parse_address
-from lagoonpost.platform.ledger import PREFIX, Ledger
 from lagoonpost.runners.plain import call_once
+from lagoonpost.store.ledger import PREFIX, Ledger
 from lagoonpost.systems.backoff import outage_delay
 from lagoonpost.systems.booking import (
     Answered,
--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -20,11 +20,11 @@
 from lagoonpost.gateway.tickets import TicketHandlers
 from lagoonpost.http.message import Request
 from lagoonpost.http.server import Responder, Server
-from lagoonpost.platform.ledger import Ledger
-from lagoonpost.platform.table import TableStore
-from lagoonpost.platform.ticket import Intake
-from lagoonpost.platform.watch import Watch
 from lagoonpost.settings import GatewaySettings
+from lagoonpost.store.ledger import Ledger
+from lagoonpost.store.table import TableStore
+from lagoonpost.store.ticket import Intake
+from lagoonpost.store.watch import Watch
 from lagoonpost.systems.event import Declared
 from lagoonpost.tables.entity import Declaration
 
--- a/lagoonpost/gateway/moves.py
+++ b/lagoonpost/gateway/moves.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from lagoonpost.gateway.state import Gateway
-from lagoonpost.platform.store import Condition, Store, Unavailable, Write
+from lagoonpost.store.store import Condition, Store, Unavailable, Write
 from lagoonpost.systems.event import Declared
 from lagoonpost.systems.move import (
     MoveRow,
--- a/lagoonpost/gateway/peering.py
+++ b/lagoonpost/gateway/peering.py
@@ -13,8 +13,8 @@
 from lagoonpost.http.message import Address
 from lagoonpost.peers.message import Document, HandOver
 from lagoonpost.peers.node import Peers, PeerSettings
-from lagoonpost.platform.watch import PEER_SECONDS, Watch
 from lagoonpost.settings import GatewaySettings
+from lagoonpost.store.watch import PEER_SECONDS, Watch
 from lagoonpost.systems.event import Peered
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.peer import Member
--- a/lagoonpost/gateway/reclaim.py
+++ b/lagoonpost/gateway/reclaim.py
@@ -7,8 +7,8 @@
 import eliot
 
 from lagoonpost.gateway.state import Gateway
-from lagoonpost.platform.cloud import Notice, fetch_notices
-from lagoonpost.platform.store import Unavailable
+from lagoonpost.store.cloud import Notice, fetch_notices
+from lagoonpost.store.store import Unavailable
 from lagoonpost.systems.event import Leaving
 
 # A leaving endpoint may get no new work after a few seconds, and the cloud
--- a/lagoonpost/gateway/tickets.py
+++ b/lagoonpost/gateway/tickets.py
@@ -14,10 +14,10 @@
     Response,
     make_json_response,
 )
-from lagoonpost.platform.declaration import format_record
-from lagoonpost.platform.store import Unavailable
-from lagoonpost.platform.ticket import Intake
-from lagoonpost.platform.watch import Watch
+from lagoonpost.store.declaration import format_record
+from lagoonpost.store.store import Unavailable
+from lagoonpost.store.ticket import Intake
+from lagoonpost.store.watch import Watch
 from lagoonpost.systems.ticket import find_near_deadlines
 from lagoonpost.tables.ticket import (
     Accepted,
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -7,7 +7,12 @@
 
 import h11
 
-from lagoonpost.http.message import Address, Headers, Response
+from lagoonpost.http.message import (
+    Address,
+    Headers,
+    Response,
+    find_header,
+)
 
 READ_SIZE = 65536
 CONNECT_SECONDS = 1.0
@@ -203,19 +208,24 @@
         *,
         fresh: bool = False,
         may_send: Callable[[], bool] | None = None,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> Stream:
-        """Send a request and return its response before its head came."""
+        """Send a request and return its response before its head came.
+
+        A host header in ``headers`` goes before the address.
+        """
         socket = None if fresh else self._take(address)
         if socket is None:
-            socket = await _connect(address)
+            socket = await _connect(address, connect_seconds)
         connection = h11.Connection(h11.CLIENT)
+        host = find_header(headers, "host") or str(address)
         head = h11.Request(
             method=method,
             target=target,
             headers=[
-                ("host", str(address)),
+                ("host", host),
                 ("content-length", str(len(body))),
-                *headers,
+                *(field for field in headers if field[0] != "host"),
             ],
         )
         data = connection.send(head) or b""
@@ -258,9 +268,9 @@
         idle.append(_Idle(socket, now))
 
 
-async def _connect(address: Address) -> _Socket:
+async def _connect(address: Address, seconds: float) -> _Socket:
     try:
-        async with asyncio.timeout(CONNECT_SECONDS):
+        async with asyncio.timeout(seconds):
             reader, writer = await asyncio.open_connection(
                 address.host, address.port, limit=READ_SIZE
             )
--- a/lagoonpost/http/message.py
+++ b/lagoonpost/http/message.py
@@ -43,7 +43,17 @@
 
 
 class Request(NamedTuple):
-    """A request whose whole body has been read."""
+    """A request whose whole body has been read.
+
+    Attributes:
+        method: Method.
+        path: Path of the target.
+        query: Query of the target.
+        headers: Headers with names in lower case.
+        body: Body.
+        peer: Address of the sender.
+        target: Path and query byte for byte, for those who pass it on.
+    """
 
     method: str
     path: str
@@ -51,6 +61,7 @@
     headers: Headers
     body: bytes
     peer: str
+    target: str = ""
 
     def header(self, name: str) -> str | None:
         """Return the first value of header ``name`` (lower case)."""
--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -50,10 +50,12 @@
         connection: h11.Connection,
         writer: asyncio.StreamWriter,
         limits: Limits,
+        is_closing: Callable[[], bool] = lambda: False,
     ) -> None:
         self._connection = connection
         self._writer = writer
         self._limits = limits
+        self._is_closing = is_closing
         self._chunked = False
         self.started = False
         self.finished = False
@@ -101,6 +103,10 @@
 
     def _head(self, status: int, headers: Headers) -> None:
         self.started = True
+        if self._is_closing():
+            # The caller must not send its next request on a connection
+            # that is closed after this answer.
+            headers = (*headers, ("connection", "close"))
         self._writer.write(
             self._encode(
                 h11.Response(status_code=status, headers=list(headers))
@@ -139,15 +145,32 @@
 
 
 class Server:
-    """Listens on one address and hands whole requests to a handler."""
+    """Listens on one address and hands whole requests to a handler.
 
-    def __init__(self, handler: Handler, limits: Limits | None = None) -> None:
+    Args:
+        handler: Answers a request.
+        limits: Bounds; may be replaced while running.
+        cancel_when_gone: Whether a handler is cancelled once its caller
+            has closed the connection.
+
+    Attributes:
+        limits: Bounds of what is received from now on.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Limits | None = None,
+        cancel_when_gone: bool = False,
+    ) -> None:
         self._handler = handler
-        self._limits = limits or Limits()
+        self.limits = limits or Limits()
+        self._cancel_when_gone = cancel_when_gone
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
         self._idle: set[asyncio.StreamWriter] = set()
         self._closing = False
+        self._leaving = False
 
     async def start(self, address: Address) -> Address:
         """Listen on ``address`` and return the bound address."""
@@ -157,6 +180,14 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    def is_closing(self) -> bool:
+        """Tell whether connections end after their present answer."""
+        return self._closing or self._leaving
+
+    def leave(self) -> None:
+        """Go on serving, but end each connection after its next answer."""
+        self._leaving = True
+
     async def drain(self, grace: float) -> None:
         """Stop listening and wait up to ``grace`` s for open requests."""
         self._closing = True
@@ -179,7 +210,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._connections.add(task)
-        writer.transport.set_write_buffer_limits(high=self._limits.buffer)
+        writer.transport.set_write_buffer_limits(high=self.limits.buffer)
         try:
             await self._converse(reader, writer)
         except (PeerGoneError, OSError, h11.LocalProtocolError):
@@ -198,11 +229,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.head
+            h11.SERVER, max_incomplete_event_size=self.limits.head
         )
         peer = str(writer.get_extra_info("peername"))
         while not self._closing:
-            responder = Responder(connection, writer, self._limits)
+            responder = Responder(
+                connection, writer, self.limits, self.is_closing
+            )
             try:
                 request = await self._read(connection, reader, writer, peer)
             except BadRequestError as error:
@@ -210,7 +243,12 @@
                 return
             if request is None:
                 return
-            await self._handler(request, responder)
+            if self._cancel_when_gone:
+                await self._handle_watched(
+                    request, responder, connection, reader
+                )
+            else:
+                await self._handler(request, responder)
             if not responder.finished:
                 # The handler gave up in mid-answer. Closing without the
                 # last chunk is how the caller learns that it is not whole.
@@ -222,6 +260,33 @@
                 return
             connection.start_next_cycle()
 
+    async def _handle_watched(
+        self,
+        request: Request,
+        responder: Responder,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+    ) -> None:
+        """Run the handler, and cancel it once its caller has gone.
+
+        Without this a caller that gave up would keep its runner at work
+        for nobody; it shows as a read that ends while nothing is due.
+        """
+        work = asyncio.ensure_future(self._handler(request, responder))
+        watch = asyncio.ensure_future(_wait_gone(reader, connection))
+        try:
+            await asyncio.wait(
+                {work, watch}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            watch.cancel()
+            if not work.done():
+                work.cancel()
+            await asyncio.wait({work, watch})
+        if work.cancelled():
+            raise PeerGoneError("the caller closed the connection")
+        work.result()
+
     async def _read(
         self,
         connection: h11.Connection,
@@ -231,7 +296,7 @@
     ) -> Request | None:
         head: h11.Request | None = None
         body = bytearray()
-        idle = self._limits.idle_seconds
+        idle = self.limits.idle_seconds
         deadline = asyncio.get_running_loop().time() + idle
         self._idle.add(writer)
         while True:
@@ -248,12 +313,12 @@
                     # The clock of a request starts with its first byte, so
                     # that a caller who sends a byte a minute is cut off.
                     loop = asyncio.get_running_loop()
-                    deadline = loop.time() + self._limits.read_seconds
+                    deadline = loop.time() + self.limits.read_seconds
                 connection.receive_data(data)
             elif isinstance(event, h11.Request):
                 self._idle.discard(writer)
                 head = event
-                _check_length(event, self._limits.body)
+                _check_length(event, self.limits.body)
                 if connection.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(
                         status_code=100, headers=[]
@@ -261,7 +326,7 @@
                     writer.write(connection.send(interim) or b"")
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > self._limits.body:
+                if len(body) > self.limits.body:
                     raise BadRequestError(413, "the body is too large")
             elif isinstance(event, h11.EndOfMessage):
                 assert head is not None
@@ -270,6 +335,24 @@
                 return None
 
 
+async def _wait_gone(
+    reader: asyncio.StreamReader, connection: h11.Connection
+) -> None:
+    early = 0
+    while early < READ_SIZE:
+        try:
+            data = await reader.read(READ_SIZE)
+        except OSError:
+            return
+        if not data:
+            return
+        # The next request, sent before this one is answered. A peer that
+        # sends more than a buffer full is not read until it is.
+        connection.receive_data(data)
+        early += len(data)
+    await asyncio.Event().wait()
+
+
 async def _receive(
     reader: asyncio.StreamReader, deadline: float, started: bool
 ) -> bytes:
@@ -298,7 +381,13 @@
     except ValueError as error:
         raise BadRequestError(400, "the target is not a URL") from error
     return Request(
-        head.method.decode("ascii"), url.path, url.query, headers, body, peer
+        head.method.decode("ascii"),
+        url.path,
+        url.query,
+        headers,
+        body,
+        peer,
+        head.target.decode("ascii"),
     )
 
 
--- a/lagoonpost/platform/__init__.py
+++ b/lagoonpost/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: tables, objects, cloud API and host list."""
+"""Adapter to the users' platform: names, formats and calls, no decision."""
--- a/lagoonpost/platform/cloud.py
+++ b/lagoonpost/platform/cloud.py
@@ -1,51 +1,87 @@
-"""Reclaim notices of the platform's cloud API."""
+"""The platform's calls that only the holder of a duty may make."""
 
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 import msgspec
 
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address
-from lagoonpost.platform.store import Unavailable
 
-CALL_SECONDS = 1.0
+CLOUD_SECONDS = 2.0
+"""Longest wait; a call without an answer is repeated as it was."""
 
+CloudOutcome = Literal["done", "fenced", "refused", "unknown"]
 
-class Notice(NamedTuple):
-    """A host will be reclaimed.
 
-    Attributes:
-        host: Name of the host.
-        deadline: Time of the reclaim in seconds since the epoch.
-    """
+class Duty(NamedTuple):
+    """Under which name and fencing number a call is made."""
+
+    holder: str
+    fence: int
 
-    host: str
-    deadline: float
 
+class CloudCalls:
+    """Usage reports and orders of runners.
+
+    Args:
+        client: HTTP client.
+        address: Where the cloud listens.
+    """
 
-class _NoticeObject(msgspec.Struct):
-    host: str
-    deadline: float
+    def __init__(self, client: Client, address: Address) -> None:
+        self._client = client
+        self._address = address
 
+    async def report_usage(
+        self, duty: Duty, window: int, counts: dict[str, int]
+    ) -> CloudOutcome:
+        """Report what each workspace used in one window.
 
-class _NoticesObject(msgspec.Struct):
-    notices: list[_NoticeObject]
+        Returns:
+            "fenced" if a higher fencing number was seen before.
+        """
+        body = {"window_id": window, "counts": counts}
+        status = await self._call("/usage", duty, body)
+        return _OUTCOMES.get(status, "refused")
 
+    async def order_runners(
+        self, duty: Duty, service: str, domain: str, count: int, spot: bool
+    ) -> CloudOutcome:
+        """Order a number of runners of a service in a failure domain.
 
-async def fetch_notices(
-    client: Client, address: Address
-) -> tuple[Notice, ...] | Unavailable:
-    """Return the reclaim notices in force."""
-    try:
-        answer = await client.call(
-            address, "GET", "/v1/notices", timeout=CALL_SECONDS
+        Returns:
+            "fenced" if there are none to be had, or a higher fencing
+            number was seen: both have the same answer.
+        """
+        body: dict[str, object] = {
+            "service": service,
+            "zone": domain,
+            "desired_count": count,
+        }
+        if spot:
+            body["spot"] = True
+        status = await self._call("/scale", duty, body)
+        return _OUTCOMES.get(status, "refused")
+
+    async def _call(self, path: str, duty: Duty, body: object) -> int:
+        headers = (
+            ("content-type", "application/json"),
+            ("duty-holder", duty.holder),
+            ("fence-token", str(duty.fence)),
         )
-    except CallFailedError as error:
-        return Unavailable(str(error))
-    if answer.status != 200:
-        return Unavailable(f"status {answer.status}")
-    try:
-        found = msgspec.json.decode(answer.body, type=_NoticesObject).notices
-    except msgspec.DecodeError as error:
-        return Unavailable(str(error))
-    return tuple(Notice(notice.host, notice.deadline) for notice in found)
+        try:
+            answer = await self._client.call(
+                self._address,
+                "POST",
+                path,
+                msgspec.json.encode(body),
+                headers,
+                timeout=CLOUD_SECONDS,
+                fresh=True,
+            )
+        except CallFailedError as error:
+            return 0 if error.sent else 503
+        return answer.status
+
+
+_OUTCOMES: dict[int, CloudOutcome] = {200: "done", 409: "fenced", 0: "unknown"}
--- /dev/null
+++ b/lagoonpost/platform/settings.py
@@ -0,0 +1,150 @@
+"""Reads the settings file that the platform writes for each process."""
+
+import tomllib
+from typing import Any, NamedTuple
+
+from lagoonpost.http.message import Address, parse_address
+
+PATH_VARIABLE = "LAGOONPOST_CONFIG"
+
+
+class Bounds(NamedTuple):
+    """Promised times and shares that decisions have to keep.
+
+    Attributes:
+        lease_seconds: Within it no duty may go from A to B and back to A.
+        grace_seconds: From the order to stop to the kill.
+        budget_ratio: Repeats allowed as a part of a service's requests.
+        budget_window: Seconds over which repeats are counted.
+        budget_floor: Repeats allowed besides, over all gateways.
+        quota_window: Seconds over which workspaces' units are counted.
+        usage_window: Seconds of one usage report.
+        usage_late: Seconds after its end until a report counts as missing.
+        contact_seconds: Time after a disturbance in which bounds are waived.
+        drain_seconds: Time in which a leaving runner's news must be known.
+        ttl_most: Most seconds for which callers keep a list of entries.
+    """
+
+    lease_seconds: float = 3.0
+    grace_seconds: float = 8.0
+    budget_ratio: float = 0.2
+    budget_window: float = 10.0
+    budget_floor: float = 50.0
+    quota_window: float = 8.0
+    usage_window: float = 5.0
+    usage_late: float = 10.0
+    contact_seconds: float = 3.0
+    drain_seconds: float = 2.0
+    ttl_most: float = 5.0
+
+
+class HostSettings(NamedTuple):
+    """What a process is told about itself and what is around it.
+
+    Attributes:
+        name: Name of this host's process.
+        failure_domain: Failure domain of the host.
+        region: Region of the host.
+        regions: Region by failure domain, of all of them.
+        entry: Where callers connect.
+        ready: Where readiness is asked for; None if nobody asks.
+        directory: Where callers ask for entries; None if this is not one.
+        peer: Where peers connect.
+        seeds: Where some peers listen; they may be gone.
+        store: Address of the store.
+        cloud: Address of the cloud's calls; None if there are no duties.
+        reports_usage: Whether usage is to be reported.
+        orders_runners: Whether runners are to be ordered.
+        bounds: Promised times and shares.
+    """
+
+    name: str
+    failure_domain: str
+    region: str
+    regions: dict[str, str]
+    entry: Address
+    ready: Address | None
+    directory: Address | None
+    peer: Address
+    seeds: tuple[Address, ...]
+    store: Address
+    cloud: Address | None
+    reports_usage: bool
+    orders_runners: bool
+    bounds: Bounds
+
+
+class SettingsError(Exception):
+    """The settings file can't be used; the text names file and field."""
+
+
+def read_host_settings(path: str) -> HostSettings:
+    """Read and check the settings file.
+
+    Raises:
+        SettingsError: If the file can't be read or lacks what is needed.
+    """
+    try:
+        with open(path, "rb") as file:
+            document = tomllib.load(file)
+        return _decode(document)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    except KeyError as error:
+        raise SettingsError(f"{path}: {error.args[0]} is missing") from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def _decode(document: dict[str, Any]) -> HostSettings:
+    listen = document["listen"]
+    cloud = document.get("cloud") or {}
+    duties = cloud.get("duties") or []
+    host = str(document["ip"])
+    # The first internal port is free on every host; a role that has a
+    # control address listens there, as the seeds name such addresses.
+    peer = _address(listen.get("control")) or Address(
+        host, int(document["internal_ports"][0])
+    )
+    return HostSettings(
+        name=str(document["node_name"]),
+        failure_domain=str(document["zone"]),
+        region=str(document["region"]),
+        regions={str(k): str(v) for k, v in document["zones"].items()},
+        entry=parse_address(listen["front"]),
+        ready=_address(listen.get("ready")),
+        directory=_address(listen.get("directory")),
+        peer=peer,
+        seeds=tuple(parse_address(text) for text in document.get("seeds", [])),
+        store=parse_address(document["platform"]["address"]),
+        cloud=_address(cloud.get("address")),
+        reports_usage="usage_report" in duties,
+        orders_runners="autoscale" in duties,
+        bounds=_decode_bounds(document.get("bounds") or {}),
+    )
+
+
+def _address(text: str | None) -> Address | None:
+    return parse_address(text) if text else None
+
+
+def _decode_bounds(bounds: dict[str, Any]) -> Bounds:
+    default = Bounds()
+
+    def seconds(name: str, fallback: float, unit: float = 1.0) -> float:
+        value = bounds.get(name)
+        return fallback if value is None else float(value) / unit
+
+    return Bounds(
+        lease_seconds=seconds("lease_ms", default.lease_seconds, 1000),
+        grace_seconds=seconds("grace_s", default.grace_seconds),
+        budget_ratio=seconds("retry_budget_ratio", default.budget_ratio),
+        budget_window=seconds("budget_window_s", default.budget_window),
+        budget_floor=seconds("budget_min_retries", default.budget_floor),
+        quota_window=seconds("quota_window_s", default.quota_window),
+        usage_window=seconds("report_window_s", default.usage_window),
+        usage_late=seconds("usage_late_s", default.usage_late),
+        contact_seconds=seconds("contact_ms", default.contact_seconds, 1000),
+        drain_seconds=seconds("drain_ms", default.drain_seconds, 1000),
+        ttl_most=seconds("ttl_max_s", default.ttl_most),
+    )
--- a/lagoonpost/platform/store.py
+++ b/lagoonpost/platform/store.py
@@ -1,72 +1,263 @@
-"""The platform's table service as the product needs it."""
+"""Calls of the platform's metadata store: transactions, reads and feeds."""
 
+import asyncio
+import base64
 from collections.abc import Sequence
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
+from urllib.parse import urlencode
 
+import msgspec
 
-class Row(NamedTuple):
-    """A stored row; ``version`` is 0 for an absent one and then grows."""
+from lagoonpost.http.client import CallFailedError, Client
+from lagoonpost.http.message import Address, Response
+from lagoonpost.store.store import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    Unavailable,
+    Write,
+)
 
-    key: str
-    version: int
-    value: Any = None
+# The product's own rows live in one table; the keys name what they are.
+OWN_TABLE = "lagoonpost"
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_KEY = "config"
+ENDPOINT_TABLE = "servers"
+STORE_SECONDS = 1.0
+"""Longest wait for an answer: 250 times the store's usual one."""
+FEED_SLACK_SECONDS = 1.0
+"""Longest wait for a feed's answer beyond the wait that was asked for."""
+PAGE_ROWS = 500
+"""Most rows that the store gives in one answer."""
 
 
-class Condition(NamedTuple):
-    """The row ``key`` must have exactly this version; 0 is absent."""
+class FeedRow(NamedTuple):
+    """A row as a table's feed tells it; ``value`` is None once deleted."""
 
     key: str
     version: int
+    value: bytes | None
 
 
-class Write(NamedTuple):
-    """Set row ``key`` to a JSON value; None deletes it."""
+class Page(NamedTuple):
+    """Rows and the version up to which the answer holds."""
 
-    key: str
-    value: Any
+    rows: tuple[FeedRow, ...]
+    version: int
 
 
-class Committed(NamedTuple):
-    """The transaction took effect; ``rows`` are the written ones."""
+class HistoryLost(NamedTuple):
+    """The feed no longer reaches back to the version asked for."""
 
-    rows: tuple[Row, ...]
 
+class _WireRow(msgspec.Struct):
+    key: str
+    ver: int
+    value: str | None = None
+    deleted: bool = False
+    part: str = ""
 
-class Conflict(NamedTuple):
-    """A condition failed, nothing was written; ``rows`` are as they are."""
 
-    rows: tuple[Row, ...]
+class _WireRows(msgspec.Struct):
+    rows: list[_WireRow] = []
+    ver: int = 0
+    has_more: bool = False
 
 
-class Unavailable(NamedTuple):
-    """The service did not answer.
+_decode_rows = msgspec.json.Decoder(_WireRows).decode
 
-    ``applied`` is False when the call surely had no effect, and None when a
-    write may have taken effect with its reply lost.
-    """
 
-    detail: str
-    applied: bool | None = None
+class PlatformStore:
+    """The store, for the product's own rows and for what others write.
+
+    Args:
+        client: HTTP client.
+        address: Where the store listens.
+    """
 
+    def __init__(self, client: Client, address: Address) -> None:
+        self._client = client
+        self._address = address
+        self._fresh = False
 
-class Store(Protocol):
-    """Transactions, reads and scans; outcomes are values."""
+    # Rows of the product
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> Committed | Conflict | Unavailable:
         """Apply all ``writes`` if all ``conditions`` hold, or nothing."""
+        body = {
+            "expected_rev": [
+                {**_place(each.key), "ver": each.version}
+                for each in conditions
+            ],
+            "writes": [
+                {**_place(each.key), "value": _encode(each.value)}
+                for each in writes
+                if each.value is not None
+            ],
+            "deletes": [
+                _place(each.key) for each in writes if each.value is None
+            ],
+        }
+        answer = await self._call(
+            "POST", "/v1/rows-tx", msgspec.json.encode(body)
+        )
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer.status == 412:
+            rows = _decode_rows(answer.body).rows
+            return Conflict(_order(conditions, [_own(row) for row in rows]))
+        if answer.status != 200:
+            return Unavailable(f"status {answer.status}", applied=False)
+        version = _decode_rows(answer.body).ver
+        return Committed(
+            tuple(Row(each.key, version, each.value) for each in writes)
+        )
 
     async def read(self, keys: Sequence[str]) -> tuple[Row, ...] | Unavailable:
         """Return one row for each key, in order."""
+        rows: list[Row] = []
+        for key in keys:
+            page = await self.read_table(OWN_TABLE, key, key + "\0")
+            if isinstance(page, Unavailable):
+                return page
+            found = [_own_row(row) for row in page.rows]
+            rows.append(found[0] if found else Row(key, 0))
+        return tuple(rows)
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 1000
     ) -> tuple[Row, ...] | Unavailable:
-        """Return rows with keys that start with ``prefix``, in key order.
+        """Return rows with keys that start with ``prefix``, in key order."""
+        first = max(prefix, after + "\0" if after else "")
+        last = prefix + "\U0010ffff"
+        page = await self.read_table(OWN_TABLE, first, last)
+        if isinstance(page, Unavailable):
+            return page
+        return tuple(_own_row(row) for row in page.rows)[:limit]
+
+    # Tables of others
+
+    async def read_table(
+        self, table: str, first: str = "", last: str = ""
+    ) -> Page | Unavailable:
+        """Return all rows of a table whose keys are in a range."""
+        rows: list[FeedRow] = []
+        while True:
+            query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
+            query.update({"from": first} if first else {})
+            query.update({"to": last} if last else {})
+            answer = await self._call(
+                "GET", f"/v1/rows-get?{urlencode(query)}"
+            )
+            if isinstance(answer, Unavailable):
+                return answer
+            if answer.status != 200:
+                return Unavailable(f"status {answer.status}", applied=False)
+            page = _decode_rows(answer.body)
+            rows.extend(_feed_row(row) for row in page.rows)
+            if not page.has_more or not page.rows:
+                return Page(tuple(rows), page.ver)
+            first = page.rows[-1].key + "\0"
+
+    async def follow_table(
+        self, table: str, after: int, wait: float
+    ) -> Page | HistoryLost | Unavailable:
+        """Return the rows that changed after a version.
 
         Args:
-            prefix: What keys start with.
-            after: Return only keys greater than this one.
-            limit: Most rows to return.
+            table: Name of the table.
+            after: Version up to which everything is known.
+            wait: Seconds for which the store may hold the answer back
+                while there is no change.
         """
+        query = urlencode(
+            {"table": table, "after": after, "wait_ms": int(wait * 1000)}
+        )
+        answer = await self._call(
+            "GET",
+            f"/v1/rows-feed?{query}",
+            timeout=wait + FEED_SLACK_SECONDS,
+        )
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer.status == 410:
+            return HistoryLost()
+        if answer.status != 200:
+            return Unavailable(f"status {answer.status}", applied=False)
+        page = _decode_rows(answer.body)
+        return Page(tuple(_feed_row(row) for row in page.rows), page.ver)
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout: float = STORE_SECONDS,
+    ) -> Response | Unavailable:
+        try:
+            # After a call without an answer the old connections may have
+            # gone silent for good, while new ones work.
+            answer = await self._client.call(
+                self._address,
+                method,
+                target,
+                body,
+                (("content-type", "application/json"),) if body else (),
+                timeout=timeout,
+                fresh=self._fresh,
+            )
+        except CallFailedError as error:
+            self._fresh = True
+            applied = None if error.sent else False
+            return Unavailable(str(error), applied=applied)
+        self._fresh = False
+        return answer
+
+
+async def pause_after_failure() -> None:
+    """Wait before the store is called again."""
+    await asyncio.sleep(RETRY_SECONDS)
+
+
+RETRY_SECONDS = 0.25
+"""Pause after a failed call: four calls a second from each gateway."""
+
+
+def _place(key: str) -> dict[str, str]:
+    return {"table": OWN_TABLE, "part": "", "key": key}
+
+
+def _encode(value: Any) -> str:
+    return base64.b64encode(msgspec.json.encode(value)).decode()
+
+
+def _feed_row(row: _WireRow) -> FeedRow:
+    if row.deleted or row.value is None:
+        return FeedRow(row.key, row.ver, None)
+    try:
+        value = base64.b64decode(row.value, validate=True)
+    except ValueError:
+        # Other writers may leave anything there; the decoder of the row's
+        # table says what it makes of this.
+        value = row.value.encode()
+    return FeedRow(row.key, row.ver, value)
+
+
+def _own(row: _WireRow) -> Row:
+    return _own_row(_feed_row(row))
+
+
+def _own_row(row: FeedRow) -> Row:
+    if row.value is None:
+        return Row(row.key, row.version)
+    return Row(row.key, row.version, msgspec.json.decode(row.value))
+
+
+def _order(
+    conditions: Sequence[Condition], rows: Sequence[Row]
+) -> tuple[Row, ...]:
+    found = {row.key: row for row in rows}
+    return tuple(found.get(each.key, Row(each.key, 0)) for each in conditions)
--- /dev/null
+++ b/lagoonpost/store/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, ledger, tickets and watches over a transactional store."""
--- a/lagoonpost/platform/declaration.py
+++ b/lagoonpost/store/declaration.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from lagoonpost.platform.store import Row, Store, Unavailable
+from lagoonpost.store.store import Row, Store, Unavailable
 from lagoonpost.tables.ticket import (
     ObjectRecord,
     Snapshot,
--- a/lagoonpost/platform/group.py
+++ b/lagoonpost/store/group.py
@@ -18,8 +18,8 @@
 
 import msgspec
 
-from lagoonpost.platform.health import StoreHealth
-from lagoonpost.platform.store import (
+from lagoonpost.store.health import StoreHealth
+from lagoonpost.store.store import (
     Committed,
     Condition,
     Conflict,
--- a/lagoonpost/platform/health.py
+++ b/lagoonpost/store/health.py
@@ -19,7 +19,7 @@
 
 import eliot
 
-from lagoonpost.platform.store import Store, Unavailable
+from lagoonpost.store.store import Store, Unavailable
 
 PROBE_SECONDS = 0.5
 PROBE_KEY = "health"
--- a/lagoonpost/platform/lease.py
+++ b/lagoonpost/store/lease.py
@@ -6,8 +6,8 @@
 import eliot
 import msgspec
 
-from lagoonpost.platform.clock import read_clock
-from lagoonpost.platform.store import (
+from lagoonpost.store.clock import read_clock
+from lagoonpost.store.store import (
     Committed,
     Condition,
     Conflict,
--- a/lagoonpost/platform/ledger.py
+++ b/lagoonpost/store/ledger.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from lagoonpost.platform.clock import read_clock
-from lagoonpost.platform.group import GroupWriter
-from lagoonpost.platform.health import StoreHealth
-from lagoonpost.platform.store import (
+from lagoonpost.store.clock import read_clock
+from lagoonpost.store.group import GroupWriter
+from lagoonpost.store.health import StoreHealth
+from lagoonpost.store.store import (
     Committed,
     Condition,
     Conflict,
--- a/lagoonpost/platform/table.py
+++ b/lagoonpost/store/table.py
@@ -8,7 +8,7 @@
 
 from lagoonpost.http.client import IDLE_SECONDS, CallFailedError, Client
 from lagoonpost.http.message import Address, Response
-from lagoonpost.platform.store import (
+from lagoonpost.store.store import (
     Committed,
     Condition,
     Conflict,
--- a/lagoonpost/platform/ticket.py
+++ b/lagoonpost/store/ticket.py
@@ -9,7 +9,7 @@
 import eliot
 import msgspec
 
-from lagoonpost.platform.declaration import (
+from lagoonpost.store.declaration import (
     OBJECT_PREFIX,
     REVISION_KEY,
     TICKET_PREFIX,
@@ -22,7 +22,7 @@
     read_declaration,
     read_tickets,
 )
-from lagoonpost.platform.store import (
+from lagoonpost.store.store import (
     Committed,
     Condition,
     Conflict,
--- a/lagoonpost/platform/watch.py
+++ b/lagoonpost/store/watch.py
@@ -7,14 +7,14 @@
 import eliot
 
 from lagoonpost.declarations.state import declare, merge_objects
-from lagoonpost.platform.declaration import (
+from lagoonpost.store.declaration import (
     Changed,
     Head,
     read_declaration,
     read_head,
     read_tickets,
 )
-from lagoonpost.platform.store import Store, Unavailable
+from lagoonpost.store.store import Store, Unavailable
 from lagoonpost.tables.entity import Declaration
 from lagoonpost.tables.ticket import Snapshot, TicketRecord
 
--- /dev/null
+++ b/lagoonpost/systems/placement.py
@@ -0,0 +1,310 @@
+"""Which runner a forwarded request goes to.
+
+Pattern of load: long prompts beside short questions at a few model runners,
+sent by many gateways that each see a part of it. Counting requests ignores
+that a prompt of 9,000 tokens holds up everything behind it for a quarter of
+a second, and that most of it may be in a runner's memory already. Here the
+time to the first byte is predicted for each runner, in tokens that it has
+still to read: what is open there, by our own count and the others' reports,
+and the parts of this prompt that it does not hold.
+
+A session's prompts go to the runner that a hash of its last shared part
+chooses, which all gateways agree on without talking; another runner gets it
+only if waiting there is shorter even though it has to read everything. Pace
+is learned for each runner from answers, and fades to the service's mean so
+that a runner that was slow is tried again.
+"""
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from random import Random
+from typing import NamedTuple
+
+import xxhash
+
+from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.forwarded import Part
+from lagoonpost.tables.gateway_report import RunnerWork
+
+FIRST_TOKEN_PACE = 1 / 30_000
+"""Seconds a prompt token until something is measured: what engines of today
+read on one accelerator."""
+FIRST_PLAIN_PACE = 0.05
+"""Seconds of work of a plain request until something is measured."""
+LEARNING = 0.15
+"""Part of a new measurement in the mean: some ten answers are remembered."""
+FADE_SECONDS = 5.0
+"""Time in which what was learned of a runner's own pace loses two thirds."""
+SLOWEST, FASTEST = 20.0, 0.25
+"""Bounds of a runner's pace against its service's, so that one answer that
+was held up elsewhere can't shut a runner out for long."""
+LEAST_TOKENS = 400
+"""Prompts below this say more about the way there than about pace."""
+MEMORY_SECONDS = 30.0
+"""How long a part is taken to stay in a runner's memory after its use."""
+FAILURE_SECONDS = 1.0
+"""Wait that a runner which fails all its requests is held to be worth."""
+SUSPECT_SECONDS = 0.5
+SUSPECT_MOST = 4.0
+"""How long a runner that can't be reached is passed over: at first and at
+most; a crashed one is back after some seconds, and each try costs one
+caller a connection's time-out."""
+STEP_SECONDS = 0.0005
+"""What each request that runs beside adds to a step, roughly; it only
+decides between runners that are otherwise alike."""
+
+
+class Wanted(NamedTuple):
+    """What placement has to know of a request.
+
+    Attributes:
+        service: Service that it goes to.
+        prompt: Tokens of the prompt; 0 for a plain request.
+        parts: Parts of the prompt.
+        engine: Whether the service has model runners.
+    """
+
+    service: str
+    prompt: int
+    parts: tuple[Part, ...]
+    engine: bool
+
+
+class Choice(NamedTuple):
+    """A runner with what was predicted for it.
+
+    Attributes:
+        endpoint: The runner.
+        seconds: Predicted time to the first byte.
+        unread: Prompt tokens that it has to read.
+        suspect: Whether it could not be reached lately.
+    """
+
+    endpoint: Endpoint
+    seconds: float
+    unread: int
+    suspect: bool
+
+
+class RunnerState:
+    """What this gateway knows of one runner.
+
+    Attributes:
+        requests: Own open requests there.
+        tokens: Prompt tokens of own requests that it has still to read.
+        others: Open work of the other gateways.
+    """
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.tokens = 0
+        self.others = RunnerWork()
+        self.failure_rate = 0.0
+        self._slowness = 1.0
+        self._measured = -math.inf
+        self._suspect_until = -math.inf
+        self._suspect_for = 0.0
+        self._parts: dict[str, float] = {}
+
+    def slowness(self, now: float) -> float:
+        """Return its pace against its service's; above 1 is slower."""
+        age = max(0.0, now - self._measured)
+        fade = math.exp(-age / FADE_SECONDS)
+        return float(self._slowness**fade)
+
+    def note_pace(self, ratio: float, now: float) -> None:
+        """Learn from one answer's time against the predicted one."""
+        ratio = min(SLOWEST, max(FASTEST, ratio))
+        logarithm = (1 - LEARNING) * math.log(self.slowness(now))
+        logarithm += LEARNING * math.log(ratio)
+        self._slowness = math.exp(logarithm)
+        self._measured = now
+
+    def note_outcome(self, failed: bool) -> None:
+        """Learn from an answer that failed or did not."""
+        self.failure_rate += LEARNING * (float(failed) - self.failure_rate)
+
+    def note_unreachable(self, now: float) -> None:
+        """Pass over it for a while, longer each time in a row."""
+        doubled = max(SUSPECT_SECONDS, 2 * self._suspect_for)
+        self._suspect_for = min(SUSPECT_MOST, doubled)
+        self._suspect_until = now + self._suspect_for
+
+    def note_reached(self) -> None:
+        """Forget that it could not be reached."""
+        self._suspect_for = 0.0
+        self._suspect_until = -math.inf
+
+    def is_suspect(self, now: float) -> bool:
+        """Tell whether it could not be reached lately."""
+        return now < self._suspect_until
+
+    def note_parts(self, parts: Iterable[Part], now: float) -> None:
+        """Remember that it reads these parts."""
+        for part in parts:
+            self._parts[part.id] = now
+        if len(self._parts) > _MOST_PARTS:
+            oldest = now - MEMORY_SECONDS
+            self._parts = {
+                id_: used for id_, used in self._parts.items() if used > oldest
+            }
+
+    def count_held(self, parts: Sequence[Part], now: float) -> int:
+        """Return the tokens at a prompt's beginning that it holds."""
+        held = 0
+        for part in parts:
+            if now - self._parts.get(part.id, -math.inf) > MEMORY_SECONDS:
+                break
+            held += part.tokens
+        return held
+
+
+_MOST_PARTS = 4096
+
+
+class Placement:
+    """Learned state of all runners, and the choice among them.
+
+    Attributes:
+        states: State by the runner's id.
+    """
+
+    def __init__(self) -> None:
+        self.states: dict[str, RunnerState] = {}
+        self._pace: dict[str, float] = {}
+
+    def state(self, runner: str) -> RunnerState:
+        """Return the state of a runner, new if it is not known."""
+        return self.states.setdefault(runner, RunnerState())
+
+    def forget_missing(self, known: Iterable[str]) -> None:
+        """Drop the states of runners that are gone and have no work."""
+        kept = frozenset(known)
+        for runner in list(self.states):
+            if runner not in kept and not self.states[runner].requests:
+                del self.states[runner]
+
+    def hear(self, others: Mapping[str, RunnerWork]) -> None:
+        """Take the sum of the other gateways' open work by runner."""
+        for runner, state in self.states.items():
+            state.others = others.get(runner, RunnerWork())
+        for runner, work in others.items():
+            self.state(runner).others = work
+
+    def pace(self, wanted: Wanted) -> float:
+        """Return the service's mean pace in seconds a token or request."""
+        first = FIRST_TOKEN_PACE if wanted.engine else FIRST_PLAIN_PACE
+        return self._pace.get(wanted.service, first)
+
+    def choose(
+        self,
+        endpoints: Sequence[Endpoint],
+        wanted: Wanted,
+        now: float,
+        rng: Random,
+    ) -> Choice | None:
+        """Choose among runners that may get new work.
+
+        Args:
+            endpoints: The runners of the service that may be used.
+            wanted: The request.
+            now: Time in seconds.
+            rng: Breaks ties, so that gateways do not all choose alike.
+
+        Returns:
+            The best runner; None if there is none at all.
+        """
+        if not endpoints:
+            return None
+        home = find_home(endpoints, wanted.parts)
+        choices = [
+            self._predict(each, wanted, home, now) for each in endpoints
+        ]
+        return min(
+            choices,
+            key=lambda each: (
+                each.suspect,
+                each.seconds
+                + self.state(each.endpoint.id).failure_rate * FAILURE_SECONDS,
+                rng.random(),
+            ),
+        )
+
+    def _predict(
+        self, endpoint: Endpoint, wanted: Wanted, home: str, now: float
+    ) -> Choice:
+        state = self.state(endpoint.id)
+        suspect = state.is_suspect(now)
+        running = state.requests + state.others.requests
+        pace = self.pace(wanted) * state.slowness(now)
+        if not wanted.engine:
+            turns = max(1.0, (running + 1) / max(1, endpoint.slots))
+            # Runners that are otherwise alike share the requests.
+            seconds = pace * turns + running * STEP_SECONDS
+            return Choice(endpoint, seconds, 0, suspect)
+        held = state.count_held(wanted.parts, now)
+        if endpoint.id == home and len(wanted.parts) > 1:
+            shared = sum(part.tokens for part in wanted.parts[:-1])
+            held = max(held, shared)
+        unread = max(1, wanted.prompt - held)
+        ahead = state.tokens + state.others.tokens
+        seconds = (ahead + unread) * pace + running * STEP_SECONDS
+        if running >= endpoint.slots:
+            seconds += pace * ahead / max(1, running)
+        return Choice(endpoint, seconds, unread, suspect)
+
+    def note_sent(self, choice: Choice, wanted: Wanted, now: float) -> None:
+        """Count a request that is on its way."""
+        state = self.state(choice.endpoint.id)
+        state.requests += 1
+        state.tokens += choice.unread
+        state.note_parts(wanted.parts, now)
+
+    def note_first_byte(
+        self, choice: Choice, wanted: Wanted, took: float, now: float
+    ) -> None:
+        """Learn from the time to the first byte; the prompt is read."""
+        state = self.state(choice.endpoint.id)
+        state.tokens = max(0, state.tokens - choice.unread)
+        if wanted.engine and choice.unread < LEAST_TOKENS:
+            return
+        ratio = took / max(1e-4, choice.seconds)
+        slowness = state.slowness(now)
+        state.note_pace(ratio * slowness, now)
+        bounded = min(SLOWEST, max(FASTEST, ratio * slowness))
+        pace = self.pace(wanted)
+        self._pace[wanted.service] = pace * bounded**_SHARED_LEARNING
+
+    def note_ended(self, choice: Choice, began: bool) -> None:
+        """Count a request that has left the runner."""
+        state = self.state(choice.endpoint.id)
+        state.requests = max(0, state.requests - 1)
+        if not began:
+            state.tokens = max(0, state.tokens - choice.unread)
+
+    def report(self) -> dict[str, RunnerWork]:
+        """Return the own open work by runner, for the other gateways."""
+        return {
+            runner: RunnerWork(state.requests, state.tokens)
+            for runner, state in self.states.items()
+            if state.requests
+        }
+
+
+_SHARED_LEARNING = 0.03
+"""Exponent with which one answer moves the service's mean pace."""
+
+
+def find_home(endpoints: Sequence[Endpoint], parts: Sequence[Part]) -> str:
+    """Return the id of the runner that a session's prompts prefer.
+
+    Rendezvous hashing: all who know the same runners choose alike, and a
+    runner that comes or goes moves only its own sessions.
+    """
+    if len(parts) < 2:
+        return ""
+    key = parts[-2].id
+    return max(
+        endpoints,
+        key=lambda each: xxhash.xxh3_64_intdigest((key + each.id).encode()),
+    ).id
--- a/lagoonpost/tables/fact.py
+++ b/lagoonpost/tables/fact.py
@@ -14,6 +14,9 @@
     "poison_verdict",
     "crash_seen",
     "revision",
+    "configuration",
+    "endpoint",
+    "gateway_report",
 ]
 
 
--- a/lagoonpost_standins/platform.py
+++ b/lagoonpost_standins/platform.py
@@ -9,7 +9,7 @@
 
 from lagoonpost.http.message import Request, Response, make_json_response
 from lagoonpost.http.server import Responder
-from lagoonpost.platform.store import Condition, Conflict, Row, Write
+from lagoonpost.store.store import Condition, Conflict, Row, Write
 from lagoonpost_standins.cloud import Cloud
 from lagoonpost_standins.table import Table
 
--- a/lagoonpost_standins/table.py
+++ b/lagoonpost_standins/table.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from lagoonpost.platform.store import (
+from lagoonpost.store.store import (
     Committed,
     Condition,
     Conflict,
--- a/test/ledger_model.py
+++ b/test/ledger_model.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from lagoonpost.platform.store import Committed, Condition, Write
+from lagoonpost.store.store import Committed, Condition, Write
 from lagoonpost.systems.booking import (
     Action,
     Answered,
--- a/test/memory_store.py
+++ b/test/memory_store.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from lagoonpost.platform.store import (
+from lagoonpost.store.store import (
     Committed,
     Condition,
     Conflict,
--- a/test/test_booking.py
+++ b/test/test_booking.py
@@ -12,11 +12,11 @@
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address, Response
 from lagoonpost.http.server import Handler, Server
-from lagoonpost.platform.group import GroupWriter
-from lagoonpost.platform.health import StoreHealth
-from lagoonpost.platform.ledger import Ledger, sweep
-from lagoonpost.platform.store import Conflict, Row, Write
-from lagoonpost.platform.table import TableStore
+from lagoonpost.store.group import GroupWriter
+from lagoonpost.store.health import StoreHealth
+from lagoonpost.store.ledger import Ledger, sweep
+from lagoonpost.store.store import Conflict, Row, Write
+from lagoonpost.store.table import TableStore
 from lagoonpost.systems.event import Refuse
 from lagoonpost.systems.ledger import LedgerPolicy
 from lagoonpost.tables.entity import Runner
--- a/test/test_lease.py
+++ b/test/test_lease.py
@@ -15,7 +15,7 @@
 from memory_store import MemoryStore
 
 from lagoonpost.controller.loop import Controller
-from lagoonpost.platform.lease import LeaseKeeper
+from lagoonpost.store.lease import LeaseKeeper
 from lagoonpost.systems.lease import LeasePolicy
 from lagoonpost.systems.shard import STAY, choose_claim, rank_controller
 
--- a/test/test_order.py
+++ b/test/test_order.py
@@ -9,7 +9,7 @@
 from lagoonpost.controller.order import Orders
 from lagoonpost.http.client import Client
 from lagoonpost.http.message import Address, parse_address
-from lagoonpost.platform.lease import LeaseKeeper
+from lagoonpost.store.lease import LeaseKeeper
 from lagoonpost.systems.lease import LeasePolicy
 from lagoonpost.systems.order import (
     REPEAT,
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -1,4 +1,4 @@
-"""Tests of lagoonpost.platform.table and the stand-ins behind it."""
+"""Tests of lagoonpost.store.table and the stand-ins behind it."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -9,7 +9,7 @@
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address, Response
 from lagoonpost.http.server import Handler, Server
-from lagoonpost.platform.store import (
+from lagoonpost.store.store import (
     Committed,
     Condition,
     Conflict,
@@ -17,7 +17,7 @@
     Unavailable,
     Write,
 )
-from lagoonpost.platform.table import TableStore
+from lagoonpost.store.table import TableStore
 from lagoonpost_standins.platform import Platform
 from lagoonpost_standins.service import Service, make_booking_answer
 
--- a/test/test_sweep.py
+++ b/test/test_sweep.py
@@ -7,8 +7,8 @@
 from memory_store import MemoryStore
 
 from lagoonpost.controller.sweep import sweep_ledger
-from lagoonpost.platform.lease import LeaseKeeper
-from lagoonpost.platform.store import Row, Write
+from lagoonpost.store.lease import LeaseKeeper
+from lagoonpost.store.store import Row, Write
 from lagoonpost.tables.ledger import LedgerEntry
 
 EXPIRED = LedgerEntry("lost", "n", "d", "gateway", 0.0, 0.0, 1.0)
--- a/test/test_ticket.py
+++ b/test/test_ticket.py
@@ -1,4 +1,4 @@
-"""Tests of lagoonpost.platform.ticket."""
+"""Tests of lagoonpost.store.ticket."""
 
 import asyncio
 from collections.abc import Iterator
@@ -10,8 +10,8 @@
 
 from lagoonpost.declarations.content import parse_ticket
 from lagoonpost.declarations.file import load_ticket
-from lagoonpost.platform.declaration import Changed, read_declaration
-from lagoonpost.platform.ticket import Intake, Patience
+from lagoonpost.store.declaration import Changed, read_declaration
+from lagoonpost.store.ticket import Intake, Patience
 from lagoonpost.tables.ticket import (
     Accepted,
     NotRun,
--- a/test/test_ticket_machine.py
+++ b/test/test_ticket_machine.py
@@ -13,7 +13,7 @@
 from test_ticket import make_intake
 
 from lagoonpost.declarations.content import parse_ticket
-from lagoonpost.platform.watch import Watch
+from lagoonpost.store.watch import Watch
 from lagoonpost.tables.ticket import (
     ABSENT,
     Accepted,
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -15,8 +15,8 @@
 from lagoonpost.gateway.tickets import TicketHandlers
 from lagoonpost.http.message import Address, Request
 from lagoonpost.http.server import Responder, Server
-from lagoonpost.platform.ticket import Intake, Patience
-from lagoonpost.platform.watch import Watch
+from lagoonpost.store.ticket import Intake, Patience
+from lagoonpost.store.watch import Watch
 
 START = Path(__file__).parent.parent / "examples/tickets/1-start.yaml"
 
--- a/test/test_watch.py
+++ b/test/test_watch.py
@@ -1,4 +1,4 @@
-"""Tests of lagoonpost.platform.watch."""
+"""Tests of lagoonpost.store.watch."""
 
 import asyncio
 from collections.abc import Sequence
@@ -6,8 +6,8 @@
 from memory_store import MemoryStore
 from test_ticket import make_ticket, submit
 
-from lagoonpost.platform.declaration import RECENT
-from lagoonpost.platform.watch import STALL_SECONDS, Watch
+from lagoonpost.store.declaration import RECENT
+from lagoonpost.store.watch import STALL_SECONDS, Watch
 from lagoonpost.tables.entity import Declaration
 from lagoonpost.tables.ticket import Accepted, Snapshot, TicketRecord
 
