Prove the forwarding path over stand-ins of the users' platform

Found by them and mended: a booking whose time ended while a runner was at work on it was answered 503, which promises that it has not run and never will; it is 504 now (red: test_a_booking_runs_at_most_once[hang]).

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -38,20 +38,28 @@
 
 
 class ForwardingDaemon:
-    """One forwarding gateway, from its settings to its end."""
+    """One forwarding gateway, from its settings to its end.
+
+    Args:
+        path: Settings file that the platform writes.
+        base_runners: Runners at full price that each scaled service keeps.
+
+    Attributes:
+        belief: Configuration and runners as they are known here.
+    """
 
     def __init__(self, path: str, base_runners: int = BASE_RUNNERS) -> None:
         self._path = path
         settings = self._settings = read_host_settings(path)
         rng = random.Random()
         self._client = Client()
-        self._belief = Belief(read_clock)
+        self.belief = Belief(read_clock)
         self._store = PlatformStore(self._client, settings.store)
         wall_clock = make_clock()
         usage = UsageCount(settings.bounds.usage_window, wall_clock)
         self._usage = usage
         self._front = Front(
-            self._belief,
+            self.belief,
             self._client,
             usage,
             settings.bounds,
@@ -59,19 +67,19 @@
             log_exchange,
         )
         self._shared = Shared(
-            settings, self._belief, self._report, self._hear, rng
+            settings, self.belief, self._report, self._hear, rng
         )
         self._front.shared = self._shared
         self._follower = BeliefFollower(
             self._store,
-            self._belief,
+            self.belief,
             self._shared.publish_entry,
             self._shared.publish_configuration,
         )
         self._server = Server(
             self._front.handle, Limits(), cancel_when_gone=True
         )
-        self._belief.on_configuration.append(self._apply_limits)
+        self.belief.on_configuration.append(self._apply_limits)
         directory = Directory(
             self._shared.entries,
             self._is_ready,
@@ -89,7 +97,7 @@
                 settings,
                 self._store,
                 CloudCalls(self._client, settings.cloud),
-                self._belief,
+                self.belief,
                 self._shared,
                 self._front.placement.token_pace,
                 wall_clock,
@@ -105,11 +113,12 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self._start()
+        await self.start()
         await self._stop.wait()
-        await self._leave()
+        await self.leave()
 
-    async def _start(self) -> None:
+    async def start(self) -> None:
+        """Listen, and begin to follow the store and the peers."""
         settings = self._settings
         self._spawn(self._follower.run())
         await self._shared.start()
@@ -139,7 +148,8 @@
             ],
         )
 
-    async def _leave(self) -> None:
+    async def leave(self) -> None:
+        """Take no new callers, answer the accepted requests, and stop."""
         self._leaving = True
         grace = self._settings.bounds.grace_seconds
         loop = asyncio.get_running_loop()
@@ -158,8 +168,17 @@
         await self._server.close(0.0)
         eliot.log_message(message_type="lagoonpost:forwarding:stopped")
 
+    async def abandon(self) -> None:
+        """End at once, as a crash would."""
+        for task in self._tasks:
+            task.cancel()
+        for _, server in self._small_servers:
+            await server.close(0.0)
+        await self._server.close(0.0)
+        await self._shared.peers.close()
+
     def _is_ready(self) -> bool:
-        return self._belief.routes is not None and not self._leaving
+        return self.belief.routes is not None and not self._leaving
 
     def _apply_limits(self, routes: RouteTable) -> None:
         limits = routes.configuration.limits
@@ -180,7 +199,7 @@
             store_lost=self._follower.lost,
             prompt_tokens=front.prompt_tokens,
             output_tokens=front.output_tokens,
-            version=self._belief.version,
+            version=self.belief.version,
         )
 
     def _hear(self, report: GatewayReport) -> None:
@@ -192,12 +211,10 @@
         while True:
             await asyncio.sleep(UPKEEP_SECONDS)
             self._front.placement.hear(self._shared.sum_work())
-            for key in self._belief.drop_lapsed():
+            for key in self.belief.drop_lapsed():
                 self._shared.publish_entry(key)
             self._front.placement.forget_missing(
-                key
-                for key in self._belief.entries
-                if self._belief.is_known(key)
+                key for key in self.belief.entries if self.belief.is_known(key)
             )
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -64,6 +64,7 @@
         self.status = 0
         self.steps: list[str] = []
         self.may_have_run = False
+        self._sending = False
         self.last_refusal: Refusal | None = None
         self.kept: Response | None = None
         self.first_byte: float | None = None
@@ -105,6 +106,16 @@
             return self.workspace.priority
         return self.route.priority if self.route else 0
 
+    @property
+    def surely_not_run(self) -> bool:
+        """Whether no runner can have begun it.
+
+        An offer that ends in its middle, as its time is over, may have
+        reached the runner; an answer that says it has not run would bring
+        the caller back with the same booking.
+        """
+        return not self.may_have_run and not self._sending
+
     # What happens to it
 
     def note(self, step: str) -> None:
@@ -114,9 +125,11 @@
     def note_sent(self, choice: Choice) -> None:
         """Count an offer to a runner."""
         self.tried.add(choice.endpoint.id)
+        self._sending = True
 
     def note_outcome(self, choice: Choice, outcome: Outcome) -> None:
         """Take what came of an offer into account."""
+        self._sending = False
         word = type(outcome).__name__.lower()
         self.note(f"{choice.endpoint.id}:{word}:{choice.seconds:.3f}")
         match outcome:
--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -168,9 +168,9 @@
             exchange.outcome = "timeout"
             if responder.started:
                 return None
-            return TOO_LATE if exchange.may_have_run else NOT_SENT
+            return NOT_SENT if exchange.surely_not_run else TOO_LATE
         finally:
-            if not exchange.may_have_run and exchange.workspace is not None:
+            if exchange.surely_not_run and exchange.workspace is not None:
                 self.quotas.give_back(
                     exchange.workspace, exchange.units, exchange.now()
                 )
--- /dev/null
+++ b/test/forwarding_stack.py
@@ -0,0 +1,268 @@
+"""Forwarding gateways among stand-ins, all in one event loop."""
+
+import asyncio
+import itertools
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any, Self, TypeVar
+
+from lagoonpost.forwarding.daemon import ForwardingDaemon
+from lagoonpost.http.client import Client
+from lagoonpost.http.message import Address, Headers, Response
+from lagoonpost.http.server import Server
+from lagoonpost_standins.forwarded import ForwardedRunner
+from lagoonpost_standins.orders import OrderDesk
+from lagoonpost_standins.rows import RowStore
+
+LOOPBACK = Address("127.0.0.1", 0)
+PATIENCE = 20.0
+HOST = "desk.example"
+KEY = "key-of-pottery"
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+_T = TypeVar("_T")
+_attempts = itertools.count(1)
+
+
+def play(story: Callable[["Stack"], Awaitable[_T]], **options: Any) -> _T:
+    """Run a story against a fresh stack and return its result."""
+
+    async def run() -> _T:
+        async with Stack(**options) as stack:
+            return await story(stack)
+
+    return asyncio.run(run())
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition, and fail if it does not come."""
+    async with asyncio.timeout(PATIENCE):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+def make_route(name: str, kind: str, service: str, **more: Any) -> Any:
+    """Return a route of the configuration as it is written."""
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 5000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+    } | more
+
+
+def make_configuration(version: int = 1, **more: Any) -> dict[str, Any]:
+    """Return a configuration as operators write it."""
+    return {
+        "version": version,
+        "routes": [
+            make_route("draft", "streaming", "chat", stream_resume=True),
+            make_route("reply", "streaming", "chat", max_attempts=1),
+            make_route("book", "unsafe", "desk", max_attempts=1),
+            make_route("check", "safe", "desk"),
+            make_route("open", "safe", "desk", public=True),
+        ],
+        "services": [
+            {"name": "chat", "engine": {"slots": 8, "kv_capacity": 100000}},
+            {"name": "desk", "health_path": "/health"},
+        ],
+        "limits": {"max_body_bytes": 100000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "pottery", "api_keys": [KEY]}],
+    } | more
+
+
+class Stack:
+    """Store, cloud, runners and gateways."""
+
+    def __init__(
+        self,
+        gateways: int = 1,
+        chat: int = 2,
+        desk: int = 2,
+        configuration: dict[str, Any] | None = None,
+        bounds: dict[str, Any] | None = None,
+        duties: tuple[str, ...] = (),
+    ) -> None:
+        self.store = RowStore()
+        self.cloud = OrderDesk()
+        self.runners = {
+            f"{service}-{number}": ForwardedRunner(f"{service}-{number}")
+            for service, count in (("chat", chat), ("desk", desk))
+            for number in range(1, count + 1)
+        }
+        self.gateways: list[ForwardingDaemon] = []
+        self.entries: list[Address] = []
+        self.directories: list[Address] = []
+        self.client = Client()
+        self._first = configuration or make_configuration()
+        self._count = gateways
+        self._bounds = bounds or {}
+        self._duties = duties
+        self._exit = AsyncExitStack()
+        self._folder = Path()
+
+    async def __aenter__(self) -> Self:
+        self._folder = Path(self._exit.enter_context(TemporaryDirectory()))
+        store, cloud = Server(self.store.handle), Server(self.cloud.handle)
+        self.store_address = await store.start(LOOPBACK)
+        self.cloud_address = await cloud.start(LOOPBACK)
+        self._exit.push_async_callback(store.close, 0.0)
+        self._exit.push_async_callback(cloud.close, 0.0)
+        for runner in self.runners.values():
+            await runner.start()
+            self._exit.push_async_callback(runner.close)
+        await self.store.put("op", "config", self._first)
+        for id_ in self.runners:
+            await self.register(id_)
+        for _ in range(self._count):
+            await self.add_gateway()
+        await self.wait_ready()
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.client.close()
+        await self._exit.aclose()
+
+    async def register(self, id_: str, **more: Any) -> None:
+        """Write a runner's entry."""
+        runner = self.runners[id_]
+        number = int(id_.rpartition("-")[2])
+        entry = {
+            "service": id_.partition("-")[0],
+            "address": str(runner.address),
+            "zone": DOMAINS[(number - 1) % len(DOMAINS)],
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "seq": 1,
+            "born": 1000,
+        }
+        await self.store.put("servers", id_, entry | more)
+
+    async def add_gateway(self) -> ForwardingDaemon:
+        """Start one more gateway."""
+        number = len(self.gateways) + 1
+        ports = [_find_free_port() for _ in range(4)]
+        addresses = [Address("127.0.0.1", port) for port in ports]
+        path = self._folder / f"gateway-{number}.toml"
+        path.write_text(self._make_settings(number, addresses))
+        daemon = ForwardingDaemon(str(path))
+        await daemon.start()
+        self.gateways.append(daemon)
+        self.entries.append(addresses[0])
+        self.directories.append(addresses[2])
+        self._exit.push_async_callback(daemon.abandon)
+        return daemon
+
+    def _make_settings(self, number: int, addresses: list[Address]) -> str:
+        entry, ready, directory, peer = addresses
+        seeds = [str(each._shared.peers.me.address) for each in self.gateways]
+        bounds = "\n".join(f"{k} = {v}" for k, v in self._bounds.items())
+        duties = ", ".join(f'"{each}"' for each in self._duties)
+        return f"""
+node_name = "gateway-{number}"
+zone = "{DOMAINS[(number - 1) % 3]}"
+region = "here"
+ip = "127.0.0.1"
+internal_ports = [{peer.port}, {peer.port}]
+seeds = {seeds[:3]}
+[zones]
+domain-a = "here"
+domain-b = "here"
+domain-c = "here"
+[listen]
+front = "{entry}"
+ready = "{ready}"
+control = "{peer}"
+directory = "{directory}"
+[bounds]
+{bounds}
+[platform]
+address = "{self.store_address}"
+[cloud]
+address = "{self.cloud_address}"
+duties = [{duties}]
+"""
+
+    async def wait_ready(self) -> None:
+        """Wait until every gateway knows configuration, runners, peers."""
+        for daemon in self.gateways:
+            await wait_until(lambda d=daemon: self._is_ready(d))
+
+    def _is_ready(self, daemon: ForwardingDaemon) -> bool:
+        known = [key for key in self.runners if daemon.belief.is_known(key)]
+        peers = len(daemon._shared.peers.members())
+        return (
+            daemon.belief.version > 0
+            and len(known) == len(self.runners)
+            and peers == len(self.gateways)
+        )
+
+    async def call(
+        self,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        *,
+        key: str | None = KEY,
+        headers: Headers = (),
+        gateway: int = 0,
+        deadline: float = 5.0,
+    ) -> Response:
+        """Call a gateway on a new connection."""
+        return await self.client.call(
+            self.entries[gateway],
+            method,
+            path,
+            body,
+            make_headers(key, headers, deadline),
+            timeout=PATIENCE,
+            fresh=True,
+        )
+
+    def count_runs(self, attempt: str) -> int:
+        """Return how often runners ran an attempt."""
+        return sum(each.runs[attempt] for each in self.runners.values())
+
+    def set_fault(self, fault: Any, service: str = "") -> None:
+        """Give all runners of a service the same fault."""
+        for id_, runner in self.runners.items():
+            if id_.startswith(service):
+                runner.fault = fault
+
+
+def make_headers(
+    key: str | None = KEY, headers: Headers = (), deadline: float = 5.0
+) -> Headers:
+    """Return a caller's headers, with an attempt id of its own."""
+    own: Headers = (("host", HOST), ("deadline-ms", str(int(deadline * 1000))))
+    if not any(name == "attempt-id" for name, _ in headers):
+        own += (("attempt-id", f"attempt-{next(_attempts)}"),)
+    if key is not None:
+        own += (("authorization", f"Bearer {key}"),)
+    return own + headers
+
+
+def make_prompt(prompt: int = 100, output: int = 20, **more: str) -> Headers:
+    """Return the headers of a request to a model."""
+    return (
+        ("model", "m"),
+        ("token-count", f"{prompt},{output}"),
+        ("prompt-prefix", f"aa:{prompt // 2},bb:{prompt - prompt // 2}"),
+        *more.items(),
+    )
+
+
+def _find_free_port() -> int:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return int(listener.getsockname()[1])
--- /dev/null
+++ b/test/test_forwarding.py
@@ -0,0 +1,484 @@
+"""Forwarding gateways among stand-ins: what callers and runners see."""
+
+import asyncio
+
+import pytest
+from forwarding_stack import (
+    HOST,
+    KEY,
+    Stack,
+    make_configuration,
+    make_headers,
+    make_prompt,
+    make_route,
+    play,
+    wait_until,
+)
+
+from lagoonpost.http.client import CallFailedError
+from lagoonpost.http.message import Response
+from lagoonpost_standins.forwarded import make_event
+
+
+def stream(path: str, events: int = 5) -> bytes:
+    return b"".join(make_event(path, n) for n in range(1, events + 1))
+
+
+class TestForwarding:
+    def test_a_request_arrives_as_it_was_sent(self):
+        async def story(stack: Stack):
+            headers = (
+                ("attempt-id", "a-1"),
+                ("x-own", "kept"),
+                ("tenant", "somebody-else"),
+                ("target-instance", "another"),
+                ("kv-from", "10.0.0.1:80/h"),
+                ("connection", "x-hop"),
+                ("x-hop", "for this connection only"),
+            )
+            path = "/book/a%20b//c?x=1&y=%2F"
+            answer = await stack.call(path, "POST", b"\x00{}", headers=headers)
+            runner = next(r for r in stack.runners.values() if r.seen)
+            return answer, runner.seen[0].request, runner.id
+
+        answer, request, runner = play(story)
+        assert answer.status == 200
+        assert answer.header("response-signature") == f"signed-{runner}-a-1"
+        assert answer.body == b"POST /book/a%20b//c?x=1&y=%2F \x00{}"
+        assert request.target == "/book/a%20b//c?x=1&y=%2F"
+        assert request.header("host") == HOST
+        assert request.header("attempt-id") == "a-1"
+        assert request.header("x-own") == "kept"
+        assert request.header("tenant") == "pottery"
+        assert request.header("target-instance") == runner
+        assert request.header("kv-from") is None
+        assert request.header("x-hop") is None
+        assert request.header("authorization") is None
+
+    def test_a_runner_gets_what_is_left_of_the_time(self):
+        async def story(stack: Stack):
+            await stack.call("/check/1", deadline=2.0)
+            await stack.call("/check/1", deadline=60.0)
+            seen = [s for r in stack.runners.values() for s in r.seen]
+            return sorted(int(s.request.header("deadline-ms")) for s in seen)
+
+        short, long = play(story)
+        assert 1000 < short <= 2000
+        assert 4000 < long <= 5000
+
+    def test_a_stream_passes_event_by_event(self):
+        async def story(stack: Stack):
+            for runner in stack.runners.values():
+                runner.pause = 0.05
+            call = await stack.client.open(
+                stack.entries[0],
+                "POST",
+                "/draft/1",
+                b"{}",
+                make_headers(headers=make_prompt()),
+                fresh=True,
+            )
+            await call.receive_head()
+            return [part async for part in call.parts()]
+
+        parts = play(story)
+        assert b"".join(parts) == stream("/draft/1")
+        assert len(parts) > 1
+
+    @pytest.mark.parametrize(
+        ("path", "key", "status"),
+        [
+            ("/nowhere/1", KEY, 404),
+            ("/check", KEY, 404),
+            ("/check/1", "unknown", 401),
+            ("/check/1", None, 401),
+            ("/open/1", None, 200),
+            ("/open/1", "unknown", 200),
+        ],
+    )
+    def test_routes_and_keys(self, path, key, status):
+        answer = play(lambda stack: stack.call(path, key=key))
+        assert answer.status == status
+
+    def test_the_longest_prefix_holds(self):
+        routes = [
+            make_route("check", "safe", "desk"),
+            make_route("check/deep", "safe", "chat"),
+        ]
+        configuration = make_configuration(routes=routes)
+
+        async def story(stack: Stack):
+            await stack.call("/check/deep/1")
+            await stack.call("/check/deeper")
+            return [
+                (id_.partition("-")[0], seen.request.target)
+                for id_, runner in stack.runners.items()
+                for seen in runner.seen
+            ]
+
+        found = play(story, configuration=configuration)
+        assert sorted(found) == [
+            ("chat", "/check/deep/1"),
+            ("desk", "/check/deeper"),
+        ]
+
+    def test_no_configuration_is_no_reason_for_404(self):
+        """A gateway starts while the store is away.
+
+        Its callers would be told that their route does not exist, and give
+        up for good, although it only does not know yet.
+        """
+
+        async def story(stack: Stack):
+            stack.gateways[0].belief.routes = None
+            return await stack.call("/check/1")
+
+        answer = play(story)
+        assert answer.status == 503
+        assert float(answer.header("retry-after")) > 0
+
+    def test_a_body_that_is_too_large_is_refused(self):
+        async def story(stack: Stack):
+            return await stack.call("/book/1", "POST", b"x" * 100001)
+
+        assert play(story).status == 413
+
+
+class TestFailures:
+    @pytest.mark.parametrize(
+        "fault", ["full", "reset_before", "reset_after", "torn", "rude"]
+    )
+    def test_a_check_goes_on_at_another_runner(self, fault):
+        async def story(stack: Stack):
+            stack.runners["desk-1"].fault = fault
+            return [await stack.call("/check/1") for _ in range(6)]
+
+        answers = play(story)
+        assert [answer.status for answer in answers] == [200] * 6
+        assert {answer.body for answer in answers} == {b"GET /check/1 "}
+
+    def test_a_check_that_failed_is_tried_once_more(self):
+        async def story(stack: Stack):
+            stack.runners["desk-1"].fault = "fail"
+            return [await stack.call("/check/1") for _ in range(6)]
+
+        assert {answer.status for answer in play(story)} == {200}
+
+    @pytest.mark.parametrize(
+        "fault", ["reset_before", "reset_after", "torn", "rude", "hang"]
+    )
+    def test_a_booking_runs_at_most_once(self, fault):
+        """A booking's runner breaks off after it began.
+
+        Nobody knows whether the booking was made. Sent to the second
+        runner, it may be made twice; answered 503, the caller sends it
+        again with the same effect.
+        """
+
+        async def story(stack: Stack):
+            stack.set_fault(fault, "desk")
+            headers = (("attempt-id", "b-1"),)
+            answer = await stack.call(
+                "/book/1", "POST", b"{}", headers=headers, deadline=1.0
+            )
+            return answer, stack.count_runs("b-1")
+
+        answer, runs = play(story)
+        assert answer.status in (502, 504)
+        assert runs <= 1
+
+    def test_a_refused_booking_goes_on(self):
+        async def story(stack: Stack):
+            stack.runners["desk-1"].fault = "full"
+            headers = (("attempt-id", "b-1"),)
+            answer = await stack.call("/book/1", "POST", headers=headers)
+            return answer, stack.count_runs("b-1")
+
+        answer, runs = play(story)
+        assert (answer.status, runs) == (200, 1)
+
+    def test_refused_by_all_is_refused_as_not_run(self):
+        async def story(stack: Stack):
+            stack.set_fault("full", "desk")
+            headers = (("attempt-id", "b-1"),)
+            answer = await stack.call("/book/1", "POST", headers=headers)
+            return answer, stack.count_runs("b-1")
+
+        answer, runs = play(story)
+        assert (answer.status, runs) == (503, 0)
+        assert 0 < float(answer.header("retry-after")) < 5
+
+    def test_a_runners_failure_is_passed_on_with_its_signature(self):
+        async def story(stack: Stack):
+            stack.set_fault("fail", "desk")
+            return await stack.call("/book/1", "POST")
+
+        answer = play(story)
+        assert answer.status == 500
+        assert answer.header("response-signature").startswith("signed-desk")
+
+    def test_the_last_failure_of_a_check_is_passed_on(self):
+        async def story(stack: Stack):
+            stack.set_fault("fail", "desk")
+            return await stack.call("/check/1")
+
+        answer = play(story)
+        assert answer.status == 500
+        assert answer.header("response-signature").startswith("signed-desk")
+
+    def test_an_address_that_another_runner_got(self):
+        """A runner ends, and its address goes to one of another service.
+
+        The request that arrives there must not run: the new one answers
+        that it is not the one that was meant, and another takes it.
+        """
+
+        async def story(stack: Stack):
+            stack.runners["desk-1"].id = "a-new-one"
+            answers = [await stack.call("/check/1") for _ in range(4)]
+            return answers, stack.runners["desk-1"].runs.total()
+
+        answers, runs = play(story)
+        assert {answer.status for answer in answers} == {200}
+        assert runs == 0
+
+    def test_a_runner_that_is_gone_costs_nothing_but_time(self):
+        async def story(stack: Stack):
+            await stack.runners["desk-1"].close()
+            return [await stack.call("/book/1", "POST") for _ in range(6)]
+
+        assert {answer.status for answer in play(story)} == {200}
+
+    def test_a_request_ends_at_its_routes_timeout(self):
+        routes = [
+            make_route("book", "unsafe", "desk", timeout_ms=300),
+        ]
+
+        async def story(stack: Stack):
+            stack.set_fault("hang")
+            return await stack.call("/book/1", "POST", deadline=30.0)
+
+        answer = play(story, configuration=make_configuration(routes=routes))
+        assert answer.status == 504
+
+
+class TestStreams:
+    @pytest.mark.parametrize(
+        "fault", ["break_off", "break_within", "silent_midway"]
+    )
+    def test_a_stream_goes_on_at_another_runner(self, fault):
+        """A runner is lost in the middle of a draft, within an event.
+
+        The caller would see its answer end early, or an event twice, or a
+        torn one. The other runner goes on after the last whole event.
+        """
+
+        async def story(stack: Stack):
+            stack.runners["chat-1"].fault = fault
+            return [
+                await stack.call("/draft/1", "POST", headers=make_prompt())
+                for _ in range(4)
+            ]
+
+        answers = play(story)
+        assert {answer.body for answer in answers} == {stream("/draft/1")}
+        signatures = {a.header("response-signature") for a in answers}
+        assert len(signatures) == len(answers)
+
+    def test_a_stream_that_may_not_go_on_ends_as_broken(self):
+        async def story(stack: Stack):
+            stack.set_fault("break_within", "chat")
+            with pytest.raises(CallFailedError):
+                await stack.call("/reply/1", "POST", headers=make_prompt())
+            runs = [r.runs.total() for r in stack.runners.values()]
+            return sum(runs)
+
+        assert play(story) == 1
+
+    def test_a_stream_may_be_resumed_by_its_caller(self):
+        async def story(stack: Stack):
+            headers = make_prompt(**{"last-event-id": "3"})
+            return await stack.call("/draft/1", "POST", headers=headers)
+
+        whole = stream("/draft/1")
+        assert play(story).body == whole[whole.index(b"id: 4") :]
+
+    def test_a_caller_that_leaves_ends_the_work(self):
+        """A caller closes its connection while its draft is made.
+
+        The runner would go on for nobody, and others wait behind it.
+        """
+
+        async def story(stack: Stack):
+            for runner in stack.runners.values():
+                runner.pause = 0.1
+                runner.events = 1000
+            call = await stack.client.open(
+                stack.entries[0],
+                "POST",
+                "/draft/1",
+                b"{}",
+                make_headers(headers=make_prompt()),
+                fresh=True,
+            )
+            await call.receive_head()
+            call.close()
+            runners = stack.runners.values()
+            await wait_until(lambda: any(r.cancelled for r in runners))
+
+        play(story)
+
+    def test_a_caller_that_leaves_before_the_first_byte(self):
+        async def story(stack: Stack):
+            stack.set_fault("hang", "desk")
+            call = await stack.client.open(
+                stack.entries[0],
+                "POST",
+                "/book/1",
+                b"{}",
+                make_headers(),
+                fresh=True,
+            )
+            runners = stack.runners.values()
+            await wait_until(lambda: any(r.runs for r in runners))
+            call.close()
+            await wait_until(lambda: any(r.cancelled for r in runners))
+
+        play(story)
+
+
+class TestNews:
+    def test_a_leaving_runner_gets_no_new_requests(self):
+        async def story(stack: Stack):
+            await stack.register("desk-1", state="draining")
+            belief = stack.gateways[0].belief
+            await wait_until(lambda: len(belief.find_runners("desk")) == 1)
+            for _ in range(8):
+                await stack.call("/check/1")
+            return len(stack.runners["desk-1"].seen)
+
+        assert play(story) == 0
+
+    def test_news_comes_from_peers_while_the_store_turns_us_away(self):
+        """The store answers one gateway and hangs up on the other.
+
+        A key is taken away and a runner leaves meanwhile. The gateway that
+        is turned away would go on serving both.
+        """
+
+        async def story(stack: Stack):
+            for task in stack.gateways[1]._tasks[:1]:
+                task.cancel()
+            configuration = make_configuration(2, tenants=[])
+            await stack.store.put("op", "config", configuration)
+            await stack.register("desk-1", state="draining")
+            belief = stack.gateways[1].belief
+            await wait_until(lambda: belief.version == 2)
+            await wait_until(lambda: len(belief.find_runners("desk")) == 1)
+
+        play(story, gateways=2)
+
+    def test_an_older_configuration_never_returns(self):
+        async def story(stack: Stack):
+            await stack.store.put("op", "config", make_configuration(5))
+            belief = stack.gateways[0].belief
+            await wait_until(lambda: belief.version == 5)
+            await stack.store.put("op", "config", make_configuration(4))
+            await stack.store.put("op", "config", make_configuration(6))
+            await wait_until(lambda: belief.version == 6)
+
+        play(story)
+
+    def test_what_can_not_be_read_changes_nothing(self):
+        async def story(stack: Stack):
+            await stack.store.put("op", "config", b"{not json")
+            await stack.store.put("servers", "odd-1", b"\xff\x00")
+            await stack.store.put("servers", "odd-2", {"service": "desk"})
+            await stack.register("desk-1", slots="many")
+            await stack.register("desk-2", state="dancing")
+            belief = stack.gateways[0].belief
+            await wait_until(lambda: not belief.find_runners("desk"))
+            await stack.register("desk-1")
+            await wait_until(lambda: bool(belief.find_runners("desk")))
+            return await stack.call("/check/1")
+
+        assert play(story).status == 200
+
+    def test_the_feed_goes_on_after_its_history_is_lost(self):
+        async def story(stack: Stack):
+            stack.store.outage = "reset"
+            await asyncio.sleep(0.1)
+            await stack.store.put("op", "config", make_configuration(7))
+            await stack.store.delete("servers", "desk-1")
+            stack.store.forget_history()
+            stack.store.outage = "none"
+            belief = stack.gateways[0].belief
+            await wait_until(lambda: belief.version == 7)
+            await wait_until(lambda: not belief.is_known("desk-1"))
+
+        play(story)
+
+    def test_entries_that_lapsed_in_an_outage_are_kept_a_while(self):
+        """All entries lapse while the store is away.
+
+        Deleted at once they would leave no runner to send to, although all
+        of them serve and write their entries anew within two seconds.
+        """
+
+        async def story(stack: Stack):
+            belief = stack.gateways[0].belief
+            lost = stack.gateways[0]._follower.endpoints
+            stack.store.outage = "reset"
+            await stack.store.delete("servers", "none")
+            await wait_until(lambda: lost.lost)
+            for id_ in stack.runners:
+                await stack.store.delete("servers", id_)
+            stack.store.outage = "none"
+            await wait_until(lambda: not lost.lost)
+            kept = len(belief.find_runners("desk"))
+            await stack.register("desk-2")
+            await wait_until(lambda: not belief.is_known("desk-1"))
+            return kept, [each.id for each in belief.find_runners("desk")]
+
+        assert play(story) == (2, ["desk-2"])
+
+
+class TestDirectory:
+    async def ask(self, stack: Stack, number: int, path: str) -> Response:
+        return await stack.client.call(
+            stack.directories[number], "GET", path, timeout=5, fresh=True
+        )
+
+    def test_it_names_all_that_serve(self):
+        async def story(stack: Stack):
+            answer = await self.ask(stack, 0, "/v1/resolve?name=a&zone=b")
+            return answer.body, stack.entries
+
+        body, entries = play(story, gateways=3)
+        assert all(str(entry).encode() in body for entry in entries)
+
+    def test_a_leaving_gateway_is_not_named(self):
+        """A gateway stops while its callers hold connections to it.
+
+        Named in answers, it would be asked until its end, and its last
+        callers be cut off.
+        """
+
+        async def story(stack: Stack):
+            leaving = asyncio.create_task(stack.gateways[1].leave())
+            name = str(stack.entries[1]).encode()
+            async with asyncio.timeout(5):
+                while True:
+                    answer = await self.ask(stack, 0, "/v1/resolve")
+                    if name not in answer.body:
+                        break
+                    await asyncio.sleep(0.01)
+            answer = await stack.call("/check/1", gateway=1)
+            ready = await self.ask(stack, 1, "/v1/ready")
+            await leaving
+            return answer, ready
+
+        answer, ready = play(story, gateways=2)
+        assert answer.status == 200
+        assert answer.header("connection") == "close"
+        assert ready.status == 503
