Keep quotas over a kill of all gateways; metrics; played tests of decisions

A gateway that starts later than the system allows what has surely left the window, and counts an older gateway's total only from its first news on. Ruled out: writing counts to the store, a call a second for each gateway.

--- a/lagoonpost/cli/serve.py
+++ b/lagoonpost/cli/serve.py
@@ -27,17 +27,26 @@
     show_default=True,
     help="Runners at full price that each scaled service keeps.",
 )
-def serve(config: str, base_runners: int) -> None:
+@click.option(
+    "--metrics-port",
+    envvar="LAGOONPOST_METRICS_PORT",
+    show_envvar=True,
+    type=click.IntRange(0, 65535),
+    default=0,
+    show_default=True,
+    help="Port of the metrics on the entry's address; 0 for none.",
+)
+def serve(config: str, base_runners: int, metrics_port: int) -> None:
     """Forward requests on the users' platform until SIGTERM.
 
     Example: lagoonpost serve --config boot.toml
     """
     LogWriter().install()
     try:
-        asyncio.run(_run(config, base_runners))
+        asyncio.run(_run(config, base_runners, metrics_port))
     except SettingsError as error:
         raise fail(f"wrong settings: {error}", ExitCode.USAGE) from error
 
 
-async def _run(path: str, base_runners: int) -> None:
-    await ForwardingDaemon(path, base_runners).run()
+async def _run(path: str, base_runners: int, metrics_port: int) -> None:
+    await ForwardingDaemon(path, base_runners, metrics_port).run()
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Coroutine
 from typing import Any
 
@@ -14,9 +15,11 @@
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.forwarding.follow import BeliefFollower
 from lagoonpost.forwarding.front import Front
+from lagoonpost.forwarding.metrics import ForwardingMetrics
 from lagoonpost.forwarding.shared import Shared
 from lagoonpost.forwarding.usage import UsageCount
 from lagoonpost.http.client import Client
+from lagoonpost.http.message import Address
 from lagoonpost.http.server import Limits, Server
 from lagoonpost.peers.node import make_clock
 from lagoonpost.platform.cloud import CloudCalls
@@ -33,6 +36,8 @@
 """What is left of the grace for the process to end."""
 UPKEEP_SECONDS = 0.2
 """Pause between rounds of small work that nothing triggers."""
+YOUNG_REPORTS = 20
+"""Reports that a gateway sends in a quota's window: the younger it is."""
 BASE_RUNNERS = 1
 """Runners at full price that each scaled service keeps."""
 
@@ -43,16 +48,23 @@
     Args:
         path: Settings file that the platform writes.
         base_runners: Runners at full price that each scaled service keeps.
+        metrics_port: Port of the metrics on the entry's address; 0 for none.
 
     Attributes:
         belief: Configuration and runners as they are known here.
     """
 
-    def __init__(self, path: str, base_runners: int = BASE_RUNNERS) -> None:
+    def __init__(
+        self,
+        path: str,
+        base_runners: int = BASE_RUNNERS,
+        metrics_port: int = 0,
+    ) -> None:
         self._path = path
         settings = self._settings = read_host_settings(path)
         rng = random.Random()
         self._client = Client()
+        self._metrics = ForwardingMetrics()
         self.belief = Belief(read_clock)
         self._store = PlatformStore(self._client, settings.store)
         wall_clock = make_clock()
@@ -64,7 +76,8 @@
             usage,
             settings.bounds,
             rng,
-            log_exchange,
+            self._note,
+            None if settings.first_start else time.monotonic(),
         )
         self._shared = Shared(
             settings, self.belief, self._report, self._hear, rng
@@ -91,6 +104,10 @@
             for address in (settings.ready, settings.directory)
             if address is not None
         ]
+        if metrics_port:
+            address = Address(settings.entry.host, metrics_port)
+            server = Server(self._metrics.handle)
+            self._small_servers.append((address, server))
         self._duties = None
         if settings.cloud is not None:
             self._duties = Duties(
@@ -177,6 +194,10 @@
         await self._server.close(0.0)
         await self._shared.close()
 
+    def _note(self, exchange: Exchange) -> None:
+        self._metrics.note(exchange)
+        log_exchange(exchange)
+
     def _is_ready(self) -> bool:
         return self.belief.routes is not None and not self._leaving
 
@@ -206,18 +227,28 @@
     def _hear(self, report: GatewayReport) -> None:
         now = asyncio.get_running_loop().time()
         sender = f"{report.name}/{report.run}"
-        self._front.quotas.hear(sender, report.used, now)
+        young = report.rank < YOUNG_REPORTS
+        self._front.quotas.hear(sender, report.used, now, young)
 
     async def _keep_up(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_SECONDS)
             self._front.placement.hear(self._shared.sum_work())
+            self._measure()
             for key in self.belief.drop_lapsed():
                 self._shared.publish_entry(key)
             self._front.placement.forget_missing(
                 key for key in self.belief.entries if self.belief.is_known(key)
             )
 
+    def _measure(self) -> None:
+        metrics = self._metrics
+        metrics.configuration.set(self.belief.version)
+        metrics.store_lost.set(self._follower.lost)
+        metrics.gateways.set(self._shared.count_gateways())
+        held = self._duties is not None and self._duties.is_held()
+        metrics.duties_held.set(held)
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         task.add_done_callback(self._end_if_broken)
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -40,6 +40,7 @@
         last_event: Id of the last event that the caller has.
         outcome: How it ended, for the log.
         steps: What happened, for the log.
+        outcomes: What came of each offer to a runner.
         may_have_run: Whether a runner may have begun to run it.
         kept: A runner's failure that is answered if nothing better comes.
     """
@@ -63,6 +64,7 @@
         self.outcome = ""
         self.status = 0
         self.steps: list[str] = []
+        self.outcomes: list[str] = []
         self.may_have_run = False
         self._sending = False
         self.last_refusal: Refusal | None = None
@@ -131,6 +133,7 @@
         """Take what came of an offer into account."""
         self._sending = False
         word = type(outcome).__name__.lower()
+        self.outcomes.append(word)
         self.note(f"{choice.endpoint.id}:{word}:{choice.seconds:.3f}")
         match outcome:
             case Unreachable(detail):
--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -67,6 +67,7 @@
         bounds: Promised times and shares.
         rng: Source of random choices.
         log: Told each exchange that ended.
+        started: Time of this start; None at the first of the system.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         bounds: Bounds,
         rng: random.Random,
         log: Callable[[Exchange], None],
+        started: float | None,
     ) -> None:
         self._belief = belief
         self._client = client
@@ -89,7 +91,8 @@
         self.quotas = Quotas(
             QuotaBounds(
                 bounds.quota_window, bounds.quota_overage, bounds.quota_slack
-            )
+            ),
+            started,
         )
         self.output_tokens: dict[str, int] = {}
         self.prompt_tokens: dict[str, int] = {}
--- /dev/null
+++ b/lagoonpost/forwarding/metrics.py
@@ -0,0 +1,90 @@
+"""Counters and latency histograms, as text for whoever collects them."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
+
+from lagoonpost.forwarding.exchange import Exchange
+from lagoonpost.http.message import Request, Response
+from lagoonpost.http.server import Responder
+
+METRICS_PATH = "/metrics"
+SECONDS = (0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 15.0)
+"""Bounds of the histograms: from a check alone to the longest draft."""
+
+
+class ForwardingMetrics:
+    """What one forwarding gateway counts."""
+
+    def __init__(self) -> None:
+        registry = self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "lagoonpost_requests",
+            "Requests by route and outcome.",
+            ("route", "outcome"),
+            registry=registry,
+        )
+        self._offers = Counter(
+            "lagoonpost_offers",
+            "Offers of requests to runners by outcome.",
+            ("outcome",),
+            registry=registry,
+        )
+        self._first_byte = Histogram(
+            "lagoonpost_first_byte_seconds",
+            "Time from a request's arrival to its first byte.",
+            ("route",),
+            buckets=SECONDS,
+            registry=registry,
+        )
+        self._whole = Histogram(
+            "lagoonpost_whole_seconds",
+            "Time from a request's arrival to its end.",
+            ("route",),
+            buckets=SECONDS,
+            registry=registry,
+        )
+        self.configuration = Gauge(
+            "lagoonpost_configuration_version",
+            "Version of the configuration in force.",
+            registry=registry,
+        )
+        self.store_lost = Gauge(
+            "lagoonpost_store_lost",
+            "Whether the store does not answer here.",
+            registry=registry,
+        )
+        self.duties_held = Gauge(
+            "lagoonpost_duties_held",
+            "Whether this gateway does the duties.",
+            registry=registry,
+        )
+        self.gateways = Gauge(
+            "lagoonpost_gateways",
+            "Gateways that are held to run, this one included.",
+            registry=registry,
+        )
+
+    def note(self, exchange: Exchange) -> None:
+        """Count a request that ended."""
+        route = exchange.route.name if exchange.route else ""
+        self._requests.labels(route, exchange.outcome).inc()
+        if exchange.first_byte is not None:
+            self._first_byte.labels(route).observe(exchange.first_byte)
+        self._whole.labels(route).observe(exchange.now() - exchange.started)
+        for outcome in exchange.outcomes:
+            self._offers.labels(outcome).inc()
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer a collector."""
+        if request.path != METRICS_PATH:
+            await responder.send(Response(404))
+            return
+        headers = (("content-type", CONTENT_TYPE_PLAIN_0_0_4),)
+        body = generate_latest(self._registry)
+        await responder.send(Response(200, headers, body))
--- a/lagoonpost/platform/settings.py
+++ b/lagoonpost/platform/settings.py
@@ -59,6 +59,7 @@
         cloud: Address of the cloud's calls; None if there are no duties.
         reports_usage: Whether usage is to be reported.
         orders_runners: Whether runners are to be ordered.
+        first_start: Whether the whole system starts for the first time.
         bounds: Promised times and shares.
     """
 
@@ -75,6 +76,7 @@
     cloud: Address | None
     reports_usage: bool
     orders_runners: bool
+    first_start: bool
     bounds: Bounds
 
 
@@ -123,6 +125,7 @@
         cloud=_address(cloud.get("address")),
         reports_usage="usage_report" in duties,
         orders_runners="autoscale" in duties,
+        first_start=bool(document.get("bootstrap")),
         bounds=_decode_bounds(document.get("bounds") or {}),
     )
 
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -33,6 +33,12 @@
 through, so that nine of them can't let through a tenth unheard."""
 
 
+YOUNG_TOLERANCE = 0.3
+"""Part of the tolerance left beyond the limit that a gateway which has just
+started lets through at once. What was let through before its start is not
+known if all were killed; half of a window later it is allowed half a limit."""
+
+
 class QuotaBounds(NamedTuple):
     """Over which time and how exactly quotas are kept.
 
@@ -57,18 +63,24 @@
 
     Args:
         bounds: How exactly quotas are kept.
+        started: Time from which this gateway knows what was let through;
+            None if nothing can have been before, as everything is new.
 
     Attributes:
         used: Units let through by this gateway since its start.
     """
 
-    def __init__(self, bounds: QuotaBounds) -> None:
+    def __init__(
+        self, bounds: QuotaBounds, started: float | None = None
+    ) -> None:
         self.used: dict[str, float] = {}
+        self._started = started
         self._bounds = bounds
         self._taken: dict[str, deque[_Taken]] = {}
         self._sums: dict[str, float] = {}
         self._heard: dict[tuple[str, str], float] = {}
         self._untold: dict[str, float] = {}
+        self._senders: set[str] = set()
 
     def take(
         self, workspace: Workspace, cost: float, part: float, now: float
@@ -87,7 +99,7 @@
         """
         if workspace.rate <= 0:
             return None
-        limit = self.limit(workspace) * part
+        limit = self._find_limit(workspace, now) * part
         total = self._sum(workspace.name, now)
         # A window without any other request lets even the largest through.
         if total > 0 and total + cost > limit:
@@ -115,22 +127,52 @@
         quota = workspace.rate * window + workspace.burst
         return quota + USED_TOLERANCE * (quota * overage + slack)
 
+    def _find_limit(self, workspace: Workspace, now: float) -> float:
+        """Return the limit, less while earlier use is not known.
+
+        All gateways are killed at once, right after a workspace used up its
+        quota. Those that start know nothing of it and would let the whole
+        quota through again within the same window.
+        """
+        limit = self.limit(workspace)
+        if self._started is None:
+            return limit
+        age = now - self._started
+        window, overage, slack = self._bounds
+        if age >= window:
+            return limit
+        quota = workspace.rate * window + workspace.burst
+        left = quota * (1 + overage) + slack - limit
+        return min(limit, limit * age / window + YOUNG_TOLERANCE * left)
+
     def give_back(self, workspace: Workspace, cost: float, now: float) -> None:
         """Return the units of a request that did not run."""
         if workspace.rate > 0 and cost:
             self._add(workspace.name, -cost, now)
             self.used[workspace.name] -= cost
 
-    def hear(self, sender: str, used: Mapping[str, float], now: float) -> None:
+    def hear(
+        self,
+        sender: str,
+        used: Mapping[str, float],
+        now: float,
+        young: bool = True,
+    ) -> None:
         """Take another gateway's count into account.
 
         Args:
             sender: Identifies one run of the other gateway.
             used: Units by workspace that it let through since its start.
             now: Time in seconds.
+            young: Whether it has started within the window. All that an
+                older one let through before it was first heard is not
+                counted, as most of that is long ago.
         """
+        known = sender in self._senders
+        self._senders.add(sender)
         for name, units in used.items():
-            before = self._heard.get((sender, name), 0.0)
+            first = 0.0 if known or young else units
+            before = self._heard.get((sender, name), first)
             self._heard[sender, name] = units
             if units != before:
                 self._add(name, units - before, now)
--- a/lagoonpost/systems/scaling.py
+++ b/lagoonpost/systems/scaling.py
@@ -93,6 +93,7 @@
     domains = sorted(scaling.prices, key=lambda each: scaling.prices[each])
     if not domains:
         return []
+    wet = [each for each in domains if now >= dry_until.get(each, -math.inf)]
     full = dict.fromkeys(domains, 0)
     spots = dict.fromkeys(domains, 0)
     total = max(LEAST_RUNNERS, math.ceil(demand.busy / BUSY_SHARE))
@@ -107,12 +108,21 @@
     kept = sum(there.get(Tenure(each, True), 0) for each in domains)
     missing = total - demand.base - kept
     if missing > 0:
-        # At full price what is not there reclaimable, until it has come.
-        _fill(full, domains, missing, scaling.most, _find_spots(there))
+        # At full price what is not there reclaimable, until it has come:
+        # first those that run already, as a new one takes seconds to start.
+        running = {each: there.get(Tenure(each, False), 0) for each in domains}
+        for domain in domains:
+            added = min(missing, max(0, running[domain] - full[domain]))
+            full[domain] += added
+            missing -= added
+        present = _find_spots(there)
+        coming = {
+            each: max(spots[each] if each in wet else 0, present.get(each, 0))
+            for each in domains
+        }
+        _fill(full, domains, missing, scaling.most, coming)
     orders = [
-        Order(Tenure(each, True), spots[each])
-        for each in domains
-        if spots[each] and now >= dry_until.get(each, -math.inf)
+        Order(Tenure(each, True), spots[each]) for each in wet if spots[each]
     ]
     return orders + [
         Order(Tenure(each, False), full[each]) for each in domains
--- /dev/null
+++ b/test/test_duties.py
@@ -0,0 +1,145 @@
+"""Duties under one lease: usage reports and orders, over the stand-ins."""
+
+import asyncio
+import time
+
+from forwarding_stack import (
+    Stack,
+    make_configuration,
+    make_prompt,
+    play,
+    wait_until,
+)
+
+BOUNDS = {"report_window_s": 1, "usage_late_s": 10, "lease_ms": 500}
+SCALED = {
+    "name": "chat",
+    "engine": {"slots": 8},
+    "scaling": {
+        "min": 1,
+        "max": 3,
+        "boot_s": 1.0,
+        "spot_price": 0.2,
+        "zone_prices": {"domain-a": 0.85, "domain-b": 1.2, "domain-c": 1.0},
+    },
+}
+
+
+def find_held(stack: Stack) -> list[int]:
+    return [
+        number
+        for number, daemon in enumerate(stack.gateways)
+        if daemon._duties is not None and daemon._duties.is_held()
+    ]
+
+
+class TestUsage:
+    def test_what_began_is_reported_once_for_all_gateways(self):
+        async def story(stack: Stack):
+            await wait_until(lambda: len(find_held(stack)) == 1)
+            for number in range(12):
+                await stack.call("/check/1", gateway=number % 3)
+                await stack.call("/open/1", key=None, gateway=number % 3)
+            await stack.call("/draft/1", "POST", headers=make_prompt())
+            count = lambda: sum(  # noqa: E731
+                counts.get("pottery", 0)
+                for counts in stack.cloud.usage.values()
+            )
+            await wait_until(lambda: count() == 13)
+            return stack.cloud.conflicts
+
+        conflicts = play(
+            story, gateways=3, bounds=BOUNDS, duties=("usage_report",)
+        )
+        assert conflicts == []
+
+    def test_a_second_holder_repeats_the_first_ones_report(self):
+        """The holder dies between its call and the news of it.
+
+        The next one has heard of other counts by then. It must repeat what
+        was reported; another count would be a second, different bill.
+        """
+
+        async def story(stack: Stack):
+            stack.cloud.lose_answers = True
+            await wait_until(lambda: bool(find_held(stack)))
+            (first,) = find_held(stack)
+            other = (first + 1) % 2
+            await stack.call("/check/1", gateway=other)
+            window = int(time.time())
+            await wait_until(lambda: window in stack.cloud.usage)
+            await stack.gateways[first].abandon()
+            stack.cloud.lose_answers = False
+            await wait_until(lambda: find_held(stack) == [other])
+            calls = len(stack.cloud.calls)
+            await wait_until(lambda: len(stack.cloud.calls) > calls + 1)
+            return stack.cloud
+
+        cloud = play(
+            story, gateways=2, bounds=BOUNDS, duties=("usage_report",)
+        )
+        assert cloud.conflicts == []
+        holders = {(holder, fence) for _, holder, fence, _ in cloud.calls}
+        assert len({fence for _, fence in holders}) == len(holders)
+
+    def test_a_holder_that_loses_the_store_stops(self):
+        async def story(stack: Stack):
+            await wait_until(lambda: bool(find_held(stack)))
+            stack.store.outage = "reset"
+            await wait_until(lambda: not find_held(stack))
+            calls = len(stack.cloud.calls)
+            await asyncio.sleep(1.5)
+            return len(stack.cloud.calls) - calls
+
+        more = play(story, gateways=1, bounds=BOUNDS, duties=("usage_report",))
+        assert more == 0
+
+
+class TestOrders:
+    def configuration(self):
+        return make_configuration(
+            services=[SCALED, {"name": "desk", "health_path": "/health"}]
+        )
+
+    def test_reclaimable_runners_are_ordered_in_each_domain(self):
+        async def story(stack: Stack):
+            await wait_until(lambda: len(stack.cloud.orders) >= 3)
+            return {
+                key: count
+                for key, count in stack.cloud.orders.items()
+                if key[2]
+            }
+
+        orders = play(
+            story,
+            configuration=self.configuration(),
+            bounds=BOUNDS,
+            duties=("autoscale",),
+        )
+        domains = {domain for _, domain, _ in orders}
+        assert domains == {"domain-a", "domain-b", "domain-c"}
+        assert {service for service, _, _ in orders} == {"chat"}
+
+    def test_a_drought_is_answered_at_full_price(self):
+        """All reclaimable runners leave, and none are to be had.
+
+        Waiting for them would leave the base alone for the drought.
+        """
+
+        async def story(stack: Stack):
+            stack.cloud.dry = True
+            for id_ in ("chat-1", "chat-2"):
+                await stack.register(id_, spot=True, state="draining")
+            full = lambda: sum(  # noqa: E731
+                count
+                for key, count in stack.cloud.orders.items()
+                if not key[2]
+            )
+            await wait_until(lambda: full() >= 3)
+
+        play(
+            story,
+            configuration=self.configuration(),
+            bounds=BOUNDS,
+            duties=("autoscale",),
+        )
--- /dev/null
+++ b/test/test_placement.py
@@ -0,0 +1,216 @@
+"""Placement of forwarded requests: where prompts wait and are read again."""
+
+from collections import Counter, deque
+from random import Random
+
+import pytest
+
+from lagoonpost.http.message import Address
+from lagoonpost.systems.placement import (
+    FIRST_TOKEN_PACE,
+    Placement,
+    Wanted,
+    find_home,
+)
+from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.forwarded import Part
+from lagoonpost.tables.gateway_report import RunnerWork
+
+
+def make_runners(count: int, service: str = "chat", slots: int = 8):
+    return [
+        Endpoint(
+            f"{service}-{number}",
+            service,
+            Address("127.0.0.1", number + 1),
+            "a",
+            "v1",
+            slots,
+        )
+        for number in range(count)
+    ]
+
+
+def make_draft(session: str, own: int = 2900) -> Wanted:
+    parts = (Part("shared", 2500), Part(session, 3800), Part("own", own))
+    return Wanted("chat", sum(p.tokens for p in parts), parts, True)
+
+
+CHECK = Wanted("desk", 0, (), False)
+PACE = 1 / 38_000
+
+
+class PrefillRunner:
+    """Reads one prompt after the other and keeps the parts it read."""
+
+    def __init__(self, pace: float = PACE) -> None:
+        self.pace = pace
+        self.free_at = 0.0
+        self.held: set[str] = set()
+
+    def take(self, wanted: Wanted, now: float) -> tuple[float, int]:
+        unread = 0
+        for part in wanted.parts:
+            if part.id not in self.held:
+                unread += part.tokens
+        self.held.update(part.id for part in wanted.parts[:-1])
+        start = max(now, self.free_at)
+        self.free_at = start + unread * self.pace + 0.005
+        return self.free_at, unread
+
+
+def play_drafts(gateways: int, slow: float = 1.0, seed: int = 1):
+    """Play 60 s of drafts of 98 sessions; return waits and unread tokens."""
+    rng = Random(seed)
+    endpoints = make_runners(4)
+    runners = {each.id: PrefillRunner() for each in endpoints}
+    runners["chat-0"].pace *= slow
+    placements = [Placement() for _ in range(gateways)]
+    waits, read, at = [], 0, Counter()
+    finished: deque = deque()
+    now, told = 0.0, 0.0
+    while now < 60.0:
+        now += rng.expovariate(12.0)
+        for item in sorted(finished, key=lambda each: each[0]):
+            done, sent, placement, choice, wanted = item
+            if done <= now:
+                finished.remove(item)
+                placement.note_first_byte(choice, wanted, done - sent, done)
+                placement.note_ended(choice, True)
+        if now - told > 0.4:
+            told = now
+            reports = [each.report() for each in placements]
+            for own, placement in enumerate(placements):
+                total: dict[str, RunnerWork] = {}
+                for other, report in enumerate(reports):
+                    for runner, work in report.items():
+                        if other != own:
+                            held = total.get(runner, RunnerWork())
+                            total[runner] = RunnerWork(
+                                held.requests + work.requests,
+                                held.tokens + work.tokens,
+                            )
+                placement.hear(total)
+        wanted = make_draft(f"s{rng.randrange(98)}")
+        placement = rng.choice(placements)
+        choice = placement.choose(endpoints, wanted, now, rng)
+        assert choice is not None
+        placement.note_sent(choice, wanted, now)
+        done, unread = runners[choice.endpoint.id].take(wanted, now)
+        finished.append((done, now, placement, choice, wanted))
+        waits.append(done - now)
+        read += unread
+        at[choice.endpoint.id] += 1
+    return sorted(waits), read / len(waits), at
+
+
+class TestPlacement:
+    @pytest.mark.parametrize("gateways", [1, 9])
+    def test_drafts_go_where_their_session_is(self, gateways):
+        """Drafts of 98 sessions come through nine gateways.
+
+        Spread by load alone, each runner reads each session's lesson notes
+        anew: 9,200 tokens a draft in place of the 2,900 that are its own.
+        """
+        waits, read, _ = play_drafts(gateways)
+        assert read < 4500
+        assert waits[int(0.95 * len(waits))] < 0.8
+
+    def test_a_slow_runner_gets_less(self):
+        _, _, at = play_drafts(9, slow=6.0)
+        assert at["chat-0"] < 0.6 * at["chat-1"]
+
+    def test_checks_are_spread_by_what_is_open(self):
+        placement = Placement()
+        runners = make_runners(3, "desk", slots=2)
+        rng = Random(1)
+        at = Counter()
+        for _ in range(30):
+            choice = placement.choose(runners, CHECK, 0.0, rng)
+            assert choice is not None
+            placement.note_sent(choice, CHECK, 0.0)
+            at[choice.endpoint.id] += 1
+        assert set(at.values()) == {10}
+
+    def test_others_work_counts(self):
+        placement = Placement()
+        runners = make_runners(2, "desk")
+        placement.hear({"desk-0": RunnerWork(20, 0)})
+        choice = placement.choose(runners, CHECK, 0.0, Random(1))
+        assert choice is not None
+        assert choice.endpoint.id == "desk-1"
+
+    def test_an_unreachable_runner_is_passed_over_for_a_while(self):
+        placement = Placement()
+        runners = make_runners(2, "desk")
+        placement.state("desk-0").note_unreachable(10.0)
+        chosen = {
+            placement.choose(runners, CHECK, 10.2, Random(n)).endpoint.id
+            for n in range(10)
+        }
+        assert chosen == {"desk-1"}
+        chosen = {
+            placement.choose(runners, CHECK, 11.0, Random(n)).endpoint.id
+            for n in range(10)
+        }
+        assert chosen == {"desk-0", "desk-1"}
+
+    def test_the_last_runner_is_tried_even_if_it_was_not_reached(self):
+        placement = Placement()
+        runners = make_runners(1, "desk")
+        placement.state("desk-0").note_unreachable(10.0)
+        assert placement.choose(runners, CHECK, 10.1, Random(1)) is not None
+
+    def test_no_runner_at_all(self):
+        assert Placement().choose([], CHECK, 0.0, Random(1)) is None
+
+    def test_a_runner_that_fails_is_avoided(self):
+        placement = Placement()
+        runners = make_runners(2, "desk")
+        for _ in range(5):
+            placement.state("desk-0").note_outcome(True)
+        choice = placement.choose(runners, CHECK, 0.0, Random(1))
+        assert choice is not None
+        assert choice.endpoint.id == "desk-1"
+
+    def test_pace_fades_to_the_mean(self):
+        placement = Placement()
+        state = placement.state("chat-0")
+        for _ in range(20):
+            state.note_pace(10.0, 5.0)
+        assert state.slowness(5.0) > 5
+        assert state.slowness(60.0) < 1.1
+
+    def test_the_pace_of_a_prompt_alone_is_learned(self):
+        placement = Placement()
+        runners = make_runners(1)
+        assert placement.token_pace("chat") == FIRST_TOKEN_PACE
+        for step in range(40):
+            wanted = make_draft(f"s{step}")
+            now = float(step)
+            choice = placement.choose(runners, wanted, now, Random(1))
+            assert choice is not None
+            placement.note_sent(choice, wanted, now)
+            took = choice.unread / 10_000
+            placement.note_first_byte(choice, wanted, took, now + took)
+            placement.note_ended(choice, True)
+        assert placement.token_pace("chat") == pytest.approx(1e-4, rel=0.05)
+
+    def test_states_of_missing_runners_are_dropped(self):
+        placement = Placement()
+        placement.state("gone")
+        placement.forget_missing(["there"])
+        assert "gone" not in placement.states
+
+
+class TestFindHome:
+    def test_a_runner_that_goes_moves_only_its_own_sessions(self):
+        runners = make_runners(5)
+        drafts = [make_draft(f"s{n}").parts for n in range(200)]
+        before = [find_home(runners, parts) for parts in drafts]
+        after = [find_home(runners[:-1], parts) for parts in drafts]
+        moved = [b for b, a in zip(before, after, strict=True) if a != b]
+        assert set(moved) == {"chat-4"}
+
+    def test_a_prompt_without_shared_parts_has_no_home(self):
+        assert find_home(make_runners(2), (Part("own", 5),)) == ""
--- a/test/test_quota.py
+++ b/test/test_quota.py
@@ -98,6 +98,39 @@
         assert quota.take(small, 1.0, 1.0, 0.2) is None
         assert quota.used["small"] == 8.0
 
+    def test_use_before_a_start_is_not_let_through_again(self):
+        """All gateways are killed right after a quota was used up.
+
+        They start within a second and know nothing of it. The whole quota
+        would pass once more within the same window.
+        """
+        before = Quotas(BOUNDS)
+        passed = sum(
+            1000.0
+            for step in range(1000)
+            if before.take(LARGE, 1000.0, 1.0, step * 0.005) is None
+        )
+        after = Quotas(BOUNDS, started=5.6)
+        for step in range(240):
+            if after.take(LARGE, 1000.0, 1.0, 5.6 + step * 0.005) is None:
+                passed += 1000.0
+        quota = LARGE.rate * 8 + LARGE.burst
+        assert passed <= quota * 1.1 + 110_000
+        late = after.take(LARGE, 1000.0, 1.0, 20.0)
+        assert late is None
+
+    def test_a_newcomer_does_not_count_what_was_long_ago(self):
+        """A gateway starts among others that have served for minutes.
+
+        Their totals since their start are not what they let through within
+        the window; counted as that, it would refuse everything for it.
+        """
+        quota = Quotas(BOUNDS, started=0.0)
+        quota.hear("old", {"large": 1e9}, 0.5, young=False)
+        assert quota.take(LARGE, 9000.0, 1.0, 1.0) is None
+        quota.hear("old", {"large": 1e9 + 1e7}, 1.5, young=False)
+        assert quota.take(LARGE, 9000.0, 1.0, 2.0) is not None
+
     def test_no_rate_is_no_limit(self):
         free = Workspace("free", ("k",))
         quota = Quotas(BOUNDS)
--- a/test/test_reference.py
+++ b/test/test_reference.py
@@ -32,6 +32,18 @@
             assert f"`{parameter.opts[0]}`" in PAGE
             assert f"`{parameter.envvar}`" in PAGE
 
+    def test_names_every_setting_of_a_forwarding_gateway(self) -> None:
+        for parameter in main.commands["serve"].params:
+            assert isinstance(parameter, click.Option)
+            assert f"`{parameter.opts[0]}`" in PAGE
+            assert f"`{parameter.envvar}`" in PAGE
+
+    def test_names_every_metric_of_a_forwarding_gateway(self) -> None:
+        names = find_in_sources(r'"(lagoonpost_[a-z_]+)",\n')
+        assert len(names) > 6
+        for name in sorted(names):
+            assert f"`{name}`" in PAGE, name
+
     def test_names_every_endpoint(self) -> None:
         for endpoint in ENDPOINTS:
             assert f"`{endpoint.path}`" in PAGE, endpoint.path
--- /dev/null
+++ b/test/test_usage.py
@@ -0,0 +1,48 @@
+"""Usage windows: what is counted and what is due."""
+
+from lagoonpost.forwarding.usage import UsageCount
+from lagoonpost.systems.usage import find_due, sum_begun
+from lagoonpost.tables.gateway_report import GatewayReport
+
+
+def make_report(run: str, begun: dict[int, dict[str, int]]) -> GatewayReport:
+    return GatewayReport("gateway", run, {}, {}, begun, False, {}, {}, 1)
+
+
+class TestSumBegun:
+    def test_runs_of_one_gateway_add_up(self):
+        """A gateway is killed in the middle of a window and starts again.
+
+        What it counted before its end still belongs to the window.
+        """
+        reports = [
+            make_report("before", {7: {"a": 2}, 8: {"a": 1}}),
+            make_report("after", {7: {"a": 3, "b": 1}}),
+        ]
+        assert sum_begun(reports, 7) == {"a": 5, "b": 1}
+
+
+class TestFindDue:
+    def test_a_window_is_due_once_its_counts_have_settled(self):
+        assert find_due(106.9, 5.0, 10.0, ()) == [19]
+        assert find_due(107.1, 5.0, 10.0, ()) == [19, 20]
+        assert find_due(107.1, 5.0, 10.0, [19, 20]) == []
+
+
+class TestUsageCount:
+    def test_windows(self):
+        now = 99.0
+        usage = UsageCount(5.0, lambda: now)
+        usage.note_begun("a")
+        now = 100.0
+        usage.note_begun("a")
+        usage.note_begun("b")
+        assert usage.begun == {19: {"a": 1}, 20: {"a": 1, "b": 1}}
+
+    def test_old_windows_are_forgotten(self):
+        now = 0.0
+        usage = UsageCount(5.0, lambda: now)
+        for step in range(100):
+            now = step * 5.0
+            usage.note_begun("a")
+        assert len(usage.begun) <= 8
