Stop requests that crash their runners; late ones go behind

Breaks count once their runner is down, and are told to all gateways; the fourth send does not happen. Ruled out: counting each break, which convicts a popular question while answers get lost. A holder of the duties that has just started does not take what it has not seen for no load. A request that can't be in time any more gets a low rank at its runner, so that others still are.

--- a/lagoonpost/forwarding/belief.py
+++ b/lagoonpost/forwarding/belief.py
@@ -47,6 +47,8 @@
         routes: The configuration in force; None while none is known.
         raw_configuration: Its bytes, for peers that ask.
         entries: Entries of runners by id, deleted ones included.
+        on_configuration: Told each newer configuration.
+        on_down: Told the id of a runner that went or started anew.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -57,6 +59,7 @@
         self._lapsing: dict[str, int] = {}
         self._store_back = -math.inf
         self.on_configuration: list[Callable[[RouteTable], None]] = []
+        self.on_down: list[Callable[[str], None]] = []
 
     @property
     def version(self) -> int:
@@ -113,6 +116,9 @@
                     detail=str(error),
                 )
         self.entries[key] = Entry(version, endpoint, raw)
+        if held is not None and _went_down(held.endpoint, endpoint):
+            for told in self.on_down:
+                told(key)
         if held is None or held.endpoint != endpoint:
             eliot.log_message(
                 message_type="lagoonpost:belief:runner",
@@ -179,6 +185,12 @@
         return entry is not None and entry.endpoint is not None
 
 
+def _went_down(before: Endpoint | None, after: Endpoint | None) -> bool:
+    if before is None:
+        return False
+    return after is None or after.born != before.born
+
+
 def _describe(endpoint: Endpoint | None) -> str:
     if endpoint is None:
         return "gone"
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -26,6 +26,7 @@
 from lagoonpost.platform.settings import read_host_settings
 from lagoonpost.platform.store import PlatformStore
 from lagoonpost.store.clock import read_clock
+from lagoonpost.systems.poison import Break
 from lagoonpost.systems.route import RouteTable
 from lagoonpost.tables.gateway_report import GatewayReport
 
@@ -62,7 +63,8 @@
     ) -> None:
         self._path = path
         settings = self._settings = read_host_settings(path)
-        rng = random.Random()
+        # Seeded, so that a played day repeats.
+        rng = random.Random(settings.name)
         self._client = Client()
         self._metrics = ForwardingMetrics()
         self.belief = Belief(read_clock)
@@ -80,8 +82,14 @@
             None if settings.first_start else time.monotonic(),
         )
         self._shared = Shared(
-            settings, self.belief, self._report, self._hear, rng
+            settings,
+            self.belief,
+            self._report,
+            self._hear,
+            self._hear_break,
+            rng,
         )
+        self.belief.on_down.append(self._note_down)
         self._front.shared = self._shared
         self._follower = BeliefFollower(
             self._store,
@@ -230,6 +238,13 @@
         young = report.rank < YOUNG_REPORTS
         self._front.quotas.hear(sender, report.used, now, young)
 
+    def _hear_break(self, seen: Break) -> None:
+        self._front.breaks.note(seen, asyncio.get_running_loop().time())
+
+    def _note_down(self, runner: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self._front.breaks.note_down(runner, now)
+
     async def _keep_up(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_SECONDS)
--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -99,7 +99,7 @@
         self._reported: dict[int, bool] = {}
         self._ordered: dict[tuple[str, Tenure], tuple[int, float]] = {}
         self._dry_until: dict[tuple[str, str], float] = {}
-        self._demand = DemandMeter()
+        self._demand = DemandMeter(known=settings.first_start)
 
     def is_held(self) -> bool:
         """Tell whether this gateway does the duties."""
@@ -220,6 +220,8 @@
         now = read_clock()
         there = count_runners(self._belief.find_all(service.name))
         rate = self._demand.rate(service.name)
+        if rate is None:
+            return
         demand = Demand(rate * self._pace(service.name), self._base)
         dry = {
             domain: until
@@ -283,9 +285,16 @@
 
 
 class DemandMeter:
-    """Rates of counters that only grow; they rise at once and fall slowly."""
+    """Rates of counters that only grow; they rise at once and fall slowly.
+
+    Args:
+        known: Whether there is no load yet. Otherwise the first seconds
+            say nothing: a holder that has just started would take what it
+            has not seen for no load, and send runners away from under it.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, known: bool) -> None:
+        self._known = known
         self._samples: list[tuple[float, dict[str, float]]] = []
         self._peaks: dict[str, float] = {}
 
@@ -297,6 +306,8 @@
             self._samples[1][0] <= now - RATE_SECONDS
         ):
             del self._samples[0]
+        if now - self._samples[0][0] >= RATE_SECONDS:
+            self._known = True
         fall = math.exp(-passed / FALL_SECONDS)
         for name in totals:
             rate = self._measure(name)
@@ -304,8 +315,10 @@
             held = rate + (self._peaks.get(name, 0.0) - rate) * fall
             self._peaks[name] = max(rate, held)
 
-    def rate(self, name: str) -> float:
-        """Return a counter's growth in a second; 0 before it is known."""
+    def rate(self, name: str) -> float | None:
+        """Return a counter's growth in a second; None if it is not known."""
+        if not self._known:
+            return None
         return self._peaks.get(name, 0.0)
 
     def _measure(self, name: str) -> float:
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -42,6 +42,7 @@
         steps: What happened, for the log.
         outcomes: What came of each offer to a runner.
         may_have_run: Whether a runner may have begun to run it.
+        fingerprint: Identifies it in whatever attempt.
         kept: A runner's failure that is answered if nothing better comes.
     """
 
@@ -67,6 +68,7 @@
         self.outcomes: list[str] = []
         self.may_have_run = False
         self._sending = False
+        self.fingerprint = ""
         self.last_refusal: Refusal | None = None
         self.kept: Response | None = None
         self.first_byte: float | None = None
--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -24,6 +24,7 @@
     NO_ROUTE,
     NO_RUNNER,
     NOT_SENT,
+    QUARANTINED,
     TOO_LATE,
     Refusal,
     make_refusal,
@@ -42,6 +43,7 @@
 from lagoonpost.platform.settings import Bounds
 from lagoonpost.systems.budget import RetryBudget
 from lagoonpost.systems.placement import Choice, Placement
+from lagoonpost.systems.poison import Break, BreakTable, make_fingerprint
 from lagoonpost.systems.quota import QuotaBounds, Quotas, count_units
 from lagoonpost.systems.route import choose_service
 
@@ -53,7 +55,8 @@
 the longest that counts as good; callers give up after two seconds and more."""
 FIRST_SILENCE_SECONDS = 1.0
 """Least wait for the first byte before another runner is tried."""
-MOST_URGENCY = 9
+LATE_URGENCY = 8
+"""Rank of a request that will be late; 9 is the lowest there is."""
 
 
 class Front:
@@ -88,6 +91,7 @@
         self._log = log
         self.shared: Shared
         self.placement = Placement()
+        self.breaks = BreakTable()
         self.quotas = Quotas(
             QuotaBounds(
                 bounds.quota_window, bounds.quota_overage, bounds.quota_slack
@@ -136,6 +140,13 @@
         exchange.set_service(
             service, routes.configuration.services.get(service)
         )
+        exchange.fingerprint = make_fingerprint(
+            exchange.workspace.name if exchange.workspace else "",
+            exchange.request.target,
+            exchange.request.body,
+        )
+        if self.breaks.is_poison(exchange.fingerprint, exchange.now()):
+            return QUARANTINED
         if not self._belief.find_runners(service):
             return NO_RUNNER
         return self._take_quota(exchange)
@@ -194,11 +205,26 @@
                 return exchange.last_refusal or NO_RUNNER
             outcome = await self._send(exchange, choice, responder)
             exchange.note_outcome(choice, outcome)
+            self._judge(exchange, choice, outcome)
             if responder.finished or exchange.outcome == "answered":
                 return None
+            if self.breaks.is_poison(exchange.fingerprint, exchange.now()):
+                return self._give_up(exchange, responder)
             if not exchange.may_send_again():
                 return self._give_up(exchange, responder)
 
+    def _judge(
+        self, exchange: Exchange, choice: Choice, outcome: Outcome
+    ) -> None:
+        """Note what speaks for a request that crashes its runners."""
+        runner = choice.endpoint.id
+        if isinstance(outcome, Unreachable):
+            self.breaks.note_down(runner, exchange.now())
+        elif isinstance(outcome, Broken):
+            seen = Break(exchange.fingerprint, runner, exchange.arrival.id)
+            self.breaks.note(seen, exchange.now())
+            self.shared.publish_break(seen)
+
     def _give_up(
         self, exchange: Exchange, responder: Responder
     ) -> Refusal | None:
@@ -256,11 +282,22 @@
             left=exchange.deadline - exchange.now(),
             workspace=workspace.name if workspace else "",
             last_event=exchange.last_event,
-            urgency=min(MOST_URGENCY, exchange.priority)
-            if exchange.wanted.engine
-            else None,
+            urgency=self._find_urgency(exchange, choice),
         )
 
+    def _find_urgency(self, exchange: Exchange, choice: Choice) -> int | None:
+        """Return the rank that a model runner gives to the request.
+
+        One that can't be in time any more goes behind those that still
+        can: it is answered late either way, and they need not be.
+        """
+        if not exchange.wanted.engine:
+            return None
+        due = exchange.started + exchange.target
+        if exchange.now() + choice.seconds > due:
+            return LATE_URGENCY
+        return min(LATE_URGENCY - 1, exchange.priority)
+
     def _find_patience(
         self, exchange: Exchange, choice: Choice
     ) -> float | None:
--- a/lagoonpost/forwarding/refusal.py
+++ b/lagoonpost/forwarding/refusal.py
@@ -38,6 +38,12 @@
 NOT_SENT = Refusal(
     503, "not_sent", "no runner took it in time", retry_after=0.5
 )
+QUARANTINED = Refusal(
+    502,
+    "quarantined",
+    "each runner that began this request has crashed",
+    execution="unknown",
+)
 ANSWER_LOST = Refusal(
     502, "answer_lost", "the runner's answer was lost", execution="unknown"
 )
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -16,6 +16,7 @@
 from lagoonpost.peers.node import Peers, PeerSettings
 from lagoonpost.platform.settings import HostSettings
 from lagoonpost.store.store import Condition, Store, Unavailable, Write
+from lagoonpost.systems.poison import Break
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.gateway_report import (
     GatewayReport,
@@ -55,6 +56,7 @@
         belief: What to keep up to date by peers' news.
         make_report: Returns the own report's contents.
         on_report: Told each new report of another gateway.
+        on_break: Told each answer that broke off, at any gateway.
         rng: Source of random choices.
     """
 
@@ -64,12 +66,14 @@
         belief: Belief,
         make_report: Callable[[str, str], GatewayReport],
         on_report: Callable[[GatewayReport], None],
+        on_break: Callable[[Break], None],
         rng: random.Random,
     ) -> None:
         self._settings = settings
         self._belief = belief
         self._make_report = make_report
         self._on_report = on_report
+        self._on_break = on_break
         self._rng = rng
         self.run_id = secrets.token_hex(4)
         self._started = time.time() - time.monotonic()
@@ -152,6 +156,13 @@
         """Tell others which configuration is in force here."""
         self.peers.publish(Fact("configuration", "", self._belief.version))
 
+    def publish_break(self, seen: Break) -> None:
+        """Tell others of an answer that broke off."""
+        key = f"{seen.fingerprint}/{seen.runner}/{seen.attempt}"
+        body = msgspec.msgpack.encode(seen)
+        end = self._end(KEEP_SECONDS)
+        self.peers.publish(Fact("crash_seen", key, 1, body, end))
+
     async def _publish_reports(self) -> None:
         while True:
             report = self._make_report(self._settings.name, self.run_id)
@@ -216,6 +227,9 @@
         raw = msgspec.msgpack.decode(fact.body, type=bytes | None)
         self._belief.take_entry(fact.key, fact.rank, raw, "peer")
 
+    def _learn_break(self, fact: Fact) -> None:
+        self._on_break(msgspec.msgpack.decode(fact.body, type=Break))
+
     def _learn_version(self, fact: Fact) -> None:
         if fact.rank > self._belief.version:
             self._wanted_version = max(self._wanted_version, fact.rank)
@@ -305,4 +319,5 @@
 _LEARNERS = {
     "endpoint": Shared._learn_entry,
     "configuration": Shared._learn_version,
+    "crash_seen": Shared._learn_break,
 }
--- /dev/null
+++ b/lagoonpost/systems/poison.py
@@ -0,0 +1,80 @@
+"""Requests that crash whichever runner begins them.
+
+Pattern of load: one caller sends the same request again and again, at any
+gateway, and each runner that begins it is gone for seconds. Retries make it
+worse: each of them costs one more runner, and everything that ran beside.
+
+Requests are told apart by what they ask for and who asks, as each attempt has
+an id of its own. An answer that breaks off counts once its runner turns out to
+be down, as answers also get lost where nothing crashed, and a popular question
+would be convicted for that. After three the request is not sent any more. An
+innocent one that ran beside a crash breaks once, and is answered next time.
+"""
+
+from typing import NamedTuple
+
+import xxhash
+
+DOWN_SECONDS = 4.0
+"""Time within which a runner that crashed is found to be down: a send to it,
+or three of its heartbeats."""
+MOST_BREAKS = 3
+"""Breaks after which a request is not sent: the third may be no chance."""
+KEEP_SECONDS = 60.0
+"""How long breaks count; a runner that was mended by then may try again."""
+MOST_OPEN = 100
+"""Breaks of a runner that are remembered until it is known to be down."""
+MOST_KEPT = 10_000
+"""Requests that are remembered; the oldest are forgotten first."""
+
+
+class Break(NamedTuple):
+    """One answer that broke off.
+
+    Attributes:
+        fingerprint: Identifies the request in whatever attempt.
+        runner: Where it ran.
+        attempt: Id of the attempt.
+    """
+
+    fingerprint: str
+    runner: str
+    attempt: str
+
+
+class BreakTable:
+    """Breaks by request, own ones and those that peers told of."""
+
+    def __init__(self) -> None:
+        self._open: dict[str, dict[Break, float]] = {}
+        self._breaks: dict[str, dict[Break, float]] = {}
+
+    def note(self, seen: Break, now: float) -> None:
+        """Note a break; the same one counts once however often it comes."""
+        breaks = self._open.setdefault(seen.runner, {})
+        breaks[seen] = now
+        if len(breaks) > MOST_OPEN:
+            del breaks[next(iter(breaks))]
+
+    def note_down(self, runner: str, now: float) -> None:
+        """Count the breaks of a runner that turned out to be down."""
+        for seen, at in self._open.pop(runner, {}).items():
+            if now - at <= DOWN_SECONDS:
+                self._breaks.setdefault(seen.fingerprint, {})[seen] = now
+        while len(self._breaks) > MOST_KEPT:
+            del self._breaks[next(iter(self._breaks))]
+
+    def is_poison(self, fingerprint: str, now: float) -> bool:
+        """Tell whether a request is not to be sent any more."""
+        breaks = self._breaks.get(fingerprint)
+        if not breaks:
+            return False
+        oldest = now - KEEP_SECONDS
+        return sum(at > oldest for at in breaks.values()) >= MOST_BREAKS
+
+
+def make_fingerprint(workspace: str, target: str, body: bytes) -> str:
+    """Return what identifies a request in whatever attempt."""
+    digest = xxhash.xxh3_64(body)
+    digest.update(f"{workspace} {target}".encode())
+    return digest.hexdigest()
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -217,6 +217,37 @@
         assert answer.status == 500
         assert answer.header("response-signature").startswith("signed-desk")
 
+    def test_a_request_that_crashes_runners_is_not_sent_for_ever(self):
+        """A caller sends a request whose runner is gone whenever it begins.
+
+        Each of its retries would take one more runner down.
+        """
+
+        async def story(stack: Stack):
+            runners = stack.runners.values()
+            stack.set_fault("crash", "desk")
+            seen = []
+            for born in range(8):
+                answer = await stack.call("/check/1")
+                seen.append(answer.status)
+                for id_ in ("desk-1", "desk-2"):
+                    await stack.register(id_, born=2000 + born)
+                version = stack.store.version
+                belief = stack.gateways[0].belief
+                await wait_until(
+                    lambda v=version, b=belief: (
+                        b.entries["desk-2"].version >= v
+                    )
+                )
+            runs = sum(runner.runs.total() for runner in runners)
+            stack.set_fault("none")
+            return seen, runs, (await stack.call("/check/2")).status
+
+        seen, runs, other = play(story)
+        assert set(seen) == {502}
+        assert 3 <= runs <= 4
+        assert other == 200
+
     def test_the_last_failure_of_a_check_is_passed_on(self):
         async def story(stack: Stack):
             stack.set_fault("fail", "desk")
