Take changed settings, and read everything anew after a thaw

Cause: a settings file may change with or without SIGHUP, and a host that stood still misses news while its connections die. Both are watched; a file that can't be read changes nothing.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -17,13 +17,14 @@
 from lagoonpost.forwarding.front import Front
 from lagoonpost.forwarding.metrics import ForwardingMetrics
 from lagoonpost.forwarding.shared import Shared
+from lagoonpost.forwarding.upkeep import SettingsWatch, watch_thaw
 from lagoonpost.forwarding.usage import UsageCount
 from lagoonpost.http.client import Client
 from lagoonpost.http.message import Address
 from lagoonpost.http.server import Limits, Server
 from lagoonpost.peers.node import make_clock
 from lagoonpost.platform.cloud import CloudCalls
-from lagoonpost.platform.settings import read_host_settings
+from lagoonpost.platform.settings import HostSettings
 from lagoonpost.platform.store import PlatformStore
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.poison import Break
@@ -61,8 +62,8 @@
         base_runners: int = BASE_RUNNERS,
         metrics_port: int = 0,
     ) -> None:
-        self._path = path
-        settings = self._settings = read_host_settings(path)
+        self._watch = SettingsWatch(path, self._apply_settings)
+        settings = self._settings = self._watch.settings
         # Seeded, so that a played day repeats.
         rng = random.Random(settings.name)
         self._client = Client()
@@ -137,7 +138,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.reload)
         await self.start()
         await self._stop.wait()
         await self.leave()
@@ -153,6 +154,8 @@
         self._spawn(self._shared.run())
         self._spawn(self._shared.keep_seeds(self._store))
         self._spawn(self._keep_up())
+        self._spawn(self._watch.run())
+        self._spawn(watch_thaw(self._recover))
         if self._duties is not None:
             self._spawn(self._duties.run())
         eliot.log_message(
@@ -161,22 +164,19 @@
             run=self._shared.run_id,
         )
 
-    def _reload(self) -> None:
-        """Read the settings again; addresses stay as they were."""
-        settings = read_host_settings(self._path)
-        eliot.log_message(
-            message_type="lagoonpost:forwarding:reloaded",
-            changed=[
-                name
-                for name, value in settings._asdict().items()
-                if value != getattr(self._settings, name)
-            ],
-        )
+    def _apply_settings(self, settings: HostSettings) -> None:
+        """Take over what may change; addresses and names stay."""
+        self._front.set_bounds(settings.bounds)
+        self._shared.peers.add_seeds(settings.seeds)
+
+    def _recover(self) -> None:
+        self._client.close()
+        self._follower.restart()
 
     async def leave(self) -> None:
         """Take no new callers, answer the accepted requests, and stop."""
         self._leaving = True
-        grace = self._settings.bounds.grace_seconds
+        grace = self._watch.settings.bounds.grace_seconds
         loop = asyncio.get_running_loop()
         end = loop.time() + grace - END_SECONDS
         eliot.log_message(
--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -24,6 +24,7 @@
 gateway without news for as long."""
 
 OnChange = Callable[[FeedRow], None]
+Answer = Page | HistoryLost | Unavailable
 
 
 class TableFollower:
@@ -51,12 +52,19 @@
         self._on_all = on_all
         self._on_back = on_back
         self._version: int | None = None
+        self._call: asyncio.Task[Answer] | None = None
         self.lost = False
 
+    def restart(self) -> None:
+        """Give up the call under way and read the whole table."""
+        self._version = None
+        if self._call is not None:
+            self._call.cancel()
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            answer = await self._ask()
+            answer = await self._ask_or_restart()
             if isinstance(answer, Unavailable):
                 self._note_lost(answer)
                 await pause_after_failure()
@@ -77,7 +85,17 @@
             for row in answer.rows:
                 self._on_row(row)
 
-    async def _ask(self) -> Page | HistoryLost | Unavailable:
+    async def _ask_or_restart(self) -> Answer:
+        call = self._call = asyncio.create_task(self._ask())
+        try:
+            await asyncio.wait({call})
+            if call.cancelled():
+                return Unavailable("given up", applied=False)
+            return call.result()
+        finally:
+            call.cancel()
+
+    async def _ask(self) -> Answer:
         if self._version is None:
             return await self._store.read_table(self._table)
         return await self._store.follow_table(
@@ -142,6 +160,11 @@
         """Whether the store does not answer here."""
         return self.operator.lost or self.endpoints.lost
 
+    def restart(self) -> None:
+        """Read all tables anew, over new connections."""
+        self.operator.restart()
+        self.endpoints.restart()
+
     async def run(self) -> None:
         """Follow all tables until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -102,6 +102,18 @@
         self.prompt_tokens: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Keep to other bounds from now on."""
+        if bounds == self._bounds:
+            return
+        self._bounds = bounds
+        self._budgets.clear()
+        self.quotas.set_bounds(
+            QuotaBounds(
+                bounds.quota_window, bounds.quota_overage, bounds.quota_slack
+            )
+        )
+
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request."""
         loop = asyncio.get_running_loop()
--- a/lagoonpost/platform/settings.py
+++ b/lagoonpost/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform writes for each process."""
 
+import os
 import tomllib
 from typing import Any, NamedTuple
 
@@ -84,6 +85,14 @@
     """The settings file can't be used; the text names file and field."""
 
 
+def read_change_time(path: str) -> float:
+    """Return when the settings file changed last; 0 if it can't be seen."""
+    try:
+        return os.stat(path).st_mtime
+    except OSError:
+        return 0.0
+
+
 def read_host_settings(path: str) -> HostSettings:
     """Read and check the settings file.
 
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -82,6 +82,10 @@
         self._untold: dict[str, float] = {}
         self._senders: set[str] = set()
 
+    def set_bounds(self, bounds: QuotaBounds) -> None:
+        """Keep to other bounds from now on."""
+        self._bounds = bounds
+
     def take(
         self, workspace: Workspace, cost: float, part: float, now: float
     ) -> float | None:
--- a/test/forwarding_stack.py
+++ b/test/forwarding_stack.py
@@ -107,10 +107,10 @@
         self._bounds = bounds or {}
         self._duties = duties
         self._exit = AsyncExitStack()
-        self._folder = Path()
+        self.folder = Path()
 
     async def __aenter__(self) -> Self:
-        self._folder = Path(self._exit.enter_context(TemporaryDirectory()))
+        self.folder = Path(self._exit.enter_context(TemporaryDirectory()))
         store, cloud = Server(self.store.handle), Server(self.cloud.handle)
         self.store_address = await store.start(LOOPBACK)
         self.cloud_address = await cloud.start(LOOPBACK)
@@ -153,7 +153,7 @@
         number = len(self.gateways) + 1
         ports = [_find_free_port() for _ in range(4)]
         addresses = [Address("127.0.0.1", port) for port in ports]
-        path = self._folder / f"gateway-{number}.toml"
+        path = self.folder / f"gateway-{number}.toml"
         path.write_text(self._make_settings(number, addresses))
         daemon = ForwardingDaemon(str(path))
         await daemon.start()
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -449,6 +449,40 @@
 
         play(story)
 
+    def test_a_thawed_gateway_reads_everything_anew(self):
+        """A host stands still while its connections to the store die.
+
+        The feed's answer never comes. Until its own time-out the gateway
+        would serve by what it knew before.
+        """
+
+        async def story(stack: Stack):
+            daemon = stack.gateways[0]
+            stack.store.outage = "silent"
+            await stack.store.put("op", "config", make_configuration(9))
+            stack.store.outage = "none"
+            daemon._follower.restart()
+            await wait_until(lambda: daemon.belief.version == 9)
+
+        play(story)
+
+    def test_settings_change_with_and_without_a_signal(self):
+        async def story(stack: Stack):
+            daemon = stack.gateways[0]
+            path = stack.folder / "gateway-1.toml"
+            good = path.read_text()
+            path.write_text("not toml")
+            daemon._watch.reload()
+            kept = daemon._watch.settings.bounds
+            path.write_text(good.replace("[bounds]", "[bounds]\ngrace_s = 3"))
+            await wait_until(lambda: daemon._watch.settings.bounds != kept)
+            return (
+                kept.grace_seconds,
+                daemon._watch.settings.bounds.grace_seconds,
+            )
+
+        assert play(story) == (8.0, 3.0)
+
     def test_entries_that_lapsed_in_an_outage_are_kept_a_while(self):
         """All entries lapse while the store is away.
 
