--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -38,6 +38,10 @@
 SLOWEST, FASTEST = 20.0, 0.25
 """Bounds of a runner's pace against its service's, so that one answer that
 was held up elsewhere can't shut a runner out for long."""
+SLOWING = 0.003
+"""The same for the pace of a prompt alone when a measurement is slower. What
+we hold to be alone may wait behind a prompt that another gateway has just
+sent, so that the faster measurements are the true ones."""
 LEAST_TOKENS = 400
 """Prompts below this say more about the way there than about pace."""
 ALONE_TOKENS = 1500
@@ -282,9 +286,10 @@
         if wanted.engine and choice.unread < LEAST_TOKENS:
             return
         if wanted.engine and choice.alone and choice.unread > ALONE_TOKENS:
-            before = self.token_pace(wanted.service)
             sample = took / choice.unread
-            self._alone[wanted.service] = before + LEARNING * (sample - before)
+            before = self._alone.get(wanted.service, sample)
+            rate = LEARNING if sample < before else SLOWING
+            self._alone[wanted.service] = before + rate * (sample - before)
         ratio = took / max(1e-4, choice.seconds)
         slowness = state.slowness(now)
         state.note_pace(ratio * slowness, now)
--- a/lagoonpost/systems/scaling.py
+++ b/lagoonpost/systems/scaling.py
@@ -20,10 +20,10 @@
 from lagoonpost.tables.configuration import Scaling
 from lagoonpost.tables.endpoint import Endpoint
 
-BUSY_SHARE = 0.35
+BUSY_SHARE = 0.55
 """Part of the time in which runners should read prompts: beyond it a prompt
 waits behind others for longer than it takes itself."""
-BUSY_AFTER_LOSS = 0.6
+BUSY_AFTER_LOSS = 0.8
 """The same after the loss of the largest domain, until others have started."""
 LEAST_RUNNERS = 3
 """Fewest runners of a service, so that one may be slow and one be lost."""
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -196,6 +196,25 @@
             placement.note_ended(choice, True)
         assert placement.token_pace("chat") == pytest.approx(1e-4, rel=0.05)
 
+    def test_waits_behind_others_are_not_taken_for_a_slow_runner(self):
+        """Half of the prompts that seem alone wait behind others.
+
+        Taken at their mean the runners seem to be twice as slow, and twice
+        as many are ordered.
+        """
+        placement = Placement()
+        runners = make_runners(1)
+        for step in range(100):
+            wanted = make_draft(f"s{step}")
+            now = float(step)
+            choice = placement.choose(runners, wanted, now, Random(1))
+            assert choice is not None
+            placement.note_sent(choice, wanted, now)
+            took = choice.unread / 30_000 + (step % 2) * 0.5
+            placement.note_first_byte(choice, wanted, took, now + took)
+            placement.note_ended(choice, True)
+        assert placement.token_pace("chat") < 1.2 / 30_000
+
     def test_states_of_missing_runners_are_dropped(self):
         placement = Placement()
         placement.state("gone")
