--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -125,7 +125,6 @@
                 CloudCalls(self._client, settings.cloud),
                 self.belief,
                 self._shared,
-                self._front.placement.token_pace,
                 wall_clock,
                 base_runners,
             )
@@ -228,10 +227,21 @@
             begun=self._usage.begun,
             store_lost=self._follower.lost,
             prompt_tokens=front.prompt_tokens,
-            output_tokens=front.output_tokens,
+            waiting=self._sum_waiting(),
+            pace=front.placement.paces_alone,
             version=self.belief.version,
         )
 
+    def _sum_waiting(self) -> dict[str, int]:
+        """Return the prompt tokens under way by service."""
+        waiting: dict[str, int] = {}
+        for runner, work in self._front.placement.report().items():
+            entry = self.belief.entries.get(runner)
+            if entry is not None and entry.endpoint is not None:
+                service = entry.endpoint.service
+                waiting[service] = waiting.get(service, 0) + work.tokens
+        return waiting
+
     def _hear(self, report: GatewayReport) -> None:
         now = asyncio.get_running_loop().time()
         sender = f"{report.name}/{report.run}"
--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -1,8 +1,8 @@
 """Work that one gateway at a time does: usage reports and orders."""
 
 import asyncio
-import math
 from collections.abc import Callable
+from statistics import median
 
 import eliot
 
@@ -19,7 +19,9 @@
     Store,
     Write,
 )
+from lagoonpost.systems.demand import DemandMeter, Sample
 from lagoonpost.systems.lease import LeasePolicy
+from lagoonpost.systems.placement import FIRST_TOKEN_PACE
 from lagoonpost.systems.scaling import (
     DRY_SECONDS,
     Demand,
@@ -41,12 +43,6 @@
 REPEAT_SECONDS = 8.0
 """Time after which an order that shows no effect is given again: start-up
 and two heartbeats."""
-RATE_SECONDS = 5.0
-"""Time over which the load of runners is averaged: an eighth of the waves in
-which callers come, and long enough for some tens of prompts."""
-FALL_SECONDS = 15.0
-"""Time in which a load that fell is forgotten to a third. Runners that go
-take the prompts with them that they hold, and new ones take seconds."""
 
 
 class Duties:
@@ -58,7 +54,6 @@
         cloud: The cloud's calls.
         belief: Configuration and runners.
         shared: What is known of the other gateways.
-        pace: Returns a service's seconds for reading a prompt token.
         wall_clock: Seconds since the epoch.
         base: Runners at full price that each service keeps.
     """
@@ -70,7 +65,6 @@
         cloud: CloudCalls,
         belief: Belief,
         shared: Shared,
-        pace: Callable[[str], float],
         wall_clock: Callable[[], float],
         base: int,
     ) -> None:
@@ -79,7 +73,6 @@
         self._cloud = cloud
         self._belief = belief
         self._shared = shared
-        self._pace = pace
         self._wall_clock = wall_clock
         self._base = base
         seconds = settings.bounds.lease_seconds
@@ -99,7 +92,7 @@
         self._reported: dict[int, bool] = {}
         self._ordered: dict[tuple[str, Tenure], tuple[int, float]] = {}
         self._dry_until: dict[tuple[str, str], float] = {}
-        self._demand = DemandMeter(known=settings.first_start)
+        self._meters: dict[str, DemandMeter] = {}
 
     def is_held(self) -> bool:
         """Tell whether this gateway does the duties."""
@@ -201,28 +194,50 @@
         while True:
             await asyncio.sleep(LOOK_SECONDS)
             self._measure()
-            if not self.is_held() or self._belief.routes is None:
+            if not self.is_held():
                 continue
-            services = self._belief.routes.configuration.services.values()
-            for service in services:
-                if service.scaling is not None:
-                    await self._order_service(service)
+            for service in self._list_scaled().values():
+                await self._order_service(service)
+
+    def _list_scaled(self) -> dict[str, Service]:
+        """Return the services whose runners may be ordered."""
+        if self._belief.routes is None:
+            return {}
+        services = self._belief.routes.configuration.services
+        return {
+            name: service
+            for name, service in services.items()
+            if service.scaling is not None
+        }
 
     def _measure(self) -> None:
-        totals: dict[str, float] = {}
-        for _, report in self._shared.reports.values():
-            for service, tokens in report.prompt_tokens.items():
-                totals[service] = totals.get(service, 0.0) + tokens
-        self._demand.note(totals, read_clock())
+        """Add up what all gateways say of each service's load."""
+        reports = [report for _, report in self._shared.reports.values()]
+        fresh = self._shared.fresh_reports(with_own=True)
+        now = read_clock()
+        for service in self._list_scaled():
+            total = sum(r.prompt_tokens.get(service, 0) for r in reports)
+            waiting = sum(r.waiting.get(service, 0) for r in fresh)
+            paces = [r.pace[service] for r in fresh if service in r.pace]
+            pace = median(paces) if paces else FIRST_TOKEN_PACE
+            meter = self._meter(service)
+            meter.note(Sample(now, total, waiting, pace))
+
+    def _meter(self, service: str) -> DemandMeter:
+        meter = self._meters.get(service)
+        if meter is None:
+            known = self._settings.first_start
+            meter = self._meters[service] = DemandMeter(known)
+        return meter
 
     async def _order_service(self, service: Service) -> None:
         assert service.scaling is not None
         now = read_clock()
         there = count_runners(self._belief.find_all(service.name))
-        rate = self._demand.rate(service.name)
-        if rate is None:
+        busy = self._meter(service.name).busy()
+        if busy is None:
             return
-        demand = Demand(rate * self._pace(service.name), self._base)
+        demand = Demand(busy, self._base)
         dry = {
             domain: until
             for (name, domain), until in self._dry_until.items()
@@ -282,49 +297,3 @@
             # next look tells which.
             key = (service, order.tenure.domain)
             self._dry_until[key] = now + DRY_SECONDS
-
-
-class DemandMeter:
-    """Rates of counters that only grow; they rise at once and fall slowly.
-
-    Args:
-        known: Whether there is no load yet. Otherwise the first seconds
-            say nothing: a holder that has just started would take what it
-            has not seen for no load, and send runners away from under it.
-    """
-
-    def __init__(self, known: bool) -> None:
-        self._known = known
-        self._samples: list[tuple[float, dict[str, float]]] = []
-        self._peaks: dict[str, float] = {}
-
-    def note(self, totals: dict[str, float], now: float) -> None:
-        """Take the counters as they are now."""
-        passed = now - self._samples[-1][0] if self._samples else 0.0
-        self._samples.append((now, totals))
-        while len(self._samples) > 2 and (
-            self._samples[1][0] <= now - RATE_SECONDS
-        ):
-            del self._samples[0]
-        if now - self._samples[0][0] >= RATE_SECONDS:
-            self._known = True
-        fall = math.exp(-passed / FALL_SECONDS)
-        for name in totals:
-            rate = self._measure(name)
-            # Towards the lower rate little by little.
-            held = rate + (self._peaks.get(name, 0.0) - rate) * fall
-            self._peaks[name] = max(rate, held)
-
-    def rate(self, name: str) -> float | None:
-        """Return a counter's growth in a second; None if it is not known."""
-        if not self._known:
-            return None
-        return self._peaks.get(name, 0.0)
-
-    def _measure(self, name: str) -> float:
-        (first, before), (last, after) = self._samples[0], self._samples[-1]
-        if last - first < RATE_SECONDS / 2:
-            return 0.0
-        grown = after.get(name, 0.0) - before.get(name, 0.0)
-        # A restarted gateway's counters begin anew.
-        return max(0.0, grown) / (last - first)
--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -98,7 +98,6 @@
             ),
             started,
         )
-        self.output_tokens: dict[str, int] = {}
         self.prompt_tokens: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -265,13 +265,13 @@
 
     # Views
 
-    def fresh_reports(self) -> list[GatewayReport]:
-        """Return the other gateways' reports that are not too old."""
+    def fresh_reports(self, with_own: bool = False) -> list[GatewayReport]:
+        """Return the gateways' reports that are not too old."""
         oldest = asyncio.get_running_loop().time() - FRESH_SECONDS
         return [
             report
             for at, report in self.reports.values()
-            if at > oldest and report.run != self.run_id
+            if at > oldest and (with_own or report.run != self.run_id)
         ]
 
     def sum_work(self) -> dict[str, RunnerWork]:
--- /dev/null
+++ b/lagoonpost/systems/demand.py
@@ -0,0 +1,89 @@
+"""How much model runners have to do, as a number of runners.
+
+Pattern of load: prompts come in waves and bursts, and at times a runner turns
+slow or is lost while nobody says so. The rate of prompt tokens, at the pace at
+which a runner reads them alone, tells how many runners are busy; but not that
+one of them has become five times slower. What waits does: so many seconds of
+reading that are under way everywhere must not take a caller's whole patience.
+
+The larger of the two counts at once and is forgotten slowly, as runners that
+go take the prompts with them that they hold, and new ones need seconds to
+start.
+"""
+
+import math
+from collections import deque
+from typing import NamedTuple
+
+RATE_SECONDS = 5.0
+"""Time over which the rate is averaged: an eighth of the waves in which
+callers come, and long enough for some tens of prompts."""
+WAIT_SECONDS = 0.8
+"""Reading under way that one runner may have: callers of drafts wait 0.8 s
+and more for the first word."""
+WAIT_AVERAGE = 1.5
+"""Time over which what is under way is averaged, so that one prompt of
+40,000 tokens, a second of reading, is no reason for another runner."""
+FALL_SECONDS = 10.0
+"""Time in which a load that fell is forgotten to a third."""
+
+
+class Sample(NamedTuple):
+    """What was known of a service at one time.
+
+    Attributes:
+        at: Time in seconds.
+        total: Prompt tokens that were sent since the start, a counter.
+        waiting: Prompt tokens under way that have not been read.
+        pace: Seconds that one runner takes for a token.
+    """
+
+    at: float
+    total: float
+    waiting: float
+    pace: float
+
+
+class DemandMeter:
+    """The demand for one service's runners.
+
+    Args:
+        known: Whether there is no load yet. Otherwise the first seconds
+            say nothing: a holder that has just started would take what it
+            has not seen for no load, and send runners away from under it.
+    """
+
+    def __init__(self, known: bool) -> None:
+        self._known = known
+        self._samples: deque[Sample] = deque()
+        self._waiting = 0.0
+        self._busy = 0.0
+
+    def note(self, sample: Sample) -> None:
+        """Take what is known now."""
+        samples = self._samples
+        passed = sample.at - samples[-1].at if samples else 0.0
+        samples.append(sample)
+        while len(samples) > 2 and samples[1].at <= sample.at - RATE_SECONDS:
+            samples.popleft()
+        if sample.at - samples[0].at >= RATE_SECONDS:
+            self._known = True
+        recent = 1 - math.exp(-passed / WAIT_AVERAGE)
+        under_way = sample.waiting * sample.pace
+        self._waiting += recent * (under_way - self._waiting)
+        busy = max(
+            self._measure_rate() * sample.pace, self._waiting / WAIT_SECONDS
+        )
+        fall = math.exp(-passed / FALL_SECONDS)
+        self._busy = max(busy, busy + (self._busy - busy) * fall)
+
+    def busy(self) -> float | None:
+        """Return how many runners are busy; None if it is not known."""
+        return self._busy if self._known else None
+
+    def _measure_rate(self) -> float:
+        first, last = self._samples[0], self._samples[-1]
+        if last.at - first.at < RATE_SECONDS / 2:
+            return 0.0
+        # A restarted gateway's counters begin anew.
+        return max(0.0, last.total - first.total) / (last.at - first.at)
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -175,12 +175,15 @@
 
     Attributes:
         states: State by the runner's id.
+        paces_alone: Seconds for reading a prompt token alone, by service.
+            The mean pace also holds what prompts wait for each other, so
+            that ordering runners by it would answer waits of any cause.
     """
 
     def __init__(self) -> None:
         self.states: dict[str, RunnerState] = {}
         self._pace: dict[str, float] = {}
-        self._alone: dict[str, float] = {}
+        self.paces_alone: dict[str, float] = {}
 
     def state(self, runner: str) -> RunnerState:
         """Return the state of a runner, new if it is not known."""
@@ -200,14 +203,6 @@
         for runner, work in others.items():
             self.state(runner).others = work
 
-    def token_pace(self, service: str) -> float:
-        """Return a service's seconds for reading a prompt token alone.
-
-        The mean pace also holds what prompts wait for each other, so that
-        ordering runners by it would answer waits of any cause.
-        """
-        return self._alone.get(service, FIRST_TOKEN_PACE)
-
     def pace(self, wanted: Wanted) -> float:
         """Return the service's mean pace in seconds a token or request."""
         first = FIRST_TOKEN_PACE if wanted.engine else FIRST_PLAIN_PACE
@@ -287,9 +282,11 @@
             return
         if wanted.engine and choice.alone and choice.unread > ALONE_TOKENS:
             sample = took / choice.unread
-            before = self._alone.get(wanted.service, sample)
+            before = self.paces_alone.get(wanted.service, sample)
             rate = LEARNING if sample < before else SLOWING
-            self._alone[wanted.service] = before + rate * (sample - before)
+            self.paces_alone[wanted.service] = before + rate * (
+                sample - before
+            )
         ratio = took / max(1e-4, choice.seconds)
         slowness = state.slowness(now)
         state.note_pace(ratio * slowness, now)
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -29,7 +29,9 @@
         store_lost: Whether the store has not answered lately.
         prompt_tokens: Prompt tokens sent since the start, by service, that
             no runner was expected to hold already.
-        output_tokens: Tokens of answers since the start, by service.
+        waiting: Prompt tokens under way that have not been read, by service.
+        pace: Seconds for reading a prompt token alone, by service, as
+            measured here.
         version: Version of its configuration.
         rank: Number of this report; the highest one of a run holds.
     """
@@ -41,7 +43,8 @@
     begun: dict[int, dict[str, int]]
     store_lost: bool
     prompt_tokens: dict[str, int]
-    output_tokens: dict[str, int]
+    waiting: dict[str, int]
+    pace: dict[str, float]
     version: int
     rank: int = 0
 
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -7,7 +7,6 @@
 
 from lagoonpost.http.message import Address
 from lagoonpost.systems.placement import (
-    FIRST_TOKEN_PACE,
     Placement,
     Wanted,
     find_home,
@@ -184,7 +183,7 @@
     def test_the_pace_of_a_prompt_alone_is_learned(self):
         placement = Placement()
         runners = make_runners(1)
-        assert placement.token_pace("chat") == FIRST_TOKEN_PACE
+        assert "chat" not in placement.paces_alone
         for step in range(40):
             wanted = make_draft(f"s{step}")
             now = float(step)
@@ -194,7 +193,7 @@
             took = choice.unread / 10_000
             placement.note_first_byte(choice, wanted, took, now + took)
             placement.note_ended(choice, True)
-        assert placement.token_pace("chat") == pytest.approx(1e-4, rel=0.05)
+        assert placement.paces_alone["chat"] == pytest.approx(1e-4, rel=0.05)
 
     def test_waits_behind_others_are_not_taken_for_a_slow_runner(self):
         """Half of the prompts that seem alone wait behind others.
@@ -213,7 +212,7 @@
             took = choice.unread / 30_000 + (step % 2) * 0.5
             placement.note_first_byte(choice, wanted, took, now + took)
             placement.note_ended(choice, True)
-        assert placement.token_pace("chat") < 1.2 / 30_000
+        assert placement.paces_alone["chat"] < 1.2 / 30_000
 
     def test_states_of_missing_runners_are_dropped(self):
         placement = Placement()
--- a/test/test_scaling.py
+++ b/test/test_scaling.py
@@ -4,6 +4,7 @@
 
 from lagoonpost.http.message import Address
 from lagoonpost.systems.scaling import (
+    BUSY_AFTER_LOSS,
     Demand,
     Tenure,
     count_runners,
@@ -48,7 +49,7 @@
                     for tenure, count in orders.items()
                     if not (tenure.spot and tenure.domain == lost)
                 )
-                assert left >= max(2, math.ceil(busy / 0.6))
+                assert left >= max(2, math.ceil(busy / BUSY_AFTER_LOSS))
 
     def test_full_price_takes_the_place_of_what_is_not_to_be_had(self):
         """All reclaimable runners are announced to go, none are offered.
