--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 PYTHON ?= python3
+# Tests and stories side by side; each starts a small system of its own.
+JOBS ?= 6
 
 .PHONY: install run demo test check format bench clean
 
@@ -26,8 +28,9 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 	$(BIN)/lint-imports
-	$(BIN)/python -m pytest
-	$(BIN)/behave --format progress3 --no-capture features
+	$(BIN)/python -m pytest --numprocesses $(JOBS)
+	ls features/*.feature | xargs -P $(JOBS) -n 1 \
+		$(BIN)/behave --format progress3 --no-capture
 
 format:
 	$(BIN)/ruff format .
--- a/lagoonpost/tables/endpoint.py
+++ b/lagoonpost/tables/endpoint.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from lagoonpost.http.message import Address
+from lagoonpost.tables.address import Address
 
 
 class Endpoint(NamedTuple):
