--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -91,7 +91,7 @@
         )
         self._reported: dict[int, bool] = {}
         self._ordered: dict[tuple[str, Tenure], tuple[int, float]] = {}
-        self._dry_until: dict[tuple[str, str], float] = {}
+        self._ask_again: dict[tuple[str, str], float] = {}
         self._meters: dict[str, DemandMeter] = {}
 
     def is_held(self) -> bool:
@@ -239,8 +239,8 @@
             return
         demand = Demand(busy, self._base)
         dry = {
-            domain: until
-            for (name, domain), until in self._dry_until.items()
+            domain: at
+            for (name, domain), at in self._ask_again.items()
             if name == service.name
         }
         orders = plan_orders(service.scaling, demand, there, dry, now)
@@ -248,7 +248,7 @@
             if not self.is_held():
                 return
             if self._needs(service.name, order, there, orders):
-                await self._give(service.name, order, demand)
+                await self._give(service.name, order)
 
     def _needs(
         self,
@@ -269,7 +269,7 @@
         # Runners go only once what takes their place is there.
         return order.runners > count or present >= planned
 
-    async def _give(self, service: str, order: Order, demand: Demand) -> None:
+    async def _give(self, service: str, order: Order) -> None:
         tenure, count = order
         outcome = await self._cloud.order_runners(
             self._duty(), service, tenure.domain, count, tenure.spot
@@ -280,7 +280,7 @@
             failure_domain=tenure.domain,
             spot=tenure.spot,
             count=count,
-            busy=round(demand.busy, 3),
+            **self._meter(service).describe(),
             fence=self._lease.fence,
             outcome=outcome,
         )
@@ -292,8 +292,21 @@
         now = read_clock()
         if outcome == "done":
             self._ordered[service, order.tenure] = (order.runners, now)
+            if order.tenure.spot:
+                self._end_drought(service, order.tenure.domain, now)
         elif outcome == "fenced" and order.tenure.spot:
             # None are to be had, or another holds the lease by now; the
             # next look tells which.
             key = (service, order.tenure.domain)
-            self._dry_until[key] = now + DRY_SECONDS
+            self._ask_again[key] = now + DRY_SECONDS
+
+    def _end_drought(self, service: str, domain: str, now: float) -> None:
+        """Note that there are reclaimable runners again.
+
+        They mostly come back in all domains at once, so the others are
+        asked without waiting.
+        """
+        self._ask_again.pop((service, domain), None)
+        for key in self._ask_again:
+            if key[0] == service:
+                self._ask_again[key] = now
--- a/lagoonpost/systems/demand.py
+++ b/lagoonpost/systems/demand.py
@@ -81,7 +81,21 @@
         """Return how many runners are busy; None if it is not known."""
         return self._busy if self._known else None
 
+    def describe(self) -> dict[str, float]:
+        """Return what the demand follows from, the pace in us, for the log."""
+        last = self._samples[-1] if self._samples else Sample(0, 0, 0, 0)
+        return {
+            "busy": round(self._busy, 2),
+            "tokens_per_second": round(self._measure_rate()),
+            "waiting_seconds": round(self._waiting, 3),
+            "tokens_per_second_alone": round(1 / last.pace)
+            if last.pace
+            else 0,
+        }
+
     def _measure_rate(self) -> float:
+        if not self._samples:
+            return 0.0
         first, last = self._samples[0], self._samples[-1]
         if last.at - first.at < RATE_SECONDS / 2:
             return 0.0
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -38,10 +38,10 @@
 SLOWEST, FASTEST = 20.0, 0.25
 """Bounds of a runner's pace against its service's, so that one answer that
 was held up elsewhere can't shut a runner out for long."""
-SLOWING = 0.003
-"""The same for the pace of a prompt alone when a measurement is slower. What
-we hold to be alone may wait behind a prompt that another gateway has just
-sent, so that the faster measurements are the true ones."""
+ALONE_FASTER, ALONE_SLOWER = 0.4, 0.03
+"""The same for the pace of a prompt alone, by whether a measurement is faster
+or slower. What we hold to be alone may wait behind a prompt that another
+gateway has just sent, so that the faster measurements are the true ones."""
 LEAST_TOKENS = 400
 """Prompts below this say more about the way there than about pace."""
 ALONE_TOKENS = 1500
@@ -283,7 +283,7 @@
         if wanted.engine and choice.alone and choice.unread > ALONE_TOKENS:
             sample = took / choice.unread
             before = self.paces_alone.get(wanted.service, sample)
-            rate = LEARNING if sample < before else SLOWING
+            rate = ALONE_FASTER if sample < before else ALONE_SLOWER
             self.paces_alone[wanted.service] = before + rate * (
                 sample - before
             )
--- a/lagoonpost/systems/scaling.py
+++ b/lagoonpost/systems/scaling.py
@@ -74,7 +74,7 @@
     scaling: Scaling,
     demand: Demand,
     there: Mapping[Tenure, int],
-    dry_until: Mapping[str, float],
+    ask_again: Mapping[str, float],
     now: float,
 ) -> list[Order]:
     """Return the number of each kind of runner that there should be.
@@ -83,7 +83,8 @@
         scaling: Bounds and prices.
         demand: What there is to do.
         there: Runners that are there and stay.
-        dry_until: Time until which a domain has no reclaimable runners.
+        ask_again: For each domain that had no reclaimable runners when they
+            were ordered last, the time from which to order them again.
         now: Time in seconds.
 
     Returns:
@@ -93,7 +94,7 @@
     domains = sorted(scaling.prices, key=lambda each: scaling.prices[each])
     if not domains:
         return []
-    wet = [each for each in domains if now >= dry_until.get(each, -math.inf)]
+    wet = [each for each in domains if each not in ask_again]
     full = dict.fromkeys(domains, 0)
     spots = dict.fromkeys(domains, 0)
     total = max(LEAST_RUNNERS, math.ceil(demand.busy / BUSY_SHARE))
@@ -122,7 +123,9 @@
         }
         _fill(full, domains, missing, scaling.most, coming)
     orders = [
-        Order(Tenure(each, True), spots[each]) for each in wet if spots[each]
+        Order(Tenure(each, True), spots[each])
+        for each in domains
+        if spots[each] and now >= ask_again.get(each, now)
     ]
     return orders + [
         Order(Tenure(each, False), full[each]) for each in domains
