Answer with a runner's own failure when no other runner is left

Cause, found in reading: a check that failed was kept to be tried elsewhere, and when no other runner could be asked the caller got 502, or 503 as if nothing had run, in place of the failure; after a stream had begun a refusal was tried on the same connection. Seen red: test_a_failure_is_not_told_as_not_run (502 in place of 500).

--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -33,7 +33,7 @@
 from lagoonpost.forwarding.usage import UsageCount
 from lagoonpost.http.client import Client
 from lagoonpost.http.events import EventCutter, RawEvent
-from lagoonpost.http.message import Request
+from lagoonpost.http.message import Request, Response
 from lagoonpost.http.server import Responder
 from lagoonpost.platform.headers import (
     Instructions,
@@ -192,10 +192,11 @@
             async with asyncio.timeout_at(exchange.deadline):
                 return await self._try_runners(exchange, responder, budget)
         except TimeoutError:
-            exchange.outcome = "timeout"
-            if responder.started:
-                return None
-            return NOT_SENT if exchange.surely_not_run else TOO_LATE
+            exchange.note("timeout")
+            exchange.last_refusal = (
+                NOT_SENT if exchange.surely_not_run else TOO_LATE
+            )
+            return await self._give_up(exchange, responder)
         finally:
             if exchange.surely_not_run and exchange.workspace is not None:
                 self.quotas.give_back(
@@ -208,21 +209,22 @@
         while True:
             choice = self._choose(exchange)
             if choice is None:
-                return exchange.last_refusal or NO_RUNNER
+                return await self._give_up(exchange, responder)
             if exchange.arrivals and not budget.take(
                 self.shared.count_gateways(), exchange.now()
             ):
                 exchange.note("no_budget")
-                return exchange.last_refusal or NO_RUNNER
+                return await self._give_up(exchange, responder)
             outcome = await self._send(exchange, choice, responder)
             exchange.note_outcome(choice, outcome)
             self._judge(exchange, choice, outcome)
             if responder.finished or exchange.outcome == "answered":
                 return None
-            if self.breaks.is_poison(exchange.fingerprint, exchange.now()):
-                return self._give_up(exchange, responder)
-            if not exchange.may_send_again():
-                return self._give_up(exchange, responder)
+            poison = self.breaks.is_poison(
+                exchange.fingerprint, exchange.now()
+            )
+            if poison or not exchange.may_send_again():
+                return await self._give_up(exchange, responder)
 
     def _judge(
         self, exchange: Exchange, choice: Choice, outcome: Outcome
@@ -236,15 +238,23 @@
             self.breaks.note(seen, exchange.now())
             self.shared.publish_break(seen)
 
-    def _give_up(
+    async def _give_up(
         self, exchange: Exchange, responder: Responder
     ) -> Refusal | None:
+        """End a request that no further runner is asked for."""
         # A stream that has begun can only be broken off: the caller sees
         # from its missing end that it is not whole.
         if responder.started:
             exchange.outcome = "broken_off"
             return None
-        return exchange.last_refusal or ANSWER_LOST
+        # A runner's own failure says more than that its answer was lost,
+        # and that nobody took the request would not be true.
+        if exchange.kept is not None:
+            await self._pass_back(exchange, exchange.kept, responder)
+            return None
+        if exchange.last_refusal is not None:
+            return exchange.last_refusal
+        return NO_RUNNER if exchange.surely_not_run else ANSWER_LOST
 
     def _choose(self, exchange: Exchange) -> Choice | None:
         if len(exchange.tried) >= MOST_SENDS:
@@ -367,6 +377,11 @@
         if exchange.may_repeat_failure(response.status):
             exchange.kept = response
             return
+        await self._pass_back(exchange, response, responder)
+
+    async def _pass_back(
+        self, exchange: Exchange, response: Response, responder: Responder
+    ) -> None:
         headers = make_returned(response.headers)
         await responder.send(response._replace(headers=headers))
         exchange.note_answered(response.status)
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -257,6 +257,36 @@
         assert answer.status == 500
         assert answer.header("response-signature").startswith("signed-desk")
 
+    def test_a_failure_is_not_told_as_not_run(self):
+        """A check fails at its runner, and no other one can be reached.
+
+        Told that no runner took it, its caller would hold for not run what
+        has run; the runner's own failure is the answer.
+        """
+
+        async def story(stack: Stack):
+            stack.set_fault("fail", "desk")
+            await stack.runners["desk-2"].close()
+            return [await stack.call("/check/1") for _ in range(4)]
+
+        answers = play(story)
+        assert {answer.status for answer in answers} == {500}
+        signatures = {a.header("response-signature") for a in answers}
+        assert all(text.startswith("signed-desk-1") for text in signatures)
+
+    def test_a_stream_that_began_is_never_followed_by_a_refusal(self):
+        """A draft breaks off in its middle and no other runner is left.
+
+        A second head within the stream would be taken for its contents.
+        """
+
+        async def story(stack: Stack):
+            stack.runners["chat-1"].fault = "break_off"
+            with pytest.raises(CallFailedError):
+                await stack.call("/draft/1", "POST", headers=make_prompt())
+
+        play(story, chat=1)
+
     def test_an_address_that_another_runner_got(self):
         """A runner ends, and its address goes to one of another service.
 
