--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -55,6 +55,16 @@
             await asyncio.sleep(PAUSE)
         raise AssertionError(f"not all came to hold {count} members")
 
+    async def wait_until_running_know(self, key: str) -> None:
+        """Wait until each running member has a fact."""
+        running = set(range(len(self.members))) - self.away
+        for _ in range(TRIES):
+            reports = [await self.members[n].report() for n in running]
+            if all(key in report["known"] for report in reports):
+                return
+            await asyncio.sleep(PAUSE)
+        raise AssertionError(f"not all came to know {key}")
+
     async def check_current(self, number: int, key: str) -> None:
         """Check that the member is current only with the fact."""
         for _ in range(TRIES):
@@ -97,7 +107,11 @@
 
 @when('member {number:d} publishes "{key}"')
 def publish(context: Any, number: int, key: str) -> None:
+    # A story goes on once its step has happened: a busy member may take the
+    # line only after the next step, and what nobody knows yet can't be
+    # missed by one that thaws.
     context.cluster.members[number].tell(f"publish {key}")
+    context.cluster.run(context.cluster.wait_until_running_know(key))
 
 
 @then("the others hold {count:d} members")
