Take a runner's deletion at once while only this gateway had lost the store

Cause: a gateway whose own connection to the store had gone silent regains it by the answer that holds a deletion.

Ruled out: taking every deletion that a peer tells of. A peer that did not notice a short outage would then spread lapsed entries as gone.

Now a deletion is held back only if half of the gateways heard, or more, had lost the store within the last four seconds. Runners renew their entries whenever the store serves them, so one gateway's loss says nothing of them.

--- a/lagoonpost/forwarding/belief.py
+++ b/lagoonpost/forwarding/belief.py
@@ -44,6 +44,8 @@
         clock: Steady clock in seconds.
 
     Attributes:
+        was_store_away: Tells whether the store was away for all gateways
+            lately, and not for this one alone.
         routes: The configuration in force; None while none is known.
         raw_configuration: Its bytes, for peers that ask.
         entries: Entries of runners by id, deleted ones included.
@@ -53,6 +55,7 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
+        self.was_store_away: Callable[[], bool] = lambda: True
         self.routes: RouteTable | None = None
         self.raw_configuration = b""
         self.entries: dict[str, Entry] = {}
@@ -137,11 +140,15 @@
         Runners can't renew their entries then, so that all of them lapse at
         once while all of them serve. It shows as deletions around the
         store's return; those that live are written anew soon after it.
+        Where only this gateway had lost the store, runners renewed their
+        entries all the while, and a deletion means that one is gone.
         """
         if held is None or held.endpoint is None:
             return False
         if self._clock() >= self._store_back + LAPSE_SECONDS:
             return False
+        if not self.was_store_away():
+            return False
         self._lapsing[key] = version
         return True
 
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -91,6 +91,7 @@
             rng,
         )
         self.belief.on_down.append(self._note_down)
+        self.belief.was_store_away = self._shared.was_store_away
         self._front.shared = self._shared
         self._follower = BeliefFollower(
             self._store,
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -45,6 +45,10 @@
 """How long the news of a runner's entry is kept."""
 FETCH_PAUSE = 0.15
 """Wait for the store's feed before a peer is asked for a configuration."""
+LOST_SECONDS = 4.0
+"""How long a gateway's word that it had lost the store is remembered: entries
+that lapsed are judged for some two seconds after the return, and gateways
+notice it up to a report's pause apart."""
 SEED_PREFIX = "member/"
 
 
@@ -78,6 +82,7 @@
         self.run_id = secrets.token_hex(4)
         self._started = time.time() - time.monotonic()
         self.reports: dict[str, tuple[float, GatewayReport]] = {}
+        self._lost_at: dict[str, float] = {}
         self._rank = 0
         self._wanted_version = 0
         self._wanted = asyncio.Event()
@@ -218,6 +223,8 @@
         if held is not None and held[1].rank >= report.rank:
             return False
         self.reports[key] = (now, report)
+        if report.store_lost:
+            self._lost_at[report.name] = now
         for old, (at, _) in list(self.reports.items()):
             if at < now - KEEP_SECONDS:
                 del self.reports[old]
@@ -286,6 +293,18 @@
                 )
         return total
 
+    def was_store_away(self) -> bool:
+        """Tell whether most gateways had lost the store lately.
+
+        True if no other gateway is heard: nobody can say that it was not.
+        """
+        heard = {report.name for report in self.fresh_reports()}
+        if not heard:
+            return True
+        oldest = asyncio.get_running_loop().time() - LOST_SECONDS
+        lost = {name for name in heard if self._lost_at.get(name, 0) > oldest}
+        return 2 * len(lost) >= len(heard)
+
     def entries(self) -> list[Address]:
         """Return where callers may connect: all gateways that serve."""
         members = self.peers.members()
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -16,7 +16,7 @@
 )
 
 from lagoonpost.http.client import CallFailedError
-from lagoonpost.http.message import Response
+from lagoonpost.http.message import Address, Response
 from lagoonpost_standins.forwarded import make_event
 
 
@@ -537,6 +537,30 @@
 
         assert play(story) == (2, ["desk-2"])
 
+    def test_a_runner_that_went_while_one_gateway_had_lost_the_store(self):
+        """One gateway's connection to the store goes silent.
+
+        A runner leaves just as the gateway regains the store. Taken for an
+        entry that lapsed in an outage, it would get requests for two
+        seconds more, although all other gateways know that it is gone.
+        """
+
+        async def story(stack: Stack):
+            daemon = stack.gateways[0]
+            lost = daemon._follower.endpoints
+            there = daemon._store._address
+            daemon._store._address = Address("127.0.0.1", 9)
+            daemon._follower.restart()
+            await wait_until(lambda: lost.lost)
+            daemon._store._address = there
+            await wait_until(lambda: not lost.lost)
+            # Only what is taken at once counts here.
+            daemon.belief.drop_lapsed = list
+            await stack.store.delete("servers", "desk-1")
+            await wait_until(lambda: not daemon.belief.is_known("desk-1"))
+
+        play(story, gateways=3)
+
 
 class TestDirectory:
     async def ask(self, stack: Stack, number: int, path: str) -> Response:
