Move services to new versions on the users' platform

Cause: orders to move a service to another version were not read at all, so that a new version got its part of all requests at once, whatever it did, and operators were never told of an end (missed duties; a bad version would have broken the bound on exposure).

Ruled out: the product's own stages (90 s at least; orders here have 12 to 16).

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -17,6 +17,7 @@
 from lagoonpost.forwarding.front import Front
 from lagoonpost.forwarding.metrics import ForwardingMetrics
 from lagoonpost.forwarding.shared import Shared
+from lagoonpost.forwarding.shifts import Shifts, keep_shifting
 from lagoonpost.forwarding.upkeep import SettingsWatch, watch_thaw
 from lagoonpost.forwarding.usage import UsageCount
 from lagoonpost.http.client import Client
@@ -29,6 +30,8 @@
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.poison import Break
 from lagoonpost.systems.route import RouteTable
+from lagoonpost.systems.shift import ExposureBounds
+from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.gateway_report import GatewayReport, Taken
 
 LAME_SECONDS = 2.5
@@ -38,6 +41,8 @@
 """What is left of the grace for the process to end."""
 UPKEEP_SECONDS = 0.2
 """Pause between rounds of small work that nothing triggers."""
+SHIFT_SECONDS = 0.5
+"""Pause between looks at services that move to another version."""
 YOUNG_REPORTS = 20
 """Reports that a gateway sends in a quota's window: the younger it is."""
 BASE_RUNNERS = 1
@@ -87,8 +92,17 @@
             self.belief,
             self,
             self._hear_break,
+            self._hear_shift,
             rng,
         )
+        self._shifts = Shifts(
+            ExposureBounds(
+                settings.bounds.exposure_share, settings.bounds.exposure_slack
+            ),
+            rng,
+            self._shared.peers.publish,
+        )
+        self._front.shifts = self._shifts
         self.belief.on_down.append(self._note_down)
         self.belief.was_store_away = self._shared.was_store_away
         self._front.shared = self._shared
@@ -98,6 +112,7 @@
             self._shared.publish_entry,
             self._shared.publish_configuration,
             self._shared.is_reader,
+            self._shifts.take_row,
         )
         self._server = Server(
             self._front.handle, Limits(), cancel_when_gone=True
@@ -158,6 +173,15 @@
         self._spawn(watch_thaw(self._recover))
         if self._duties is not None:
             self._spawn(self._duties.run())
+            self._spawn(
+                keep_shifting(
+                    self._shifts,
+                    self._store,
+                    self._duties.is_held,
+                    self._shared.reports.all_reports,
+                    SHIFT_SECONDS,
+                )
+            )
         eliot.log_message(
             message_type="lagoonpost:forwarding:started",
             settings=settings._asdict(),
@@ -233,6 +257,7 @@
             waiting=self._sum_waiting(),
             pace=front.placement.paces_alone,
             version=self.belief.version,
+            versions=self._shifts.report(),
         )
 
     def hear_report(self, report: GatewayReport) -> None:
@@ -271,6 +296,9 @@
     def _hear_break(self, seen: Break) -> None:
         self._front.breaks.note(seen, asyncio.get_running_loop().time())
 
+    def _hear_shift(self, fact: Fact) -> None:
+        self._shifts.learn(fact)
+
     def _note_down(self, runner: str) -> None:
         now = asyncio.get_running_loop().time()
         self._front.breaks.note_down(runner, now)
--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -157,6 +157,7 @@
         publish_entry: Told each runner's id that changed.
         publish_configuration: Told when a newer configuration is in force.
         is_reader: Tells whether this gateway reads the store for others.
+        on_order: Told each other row of the operators.
     """
 
     def __init__(
@@ -166,7 +167,9 @@
         publish_entry: Callable[[str], None],
         publish_configuration: Callable[[], None],
         is_reader: Callable[[], bool],
+        on_order: OnChange,
     ) -> None:
+        self._on_order = on_order
         self._belief = belief
         self._publish_entry = publish_entry
         self._publish_configuration = publish_configuration
@@ -205,6 +208,7 @@
 
     def _take_operator_row(self, row: FeedRow) -> None:
         if row.key != CONFIGURATION_KEY or row.value is None:
+            self._on_order(row)
             return
         if self._belief.take_configuration(row.value, "store"):
             self._publish_configuration()
--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -30,6 +30,7 @@
     make_refusal,
 )
 from lagoonpost.forwarding.shared import Shared
+from lagoonpost.forwarding.shifts import Shifts
 from lagoonpost.forwarding.usage import UsageCount
 from lagoonpost.http.client import Client
 from lagoonpost.http.events import EventCutter, RawEvent
@@ -90,6 +91,7 @@
         self._rng = rng
         self._log = log
         self.shared: Shared
+        self.shifts: Shifts
         self.placement = Placement()
         self.breaks = BreakTable()
         self.quotas = Quotas(
@@ -259,19 +261,24 @@
     def _choose(self, exchange: Exchange) -> Choice | None:
         if len(exchange.tried) >= MOST_SENDS:
             return None
+        service = exchange.wanted.service
         runners = [
             each
-            for each in self._belief.find_runners(exchange.wanted.service)
+            for each in self._belief.find_runners(service)
             if each.id not in exchange.tried
         ]
+        group = self.shifts.choose_group(
+            service, runners, self.shared.count_gateways()
+        )
         return self.placement.choose(
-            runners, exchange.wanted, exchange.now(), self._rng
+            group, exchange.wanted, exchange.now(), self._rng
         )
 
     async def _send(
         self, exchange: Exchange, choice: Choice, responder: Responder
     ) -> Outcome:
         exchange.note_sent(choice)
+        self.shifts.note_sent(choice.endpoint)
         placement = self.placement
         wanted = exchange.wanted
         placement.note_sent(choice, wanted, exchange.now())
@@ -356,6 +363,13 @@
             case Began():
                 state.note_reached()
                 state.note_outcome(False)
+        if not isinstance(outcome, Unreachable | NotRun):
+            self.shifts.note_answer(
+                choice.endpoint,
+                exchange.route.name if exchange.route else "",
+                failed=_is_failure(outcome),
+                slow=took > exchange.target,
+            )
         if isinstance(outcome, Whole | Began):
             self.placement.note_first_byte(choice, exchange.wanted, took, now)
             if exchange.note_began() and exchange.workspace is not None:
@@ -437,3 +451,9 @@
                 self._bounds.budget_window,
             )
         return budget
+
+
+def _is_failure(outcome: Outcome) -> bool:
+    if isinstance(outcome, Whole):
+        return outcome.response.status >= 500
+    return isinstance(outcome, Broken | Silent)
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -46,6 +46,7 @@
         belief: What to keep up to date by peers' news.
         party: What this gateway reports, and hears of others.
         on_break: Told each answer that broke off, at any gateway.
+        on_shift: Told how far services' moves to other versions are.
         rng: Source of random choices.
     """
 
@@ -55,11 +56,13 @@
         belief: Belief,
         party: Party,
         on_break: Callable[[Break], None],
+        on_shift: Callable[[Fact], None],
         rng: random.Random,
     ) -> None:
         self._settings = settings
         self._belief = belief
         self._on_break = on_break
+        self._on_shift = on_shift
         self._rng = rng
         self._started = time.time() - time.monotonic()
         self._lost: dict[str, _Lost] = {}
@@ -186,6 +189,9 @@
     def _learn_break(self, fact: Fact) -> None:
         self._on_break(msgspec.msgpack.decode(fact.body, type=Break))
 
+    def _learn_shift(self, fact: Fact) -> None:
+        self._on_shift(fact)
+
     def _learn_store_lost(self, fact: Fact) -> None:
         now = asyncio.get_running_loop().time()
         lost = fact.body == _WORDS[True]
@@ -307,4 +313,5 @@
     "configuration": Shared._learn_version,
     "crash_seen": Shared._learn_break,
     "store_lost": Shared._learn_store_lost,
+    "shift": Shared._learn_shift,
 }
--- /dev/null
+++ b/lagoonpost/forwarding/shifts.py
@@ -0,0 +1,246 @@
+"""Moves of services to new versions: what this gateway sends, hears, tells."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
+
+import eliot
+import msgspec
+
+from lagoonpost.platform.configuration import UnreadableError
+from lagoonpost.platform.rollout import (
+    ORDER_PREFIX,
+    decode_end,
+    decode_order,
+    make_status,
+)
+from lagoonpost.platform.store import FeedRow, PlatformStore
+from lagoonpost.store.clock import read_clock
+from lagoonpost.store.store import Committed, Unavailable
+from lagoonpost.systems.shift import (
+    TRIAL_SHARE,
+    Exposure,
+    ExposureBounds,
+    ShiftJudge,
+)
+from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.fact import Fact
+from lagoonpost.tables.gateway_report import GatewayReport
+from lagoonpost.tables.version_shift import (
+    PHASES,
+    Phase,
+    ShiftOrder,
+    VersionCounts,
+    add_counts,
+)
+
+Counts = dict[str, VersionCounts]
+
+
+class _Shift:
+    """One order as this gateway knows it."""
+
+    def __init__(self, order: ShiftOrder) -> None:
+        self.order = order
+        self.phase: Phase = "trial"
+        self.exposure = Exposure()
+        self.counts: Counts = {}
+        self.judge = ShiftJudge(order, read_clock())
+        self.told: str | None = None
+
+    @property
+    def rank(self) -> int:
+        """Grows with each order, and with each phase of one."""
+        return self.order.number * len(PHASES) + PHASES.index(self.phase)
+
+
+class Shifts:
+    """All orders that are known here, the newest of each service.
+
+    Args:
+        bounds: What a version may get before it is trusted.
+        rng: Source of random choices.
+        publish: Tells other gateways a fact.
+    """
+
+    def __init__(
+        self,
+        bounds: ExposureBounds,
+        rng: Random,
+        publish: Callable[[Fact], None],
+    ) -> None:
+        self._bounds = bounds
+        self._rng = rng
+        self._publish = publish
+        self._shifts: dict[str, _Shift] = {}
+
+    # Learning
+
+    def take_row(self, row: FeedRow) -> None:
+        """Take an order from the operators' table."""
+        if row.value is None or not row.key.startswith(ORDER_PREFIX):
+            return
+        try:
+            order = decode_order(row.value, row.version)
+        except UnreadableError as error:
+            eliot.log_message(
+                message_type="lagoonpost:shift:unreadable", detail=str(error)
+            )
+            return
+        if self._take(order, "trial", "store"):
+            self._tell(self._shifts[order.service])
+
+    def learn(self, fact: Fact) -> None:
+        """Take an order or its phase from another gateway."""
+        order, phase = msgspec.msgpack.decode(
+            fact.body, type=tuple[ShiftOrder, Phase]
+        )
+        self._take(order, phase, "peer")
+
+    def _take(self, order: ShiftOrder, phase: Phase, source: str) -> bool:
+        """Take what is newer; tell whether it was."""
+        held = self._shifts.get(order.service)
+        if held is None or held.order.number < order.number:
+            held = self._shifts[order.service] = _Shift(order)
+        elif held.order.number > order.number or PHASES.index(
+            held.phase
+        ) >= PHASES.index(phase):
+            return False
+        held.phase = phase
+        eliot.log_message(
+            message_type="lagoonpost:shift:phase",
+            source=source,
+            phase=phase,
+            **order._asdict(),
+        )
+        return True
+
+    def _tell(self, shift: _Shift) -> None:
+        body = msgspec.msgpack.encode((shift.order, shift.phase))
+        self._publish(Fact("shift", shift.order.service, shift.rank, body))
+
+    # Requests
+
+    def choose_group(
+        self, service: str, runners: Sequence[Endpoint], gateways: int
+    ) -> Sequence[Endpoint]:
+        """Return the runners among which a request may be placed.
+
+        Args:
+            service: Service of the request.
+            runners: Its runners that may get new work.
+            gateways: Number of gateways that share the bound on exposure.
+        """
+        shift = self._shifts.get(service)
+        if shift is None or shift.phase == "complete":
+            return runners
+        new = [each for each in runners if each.version == shift.order.to]
+        old = [each for each in runners if each.version != shift.order.to]
+        match shift.phase:
+            case "taken_back":
+                return old
+            case "all":
+                return new or old
+        tries = self._rng.random() < TRIAL_SHARE or not old
+        if new and tries and shift.exposure.may_try(self._bounds, gateways):
+            return new
+        return old
+
+    def note_sent(self, endpoint: Endpoint) -> None:
+        """Count a request that goes to a runner."""
+        shift = self._shifts.get(endpoint.service)
+        if shift is not None:
+            shift.exposure.note_sent(endpoint.version == shift.order.to)
+
+    def note_answer(
+        self, endpoint: Endpoint, route: str, failed: bool, slow: bool
+    ) -> None:
+        """Count an answer, or that it broke off."""
+        shift = self._shifts.get(endpoint.service)
+        if shift is None or shift.phase in ("complete", "taken_back"):
+            return
+        seen = (1, int(failed), int(slow))
+        none = (0, 0, 0)
+        is_new = endpoint.version == shift.order.to
+        counts = VersionCounts(*(seen + none if is_new else none + seen))
+        before = shift.counts.get(route, VersionCounts())
+        shift.counts[route] = add_counts(before, counts)
+
+    def report(self) -> dict[str, Counts]:
+        """Return the own counts by service, of orders under way."""
+        return {
+            service: shift.counts
+            for service, shift in self._shifts.items()
+            if shift.counts and shift.phase not in ("complete", "taken_back")
+        }
+
+    # The duty of one gateway at a time
+
+    async def advance(
+        self, reports: Iterable[GatewayReport], store: PlatformStore
+    ) -> None:
+        """Judge all orders and tell operators how far they are."""
+        held = list(reports)
+        for service, shift in list(self._shifts.items()):
+            counts = _sum_counts(held, service)
+            phase = shift.judge.advance(shift.phase, counts, read_clock())
+            if phase != shift.phase:
+                self._take(shift.order, phase, "own")
+                self._tell(shift)
+                eliot.log_message(
+                    message_type="lagoonpost:shift:judged",
+                    service=service,
+                    phase=phase,
+                    counts={k: v._asdict() for k, v in counts.items()},
+                )
+            await self._tell_operators(shift, store)
+
+    async def _tell_operators(
+        self, shift: _Shift, store: PlatformStore
+    ) -> None:
+        """Write the state where operators read it, never behind an end.
+
+        A gateway that takes over after all were killed knows nothing of how
+        an order ended; what was written before tells it.
+        """
+        key = f"{ORDER_PREFIX}{shift.order.service}"
+        status = make_status(shift.order, shift.phase)
+        if shift.told == status["state"]:
+            return
+        row = await store.read_status(key)
+        if isinstance(row, Unavailable):
+            return
+        end = decode_end(row.value, shift.order) if row.value else None
+        if shift.told is None and end is not None:
+            # Only the own order's end counts; one to the same version that
+            # was given again is not told apart, and has ended as well.
+            self._take(shift.order, end, "status")
+            self._tell(shift)
+            shift.told = make_status(shift.order, end)["state"]
+            return
+        outcome = await store.write_status(key, row.version, status)
+        if isinstance(outcome, Committed):
+            shift.told = status["state"]
+
+
+def _sum_counts(reports: Iterable[GatewayReport], service: str) -> Counts:
+    total: Counts = {}
+    for report in reports:
+        for route, counts in report.versions.get(service, {}).items():
+            before = total.get(route, VersionCounts())
+            total[route] = add_counts(before, counts)
+    return total
+
+
+async def keep_shifting(
+    shifts: Shifts,
+    store: PlatformStore,
+    may_advance: Callable[[], bool],
+    find_reports: Callable[[], Iterable[GatewayReport]],
+    pause: float,
+) -> None:
+    """Advance all orders while it is this gateway's duty, until cancelled."""
+    while True:
+        await asyncio.sleep(pause)
+        if may_advance():
+            await shifts.advance(find_reports(), store)
--- /dev/null
+++ b/lagoonpost/platform/rollout.py
@@ -0,0 +1,61 @@
+"""Orders to move a service to another version, and what is told of them."""
+
+import msgspec
+
+from lagoonpost.platform.configuration import UnreadableError
+from lagoonpost.tables.version_shift import Phase, ShiftOrder
+
+ORDER_PREFIX = "rollout/"
+_STATES: dict[Phase, str] = {
+    "trial": "active",
+    "all": "active",
+    "complete": "complete",
+    "taken_back": "rolled_back",
+}
+_ENDS: dict[str, Phase] = {
+    "complete": "complete",
+    "rolled_back": "taken_back",
+}
+
+
+class _Order(msgspec.Struct):
+    service: str
+    to: str
+    duration_s: float
+
+
+class _Status(msgspec.Struct):
+    state: str
+    to: str
+
+
+def decode_order(body: bytes, number: int) -> ShiftOrder:
+    """Decode an order.
+
+    Raises:
+        UnreadableError: If it can't be read; nothing is moved then.
+    """
+    try:
+        order = msgspec.json.decode(body, type=_Order)
+    except msgspec.DecodeError as error:
+        raise UnreadableError(f"rollout: {error}") from error
+    return ShiftOrder(order.service, order.to, order.duration_s, number)
+
+
+def make_status(order: ShiftOrder, phase: Phase) -> dict[str, str]:
+    """Return what operators are told of an order."""
+    return {"state": _STATES[phase], "to": order.to}
+
+
+def decode_end(body: bytes, order: ShiftOrder) -> Phase | None:
+    """Return how an order has ended by what operators were told before.
+
+    Returns:
+        None if it has not ended, or the row is of another order.
+    """
+    try:
+        status = msgspec.json.decode(body, type=_Status)
+    except msgspec.DecodeError:
+        # Nobody else writes there; what can't be read is written anew.
+        return None
+    return _ENDS.get(status.state) if status.to == order.to else None
--- a/lagoonpost/platform/settings.py
+++ b/lagoonpost/platform/settings.py
@@ -26,6 +26,9 @@
         contact_seconds: Time after a disturbance in which bounds are waived.
         drain_seconds: Time in which a leaving runner's news must be known.
         ttl_most: Most seconds for which callers keep a list of entries.
+        exposure_share: Part of a service's requests that a version which
+            turns out to be bad may have got.
+        exposure_slack: Requests that it may have got besides.
     """
 
     lease_seconds: float = 3.0
@@ -41,6 +44,8 @@
     contact_seconds: float = 3.0
     drain_seconds: float = 2.0
     ttl_most: float = 5.0
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
 
 
 class HostSettings(NamedTuple):
--- a/lagoonpost/platform/store.py
+++ b/lagoonpost/platform/store.py
@@ -24,6 +24,7 @@
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 ENDPOINT_TABLE = "servers"
+STATUS_TABLE = "status"
 STORE_SECONDS = 1.0
 """Longest wait for an answer: 250 times the store's usual one."""
 FEED_SLACK_SECONDS = 1.0
@@ -87,19 +88,38 @@
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> Committed | Conflict | Unavailable:
         """Apply all ``writes`` if all ``conditions`` hold, or nothing."""
-        body = {
-            "expected_rev": [
-                {**_place(each.key), "ver": each.version}
-                for each in conditions
-            ],
-            "writes": [
+        outcome = await self._transact(
+            [{**_place(each.key), "ver": each.version} for each in conditions],
+            [
                 {**_place(each.key), "value": _encode(each.value)}
                 for each in writes
                 if each.value is not None
             ],
-            "deletes": [
-                _place(each.key) for each in writes if each.value is None
-            ],
+            [_place(each.key) for each in writes if each.value is None],
+        )
+        match outcome:
+            case Conflict(rows):
+                return Conflict(_order(conditions, rows))
+            case Committed((row, *_)):
+                return Committed(
+                    tuple(
+                        Row(each.key, row.version, each.value)
+                        for each in writes
+                    )
+                )
+        return outcome
+
+    async def _transact(
+        self,
+        expected: list[dict[str, Any]],
+        writes: list[dict[str, str]],
+        deletes: Sequence[dict[str, str]] = (),
+    ) -> Committed | Conflict | Unavailable:
+        """Apply a transaction; the one row of `Committed` has its version."""
+        body = {
+            "expected_rev": expected,
+            "writes": writes,
+            "deletes": deletes,
         }
         answer = await self._call(
             "POST", "/v1/rows-tx", msgspec.json.encode(body)
@@ -108,13 +128,10 @@
             return answer
         if answer.status == 412:
             rows = _decode_rows(answer.body).rows
-            return Conflict(_order(conditions, [_own(row) for row in rows]))
+            return Conflict(tuple(_own(row) for row in rows))
         if answer.status != 200:
             return Unavailable(f"status {answer.status}", applied=False)
-        version = _decode_rows(answer.body).ver
-        return Committed(
-            tuple(Row(each.key, version, each.value) for each in writes)
-        )
+        return Committed((Row("", _decode_rows(answer.body).ver),))
 
     async def read(self, keys: Sequence[str]) -> tuple[Row, ...] | Unavailable:
         """Return one row for each key, in order."""
@@ -138,6 +155,25 @@
             return page
         return tuple(_own_row(row) for row in page.rows)[:limit]
 
+    # What operators read
+
+    async def read_status(self, key: str) -> FeedRow | Unavailable:
+        """Return what operators were told last; version 0 if nothing."""
+        page = await self.read_table(STATUS_TABLE, key, key + "\0")
+        if isinstance(page, Unavailable):
+            return page
+        return page.rows[0] if page.rows else FeedRow(key, 0, None)
+
+    async def write_status(
+        self, key: str, version: int, value: dict[str, str]
+    ) -> Committed | Conflict | Unavailable:
+        """Tell operators something, if nothing newer than known is there."""
+        place = {"table": STATUS_TABLE, "part": "", "key": key}
+        return await self._transact(
+            [{**place, "ver": version}],
+            [{**place, "value": _encode(value)}],
+        )
+
     # Tables of others
 
     async def read_table(
--- a/lagoonpost/tables/fact.py
+++ b/lagoonpost/tables/fact.py
@@ -17,6 +17,7 @@
     "configuration",
     "endpoint",
     "store_lost",
+    "shift",
 ]
 
 
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from lagoonpost.tables.version_shift import VersionCounts
+
 
 class RunnerWork(NamedTuple):
     """One gateway's open work at a runner.
@@ -33,6 +35,8 @@
         pace: Seconds for reading a prompt token alone, by service, as
             measured here.
         version: Version of its configuration.
+        versions: Answers by service and route while a service moves to
+            another version.
         rank: Number of this report; the highest one of a run holds.
     """
 
@@ -45,6 +49,7 @@
     waiting: dict[str, int]
     pace: dict[str, float]
     version: int
+    versions: dict[str, dict[str, VersionCounts]]
     rank: int = 0
 
 
--- a/test/test_reports.py
+++ b/test/test_reports.py
@@ -39,6 +39,7 @@
             waiting={},
             pace={},
             version=1,
+            versions={},
         )
 
     def hear_report(self, report: GatewayReport) -> None:
--- /dev/null
+++ b/test/test_shift.py
@@ -0,0 +1,224 @@
+"""Services that move to a new version: what callers get of it."""
+
+from random import Random
+from typing import NamedTuple
+
+import pytest
+from forwarding_stack import Stack, play, wait_until
+
+from lagoonpost.systems.shift import (
+    Exposure,
+    ExposureBounds,
+    ShiftJudge,
+)
+from lagoonpost.tables.version_shift import (
+    ShiftOrder,
+    VersionCounts,
+    add_counts,
+)
+
+BOUNDS = ExposureBounds(share=0.1, slack=50)
+
+
+class Version(NamedTuple):
+    """How a version answers: parts that fail, and that are slow."""
+
+    failed: float = 0.02
+    slow: float = 0.05
+    bad_from: float = 0.0
+
+
+class Result(NamedTuple):
+    phase: str
+    ended: float
+    total: int
+    new: int
+    after_fiftieth: float
+
+
+def play_shift(
+    version: Version,
+    *,
+    gateways: int,
+    rate: float,
+    seconds: float = 16.0,
+    seed: int = 0,
+    outage: bool = False,
+) -> Result:
+    """Play one order; both versions fail alike in an outage."""
+    rng = Random(seed)
+    judge = ShiftJudge(ShiftOrder("chat", "v2", seconds, 1), 0.0)
+    exposures = [Exposure() for _ in range(gateways)]
+    counts: dict[str, VersionCounts] = {}
+    heard: dict[str, VersionCounts] = {}
+    phase, now, next_look = "trial", 0.0, 0.0
+    bad_at: list[float] = []
+    last_new = 0.0
+    while now < 2 * seconds and phase in ("trial", "all"):
+        now += rng.expovariate(rate)
+        exposure = rng.choice(exposures)
+        if phase == "all":
+            is_new = True
+        else:
+            tries = rng.random() < 0.5
+            is_new = tries and exposure.may_try(BOUNDS, gateways)
+        exposure.note_sent(is_new)
+        kind = version if is_new and now >= version.bad_from else Version()
+        if outage and 4 < now < 7:
+            kind = Version(0.6, 0.9)
+        failed, slow = rng.random() < kind.failed, rng.random() < kind.slow
+        if is_new:
+            last_new = now
+            if failed or slow:
+                bad_at.append(now)
+        seen = (1, int(failed), int(slow))
+        one = VersionCounts(
+            *(seen if is_new else (0, 0, 0)), *((0, 0, 0) if is_new else seen)
+        )
+        route = rng.choice(["draft", "reply"])
+        counts[route] = add_counts(counts.get(route, VersionCounts()), one)
+        if now >= next_look:
+            next_look = now + 0.5
+            phase = judge.advance(phase, heard, now)
+            heard = dict(counts)
+    late = last_new - bad_at[49] if len(bad_at) >= 50 else 0.0
+    total = sum(each.total for each in exposures)
+    return Result(phase, now, total, sum(e.new for e in exposures), late)
+
+
+class TestJudge:
+    @pytest.mark.parametrize("seed", range(20))
+    @pytest.mark.parametrize(("gateways", "rate"), [(9, 25.0), (82, 240.0)])
+    def test_a_good_version_is_complete_in_time(self, gateways, rate, seed):
+        result = play_shift(Version(), gateways=gateways, rate=rate, seed=seed)
+        assert result.phase == "complete"
+        assert result.ended <= 16.0
+
+    @pytest.mark.parametrize("seed", range(20))
+    @pytest.mark.parametrize(
+        "version",
+        [Version(failed=0.5), Version(slow=0.9), Version(failed=1.0)],
+    )
+    def test_a_bad_version_meets_few(self, version, seed):
+        """A new version fails half of its requests from the start.
+
+        Spread over all runners alike it would get half of all callers.
+        """
+        result = play_shift(version, gateways=9, rate=25.0, seed=seed)
+        assert result.phase == "taken_back"
+        assert result.new <= 0.1 * 25.0 * 16.0 + 50
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_a_version_that_turns_bad_under_all_requests(self, seed):
+        """The version is good while it is tried, and bad under full load."""
+        version = Version(failed=0.5, bad_from=13.0)
+        result = play_shift(version, gateways=82, rate=240.0, seed=seed)
+        assert result.phase == "taken_back"
+        assert result.after_fiftieth < 5.0
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_an_outage_of_both_takes_nothing_back(self, seed):
+        result = play_shift(
+            Version(), gateways=82, rate=240.0, seed=seed, outage=True
+        )
+        assert result.phase == "complete"
+
+    def test_nothing_is_complete_without_answers(self):
+        judge = ShiftJudge(ShiftOrder("chat", "v2", 10.0, 1), 0.0)
+        assert judge.advance("trial", {}, 60.0) == "trial"
+
+
+class TestShift:
+    async def send(self, stack: Stack, answers: list[int]) -> None:
+        for _ in range(5):
+            answer = await stack.call("/check/1")
+            answers.append(answer.status)
+
+    async def move(self, stack: Stack) -> tuple[str, int]:
+        """Order a move to v2 and send until it has ended."""
+        await stack.register("desk-3", version="v2")
+        await stack.register("desk-4", version="v2")
+        order = {"service": "desk", "to": "v2", "duration_s": 3.5}
+        await stack.store.put("op", "rollout/desk", order)
+
+        def find_state() -> str:
+            status = stack.store.get("status", "rollout/desk")
+            return status["state"] if status else ""
+
+        answers: list[int] = []
+        while find_state() not in ("complete", "rolled_back"):
+            await self.send(stack, answers)
+        return find_state(), sum(status >= 500 for status in answers)
+
+    def test_a_good_version_takes_over(self):
+        async def story(stack: Stack):
+            state, _ = await self.move(stack)
+            seen = [len(stack.runners[id_].seen) for id_ in NEW]
+            old = [len(stack.runners[id_].seen) for id_ in OLD]
+            await self.send(stack, [])
+            return state, min(seen), min(old)
+
+        state, new, old = play(story, desk=4, duties=("usage_report",))
+        assert state == "complete"
+        assert new > 0
+        assert old > 0
+
+    def test_a_bad_version_gets_nothing_after_it_was_taken_back(self):
+        """Operators move a service to a version that fails each request.
+
+        Both gateways stop sending to it, also the one that did not judge.
+        """
+
+        async def story(stack: Stack):
+            for id_ in NEW:
+                stack.runners[id_].fault = "fail"
+            state, _ = await self.move(stack)
+            groups = [
+                lambda d=daemon: d._shifts.choose_group(
+                    "desk", d.belief.find_runners("desk"), 2
+                )
+                for daemon in stack.gateways
+            ]
+            for group in groups:
+                await wait_until(
+                    lambda g=group: {each.id for each in g()} == set(OLD)
+                )
+            tried = sum(len(stack.runners[id_].seen) for id_ in NEW)
+            for gateway in (0, 1):
+                for _ in range(10):
+                    await stack.call("/check/1", gateway=gateway)
+            after = sum(len(stack.runners[id_].seen) for id_ in NEW)
+            return state, tried, after
+
+        state, tried, after = play(
+            story, gateways=2, desk=4, duties=("usage_report",)
+        )
+        assert state == "rolled_back"
+        assert tried == after
+
+    def test_an_end_that_was_told_before_stands(self):
+        """All gateways are killed right after a move was taken back.
+
+        Those that start would try the bad version once more.
+        """
+
+        async def story(stack: Stack):
+            order = {"service": "desk", "to": "v2", "duration_s": 60}
+            told = {"state": "rolled_back", "to": "v2"}
+            await stack.store.put("status", "rollout/desk", told)
+            await stack.store.put("op", "rollout/desk", order)
+            shifts = stack.gateways[0]._shifts
+            await wait_until(
+                lambda: (
+                    "desk" in shifts._shifts
+                    and shifts._shifts["desk"].phase == "taken_back"
+                )
+            )
+            return stack.store.get("status", "rollout/desk")
+
+        told = play(story, duties=("usage_report",))
+        assert told == {"state": "rolled_back", "to": "v2"}
+
+
+OLD = ("desk-1", "desk-2")
+NEW = ("desk-3", "desk-4")
