Soak real gateways under drawn series of faults from outside

Cause: nothing of the project's own played overlapping faults over real processes on the users' platform; stories play one at a time.

`python -m soak` starts gateways as processes over the stand-ins and draws a series of disturbances from a seed: kills, herds, planned stops, freezes and changed settings by signal; ways to the store and to runners delayed, reset, cut one way, silent, or forgotten while new connections work; outages and lost history of the store; new configurations; runners that crash, leave or misbehave. Callers keep their connections. It checks from what they and the runners saw: at most once, refused is not run, own whole answer, final answer in time, leaving runners, no way back of a configuration, nothing cut off by a planned stop, and all served again when calm. Each check is tested to find what it is for.

Not covered: the time of day of single processes can't be set from outside on one machine; storage is the store's stand-in, as nothing has a disk.

Ruled out: proxies between gateways. They tell each other the address they listen on, so that a proxy would need a product that lies about it; freezes and kills stand for lost peers.

Also one description of a small deployment for tests and soak (lagoonpost_standins/deployment.py).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Tests and stories side by side; each starts a small system of its own.
 JOBS ?= 6
 
-.PHONY: install run demo test check format bench clean
+.PHONY: install run demo test check soak format bench clean
 
 $(VENV)/installed: requirements.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -33,6 +33,10 @@
 	ls features/*.feature | xargs -P $(JOBS) -n 1 \
 		$(BIN)/behave --format progress3 --no-capture
 
+# Fifty seeds of the soak, some minutes; `python -m soak --help` has the rest.
+soak: install
+	seq 1 10 41 | xargs -P 5 -I{} $(BIN)/python -m soak --first {} --count 10
+
 format:
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/lagoonpost_standins/deployment.py
@@ -0,0 +1,146 @@
+"""What operators and the platform write for a small deployment."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
+
+from lagoonpost.http.message import Address, Headers
+
+HOST = "desk.example"
+KEY = "key-of-pottery"
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+
+
+class GatewayAddresses(NamedTuple):
+    """Where one gateway listens."""
+
+    entry: Address
+    ready: Address
+    directory: Address
+    peer: Address
+
+
+def make_route(name: str, kind: str, service: str, **more: Any) -> Any:
+    """Return a route of the configuration as it is written."""
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 5000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+    } | more
+
+
+def make_configuration(version: int = 1, **more: Any) -> dict[str, Any]:
+    """Return a configuration as operators write it."""
+    return {
+        "version": version,
+        "routes": [
+            make_route("draft", "streaming", "chat", stream_resume=True),
+            make_route("reply", "streaming", "chat", max_attempts=1),
+            make_route("book", "unsafe", "desk", max_attempts=1),
+            make_route("check", "safe", "desk"),
+            make_route("open", "safe", "desk", public=True),
+        ],
+        "services": [
+            {"name": "chat", "engine": {"slots": 8, "kv_capacity": 100000}},
+            {"name": "desk", "health_path": "/health"},
+        ],
+        "limits": {"max_body_bytes": 100000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "pottery", "api_keys": [KEY]}],
+    } | more
+
+
+def make_entry(
+    service: str, address: Address, domain: str, **more: Any
+) -> dict[str, Any]:
+    """Return a runner's entry as it is written."""
+    return {
+        "service": service,
+        "address": str(address),
+        "zone": domain,
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "seq": 1,
+        "born": 1000,
+    } | more
+
+
+def make_settings(
+    number: int,
+    addresses: GatewayAddresses,
+    store: Address,
+    cloud: Address,
+    *,
+    seeds: Sequence[Address] = (),
+    bounds: Mapping[str, Any] | None = None,
+    duties: Sequence[str] = (),
+) -> str:
+    """Return the settings file of the gateway with this number."""
+    bound_lines = "\n".join(f"{k} = {v}" for k, v in (bounds or {}).items())
+    duty_words = ", ".join(f'"{each}"' for each in duties)
+    seed_words = ", ".join(f'"{each}"' for each in seeds)
+    return f"""
+node_name = "gateway-{number}"
+zone = "{DOMAINS[(number - 1) % 3]}"
+region = "here"
+ip = "127.0.0.1"
+internal_ports = [{addresses.peer.port}, {addresses.peer.port}]
+seeds = [{seed_words}]
+[zones]
+domain-a = "here"
+domain-b = "here"
+domain-c = "here"
+[listen]
+front = "{addresses.entry}"
+ready = "{addresses.ready}"
+control = "{addresses.peer}"
+directory = "{addresses.directory}"
+[bounds]
+{bound_lines}
+[platform]
+address = "{store}"
+[cloud]
+address = "{cloud}"
+duties = [{duty_words}]
+"""
+
+
+def make_caller_headers(
+    attempt: str,
+    deadline: float,
+    key: str | None = KEY,
+    prompt: int = 0,
+    last_event: int = 0,
+) -> Headers:
+    """Return a caller's headers.
+
+    Args:
+        attempt: Id of the attempt.
+        deadline: Seconds for which the caller waits.
+        key: Key that it shows, if any.
+        prompt: Prompt tokens of a request to a model; 0 for a plain one.
+        last_event: Number of the last event that it has.
+    """
+    headers: Headers = (
+        ("host", HOST),
+        ("deadline-ms", str(int(deadline * 1000))),
+        ("attempt-id", attempt),
+    )
+    if key is not None:
+        headers += (("authorization", f"Bearer {key}"),)
+    if prompt:
+        headers += (
+            ("model", "m"),
+            ("token-count", f"{prompt},20"),
+            ("prompt-prefix", f"aa:{prompt // 2},bb:{prompt - prompt // 2}"),
+        )
+    if last_event:
+        headers += (("last-event-id", str(last_event)),)
+    return headers
--- a/lagoonpost_standins/forwarded.py
+++ b/lagoonpost_standins/forwarded.py
@@ -1,6 +1,7 @@
 """Stand-in for the users' runners, which answer forwarded requests."""
 
 import asyncio
+import time
 from collections import Counter
 from typing import Literal, NamedTuple
 
@@ -28,10 +29,11 @@
 
 
 class Seen(NamedTuple):
-    """One request as it arrived."""
+    """One request as it arrived, at a time of the steady clock."""
 
     request: Request
     ran: bool
+    at: float
 
 
 class ForwardedRunner:
@@ -74,7 +76,7 @@
         """Serve one request; return without answering to cut it off."""
         attempt = request.header("attempt-id") or ""
         refusal = self._refuse(request)
-        self.seen.append(Seen(request, refusal is None))
+        self.seen.append(Seen(request, refusal is None, time.monotonic()))
         if refusal is not None:
             await responder.send(refusal)
             return
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real gateways under faults from outside."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,171 @@
+"""Callers that keep their connections, and what they see."""
+
+import asyncio
+import time
+from random import Random
+
+from lagoonpost.http.client import CallFailedError, Client, Stream
+from lagoonpost.http.message import Address, Response
+from lagoonpost_standins.deployment import make_caller_headers
+from lagoonpost_standins.forwarded import make_event
+from soak.record import KINDS, Attempt, CallKind, Probe
+from soak.system import EVENTS, SoakSystem
+
+DEADLINE_SECONDS = {"book": 2.0, "check": 2.0, "draft": 4.0, "reply": 3.0}
+PATIENCE_SECONDS = 2.0
+"""How long callers listen beyond their deadline, to see what comes late."""
+PAUSE_SECONDS = 0.15
+"""Mean pause of a caller between two attempts."""
+PROBE_SECONDS = 0.25
+"""Pause between looks at which configuration is in force."""
+_METHODS: dict[CallKind, str] = {
+    "book": "POST",
+    "check": "GET",
+    "draft": "POST",
+    "reply": "POST",
+}
+
+
+class Callers:
+    """Sends attempts until told to stop.
+
+    Attributes:
+        attempts: What was seen, in the order of the ends.
+        probes: Which routes were there, in the order of asking.
+    """
+
+    def __init__(self, system: SoakSystem, rng: Random) -> None:
+        self._system = system
+        self._rng = rng
+        self._number = 0
+        self._stopping = False
+        self.attempts: list[Attempt] = []
+        self.probes: list[Probe] = []
+
+    async def run(self, callers: int) -> None:
+        """Call from some callers at once until `stop`."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(callers):
+                group.create_task(self._call_on())
+            group.create_task(self._probe_on())
+
+    def stop(self) -> None:
+        """Send nothing more; what is open is still waited for."""
+        self._stopping = True
+
+    async def _call_on(self) -> None:
+        client = Client()
+        while not self._stopping:
+            kind = self._rng.choice(KINDS)
+            gateway = self._rng.randrange(len(self._system.gateways))
+            attempt = await self.call(client, kind, gateway)
+            self.attempts.append(attempt)
+            await asyncio.sleep(self._rng.expovariate(1 / PAUSE_SECONDS))
+        client.close()
+
+    async def call(
+        self, client: Client, kind: CallKind, gateway: int
+    ) -> Attempt:
+        """Send one attempt and return what came of it."""
+        self._number += 1
+        id_ = f"attempt-{self._number}"
+        path = f"/{kind}/{self._number}"
+        deadline = DEADLINE_SECONDS[kind]
+        prompt = 200 if kind in ("draft", "reply") else 0
+        sent = time.monotonic()
+        begun = Attempt(
+            id=id_,
+            kind=kind,
+            gateway=gateway,
+            run=self._system.runs[gateway],
+            sent=sent,
+            ended=sent,
+            status=0,
+            whole=False,
+            wrong="",
+            due=sent + deadline,
+        )
+        try:
+            async with asyncio.timeout(deadline + PATIENCE_SECONDS):
+                stream = await client.open(
+                    self._system.entries[gateway],
+                    _METHODS[kind],
+                    path,
+                    b"{}" if _METHODS[kind] == "POST" else b"",
+                    make_caller_headers(id_, deadline, prompt=prompt),
+                )
+                answer, whole = await _read(stream)
+        except (CallFailedError, TimeoutError):
+            return begun._replace(ended=time.monotonic())
+        return begun._replace(
+            ended=time.monotonic(),
+            status=answer.status,
+            whole=whole,
+            wrong=_find_wrong(answer, whole, id_, kind, path),
+        )
+
+    async def _probe_on(self) -> None:
+        client = Client()
+        while not self._stopping:
+            for gateway in range(len(self._system.gateways)):
+                for version in self._system.recent_versions():
+                    await self._probe(client, gateway, version)
+            await asyncio.sleep(PROBE_SECONDS)
+        client.close()
+
+    async def _probe(self, client: Client, gateway: int, version: int) -> None:
+        run, at = self._system.runs[gateway], time.monotonic()
+        status = await ask_for_route(
+            client, self._system.entries[gateway], version
+        )
+        if status in (200, 404) and run == self._system.runs[gateway]:
+            probe = Probe(gateway, run, at, version, status == 200)
+            self.probes.append(probe)
+
+
+async def ask_for_route(client: Client, entry: Address, version: int) -> int:
+    """Return the status at the route that a version added; 0 for none."""
+    headers = make_caller_headers(f"probe-{time.monotonic_ns()}", 0.5)
+    try:
+        answer = await client.call(
+            entry, "GET", f"/added-{version}/1", b"", headers, timeout=0.5
+        )
+    except CallFailedError:
+        return 0
+    return answer.status
+
+
+async def _read(stream: Stream) -> tuple[Response, bool]:
+    """Return an answer as far as it came, and whether it was whole."""
+    body = b""
+    try:
+        await stream.receive_head()
+        async for part in stream.parts():
+            body += part
+    except CallFailedError:
+        return Response(stream.status, stream.headers, body), False
+    finally:
+        stream.close()
+    return Response(stream.status, stream.headers, body), True
+
+
+def _find_wrong(
+    answer: Response, whole: bool, id_: str, kind: CallKind, path: str
+) -> str:
+    if answer.status != 200:
+        return ""
+    signature = answer.header("response-signature") or ""
+    if not signature.endswith(f"-{id_}"):
+        return f"signature {signature!r}"
+    if kind in ("draft", "reply"):
+        expected = b"".join(
+            make_event(path, number) for number in range(1, EVENTS + 1)
+        )
+    else:
+        body = "{}" if _METHODS[kind] == "POST" else ""
+        expected = f"{_METHODS[kind]} {path} {body}".encode()
+    if whole and answer.body != expected:
+        return f"body {answer.body[:200]!r}"
+    if not expected.startswith(answer.body):
+        return f"beginning {answer.body[:200]!r}"
+    return ""
--- /dev/null
+++ b/soak/disturbance.py
@@ -0,0 +1,260 @@
+"""Seeded series of disturbances that overlap, and how each is done."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import NamedTuple
+
+from lagoonpost_standins.forwarded import RunnerFault
+from lagoonpost_standins.rows import Outage
+from soak.proxy import Harm
+from soak.record import Span
+from soak.system import DRAIN_SECONDS, Runner, SoakSystem
+
+FIRST_SECONDS = 0.5
+"""Time without disturbance at the start."""
+LONGEST_SECONDS = 3.0
+"""Longest disturbance: longer than most time-outs of the gateways."""
+STOP_SECONDS = 12.0
+"""Longest wait for a gateway that was told to stop: its grace and half."""
+_HARMS: tuple[Harm, ...] = (
+    "delay",
+    "reset",
+    "one_way",
+    "silent",
+    "forgotten",
+)
+_OUTAGES: tuple[Outage, ...] = ("busy", "silent", "reset", "lost")
+_FAULTS: tuple[RunnerFault, ...] = (
+    "full",
+    "fail",
+    "reset_before",
+    "reset_after",
+    "hang",
+    "torn",
+    "rude",
+    "break_off",
+    "break_within",
+    "silent_midway",
+)
+
+
+class Step(NamedTuple):
+    """One disturbance to come.
+
+    Attributes:
+        at: Seconds from the start.
+        what: Name of the disturbance, a key of ``ACTIONS``.
+        seconds: How long it lasts.
+        draw: Number that chooses whom it hits, and how.
+    """
+
+    at: float
+    what: str
+    seconds: float
+    draw: int
+
+
+def plan_steps(rng: Random, seconds: float, pause: float) -> list[Step]:
+    """Draw the disturbances of one soak.
+
+    Args:
+        rng: Seeded generator.
+        seconds: Time in which they begin and end.
+        pause: Mean pause between two; the shorter, the more overlap.
+    """
+    steps = []
+    at = FIRST_SECONDS
+    while at < seconds - LONGEST_SECONDS:
+        what = rng.choice(sorted(ACTIONS))
+        lasts = rng.uniform(0.2, LONGEST_SECONDS)
+        steps.append(Step(at, what, lasts, rng.randrange(1 << 30)))
+        at += rng.expovariate(1 / pause)
+    return steps
+
+
+async def carry_out(system: SoakSystem, steps: list[Step]) -> None:
+    """Do all steps at their times, and end what they began."""
+    started = time.monotonic()
+    async with asyncio.TaskGroup() as group:
+        for step in steps:
+            group.create_task(_carry_out(system, step, started))
+
+
+async def _carry_out(system: SoakSystem, step: Step, started: float) -> None:
+    await asyncio.sleep(max(0.0, started + step.at - time.monotonic()))
+    begin = time.monotonic()
+    whom = await ACTIONS[step.what](system, step, Random(step.draw))
+    system.spans.append(Span(step.what, whom, begin, time.monotonic()))
+
+
+# Gateways
+
+
+async def _kill(system: SoakSystem, step: Step, rng: Random) -> str:
+    number = rng.randrange(len(system.gateways))
+    process = system.gateways[number]
+    if process.is_running():
+        process.send(signal.SIGKILL)
+        await asyncio.to_thread(process.wait, STOP_SECONDS)
+        await asyncio.sleep(step.seconds / 2)
+        if not process.is_running():
+            system.start_gateway(number)
+    return process.name
+
+
+async def _herd(system: SoakSystem, step: Step, rng: Random) -> str:
+    """Kill half of the gateways at once."""
+    numbers = rng.sample(
+        range(len(system.gateways)), max(1, len(system.gateways) // 2)
+    )
+    for number in numbers:
+        system.gateways[number].send(signal.SIGKILL)
+    await asyncio.sleep(step.seconds / 2)
+    for number in numbers:
+        if not system.gateways[number].is_running():
+            system.start_gateway(number)
+    return "half"
+
+
+async def _stop(system: SoakSystem, step: Step, rng: Random) -> str:
+    """Stop a gateway as planned and start it again."""
+    number = rng.randrange(len(system.gateways))
+    process = system.gateways[number]
+    if process.is_running():
+        process.send(signal.SIGTERM)
+        await asyncio.to_thread(process.wait, STOP_SECONDS)
+        if not process.is_running():
+            system.start_gateway(number)
+    return process.name
+
+
+async def _pause(system: SoakSystem, step: Step, rng: Random) -> str:
+    process = rng.choice(system.gateways)
+    process.send(signal.SIGSTOP)
+    await asyncio.sleep(step.seconds)
+    process.send(signal.SIGCONT)
+    return process.name
+
+
+async def _reload(system: SoakSystem, step: Step, rng: Random) -> str:
+    """Change a gateway's settings, with or without the signal."""
+    number = rng.randrange(len(system.gateways))
+    path = system.settings[number]
+    grace = f"grace_s = {rng.choice([7, 8, 9])}"
+    lines = path.read_text().splitlines()
+    kept = [grace if line.startswith("grace_s") else line for line in lines]
+    path.write_text("\n".join(kept) + "\n")
+    if rng.random() < 0.5:
+        system.gateways[number].send(signal.SIGHUP)
+    return system.gateways[number].name
+
+
+# The store
+
+
+async def _outage(system: SoakSystem, step: Step, rng: Random) -> str:
+    system.store.outage = rng.choice(_OUTAGES)
+    await asyncio.sleep(step.seconds)
+    system.store.outage = "none"
+    return "store"
+
+
+async def _compact(system: SoakSystem, step: Step, rng: Random) -> str:
+    system.store.forget_history()
+    return "store"
+
+
+async def _cut_store(system: SoakSystem, step: Step, rng: Random) -> str:
+    """Harm one gateway's way to the store."""
+    number = rng.randrange(len(system.store_links))
+    system.store_links[number].harm(rng.choice(_HARMS))
+    await asyncio.sleep(step.seconds)
+    system.store_links[number].harm("none")
+    return system.gateways[number].name
+
+
+async def _change(system: SoakSystem, step: Step, rng: Random) -> str:
+    """Put one or some new configurations in force."""
+    for _ in range(rng.choice([1, 1, 4])):
+        await system.configure(system.version + 1)
+        await asyncio.sleep(0.1)
+    return "configuration"
+
+
+# Runners
+
+
+async def _harm_runner(system: SoakSystem, step: Step, rng: Random) -> str:
+    place = rng.choice(system.runners)
+    place.proxy.harm(rng.choice(_HARMS))
+    await asyncio.sleep(step.seconds)
+    place.proxy.harm("none")
+    return place.runner.id
+
+
+async def _fault(system: SoakSystem, step: Step, rng: Random) -> str:
+    runner = rng.choice(system.runners).runner
+    runner.fault = rng.choice(_FAULTS)
+    await asyncio.sleep(step.seconds)
+    runner.fault = "none"
+    return runner.id
+
+
+async def _crash(system: SoakSystem, step: Step, rng: Random) -> str:
+    place = _choose_ready(system, rng)
+    if place is None:
+        return ""
+    id_ = place.runner.id
+    place.state = "down"
+    await place.runner.close()
+    await asyncio.sleep(step.seconds)
+    await system.forget(id_)
+    await place.replace()
+    await system.register(place)
+    return id_
+
+
+async def _leave(system: SoakSystem, step: Step, rng: Random) -> str:
+    """Let a runner leave as planned; a new one takes its place."""
+    place = _choose_ready(system, rng)
+    if place is None:
+        return ""
+    id_ = place.runner.id
+    await system.drain(place)
+    await asyncio.sleep(DRAIN_SECONDS + 1.0)
+    place.state = "down"
+    await system.forget(id_)
+    await place.replace()
+    await system.register(place)
+    return id_
+
+
+def _choose_ready(system: SoakSystem, rng: Random) -> Runner | None:
+    """Return a runner that may go: another one of its service stays."""
+    place = rng.choice(system.runners)
+    ready = [
+        each
+        for each in system.runners
+        if each.service == place.service and each.state == "ready"
+    ]
+    return place if place in ready and len(ready) > 1 else None
+
+
+ACTIONS: dict[str, Callable[[SoakSystem, Step, Random], Awaitable[str]]] = {
+    "change": _change,
+    "compact": _compact,
+    "crash": _crash,
+    "cut_store": _cut_store,
+    "fault": _fault,
+    "harm_runner": _harm_runner,
+    "herd": _herd,
+    "kill": _kill,
+    "leave": _leave,
+    "outage": _outage,
+    "pause": _pause,
+    "reload": _reload,
+    "stop": _stop,
+}
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,150 @@
+"""What must hold, checked from what callers and back ends saw."""
+
+from collections.abc import Iterable
+
+from lagoonpost.http.client import Client
+from soak.callers import Callers, ask_for_route
+from soak.record import KINDS, ONCE, Attempt, Finding, Span
+from soak.system import DRAIN_SECONDS, SoakSystem
+
+NOT_RUN = frozenset((408, 421, 429, 503))
+"""Statuses that promise that a request has not run."""
+TOUCH_SECONDS = 3.0
+"""Time after a disturbance in which bounds of time are not promised."""
+LATE_SECONDS = 1.0
+"""How far behind its deadline a final answer may come: what this machine may
+be slow, as all processes of a soak share it."""
+GATEWAY_SPANS = frozenset(("kill", "herd", "pause", "stop"))
+NEWS_SPANS = GATEWAY_SPANS | {"outage", "cut_store", "compact"}
+"""Disturbances under which news of runners may be late."""
+RUNNER_SPANS = frozenset(("crash", "fault", "harm_runner"))
+LEAST_SERVED = 0.9
+"""Part of the calls that is served once all is calm again."""
+CALM_CALLS = 5
+"""Calls of each kind at each gateway when all is calm again."""
+
+
+def _near(
+    spans: Iterable[Span],
+    what: frozenset[str],
+    begin: float,
+    end: float,
+    whom: str = "",
+) -> bool:
+    """Tell whether a disturbance reaches into a time."""
+    return any(
+        span.what in what
+        and span.begin < end
+        and span.end > begin - TOUCH_SECONDS
+        and (not whom or span.whom in (whom, "half", "store"))
+        for span in spans
+    )
+
+
+def check_attempts(
+    system: SoakSystem, attempts: Iterable[Attempt]
+) -> list[Finding]:
+    """Check what each caller got."""
+    runs = system.count_runs()
+    found = []
+    for each in attempts:
+        ran = runs.get(each.id, 0)
+        if each.kind in ONCE and ran > 1:
+            found.append(Finding("at most once", f"{each} ran {ran} times"))
+        if each.status in NOT_RUN and each.kind in ONCE and ran:
+            found.append(Finding("refused is not run", f"{each} ran {ran}"))
+        if each.wrong:
+            found.append(Finding("its own whole answer", str(each)))
+        if _is_late(system, each):
+            found.append(Finding("a final answer in time", str(each)))
+        if _is_cut_by_stop(system, each):
+            found.append(Finding("a planned stop cuts nothing", str(each)))
+    return found
+
+
+def _name(attempt: Attempt) -> str:
+    return f"gateway-{attempt.gateway + 1}"
+
+
+def _is_late(system: SoakSystem, attempt: Attempt) -> bool:
+    if attempt.ended <= attempt.due + LATE_SECONDS:
+        return False
+    return not _near(
+        system.spans,
+        GATEWAY_SPANS,
+        attempt.sent,
+        attempt.ended,
+        _name(attempt),
+    )
+
+
+def _is_cut_by_stop(system: SoakSystem, attempt: Attempt) -> bool:
+    """Tell whether a request that was sent before a stop was cut off by it.
+
+    Only where nothing else can be the reason: no runner was harmed, and the
+    process was neither killed nor frozen meanwhile.
+    """
+    if attempt.whole or attempt.status not in (0, 200):
+        return False
+    begin, end = attempt.sent, attempt.ended
+    stopped = any(
+        span.what == "stop"
+        and span.whom == _name(attempt)
+        and begin < span.begin < end
+        for span in system.spans
+    )
+    others = GATEWAY_SPANS - {"stop"} | RUNNER_SPANS | {"leave"}
+    return stopped and not _near(system.spans, others, begin, end)
+
+
+def check_leaving(system: SoakSystem) -> list[Finding]:
+    """Check that runners that leave get no new work after the bound."""
+    left = {drain.runner: drain.at for drain in system.drains}
+
+    def is_late(runner: str, at: float) -> bool:
+        acknowledged = left.get(runner)
+        if acknowledged is None or at <= acknowledged + DRAIN_SECONDS:
+            return False
+        return not _near(system.spans, NEWS_SPANS, acknowledged, at)
+
+    return [
+        Finding("a leaving runner gets no new work", f"{late}")
+        for late in system.find_arrivals(is_late)
+    ]
+
+
+def check_configuration(callers: Callers) -> list[Finding]:
+    """Check that no process goes back to an older configuration."""
+    newest: dict[tuple[int, int], int] = {}
+    found = []
+    for probe in callers.probes:
+        key = (probe.gateway, probe.run)
+        seen = newest.get(key, 0)
+        if probe.found and probe.version < seen:
+            detail = f"{probe} after version {seen}"
+            found.append(Finding("never reverts", detail))
+        if probe.found:
+            newest[key] = max(seen, probe.version)
+    return found
+
+
+async def check_calm(system: SoakSystem, callers: Callers) -> list[Finding]:
+    """Check that all is served again everywhere, by the newest version."""
+    found = []
+    client = Client()
+    for number, entry in enumerate(system.entries):
+        status = await ask_for_route(client, entry, system.version)
+        if status != 200:
+            detail = f"gateway-{number + 1}: {status} at the newest route"
+            found.append(Finding("in force everywhere", detail))
+        for kind in KINDS:
+            calls = [
+                await callers.call(client, kind, number)
+                for _ in range(CALM_CALLS)
+            ]
+            served = sum(c.status == 200 and c.whole for c in calls)
+            if served < LEAST_SERVED * CALM_CALLS:
+                detail = f"gateway-{number + 1}: {kind} {served} of {calls}"
+                found.append(Finding("served again", detail))
+    client.close()
+    return found
--- /dev/null
+++ b/soak/system.py
@@ -0,0 +1,273 @@
+"""Gateways as processes, and all around them as stand-ins in this one."""
+
+import asyncio
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Self
+
+from bench.system import Process, find_port
+from lagoonpost.http.client import CallFailedError, Client
+from lagoonpost.http.message import Address
+from lagoonpost.http.server import Server
+from lagoonpost_standins.deployment import (
+    DOMAINS,
+    GatewayAddresses,
+    make_configuration,
+    make_entry,
+    make_route,
+    make_settings,
+)
+from lagoonpost_standins.forwarded import ForwardedRunner
+from lagoonpost_standins.orders import OrderDesk
+from lagoonpost_standins.rows import RowStore
+from soak.proxy import Proxy
+from soak.record import Drain, Span
+
+EVENTS = 6
+"""Events of a stream."""
+EVENT_SECONDS = 0.05
+"""Pause between events: a stream is long enough to be hit in its middle."""
+DRAIN_SECONDS = 2.0
+"""Bound on new work for a runner that leaves."""
+BEAT_SECONDS = 1.0
+"""Pause between renewals of the runners' entries."""
+START_SECONDS = 40.0
+"""Longest time for all gateways to serve; some dozens start side by side."""
+
+
+class Runner:
+    """One place for runners: each start there is a new one.
+
+    Attributes:
+        runner: The one that runs now.
+        past: All that ran here before.
+        proxy: The way to it.
+    """
+
+    def __init__(self, service: str, number: int) -> None:
+        self.service = service
+        self.number = number
+        self.domain = DOMAINS[number % len(DOMAINS)]
+        self.past: list[ForwardedRunner] = []
+        self.runner = self._make(0)
+        self.proxy = Proxy(Address("127.0.0.1", 0))
+        self.state = "ready"
+        self.seq = 0
+
+    def _make(self, generation: int) -> ForwardedRunner:
+        id_ = f"{self.service}-{self.number}.{generation}"
+        runner = ForwardedRunner(id_, EVENTS)
+        runner.pause = EVENT_SECONDS
+        return runner
+
+    async def start(self) -> None:
+        """Start the first runner here, and the way to it."""
+        self.proxy.target = await self.runner.start()
+        await self.proxy.start()
+
+    async def replace(self) -> None:
+        """End the runner that is here and start a new one."""
+        await self.runner.close()
+        self.past.append(self.runner)
+        self.runner = self._make(len(self.past))
+        self.state = "ready"
+        self.proxy.target = await self.runner.start()
+
+    def all(self) -> list[ForwardedRunner]:
+        """Return all runners that ever were here."""
+        return [*self.past, self.runner]
+
+
+class SoakSystem:
+    """Everything that a soak runs.
+
+    Attributes:
+        gateways: Processes by number.
+        runs: How often each was started.
+        entries: Where callers connect.
+        store_links: Each gateway's way to the store.
+        runners: Places of runners.
+        drains: Runners that left, with the time of the acknowledgement.
+        spans: Disturbances so far.
+        version: Newest configuration.
+    """
+
+    def __init__(self, gateways: int, runners: int) -> None:
+        self._count = gateways
+        self.store = RowStore()
+        self.store_links: list[Proxy] = []
+        self.runners = [
+            Runner(service, number)
+            for service in ("chat", "desk")
+            for number in range(runners)
+        ]
+        self.gateways: list[Process] = []
+        self.runs: list[int] = []
+        self.entries: list[Address] = []
+        self.settings: list[Path] = []
+        self.drains: list[Drain] = []
+        self.spans: list[Span] = []
+        self.version = 1
+        self.folder = Path()
+        self._exit = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        self.folder = Path(
+            self._exit.enter_context(tempfile.TemporaryDirectory())
+        )
+        store, cloud = Server(self.store.handle), Server(OrderDesk().handle)
+        store_address = await store.start(Address("127.0.0.1", 0))
+        cloud_address = await cloud.start(Address("127.0.0.1", 0))
+        self._exit.push_async_callback(store.close, 0.0)
+        self._exit.push_async_callback(cloud.close, 0.0)
+        for place in self.runners:
+            await place.start()
+            self._exit.push_async_callback(place.runner.close)
+            self._exit.callback(place.proxy.close)
+            await self.register(place)
+        await self.configure(1)
+        peers: list[Address] = []
+        for number in range(1, self._count + 1):
+            link = Proxy(store_address)
+            await link.start()
+            self._exit.callback(link.close)
+            self.store_links.append(link)
+            self._add_gateway(number, link.address, cloud_address, peers)
+        for number in range(self._count):
+            self.start_gateway(number)
+            self._exit.callback(self.gateways[number].stop)
+        beat = asyncio.create_task(self._beat())
+        self._exit.callback(beat.cancel)
+        await self._wait_serving()
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self._exit.aclose()
+        # Connections that were held back end at the loop's next turns.
+        await asyncio.sleep(0.1)
+
+    def _add_gateway(
+        self,
+        number: int,
+        store: Address,
+        cloud: Address,
+        peers: list[Address],
+    ) -> None:
+        addresses = GatewayAddresses(
+            *(Address("127.0.0.1", find_port()) for _ in range(4))
+        )
+        path = self.folder / f"gateway-{number}.toml"
+        path.write_text(
+            make_settings(
+                number,
+                addresses,
+                store,
+                cloud,
+                seeds=peers[:3],
+                bounds={"drain_ms": int(DRAIN_SECONDS * 1000), "grace_s": 8},
+                duties=("usage_report",),
+            )
+        )
+        peers.append(addresses.peer)
+        log = self.folder / f"gateway-{number}.log"
+        arguments = ["lagoonpost.cli.serve", "--config", str(path)]
+        self.gateways.append(Process(f"gateway-{number}", arguments, log))
+        self.runs.append(0)
+        self.settings.append(path)
+        self.entries.append(addresses.entry)
+
+    def start_gateway(self, number: int) -> None:
+        """Start a gateway's process, or start it again."""
+        self.runs[number] += 1
+        self.gateways[number].start()
+
+    async def _wait_serving(self) -> None:
+        client = Client()
+        try:
+            async with asyncio.timeout(START_SECONDS):
+                for entry in self.entries:
+                    while not await self._serves(client, entry):  # noqa: ASYNC110
+                        await asyncio.sleep(0.05)
+        finally:
+            client.close()
+
+    async def _serves(self, client: Client, entry: Address) -> bool:
+        headers = (("host", "desk.example"), ("attempt-id", "start"))
+        try:
+            answer = await client.call(
+                entry, "GET", "/open/1", b"", headers, timeout=1.0
+            )
+        except CallFailedError:
+            return False
+        return answer.status == 200
+
+    # What operators and runners write
+
+    async def configure(self, version: int) -> None:
+        """Put a configuration in force that adds one route and drops one."""
+        routes = make_configuration()["routes"]
+        routes.append(make_route(f"added-{version}", "safe", "desk"))
+        await self.store.put(
+            "op", "config", make_configuration(version, routes=routes)
+        )
+        self.version = version
+
+    def recent_versions(self) -> tuple[int, ...]:
+        """Return the newest version and the one before it."""
+        return tuple(v for v in (self.version - 1, self.version) if v > 0)
+
+    async def register(self, place: Runner) -> None:
+        """Write the entry of the runner at a place."""
+        place.seq += 1
+        entry = make_entry(
+            place.service,
+            place.proxy.address,
+            place.domain,
+            state=place.state,
+            seq=place.seq,
+            born=len(place.past) + 1,
+        )
+        await self.store.put("servers", place.runner.id, entry)
+
+    async def drain(self, place: Runner) -> None:
+        """Let the runner at a place say that it leaves."""
+        place.state = "draining"
+        await self.register(place)
+        self.drains.append(Drain(place.runner.id, time.monotonic()))
+
+    async def forget(self, id_: str) -> None:
+        """Delete a runner's entry."""
+        await self.store.delete("servers", id_)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT_SECONDS)
+            for place in self.runners:
+                if place.state != "down":
+                    await self.register(place)
+
+    # What was seen
+
+    def count_runs(self) -> dict[str, int]:
+        """Return how often each attempt was begun, over all runners."""
+        total: dict[str, int] = {}
+        for place in self.runners:
+            for runner in place.all():
+                for id_, count in runner.runs.items():
+                    total[id_] = total.get(id_, 0) + count
+        return total
+
+    def find_arrivals(
+        self, is_late: Callable[[str, float], bool]
+    ) -> list[tuple[str, str, float]]:
+        """Return runner, attempt and time of requests that ran too late."""
+        return [
+            (runner.id, seen.request.header("attempt-id") or "", seen.at)
+            for place in self.runners
+            for runner in place.all()
+            for seen in runner.seen
+            if seen.ran and is_late(runner.id, seen.at)
+        ]
--- a/test/forwarding_stack.py
+++ b/test/forwarding_stack.py
@@ -13,15 +13,23 @@
 from lagoonpost.http.client import Client
 from lagoonpost.http.message import Address, Headers, Response
 from lagoonpost.http.server import Server
+from lagoonpost_standins.deployment import (
+    DOMAINS,
+    HOST,
+    KEY,
+    GatewayAddresses,
+    make_configuration,
+    make_entry,
+    make_route,
+    make_settings,
+)
 from lagoonpost_standins.forwarded import ForwardedRunner
 from lagoonpost_standins.orders import OrderDesk
 from lagoonpost_standins.rows import RowStore
 
 LOOPBACK = Address("127.0.0.1", 0)
 PATIENCE = 20.0
-HOST = "desk.example"
-KEY = "key-of-pottery"
-DOMAINS = ("domain-a", "domain-b", "domain-c")
+__all__ = ["HOST", "KEY", "make_configuration", "make_route"]
 _T = TypeVar("_T")
 _attempts = itertools.count(1)
 
@@ -43,42 +51,6 @@
             await asyncio.sleep(0.01)
 
 
-def make_route(name: str, kind: str, service: str, **more: Any) -> Any:
-    """Return a route of the configuration as it is written."""
-    return {
-        "name": name,
-        "host": HOST,
-        "prefix": f"/{name}/",
-        "kind": kind,
-        "timeout_ms": 5000,
-        "target_latency_ms": 500,
-        "priority": 1,
-        "service": service,
-        "max_attempts": 2,
-        "public": False,
-    } | more
-
-
-def make_configuration(version: int = 1, **more: Any) -> dict[str, Any]:
-    """Return a configuration as operators write it."""
-    return {
-        "version": version,
-        "routes": [
-            make_route("draft", "streaming", "chat", stream_resume=True),
-            make_route("reply", "streaming", "chat", max_attempts=1),
-            make_route("book", "unsafe", "desk", max_attempts=1),
-            make_route("check", "safe", "desk"),
-            make_route("open", "safe", "desk", public=True),
-        ],
-        "services": [
-            {"name": "chat", "engine": {"slots": 8, "kv_capacity": 100000}},
-            {"name": "desk", "health_path": "/health"},
-        ],
-        "limits": {"max_body_bytes": 100000, "idle_timeout_ms": 15000},
-        "tenants": [{"name": "pottery", "api_keys": [KEY]}],
-    } | more
-
-
 class Stack:
     """Store, cloud, runners and gateways."""
 
@@ -135,63 +107,39 @@
         """Write a runner's entry."""
         runner = self.runners[id_]
         number = int(id_.rpartition("-")[2])
-        entry = {
-            "service": id_.partition("-")[0],
-            "address": str(runner.address),
-            "zone": DOMAINS[(number - 1) % len(DOMAINS)],
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "cold_remaining_ms": 0,
-            "seq": 1,
-            "born": 1000,
-        }
+        entry = make_entry(
+            id_.partition("-")[0],
+            runner.address,
+            DOMAINS[(number - 1) % len(DOMAINS)],
+        )
         await self.store.put("servers", id_, entry | more)
 
     async def add_gateway(self) -> ForwardingDaemon:
         """Start one more gateway."""
         number = len(self.gateways) + 1
         ports = [_find_free_port() for _ in range(4)]
-        addresses = [Address("127.0.0.1", port) for port in ports]
+        addresses = GatewayAddresses(
+            *(Address("127.0.0.1", port) for port in ports)
+        )
         path = self.folder / f"gateway-{number}.toml"
-        path.write_text(self._make_settings(number, addresses))
+        path.write_text(
+            make_settings(
+                number,
+                addresses,
+                self.store_address,
+                self.cloud_address,
+                bounds=self._bounds,
+                duties=self._duties,
+            )
+        )
         daemon = ForwardingDaemon(str(path))
         await daemon.start()
         self.gateways.append(daemon)
-        self.entries.append(addresses[0])
-        self.directories.append(addresses[2])
+        self.entries.append(addresses.entry)
+        self.directories.append(addresses.directory)
         self._exit.push_async_callback(daemon.abandon)
         return daemon
 
-    def _make_settings(self, number: int, addresses: list[Address]) -> str:
-        entry, ready, directory, peer = addresses
-        bounds = "\n".join(f"{k} = {v}" for k, v in self._bounds.items())
-        duties = ", ".join(f'"{each}"' for each in self._duties)
-        return f"""
-node_name = "gateway-{number}"
-zone = "{DOMAINS[(number - 1) % 3]}"
-region = "here"
-ip = "127.0.0.1"
-internal_ports = [{peer.port}, {peer.port}]
-seeds = []
-[zones]
-domain-a = "here"
-domain-b = "here"
-domain-c = "here"
-[listen]
-front = "{entry}"
-ready = "{ready}"
-control = "{peer}"
-directory = "{directory}"
-[bounds]
-{bounds}
-[platform]
-address = "{self.store_address}"
-[cloud]
-address = "{self.cloud_address}"
-duties = [{duties}]
-"""
-
     async def wait_ready(self) -> None:
         """Wait until every gateway knows configuration, runners, peers."""
         for daemon in self.gateways:
--- /dev/null
+++ b/test/test_soak.py
@@ -0,0 +1,139 @@
+"""The soak's own checks find what they are for; one seed is played."""
+
+import asyncio
+from pathlib import Path
+from random import Random
+
+import pytest
+from forwarding_stack import wait_until
+
+from lagoonpost.http.message import Address, Request
+from lagoonpost_standins.forwarded import Seen
+from soak.__main__ import Options, play
+from soak.callers import Callers
+from soak.disturbance import plan_steps
+from soak.promises import (
+    check_attempts,
+    check_configuration,
+    check_leaving,
+)
+from soak.proxy import Proxy
+from soak.record import Attempt, Drain, Probe, Span
+from soak.system import SoakSystem
+
+SMALL = Options(gateways=3, runners=2, callers=6, seconds=8.0, pause=0.7)
+GOOD = Attempt("a", "book", 0, 1, 10.0, 10.1, 200, True, "", 12.0)
+
+
+@pytest.fixture
+def system() -> SoakSystem:
+    """A system that was never started."""
+    return SoakSystem(1, 1)
+
+
+def check(system: SoakSystem, attempt: Attempt) -> list[str]:
+    return [each.promise for each in check_attempts(system, [attempt])]
+
+
+class TestPromises:
+    def test_a_good_answer_is_no_finding(self, system):
+        system.runners[0].runner.runs["a"] = 1
+        assert check(system, GOOD) == []
+
+    def test_a_booking_that_ran_twice(self, system):
+        system.runners[0].runner.runs["a"] = 1
+        system.runners[1].runner.runs["a"] = 1
+        assert check(system, GOOD) == ["at most once"]
+
+    def test_a_refusal_of_what_ran(self, system):
+        system.runners[0].runner.runs["a"] = 1
+        refused = GOOD._replace(status=503)
+        assert check(system, refused) == ["refused is not run"]
+
+    def test_somebody_elses_answer(self, system):
+        wrong = GOOD._replace(wrong="signature of another")
+        assert check(system, wrong) == ["its own whole answer"]
+
+    def test_an_answer_far_behind_its_deadline(self, system):
+        late = GOOD._replace(ended=14.0, status=504)
+        assert check(system, late) == ["a final answer in time"]
+        system.spans.append(Span("pause", "gateway-1", 10.0, 13.0))
+        assert check(system, late) == []
+
+    def test_a_stop_that_cuts_a_request_off(self, system):
+        cut = GOOD._replace(ended=11.0, status=0, whole=False)
+        assert check(system, cut) == []
+        system.spans.append(Span("stop", "gateway-1", 10.5, 13.0))
+        assert check(system, cut) == ["a planned stop cuts nothing"]
+        system.spans.append(Span("harm_runner", "desk-0.0", 9.0, 11.0))
+        assert check(system, cut) == []
+
+    def test_work_for_a_runner_that_left(self, system):
+        runner = system.runners[0].runner
+        system.drains.append(Drain(runner.id, 100.0))
+        request = Request("GET", "/check/1", "", (), b"", "here")
+        runner.seen.append(Seen(request, True, 101.0))
+        assert check_leaving(system) == []
+        runner.seen.append(Seen(request, True, 102.5))
+        assert len(check_leaving(system)) == 1
+
+    def test_a_configuration_that_goes_back(self, system):
+        callers = Callers(system, None)
+        callers.probes = [
+            Probe(0, 1, 1.0, 7, True),
+            Probe(0, 1, 2.0, 8, True),
+            Probe(0, 2, 3.0, 7, True),
+        ]
+        assert check_configuration(callers) == []
+        callers.probes.append(Probe(0, 1, 4.0, 7, True))
+        assert len(check_configuration(callers)) == 1
+
+
+class TestPlan:
+    def test_a_seed_always_gives_the_same_steps(self):
+        plans = [plan_steps(Random(5), 14.0, 0.8) for _ in range(2)]
+        assert plans[0] == plans[1]
+        assert any(
+            one.at + one.seconds > other.at
+            for one, other in zip(plans[0], plans[0][1:], strict=False)
+        )
+
+
+class TestProxy:
+    @pytest.mark.parametrize("harm", ["silent", "one_way", "forgotten"])
+    def test_what_is_held_back_does_not_come(self, harm):
+        async def story() -> None:
+            async def echo(reader, writer):
+                writer.write(await reader.read(10))
+
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            proxy = Proxy(Address("127.0.0.1", port))
+            entry = await proxy.start()
+            reader, writer = await asyncio.open_connection(
+                entry.host, entry.port
+            )
+            await wait_until(lambda: bool(proxy._links))
+            proxy.harm(harm)
+            writer.write(b"bytes")
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await reader.read(10)
+            if harm != "forgotten":
+                proxy.harm("none")
+                assert await reader.read(10) == b"bytes"
+            proxy.close()
+            server.close()
+
+        asyncio.run(story())
+
+
+class TestSeeds:
+    """Seeds that are played each time; those that ever failed come here."""
+
+    @pytest.mark.parametrize("seed", [1])
+    def test_all_promises_hold(self, seed, tmp_path):
+        result = asyncio.run(play(seed, SMALL, tmp_path))
+        logs = Path(tmp_path)
+        assert result.findings == [], list(logs.rglob("*"))
+        assert sum(result.outcomes.values()) > 0
