Do not convict a popular question for a crash that it ran beside

A question that many ask alike was under way several times at a runner that crashed; each break counted, three made a verdict, and everyone who asked it was refused with 502 for a minute.

Now a crash counts once for a request however many callers sent it, and an answer clears the breaks before it: a request that crashes its runners is never answered. Ruled out: verdicts that fade sooner; a request that really crashes its runners would take one more with each.

Also: a draft that a runner answered with a failure is tried at another one, as checks are: it may run more than once (test red before).

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -111,7 +111,7 @@
             self.belief,
             self._shared.publish_entry,
             self._shared.publish_configuration,
-            self._shared.is_reader,
+            self._shared.find_pause,
             self._shifts.take_row,
         )
         self._server = Server(
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -171,7 +171,7 @@
 
     def may_repeat_failure(self, status: int) -> bool:
         """Tell whether a runner's failure is tried again elsewhere."""
-        if status < 500 or self.route is None or self.route.kind != "safe":
+        if status < 500 or self.route is None or not self.idempotent:
             return False
         return self.runs + 1 < self.route.max_attempts
 
--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -23,10 +23,6 @@
 good is given up a second later; longer waits would save calls but leave the
 gateway without news for as long."""
 
-GATHER_SECONDS = 0.2
-"""Pause after an answer, in which changes gather for the next. Rows of 45
-runners change 37 times a second, and each change would be a priced call; a
-reclaim is told 2 s ahead."""
 REST_SECONDS = 0.25
 """Pause between looks whether this gateway has to read for others again."""
 
@@ -43,8 +39,9 @@
         on_row: Told each row that changed; deleted ones have no value.
         on_all: Told the keys of all rows after a whole read.
         on_back: Told that the store answers again.
-        is_needed: Tells whether others don't read the table for this
-            gateway; it is read once in any case.
+        find_pause: Returns the pause in which changes gather, or None if
+            others read the table for this gateway; it is read once in any
+            case.
     """
 
     def __init__(
@@ -54,9 +51,9 @@
         on_row: OnChange,
         on_all: Callable[[Page], None],
         on_back: Callable[[], None],
-        is_needed: Callable[[], bool],
+        find_pause: Callable[[], float | None],
     ) -> None:
-        self._is_needed = is_needed
+        self._find_pause = find_pause
         self._read_once = False
         self._store = store
         self._table = table
@@ -103,7 +100,7 @@
                 self._on_all(answer)
             for row in answer.rows:
                 self._on_row(row)
-            await asyncio.sleep(GATHER_SECONDS)
+            await asyncio.sleep(self._find_pause() or 0.0)
 
     def _may_rest(self) -> bool:
         """Tell whether others read the table for this gateway.
@@ -111,7 +108,8 @@
         Not before a first read, and not while the store is lost: a gateway
         that does not know whether the store answers could not take over.
         """
-        return self._read_once and not self.lost and not self._is_needed()
+        needed = self._find_pause() is not None
+        return self._read_once and not self.lost and not needed
 
     async def _ask_or_restart(self) -> Answer:
         call = self._call = asyncio.create_task(self._ask())
@@ -156,7 +154,8 @@
         belief: What to keep.
         publish_entry: Told each runner's id that changed.
         publish_configuration: Told when a newer configuration is in force.
-        is_reader: Tells whether this gateway reads the store for others.
+        find_pause: Returns the pause in which changes gather, or None if
+            others read the store for this gateway.
         on_order: Told each other row of the operators.
     """
 
@@ -166,7 +165,7 @@
         belief: Belief,
         publish_entry: Callable[[str], None],
         publish_configuration: Callable[[], None],
-        is_reader: Callable[[], bool],
+        find_pause: Callable[[], float | None],
         on_order: OnChange,
     ) -> None:
         self._on_order = on_order
@@ -179,7 +178,7 @@
             self._take_operator_row,
             lambda page: None,
             lambda: None,
-            is_reader,
+            find_pause,
         )
         self.endpoints = TableFollower(
             store,
@@ -187,7 +186,7 @@
             self._take_endpoint_row,
             self._take_all,
             belief.note_store_back,
-            is_reader,
+            find_pause,
         )
 
     @property
--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -231,9 +231,11 @@
     def _judge(
         self, exchange: Exchange, choice: Choice, outcome: Outcome
     ) -> None:
-        """Note what speaks for a request that crashes its runners."""
+        """Note what speaks for and against a request that crashes runners."""
         runner = choice.endpoint.id
-        if isinstance(outcome, Unreachable):
+        if isinstance(outcome, Whole | Began):
+            self.breaks.note_answered(exchange.fingerprint)
+        elif isinstance(outcome, Unreachable):
             self.breaks.note_down(runner, exchange.now())
         elif isinstance(outcome, Broken):
             seen = Break(exchange.fingerprint, runner, exchange.arrival.id)
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -33,6 +33,13 @@
 """How long a gateway's word that it had lost the store is remembered: entries
 that lapsed are judged for some two seconds after the return, and gateways
 notice it up to a report's pause apart."""
+GATHER_SECONDS = 0.2
+"""Pause after an answer of the store, in which changes gather for the next.
+Rows of 45 runners change 37 times a second, and each change would be a priced
+call; a reclaim is told 2 s ahead."""
+TURN_SECONDS = 0.6
+"""The same where a few read for all: six of them at times of their own have
+news after a tenth of a second, and two that are left after a third."""
 SEED_SECONDS = 0.4
 """Pause between looks for other gateways in the store."""
 SEED_PREFIX = "member/"
@@ -255,6 +262,12 @@
         """Tell whether this gateway reads the store for others."""
         return self._settings.name in self.find_roles().readers
 
+    def find_pause(self) -> float | None:
+        """Return the pause between reads of the store; None to read none."""
+        if not self.is_reader():
+            return None
+        return GATHER_SECONDS if self.find_roles().mesh else TURN_SECONDS
+
     def was_store_away(self) -> bool:
         """Tell whether half of the gateways had lost the store lately.
 
--- a/lagoonpost/systems/poison.py
+++ b/lagoonpost/systems/poison.py
@@ -8,7 +8,10 @@
 an id of its own. An answer that breaks off counts once its runner turns out to
 be down, as answers also get lost where nothing crashed, and a popular question
 would be convicted for that. After three the request is not sent any more. An
-innocent one that ran beside a crash breaks once, and is answered next time.
+innocent one that ran beside a crash breaks once, and is answered next time:
+an answer clears a request of the breaks before it, and a crash counts once
+however many callers asked the same. Without both, a question that many ask
+was refused for a minute after one crash.
 """
 
 from typing import NamedTuple
@@ -53,17 +56,28 @@
         """Note a break; the same one counts once however often it comes."""
         breaks = self._open.setdefault(seen.runner, {})
         breaks[seen] = now
-        if len(breaks) > MOST_OPEN:
-            del breaks[next(iter(breaks))]
+        oldest = next(iter(breaks))
+        if len(breaks) > MOST_OPEN or breaks[oldest] < now - DOWN_SECONDS:
+            del breaks[oldest]
 
     def note_down(self, runner: str, now: float) -> None:
         """Count the breaks of a runner that turned out to be down."""
+        counted = set()
         for seen, at in self._open.pop(runner, {}).items():
-            if now - at <= DOWN_SECONDS:
+            if now - at <= DOWN_SECONDS and seen.fingerprint not in counted:
+                counted.add(seen.fingerprint)
                 self._breaks.setdefault(seen.fingerprint, {})[seen] = now
         while len(self._breaks) > MOST_KEPT:
             del self._breaks[next(iter(self._breaks))]
 
+    def note_answered(self, fingerprint: str) -> None:
+        """Clear a request that a runner has just answered whole."""
+        self._breaks.pop(fingerprint, None)
+        for breaks in self._open.values():
+            cleared = [b for b in breaks if b.fingerprint == fingerprint]
+            for seen in cleared:
+                del breaks[seen]
+
     def is_poison(self, fingerprint: str, now: float) -> bool:
         """Tell whether a request is not to be sent any more."""
         breaks = self._breaks.get(fingerprint)
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -167,6 +167,33 @@
 
         assert {answer.status for answer in play(story)} == {200}
 
+    def test_a_draft_that_failed_is_tried_once_more(self):
+        """A runner answers a part of its drafts with a failure.
+
+        A draft that may be resumed may also run again, and its caller waits
+        for an answer and not for a failure.
+        """
+
+        async def story(stack: Stack):
+            headers = make_prompt()
+            await stack.call("/draft/1", "POST", headers=headers)
+            # The next one goes where its prompt is held.
+            used = next(r for r in stack.runners.values() if r.seen)
+            used.fault = "fail"
+            answer = await stack.call("/draft/1", "POST", headers=headers)
+            return answer.status, len(used.seen)
+
+        assert play(story) == (200, 2)
+
+    def test_a_reply_that_failed_is_not_tried_again(self):
+        async def story(stack: Stack):
+            stack.set_fault("fail", "chat")
+            headers = (("attempt-id", "r-1"), *make_prompt())
+            answer = await stack.call("/reply/1", "POST", headers=headers)
+            return answer.status, stack.count_runs("r-1")
+
+        assert play(story) == (500, 1)
+
     @pytest.mark.parametrize(
         "fault", ["reset_before", "reset_after", "torn", "rude", "hang"]
     )
--- a/test/test_poison.py
+++ b/test/test_poison.py
@@ -39,6 +39,33 @@
         breaks.note_down("desk-1", 30.0)
         assert not breaks.is_poison(POISON, 30.0)
 
+    def test_a_popular_request_beside_a_crash_counts_once(self):
+        """Many callers ask the same question when its runner crashes.
+
+        All their answers break off at once. Counted one by one, a single
+        crash would convict the question for a minute.
+        """
+        breaks = BreakTable()
+        for number in range(9):
+            breaks.note(Break(POISON, "desk-1", f"a-{number}"), 1.0)
+        breaks.note_down("desk-1", 1.5)
+        assert not breaks.is_poison(POISON, 2.0)
+
+    def test_a_request_that_is_answered_in_between_is_innocent(self):
+        """A popular question is under way at each of some crashes.
+
+        A request that crashes its runners is never answered; one that was
+        answered since has not crashed those before.
+        """
+        breaks = BreakTable()
+        for number in range(9):
+            breaks.note(Break(POISON, f"desk-{number}", f"a-{number}"), 1.0)
+            if number % 2:
+                breaks.note_down(f"desk-{number}", 1.5)
+            breaks.note_answered(POISON)
+            breaks.note_down(f"desk-{number}", 1.6)
+        assert not breaks.is_poison(POISON, 2.0)
+
     def test_others_are_not_concerned(self):
         others = {
             make_fingerprint("market", "/draft/1", b"{}"),
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -22,6 +22,7 @@
 from soak.system import SoakSystem
 
 SMALL = Options(gateways=3, runners=2, callers=6, seconds=8.0, pause=0.7)
+USUAL = Options(gateways=4, runners=3, callers=12, seconds=14.0, pause=0.8)
 GOOD = Attempt("a", "book", 0, 1, 10.0, 10.1, 200, True, "", 12.0)
 
 
@@ -131,9 +132,17 @@
 class TestSeeds:
     """Seeds that are played each time; those that ever failed come here."""
 
-    @pytest.mark.parametrize("seed", [1])
-    def test_all_promises_hold(self, seed, tmp_path):
-        result = asyncio.run(play(seed, SMALL, tmp_path))
+    @pytest.mark.parametrize(
+        ("seed", "options"),
+        [
+            (1, SMALL),
+            # A question that many ask was refused for a minute, as it was
+            # under way at a runner that crashed.
+            (4, USUAL),
+        ],
+    )
+    def test_all_promises_hold(self, seed, options, tmp_path):
+        result = asyncio.run(play(seed, options, tmp_path))
         logs = Path(tmp_path)
         assert result.findings == [], list(logs.rglob("*"))
         assert sum(result.outcomes.values()) > 0
