Keep a hub's sums for four seconds; measure what grows on the grown path

Cause: a hub that freezes is suspected and replaced within some two and a half seconds, but its sums were dropped after two: for the rest its whole domain would have let only its own hundredth of each quota through.

--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,49 @@
+"""Measures the choice of a runner for a forwarded request, by their number.
+
+Run: python -m bench.placement
+"""
+
+import time
+from random import Random
+
+import click
+
+from lagoonpost.systems.placement import Placement, Wanted
+from lagoonpost.tables.address import Address
+from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.forwarded import Part
+
+COUNTS = (9, 70, 2800)
+CHOICES = 20_000
+"""Predictions in all for each count, so that each takes about as long."""
+PROMPT = Wanted(
+    "chat", 9000, (Part("a", 2500), Part("b", 3700), Part("c", 2800)), True
+)
+
+
+def measure(count: int) -> float:
+    """Return the seconds of one choice among ``count`` runners."""
+    runners = [
+        Endpoint(f"i-{n}", "chat", Address("10.0.0.1", 80), "a", "v1", 16)
+        for n in range(count)
+    ]
+    placement, rng = Placement(), Random(1)
+    rounds = max(3, CHOICES // count)
+    started = time.perf_counter()
+    for number in range(rounds):
+        placement.choose(runners, PROMPT, float(number), rng)
+    return (time.perf_counter() - started) / rounds
+
+
+def main() -> None:
+    """Print the time of a choice, and as a ratio to the fewest runners."""
+    base = measure(COUNTS[0])
+    for count in COUNTS:
+        seconds = measure(count)
+        click.echo(
+            f"{count} runners: {seconds * 1e6:.0f} us, {seconds / base:.1f} x"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -32,6 +32,10 @@
 FRESH_SECONDS = 2.0
 """Age from which a report no longer tells what its gateway does: four more
 should have come since."""
+SUMMARY_SECONDS = 4.0
+"""Age from which a hub's sums no longer hold. A hub that froze is suspected
+and replaced within some two and a half; until then its domain would let only
+its own hundredth of each quota through."""
 KEEP_SECONDS = 60.0
 """How long a report is kept for usage that is still to be reported."""
 HUB_REPORTS = 250.0
@@ -268,7 +272,7 @@
     def _has_fresh_summary(self) -> bool:
         if self._summary is None:
             return False
-        return self._summary[0] > self._now() - FRESH_SECONDS
+        return self._summary[0] > self._now() - SUMMARY_SECONDS
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
