Do not end the process over a hub that has just left the members

Cause: found by reading. The roles are kept until members change, and a hub among them that has left the list at that moment was looked up there without asking whether it still is; the failed part would have ended the gateway. It was not seen. Now the own domain's first hub is looked for, which the gateway itself always is a candidate of.

--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -169,7 +169,9 @@
             for each in members
             if each.failure_domain == here and each.name not in roles.hubs
         ]
-        if not mine or here != domains[_find_hub(roles, domains, here)]:
+        # Where a domain has several hubs, it hears the first of them.
+        first = next(n for n in roles.hubs if domains.get(n) == here)
+        if not mine or first != self._name:
             return
         fresh = self.fresh(with_own=True)
         # The newest run of each name comes last.
@@ -276,13 +278,3 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-def _find_hub(
-    roles: Roles, domains: dict[str, str], domain: str | None
-) -> str:
-    """Return the hub that a failure domain hears: its own first one."""
-    for name in roles.hubs:
-        if domains.get(name) == domain:
-            return name
-    return roles.hubs[0]
