--- a/lagoonpost/cli/main.py
+++ b/lagoonpost/cli/main.py
@@ -8,6 +8,7 @@
 from lagoonpost.cli.explain import explain
 from lagoonpost.cli.serve import serve
 from lagoonpost.cli.ticket import ticket
+from lagoonpost.cli.timeline import timeline
 
 COMMANDS: tuple[click.Command, ...] = (
     gateway,
@@ -19,6 +20,7 @@
     entries,
     status,
     explain,
+    timeline,
     settings,
     ticket,
 )
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -185,3 +185,28 @@
         with log.open("a") as file:
             file.write('{"message_type": "lagoonpost:forw')
         assert "answered" in explain(log)
+
+
+class TestTimeline:
+    def test_one_change_at_several_gateways_is_one_event(self, log):
+        async def story(stack: Stack):
+            await stack.store.put("op", "config", make_configuration(2))
+            for daemon in stack.gateways:
+                belief = daemon.belief
+                await wait_until(lambda b=belief: b.version == 2)
+            stack.store.outage = "reset"
+            await stack.store.delete("servers", "none")
+            for daemon in stack.gateways:
+                follower = daemon._follower
+                await wait_until(lambda f=follower: f.lost)
+
+        play(story, gateways=2)
+        result = CliRunner().invoke(main, ["timeline", "--logs", str(log)])
+        told = result.output
+        assert told.count("configuration 2 in force") == 1
+        assert "lost the store" in told
+        assert told.index("started") < told.index("configuration 2")
+
+    def test_a_log_without_changes(self, log):
+        result = CliRunner().invoke(main, ["timeline", "--logs", str(log)])
+        assert result.exit_code == 7
