Keep the part of gateways that are held dead out of each quota

Cause: a gateway lets through the part of a quota that matches the part of all gateways that it hears. Those that it held dead, five seconds after a cut at the latest, were no longer among all. So each side of the cut took itself for the whole system from then on and let the whole quota through. Whether the bound broke hung on how much use still stood in the window at that time.

Ruled out: the news' delay.

--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -10,6 +10,7 @@
 
 from lagoonpost.http.message import Address, parse_address
 from lagoonpost.peers.datagram import Datagrams
+from lagoonpost.systems.hearing import find_heard_part, find_unheard
 from lagoonpost.systems.hub import Roles
 from lagoonpost.tables.gateway_report import (
     GatewayReport,
@@ -75,7 +76,9 @@
         address: Where it listens for datagrams.
         party: What it tells and hears.
         find_members: Returns all gateways that are held to run.
+        find_all_members: Returns also those that left or are held dead.
         find_roles: Returns who is a hub.
+        clock: Seconds since the epoch, as the members' rows use them.
 
     Attributes:
         run_id: Identifies this run of the process.
@@ -88,13 +91,17 @@
         address: Address,
         party: Party,
         find_members: Callable[[], tuple[Member, ...]],
+        find_all_members: Callable[[], tuple[Member, ...]],
         find_roles: Callable[[], Roles],
+        clock: Callable[[], float],
     ) -> None:
         self._name = name
         self._address = address
         self._party = party
         self._find_members = find_members
+        self._find_all_members = find_all_members
         self._find_roles = find_roles
+        self._clock = clock
         self.run_id = secrets.token_hex(4)
         self.held: dict[str, tuple[float, GatewayReport]] = {}
         self._rank = 0
@@ -262,14 +269,17 @@
 
     def heard_part(self) -> float:
         """Return the part of all gateways that is heard, with this one."""
-        others = {each.name for each in self._find_members()} - {self._name}
-        if not self.is_hub():
-            heard = 1
-            if self._summary is not None and self._has_fresh_summary():
-                heard = self._summary[1].gateways
-            return min(1.0, heard / (1 + len(others)))
-        names = {report.name for report in self.fresh()}
-        return (1 + len(names)) / (1 + len(names | others))
+        now = self._clock()
+        everyone = self._find_all_members()
+        if self.is_hub():
+            names = {report.name for report in self.fresh()} | {self._name}
+            unheard = find_unheard(everyone, names, now)
+            return find_heard_part(len(names), len(unheard))
+        heard = 1
+        if self._summary is not None and self._has_fresh_summary():
+            heard = self._summary[1].gateways
+        known = 1 + len(find_unheard(everyone, {self._name}, now))
+        return find_heard_part(heard, max(0, known - heard))
 
     def _has_fresh_summary(self) -> bool:
         if self._summary is None:
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -12,7 +12,7 @@
 from lagoonpost.forwarding.reports import Party, Reports
 from lagoonpost.http.message import Address
 from lagoonpost.peers.message import Document
-from lagoonpost.peers.node import Peers, PeerSettings
+from lagoonpost.peers.node import Peers, PeerSettings, make_clock
 from lagoonpost.platform.settings import HostSettings
 from lagoonpost.store.store import Condition, Store, Unavailable, Write
 from lagoonpost.systems.hub import Roles, choose_roles
@@ -97,7 +97,9 @@
             settings.peer,
             party,
             self.peers.members,
+            self.peers.all_members,
             self.find_roles,
+            make_clock(),
         )
 
     async def start(self) -> None:
--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -189,6 +189,10 @@
         rows = self._gossip.view.members.rows.values()
         return tuple(row for row in rows if row.serving)
 
+    def all_members(self) -> tuple[Member, ...]:
+        """Return all known members, also those that left or are dead."""
+        return tuple(self._gossip.view.members.rows.values())
+
     def facts(self, kind: FactKind) -> tuple[Fact, ...]:
         """Return all facts of one kind that hold."""
         return self._gossip.view.facts.of_kind(kind)
--- /dev/null
+++ b/test/test_hearing.py
@@ -0,0 +1,127 @@
+"""Quotas while gateways are cut off from each other."""
+
+from random import Random
+
+import pytest
+
+from lagoonpost.systems.hearing import (
+    LOST_SECONDS,
+    find_heard_part,
+    find_unheard,
+)
+from lagoonpost.systems.quota import QuotaBounds, Quotas
+from lagoonpost.tables.configuration import Workspace
+from lagoonpost.tables.peer import Member, MemberState
+
+BOUNDS = QuotaBounds(window=8.0, overage=0.1, slack=110_000)
+HOT = Workspace("hot", ("k",), rate=90_000, burst=100_000, by_tokens=True)
+GATEWAYS = 9
+CUT_FROM, CUT_UNTIL = 1.0, 25.0
+NEWS_SECONDS = 0.2
+UNHEARD_SECONDS = 2.0
+"""Time after which a gateway that is not heard counts as unheard."""
+DEAD_SECONDS = 5.0
+"""Time after which one that does not answer is held dead."""
+
+
+def make_member(
+    number: int, state: MemberState = "alive", changed: float = 0.0
+) -> Member:
+    return Member(
+        name=f"gateway-{number}",
+        address="",
+        role="gateway",
+        region="here",
+        failure_domain="domain",
+        incarnation=1,
+        state=state,
+        changed=changed,
+    )
+
+
+class Fleet:
+    """Gateways that tell each other of their use while they are not cut."""
+
+    def __init__(self, cut: frozenset[int], together: bool) -> None:
+        self.cut = cut
+        self.together = together
+        self.quotas = [Quotas(BOUNDS) for _ in range(GATEWAYS)]
+
+    def hears(self, one: int, other: int, now: float) -> bool:
+        if not CUT_FROM <= now < CUT_UNTIL or one == other:
+            return True
+        if one in self.cut and other in self.cut:
+            return self.together
+        return one not in self.cut and other not in self.cut
+
+    def find_part(self, one: int, now: float) -> float:
+        since = now - CUT_FROM
+        late = since > UNHEARD_SECONDS
+        heard = {
+            f"gateway-{each}"
+            for each in range(GATEWAYS)
+            if self.hears(one, each, now) or not late
+        }
+        members = [
+            make_member(each, "dead", CUT_FROM + DEAD_SECONDS)
+            if not self.hears(one, each, now) and since > DEAD_SECONDS
+            else make_member(each)
+            for each in range(GATEWAYS)
+        ]
+        unheard = find_unheard(members, heard, now)
+        return find_heard_part(len(heard), len(unheard))
+
+    def tell(self, now: float) -> None:
+        for one, quota in enumerate(self.quotas):
+            quota.note_told()
+            for other, receiver in enumerate(self.quotas):
+                if one != other and self.hears(one, other, now):
+                    receiver.hear(str(one), dict(quota.used), now)
+
+
+def play(fleet: Fleet, rate: float, seed: int) -> float:
+    """Return the most units that passed within one window."""
+    rng = Random(seed)
+    passed: list[tuple[float, float]] = []
+    now = told = 0.0
+    while now < CUT_UNTIL:
+        cost = rng.choice([1000.0, 3000.0, 9000.0, 20000.0])
+        now += rng.expovariate(rate / cost)
+        one = rng.randrange(GATEWAYS)
+        part = fleet.find_part(one, now)
+        if fleet.quotas[one].take(HOT, cost, part, now) is None:
+            passed.append((now, cost))
+        if now - told > NEWS_SECONDS:
+            told = now
+            fleet.tell(now)
+    return max(
+        sum(cost for at, cost in passed if start <= at < start + 8.0)
+        for start, _ in passed
+    )
+
+
+class TestCutOff:
+    @pytest.mark.parametrize("seed", range(3))
+    @pytest.mark.parametrize("together", [False, True])
+    @pytest.mark.parametrize("cut", [frozenset({0}), frozenset({0, 1, 2})])
+    def test_sides_of_a_cut_share_a_quota(
+        self, cut: frozenset[int], together: bool, seed: int
+    ):
+        """A workspace sends three times its quota; some gateways are cut off.
+
+        After five seconds each side holds the other dead. It takes itself
+        for all there is, and each side lets the whole quota through.
+        """
+        quota = HOT.rate * BOUNDS.window + HOT.burst
+        most = quota * (1 + BOUNDS.overage) + BOUNDS.slack
+        assert play(Fleet(cut, together), 3 * HOT.rate, seed) <= most
+
+    def test_those_that_left_need_no_part(self):
+        members = [make_member(0), make_member(1, "left", 10.0)]
+        assert not find_unheard(members, {"gateway-0"}, 11.0)
+
+    def test_the_dead_are_forgotten_in_the_end(self):
+        members = [make_member(0), make_member(1, "dead", 10.0)]
+        heard = {"gateway-0"}
+        assert find_unheard(members, heard, 11.0) == {"gateway-1"}
+        assert not find_unheard(members, heard, 11.0 + LOST_SECONDS)
--- a/test/test_reports.py
+++ b/test/test_reports.py
@@ -75,7 +75,9 @@
                 Address("127.0.0.1", ports[number]),
                 self.parties[number],
                 lambda: tuple(self.members),
+                lambda: tuple(self.members),
                 lambda: choose_roles(self.members, ()),
+                lambda: 0.0,
             )
             for number, member in enumerate(self.members)
         ]
