Let gateways that started apart meet, and count what they let through

Logged for each gateway: seven held 866,681 units for used, edge-bayangol-3 and edge-khan-uul-2 held 527,732 and 520,908, their own and each other's only. So these two had started as a group of their own: their seeds did not listen yet, one had met the other, and the search of the store ended with two members. Both groups heard all that they knew of, and each let the whole quota through. When they met, the other's use before that counted as long ago.

Change: the store is searched again after doubling pauses, up to 30 s, and addresses of nobody who is known are called at once. Reports say what was let through within the window, and that counts when a gateway is first heard.

Tests red first: test_groups_that_started_apart_meet (state machine, and over gateways), test_what_a_late_acquaintance_let_through_counts.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -44,8 +44,6 @@
 """Pause between rounds of small work that nothing triggers."""
 SHIFT_SECONDS = 0.5
 """Pause between looks at services that move to another version."""
-YOUNG_REPORTS = 20
-"""Reports that a gateway sends in a quota's window: the younger it is."""
 BASE_RUNNERS = 1
 """Runners at full price that each scaled service keeps."""
 
@@ -253,12 +251,15 @@
     def make_report(self, name: str, run: str) -> GatewayReport:
         """Return the own report's contents."""
         front = self._front
-        front.admission.quotas.note_told()
+        quotas = front.admission.quotas
+        quotas.note_told()
+        now = asyncio.get_running_loop().time()
         return GatewayReport(
             name=name,
             run=run,
             work=front.placement.report(),
-            used={k: round(v) for k, v in front.admission.quotas.used.items()},
+            used={k: round(v) for k, v in quotas.used.items()},
+            recent={k: round(v) for k, v in quotas.list_recent(now).items()},
             begun=self._usage.begun,
             prompt_tokens=front.prompt_tokens,
             waiting=self._sum_waiting(),
@@ -271,9 +272,8 @@
         """Take another gateway's new report."""
         now = asyncio.get_running_loop().time()
         sender = f"{report.name}/{report.run}"
-        young = report.rank < YOUNG_REPORTS
         quotas = self._front.admission.quotas
-        quotas.hear(sender, report.used, now, young)
+        quotas.hear(sender, report.used, report.recent, now)
         routes = self.belief.routes
         if routes is None or self._shared.find_roles().mesh:
             return
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -41,7 +41,9 @@
 """The same where a few read for all: six of them at times of their own have
 news after a tenth of a second, and two that are left after a third."""
 SEED_SECONDS = 0.4
-"""Pause between looks for other gateways in the store."""
+"""First pause between looks for other gateways in the store."""
+LAST_SEED_SECONDS = 30.0
+"""Longest pause between them: each look doubles the one before."""
 SEED_PREFIX = "member/"
 
 
@@ -121,8 +123,10 @@
     async def keep_seeds(self, store: Store) -> None:
         """Write the own peer address into the store and read the others'.
 
-        Settings name three seeds at most, which may all be gone; those
-        that start later are found here.
+        Settings name three seeds at most, which may all be gone or not
+        listen yet; those that start later are found here. Gateways that
+        start together may join in groups that know nothing of each other,
+        each of which lets whole quotas through, so they look again.
         """
         key = f"{SEED_PREFIX}{self._settings.name}"
         written = False
@@ -136,11 +140,13 @@
                 written = not isinstance(outcome, Unavailable)
             if not written:
                 await asyncio.sleep(SEED_SECONDS)
-        while len(self.peers.members()) < 2:
+        pause = SEED_SECONDS
+        while True:
             rows = await store.scan(SEED_PREFIX)
             if not isinstance(rows, Unavailable):
                 self.peers.add_seeds([_parse(row.value) for row in rows])
-            await asyncio.sleep(SEED_SECONDS)
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, LAST_SEED_SECONDS)
 
     # Publishing
 
--- a/lagoonpost/systems/gossip.py
+++ b/lagoonpost/systems/gossip.py
@@ -60,6 +60,7 @@
     ) -> None:
         self._seeds = [seed for seed in seeds if seed != me.address]
         self._untried = set(self._seeds)
+        self._unmet: set[str] = set()
         self.view = View(me, not self._seeds, started)
         self._differences: dict[str, int] = {}
         self._turn = 0
@@ -77,10 +78,18 @@
         return self.view.settled and now - self._last_tick <= STALL_SECONDS
 
     def add_seeds(self, addresses: Iterable[str]) -> None:
-        """Take more addresses at which members may be found."""
+        """Take more addresses at which members may be found.
+
+        Those of nobody who is known to serve are called at the next tick.
+        Members that start together find only some of the others at their
+        seeds, as not all listen yet, and are settled among themselves.
+        """
         for address in addresses:
-            if address != self.view.me.address and address not in self._seeds:
+            if address == self.view.me.address:
+                continue
+            if address not in self._seeds:
                 self._seeds.append(address)
+            self._unmet.add(address)
 
     def step(self, event: Event, now: float, rng: Random) -> list[Action]:
         """Take one event and return what to do.
@@ -125,6 +134,7 @@
         actions = self._call_next("probe", now)
         if not view.settled:
             actions.extend(self._join(now))
+        actions.extend(self._meet(now))
         if rng.randrange(HEAL_TICKS) == 0:
             actions.extend(self._heal(now, rng))
         return actions
@@ -145,6 +155,15 @@
         seed = self._seeds[self._turn % len(self._seeds)]
         return [self.view.call_place("", seed, "sync", now)]
 
+    def _meet(self, now: float) -> list[Action]:
+        rows = self.view.members.rows.values()
+        places = self._unmet - {row.address for row in rows if row.serving}
+        self._unmet.clear()
+        return [
+            self.view.call_place("", place, "sync", now)
+            for place in sorted(places)
+        ]
+
     def _heal(self, now: float, rng: Random) -> list[Action]:
         # After a partition each side holds the other dead and would probe
         # only its own; without this nothing would ever join them again.
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -185,28 +185,37 @@
         self,
         sender: str,
         used: Mapping[str, float],
+        recent: Mapping[str, float],
         now: float,
-        young: bool = True,
     ) -> None:
         """Take another gateway's count into account.
 
         Args:
             sender: Identifies one run of the other gateway.
             used: Units by workspace that it let through since its start.
+            recent: The part of them within the window. When a gateway is
+                first heard, only that counts: the rest is long ago.
             now: Time in seconds.
-            young: Whether it has started within the window. All that an
-                older one let through before it was first heard is not
-                counted, as most of that is long ago.
         """
         known = sender in self._senders
         self._senders.add(sender)
         for name, units in used.items():
-            first = 0.0 if known or young else units
+            first = 0.0 if known else units - recent.get(name, 0.0)
             before = self._heard.get((sender, name), first)
             self._heard[sender, name] = units
             if units != before:
                 self._add(name, units - before, now)
 
+    def list_recent(self, now: float) -> dict[str, float]:
+        """Return the units that this gateway let through in the window."""
+        recent = {}
+        for name, own in self._own.items():
+            while own and own[0].at <= now - self._bounds.window:
+                own.popleft()
+            if own:
+                recent[name] = sum(each.units for each in own)
+        return recent
+
     def list_taken(self, now: float) -> Taken:
         """Return what all let through within the window, by its age."""
         pause = self._bounds.window / BUCKETS
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -28,6 +28,7 @@
         run: Identifies this run of its process.
         work: Open work by runner.
         used: Units of quota by workspace that were let through since start.
+        recent: The part of them within the quotas' window.
         begun: Requests that runners began, by workspace, by usage window.
         prompt_tokens: Prompt tokens sent since the start, by service, that
             no runner was expected to hold already.
@@ -44,6 +45,7 @@
     run: str
     work: dict[str, RunnerWork]
     used: dict[str, float]
+    recent: dict[str, float]
     begun: dict[int, dict[str, int]]
     prompt_tokens: dict[str, int]
     waiting: dict[str, int]
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -592,6 +592,34 @@
         play(story, gateways=3)
 
 
+class TestAcquaintance:
+    def test_groups_that_started_apart_meet(self):
+        """Two pairs of gateways start and know nothing of each other.
+
+        The rows by which they are found came late. Each pair would take
+        itself for the whole system, and let whole quotas through.
+        """
+
+        async def story(stack: Stack):
+            await forget_gateways(stack)
+            for _ in range(2):
+                await stack.add_gateway()
+            await wait_until(
+                lambda: all(
+                    len(each._shared.peers.members()) == 4
+                    for each in stack.gateways
+                )
+            )
+
+        play(story, gateways=2)
+
+
+async def forget_gateways(stack: Stack) -> None:
+    """Delete the rows by which gateways find each other."""
+    for number in range(len(stack.gateways)):
+        await stack.store.delete("lagoonpost", f"member/gateway-{number + 1}")
+
+
 class TestReaders:
     """Where gateways are many, a few read the store for the others."""
 
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -88,6 +88,26 @@
         network.run(2.0)
         assert TRIP.id in network.facts(names[3])
 
+    def test_groups_that_started_apart_meet(self):
+        """Two groups of gateways start without knowing of each other.
+
+        Their seeds did not listen yet. Each group is settled and takes
+        itself for the whole system, and lets whole quotas through.
+        """
+        network = Network()
+        names = []
+        for group in "ab":
+            first = f"{group}-0"
+            network.start(first)
+            network.start(f"{group}-1", [first])
+            names += [first, f"{group}-1"]
+        network.run(3.0)
+        assert len(network.serving("a-0")) == 2
+        places = [network.nodes[name].view.me.address for name in names]
+        network.nodes["b-1"].add_seeds(places)
+        network.run(2.0)
+        assert all(len(network.serving(name)) == 4 for name in names)
+
     def test_one_in_five_messages_lost(self):
         network = Network(loss=0.2, twice=0.2)
         names = [f"north-{number}" for number in range(12)]
--- a/test/test_hearing.py
+++ b/test/test_hearing.py
@@ -76,7 +76,8 @@
             quota.note_told()
             for other, receiver in enumerate(self.quotas):
                 if one != other and self.hears(one, other, now):
-                    receiver.hear(str(one), dict(quota.used), now)
+                    recent = quota.list_recent(now)
+                    receiver.hear(str(one), dict(quota.used), recent, now)
 
 
 def play(fleet: Fleet, rate: float, seed: int) -> float:
--- a/test/test_quota.py
+++ b/test/test_quota.py
@@ -43,7 +43,12 @@
             quota.note_told()
             for receiver in quotas:
                 if receiver is not quota:
-                    receiver.hear(str(other), dict(quota.used), now)
+                    receiver.hear(
+                        str(other),
+                        dict(quota.used),
+                        quota.list_recent(now),
+                        now,
+                    )
     return passed
 
 
@@ -127,11 +132,22 @@
         the window; counted as that, it would refuse everything for it.
         """
         quota = Quotas(BOUNDS, started=0.0)
-        quota.hear("old", {"large": 1e9}, 0.5, young=False)
+        quota.hear("old", {"large": 1e9}, {"large": 1e4}, 0.5)
         assert quota.take(LARGE, 9000.0, 1.0, 1.0) is None
-        quota.hear("old", {"large": 1e9 + 1e7}, 1.5, young=False)
+        quota.hear("old", {"large": 1e9 + 1e7}, {"large": 1e7}, 1.5)
         assert quota.take(LARGE, 9000.0, 1.0, 2.0) is not None
 
+    def test_what_a_late_acquaintance_let_through_counts(self):
+        """Two groups of gateways start without knowing of each other.
+
+        They meet after the first has let most of a quota through. Counted
+        only from their first report on, the other lets it through again.
+        """
+        quota = Quotas(BOUNDS, started=0.0)
+        used = {"large": 0.98 * quota.limit(LARGE)}
+        quota.hear("old", used, used, 8.5)
+        assert quota.take(LARGE, 9000.0, 1.0, 9.0) is not None
+
     def test_no_rate_is_no_limit(self):
         free = Workspace("free", ("k",))
         quota = Quotas(BOUNDS)
@@ -166,7 +182,12 @@
                 if now >= told[other] + pause:
                     told[other] = now
                     quota.note_told()
-                    hub.hear(str(other), dict(quota.used), now)
+                    hub.hear(
+                        str(other),
+                        dict(quota.used),
+                        quota.list_recent(now),
+                        now,
+                    )
             pause = 0.1 if hub.is_tight([HUGE], now) else 0.4
             if now >= summed + pause:
                 summed = now
--- a/test/test_reports.py
+++ b/test/test_reports.py
@@ -34,6 +34,7 @@
             run=run,
             work={"runner": RunnerWork(1, self.number)},
             used={},
+            recent={},
             begun={},
             prompt_tokens={},
             waiting={},
--- a/test/test_usage.py
+++ b/test/test_usage.py
@@ -6,7 +6,7 @@
 
 
 def make_report(run: str, begun: dict[int, dict[str, int]]) -> GatewayReport:
-    return GatewayReport("gateway", run, {}, {}, begun, {}, {}, {}, 1, {})
+    return GatewayReport("gateway", run, {}, {}, {}, begun, {}, {}, {}, 1, {})
 
 
 class TestSumBegun:
