Ask another peer for a configuration when one is silent

Ruled out: gossip (the others of the same domain had the news within 0.9 s) and the readers (both of the domain that were left read it at once).

Change: a peer has 0.6 s to give a configuration, so that two silent ones in a row leave time for a third within two seconds.

Test red first: test_a_silent_source_leaves_time_for_two_others.

--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -29,6 +29,11 @@
 """Part of the questions for a configuration that stay in the own domain."""
 FETCH_PAUSE = 0.15
 """Wait for the store's feed before a peer is asked for a configuration."""
+FETCH_SECONDS = 0.6
+"""Longest wait for a peer's configuration. A host that has just gone does not
+answer, and is held to run for seconds; two of them in a row leave time for a
+third within the two seconds in which a configuration is to be in force. One of
+100 KB takes 0.2 s on the slowest links."""
 LOST_SECONDS = 4.0
 """How long a gateway's word that it had lost the store is remembered: entries
 that lapsed are judged for some two seconds after the return, and gateways
@@ -229,7 +234,10 @@
             if peer is None:
                 continue
             documents = await self.peers.fetch(
-                peer, CONFIGURATION_DOCUMENT, self._belief.version
+                peer,
+                CONFIGURATION_DOCUMENT,
+                self._belief.version,
+                FETCH_SECONDS,
             )
             for document in documents or ():
                 if self._belief.take_configuration(document.body, peer.name):
--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -226,10 +226,20 @@
         self._step(Publish(fact))
 
     async def fetch(
-        self, peer: Member, kind: str, after: int
+        self,
+        peer: Member,
+        kind: str,
+        after: int,
+        timeout: float = FETCH_TIMEOUT,
     ) -> tuple[Document, ...] | None:
         """Return a peer's documents with numbers above ``after``.
 
+        Args:
+            peer: Whom to ask.
+            kind: Kind of the documents.
+            after: Number that is known here.
+            timeout: Seconds for each page of them.
+
         Returns:
             All of them in order, or None if the peer did not answer.
         """
@@ -238,7 +248,7 @@
         while True:
             request = FetchRequest(kind, after)
             reply: FetchReply | None = await call_once(
-                address, FETCH, request, FETCH_TIMEOUT
+                address, FETCH, request, timeout
             )
             if reply is None:
                 return None
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -592,6 +592,33 @@
         play(story, gateways=3)
 
 
+class TestFetch:
+    def test_a_silent_source_leaves_time_for_two_others(self):
+        """A host goes, and a change of the configuration follows.
+
+        Those that do not read the store ask a peer for it. The one that
+        has gone is held to run for some seconds; whoever asks it would
+        wait for five, and serve by the old configuration meanwhile.
+        """
+        waits: list[float] = []
+
+        async def story(stack: Stack):
+            shared = stack.gateways[0]._shared
+
+            async def ask_silent(peer, kind, after, timeout):
+                waits.append(timeout)
+                await stack.store.put("op", "config", make_configuration(2))
+
+            shared.peers.fetch = ask_silent
+            shared._wanted_version = 2
+            shared._wanted.set()
+            await wait_until(lambda: stack.gateways[0].belief.version == 2)
+
+        play(story, gateways=2)
+        apply_seconds = 2.0
+        assert 3 * waits[0] < apply_seconds
+
+
 class TestAcquaintance:
     def test_groups_that_started_apart_meet(self):
         """Two pairs of gateways start and know nothing of each other.
