Move streams away from runners that are about to go

That an accepted request survives an announced reclaim did not hold for them.

Ruled out: waiting for the drafts' end (they take 2 to 6 s, a notice 2.1 to 2.9 s); moving all at the notice (many end within it, and a copy takes a place and bytes); backups of all runs (priced above what crashes cost; not tried).

Change: systems/migration.py decides which streams move, when and where to; forwarding/migration.py copies the run's memory while it goes on, stops it, copies the rest, and the stream goes on at the other runner within the same answer. Moves draw on the retry budget before they stop a run.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -13,6 +13,7 @@
     make_forwarded,
 )
 from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.saved_run import SavedRun
 
 CONNECT_SECONDS = 0.3
 """Longest time to connect to a runner, 50 round trips between the failure
@@ -59,7 +60,14 @@
     first: bytes
 
 
-Outcome = Unreachable | NotRun | Broken | Silent | Whole | Began
+class Moved(NamedTuple):
+    """The run was stopped, and goes on at another runner."""
+
+    target: Endpoint
+    saved: SavedRun
+
+
+Outcome = Unreachable | NotRun | Broken | Silent | Whole | Began | Moved
 
 
 class RunnerCall:
--- a/lagoonpost/forwarding/belief.py
+++ b/lagoonpost/forwarding/belief.py
@@ -51,6 +51,8 @@
         entries: Entries of runners by id, deleted ones included.
         on_configuration: Told each newer configuration.
         on_down: Told the id of a runner that went or started anew.
+        on_leaving: Told the id of a runner that will go, with the seconds
+            until then; None if it does not say.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -63,6 +65,7 @@
         self._store_back = -math.inf
         self.on_configuration: list[Callable[[RouteTable], None]] = []
         self.on_down: list[Callable[[str], None]] = []
+        self.on_leaving: list[Callable[[str, float | None], None]] = []
 
     @property
     def version(self) -> int:
@@ -121,9 +124,13 @@
                     detail=str(error),
                 )
         self.entries[key] = Entry(version, endpoint, raw)
-        if held is not None and _went_down(held.endpoint, endpoint):
+        before = held.endpoint if held is not None else None
+        if _went_down(before, endpoint):
             for told in self.on_down:
                 told(key)
+        if _began_to_leave(before, endpoint):
+            for warned in self.on_leaving:
+                warned(key, endpoint.leaves if endpoint else None)
         changed = held is None or held.endpoint != endpoint
         if changed:
             eliot.log_message(
@@ -201,6 +208,13 @@
     return after is None or after.born != before.born
 
 
+def _began_to_leave(before: Endpoint | None, after: Endpoint | None) -> bool:
+    """Tell whether a runner goes; some are deleted without saying so."""
+    if before is None or before.leaving:
+        return False
+    return after is None or after.leaving
+
+
 def _describe(endpoint: Endpoint | None) -> str:
     if endpoint is None:
         return "gone"
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -5,6 +5,7 @@
 from lagoonpost.forwarding.attempt import (
     Began,
     Broken,
+    Moved,
     NotRun,
     Outcome,
     Silent,
@@ -150,7 +151,7 @@
                 self.runs += 1
                 self.may_have_run = True
                 self.last_refusal = ANSWER_LOST
-            case Whole() | Began():
+            case Whole() | Began() | Moved():
                 self.arrivals += 1
                 self.runs += 1
                 self.may_have_run = True
--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -8,9 +8,9 @@
 from lagoonpost.forwarding.attempt import (
     Began,
     Broken,
+    Moved,
     NotRun,
     Outcome,
-    RunnerCall,
     Silent,
     Unreachable,
     Whole,
@@ -18,6 +18,7 @@
 )
 from lagoonpost.forwarding.belief import Belief
 from lagoonpost.forwarding.exchange import Exchange
+from lagoonpost.forwarding.migration import Migrations
 from lagoonpost.forwarding.refusal import (
     ANSWER_LOST,
     NO_RUNNER,
@@ -26,11 +27,11 @@
     Refusal,
     make_refusal,
 )
+from lagoonpost.forwarding.relay import relay
 from lagoonpost.forwarding.shared import Shared
 from lagoonpost.forwarding.shifts import Shifts
 from lagoonpost.forwarding.usage import UsageCount
 from lagoonpost.http.client import Client
-from lagoonpost.http.events import EventCutter, RawEvent
 from lagoonpost.http.message import Request, Response
 from lagoonpost.http.server import Responder
 from lagoonpost.platform.headers import (
@@ -38,17 +39,16 @@
     make_returned,
     read_arrival,
 )
+from lagoonpost.platform.memory import RunMemory
 from lagoonpost.platform.settings import Bounds
 from lagoonpost.systems.budget import RetryBudget
 from lagoonpost.systems.placement import Choice, Placement
 from lagoonpost.systems.poison import Break
+from lagoonpost.tables.saved_run import SavedRun
 
 MOST_SENDS = 4
 """Runners that one request is offered to, those that did not run it
 included: each costs the caller a round trip or a connection's time-out."""
-SILENCE_SECONDS = 1.2
-"""Pause in a stream after which its runner is taken to be lost, four times
-the longest that counts as good; callers give up after two seconds and more."""
 FIRST_SILENCE_SECONDS = 1.0
 """Least wait for the first byte before another runner is tried."""
 LATE_URGENCY = 8
@@ -89,6 +89,14 @@
         self.shared: Shared
         self.shifts: Shifts
         self.placement = Placement()
+        self.migrations = Migrations(
+            belief,
+            self.placement,
+            RunMemory(client),
+            self._take_repeat,
+            lambda: self._bounds.drain_seconds,
+            rng,
+        )
         self.prompt_tokens: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -140,17 +148,27 @@
     async def _try_runners(
         self, exchange: Exchange, responder: Responder, budget: RetryBudget
     ) -> Refusal | None:
+        moved: Moved | None = None
         while True:
-            choice = self._choose(exchange)
+            choice = self._choose(exchange, moved)
             if choice is None:
                 return await self._give_up(exchange, responder)
-            if exchange.arrivals and not budget.take(
-                self.shared.count_gateways(), exchange.now()
+            # A move has taken its repeat before it stopped the run.
+            if (
+                exchange.arrivals
+                and not moved
+                and not budget.take(
+                    self.shared.count_gateways(), exchange.now()
+                )
             ):
                 exchange.note("no_budget")
                 return await self._give_up(exchange, responder)
-            outcome = await self._send(exchange, choice, responder)
+            saved = moved.saved if moved else None
+            outcome = await self._send(exchange, choice, responder, saved)
             exchange.note_outcome(choice, outcome)
+            moved = outcome if isinstance(outcome, Moved) else None
+            if moved:
+                continue
             self._judge(exchange, choice, outcome)
             if responder.finished or exchange.outcome == "answered":
                 return None
@@ -192,7 +210,11 @@
             return exchange.last_refusal
         return NO_RUNNER if exchange.surely_not_run else ANSWER_LOST
 
-    def _choose(self, exchange: Exchange) -> Choice | None:
+    def _choose(
+        self, exchange: Exchange, moved: Moved | None
+    ) -> Choice | None:
+        if moved is not None:
+            return Choice(moved.target, 0.0, 1, suspect=False)
         if len(exchange.tried) >= MOST_SENDS:
             return None
         service = exchange.wanted.service
@@ -209,7 +231,11 @@
         )
 
     async def _send(
-        self, exchange: Exchange, choice: Choice, responder: Responder
+        self,
+        exchange: Exchange,
+        choice: Choice,
+        responder: Responder,
+        saved: SavedRun | None,
     ) -> Outcome:
         exchange.note_sent(choice)
         self.shifts.note_sent(choice.endpoint)
@@ -224,7 +250,7 @@
                 choice.endpoint,
                 exchange.request,
                 exchange.arrival.id,
-                self._instruct(exchange, choice),
+                self._instruct(exchange, choice, saved),
                 self._find_patience(exchange, choice),
             )
             self._learn(exchange, choice, outcome, exchange.now() - sent)
@@ -232,12 +258,16 @@
             if isinstance(outcome, Whole):
                 await self._answer_whole(exchange, outcome, responder)
             elif isinstance(outcome, Began):
-                outcome = await self._relay(exchange, outcome, responder)
+                outcome = await relay(
+                    exchange, choice, outcome, responder, self.migrations
+                )
             return outcome
         finally:
             placement.note_ended(choice, began)
 
-    def _instruct(self, exchange: Exchange, choice: Choice) -> Instructions:
+    def _instruct(
+        self, exchange: Exchange, choice: Choice, saved: SavedRun | None
+    ) -> Instructions:
         workspace = exchange.workspace
         return Instructions(
             runner=choice.endpoint.id,
@@ -245,6 +275,7 @@
             workspace=workspace.name if workspace else "",
             last_event=exchange.last_event,
             urgency=self._find_urgency(exchange, choice),
+            saved=saved,
         )
 
     def _find_urgency(self, exchange: Exchange, choice: Choice) -> int | None:
@@ -334,47 +365,9 @@
         await responder.send(response._replace(headers=headers))
         exchange.note_answered(response.status)
 
-    async def _relay(
-        self, exchange: Exchange, began: Began, responder: Responder
-    ) -> Outcome:
-        """Pass a stream's events on as they come, whole ones only."""
-        call = began.call
-        cutter = EventCutter()
-        data: bytes | Broken | Silent = began.first
-        try:
-            while isinstance(data, bytes) and data:
-                await self._pass_on(
-                    exchange, call, cutter.feed(data), responder
-                )
-                data = await call.read(self._stream_patience(exchange))
-        finally:
-            call.close()
-        if not isinstance(data, bytes):
-            return data
-        if cutter.rest:
-            return Broken("the stream ended within an event")
-        if responder.started:
-            await responder.finish()
-        exchange.note_answered(call.status)
-        return began
-
-    async def _pass_on(
-        self,
-        exchange: Exchange,
-        call: RunnerCall,
-        events: list[RawEvent],
-        responder: Responder,
-    ) -> None:
-        fresh = [event for event in events if exchange.take_event(event)]
-        if not fresh:
-            return
-        if not responder.started:
-            exchange.note_first_byte()
-            await responder.start(call.status, make_returned(call.headers))
-        await responder.write(b"".join(event.data for event in fresh))
-
-    def _stream_patience(self, exchange: Exchange) -> float | None:
-        return SILENCE_SECONDS if exchange.idempotent else None
+    def _take_repeat(self, service: str) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self._budget(service).take(self.shared.count_gateways(), now)
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/lagoonpost/platform/headers.py
+++ b/lagoonpost/platform/headers.py
@@ -4,6 +4,7 @@
 
 from lagoonpost.http.message import Headers, find_header
 from lagoonpost.tables.forwarded import Arrival, Part, TokenCount
+from lagoonpost.tables.saved_run import SavedRun
 
 REQUEST_ID = "attempt-id"
 DEADLINE = "deadline-ms"
@@ -18,6 +19,7 @@
 MODEL = "model"
 LAST_EVENT = "last-event-id"
 URGENCY = "request-urgency"
+SAVED_RUN = "kv-from"
 LENGTH_HINT = "length-hint"
 READY_PATH = "/v1/ready"
 RESOLVE_PATH = "/v1/resolve"
@@ -48,7 +50,7 @@
         "pin-ms",
         "kv-hold",
         "kv-fetch",
-        "kv-from",
+        SAVED_RUN,
         "kv-backup",
     }
 )
@@ -74,6 +76,7 @@
         workspace: Whose request it is; empty if nobody's.
         last_event: Id of the last event that the caller has, or empty.
         urgency: From 0, the most urgent, to 9.
+        saved: Memory of the stopped run that it goes on from, if it does.
     """
 
     runner: str
@@ -81,6 +84,7 @@
     workspace: str
     last_event: str
     urgency: int | None
+    saved: SavedRun | None = None
 
 
 def read_arrival(headers: Headers) -> Arrival:
@@ -120,6 +124,9 @@
         own.append((LAST_EVENT, told.last_event))
     if told.urgency is not None:
         own.append((URGENCY, str(told.urgency)))
+    if told.saved is not None:
+        place = f"{told.saved.source}/{told.saved.handle}"
+        own.append((SAVED_RUN, place))
     return (*kept, *own)
 
 
--- a/lagoonpost_standins/forwarded.py
+++ b/lagoonpost_standins/forwarded.py
@@ -1,11 +1,17 @@
 """Stand-in for the users' runners, which answer forwarded requests."""
 
 import asyncio
+import json
 import time
 from collections import Counter
-from typing import Literal, NamedTuple
-
-from lagoonpost.http.message import Address, Request, Response
+from typing import ClassVar, Literal, NamedTuple
+
+from lagoonpost.http.message import (
+    Address,
+    Request,
+    Response,
+    make_json_response,
+)
 from lagoonpost.http.server import Responder, Server
 
 RunnerFault = Literal[
@@ -28,6 +34,24 @@
 stream, or is lost with each request that it begins."""
 
 
+MoveFault = Literal["none", "no_run", "busy", "no_room", "stop_unanswered"]
+"""What is wrong when a run is to be copied away: the runner says that it has
+no such run, that another copy is under way or that the other has no room, or
+stops the run and never answers."""
+_MOVE_REFUSALS: dict[MoveFault, int] = {
+    "no_run": 404,
+    "busy": 409,
+    "no_room": 503,
+}
+
+
+class Copy(NamedTuple):
+    """A run's memory at another runner."""
+
+    attempt: str
+    target: str
+
+
 class Seen(NamedTuple):
     """One request as it arrived, at a time of the steady clock."""
 
@@ -50,11 +74,19 @@
         runs: Number of runs by request id.
         cancelled: Requests whose connection was closed before their end.
         events: Events of each stream.
+        move_fault: What is wrong when a run is copied from here.
+        copies: Copies of all runners, by handle; used ones are gone.
+        freed: Handles that were given back here.
     """
 
+    copies: ClassVar[dict[str, Copy]] = {}
+
     def __init__(self, id: str, events: int = 5) -> None:
         self.id = id
         self.fault: RunnerFault = "none"
+        self.move_fault: MoveFault = "none"
+        self.freed: list[str] = []
+        self._stopped: dict[str, bool] = {}
         self.pause = 0.0
         self.events = events
         self.seen: list[Seen] = []
@@ -74,6 +106,13 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve one request; return without answering to cut it off."""
+        if request.path == "/v1/kv-move":
+            await self._move(request, responder)
+            return
+        if request.path.startswith("/v1/kv-handle/"):
+            self.freed.append(request.path.rpartition("/")[2])
+            await responder.send(Response(200))
+            return
         attempt = request.header("attempt-id") or ""
         refusal = self._refuse(request)
         self.seen.append(Seen(request, refusal is None, time.monotonic()))
@@ -82,7 +121,8 @@
             return
         if self.fault == "reset_before":
             return
-        self.runs[attempt] += 1
+        # What goes on from a copy is still the same run.
+        self.runs[attempt] += request.header("kv-from") is None
         try:
             await self._run(request, responder)
         except asyncio.CancelledError:
@@ -93,10 +133,37 @@
         expected = request.header("target-instance")
         if expected not in (None, self.id):
             return Response(421, (("instance-id", self.id),))
-        if self.fault == "full":
+        if self.fault == "full" or not self._has_copy(request):
             return Response(503, (("not-executed", "1"),))
         return None
 
+    def _has_copy(self, request: Request) -> bool:
+        """Take the copy that a request goes on from, if it names one."""
+        saved = request.header("kv-from")
+        if saved is None:
+            return True
+        copy = self.copies.pop(saved.rpartition("/")[2], None)
+        here = (request.header("attempt-id"), str(self.address))
+        return copy is not None and copy == here
+
+    async def _move(self, request: Request, responder: Responder) -> None:
+        call = json.loads(request.body)
+        attempt = call["id"]
+        refusal = _MOVE_REFUSALS.get(self.move_fault)
+        if refusal is None and attempt not in self._stopped:
+            refusal = 404
+        if refusal is not None:
+            await responder.send(Response(refusal))
+            return
+        handle = f"{self.id}-{attempt}"
+        self.copies[handle] = Copy(attempt, call["to"])
+        if call.get("last"):
+            self._stopped[attempt] = True
+            if self.move_fault == "stop_unanswered":
+                return
+        body = {"handle": handle, "create_revision": 1}
+        await responder.send(make_json_response(200, body))
+
     async def _run(self, request: Request, responder: Responder) -> None:
         if self.fault == "hang":
             await asyncio.sleep(3600)
@@ -142,7 +209,24 @@
         content = (("content-type", "text/event-stream"),)
         await responder.start(200, headers + content)
         broken_at = (first + self.events) // 2
+        attempt = request.header("attempt-id") or ""
+        self._stopped[attempt] = False
+        try:
+            await self._send_events(request, responder, first, broken_at)
+        finally:
+            del self._stopped[attempt]
+
+    async def _send_events(
+        self,
+        request: Request,
+        responder: Responder,
+        first: int,
+        broken_at: int,
+    ) -> None:
+        attempt = request.header("attempt-id") or ""
         for number in range(first, self.events + 1):
+            if self._stopped[attempt]:
+                return
             if number > broken_at and self.fault == "break_off":
                 return
             if number > broken_at and self.fault == "silent_midway":
