Learn the pace of reading apart, and let runners copy shared parts

The pace of a prompt alone, by which runners are ordered, came out as 14,000 to 37,000 tokens/s where engines read 56,900: it held the way there and the first step, and came only from runners with nothing open at all, of which there are few. Now the least time of short prompts is taken off, and a runner counts as alone if no other prompt is read there.

A runner is now told who comes next in the order of the hashes, the home before a runner came or went, and copies from there.

Tests: TestFindHolder, test_a_runner_is_told_who_holds_a_prompts_parts.

--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -223,11 +223,14 @@
             for each in self._belief.find_runners(service)
             if each.id not in exchange.tried
         ]
+        leaving = [
+            each for each in self._belief.find_all(service) if each.leaving
+        ]
         group = self.shifts.choose_group(
             service, runners, self.shared.count_gateways()
         )
         return self.placement.choose(
-            group, exchange.wanted, exchange.now(), self._rng
+            group, exchange.wanted, exchange.now(), self._rng, leaving
         )
 
     async def _send(
@@ -276,6 +279,7 @@
             last_event=exchange.last_event,
             urgency=self._find_urgency(exchange, choice),
             saved=saved,
+            holder=choice.holder.address if choice.holder else None,
         )
 
     def _find_urgency(self, exchange: Exchange, choice: Choice) -> int | None:
--- a/lagoonpost/platform/headers.py
+++ b/lagoonpost/platform/headers.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from lagoonpost.http.message import Headers, find_header
+from lagoonpost.http.message import Address, Headers, find_header
 from lagoonpost.tables.forwarded import Arrival, Part, TokenCount
 from lagoonpost.tables.saved_run import SavedRun
 
@@ -20,6 +20,7 @@
 LAST_EVENT = "last-event-id"
 URGENCY = "request-urgency"
 SAVED_RUN = "kv-from"
+HOLDER = "kv-fetch"
 LENGTH_HINT = "length-hint"
 READY_PATH = "/v1/ready"
 RESOLVE_PATH = "/v1/resolve"
@@ -49,7 +50,7 @@
         "expect-version",
         "pin-ms",
         "kv-hold",
-        "kv-fetch",
+        HOLDER,
         SAVED_RUN,
         "kv-backup",
     }
@@ -77,6 +78,8 @@
         last_event: Id of the last event that the caller has, or empty.
         urgency: From 0, the most urgent, to 9.
         saved: Memory of the stopped run that it goes on from, if it does.
+        holder: Runner from which it may copy what it does not hold of the
+            prompt.
     """
 
     runner: str
@@ -85,6 +88,7 @@
     last_event: str
     urgency: int | None
     saved: SavedRun | None = None
+    holder: Address | None = None
 
 
 def read_arrival(headers: Headers) -> Arrival:
@@ -127,6 +131,8 @@
     if told.saved is not None:
         place = f"{told.saved.source}/{told.saved.handle}"
         own.append((SAVED_RUN, place))
+    elif told.holder is not None:
+        own.append((HOLDER, str(told.holder)))
     return (*kept, *own)
 
 
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -46,6 +46,12 @@
 """Prompts below this say more about the way there than about pace."""
 ALONE_TOKENS = 1500
 """Prompts from here on take so long to read that the way there is a tenth."""
+OVERHEAD_SLOWER = 0.01
+"""Part of a slower measurement in the time to a first byte that is not
+reading: the way there, a first step. Waiting makes most of them slower."""
+LEAST_COPIED = 1500
+"""Shared tokens from which a copy is asked for: it takes some ten milliseconds
+however few they are, in which a runner reads some hundreds."""
 MEMORY_SECONDS = 30.0
 """How long a part is taken to stay in a runner's memory after its use."""
 FAILURE_SECONDS = 1.0
@@ -84,7 +90,9 @@
         seconds: Predicted time to the first byte.
         unread: Prompt tokens that it has to read.
         suspect: Whether it could not be reached lately.
-        alone: Whether nothing else was known to be open there.
+        holder: Runner from which it may copy what it does not hold of the
+            prompt; None if there is none.
+        alone: Whether no other prompt was known to be read there.
     """
 
     endpoint: Endpoint
@@ -92,6 +100,7 @@
     unread: int
     suspect: bool
     alone: bool = False
+    holder: Endpoint | None = None
 
 
 class RunnerState:
@@ -184,6 +193,7 @@
         self.states: dict[str, RunnerState] = {}
         self._pace: dict[str, float] = {}
         self.paces_alone: dict[str, float] = {}
+        self._overheads: dict[str, float] = {}
 
     def state(self, runner: str) -> RunnerState:
         """Return the state of a runner, new if it is not known."""
@@ -214,11 +224,13 @@
         wanted: Wanted,
         now: float,
         rng: Random,
+        leaving: Sequence[Endpoint] = (),
     ) -> Choice | None:
         """Choose among runners that may get new work.
 
         Args:
             endpoints: The runners of the service that may be used.
+            leaving: Those that serve on and get no new work.
             wanted: The request.
             now: Time in seconds.
             rng: Breaks ties, so that gateways do not all choose alike.
@@ -232,7 +244,7 @@
         choices = [
             self._predict(each, wanted, home, now) for each in endpoints
         ]
-        return min(
+        best = min(
             choices,
             key=lambda each: (
                 each.suspect,
@@ -241,6 +253,13 @@
                 rng.random(),
             ),
         )
+        others = [
+            each
+            for each in (*endpoints, *leaving)
+            if each.id != best.endpoint.id
+            and not self.state(each.id).is_suspect(now)
+        ]
+        return best._replace(holder=find_holder(others, wanted))
 
     def _predict(
         self, endpoint: Endpoint, wanted: Wanted, home: str, now: float
@@ -263,7 +282,7 @@
         seconds = (ahead + unread) * pace + running * STEP_SECONDS
         if running >= endpoint.slots:
             seconds += pace * ahead / max(1, running)
-        return Choice(endpoint, seconds, unread, suspect, running == 0)
+        return Choice(endpoint, seconds, unread, suspect, ahead == 0)
 
     def note_sent(self, choice: Choice, wanted: Wanted, now: float) -> None:
         """Count a request that is on its way."""
@@ -279,14 +298,10 @@
         state = self.state(choice.endpoint.id)
         state.tokens = max(0, state.tokens - choice.unread)
         if wanted.engine and choice.unread < LEAST_TOKENS:
+            self._note_overhead(wanted.service, took)
             return
         if wanted.engine and choice.alone and choice.unread > ALONE_TOKENS:
-            sample = took / choice.unread
-            before = self.paces_alone.get(wanted.service, sample)
-            rate = ALONE_FASTER if sample < before else ALONE_SLOWER
-            self.paces_alone[wanted.service] = before + rate * (
-                sample - before
-            )
+            self._note_alone(wanted.service, choice.unread, took)
         ratio = took / max(1e-4, choice.seconds)
         slowness = state.slowness(now)
         state.note_pace(ratio * slowness, now)
@@ -294,6 +309,20 @@
         pace = self.pace(wanted)
         self._pace[wanted.service] = pace * bounded**_SHARED_LEARNING
 
+    def _note_overhead(self, service: str, took: float) -> None:
+        """Learn the time to a first byte that no reading takes."""
+        before = self._overheads.get(service, took)
+        rate = 1.0 if took < before else OVERHEAD_SLOWER
+        self._overheads[service] = before + rate * (took - before)
+
+    def _note_alone(self, service: str, unread: int, took: float) -> None:
+        """Learn the pace of a prompt alone, without what is not reading."""
+        overhead = min(self._overheads.get(service, 0.0), took / 2)
+        sample = (took - overhead) / unread
+        before = self.paces_alone.get(service, sample)
+        rate = ALONE_FASTER if sample < before else ALONE_SLOWER
+        self.paces_alone[service] = before + rate * (sample - before)
+
     def note_ended(self, choice: Choice, began: bool) -> None:
         """Count a request that has left the runner."""
         state = self.state(choice.endpoint.id)
@@ -326,5 +355,22 @@
     return max(endpoints, key=lambda each: _hash(key, each.id)).id
 
 
+def find_holder(others: Sequence[Endpoint], wanted: Wanted) -> Endpoint | None:
+    """Return the runner from which a prompt's shared parts may be copied.
+
+    The home before a runner came or went is the next one in the order of
+    the hashes, so all who know the same runners find it without being told.
+
+    Args:
+        others: Runners besides the one that gets the request.
+        wanted: The request.
+    """
+    shared = sum(part.tokens for part in wanted.parts[:-1])
+    if not others or not wanted.engine or shared < LEAST_COPIED:
+        return None
+    home = find_home(others, wanted.parts)
+    return next(each for each in others if each.id == home)
+
+
 def _hash(key: str, runner: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}/{runner}".encode())
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -88,6 +88,21 @@
         assert b"".join(parts) == stream("/draft/1")
         assert len(parts) > 1
 
+    def test_a_runner_is_told_who_holds_a_prompts_parts(self):
+        async def story(stack: Stack):
+            headers = (*make_prompt(9000), ("kv-fetch", "10.0.0.1:80"))
+            await stack.call("/draft/1", "POST", headers=headers)
+            seen = next(r for r in stack.runners.values() if r.seen).seen[0]
+            addresses = {
+                str(runner.address)
+                for id_, runner in stack.runners.items()
+                if id_.startswith("chat") and not runner.seen
+            }
+            return seen.request.header("kv-fetch"), addresses
+
+        told, others = play(story)
+        assert {told} == others
+
     @pytest.mark.parametrize(
         ("path", "key", "status"),
         [
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -9,6 +9,7 @@
 from lagoonpost.systems.placement import (
     Placement,
     Wanted,
+    find_holder,
     find_home,
 )
 from lagoonpost.tables.endpoint import Endpoint
@@ -232,3 +233,46 @@
 
     def test_a_prompt_without_shared_parts_has_no_home(self):
         assert find_home(make_runners(2), (Part("own", 5),)) == ""
+
+
+class TestFindHolder:
+    def test_a_new_home_copies_from_the_one_before(self):
+        """Runners come and go in droughts, and sessions change their home.
+
+        Each new home would read 6,300 shared tokens of every session again,
+        while callers of all its other prompts wait.
+        """
+        runners = make_runners(4)
+        for number in range(50):
+            draft = make_draft(f"s{number}")
+            before = find_home(runners[:3], draft.parts)
+            after = find_home(runners, draft.parts)
+            others = [each for each in runners if each.id != after]
+            holder = find_holder(others, draft)
+            assert holder is not None
+            assert after == before or holder.id == before
+
+    def test_a_leaving_home_gives_what_it_holds(self):
+        runners = make_runners(4)
+        placement = Placement()
+        draft = make_draft("s1")
+        home = find_home(runners, draft.parts)
+        staying = [each for each in runners if each.id != home]
+        leaving = [each for each in runners if each.id == home]
+        choice = placement.choose(staying, draft, 0.0, Random(1), leaving)
+        assert choice is not None and choice.holder is not None
+        assert choice.holder.id == home
+
+    def test_a_runner_that_can_not_be_reached_gives_nothing(self):
+        runners = make_runners(3)
+        placement = Placement()
+        draft = make_draft("s1")
+        for runner in runners[1:]:
+            placement.state(runner.id).note_unreachable(0.0)
+        choice = placement.choose(runners, draft, 0.1, Random(1))
+        assert choice is not None
+        assert choice.holder is None
+
+    def test_little_is_read_and_not_copied(self):
+        small = make_draft("s1")._replace(parts=(Part("a", 300), Part("b", 9)))
+        assert find_holder(make_runners(2), small) is None
