Leave time for another runner when one is silent

Cause: a check's caller waits for a second in all on two of the sites, and a silent runner was waited for as long, so that an answer lost on its way cost the check although another runner was free.

Change: one silent runner gets half of the time left at most.

Test red first: test_a_silent_runner_leaves_time_for_another.

--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -51,6 +51,9 @@
 included: each costs the caller a round trip or a connection's time-out."""
 FIRST_SILENCE_SECONDS = 1.0
 """Least wait for the first byte before another runner is tried."""
+WAITED_SHARE = 0.5
+"""Most of the time left that one silent runner gets: callers of checks wait
+for a second in all, and another runner needs some of it."""
 LATE_URGENCY = 8
 """Rank of a request that will be late; 9 is the lowest there is."""
 
@@ -305,9 +308,11 @@
         """
         if not exchange.idempotent:
             return None
-        return max(
+        usual = max(
             FIRST_SILENCE_SECONDS, 2 * exchange.target, 4 * choice.seconds
         )
+        left = exchange.deadline - exchange.now()
+        return min(usual, WAITED_SHARE * left)
 
     def _learn(
         self,
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -175,6 +175,22 @@
         assert [answer.status for answer in answers] == [200] * 6
         assert {answer.body for answer in answers} == {b"GET /check/1 "}
 
+    def test_a_silent_runner_leaves_time_for_another(self):
+        """A check's answer is lost; its caller waits for a second in all.
+
+        The gateway waited for the first runner as long as the caller did,
+        and the check failed although another runner was free.
+        """
+
+        async def story(stack: Stack):
+            stack.runners["desk-1"].fault = "hang"
+            answers = [
+                await stack.call("/check/1", deadline=1.0) for _ in range(4)
+            ]
+            return [answer.status for answer in answers]
+
+        assert play(story) == [200] * 4
+
     def test_a_check_that_failed_is_tried_once_more(self):
         async def story(stack: Stack):
             stack.runners["desk-1"].fault = "fail"
