Order ahead of the next reclaim while a drought lasts

Hypothesis: reclaims come one after the other, seconds apart, and in between the cloud may be down.

Change: while a domain has no reclaimable runners to be had, those at full price alone, with what the loss of the largest domain leaves, carry the load at 0.8.

Test red first: test_a_drought_prepares_for_the_next_reclaim.

--- a/lagoonpost/systems/scaling.py
+++ b/lagoonpost/systems/scaling.py
@@ -10,7 +10,8 @@
 So reclaimable runners carry the load, spread over the domains, with so many
 to spare that the loss of any one domain leaves enough. A base at full price
 stays in the cheapest domain. When none are to be had, runners at full price
-take their place at the notice, and go once others have come back.
+take their place at the notice, and go once others have come back. Reclaims
+come in waves, so that there are by then enough of them for the next one.
 """
 
 import math
@@ -117,6 +118,11 @@
             spots[each] = max(spots[each], present.get(each, 0))
     kept = sum(present.get(each, 0) for each in domains)
     missing = least - demand.base - kept
+    if ask_again:
+        # Reclaims come in waves: while one domain has none to be had, the
+        # next may go, and what replaces it takes a start-up.
+        largest = max(present.values(), default=0)
+        missing = max(missing, rest - demand.base - (kept - largest))
     if missing > 0:
         # At full price what is not there reclaimable, until it has come:
         # first those that run already, as a new one takes seconds to start.
--- a/test/test_scaling.py
+++ b/test/test_scaling.py
@@ -82,6 +82,18 @@
         orders = plan(Demand(0.4), there, dry={"a": 200.0, "c": 200.0})
         assert orders[Tenure("b", True)] == 3
 
+    def test_a_drought_prepares_for_the_next_reclaim(self):
+        """Domains are reclaimed one after the other, seconds apart.
+
+        What replaced the second one was ordered at its notice, and callers
+        of the four seconds of its start-up waited behind each other.
+        """
+        busy = 2.2
+        there = {Tenure("a", False): 1, Tenure("b", True): 3}
+        orders = plan(Demand(busy), there, dry={"a": 200.0, "c": 200.0})
+        left = total(orders, spot=False)
+        assert left >= math.ceil(busy / BUSY_AFTER_LOSS)
+
     def test_cheap_runners_are_more_than_dear_ones(self):
         """Drafts are slow beside prompts that are read.
 
