--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -361,6 +361,7 @@
         route=route.name if route else "",
         workspace=exchange.workspace.name if exchange.workspace else "",
         version=exchange.version,
+        prompt=exchange.wanted.prompt,
         outcome=exchange.outcome,
         status=exchange.status,
         steps=exchange.steps,
