--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -7,7 +7,7 @@
 import click
 import msgspec
 
-from lagoonpost.cli.option import ExitCode, fail
+from lagoonpost.cli.option import ExitCode, fail, logs_option
 
 BEFORE_SECONDS = 10.0
 """How far back a belief may have changed that still decided something: a lost
@@ -167,14 +167,7 @@
 
 @click.command()
 @click.argument("request")
-@click.option(
-    "--logs",
-    "paths",
-    type=click.Path(exists=True, dir_okay=False, path_type=Path),
-    multiple=True,
-    required=True,
-    help="A gateway's log; repeat for each.",
-)
+@logs_option
 def explain(request: str, paths: tuple[Path, ...]) -> None:
     """Tell what a REQUEST met, from the logs of forwarding gateways.
 
--- a/lagoonpost/cli/option.py
+++ b/lagoonpost/cli/option.py
@@ -2,6 +2,7 @@
 
 import os
 from enum import IntEnum
+from pathlib import Path
 from typing import Any
 
 import click
@@ -55,6 +56,14 @@
     show_envvar=True,
     help="HOST:PORT of a gateway; repeat for more.",
 )
+logs_option = click.option(
+    "--logs",
+    "paths",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    multiple=True,
+    required=True,
+    help="A gateway's log; repeat for each.",
+)
 KEY_VARIABLE = "LAGOONPOST_KEY"
 OPERATOR_KEY_VARIABLE = "LAGOONPOST_OPERATOR_KEY"
 
--- a/lagoonpost/cli/timeline.py
+++ b/lagoonpost/cli/timeline.py
@@ -7,7 +7,7 @@
 import click
 
 from lagoonpost.cli.explain import Line, read_log
-from lagoonpost.cli.option import ExitCode, fail
+from lagoonpost.cli.option import ExitCode, fail, logs_option
 
 GROUP_SECONDS = 5.0
 """Time within which the same news at several gateways is one event: longer
@@ -91,14 +91,7 @@
 
 
 @click.command()
-@click.option(
-    "--logs",
-    "paths",
-    type=click.Path(exists=True, dir_okay=False, path_type=Path),
-    multiple=True,
-    required=True,
-    help="A gateway's log; repeat for each.",
-)
+@logs_option
 @click.option("--runners/--no-runners", default=True, help="Tell of runners.")
 def timeline(paths: tuple[Path, ...], runners: bool) -> None:
     """Tell what changed in all gateways, from their logs, by time.
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -23,7 +23,8 @@
 from lagoonpost.forwarding.usage import UsageCount
 from lagoonpost.http.client import Client
 from lagoonpost.http.message import Address
-from lagoonpost.http.server import Limits, Server
+from lagoonpost.http.responder import Limits
+from lagoonpost.http.server import Server
 from lagoonpost.peers.node import make_clock
 from lagoonpost.platform.cloud import CloudCalls
 from lagoonpost.platform.settings import HostSettings
--- a/lagoonpost/forwarding/directory.py
+++ b/lagoonpost/forwarding/directory.py
@@ -9,7 +9,7 @@
     Response,
     make_json_response,
 )
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 from lagoonpost.platform.headers import READY_PATH, RESOLVE_PATH
 
 MOST_ENTRIES = 64
--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -33,7 +33,7 @@
 from lagoonpost.forwarding.usage import UsageCount
 from lagoonpost.http.client import Client
 from lagoonpost.http.message import Request, Response
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 from lagoonpost.platform.headers import (
     Instructions,
     make_returned,
--- a/lagoonpost/forwarding/metrics.py
+++ b/lagoonpost/forwarding/metrics.py
@@ -11,7 +11,7 @@
 
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.http.message import Request, Response
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 
 METRICS_PATH = "/metrics"
 SECONDS = (0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 15.0)
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -11,7 +11,7 @@
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.forwarding.migration import Migrations
 from lagoonpost.http.events import EventCutter, RawEvent
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 from lagoonpost.platform.headers import make_returned
 from lagoonpost.systems.placement import Choice
 
--- a/lagoonpost/gateway/answer.py
+++ b/lagoonpost/gateway/answer.py
@@ -8,7 +8,7 @@
 from lagoonpost.gateway.prompt import ChatCall
 from lagoonpost.gateway.token import EventSigner, StreamOrigin
 from lagoonpost.http.message import Response, make_json_response
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 from lagoonpost.runners.answer import Completed, Part, RelayedAnswer
 
 
--- a/lagoonpost/gateway/chat.py
+++ b/lagoonpost/gateway/chat.py
@@ -23,7 +23,7 @@
 )
 from lagoonpost.http.message import Request, Response
 from lagoonpost.http.problem import make_problem
-from lagoonpost.http.server import PeerGoneError, Responder
+from lagoonpost.http.responder import PeerGoneError, Responder
 from lagoonpost.runners.answer import Completed, Failed, Part
 from lagoonpost.systems.event import Abandoned, Refuse
 from lagoonpost.tables.entity import Route, Workspace
--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -19,7 +19,8 @@
 from lagoonpost.gateway.state import Gateway
 from lagoonpost.gateway.tickets import TicketHandlers
 from lagoonpost.http.message import Request
-from lagoonpost.http.server import Responder, Server
+from lagoonpost.http.responder import Responder
+from lagoonpost.http.server import Server
 from lagoonpost.settings import GatewaySettings
 from lagoonpost.store.ledger import Ledger
 from lagoonpost.store.table import TableStore
--- a/lagoonpost/gateway/server.py
+++ b/lagoonpost/gateway/server.py
@@ -10,7 +10,7 @@
 from lagoonpost.gateway.state import Gateway
 from lagoonpost.http.message import Request, Response
 from lagoonpost.http.problem import make_problem
-from lagoonpost.http.server import PeerGoneError, Responder
+from lagoonpost.http.responder import PeerGoneError, Responder
 from lagoonpost.tables.entity import Workspace
 
 Access = Literal["open", "workspace", "operator"]
--- a/lagoonpost/gateway/stream.py
+++ b/lagoonpost/gateway/stream.py
@@ -8,7 +8,7 @@
 
 from lagoonpost.gateway.token import EventSigner, StreamOrigin
 from lagoonpost.http.message import Headers, Response
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 from lagoonpost.runners.answer import Completed, Part
 
 # A teacher whose assistant went quiet gave up: callers and the proxies
--- a/lagoonpost_standins/engine.py
+++ b/lagoonpost_standins/engine.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from lagoonpost.http.message import Address
-from lagoonpost.http.server import Limits, Server
+from lagoonpost.http.responder import Limits
+from lagoonpost.http.server import Server
 from lagoonpost_standins.engine_batch import EngineOptions
 from lagoonpost_standins.engine_fault import Counts, Faults
 from lagoonpost_standins.engine_routes import Routes
--- a/lagoonpost_standins/engine_feed.py
+++ b/lagoonpost_standins/engine_feed.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lagoonpost.http.server import PeerGoneError, Responder
+from lagoonpost.http.responder import PeerGoneError, Responder
 from lagoonpost_standins.engine_batch import Answer
 from lagoonpost_standins.engine_fault import Faults
 
--- a/lagoonpost_standins/engine_routes.py
+++ b/lagoonpost_standins/engine_routes.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lagoonpost.http.message import Request, Response, make_json_response
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 from lagoonpost_standins.engine_batch import Answer
 from lagoonpost_standins.engine_fault import Faults
 from lagoonpost_standins.engine_model import hash_blocks
--- a/lagoonpost_standins/forwarded.py
+++ b/lagoonpost_standins/forwarded.py
@@ -12,7 +12,8 @@
     Response,
     make_json_response,
 )
-from lagoonpost.http.server import Responder, Server
+from lagoonpost.http.responder import Responder
+from lagoonpost.http.server import Server
 
 RunnerFault = Literal[
     "none",
--- a/lagoonpost_standins/orders.py
+++ b/lagoonpost_standins/orders.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from lagoonpost.http.message import Request, Response
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 
 
 class OrderDesk:
--- a/lagoonpost_standins/platform.py
+++ b/lagoonpost_standins/platform.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lagoonpost.http.message import Request, Response, make_json_response
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 from lagoonpost.store.store import Condition, Conflict, Row, Write
 from lagoonpost_standins.cloud import Cloud
 from lagoonpost_standins.table import Table
--- a/lagoonpost_standins/rows.py
+++ b/lagoonpost_standins/rows.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lagoonpost.http.message import Request, Response, make_json_response
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 
 Outage = Literal["none", "busy", "silent", "reset", "lost"]
 Place = tuple[str, str, str]
--- a/lagoonpost_standins/service.py
+++ b/lagoonpost_standins/service.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from lagoonpost.http.message import Request, Response, make_json_response
-from lagoonpost.http.server import Responder
+from lagoonpost.http.responder import Responder
 
 Point = Literal["before", "after"]
 KEY_HEADER = "idempotency-key"
--- a/test/forwarding_stack.py
+++ b/test/forwarding_stack.py
@@ -10,7 +10,7 @@
 from typing import Any, Self, TypeVar
 
 from lagoonpost.forwarding.daemon import ForwardingDaemon
-from lagoonpost.http.client import Client
+from lagoonpost.http.client import Client, Stream
 from lagoonpost.http.message import Address, Headers, Response
 from lagoonpost.http.server import Server
 from lagoonpost_standins.deployment import (
@@ -176,6 +176,17 @@
             fresh=True,
         )
 
+    async def open(self, path: str, headers: Headers = ()) -> Stream:
+        """Send a request, and leave its answer to be read."""
+        return await self.client.open(
+            self.entries[0],
+            "POST",
+            path,
+            b"{}",
+            make_headers(headers=headers),
+            fresh=True,
+        )
+
     def count_runs(self, attempt: str) -> int:
         """Return how often runners ran an attempt."""
         return sum(each.runs[attempt] for each in self.runners.values())
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -8,7 +8,6 @@
     KEY,
     Stack,
     make_configuration,
-    make_headers,
     make_prompt,
     make_route,
     play,
@@ -73,14 +72,7 @@
         async def story(stack: Stack):
             for runner in stack.runners.values():
                 runner.pause = 0.05
-            call = await stack.client.open(
-                stack.entries[0],
-                "POST",
-                "/draft/1",
-                b"{}",
-                make_headers(headers=make_prompt()),
-                fresh=True,
-            )
+            call = await stack.open("/draft/1", make_prompt())
             await call.receive_head()
             return [part async for part in call.parts()]
 
@@ -435,14 +427,7 @@
             for runner in stack.runners.values():
                 runner.pause = 0.1
                 runner.events = 1000
-            call = await stack.client.open(
-                stack.entries[0],
-                "POST",
-                "/draft/1",
-                b"{}",
-                make_headers(headers=make_prompt()),
-                fresh=True,
-            )
+            call = await stack.open("/draft/1", make_prompt())
             await call.receive_head()
             call.close()
             runners = stack.runners.values()
@@ -453,14 +438,7 @@
     def test_a_caller_that_leaves_before_the_first_byte(self):
         async def story(stack: Stack):
             stack.set_fault("hang", "desk")
-            call = await stack.client.open(
-                stack.entries[0],
-                "POST",
-                "/book/1",
-                b"{}",
-                make_headers(),
-                fresh=True,
-            )
+            call = await stack.open("/book/1")
             runners = stack.runners.values()
             await wait_until(lambda: any(r.runs for r in runners))
             call.close()
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -11,7 +11,8 @@
     Response,
     parse_address,
 )
-from lagoonpost.http.server import Limits, PeerGoneError, Responder, Server
+from lagoonpost.http.responder import Limits, PeerGoneError, Responder
+from lagoonpost.http.server import Server
 
 LOOPBACK = Address("127.0.0.1", 0)
 
--- a/test/test_migration.py
+++ b/test/test_migration.py
@@ -7,7 +7,6 @@
 import pytest
 from forwarding_stack import (
     Stack,
-    make_headers,
     make_prompt,
     play,
     wait_until,
@@ -218,14 +217,7 @@
 
         async def story(stack: Stack):
             slow_down(stack)
-            call = await stack.client.open(
-                stack.entries[0],
-                "POST",
-                "/reply/1",
-                b"{}",
-                make_headers(headers=make_prompt()),
-                fresh=True,
-            )
+            call = await stack.open("/reply/1", make_prompt())
             await call.receive_head()
             runner = await find_busy(stack)
             runner.move_fault = "stop_unanswered"
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -14,7 +14,8 @@
 from lagoonpost.cli.ticket import ticket
 from lagoonpost.gateway.tickets import TicketHandlers
 from lagoonpost.http.message import Address, Request
-from lagoonpost.http.server import Responder, Server
+from lagoonpost.http.responder import Responder
+from lagoonpost.http.server import Server
 from lagoonpost.store.ticket import Intake, Patience
 from lagoonpost.store.watch import Watch
 
