Rank a session's homes once a request, and copy only within a version

The home and the holder of a prompt's shared parts came from two passes over all runners; now one order gives both. A holder of another version of the service is passed over: its weights differ.

Test: test_memory_of_another_version_is_not_copied.

--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -240,7 +240,9 @@
         """
         if not endpoints:
             return None
-        home = find_home(endpoints, wanted.parts)
+        order = rank_homes((*endpoints, *leaving), wanted.parts)
+        usable = {each.id for each in endpoints}
+        home = next((each.id for each in order if each.id in usable), "")
         choices = [
             self._predict(each, wanted, home, now) for each in endpoints
         ]
@@ -253,13 +255,11 @@
                 rng.random(),
             ),
         )
-        others = [
-            each
-            for each in (*endpoints, *leaving)
-            if each.id != best.endpoint.id
-            and not self.state(each.id).is_suspect(now)
+        reachable = [
+            each for each in order if not self.state(each.id).is_suspect(now)
         ]
-        return best._replace(holder=find_holder(others, wanted))
+        holder = find_holder(reachable, best.endpoint, wanted)
+        return best._replace(holder=holder)
 
     def _predict(
         self, endpoint: Endpoint, wanted: Wanted, home: str, now: float
@@ -343,33 +343,48 @@
 """Exponent with which one answer moves the service's mean pace."""
 
 
-def find_home(endpoints: Sequence[Endpoint], parts: Sequence[Part]) -> str:
-    """Return the id of the runner that a session's prompts prefer.
+def rank_homes(
+    endpoints: Sequence[Endpoint], parts: Sequence[Part]
+) -> list[Endpoint]:
+    """Return the runners in the order in which a session prefers them.
 
     Rendezvous hashing: all who know the same runners choose alike, and a
     runner that comes or goes moves only its own sessions.
+
+    Returns:
+        The home first; nothing if the prompt shares no part.
     """
     if len(parts) < 2:
-        return ""
+        return []
     key = parts[-2].id
-    return max(endpoints, key=lambda each: _hash(key, each.id)).id
+    return sorted(endpoints, key=lambda each: -_hash(key, each.id))
 
 
-def find_holder(others: Sequence[Endpoint], wanted: Wanted) -> Endpoint | None:
+def find_holder(
+    order: Sequence[Endpoint], target: Endpoint, wanted: Wanted
+) -> Endpoint | None:
     """Return the runner from which a prompt's shared parts may be copied.
 
-    The home before a runner came or went is the next one in the order of
-    the hashes, so all who know the same runners find it without being told.
+    The home before a runner came or went is the next one in the session's
+    order, so all who know the same runners find it without being told.
 
     Args:
-        others: Runners besides the one that gets the request.
+        order: Runners in the session's order, also those that leave.
+        target: The runner that gets the request; memory serves only runners
+            of the same version.
         wanted: The request.
     """
     shared = sum(part.tokens for part in wanted.parts[:-1])
-    if not others or not wanted.engine or shared < LEAST_COPIED:
+    if not wanted.engine or shared < LEAST_COPIED:
         return None
-    home = find_home(others, wanted.parts)
-    return next(each for each in others if each.id == home)
+    return next(
+        (
+            each
+            for each in order
+            if each.id != target.id and each.version == target.version
+        ),
+        None,
+    )
 
 
 def _hash(key: str, runner: str) -> int:
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -10,7 +10,7 @@
     Placement,
     Wanted,
     find_holder,
-    find_home,
+    rank_homes,
 )
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.forwarded import Part
@@ -222,6 +222,11 @@
         assert "gone" not in placement.states
 
 
+def find_home(runners, parts) -> str:
+    order = rank_homes(runners, parts)
+    return order[0].id if order else ""
+
+
 class TestFindHome:
     def test_a_runner_that_goes_moves_only_its_own_sessions(self):
         runners = make_runners(5)
@@ -245,12 +250,10 @@
         runners = make_runners(4)
         for number in range(50):
             draft = make_draft(f"s{number}")
-            before = find_home(runners[:3], draft.parts)
-            after = find_home(runners, draft.parts)
-            others = [each for each in runners if each.id != after]
-            holder = find_holder(others, draft)
-            assert holder is not None
-            assert after == before or holder.id == before
+            before = rank_homes(runners[:3], draft.parts)[0]
+            order = rank_homes(runners, draft.parts)
+            holder = find_holder(order, order[0], draft)
+            assert before in (order[0], holder)
 
     def test_a_leaving_home_gives_what_it_holds(self):
         runners = make_runners(4)
@@ -275,4 +278,12 @@
 
     def test_little_is_read_and_not_copied(self):
         small = make_draft("s1")._replace(parts=(Part("a", 300), Part("b", 9)))
-        assert find_holder(make_runners(2), small) is None
+        runners = make_runners(2)
+        assert find_holder(runners, runners[0], small) is None
+
+    def test_memory_of_another_version_is_not_copied(self):
+        target, other = make_runners(2)
+        new = other._replace(version="v2")
+        draft = make_draft("s1")
+        assert find_holder([target, other], target, draft) == other
+        assert find_holder([target, new], target, draft) is None
