--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -21,6 +21,8 @@
 
 DEFAULT_SECONDS = 60.0
 """Longest wait for a request that names no deadline on any side."""
+LEAST_URGENT = 9
+"""The lowest rank that runners know."""
 RETURN_SECONDS = 0.4
 """When to come back after runners were full: a few of their answers later."""
 
@@ -111,6 +113,13 @@
             return self.workspace.priority
         return self.route.priority if self.route else 0
 
+    @property
+    def urgency(self) -> int | None:
+        """Rank that a model runner gives to it; None at plain services."""
+        if not self.wanted.engine:
+            return None
+        return min(LEAST_URGENT, self.priority)
+
     @property
     def surely_not_run(self) -> bool:
         """Whether no runner can have begun it.
--- a/lagoonpost/forwarding/front.py
+++ b/lagoonpost/forwarding/front.py
@@ -54,8 +54,6 @@
 WAITED_SHARE = 0.5
 """Most of the time left that one silent runner gets: callers of checks wait
 for a second in all, and another runner needs some of it."""
-LATE_URGENCY = 8
-"""Rank of a request that will be late; 9 is the lowest there is."""
 
 
 class Front:
@@ -280,24 +278,11 @@
             left=exchange.deadline - exchange.now(),
             workspace=workspace.name if workspace else "",
             last_event=exchange.last_event,
-            urgency=self._find_urgency(exchange, choice),
+            urgency=exchange.urgency,
             saved=saved,
             holder=choice.holder.address if choice.holder else None,
         )
 
-    def _find_urgency(self, exchange: Exchange, choice: Choice) -> int | None:
-        """Return the rank that a model runner gives to the request.
-
-        One that can't be in time any more goes behind those that still
-        can: it is answered late either way, and they need not be.
-        """
-        if not exchange.wanted.engine:
-            return None
-        due = exchange.started + exchange.target
-        if exchange.now() + choice.seconds > due:
-            return LATE_URGENCY
-        return min(LATE_URGENCY - 1, exchange.priority)
-
     def _find_patience(
         self, exchange: Exchange, choice: Choice
     ) -> float | None:
