Keep the streams of a runner that came back under its id

One that crashed is back after some seconds, mostly under a new id but not always; each stream that began there then was copied away at once.

Test red first: test_a_runner_that_came_back_keeps_its_streams.

--- a/lagoonpost/forwarding/migration.py
+++ b/lagoonpost/forwarding/migration.py
@@ -92,7 +92,7 @@
         run = Run(exchange, choice, close)
         runner = choice.endpoint.id
         self._runs.setdefault(runner, set()).add(run)
-        if runner in self._gone:
+        if runner in self._gone and not self._has_come_back(runner):
             self._schedule(run)
         return run
 
@@ -120,6 +120,18 @@
             self._freeing.add(task)
             task.add_done_callback(self._freeing.discard)
 
+    def _has_come_back(self, runner: str) -> bool:
+        """Tell whether a runner that went serves again under its id.
+
+        One that crashed is back after some seconds; its new streams would
+        be moved away as soon as they begin.
+        """
+        entry = self._belief.entries.get(runner)
+        if entry is None or entry.endpoint is None or entry.endpoint.leaving:
+            return False
+        del self._gone[runner]
+        return True
+
     def _note_leaving(self, runner: str, seconds: float | None) -> None:
         now = asyncio.get_running_loop().time()
         left = self._find_drain() if seconds is None else seconds
--- a/test/test_migration.py
+++ b/test/test_migration.py
@@ -147,6 +147,26 @@
         assert answer.status == 200
         assert seen == 1
 
+    def test_a_runner_that_came_back_keeps_its_streams(self):
+        """A runner crashes: its entry goes, and comes back under its id.
+
+        The streams that it got then were moved away as they began, as it
+        was still held to be about to go.
+        """
+
+        async def story(stack: Stack):
+            slow_down(stack)
+            belief = stack.gateways[0].belief
+            await stack.store.delete("servers", "chat-1")
+            await wait_until(lambda: not belief.is_known("chat-1"))
+            await stack.register("chat-1", born=2000)
+            await wait_until(lambda: belief.is_known("chat-1"))
+            # Whatever is moved is lost at the other one.
+            stack.runners["chat-2"].fault = "full"
+            return await stack.call("/reply/1", "POST", headers=make_prompt())
+
+        assert play(story).body == make_stream("/reply/1")
+
 
 class TestFailedMoves:
     @pytest.mark.parametrize("fault", ["no_run", "busy", "no_room"])
