--- a/bench/cases.py
+++ b/bench/cases.py
@@ -10,13 +10,12 @@
 from typing import Any, NamedTuple
 
 from bench.baseline import BASELINES, Baseline
-from bench.player import (
-    BLOCK,
+from bench.player import BLOCK, Player
+from bench.workload import (
     PREFILL_SECONDS,
     TOKEN_SECONDS,
     Call,
     Outcome,
-    Player,
     Slowdown,
     capacity,
     draw_arrivals,
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -9,7 +9,7 @@
 from statistics import median
 from time import perf_counter
 
-from bench.player import make_declaration
+from bench.workload import make_declaration
 from lagoonpost.systems.event import (
     Arrived,
     Declared,
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -18,7 +18,8 @@
     play_heavy,
     whole_p95,
 )
-from bench.player import Player, draw_arrivals, make_declaration
+from bench.player import Player
+from bench.workload import draw_arrivals, make_declaration
 
 SEEDS = (3, 4, 5)
 FIRST_COME = {"decider": BASELINES["first_come"], "tables": Baseline}
--- a/test/test_backoff.py
+++ b/test/test_backoff.py
@@ -5,13 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bench.player import (
-    Call,
-    Player,
-    capacity,
-    draw_arrivals,
-    make_declaration,
-)
+from bench.player import Player
+from bench.workload import Call, capacity, draw_arrivals, make_declaration
 from lagoonpost.systems.backoff import (
     BURST,
     EARN,
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -6,12 +6,8 @@
 
 from bench.baseline import BASELINES, Baseline
 from bench.cases import SHORT_CHECK, good_part, play_mixed
-from bench.player import (
-    Player,
-    capacity,
-    draw_arrivals,
-    make_declaration,
-)
+from bench.player import Player
+from bench.workload import capacity, draw_arrivals, make_declaration
 
 
 class TestLongAmongShort:
--- a/test/test_ejection.py
+++ b/test/test_ejection.py
@@ -18,7 +18,8 @@
     slow_share,
     slow_when_busy,
 )
-from bench.player import Player, draw_arrivals, make_declaration
+from bench.player import Player
+from bench.workload import draw_arrivals, make_declaration
 from lagoonpost.systems.ejection import (
     PACE_SECONDS,
     compare_pace,
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -6,7 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bench.player import Call, Player, draw_arrivals, make_declaration
+from bench.player import Player
+from bench.workload import Call, draw_arrivals, make_declaration
 from lagoonpost.systems.event import (
     Declared,
     Dispatch,
--- a/test/test_subset.py
+++ b/test/test_subset.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bench.player import make_declaration
+from bench.workload import make_declaration
 from lagoonpost.systems.subset import LEAST, MOST, choose_subset, subset_size
 
 
--- a/test/test_systems_gateway.py
+++ b/test/test_systems_gateway.py
@@ -5,7 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bench.player import Call, Player, make_declaration
+from bench.player import Player
+from bench.workload import Call, make_declaration
 from lagoonpost.systems.event import Dispatch, Refuse
 
 calls = st.lists(
