Explain why a stream did, or did not, leave its runner

explain showed a moved stream's step by its bare word and said nothing of a move that failed, so that a draft broken off at a reclaim could not be told from one whose runner crashed.

--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -39,6 +39,7 @@
     "broken": "ended the connection before a whole answer",
     "silent": "said nothing for so long that it was taken to be lost",
     "unreachable": "could not be connected to",
+    "moved": "stopped the run, which went on at another runner",
 }
 _STEPS = {
     "timeout": "the time for it was over",
@@ -57,6 +58,7 @@
 REQUEST = "lagoonpost:forwarding:request"
 RUNNER = "lagoonpost:belief:runner"
 ORDER = "lagoonpost:duties:order"
+MOVED = "lagoonpost:forwarding:moved"
 
 
 class Line(NamedTuple):
@@ -141,13 +143,25 @@
         age = began - each.at
         if not -float(line.fields["took"]) <= age <= BEFORE_SECONDS:
             continue
-        text = _tell_change(each, runners, line.source)
+        text = _tell_move(each, line) or _tell_change(
+            each, runners, line.source
+        )
         if text:
             when = f"{age:.1f} s before" if age > 0 else f"{-age:.1f} s after"
             told.append(f"  {when} its arrival: {text}")
     return told
 
 
+def _tell_move(each: Line, line: Line) -> str:
+    fields = each.fields
+    if each.kind != MOVED or fields["request"] != line.fields["request"]:
+        return ""
+    return (
+        f"it was to leave its runner: {fields['outcome']}, "
+        f"{fields['left']} s before that went"
+    )
+
+
 def _tell_change(each: Line, runners: set[str], source: str) -> str:
     fields = each.fields
     if each.kind == ORDER and fields["outcome"] != "done":
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -86,6 +86,39 @@
         assert "began a stream" in told or "ended the connection" in told
         assert "broken_off" in told
 
+    @pytest.mark.parametrize(
+        ("fault", "cause"),
+        [
+            ("none", "it stopped the run, which went on at another runner"),
+            ("no_room", "it was to leave its runner: noroom"),
+            ("stop_unanswered", "it was to leave its runner: unanswered"),
+        ],
+    )
+    def test_a_stream_that_was_to_leave_its_runner(self, log, fault, cause):
+        """A runner goes in the middle of a draft, with or without it.
+
+        Whoever is asked why the draft broke off, or paused, finds whether
+        it was moved and why not.
+        """
+
+        async def story(stack: Stack):
+            for runner in stack.runners.values():
+                runner.pause, runner.events = 0.05, 60
+                runner.move_fault = fault
+            asked = asyncio.create_task(
+                ask(stack, "/reply/1", headers=make_prompt())
+            )
+            runners = stack.runners.values()
+            await wait_until(lambda: any(r.runs for r in runners))
+            busy = next(r for r in runners if r.runs)
+            await stack.register(busy.id, state="draining", leaves_ms=500)
+            await asyncio.sleep(1.0)
+            await busy.close()
+            await asked
+
+        play(story)
+        assert cause in explain(log)
+
     def test_a_runner_that_could_not_be_reached(self, log):
         async def story(stack: Stack):
             await stack.runners["desk-1"].close()
