Claim ports among all systems of the host

Six stories run side by side, each draws its ports at random and looks whether they are free, so two may draw the same one before either listens. Ruled out: outgoing connections (the ports lie below their range) and one process drawing twice.

Change: a drawn port is claimed by a lock that the operating system drops when the process ends.

Test: test_port; with the claim left out a port that another system holds would be returned.

--- a/bench/system.py
+++ b/bench/system.py
@@ -1,5 +1,6 @@
 """A whole system of separate processes on loopback, for demo and stories."""
 
+import fcntl
 import json
 import os
 import random
@@ -24,6 +25,24 @@
 START_SECONDS = 30.0
 PORTS = (15000, 32000)
 _given: set[int] = set()
+_claims: list[IO[str]] = []
+
+
+def _claim(port: int) -> bool:
+    """Claim a port among all systems of this host, until the process ends.
+
+    Two systems that start side by side may draw the same port: it is free
+    for both when they look, and the one that listens later does not start.
+    """
+    path = Path(tempfile.gettempdir()) / f"lagoonpost-port-{port}"
+    file = path.open("w")
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        file.close()
+        return False
+    _claims.append(file)
+    return True
 
 
 def find_port() -> int:
@@ -34,7 +53,7 @@
     """
     while True:
         port = random.SystemRandom().randrange(*PORTS)
-        if port in _given:
+        if port in _given or not _claim(port):
             continue
         _given.add(port)
         with socket.socket() as probe, suppress(OSError):
