Log how old a table's news was, and which deletions are held back

An on-call engineer could see that a gateway regained the store, but not how long it had gone without an answer nor whether the answer came at once to a new call, and not that a deleted runner was held to serve, nor since when. So a late notice of the store's return could not be told from a feed that was behind, and a runner that got work after it had left could not be told from a silent connection.

Change: `store:lost` and `store:regained` carry the age of the last answer and the length of the call; `belief:lapsing` says that a deletion is held back, and how long after the return; a gauge has each table's age. No decision changes.

--- a/lagoonpost/cli/timeline.py
+++ b/lagoonpost/cli/timeline.py
@@ -21,8 +21,10 @@
     "lagoonpost:forwarding:broken": lambda f: f"failed: {f['detail']}",
     "lagoonpost:forwarding:thawed": lambda f: "had stood still",
     "lagoonpost:forwarding:reloaded": lambda f: "read its settings again",
-    "lagoonpost:store:lost": lambda f: "lost the store",
-    "lagoonpost:store:regained": lambda f: "regained the store",
+    "lagoonpost:store:lost": lambda f: f"lost the store ({f['table']})",
+    "lagoonpost:store:regained": lambda f: (
+        f"regained the store ({f['table']})"
+    ),
     "lagoonpost:store:history_lost": lambda f: "the store forgot its history",
     "lagoonpost:controller:lease": lambda f: (
         f"{f['holder']} {'holds' if f['held'] else 'lost'} the duties"
@@ -34,6 +36,9 @@
     "lagoonpost:belief:configuration": lambda f: (
         f"configuration {f['version']} in force"
     ),
+    "lagoonpost:belief:lapsing": lambda f: (
+        f"entry of runner {f['runner']} is gone; held, as it may have lapsed"
+    ),
     "lagoonpost:belief:runner": lambda f: f"runner {f['runner']} {f['state']}",
     "lagoonpost:peers:member": lambda f: f"{f['member']} is {f['state']}",
     "lagoonpost:shift:phase": lambda f: (
@@ -41,6 +46,8 @@
     ),
 }
 
+_RUNNER_KINDS = ("lagoonpost:belief:lapsing", "lagoonpost:belief:runner")
+
 
 class Event(NamedTuple):
     """One change, at whichever gateways it showed.
@@ -100,7 +107,7 @@
     """
     lines = [line for path in paths for line in read_log(path)]
     if not runners:
-        lines = [each for each in lines if "belief:runner" not in each.kind]
+        lines = [each for each in lines if each.kind not in _RUNNER_KINDS]
     events = find_events(lines)
     if not events:
         raise fail("no log names a change", ExitCode.NOT_FOUND)
--- a/lagoonpost/forwarding/belief.py
+++ b/lagoonpost/forwarding/belief.py
@@ -110,7 +110,7 @@
         held = self.entries.get(key)
         if held is not None and held.version >= version:
             return False
-        if raw is None and self._is_lapsing(key, held, version):
+        if raw is None and self._is_lapsing(key, held, version, source):
             return False
         self._lapsing.pop(key, None)
         endpoint = None
@@ -144,7 +144,9 @@
             )
         return changed
 
-    def _is_lapsing(self, key: str, held: Entry | None, version: int) -> bool:
+    def _is_lapsing(
+        self, key: str, held: Entry | None, version: int, source: str
+    ) -> bool:
         """Keep an entry that was deleted while the store was away.
 
         Runners can't renew their entries then, so that all of them lapse at
@@ -159,7 +161,15 @@
             return False
         if not self.was_store_away():
             return False
-        self._lapsing[key] = version
+        if self._lapsing.get(key) != version:
+            self._lapsing[key] = version
+            eliot.log_message(
+                message_type="lagoonpost:belief:lapsing",
+                runner=key,
+                version=version,
+                source=source,
+                since_return=round(self._clock() - self._store_back, 3),
+            )
         return True
 
     def note_store_back(self) -> None:
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -329,6 +329,8 @@
         metrics = self._metrics
         metrics.configuration.set(self.belief.version)
         metrics.store_lost.set(self._follower.lost)
+        for table, age in self._follower.list_ages():
+            metrics.store_age.labels(table).set(age)
         metrics.gateways.set(self._shared.count_gateways())
         held = self._duties is not None and self._duties.is_held()
         metrics.duties_held.set(held)
--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -62,8 +62,16 @@
         self._on_back = on_back
         self._version: int | None = None
         self._call: asyncio.Task[Answer] | None = None
+        self._asked_at = 0.0
+        self._answered_at: float | None = None
         self.lost = False
 
+    def find_age(self) -> float | None:
+        """Return the seconds since the store's last answer, if one came."""
+        if self._answered_at is None:
+            return None
+        return asyncio.get_running_loop().time() - self._answered_at
+
     def restart(self) -> None:
         """Give up the call under way and read the whole table."""
         self._version = None
@@ -112,6 +120,7 @@
         return self._read_once and not self.lost and not needed
 
     async def _ask_or_restart(self) -> Answer:
+        self._asked_at = asyncio.get_running_loop().time()
         call = self._call = asyncio.create_task(self._ask())
         try:
             await asyncio.wait({call})
@@ -135,15 +144,25 @@
                 message_type="lagoonpost:store:lost",
                 table=self._table,
                 detail=answer.detail,
+                age=_round(self.find_age()),
             )
 
     def _note_back(self) -> None:
+        now = asyncio.get_running_loop().time()
         if self.lost:
             self.lost = False
             eliot.log_message(
-                message_type="lagoonpost:store:regained", table=self._table
+                message_type="lagoonpost:store:regained",
+                table=self._table,
+                age=_round(self.find_age()),
+                call=_round(now - self._asked_at),
             )
             self._on_back()
+        self._answered_at = now
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
 
 
 class BeliefFollower:
@@ -194,6 +213,14 @@
         """Whether the store does not answer here."""
         return self.operator.lost or self.endpoints.lost
 
+    def list_ages(self) -> list[tuple[str, float]]:
+        """Return the seconds since the last answer, by table."""
+        ages = [
+            ("operator", self.operator.find_age()),
+            ("endpoints", self.endpoints.find_age()),
+        ]
+        return [(table, age) for table, age in ages if age is not None]
+
     def restart(self) -> None:
         """Read all tables anew, over new connections."""
         self.operator.restart()
--- a/lagoonpost/forwarding/metrics.py
+++ b/lagoonpost/forwarding/metrics.py
@@ -59,6 +59,12 @@
             "Whether the store does not answer here.",
             registry=registry,
         )
+        self.store_age = Gauge(
+            "lagoonpost_store_answer_age_seconds",
+            "Time since the store last answered for a table.",
+            ("table",),
+            registry=registry,
+        )
         self.duties_held = Gauge(
             "lagoonpost_duties_held",
             "Whether this gateway does the duties.",
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -45,6 +45,11 @@
     return CliRunner().invoke(main, arguments).output
 
 
+def find_line(log: Path, kind: str) -> dict[str, Any]:
+    lines = (json.loads(line) for line in log.read_text().splitlines())
+    return next(line for line in lines if line["message_type"] == kind)
+
+
 async def ask(stack: Stack, path: str, **more: Any) -> None:
     headers = (("attempt-id", ID), *more.pop("headers", ()))
     method = "GET" if path.startswith("/check") else "POST"
@@ -240,6 +245,26 @@
         assert "lost the store" in told
         assert told.index("started") < told.index("configuration 2")
 
+    def test_an_entry_held_after_an_outage(self, log):
+        async def story(stack: Stack):
+            daemon = stack.gateways[0]
+            stack.store.outage = "reset"
+            await stack.store.delete("servers", "none")
+            await wait_until(lambda: daemon._follower.endpoints.lost)
+            await stack.store.delete("servers", "desk-1")
+            stack.store.outage = "none"
+            await wait_until(lambda: not daemon.belief.is_known("desk-1"))
+            return {table for table, _ in daemon._follower.list_ages()}
+
+        assert play(story) == {"operator", "endpoints"}
+        result = CliRunner().invoke(main, ["timeline", "--logs", str(log)])
+        told = result.output
+        held = "entry of runner desk-1 is gone; held, as it may have lapsed"
+        assert told.index("regained the store (servers)") < told.index(held)
+        assert told.index(held) < told.index("runner desk-1 gone")
+        regained = find_line(log, "lagoonpost:store:regained")
+        assert regained["age"] >= regained["call"] >= 0
+
     def test_a_log_without_changes(self, log):
         result = CliRunner().invoke(main, ["timeline", "--logs", str(log)])
         assert result.exit_code == 7
