--- /dev/null
+++ b/test/test_follow.py
@@ -0,0 +1,127 @@
+"""Following the store's tables through outages, on played time."""
+
+import asyncio
+from typing import NamedTuple
+
+from hypothesis import example, given
+from hypothesis import strategies as st
+from played_loop import play_time
+from played_store import PlayedClient
+
+from lagoonpost.forwarding.belief import Belief
+from lagoonpost.forwarding.daemon import UPKEEP_SECONDS
+from lagoonpost.forwarding.follow import BeliefFollower
+from lagoonpost.forwarding.shared import GATHER_SECONDS
+from lagoonpost.http.message import Address
+from lagoonpost.platform.settings import Bounds
+from lagoonpost.platform.store import PlatformStore
+from lagoonpost_standins.deployment import make_configuration, make_entry
+from lagoonpost_standins.rows import RowStore
+
+BOUNDS = Bounds()
+STORE = Address("10.0.0.1", 80)
+STEP_SECONDS = 0.01
+LONGEST_SECONDS = 20.0
+RUNNER = "desk-1"
+OUTAGES = {
+    "before": st.floats(0.0, 6.0),
+    "length": st.floats(0.0, 12.0),
+}
+"""Seconds that the tables are followed before the store falls silent, which
+sets how far the calls under way have got, and for how long it is silent."""
+
+
+class Host(NamedTuple):
+    """One gateway's belief and its way to the store."""
+
+    rows: RowStore
+    client: PlayedClient
+    belief: Belief
+
+    async def pass_outage(self, before: float, length: float) -> None:
+        """Follow for a while, then go through a silence of the store."""
+        await asyncio.sleep(before)
+        self.client.begin_silence()
+        await asyncio.sleep(length)
+        self.client.end_silence()
+
+    def serves(self) -> bool:
+        """Tell whether the runner is believed to take requests."""
+        return bool(self.belief.find_runners("desk"))
+
+
+async def start_host(group: asyncio.TaskGroup) -> Host:
+    """Start to follow a store with a configuration and a runner."""
+    rows = RowStore()
+    await rows.put("op", "config", make_configuration(1))
+    entry = make_entry("desk", Address("10.0.0.2", 80), "domain-a")
+    await rows.put("servers", RUNNER, entry)
+    client = PlayedClient(rows)
+    belief = Belief(asyncio.get_running_loop().time)
+    follower = BeliefFollower(
+        PlatformStore(client, STORE),
+        belief,
+        lambda key: None,
+        lambda: None,
+        lambda: GATHER_SECONDS,
+        lambda row: None,
+    )
+    group.create_task(follower.run())
+    group.create_task(keep_up(belief))
+    return Host(rows, client, belief)
+
+
+async def keep_up(belief: Belief) -> None:
+    while True:
+        await asyncio.sleep(UPKEEP_SECONDS)
+        belief.drop_lapsed()
+
+
+async def count_seconds(condition) -> float:
+    """Return how long a condition takes to come."""
+    steps = 0
+    while not condition() and steps * STEP_SECONDS < LONGEST_SECONDS:
+        await asyncio.sleep(STEP_SECONDS)
+        steps += 1
+    return steps * STEP_SECONDS
+
+
+def play_host(story) -> float:
+    """Play a story of one host and return its result."""
+
+    async def run() -> float:
+        async with asyncio.TaskGroup() as group:
+            host = await start_host(group)
+            result = await story(host)
+            for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                task.cancel()
+        return result
+
+    return play_time(run())
+
+
+class TestReturn:
+    @given(**OUTAGES)
+    @example(before=0.4, length=9.2)
+    def test_a_configuration_written_at_the_return(self, before, length):
+        """Requests judged by what was replaced in an outage of the store."""
+
+        async def story(host: Host) -> float:
+            await host.pass_outage(before, length)
+            await host.rows.put("op", "config", make_configuration(2))
+            return await count_seconds(lambda: host.belief.version == 2)
+
+        assert play_host(story) < BOUNDS.contact_seconds
+
+    @given(**OUTAGES)
+    @example(before=0.4, length=9.2)
+    def test_a_runner_that_goes_after_the_return(self, before, length):
+        """Requests sent to a runner that left well after an outage."""
+
+        async def story(host: Host) -> float:
+            await host.pass_outage(before, length)
+            await asyncio.sleep(BOUNDS.contact_seconds)
+            await host.rows.delete("servers", RUNNER)
+            return await count_seconds(lambda: not host.serves())
+
+        assert play_host(story) < BOUNDS.drain_seconds
