Notice the store's return before this host counts as undisturbed

Callers saw requests judged by a configuration that had been replaced, and one sent to a runner that had left, some three seconds after an outage of the store.

Cause: a feed's call is held back by the store until there is news, and its timeout was also the only way to find out that its answer would never come. With a wait of 3 s, a second of slack and a pause, a call that was sent in the outage, or whose connection had gone silent, kept a table without news for up to 4.25 s; all gateways were in step, as the same change had woken them, so that no peer knew better. A late notice also moved on the 2.2 s for which deletions are held as lapsed, so that a runner that left 3 s after the return was held to serve.

Evidence: the record's nine gateways lost the operators' table at 29.13 s and regained it at 37.90 s, two tries of 4.25 s and 0.27 s, while the store answered a write of theirs at 34.24 s. Ruled out: news that peers did not pass on (no gateway had it), a feed that was behind (one answer gave all).

Change: the wait follows from the time after a disturbance in which bounds are waived, less slack and margin: 1.5 s of 3. While the store is lost it is asked without a wait, and a call that timed out has waited enough.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -118,6 +118,7 @@
             self._shared.publish_entry,
             self._shared.publish_configuration,
             self._shared.find_pause,
+            lambda: self._watch.settings.bounds.contact_seconds,
             self._shifts.take_row,
         )
         self._server = Server(
--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -10,6 +10,7 @@
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
     ENDPOINT_TABLE,
+    FEED_SLACK_SECONDS,
     FeedRow,
     HistoryLost,
     Page,
@@ -18,10 +19,13 @@
 )
 from lagoonpost.store.store import Unavailable
 
-WAIT_SECONDS = 3.0
-"""How long a feed's call is held back. A connection that has gone silent for
-good is given up a second later; longer waits would save calls but leave the
-gateway without news for as long."""
+LONGEST_WAIT_SECONDS = 3.0
+"""Most time for which a feed's call is held back."""
+LEAST_WAIT_SECONDS = 0.2
+"""The same at least, as each call has its price."""
+MARGIN_SECONDS = 0.5
+"""What is left of the time for missed news to come: a pause in which changes
+gather, the call that brings them, and timers that are late."""
 
 REST_SECONDS = 0.25
 """Pause between looks whether this gateway has to read for others again."""
@@ -30,6 +34,20 @@
 Answer = Page | HistoryLost | Unavailable
 
 
+def find_wait(contact: float) -> float:
+    """Return how long a feed's call may be held back.
+
+    A call whose answer is lost, with its connection or in an outage, tells
+    nothing until it is given up. What was missed has to be there when this
+    host counts as undisturbed again.
+
+    Args:
+        contact: Seconds after a disturbance in which bounds are waived.
+    """
+    wait = contact - FEED_SLACK_SECONDS - MARGIN_SECONDS
+    return min(LONGEST_WAIT_SECONDS, max(LEAST_WAIT_SECONDS, wait))
+
+
 class TableFollower:
     """Follows one table.
 
@@ -42,6 +60,8 @@
         find_pause: Returns the pause in which changes gather, or None if
             others read the table for this gateway; it is read once in any
             case.
+        find_contact: Returns the seconds after a disturbance in which
+            bounds are waived.
     """
 
     def __init__(
@@ -52,8 +72,10 @@
         on_all: Callable[[Page], None],
         on_back: Callable[[], None],
         find_pause: Callable[[], float | None],
+        find_contact: Callable[[], float],
     ) -> None:
         self._find_pause = find_pause
+        self._find_contact = find_contact
         self._read_once = False
         self._store = store
         self._table = table
@@ -90,7 +112,7 @@
             answer = await self._ask_or_restart()
             if isinstance(answer, Unavailable):
                 self._note_lost(answer)
-                await pause_after_failure()
+                await pause_after_failure(self._count_call())
                 continue
             self._note_back()
             self._read_once = True
@@ -133,9 +155,14 @@
     async def _ask(self) -> Answer:
         if self._version is None:
             return await self._store.read_table(self._table)
-        return await self._store.follow_table(
-            self._table, self._version, WAIT_SECONDS
-        )
+        # While the store is lost a held-back call would only hide its
+        # return: one that was sent in the outage is never answered.
+        wait = 0.0 if self.lost else find_wait(self._find_contact())
+        return await self._store.follow_table(self._table, self._version, wait)
+
+    def _count_call(self) -> float:
+        """Return the seconds since the last call began."""
+        return asyncio.get_running_loop().time() - self._asked_at
 
     def _note_lost(self, answer: Unavailable) -> None:
         if not self.lost:
@@ -148,17 +175,16 @@
             )
 
     def _note_back(self) -> None:
-        now = asyncio.get_running_loop().time()
         if self.lost:
             self.lost = False
             eliot.log_message(
                 message_type="lagoonpost:store:regained",
                 table=self._table,
                 age=_round(self.find_age()),
-                call=_round(now - self._asked_at),
+                call=_round(self._count_call()),
             )
             self._on_back()
-        self._answered_at = now
+        self._answered_at = asyncio.get_running_loop().time()
 
 
 def _round(seconds: float | None) -> float | None:
@@ -175,6 +201,8 @@
         publish_configuration: Told when a newer configuration is in force.
         find_pause: Returns the pause in which changes gather, or None if
             others read the store for this gateway.
+        find_contact: Returns the seconds after a disturbance in which
+            bounds are waived.
         on_order: Told each other row of the operators.
     """
 
@@ -185,6 +213,7 @@
         publish_entry: Callable[[str], None],
         publish_configuration: Callable[[], None],
         find_pause: Callable[[], float | None],
+        find_contact: Callable[[], float],
         on_order: OnChange,
     ) -> None:
         self._on_order = on_order
@@ -198,6 +227,7 @@
             lambda page: None,
             lambda: None,
             find_pause,
+            find_contact,
         )
         self.endpoints = TableFollower(
             store,
@@ -206,6 +236,7 @@
             self._take_all,
             belief.note_store_back,
             find_pause,
+            find_contact,
         )
 
     @property
--- a/lagoonpost/platform/store.py
+++ b/lagoonpost/platform/store.py
@@ -253,13 +253,17 @@
         return answer
 
 
-async def pause_after_failure() -> None:
-    """Wait before the store is called again."""
-    await asyncio.sleep(RETRY_SECONDS)
+async def pause_after_failure(spent: float) -> None:
+    """Wait before the store is called again.
+
+    Args:
+        spent: Seconds that the failed call took, which count as waited.
+    """
+    await asyncio.sleep(max(0.0, RETRY_SECONDS - spent))
 
 
 RETRY_SECONDS = 0.25
-"""Pause after a failed call: four calls a second from each gateway."""
+"""Least time between failing calls: four a second from each gateway."""
 
 
 def _place(key: str) -> dict[str, str]:
--- a/test/test_follow.py
+++ b/test/test_follow.py
@@ -10,11 +10,16 @@
 
 from lagoonpost.forwarding.belief import Belief
 from lagoonpost.forwarding.daemon import UPKEEP_SECONDS
-from lagoonpost.forwarding.follow import BeliefFollower
+from lagoonpost.forwarding.follow import (
+    LEAST_WAIT_SECONDS,
+    LONGEST_WAIT_SECONDS,
+    BeliefFollower,
+    find_wait,
+)
 from lagoonpost.forwarding.shared import GATHER_SECONDS
 from lagoonpost.http.message import Address
 from lagoonpost.platform.settings import Bounds
-from lagoonpost.platform.store import PlatformStore
+from lagoonpost.platform.store import FEED_SLACK_SECONDS, PlatformStore
 from lagoonpost_standins.deployment import make_configuration, make_entry
 from lagoonpost_standins.rows import RowStore
 
@@ -64,6 +69,7 @@
         lambda key: None,
         lambda: None,
         lambda: GATHER_SECONDS,
+        lambda: BOUNDS.contact_seconds,
         lambda row: None,
     )
     group.create_task(follower.run())
@@ -125,3 +131,14 @@
             return await count_seconds(lambda: not host.serves())
 
         assert play_host(story) < BOUNDS.drain_seconds
+
+
+class TestWait:
+    @given(contact=st.floats(2.0, 60.0))
+    def test_a_lost_answer_is_given_up_within_the_time_waived(self, contact):
+        assert find_wait(contact) + FEED_SLACK_SECONDS < contact
+
+    @given(contact=st.floats(0.0, 60.0))
+    def test_calls_are_neither_too_many_nor_too_long(self, contact):
+        wait = find_wait(contact)
+        assert LEAST_WAIT_SECONDS <= wait <= LONGEST_WAIT_SECONDS
