Take a deletion at once where only connections had gone silent

Callers could see a request sent to a runner for up to 4.0 s after its entry was deleted, if all connections to the store had gone silent at that moment and new ones worked: each gateway took its own call without an answer for an outage of the store, and held deletions as lapsed for 2.2 s from when it was over. As all gateways said so, no other one knew better.

Change: one call without an answer may be due to its connection, and a new one is asked at once; only if that gets no answer either is the store held to be lost. Entries can lapse in an outage that one call spans only if runners write more often than each 1.25 s, which is not covered.

Test: test_a_runner_that_goes_as_all_connections_fall_silent, red before at 4.01 s where 3.0 s are promised.

--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -46,6 +46,7 @@
     "no_budget": "the budget of repeats was used up: many failed at once",
 }
 _CONTEXT = {
+    "lagoonpost:store:unanswered": "a call to the store got no answer",
     "lagoonpost:store:lost": "the store no longer answered this gateway",
     "lagoonpost:store:regained": "the store answered this gateway again",
     "lagoonpost:store:history_lost": "the store had forgotten its history",
--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -48,6 +48,12 @@
     return min(LONGEST_WAIT_SECONDS, max(LEAST_WAIT_SECONDS, wait))
 
 
+_FAILURE_KINDS = {
+    1: "lagoonpost:store:unanswered",
+    2: "lagoonpost:store:lost",
+}
+
+
 class TableFollower:
     """Follows one table.
 
@@ -84,6 +90,7 @@
         self._on_back = on_back
         self._version: int | None = None
         self._call: asyncio.Task[Answer] | None = None
+        self._failures = 0
         self._asked_at = 0.0
         self._answered_at: float | None = None
         self.lost = False
@@ -111,7 +118,7 @@
                 continue
             answer = await self._ask_or_restart()
             if isinstance(answer, Unavailable):
-                self._note_lost(answer)
+                self._note_failure(answer)
                 await pause_after_failure(self._count_call())
                 continue
             self._note_back()
@@ -155,26 +162,35 @@
     async def _ask(self) -> Answer:
         if self._version is None:
             return await self._store.read_table(self._table)
-        # While the store is lost a held-back call would only hide its
-        # return: one that was sent in the outage is never answered.
-        wait = 0.0 if self.lost else find_wait(self._find_contact())
+        # After a failure a held-back call would only hide the store's
+        # return: one that was sent in an outage is never answered.
+        wait = 0.0 if self._failures else find_wait(self._find_contact())
         return await self._store.follow_table(self._table, self._version, wait)
 
     def _count_call(self) -> float:
         """Return the seconds since the last call began."""
         return asyncio.get_running_loop().time() - self._asked_at
 
-    def _note_lost(self, answer: Unavailable) -> None:
-        if not self.lost:
-            self.lost = True
-            eliot.log_message(
-                message_type="lagoonpost:store:lost",
-                table=self._table,
-                detail=answer.detail,
-                age=_round(self.find_age()),
-            )
+    def _note_failure(self, answer: Unavailable) -> None:
+        """Count a call without an answer; the second in a row is a loss.
+
+        One may be due to its connection alone. Entries that are gone after
+        it have not lapsed: runners reached the store all the while.
+        """
+        self._failures += 1
+        kind = _FAILURE_KINDS.get(self._failures)
+        if kind is None:
+            return
+        self.lost = self._failures > 1
+        eliot.log_message(
+            message_type=kind,
+            table=self._table,
+            detail=answer.detail,
+            age=_round(self.find_age()),
+        )
 
     def _note_back(self) -> None:
+        self._failures = 0
         if self.lost:
             self.lost = False
             eliot.log_message(
--- a/test/test_follow.py
+++ b/test/test_follow.py
@@ -132,6 +132,17 @@
 
         assert play_host(story) < BOUNDS.drain_seconds
 
+    @given(before=OUTAGES["before"])
+    def test_a_runner_that_goes_as_all_connections_fall_silent(self, before):
+        """Requests sent to a runner whose deletion was taken for a lapse."""
+
+        async def story(host: Host) -> float:
+            await host.pass_outage(before, 0.0)
+            await host.rows.delete("servers", RUNNER)
+            return await count_seconds(lambda: not host.serves())
+
+        assert play_host(story) < BOUNDS.contact_seconds
+
 
 class TestWait:
     @given(contact=st.floats(2.0, 60.0))
