Drop all connections kept to an address after a call without an answer

Connections can go silent all at once while new ones work. Of the calls to the users' store each success allowed kept connections again, also those that had gone silent, so that a further call, such as one for a table's news, could wait in vain: with four kept, four calls in a row failed. The table service's client opened new ones for five seconds instead.

Change: the HTTP client itself forgets what it kept to an address once a call there fails, and both stores' own ways go.

--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -195,8 +195,12 @@
                     await stream.receive_head()
                     return await stream.read()
         except TimeoutError as error:
+            self._drop_idle(address)
             detail = f"no answer within {timeout:g} s"
             raise CallFailedError(detail, sent=sent) from error
+        except CallFailedError:
+            self._drop_idle(address)
+            raise
 
     async def open(
         self,
@@ -240,10 +244,17 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        for idle in self._idle.values():
-            for entry in idle:
-                entry.socket.writer.close()
-        self._idle.clear()
+        for address in list(self._idle):
+            self._drop_idle(address)
+
+    def _drop_idle(self, address: Address) -> None:
+        """Close the idle connections to an address.
+
+        Connections can go silent all at once while new ones work. After a
+        call without an answer, each one kept would cost one more timeout.
+        """
+        for entry in self._idle.pop(address, []):
+            entry.socket.writer.close()
 
     def _take(self, address: Address) -> _Socket | None:
         idle = self._idle.get(address, [])
--- a/lagoonpost/platform/store.py
+++ b/lagoonpost/platform/store.py
@@ -80,7 +80,6 @@
     def __init__(self, client: Client, address: Address) -> None:
         self._client = client
         self._address = address
-        self._fresh = False
 
     # Rows of the product
 
@@ -234,23 +233,17 @@
         timeout: float = STORE_SECONDS,
     ) -> Response | Unavailable:
         try:
-            # After a call without an answer the old connections may have
-            # gone silent for good, while new ones work.
-            answer = await self._client.call(
+            return await self._client.call(
                 self._address,
                 method,
                 target,
                 body,
                 (("content-type", "application/json"),) if body else (),
                 timeout=timeout,
-                fresh=self._fresh,
             )
         except CallFailedError as error:
-            self._fresh = True
             applied = None if error.sent else False
             return Unavailable(str(error), applied=applied)
-        self._fresh = False
-        return answer
 
 
 async def pause_after_failure(spent: float) -> None:
--- a/lagoonpost/store/table.py
+++ b/lagoonpost/store/table.py
@@ -1,12 +1,11 @@
 """Store over the table service's HTTP interface."""
 
-import asyncio
 from collections.abc import Sequence
 from typing import Any, TypedDict
 
 import msgspec
 
-from lagoonpost.http.client import IDLE_SECONDS, CallFailedError, Client
+from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address, Response
 from lagoonpost.store.store import (
     Committed,
@@ -52,7 +51,6 @@
         self._client = client
         self._address = address
         self._timeout = timeout
-        self._fresh_until = 0.0
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
@@ -100,7 +98,6 @@
         self, operation: str, order: object
     ) -> Response | Unavailable:
         body = msgspec.json.encode(order)
-        loop = asyncio.get_running_loop()
         try:
             return await self._client.call(
                 self._address,
@@ -109,13 +106,8 @@
                 body,
                 (("content-type", "application/json"),),
                 timeout=self._timeout,
-                fresh=loop.time() < self._fresh_until,
             )
         except CallFailedError as error:
-            # Open connections can go silent all at once while new ones
-            # work. Without this, each one left in the pool would cost one
-            # more timeout; idle ones are gone after IDLE_SECONDS.
-            self._fresh_until = loop.time() + IDLE_SECONDS
             # A reply lost after a write took effect looks the same as a
             # request lost before it. Only a call that was never sent is
             # reported as without effect; callers settle all others by
--- a/test/played_store.py
+++ b/test/played_store.py
@@ -41,7 +41,6 @@
         headers: Headers = (),
         *,
         timeout: float,
-        fresh: bool = False,
     ) -> Response:
         """Call as the client does."""
         self.calls += 1
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -1,10 +1,11 @@
 """Tests of lagoonpost.http."""
 
 import asyncio
+from contextlib import suppress
 
 import pytest
 
-from lagoonpost.http.client import Client
+from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import (
     Address,
     Request,
@@ -15,6 +16,7 @@
 from lagoonpost.http.server import Server
 
 LOOPBACK = Address("127.0.0.1", 0)
+EMPTY_ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 
 
 async def _echo(request: Request, responder: Responder) -> None:
@@ -56,6 +58,49 @@
         assert b'"not_run"' in answer.body
 
 
+class TestKeptConnections:
+    def test_all_fall_silent_at_once(self) -> None:
+        """One call after the other waits in vain on connections kept."""
+        kept = 4
+        silent: set[int] = set()
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            port = writer.get_extra_info("peername")[1]
+            ports.add(port)
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                while await reader.readuntil(b"\r\n\r\n"):
+                    if port not in silent:
+                        await asyncio.sleep(0.01)
+                        writer.write(EMPTY_ANSWER)
+
+        async def play() -> int:
+            server = await asyncio.start_server(answer, *LOOPBACK)
+            address = Address(*server.sockets[0].getsockname()[:2])
+            client = Client()
+
+            async def call() -> int:
+                try:
+                    await client.call(address, "GET", "/", timeout=0.3)
+                except CallFailedError:
+                    return 1
+                return 0
+
+            failed = sum(await asyncio.gather(*(call() for _ in range(kept))))
+            silent.update(ports)
+            assert (failed, len(silent)) == (0, kept)
+            failed = 0
+            for _ in range(2 * kept):
+                failed += await call()
+            client.close()
+            server.close()
+            return failed
+
+        ports: set[int] = set()
+        assert asyncio.run(play()) == 1
+
+
 class TestSlowCallers:
     def test_a_caller_that_never_reads_holds_bounded_memory(self) -> None:
         """A caller asks for a long answer and never reads a byte of it.
