Count the pause for gathering changes into the wait of a feed's call

Where many gateways have a few that read the store, changes gather for 0.6 s between two calls. A connection that goes silent in that pause is noticed 0.6 s later: 0.6 + 1.5 + 1.0 = 3.1 s where bounds are waived for 3.0 s.

Change: the wait is shorter by the pause. Test: a lost answer is given up within the time waived, for both pauses; with the former wait, 3.1 s of 3.0.

--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -24,8 +24,8 @@
 LEAST_WAIT_SECONDS = 0.2
 """The same at least, as each call has its price."""
 MARGIN_SECONDS = 0.5
-"""What is left of the time for missed news to come: a pause in which changes
-gather, the call that brings them, and timers that are late."""
+"""What is left of the time for missed news to come: the call that brings it,
+its way to the gateways that do not read the store, and late timers."""
 
 REST_SECONDS = 0.25
 """Pause between looks whether this gateway has to read for others again."""
@@ -34,7 +34,7 @@
 Answer = Page | HistoryLost | Unavailable
 
 
-def find_wait(contact: float) -> float:
+def find_wait(contact: float, pause: float) -> float:
     """Return how long a feed's call may be held back.
 
     A call whose answer is lost, with its connection or in an outage, tells
@@ -43,8 +43,9 @@
 
     Args:
         contact: Seconds after a disturbance in which bounds are waived.
+        pause: Seconds before the call in which changes gather.
     """
-    wait = contact - FEED_SLACK_SECONDS - MARGIN_SECONDS
+    wait = contact - pause - FEED_SLACK_SECONDS - MARGIN_SECONDS
     return min(LONGEST_WAIT_SECONDS, max(LEAST_WAIT_SECONDS, wait))
 
 
@@ -164,7 +165,9 @@
             return await self._store.read_table(self._table)
         # After a failure a held-back call would only hide the store's
         # return: one that was sent in an outage is never answered.
-        wait = 0.0 if self._failures else find_wait(self._find_contact())
+        wait = 0.0
+        if not self._failures:
+            wait = find_wait(self._find_contact(), self._find_pause() or 0.0)
         return await self._store.follow_table(self._table, self._version, wait)
 
     def _count_call(self) -> float:
