Check in the soak that a configuration is in force in time

The soak's outages of the store lasted 3 s at most, less than a call that waits for news, and it only checked that configurations never go back. A probe that misses the newest version's route more than two seconds after its acknowledgement, at a gateway that nothing disturbed for three, is a finding now. Outages last up to 9 s, and half of them end with a new configuration.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
     check_attempts,
     check_calm,
     check_configuration,
+    check_in_force,
     check_leaving,
 )
 from soak.record import Finding
@@ -67,6 +68,7 @@
         findings = check_attempts(system, callers.attempts)
         findings += check_leaving(system)
         findings += check_configuration(callers)
+        findings += check_in_force(system, callers)
         findings += await check_calm(system, callers)
         if findings:
             _keep(system, seed, findings, keep)
--- a/soak/disturbance.py
+++ b/soak/disturbance.py
@@ -17,6 +17,9 @@
 """Time without disturbance at the start."""
 LONGEST_SECONDS = 3.0
 """Longest disturbance: longer than most time-outs of the gateways."""
+OUTAGE_FACTOR = 3.0
+"""How much longer than others outages of the store last: some of them are to
+hold several of the gateways' calls."""
 STOP_SECONDS = 12.0
 """Longest wait for a gateway that was told to stop: its grace and half."""
 _HARMS: tuple[Harm, ...] = (
@@ -154,9 +157,12 @@
 
 
 async def _outage(system: SoakSystem, step: Step, rng: Random) -> str:
+    """Let the store fail, and often change something as it returns."""
     system.store.outage = rng.choice(_OUTAGES)
-    await asyncio.sleep(step.seconds)
+    await asyncio.sleep(OUTAGE_FACTOR * step.seconds)
     system.store.outage = "none"
+    if rng.random() < 0.5:
+        await system.configure(system.version + 1)
     return "store"
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,11 +1,12 @@
 """What must hold, checked from what callers and back ends saw."""
 
+import math
 from collections.abc import Iterable
 
 from lagoonpost.http.client import Client
 from soak.callers import Callers, ask_for_route
-from soak.record import KINDS, ONCE, Attempt, Finding, Span
-from soak.system import DRAIN_SECONDS, SoakSystem
+from soak.record import KINDS, ONCE, Attempt, Finding, Probe, Span
+from soak.system import APPLY_SECONDS, DRAIN_SECONDS, SoakSystem
 
 NOT_RUN = frozenset((408, 421, 429, 503))
 """Statuses that promise that a request has not run."""
@@ -128,6 +129,31 @@
     return found
 
 
+def check_in_force(system: SoakSystem, callers: Callers) -> list[Finding]:
+    """Check that a newer configuration is in force once its time is over."""
+    return [
+        Finding("in force in time", f"{probe}")
+        for probe in callers.probes
+        if not probe.found and _is_overdue(system, probe)
+    ]
+
+
+def _is_overdue(system: SoakSystem, probe: Probe) -> bool:
+    """Tell whether a route that was not there ought to have been.
+
+    The next version drops it, so that one may not have been sent yet.
+    """
+    acknowledged = {each.version: each.at for each in system.changes}
+    at = acknowledged.get(probe.version)
+    following = acknowledged.get(probe.version + 1, math.inf)
+    if at is None or not at + APPLY_SECONDS < probe.at:
+        return False
+    if following <= probe.at + LATE_SECONDS:
+        return False
+    name = f"gateway-{probe.gateway + 1}"
+    return not _near(system.spans, NEWS_SPANS, probe.at, probe.at, name)
+
+
 async def check_calm(system: SoakSystem, callers: Callers) -> list[Finding]:
     """Check that all is served again everywhere, by the newest version."""
     found = []
--- a/soak/record.py
+++ b/soak/record.py
@@ -55,6 +55,13 @@
     found: bool
 
 
+class Change(NamedTuple):
+    """A configuration that was acknowledged at a time."""
+
+    version: int
+    at: float
+
+
 class Span(NamedTuple):
     """One disturbance.
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -24,7 +24,7 @@
 from lagoonpost_standins.orders import OrderDesk
 from lagoonpost_standins.rows import RowStore
 from soak.proxy import Proxy
-from soak.record import Drain, Span
+from soak.record import Change, Drain, Span
 
 EVENTS = 6
 """Events of a stream."""
@@ -32,6 +32,8 @@
 """Pause between events: a stream is long enough to be hit in its middle."""
 DRAIN_SECONDS = 2.0
 """Bound on new work for a runner that leaves."""
+APPLY_SECONDS = 2.0
+"""Bound on the time until a configuration is in force."""
 BEAT_SECONDS = 1.0
 """Pause between renewals of the runners' entries."""
 START_SECONDS = 40.0
@@ -91,6 +93,7 @@
         store_links: Each gateway's way to the store.
         runners: Places of runners.
         drains: Runners that left, with the time of the acknowledgement.
+        changes: Configurations, in their order.
         spans: Disturbances so far.
         version: Newest configuration.
     """
@@ -109,6 +112,7 @@
         self.entries: list[Address] = []
         self.settings: list[Path] = []
         self.drains: list[Drain] = []
+        self.changes: list[Change] = []
         self.spans: list[Span] = []
         self.version = 1
         self.folder = Path()
@@ -214,6 +218,7 @@
             "op", "config", make_configuration(version, routes=routes)
         )
         self.version = version
+        self.changes.append(Change(version, time.monotonic()))
 
     def recent_versions(self) -> tuple[int, ...]:
         """Return the newest version and the one before it."""
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -15,10 +15,11 @@
 from soak.promises import (
     check_attempts,
     check_configuration,
+    check_in_force,
     check_leaving,
 )
 from soak.proxy import Proxy
-from soak.record import Attempt, Drain, Probe, Span
+from soak.record import Attempt, Change, Drain, Probe, Span
 from soak.system import SoakSystem
 
 SMALL = Options(gateways=3, runners=2, callers=6, seconds=8.0, pause=0.7)
@@ -89,6 +90,21 @@
         callers.probes.append(Probe(0, 1, 4.0, 7, True))
         assert len(check_configuration(callers)) == 1
 
+    def test_a_configuration_that_comes_too_late(self, system):
+        callers = Callers(system, None)
+        system.changes = [Change(7, 10.0), Change(8, 30.0)]
+        callers.probes = [
+            Probe(0, 1, 11.9, 7, False),
+            Probe(0, 1, 12.1, 7, True),
+            Probe(0, 1, 29.5, 7, False),
+            Probe(0, 1, 33.0, 7, False),
+        ]
+        assert check_in_force(system, callers) == []
+        callers.probes.append(Probe(0, 1, 20.0, 7, False))
+        assert len(check_in_force(system, callers)) == 1
+        system.spans.append(Span("outage", "store", 9.0, 17.5))
+        assert check_in_force(system, callers) == []
+
 
 class TestPlan:
     def test_a_seed_always_gives_the_same_steps(self):
