Read the store where the readers' news has stopped

Where a few gateways read the store for the others, a configuration or a leaving runner reached nobody while all readers were cut off or stood still: they were held to be readers until they were suspect, or had noticed themselves that they had lost the store, which takes 2 to 4 s where news has to be known in 3.

Same class as the late notice of the store's return: silence is noticed later than the promise allows.

Change: each report says how long ago the store answered, each hub says the least of them to its domain, and a gateway for which that is older than the bound less what it needs to catch up reads for itself. So that this does not happen in quiet times, readers let calls be held back for 0.5 s only: six of them, two tables.

Tests: test_others_read_when_the_readers_fall_silent, red before (nothing came within its 20 s); the least age in quiet times stays below the bound at 90 and 320 gateways.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -14,7 +14,7 @@
 from lagoonpost.forwarding.directory import Directory
 from lagoonpost.forwarding.duties import Duties
 from lagoonpost.forwarding.exchange import Exchange
-from lagoonpost.forwarding.follow import BeliefFollower
+from lagoonpost.forwarding.follow import BeliefFollower, find_wait
 from lagoonpost.forwarding.front import Front
 from lagoonpost.forwarding.metrics import ForwardingMetrics
 from lagoonpost.forwarding.shared import Shared
@@ -30,6 +30,7 @@
 from lagoonpost.platform.settings import HostSettings
 from lagoonpost.platform.store import PlatformStore
 from lagoonpost.store.clock import read_clock
+from lagoonpost.systems.hub import READER_WAIT_SECONDS
 from lagoonpost.systems.poison import Break
 from lagoonpost.systems.route import RouteTable
 from lagoonpost.systems.shift import ExposureBounds
@@ -118,7 +119,7 @@
             self._shared.publish_entry,
             self._shared.publish_configuration,
             self._shared.find_pause,
-            lambda: self._watch.settings.bounds.contact_seconds,
+            self._find_feed_wait,
             self._shifts.take_row,
         )
         self._server = Server(
@@ -198,8 +199,16 @@
     def _apply_settings(self, settings: HostSettings) -> None:
         """Take over what may change; addresses and names stay."""
         self._front.set_bounds(settings.bounds)
+        self._shared.set_bounds(settings.bounds)
         self._shared.peers.add_seeds(settings.seeds)
 
+    def _find_feed_wait(self) -> float:
+        contact = self._watch.settings.bounds.contact_seconds
+        wait = find_wait(contact, self._shared.find_pause() or 0.0)
+        if self._shared.find_roles().mesh:
+            return wait
+        return min(wait, READER_WAIT_SECONDS)
+
     def _recover(self) -> None:
         self._client.close()
         self._follower.restart()
@@ -268,6 +277,7 @@
             pace=front.placement.paces_alone,
             version=self.belief.version,
             versions=self._shifts.report(),
+            read_age=self._follower.find_age(),
         )
 
     def hear_report(self, report: GatewayReport) -> None:
--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -67,8 +67,7 @@
         find_pause: Returns the pause in which changes gather, or None if
             others read the table for this gateway; it is read once in any
             case.
-        find_contact: Returns the seconds after a disturbance in which
-            bounds are waived.
+        find_wait: Returns the seconds for which a call may be held back.
     """
 
     def __init__(
@@ -79,10 +78,10 @@
         on_all: Callable[[Page], None],
         on_back: Callable[[], None],
         find_pause: Callable[[], float | None],
-        find_contact: Callable[[], float],
+        find_wait: Callable[[], float],
     ) -> None:
         self._find_pause = find_pause
-        self._find_contact = find_contact
+        self._find_wait = find_wait
         self._read_once = False
         self._store = store
         self._table = table
@@ -165,9 +164,7 @@
             return await self._store.read_table(self._table)
         # After a failure a held-back call would only hide the store's
         # return: one that was sent in an outage is never answered.
-        wait = 0.0
-        if not self._failures:
-            wait = find_wait(self._find_contact(), self._find_pause() or 0.0)
+        wait = 0.0 if self._failures else self._find_wait()
         return await self._store.follow_table(self._table, self._version, wait)
 
     def _count_call(self) -> float:
@@ -220,8 +217,7 @@
         publish_configuration: Told when a newer configuration is in force.
         find_pause: Returns the pause in which changes gather, or None if
             others read the store for this gateway.
-        find_contact: Returns the seconds after a disturbance in which
-            bounds are waived.
+        find_wait: Returns the seconds for which a call may be held back.
         on_order: Told each other row of the operators.
     """
 
@@ -232,7 +228,7 @@
         publish_entry: Callable[[str], None],
         publish_configuration: Callable[[], None],
         find_pause: Callable[[], float | None],
-        find_contact: Callable[[], float],
+        find_wait: Callable[[], float],
         on_order: OnChange,
     ) -> None:
         self._on_order = on_order
@@ -246,7 +242,7 @@
             lambda page: None,
             lambda: None,
             find_pause,
-            find_contact,
+            find_wait,
         )
         self.endpoints = TableFollower(
             store,
@@ -255,7 +251,7 @@
             self._take_all,
             belief.note_store_back,
             find_pause,
-            find_contact,
+            find_wait,
         )
 
     @property
@@ -263,6 +259,11 @@
         """Whether the store does not answer here."""
         return self.operator.lost or self.endpoints.lost
 
+    def find_age(self) -> float | None:
+        """Return the age of the older table's last answer, if both came."""
+        ages = self.operator.find_age(), self.endpoints.find_age()
+        return None if None in ages else max(age or 0.0 for age in ages)
+
     def list_ages(self) -> list[tuple[str, float]]:
         """Return the seconds since the last answer, by table."""
         ages = [
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -104,6 +104,7 @@
         self._clock = clock
         self.run_id = secrets.token_hex(4)
         self.held: dict[str, tuple[float, GatewayReport]] = {}
+        self._started = 0.0
         self._rank = 0
         self._summaries = 0
         self._sent: dict[int, _Sent] = {}
@@ -114,6 +115,7 @@
 
     async def start(self) -> None:
         """Listen for reports."""
+        self._started = self._now()
         await self._datagrams.start(self._address)
 
     def close(self) -> None:
@@ -192,6 +194,7 @@
             gateways=len(ranks),
             work=add_work(fresh),
             taken=self._party.list_taken(),
+            read_age=self._find_read_age(),
         )
         for each in mine:
             run, rank = ranks.get(each.name, ("", 0))
@@ -281,6 +284,24 @@
         known = 1 + len(find_unheard(everyone, {self._name}, now))
         return find_heard_part(heard, max(0, known - heard))
 
+    def _find_read_age(self) -> float | None:
+        """Return the least age of the store's answers, of all reports."""
+        now = self._now()
+        ages = [
+            now - at + report.read_age
+            for at, report in self.held.values()
+            if report.read_age is not None
+        ]
+        return min(ages, default=None)
+
+    def read_age(self) -> float:
+        """Return how long ago the store answered a reader, as far as heard."""
+        now = self._now()
+        if self._summary is None or self._summary[1].read_age is None:
+            return now - self._started
+        at, summary = self._summary
+        return now - at + (summary.read_age or 0.0)
+
     def _has_fresh_summary(self) -> bool:
         if self._summary is None:
             return False
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -13,9 +13,9 @@
 from lagoonpost.http.message import Address
 from lagoonpost.peers.message import Document
 from lagoonpost.peers.node import Peers, PeerSettings, make_clock
-from lagoonpost.platform.settings import HostSettings
+from lagoonpost.platform.settings import Bounds, HostSettings
 from lagoonpost.store.store import Condition, Store, Unavailable, Write
-from lagoonpost.systems.hub import Roles, choose_roles
+from lagoonpost.systems.hub import Roles, choose_roles, is_news_stale
 from lagoonpost.systems.poison import Break
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.peer import Member
@@ -74,6 +74,7 @@
         rng: random.Random,
     ) -> None:
         self._settings = settings
+        self._bounds = settings.bounds
         self._belief = belief
         self._on_break = on_break
         self._on_shift = on_shift
@@ -109,6 +110,10 @@
             make_clock(),
         )
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Keep to other bounds from now on."""
+        self._bounds = bounds
+
     async def start(self) -> None:
         """Listen for peers."""
         await self.peers.start()
@@ -280,10 +285,19 @@
 
     def find_pause(self) -> float | None:
         """Return the pause between reads of the store; None to read none."""
-        if not self.is_reader():
+        if not self.is_reader() and not self._has_lost_readers():
             return None
         return GATHER_SECONDS if self.find_roles().mesh else TURN_SECONDS
 
+    def _has_lost_readers(self) -> bool:
+        """Tell whether nobody reads the store for this gateway.
+
+        Members that are cut off or frozen are held to be readers for some
+        seconds yet, in which a configuration has to come into force.
+        """
+        age = self.reports.read_age()
+        return is_news_stale(age, self._bounds.news_seconds)
+
     def was_store_away(self) -> bool:
         """Tell whether half of the gateways had lost the store lately.
 
--- a/lagoonpost/platform/settings.py
+++ b/lagoonpost/platform/settings.py
@@ -25,6 +25,7 @@
         usage_late: Seconds after its end until a report counts as missing.
         contact_seconds: Time after a disturbance in which bounds are waived.
         drain_seconds: Time in which a leaving runner's news must be known.
+        apply_seconds: Time in which a configuration must be in force.
         ttl_most: Most seconds for which callers keep a list of entries.
         exposure_share: Part of a service's requests that a version which
             turns out to be bad may have got.
@@ -43,10 +44,16 @@
     usage_late: float = 10.0
     contact_seconds: float = 3.0
     drain_seconds: float = 2.0
+    apply_seconds: float = 2.0
     ttl_most: float = 5.0
     exposure_share: float = 0.1
     exposure_slack: float = 50.0
 
+    @property
+    def news_seconds(self) -> float:
+        """Time in which any news of the store must be known."""
+        return min(self.apply_seconds, self.drain_seconds)
+
 
 class HostSettings(NamedTuple):
     """What a process is told about itself and what is around it.
@@ -168,5 +175,6 @@
         usage_late=seconds("usage_late_s", default.usage_late),
         contact_seconds=seconds("contact_ms", default.contact_seconds, 1000),
         drain_seconds=seconds("drain_ms", default.drain_seconds, 1000),
+        apply_seconds=seconds("config_apply_ms", default.apply_seconds, 1000),
         ttl_most=seconds("ttl_max_s", default.ttl_most),
     )
--- a/lagoonpost/systems/hub.py
+++ b/lagoonpost/systems/hub.py
@@ -11,6 +11,9 @@
 domain. A few gateways of each domain read the store and tell the others of
 what has changed. All choose from the same list of members, so nobody has to
 be asked, and who is lost or has lost the store is passed over.
+
+That a reader is lost shows only after seconds. Hubs say how old the readers'
+news is, and a gateway for which it is too old reads for itself meanwhile.
 """
 
 from collections.abc import Collection, Sequence
@@ -28,6 +31,13 @@
 away a third of the hosts leaves one of six with a chance of 0.998, and if it
 leaves none, they say so and others take over."""
 
+READER_WAIT_SECONDS = 0.5
+"""Longest time for which a reader lets the store hold a call back: its answer
+shows all others that it still reads."""
+TAKE_OVER_SECONDS = 0.8
+"""What a gateway that begins to read needs to be up to date: a look whether it
+has to, the whole tables, and on slow links a large configuration."""
+
 
 class Roles(NamedTuple):
     """Who does what for the others.
@@ -68,3 +78,13 @@
     hubs = firsts + others[: max(0, LEAST_HUBS - len(firsts))]
     readers = {name for names in domains.values() for name in names[:READERS]}
     return Roles(tuple(hubs), frozenset(readers | set(hubs)), False)
+
+
+def is_news_stale(age: float, bound: float) -> bool:
+    """Tell whether a gateway can no longer rely on the readers.
+
+    Args:
+        age: Seconds since the store last answered a reader, as far as heard.
+        bound: Seconds in which news of the store has to be known.
+    """
+    return age > bound - TAKE_OVER_SECONDS
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -39,6 +39,8 @@
         versions: Answers by service and route while a service moves to
             another version.
         rank: Number of this report; the highest one of a run holds.
+        read_age: Seconds since the store last answered it for each of the
+            tables; None if it never did.
     """
 
     name: str
@@ -53,6 +55,7 @@
     version: int
     versions: dict[str, dict[str, VersionCounts]]
     rank: int = 0
+    read_age: float | None = None
 
 
 Taken = dict[str, list[tuple[float, float]]]
@@ -71,6 +74,8 @@
         gateways: Gateways that the hub hears, itself included.
         work: Open work of all gateways by runner.
         taken: Units of quota that all let through within the window.
+        read_age: Seconds since the store last answered any of them; None if
+            it never did.
     """
 
     hub: str
@@ -80,6 +85,7 @@
     gateways: int
     work: dict[str, RunnerWork]
     taken: Taken
+    read_age: float | None = None
 
 
 class _Letter(NamedTuple):
--- a/test/test_follow.py
+++ b/test/test_follow.py
@@ -70,7 +70,7 @@
         lambda key: None,
         lambda: None,
         lambda: GATHER_SECONDS,
-        lambda: BOUNDS.contact_seconds,
+        lambda: find_wait(BOUNDS.contact_seconds, GATHER_SECONDS),
         lambda row: None,
     )
     group.create_task(follower.run())
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -667,11 +667,17 @@
     def find_readers(self, stack: Stack) -> list[ForwardingDaemon]:
         return [each for each in stack.gateways if each._shared.is_reader()]
 
+    async def wait_resting(self, stack: Stack) -> list[ForwardingDaemon]:
+        """Return the others once they no longer read the store."""
+        others = [d for d in stack.gateways if not d._shared.is_reader()]
+        tables = [d._follower.endpoints for d in others]
+        tables += [d._follower.operator for d in others]
+        await wait_until(lambda: all(t._version is None for t in tables))
+        return others
+
     def test_news_reaches_those_that_do_not_read(self):
         async def story(stack: Stack):
-            others = [d for d in stack.gateways if not d._shared.is_reader()]
-            rests = [d._follower.endpoints for d in others]
-            await wait_until(lambda: all(r._version is None for r in rests))
+            others = await self.wait_resting(stack)
             await stack.store.put("op", "config", make_configuration(7))
             await stack.register("desk-1", state="draining")
             for daemon in others:
@@ -704,6 +710,25 @@
 
         play(story, gateways=6)
 
+    def test_others_read_when_the_readers_fall_silent(self):
+        """All readers are cut off, and are held to run for some seconds.
+
+        A configuration that comes meanwhile would reach nobody.
+        """
+
+        async def story(stack: Stack):
+            others = await self.wait_resting(stack)
+            for daemon in self.find_readers(stack):
+                follows, tells = daemon._tasks[:2]
+                follows.cancel()
+                tells.cancel()
+            await stack.store.put("op", "config", make_configuration(7))
+            for daemon in others:
+                belief = daemon.belief
+                await wait_until(lambda b=belief: b.version == 7)
+
+        play(story, gateways=6)
+
     def test_changes_are_gathered(self):
         """Runners renew their entries many times a second in all.
 
--- a/test/test_hub.py
+++ b/test/test_hub.py
@@ -1,6 +1,17 @@
 """Who hears all gateways, and who reads the store for the others."""
 
-from lagoonpost.systems.hub import LEAST_HUBS, MESH, READERS, choose_roles
+import pytest
+
+from lagoonpost.forwarding.reports import HUB_REPORTS, REPORT_SECONDS
+from lagoonpost.forwarding.shared import TURN_SECONDS
+from lagoonpost.systems.hub import (
+    LEAST_HUBS,
+    MESH,
+    READER_WAIT_SECONDS,
+    READERS,
+    choose_roles,
+    is_news_stale,
+)
 from lagoonpost.tables.peer import Member, MemberState
 
 
@@ -75,3 +86,16 @@
         first = choose_roles(members, ()).hubs[0]
         roles = choose_roles(set_state(members, first, "suspect"), ())
         assert first not in roles.hubs
+
+
+class TestNews:
+    @pytest.mark.parametrize(("gateways", "bound"), [(90, 3.0), (320, 4.0)])
+    def test_readers_that_read_are_relied_on(self, gateways, bound):
+        """All gateways would read the store where nothing has happened."""
+        crowd = max(1.0, gateways / HUB_REPORTS / REPORT_SECONDS)
+        oldest = TURN_SECONDS + READER_WAIT_SECONDS + REPORT_SECONDS * crowd
+        assert not is_news_stale(oldest, bound)
+
+    def test_silent_readers_are_not(self):
+        """A configuration would not be in force in time."""
+        assert is_news_stale(2.3, 3.0)
