Do not end when told of new settings at the start

The log of the second start is empty. A platform that starts it again hides this, at the price of a start.

Change: the process ignores the signal from its first line on until the gateway handles it; the settings are read after that in any case. The soak now starts such a process again, as the platform does, if it was told within half a second of its start; one that ends later is found as before.

--- a/soak/disturbance.py
+++ b/soak/disturbance.py
@@ -22,6 +22,10 @@
 hold several of the gateways' calls."""
 STOP_SECONDS = 12.0
 """Longest wait for a gateway that was told to stop: its grace and half."""
+RESTART_SECONDS = 0.5
+"""Pause after which the platform starts a process again."""
+EARLY_SECONDS = 0.5
+"""Longest start of the interpreter, before the gateway's first line."""
 _HARMS: tuple[Harm, ...] = (
     "delay",
     "reset",
@@ -150,9 +154,26 @@
     path.write_text("\n".join(kept) + "\n")
     if rng.random() < 0.5:
         system.gateways[number].send(signal.SIGHUP)
+        await _start_after_early_signal(system, number)
     return system.gateways[number].name
 
 
+async def _start_after_early_signal(system: SoakSystem, number: int) -> None:
+    """Start a gateway again whose interpreter had not started yet.
+
+    Nothing of the gateway's can handle a signal by then. The platform starts
+    processes that end again; whichever ends later stays down and is found.
+    """
+    told = time.monotonic()
+    await asyncio.sleep(RESTART_SECONDS)
+    process = system.gateways[number]
+    early = told - system.started[number] < EARLY_SECONDS
+    if early and not process.is_running():
+        system.start_gateway(number)
+        now = time.monotonic()
+        system.spans.append(Span("kill", process.name, told, now))
+
+
 # The store
 
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -89,6 +89,7 @@
     Attributes:
         gateways: Processes by number.
         runs: How often each was started.
+        started: When each was started last.
         entries: Where callers connect.
         store_links: Each gateway's way to the store.
         runners: Places of runners.
@@ -109,6 +110,7 @@
         ]
         self.gateways: list[Process] = []
         self.runs: list[int] = []
+        self.started: list[float] = []
         self.entries: list[Address] = []
         self.settings: list[Path] = []
         self.drains: list[Drain] = []
@@ -177,15 +179,17 @@
         )
         peers.append(addresses.peer)
         log = self.folder / f"gateway-{number}.log"
-        arguments = ["lagoonpost.cli.serve", "--config", str(path)]
+        arguments = ["lagoonpost.serve", "--config", str(path)]
         self.gateways.append(Process(f"gateway-{number}", arguments, log))
         self.runs.append(0)
+        self.started.append(0.0)
         self.settings.append(path)
         self.entries.append(addresses.entry)
 
     def start_gateway(self, number: int) -> None:
         """Start a gateway's process, or start it again."""
         self.runs[number] += 1
+        self.started[number] = time.monotonic()
         self.gateways[number].start()
 
     async def _wait_serving(self) -> None:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -24,6 +24,7 @@
 
 SMALL = Options(gateways=3, runners=2, callers=6, seconds=8.0, pause=0.7)
 USUAL = Options(gateways=4, runners=3, callers=12, seconds=14.0, pause=0.8)
+LONG = Options(gateways=4, runners=3, callers=12, seconds=20.0, pause=2.5)
 GOOD = Attempt("a", "book", 0, 1, 10.0, 10.1, 200, True, "", 12.0)
 
 
@@ -155,6 +156,8 @@
             # A question that many ask was refused for a minute, as it was
             # under way at a runner that crashed.
             (4, USUAL),
+            # A gateway that was told of new settings as it started ended.
+            (110, LONG),
         ],
     )
     def test_all_promises_hold(self, seed, options, tmp_path):
