Keep to the exposure that the platform's settings allow

A version that turns out to be bad got the share of a tenth and 50 requests whatever the settings said: two bounds were declared and never read. Today's deployments have just these, so that nobody saw it; found while reading the settings for the bounds on news.

Test: red before with 0.1 and 50 where the file says 0.02 and 7.

--- a/lagoonpost/platform/settings.py
+++ b/lagoonpost/platform/settings.py
@@ -177,4 +177,6 @@
         drain_seconds=seconds("drain_ms", default.drain_seconds, 1000),
         apply_seconds=seconds("config_apply_ms", default.apply_seconds, 1000),
         ttl_most=seconds("ttl_max_s", default.ttl_most),
+        exposure_share=seconds("exposure_share", default.exposure_share),
+        exposure_slack=seconds("exposure_slack", default.exposure_slack),
     )
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -3,7 +3,10 @@
 from click.testing import CliRunner
 
 from lagoonpost.cli.main import main
+from lagoonpost.http.message import Address
+from lagoonpost.platform.settings import read_host_settings
 from lagoonpost.settings import GatewaySettings, read_settings
+from lagoonpost_standins.deployment import GatewayAddresses, make_settings
 
 GOOD = {
     "name": "gw-1",
@@ -44,6 +47,26 @@
         assert not any("short-secret" in str(fault) for fault in faults)
 
 
+class TestHostBounds:
+    def test_all_bounds_of_the_platforms_file_hold(self, tmp_path) -> None:
+        """A bad version gets the share that another deployment allows."""
+        wire = {
+            "exposure_share": 0.02,
+            "exposure_slack": 7,
+            "config_apply_ms": 4000,
+            "drain_ms": 3000,
+            "contact_ms": 5000,
+        }
+        here = Address("127.0.0.1", 1)
+        path = tmp_path / "boot.toml"
+        addresses = GatewayAddresses(here, here, here, here)
+        path.write_text(make_settings(1, addresses, here, here, bounds=wire))
+        bounds = read_host_settings(str(path)).bounds
+        assert (bounds.exposure_share, bounds.exposure_slack) == (0.02, 7.0)
+        assert (bounds.apply_seconds, bounds.drain_seconds) == (4.0, 3.0)
+        assert (bounds.news_seconds, bounds.contact_seconds) == (3.0, 5.0)
+
+
 class TestSettingsCommand:
     def test_shows_origins_and_hides_secrets(self) -> None:
         done = CliRunner().invoke(
