--- /dev/null
+++ b/test/test_news.py
@@ -0,0 +1,343 @@
+"""What gateways learn of the store and of each other, and how soon."""
+
+import asyncio
+
+import pytest
+from forwarding_stack import (
+    Stack,
+    make_configuration,
+    play,
+    wait_until,
+)
+
+from lagoonpost.forwarding.belief import Belief
+from lagoonpost.forwarding.daemon import ForwardingDaemon
+from lagoonpost.http.message import Address
+from lagoonpost.systems import hub
+
+
+class TestNews:
+    def test_a_leaving_runner_gets_no_new_requests(self):
+        async def story(stack: Stack):
+            await stack.register("desk-1", state="draining")
+            belief = stack.gateways[0].belief
+            await wait_until(lambda: len(belief.find_runners("desk")) == 1)
+            for _ in range(8):
+                await stack.call("/check/1")
+            return len(stack.runners["desk-1"].seen)
+
+        assert play(story) == 0
+
+    def test_news_comes_from_peers_while_the_store_turns_us_away(self):
+        """The store answers one gateway and hangs up on the other.
+
+        A key is taken away and a runner leaves meanwhile. The gateway that
+        is turned away would go on serving both.
+        """
+
+        async def story(stack: Stack):
+            for task in stack.gateways[1]._tasks[:1]:
+                task.cancel()
+            configuration = make_configuration(2, tenants=[])
+            await stack.store.put("op", "config", configuration)
+            await stack.register("desk-1", state="draining")
+            belief = stack.gateways[1].belief
+            await wait_until(lambda: belief.version == 2)
+            await wait_until(lambda: len(belief.find_runners("desk")) == 1)
+
+        play(story, gateways=2)
+
+    def test_an_older_configuration_never_returns(self):
+        async def story(stack: Stack):
+            await stack.store.put("op", "config", make_configuration(5))
+            belief = stack.gateways[0].belief
+            await wait_until(lambda: belief.version == 5)
+            await stack.store.put("op", "config", make_configuration(4))
+            await stack.store.put("op", "config", make_configuration(6))
+            await wait_until(lambda: belief.version == 6)
+
+        play(story)
+
+    def test_what_can_not_be_read_changes_nothing(self):
+        async def story(stack: Stack):
+            await stack.store.put("op", "config", b"{not json")
+            await stack.store.put("servers", "odd-1", b"\xff\x00")
+            await stack.store.put("servers", "odd-2", {"service": "desk"})
+            await stack.register("desk-1", slots="many")
+            await stack.register("desk-2", state="dancing")
+            belief = stack.gateways[0].belief
+            await wait_until(lambda: not belief.find_runners("desk"))
+            await stack.register("desk-1")
+            await wait_until(lambda: bool(belief.find_runners("desk")))
+            return await stack.call("/check/1")
+
+        assert play(story).status == 200
+
+    def test_the_feed_goes_on_after_its_history_is_lost(self):
+        async def story(stack: Stack):
+            stack.store.outage = "reset"
+            await asyncio.sleep(0.1)
+            await stack.store.put("op", "config", make_configuration(7))
+            await stack.store.delete("servers", "desk-1")
+            stack.store.forget_history()
+            stack.store.outage = "none"
+            belief = stack.gateways[0].belief
+            await wait_until(lambda: belief.version == 7)
+            await wait_until(lambda: not belief.is_known("desk-1"))
+
+        play(story)
+
+    def test_a_thawed_gateway_reads_everything_anew(self):
+        """A host stands still while its connections to the store die.
+
+        The feed's answer never comes. Until its own time-out the gateway
+        would serve by what it knew before.
+        """
+
+        async def story(stack: Stack):
+            daemon = stack.gateways[0]
+            stack.store.outage = "silent"
+            await stack.store.put("op", "config", make_configuration(9))
+            stack.store.outage = "none"
+            daemon._follower.restart()
+            await wait_until(lambda: daemon.belief.version == 9)
+
+        play(story)
+
+    def test_settings_change_with_and_without_a_signal(self):
+        async def story(stack: Stack):
+            daemon = stack.gateways[0]
+            path = stack.folder / "gateway-1.toml"
+            good = path.read_text()
+            path.write_text("not toml")
+            daemon._watch.reload()
+            kept = daemon._watch.settings.bounds
+            path.write_text(good.replace("[bounds]", "[bounds]\ngrace_s = 3"))
+            await wait_until(lambda: daemon._watch.settings.bounds != kept)
+            return (
+                kept.grace_seconds,
+                daemon._watch.settings.bounds.grace_seconds,
+            )
+
+        assert play(story) == (8.0, 3.0)
+
+    def test_entries_that_lapsed_in_an_outage_are_kept_a_while(self):
+        """All entries lapse while the store is away.
+
+        Deleted at once they would leave no runner to send to, although all
+        of them serve and write their entries anew within two seconds.
+        """
+
+        async def story(stack: Stack):
+            belief = stack.gateways[0].belief
+            lost = stack.gateways[0]._follower.endpoints
+            stack.store.outage = "reset"
+            await stack.store.delete("servers", "none")
+            await wait_until(lambda: lost.lost)
+            for id_ in stack.runners:
+                await stack.store.delete("servers", id_)
+            stack.store.outage = "none"
+            await wait_until(lambda: not lost.lost)
+            kept = len(belief.find_runners("desk"))
+            await stack.register("desk-2")
+            await wait_until(lambda: not belief.is_known("desk-1"))
+            return kept, [each.id for each in belief.find_runners("desk")]
+
+        assert play(story) == (2, ["desk-2"])
+
+    def test_a_runner_that_went_while_one_gateway_had_lost_the_store(self):
+        """One gateway's connection to the store goes silent.
+
+        A runner leaves just as the gateway regains the store. Taken for an
+        entry that lapsed in an outage, it would get requests for two
+        seconds more, although all other gateways know that it is gone.
+        """
+
+        async def story(stack: Stack):
+            daemon = stack.gateways[0]
+            lost = daemon._follower.endpoints
+            there = daemon._store._address
+            daemon._store._address = Address("127.0.0.1", 9)
+            daemon._follower.restart()
+            await wait_until(lambda: lost.lost)
+            daemon._store._address = there
+            await wait_until(lambda: not lost.lost)
+            # Only what is taken at once counts here.
+            daemon.belief.drop_lapsed = list
+            await stack.store.delete("servers", "desk-1")
+            await wait_until(lambda: not daemon.belief.is_known("desk-1"))
+
+        play(story, gateways=3)
+
+
+class TestFetch:
+    def test_a_silent_source_leaves_time_for_two_others(self):
+        """A host goes, and a change of the configuration follows.
+
+        Those that do not read the store ask a peer for it. The one that
+        has gone is held to run for some seconds; whoever asks it would
+        wait for five, and serve by the old configuration meanwhile.
+        """
+        waits: list[float] = []
+
+        async def story(stack: Stack):
+            shared = stack.gateways[0]._shared
+
+            async def ask_silent(peer, kind, after, timeout):
+                waits.append(timeout)
+                await stack.store.put("op", "config", make_configuration(2))
+
+            shared.peers.fetch = ask_silent
+            shared._wanted_version = 2
+            shared._wanted.set()
+            await wait_until(lambda: stack.gateways[0].belief.version == 2)
+
+        play(story, gateways=2)
+        apply_seconds = 2.0
+        assert 3 * waits[0] < apply_seconds
+
+
+class TestAcquaintance:
+    def test_groups_that_started_apart_meet(self):
+        """Two pairs of gateways start and know nothing of each other.
+
+        The rows by which they are found came late. Each pair would take
+        itself for the whole system, and let whole quotas through.
+        """
+
+        async def story(stack: Stack):
+            await forget_gateways(stack)
+            for _ in range(2):
+                await stack.add_gateway()
+            await wait_until(
+                lambda: all(
+                    len(each._shared.peers.members()) == 4
+                    for each in stack.gateways
+                )
+            )
+
+        play(story, gateways=2)
+
+
+async def forget_gateways(stack: Stack) -> None:
+    """Delete the rows by which gateways find each other."""
+    for number in range(len(stack.gateways)):
+        await stack.store.delete("lagoonpost", f"member/gateway-{number + 1}")
+
+
+class TestReaders:
+    """Where gateways are many, a few read the store for the others."""
+
+    @pytest.fixture(autouse=True)
+    def few_readers(self, monkeypatch):
+        monkeypatch.setattr(hub, "MESH", 3)
+        monkeypatch.setattr(hub, "READERS", 1)
+
+    def find_readers(self, stack: Stack) -> list[ForwardingDaemon]:
+        return [each for each in stack.gateways if each._shared.is_reader()]
+
+    async def wait_resting(self, stack: Stack) -> list[ForwardingDaemon]:
+        """Return the others once they no longer read the store."""
+        others = [d for d in stack.gateways if not d._shared.is_reader()]
+        tables = [d._follower.endpoints for d in others]
+        tables += [d._follower.operator for d in others]
+        await wait_until(lambda: all(t._version is None for t in tables))
+        return others
+
+    def test_news_reaches_those_that_do_not_read(self):
+        async def story(stack: Stack):
+            others = await self.wait_resting(stack)
+            await stack.store.put("op", "config", make_configuration(7))
+            await stack.register("desk-1", state="draining")
+            for daemon in others:
+                belief = daemon.belief
+                await wait_until(lambda b=belief: b.version == 7)
+                await wait_until(lambda b=belief: len(_desks(b)) == 1)
+            return len(others)
+
+        assert play(story, gateways=6) == 3
+
+    def test_others_read_when_the_readers_have_lost_the_store(self):
+        """The store turns the readers away and serves all others.
+
+        A runner that leaves meanwhile would go on getting requests at every
+        gateway, as those that read tell the others nothing.
+        """
+
+        async def story(stack: Stack):
+            readers = self.find_readers(stack)
+            for daemon in readers:
+                daemon._store._address = Address("127.0.0.1", 9)
+                daemon._follower.restart()
+            await wait_until(
+                lambda: not any(d._shared.is_reader() for d in readers)
+            )
+            await stack.register("desk-1", state="draining")
+            for daemon in stack.gateways:
+                belief = daemon.belief
+                await wait_until(lambda b=belief: len(_desks(b)) == 1)
+
+        play(story, gateways=6)
+
+    def test_others_read_when_the_readers_fall_silent(self):
+        """All readers are cut off, and are held to run for some seconds.
+
+        A configuration that comes meanwhile would reach nobody.
+        """
+
+        async def story(stack: Stack):
+            others = await self.wait_resting(stack)
+            for daemon in self.find_readers(stack):
+                follows, tells = daemon._tasks[:2]
+                follows.cancel()
+                tells.cancel()
+            await stack.store.put("op", "config", make_configuration(7))
+            for daemon in others:
+                belief = daemon.belief
+                await wait_until(lambda b=belief: b.version == 7)
+
+        play(story, gateways=6)
+
+    def test_changes_are_gathered(self):
+        """Runners renew their entries many times a second in all.
+
+        A call for each change would be most of the calls to the store.
+        """
+
+        async def story(stack: Stack):
+            before = stack.store.calls
+            for seq in range(40):
+                await stack.register("desk-1", seq=seq)
+                await asyncio.sleep(0.01)
+            version = stack.store.version
+            entries = stack.gateways[0].belief.entries
+            await wait_until(lambda: entries["desk-1"].version >= version)
+            return stack.store.calls - before
+
+        assert play(story) < 20
+
+    def test_a_renewed_entry_is_not_told(self):
+        """Each runner renews its entry every second.
+
+        Told to all gateways, that fills their links and says nothing.
+        """
+
+        async def story(stack: Stack):
+            told = []
+            shared = stack.gateways[0]._shared
+            publish = shared.peers.publish
+            shared.peers.publish = lambda fact: (
+                told.append(fact.key),
+                publish(fact),
+            )
+            await stack.register("desk-1", seq=2)
+            await stack.register("desk-2", state="draining")
+            belief = stack.gateways[0].belief
+            await wait_until(lambda: len(_desks(belief)) == 1)
+            return told
+
+        assert play(story) == ["desk-2"]
+
+
+def _desks(belief: Belief) -> list[str]:
+    return [each.id for each in belief.find_runners("desk")]
