Let only a few more read the store when the readers get no answer

Where the readers' news has stopped, all gateways read for themselves.

Change: two backups of each domain read when the hub says that no reader gets an answer; a domain reads by itself only where its hub is silent.

Tests: who reads in each case at 90 gateways; readers whose calls hang while they go on as members (stand-ins).

--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -11,7 +11,7 @@
 from lagoonpost.http.message import Address, parse_address
 from lagoonpost.peers.datagram import Datagrams
 from lagoonpost.systems.hearing import find_heard_part, find_unheard
-from lagoonpost.systems.hub import Roles
+from lagoonpost.systems.hub import Heard, Roles
 from lagoonpost.tables.gateway_report import (
     GatewayReport,
     RunnerWork,
@@ -294,13 +294,16 @@
         ]
         return min(ages, default=None)
 
-    def read_age(self) -> float:
-        """Return how long ago the store answered a reader, as far as heard."""
+    def find_heard(self) -> Heard:
+        """Return how old the last news of the hub and the readers is."""
         now = self._now()
-        if self._summary is None or self._summary[1].read_age is None:
-            return now - self._started
+        if self._summary is None:
+            return Heard(now - self._started, now - self._started)
         at, summary = self._summary
-        return now - at + (summary.read_age or 0.0)
+        hub = now - at
+        if summary.read_age is None:
+            return Heard(hub, now - self._started)
+        return Heard(hub, hub + summary.read_age)
 
     def _has_fresh_summary(self) -> bool:
         if self._summary is None:
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -15,7 +15,7 @@
 from lagoonpost.peers.node import Peers, PeerSettings, make_clock
 from lagoonpost.platform.settings import Bounds, HostSettings
 from lagoonpost.store.store import Condition, Store, Unavailable, Write
-from lagoonpost.systems.hub import Roles, choose_roles, is_news_stale
+from lagoonpost.systems.hub import Roles, choose_roles, must_read
 from lagoonpost.systems.poison import Break
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.peer import Member
@@ -285,18 +285,12 @@
 
     def find_pause(self) -> float | None:
         """Return the pause between reads of the store; None to read none."""
-        if not self.is_reader() and not self._has_lost_readers():
+        roles = self.find_roles()
+        heard = self.reports.find_heard()
+        bound = self._bounds.news_seconds
+        if not must_read(self._settings.name, roles, heard, bound):
             return None
-        return GATHER_SECONDS if self.find_roles().mesh else TURN_SECONDS
-
-    def _has_lost_readers(self) -> bool:
-        """Tell whether nobody reads the store for this gateway.
-
-        Members that are cut off or frozen are held to be readers for some
-        seconds yet, in which a configuration has to come into force.
-        """
-        age = self.reports.read_age()
-        return is_news_stale(age, self._bounds.news_seconds)
+        return GATHER_SECONDS if roles.mesh else TURN_SECONDS
 
     def was_store_away(self) -> bool:
         """Tell whether half of the gateways had lost the store lately.
--- a/lagoonpost/systems/hub.py
+++ b/lagoonpost/systems/hub.py
@@ -13,7 +13,9 @@
 be asked, and who is lost or has lost the store is passed over.
 
 That a reader is lost shows only after seconds. Hubs say how old the readers'
-news is, and a gateway for which it is too old reads for itself meanwhile.
+news is. If it is too old, a few backups read as well; if the hub itself is
+silent, its domain reads. Not all do in the first case, as it may be the store
+that is lost, which would get the calls of all at its return.
 """
 
 from collections.abc import Collection, Sequence
@@ -46,11 +48,13 @@
         hubs: Names of those that hear all reports, in order of preference.
         readers: Names of those that read the store.
         mesh: Whether all gateways are both.
+        backups: Names of those that read it when the readers seem not to.
     """
 
     hubs: tuple[str, ...]
     readers: frozenset[str]
     mesh: bool
+    backups: frozenset[str] = frozenset()
 
 
 def choose_roles(members: Sequence[Member], lost: Collection[str]) -> Roles:
@@ -77,14 +81,39 @@
     others = [each.name for each in ordered if each.name not in firsts]
     hubs = firsts + others[: max(0, LEAST_HUBS - len(firsts))]
     readers = {name for names in domains.values() for name in names[:READERS]}
-    return Roles(tuple(hubs), frozenset(readers | set(hubs)), False)
+    readers |= set(hubs)
+    backups = {
+        name
+        for names in domains.values()
+        for name in [each for each in names if each not in readers][:READERS]
+    }
+    return Roles(tuple(hubs), frozenset(readers), False, frozenset(backups))
 
 
-def is_news_stale(age: float, bound: float) -> bool:
-    """Tell whether a gateway can no longer rely on the readers.
+class Heard(NamedTuple):
+    """How old the last news of others is, in seconds.
+
+    Attributes:
+        hub: Since the hub last sent its sums.
+        store: Since the store last answered a reader, as far as heard.
+    """
+
+    hub: float
+    store: float
+
+
+def must_read(name: str, roles: Roles, heard: Heard, bound: float) -> bool:
+    """Tell whether a gateway reads the store.
 
     Args:
-        age: Seconds since the store last answered a reader, as far as heard.
+        name: Its name.
+        roles: Who does what.
+        heard: What it knows of the readers.
         bound: Seconds in which news of the store has to be known.
     """
-    return age > bound - TAKE_OVER_SECONDS
+    if name in roles.readers:
+        return True
+    oldest = bound - TAKE_OVER_SECONDS
+    return heard.hub > oldest or (
+        heard.store > oldest and name in roles.backups
+    )
--- a/test/test_hub.py
+++ b/test/test_hub.py
@@ -9,8 +9,9 @@
     MESH,
     READER_WAIT_SECONDS,
     READERS,
+    Heard,
     choose_roles,
-    is_news_stale,
+    must_read,
 )
 from lagoonpost.tables.peer import Member, MemberState
 
@@ -89,13 +90,33 @@
 
 
 class TestNews:
+    """Whether a gateway relies on those that read the store."""
+
+    ROLES = choose_roles(make_members(90, 3), ())
+    ORDINARY = "gateway-089"
+
+    def find_who_reads(self, heard: Heard, bound: float = 3.0) -> set[str]:
+        return {
+            each.name
+            for each in make_members(90, 3)
+            if must_read(each.name, self.ROLES, heard, bound)
+        }
+
     @pytest.mark.parametrize(("gateways", "bound"), [(90, 3.0), (320, 4.0)])
     def test_readers_that_read_are_relied_on(self, gateways, bound):
         """All gateways would read the store where nothing has happened."""
         crowd = max(1.0, gateways / HUB_REPORTS / REPORT_SECONDS)
-        oldest = TURN_SECONDS + READER_WAIT_SECONDS + REPORT_SECONDS * crowd
-        assert not is_news_stale(oldest, bound)
-
-    def test_silent_readers_are_not(self):
+        hub = REPORT_SECONDS * crowd
+        oldest = Heard(hub, hub + TURN_SECONDS + READER_WAIT_SECONDS)
+        assert self.find_who_reads(oldest, bound) == self.ROLES.readers
+
+    def test_a_few_others_read_when_no_reader_does(self):
+        """A lost store would get the calls of all gateways."""
+        reading = self.find_who_reads(Heard(0.4, 2.3))
+        assert reading == self.ROLES.readers | self.ROLES.backups
+        assert len(self.ROLES.backups) == 3 * READERS
+        assert not self.ROLES.backups & self.ROLES.readers
+
+    def test_everyone_reads_when_the_hub_is_silent(self):
         """A configuration would not be in force in time."""
-        assert is_news_stale(2.3, 3.0)
+        assert self.ORDINARY in self.find_who_reads(Heard(2.3, 2.3))
--- a/test/test_news.py
+++ b/test/test_news.py
@@ -279,6 +279,23 @@
 
         play(story, gateways=6)
 
+    def test_others_read_when_the_readers_hear_nothing(self):
+        """The readers' calls hang; they go on as members and hubs.
+
+        A configuration that comes meanwhile would reach nobody.
+        """
+
+        async def story(stack: Stack):
+            others = await self.wait_resting(stack)
+            for daemon in self.find_readers(stack):
+                daemon._tasks[0].cancel()
+            await stack.store.put("op", "config", make_configuration(7))
+            for daemon in others:
+                belief = daemon.belief
+                await wait_until(lambda b=belief: b.version == 7)
+
+        play(story, gateways=6)
+
     def test_others_read_when_the_readers_fall_silent(self):
         """All readers are cut off, and are held to run for some seconds.
 
