Use both old runners in the test of a move to a good version

Traced: played ten times side by side, all ten failed alike, with 24 to 41 requests at one old runner and none at the other. The test sends one request after the other, and such a caller is rightly served by the runner that answers fastest; nothing spreads requests over idle runners alike.

Change: it sends 20 at once, more than a runner has slots for, so that both are needed. All checks stay.

--- a/test/test_shift.py
+++ b/test/test_shift.py
@@ -1,5 +1,6 @@
 """Services that move to a new version: what callers get of it."""
 
+import asyncio
 from random import Random
 from typing import NamedTuple
 
@@ -130,9 +131,9 @@
 
 class TestShift:
     async def send(self, stack: Stack, answers: list[int]) -> None:
-        for _ in range(5):
-            answer = await stack.call("/check/1")
-            answers.append(answer.status)
+        """Send more at once than one runner has slots for."""
+        calls = [stack.call("/check/1") for _ in range(AT_ONCE)]
+        answers += [each.status for each in await asyncio.gather(*calls)]
 
     async def move(self, stack: Stack) -> tuple[str, int]:
         """Order a move to v2 and send until it has ended."""
@@ -220,5 +221,6 @@
         assert told == {"state": "rolled_back", "to": "v2"}
 
 
+AT_ONCE = 20
 OLD = ("desk-1", "desk-2")
 NEW = ("desk-3", "desk-4")
