Call the store's tables by the project's words in logs and metrics

store:lost and its kin named the tables as the platform does, while the gauge beside them had names of the project's own, written twice. A follower has one name now, which both use.

--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -60,7 +60,8 @@
 
     Args:
         store: The store.
-        table: Name of the table.
+        name: What the table is called in logs and metrics.
+        table: Name of the table in the store.
         on_row: Told each row that changed; deleted ones have no value.
         on_all: Told the keys of all rows after a whole read.
         on_back: Told that the store answers again.
@@ -73,6 +74,7 @@
     def __init__(
         self,
         store: PlatformStore,
+        name: str,
         table: str,
         on_row: OnChange,
         on_all: Callable[[Page], None],
@@ -84,6 +86,7 @@
         self._find_wait = find_wait
         self._read_once = False
         self._store = store
+        self.name = name
         self._table = table
         self._on_row = on_row
         self._on_all = on_all
@@ -126,7 +129,7 @@
             if isinstance(answer, HistoryLost):
                 eliot.log_message(
                     message_type="lagoonpost:store:history_lost",
-                    table=self._table,
+                    table=self.name,
                     version=self._version,
                 )
                 self._version = None
@@ -184,7 +187,7 @@
         self.lost = self._failures > 1
         eliot.log_message(
             message_type=kind,
-            table=self._table,
+            table=self.name,
             detail=answer.detail,
             age=_round(self.find_age()),
         )
@@ -195,7 +198,7 @@
             self.lost = False
             eliot.log_message(
                 message_type="lagoonpost:store:regained",
-                table=self._table,
+                table=self.name,
                 age=_round(self.find_age()),
                 call=_round(self._count_call()),
             )
@@ -237,6 +240,7 @@
         self._publish_configuration = publish_configuration
         self.operator = TableFollower(
             store,
+            "operator",
             CONFIGURATION_TABLE,
             self._take_operator_row,
             lambda page: None,
@@ -246,6 +250,7 @@
         )
         self.endpoints = TableFollower(
             store,
+            "endpoints",
             ENDPOINT_TABLE,
             self._take_endpoint_row,
             self._take_all,
@@ -266,11 +271,9 @@
 
     def list_ages(self) -> list[tuple[str, float]]:
         """Return the seconds since the last answer, by table."""
-        ages = [
-            ("operator", self.operator.find_age()),
-            ("endpoints", self.endpoints.find_age()),
-        ]
-        return [(table, age) for table, age in ages if age is not None]
+        tables = (self.operator, self.endpoints)
+        ages = [(each.name, each.find_age()) for each in tables]
+        return [(name, age) for name, age in ages if age is not None]
 
     def restart(self) -> None:
         """Read all tables anew, over new connections."""
