Count what a gateway sends and receives to run the system

Operators could not see what membership, reports and the store's calls cost beside the callers' requests, nor which call of which table is made why.

Ruled out: uvloop.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -36,6 +36,7 @@
 from lagoonpost.systems.shift import ExposureBounds
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.gateway_report import GatewayReport, Taken
+from lagoonpost.tables.traffic import Traffic
 
 LAME_SECONDS = 2.5
 """How long a leaving gateway goes on taking connections: callers ask for the
@@ -73,9 +74,10 @@
         # Seeded, so that a played day repeats.
         rng = random.Random(settings.name)
         self._client = Client()
-        self._metrics = ForwardingMetrics()
+        traffic = Traffic()
+        self._metrics = ForwardingMetrics(traffic)
         self.belief = Belief(read_clock)
-        self._store = PlatformStore(self._client, settings.store)
+        self._store = PlatformStore(self._client, settings.store, traffic)
         wall_clock = make_clock()
         usage = UsageCount(settings.bounds.usage_window, wall_clock)
         self._usage = usage
@@ -100,6 +102,7 @@
             self._hear_break,
             self._hear_shift,
             rng,
+            traffic,
         )
         self._shifts = Shifts(
             ExposureBounds(
--- a/lagoonpost/forwarding/metrics.py
+++ b/lagoonpost/forwarding/metrics.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms, as text for whoever collects them."""
 
+from collections.abc import Iterator
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -7,22 +9,56 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.core import CounterMetricFamily
 from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
+from prometheus_client.registry import Collector
 
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.http.message import Request, Response
 from lagoonpost.http.responder import Responder
+from lagoonpost.tables.traffic import Traffic
 
 METRICS_PATH = "/metrics"
 SECONDS = (0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 15.0)
 """Bounds of the histograms: from a check alone to the longest draft."""
 
 
+class _TrafficCollector(Collector):
+    """Control messages, read from their counts when somebody asks."""
+
+    def __init__(self, traffic: Traffic) -> None:
+        self._traffic = traffic
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Yield both counters."""
+        labels = ("kind", "direction")
+        messages = CounterMetricFamily(
+            "lagoonpost_control_messages",
+            "Messages to run the system.",
+            labels=labels,
+        )
+        sizes = CounterMetricFamily(
+            "lagoonpost_control_bytes",
+            "Bytes of their contents.",
+            labels=labels,
+        )
+        for flow, count, size in self._traffic.list_flows():
+            messages.add_metric(flow, count)
+            sizes.add_metric(flow, size)
+        yield messages
+        yield sizes
+
+
 class ForwardingMetrics:
-    """What one forwarding gateway counts."""
+    """What one forwarding gateway counts.
+
+    Args:
+        traffic: Counts of what is sent and received to run the system.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, traffic: Traffic) -> None:
         registry = self._registry = CollectorRegistry()
+        registry.register(_TrafficCollector(traffic))
         self._requests = Counter(
             "lagoonpost_requests",
             "Requests by route and outcome.",
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 import eliot
@@ -23,6 +23,7 @@
     subtract_work,
 )
 from lagoonpost.tables.peer import Member
+from lagoonpost.tables.traffic import Traffic
 
 REPORT_SECONDS = 0.4
 """Pause between reports. What others let through meanwhile is not known:
@@ -79,6 +80,7 @@
         find_all_members: Returns also those that left or are held dead.
         find_roles: Returns who is a hub.
         clock: Seconds since the epoch, as the members' rows use them.
+        traffic: Counts what is sent and received.
 
     Attributes:
         run_id: Identifies this run of the process.
@@ -94,6 +96,7 @@
         find_all_members: Callable[[], tuple[Member, ...]],
         find_roles: Callable[[], Roles],
         clock: Callable[[], float],
+        traffic: Traffic | None = None,
     ) -> None:
         self._name = name
         self._address = address
@@ -102,6 +105,7 @@
         self._find_all_members = find_all_members
         self._find_roles = find_roles
         self._clock = clock
+        self._traffic = traffic or Traffic()
         self.run_id = secrets.token_hex(4)
         self.held: dict[str, tuple[float, GatewayReport]] = {}
         self._started = 0.0
@@ -163,7 +167,7 @@
             for each in self._find_members()
             if each.name in hubs and each.name != self._name
         ]
-        self._datagrams.send(encode_letter(report), targets)
+        self._send("report", encode_letter(report), targets)
 
     def _send_summaries(self) -> None:
         """Send the sums to those who have this gateway for their hub."""
@@ -200,7 +204,14 @@
             run, rank = ranks.get(each.name, ("", 0))
             own = summary._replace(run=run, rank=rank)
             target = parse_address(each.address)
-            self._datagrams.send(encode_letter(own), [target])
+            self._send("summary", encode_letter(own), [target])
+
+    def _send(
+        self, kind: str, letter: bytes, targets: Sequence[Address]
+    ) -> None:
+        for _ in targets:
+            self._traffic.note(kind, "sent", len(letter))
+        self._datagrams.send(letter, targets)
 
     # Taking
 
@@ -212,6 +223,8 @@
                 message_type="lagoonpost:peers:unreadable", detail=str(error)
             )
             return
+        kind = "summary" if isinstance(letter, Summary) else "report"
+        self._traffic.note(kind, "received", len(body))
         if isinstance(letter, Summary):
             self._take_summary(letter)
         elif letter.run != self.run_id and self._keep_report(letter):
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -19,6 +19,7 @@
 from lagoonpost.systems.poison import Break
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.peer import Member
+from lagoonpost.tables.traffic import Traffic
 
 CONFIGURATION_DOCUMENT = "configuration"
 BREAK_SECONDS = 60.0
@@ -62,6 +63,7 @@
         on_break: Told each answer that broke off, at any gateway.
         on_shift: Told how far services' moves to other versions are.
         rng: Source of random choices.
+        traffic: Counts what is sent and received.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         on_break: Callable[[Break], None],
         on_shift: Callable[[Fact], None],
         rng: random.Random,
+        traffic: Traffic,
     ) -> None:
         self._settings = settings
         self._bounds = settings.bounds
@@ -99,6 +102,7 @@
             lambda members: self._forget_roles(),
             self._give_documents,
             rng=rng,
+            traffic=traffic,
         )
         self.reports = Reports(
             settings.name,
@@ -108,6 +112,7 @@
             self.peers.all_members,
             self.find_roles,
             make_clock(),
+            traffic,
         )
 
     def set_bounds(self, bounds: Bounds) -> None:
--- a/lagoonpost/peers/codec.py
+++ b/lagoonpost/peers/codec.py
@@ -6,6 +6,8 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from lagoonpost.tables.traffic import Traffic
+
 
 @cache
 def _make_decoder(message_type: Any) -> msgspec.msgpack.Decoder[Any]:
@@ -13,13 +15,22 @@
 
 
 class MessagePackCodec(CodecBase):
-    """Encodes by msgspec and checks types when it decodes."""
+    """Encodes by msgspec and checks types when it decodes.
+
+    Args:
+        traffic: Counts the messages by the name of their type.
+    """
 
     __content_subtype__ = "msgpack"
 
+    def __init__(self, traffic: Traffic | None = None) -> None:
+        self._traffic = traffic or Traffic()
+
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Return the message as MessagePack."""
-        return msgspec.msgpack.encode(message)
+        data = msgspec.msgpack.encode(message)
+        self._traffic.note(_name(message_type), "sent", len(data))
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Return the message of the given type.
@@ -27,4 +38,9 @@
         Raises:
             msgspec.ValidationError: If ``data`` is not of that type.
         """
+        self._traffic.note(_name(message_type), "received", len(data))
         return _make_decoder(message_type).decode(data)
+
+
+def _name(message_type: Any) -> str:
+    return f"peer {message_type.__name__.lower()}"
--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -49,6 +49,7 @@
 )
 from lagoonpost.tables.fact import Fact, FactKind
 from lagoonpost.tables.peer import Member, PeerRole
+from lagoonpost.tables.traffic import Traffic
 
 # News of one burst leaves in one packet; ten hops still take only 0.2 s.
 FLUSH_SECONDS = 0.02
@@ -103,6 +104,7 @@
         on_hand_over: OnHandOver = refuse_hand_over,
         clock: Callable[[], float] | None = None,
         rng: random.Random | None = None,
+        traffic: Traffic | None = None,
     ) -> None:
         """Prepare; nothing runs before ``start``.
 
@@ -114,6 +116,7 @@
             on_hand_over: Takes over a leaving peer's request, or not.
             clock: Seconds since the epoch, never set back.
             rng: Source of random choices.
+            traffic: Counts what is sent and received.
         """
         self._settings = settings
         self._on_facts = on_facts
@@ -121,7 +124,8 @@
         self._clock = clock or make_clock()
         self._rng = rng or random.Random()
         self._service = PeerService(self._receive, on_fetch, on_hand_over)
-        self._pool = ChannelPool()
+        self._codec = MessagePackCodec(traffic)
+        self._pool = ChannelPool(codec=self._codec)
         self._tasks: set[asyncio.Task[None]] = set()
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._current = asyncio.Event()
@@ -138,7 +142,7 @@
         seeds = [str(seed) for seed in self._settings.seeds]
         self._gossip = Gossip(self._describe(address, now), seeds, now)
         # A server is bound to the loop in which it is made.
-        self._server = Server([self._service], codec=MessagePackCodec())
+        self._server = Server([self._service], codec=self._codec)
         await self._server.start(sock=listener)
         self._tick()
         return address
@@ -248,7 +252,7 @@
         while True:
             request = FetchRequest(kind, after)
             reply: FetchReply | None = await call_once(
-                address, FETCH, request, timeout
+                address, FETCH, request, timeout, self._codec
             )
             if reply is None:
                 return None
@@ -268,7 +272,7 @@
         address = parse_address(member.address)
         for _ in range(HAND_OVER_TRIES):
             reply = await call_once(
-                address, HAND_OVER, request, HAND_OVER_TIMEOUT
+                address, HAND_OVER, request, HAND_OVER_TIMEOUT, self._codec
             )
             if reply is not None:
                 accepted: bool = reply.accepted
--- a/lagoonpost/peers/pool.py
+++ b/lagoonpost/peers/pool.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from lagoonpost.http.message import Address
@@ -39,9 +40,9 @@
 class _Kept:
     """A kept channel, its calls under way and when it was last used."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, codec: CodecBase) -> None:
         self.address = address
-        self.channel = Channel(address.host, address.port, codec=_CODEC)
+        self.channel = Channel(address.host, address.port, codec=codec)
         self.calls = 0
         self.used = 0.0
 
@@ -53,7 +54,9 @@
         self,
         limit: int = POOL_CHANNELS,
         clock: Callable[[], float] = time.monotonic,
+        codec: CodecBase = _CODEC,
     ) -> None:
+        self._codec = codec
         self._limit = limit
         self._clock = clock
         self._kept: OrderedDict[Address, _Kept] = OrderedDict()
@@ -83,7 +86,7 @@
     def _open(self, address: Address) -> _Kept:
         kept = self._kept.get(address)
         if kept is None:
-            kept = self._kept[address] = _Kept(address)
+            kept = self._kept[address] = _Kept(address, self._codec)
         self._kept.move_to_end(address)
         kept.used = self._clock()
         return kept
@@ -110,7 +113,11 @@
 
 
 async def call_once(
-    address: Address, method: Method, request: Any, timeout: float
+    address: Address,
+    method: Method,
+    request: Any,
+    timeout: float,
+    codec: CodecBase = _CODEC,
 ) -> Any | None:
     """Call a peer over a connection of its own.
 
@@ -119,7 +126,7 @@
     Returns:
         The reply, or None if none came in ``timeout`` seconds.
     """
-    channel = Channel(address.host, address.port, codec=_CODEC)
+    channel = Channel(address.host, address.port, codec=codec)
     try:
         return await _call(channel, method, request, timeout)
     finally:
--- a/lagoonpost/platform/store.py
+++ b/lagoonpost/platform/store.py
@@ -18,6 +18,7 @@
     Unavailable,
     Write,
 )
+from lagoonpost.tables.traffic import Traffic
 
 # The product's own rows live in one table; the keys name what they are.
 OWN_TABLE = "lagoonpost"
@@ -75,11 +76,18 @@
     Args:
         client: HTTP client.
         address: Where the store listens.
+        traffic: Counts the calls, by what they read or write.
     """
 
-    def __init__(self, client: Client, address: Address) -> None:
+    def __init__(
+        self,
+        client: Client,
+        address: Address,
+        traffic: Traffic | None = None,
+    ) -> None:
         self._client = client
         self._address = address
+        self._traffic = traffic or Traffic()
 
     # Rows of the product
 
@@ -121,7 +129,10 @@
             "deletes": deletes,
         }
         answer = await self._call(
-            "POST", "/v1/rows-tx", msgspec.json.encode(body)
+            "POST",
+            "/v1/rows-tx",
+            msgspec.json.encode(body),
+            purpose=_name_write([*writes, *deletes]),
         )
         if isinstance(answer, Unavailable):
             return answer
@@ -185,7 +196,9 @@
             query.update({"from": first} if first else {})
             query.update({"to": last} if last else {})
             answer = await self._call(
-                "GET", f"/v1/rows-get?{urlencode(query)}"
+                "GET",
+                f"/v1/rows-get?{urlencode(query)}",
+                purpose=f"read {_name_table(table, first)}",
             )
             if isinstance(answer, Unavailable):
                 return answer
@@ -215,6 +228,7 @@
             "GET",
             f"/v1/rows-feed?{query}",
             timeout=wait + FEED_SLACK_SECONDS,
+            purpose=f"follow {_name_table(table)}",
         )
         if isinstance(answer, Unavailable):
             return answer
@@ -231,9 +245,12 @@
         target: str,
         body: bytes = b"",
         timeout: float = STORE_SECONDS,
+        *,
+        purpose: str,
     ) -> Response | Unavailable:
+        self._traffic.note(purpose, "sent", len(target) + len(body))
         try:
-            return await self._client.call(
+            response = await self._client.call(
                 self._address,
                 method,
                 target,
@@ -244,6 +261,8 @@
         except CallFailedError as error:
             applied = None if error.sent else False
             return Unavailable(str(error), applied=applied)
+        self._traffic.note(purpose, "received", len(response.body))
+        return response
 
 
 async def pause_after_failure(spent: float) -> None:
@@ -259,6 +278,23 @@
 """Least time between failing calls: four a second from each gateway."""
 
 
+_TABLE_NAMES = {
+    CONFIGURATION_TABLE: "operator",
+    ENDPOINT_TABLE: "endpoints",
+    STATUS_TABLE: "status",
+}
+
+
+def _name_table(table: str, key: str = "") -> str:
+    """Return what rows are for, as operators read it in the metrics."""
+    return _TABLE_NAMES.get(table) or key.partition("/")[0]
+
+
+def _name_write(places: Sequence[dict[str, str]]) -> str:
+    first = places[0]
+    return f"write {_name_table(first['table'], first['key'])}"
+
+
 def _place(key: str) -> dict[str, str]:
     return {"table": OWN_TABLE, "part": "", "key": key}
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -86,11 +86,17 @@
 class SoakSystem:
     """Everything that a soak runs.
 
+    Args:
+        gateways: Number of gateways.
+        runners: Runners of each of two services.
+        metrics: Whether gateways tell their metrics.
+
     Attributes:
         gateways: Processes by number.
         runs: How often each was started.
         started: When each was started last.
         entries: Where callers connect.
+        collected: Where metrics are told.
         store_links: Each gateway's way to the store.
         runners: Places of runners.
         drains: Runners that left, with the time of the acknowledgement.
@@ -99,8 +105,11 @@
         version: Newest configuration.
     """
 
-    def __init__(self, gateways: int, runners: int) -> None:
+    def __init__(
+        self, gateways: int, runners: int, metrics: bool = False
+    ) -> None:
         self._count = gateways
+        self._metrics = metrics
         self.store = RowStore()
         self.store_links: list[Proxy] = []
         self.runners = [
@@ -112,6 +121,7 @@
         self.runs: list[int] = []
         self.started: list[float] = []
         self.entries: list[Address] = []
+        self.collected: list[Address] = []
         self.settings: list[Path] = []
         self.drains: list[Drain] = []
         self.changes: list[Change] = []
@@ -180,6 +190,10 @@
         peers.append(addresses.peer)
         log = self.folder / f"gateway-{number}.log"
         arguments = ["lagoonpost.serve", "--config", str(path)]
+        if self._metrics:
+            collected = Address("127.0.0.1", find_port())
+            self.collected.append(collected)
+            arguments += ["--metrics-port", str(collected.port)]
         self.gateways.append(Process(f"gateway-{number}", arguments, log))
         self.runs.append(0)
         self.started.append(0.0)
