Decide about a request without looking at all runners and gateways anew

Each request looked through the entries of all runners that ever were, three times; ranked all runners of its service by their hashes; made a state of a runner for each look at one; and counted all gateways, three times.

Change: the belief keeps the runners of each service together; the order in which a session prefers runners is kept while the runners stay the same (a property test compares it with the plain ranking); prediction makes one choice and not one for each runner; the gateways that serve, and the part of them that is heard, are worked out when members change, or each 0.1 s.

--- a/lagoonpost/forwarding/belief.py
+++ b/lagoonpost/forwarding/belief.py
@@ -61,6 +61,7 @@
         self.routes: RouteTable | None = None
         self.raw_configuration = b""
         self.entries: dict[str, Entry] = {}
+        self._services: dict[str, dict[str, Endpoint]] = {}
         self._lapsing: dict[str, int] = {}
         self._store_back = -math.inf
         self.on_configuration: list[Callable[[RouteTable], None]] = []
@@ -125,6 +126,8 @@
                 )
         self.entries[key] = Entry(version, endpoint, raw)
         before = held.endpoint if held is not None else None
+        if endpoint != before:
+            self._arrange(key, before, endpoint)
         if _went_down(before, endpoint):
             for told in self.on_down:
                 told(key)
@@ -188,23 +191,26 @@
             if self.take_entry(key, version, None, "lapsed")
         ]
 
+    def _arrange(
+        self, key: str, before: Endpoint | None, after: Endpoint | None
+    ) -> None:
+        """Keep the runners of each service together.
+
+        Entries of runners that are gone stay for their versions; looking
+        through all of them for each request would take longer each hour.
+        """
+        if before is not None:
+            del self._services[before.service][key]
+        if after is not None:
+            self._services.setdefault(after.service, {})[key] = after
+
     def find_runners(self, service: str) -> list[Endpoint]:
         """Return the runners of a service that may get new work."""
-        return [
-            entry.endpoint
-            for entry in self.entries.values()
-            if entry.endpoint is not None
-            and entry.endpoint.service == service
-            and not entry.endpoint.leaving
-        ]
+        return [each for each in self.find_all(service) if not each.leaving]
 
     def find_all(self, service: str) -> list[Endpoint]:
         """Return all runners of a service, leaving ones included."""
-        return [
-            entry.endpoint
-            for entry in self.entries.values()
-            if entry.endpoint is not None and entry.endpoint.service == service
-        ]
+        return list(self._services.get(service, {}).values())
 
     def is_known(self, runner: str) -> bool:
         """Tell whether a runner still has an entry."""
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -1,6 +1,7 @@
 """Gateways' reports of their own work, and hubs' sums of them, by datagram."""
 
 import asyncio
+import math
 import secrets
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
@@ -43,6 +44,9 @@
 HUB_REPORTS = 250.0
 """Reports a second that a hub takes, 0.8% of a core at 30 us each. With more
 gateways the pause between reports grows: 1.3 s at 320."""
+PART_SECONDS = 0.1
+"""How long the part of the gateways that is heard is taken to stay the same:
+a tenth of the time in which one that is lost is noticed."""
 MOST_SENT = 64
 """Own reports that are remembered until a hub has them in its sums: six
 seconds of them at the fastest pace."""
@@ -114,6 +118,7 @@
         self._sent: dict[int, _Sent] = {}
         self._summary: tuple[float, Summary] | None = None
         self._others: dict[str, RunnerWork] = {}
+        self._heard_part = (-math.inf, 1.0)
         self._nudged = asyncio.Event()
         self._datagrams = Datagrams(self._take_datagram)
 
@@ -158,6 +163,7 @@
         report = self._party.make_report(self._name, self.run_id)
         self._rank += 1
         report = report._replace(rank=self._rank)
+        self._drop_old()
         self._keep_report(report)
         self._sent[self._rank] = _Sent(self._now(), report.work)
         self._sent.pop(self._rank - MOST_SENT, None)
@@ -238,11 +244,13 @@
         if held is not None and held[1].rank >= report.rank:
             return False
         self.held[key] = (now, report)
-        for old, (at, _) in list(self.held.items()):
-            if at < now - KEEP_SECONDS:
-                del self.held[old]
         return True
 
+    def _drop_old(self) -> None:
+        oldest = self._now() - KEEP_SECONDS
+        for key in [k for k, (at, _) in self.held.items() if at < oldest]:
+            del self.held[key]
+
     def _take_summary(self, summary: Summary) -> None:
         """Take a hub's sums, less what this gateway has in them itself."""
         before = self._summary
@@ -284,7 +292,17 @@
         return self._others if self._has_fresh_summary() else {}
 
     def heard_part(self) -> float:
-        """Return the part of all gateways that is heard, with this one."""
+        """Return the part of all gateways that is heard, with this one.
+
+        Each request asks, and it takes a look at every gateway.
+        """
+        at, part = self._heard_part
+        if not at <= self._now() < at + PART_SECONDS:
+            part = self._find_heard_part()
+            self._heard_part = self._now(), part
+        return part
+
+    def _find_heard_part(self) -> float:
         now = self._clock()
         everyone = self._find_all_members()
         if self.is_hub():
--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -130,6 +130,7 @@
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._current = asyncio.Event()
         self._closed = False
+        self._serving: tuple[Member, ...] | None = None
         self._server: Server
         self._gossip: Gossip
 
@@ -190,8 +191,10 @@
 
     def members(self) -> tuple[Member, ...]:
         """Return all members that are held to run, this one included."""
-        rows = self._gossip.view.members.rows.values()
-        return tuple(row for row in rows if row.serving)
+        if self._serving is None:
+            rows = self._gossip.view.members.rows.values()
+            self._serving = tuple(row for row in rows if row.serving)
+        return self._serving
 
     def all_members(self) -> tuple[Member, ...]:
         """Return all known members, also those that left or are dead."""
@@ -352,6 +355,7 @@
                 incarnation=row.incarnation,
             )
         if learned.members:
+            self._serving = None
             self._on_members(learned.members)
         if learned.facts:
             self._on_facts(learned.facts)
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -20,8 +20,7 @@
 from random import Random
 from typing import NamedTuple
 
-import xxhash
-
+from lagoonpost.systems.home import HomeOrders, find_holder
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.forwarded import Part
 from lagoonpost.tables.gateway_report import RunnerWork
@@ -49,9 +48,6 @@
 OVERHEAD_SLOWER = 0.01
 """Part of a slower measurement in the time to a first byte that is not
 reading: the way there, a first step. Waiting makes most of them slower."""
-LEAST_COPIED = 1500
-"""Shared tokens from which a copy is asked for: it takes some ten milliseconds
-however few they are, in which a runner reads some hundreds."""
 MEMORY_SECONDS = 30.0
 """How long a part is taken to stay in a runner's memory after its use."""
 FAILURE_SECONDS = 1.0
@@ -125,6 +121,8 @@
 
     def slowness(self, now: float) -> float:
         """Return its pace against its service's; above 1 is slower."""
+        if self._slowness == 1.0:
+            return 1.0
         age = max(0.0, now - self._measured)
         fade = math.exp(-age / FADE_SECONDS)
         return float(self._slowness**fade)
@@ -194,10 +192,14 @@
         self._pace: dict[str, float] = {}
         self.paces_alone: dict[str, float] = {}
         self._overheads: dict[str, float] = {}
+        self._homes = HomeOrders()
 
     def state(self, runner: str) -> RunnerState:
         """Return the state of a runner, new if it is not known."""
-        return self.states.setdefault(runner, RunnerState())
+        state = self.states.get(runner)
+        if state is None:
+            state = self.states[runner] = RunnerState()
+        return state
 
     def forget_missing(self, known: Iterable[str]) -> None:
         """Drop the states of runners that are gone and have no work."""
@@ -240,49 +242,34 @@
         """
         if not endpoints:
             return None
-        order = rank_homes((*endpoints, *leaving), wanted.parts)
+        order = self._homes.rank((*endpoints, *leaving), wanted.parts)
         usable = {each.id for each in endpoints}
         home = next((each.id for each in order if each.id in usable), "")
-        choices = [
-            self._predict(each, wanted, home, now) for each in endpoints
-        ]
-        best = min(
-            choices,
-            key=lambda each: (
-                each.suspect,
-                each.seconds
-                + self.state(each.endpoint.id).failure_rate * FAILURE_SECONDS,
-                rng.random(),
-            ),
-        )
-        reachable = [
+        pace = self.pace(wanted)
+        predict = _predict_prompt if wanted.engine else _predict_plain
+        found: tuple[bool, float, float] | None = None
+        best = endpoints[0], _Predicted(0.0, 0, False)
+        for each in endpoints:
+            state = self.state(each.id)
+            predicted = predict(state, each, wanted, home, pace, now)
+            waits = predicted.seconds + state.failure_rate * FAILURE_SECONDS
+            rank = state.is_suspect(now), waits, rng.random()
+            if found is None or rank < found:
+                found, best = rank, (each, predicted)
+        endpoint, (seconds, unread, alone) = best
+        reachable = (
             each for each in order if not self.state(each.id).is_suspect(now)
-        ]
-        holder = find_holder(reachable, best.endpoint, wanted)
-        return best._replace(holder=holder)
-
-    def _predict(
-        self, endpoint: Endpoint, wanted: Wanted, home: str, now: float
-    ) -> Choice:
-        state = self.state(endpoint.id)
-        suspect = state.is_suspect(now)
-        running = state.requests + state.others.requests
-        pace = self.pace(wanted) * state.slowness(now)
-        if not wanted.engine:
-            turns = max(1.0, (running + 1) / max(1, endpoint.slots))
-            # Runners that are otherwise alike share the requests.
-            seconds = pace * turns + running * STEP_SECONDS
-            return Choice(endpoint, seconds, 0, suspect)
-        held = state.count_held(wanted.parts, now)
-        if endpoint.id == home and len(wanted.parts) > 1:
-            shared = sum(part.tokens for part in wanted.parts[:-1])
-            held = max(held, shared)
-        unread = max(1, wanted.prompt - held)
-        ahead = state.tokens + state.others.tokens
-        seconds = (ahead + unread) * pace + running * STEP_SECONDS
-        if running >= endpoint.slots:
-            seconds += pace * ahead / max(1, running)
-        return Choice(endpoint, seconds, unread, suspect, ahead == 0)
+        )
+        return Choice(
+            endpoint,
+            seconds,
+            unread,
+            self.state(endpoint.id).is_suspect(now),
+            alone,
+            find_holder(reachable, endpoint, wanted.parts)
+            if wanted.engine
+            else None,
+        )
 
     def note_sent(self, choice: Choice, wanted: Wanted, now: float) -> None:
         """Count a request that is on its way."""
@@ -343,49 +330,46 @@
 """Exponent with which one answer moves the service's mean pace."""
 
 
-def rank_homes(
-    endpoints: Sequence[Endpoint], parts: Sequence[Part]
-) -> list[Endpoint]:
-    """Return the runners in the order in which a session prefers them.
-
-    Rendezvous hashing: all who know the same runners choose alike, and a
-    runner that comes or goes moves only its own sessions.
-
-    Returns:
-        The home first; nothing if the prompt shares no part.
-    """
-    if len(parts) < 2:
-        return []
-    key = parts[-2].id
-    return sorted(endpoints, key=lambda each: -_hash(key, each.id))
-
-
-def find_holder(
-    order: Sequence[Endpoint], target: Endpoint, wanted: Wanted
-) -> Endpoint | None:
-    """Return the runner from which a prompt's shared parts may be copied.
-
-    The home before a runner came or went is the next one in the session's
-    order, so all who know the same runners find it without being told.
+class _Predicted(NamedTuple):
+    """Seconds to the first byte, tokens to read, whether nothing is ahead."""
 
-    Args:
-        order: Runners in the session's order, also those that leave.
-        target: The runner that gets the request; memory serves only runners
-            of the same version.
-        wanted: The request.
-    """
-    shared = sum(part.tokens for part in wanted.parts[:-1])
-    if not wanted.engine or shared < LEAST_COPIED:
-        return None
-    return next(
-        (
-            each
-            for each in order
-            if each.id != target.id and each.version == target.version
-        ),
-        None,
-    )
-
-
-def _hash(key: str, runner: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}/{runner}".encode())
+    seconds: float
+    unread: int
+    alone: bool
+
+
+def _predict_plain(
+    state: RunnerState,
+    endpoint: Endpoint,
+    wanted: Wanted,
+    home: str,
+    pace: float,
+    now: float,
+) -> _Predicted:
+    running = state.requests + state.others.requests
+    turns = max(1.0, (running + 1) / max(1, endpoint.slots))
+    # Runners that are otherwise alike share the requests.
+    seconds = pace * state.slowness(now) * turns + running * STEP_SECONDS
+    return _Predicted(seconds, 0, False)
+
+
+def _predict_prompt(
+    state: RunnerState,
+    endpoint: Endpoint,
+    wanted: Wanted,
+    home: str,
+    pace: float,
+    now: float,
+) -> _Predicted:
+    running = state.requests + state.others.requests
+    pace *= state.slowness(now)
+    held = state.count_held(wanted.parts, now)
+    if endpoint.id == home and len(wanted.parts) > 1:
+        shared = sum(part.tokens for part in wanted.parts[:-1])
+        held = max(held, shared)
+    unread = max(1, wanted.prompt - held)
+    ahead = state.tokens + state.others.tokens
+    seconds = (ahead + unread) * pace + running * STEP_SECONDS
+    if running >= endpoint.slots:
+        seconds += pace * ahead / max(1, running)
+    return _Predicted(seconds, unread, ahead == 0)
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -4,14 +4,17 @@
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from lagoonpost.http.message import Address
-from lagoonpost.systems.placement import (
-    Placement,
-    Wanted,
+from lagoonpost.systems.home import (
+    MOST_ORDERS,
+    HomeOrders,
     find_holder,
     rank_homes,
 )
+from lagoonpost.systems.placement import Placement, Wanted
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.forwarded import Part
 from lagoonpost.tables.gateway_report import RunnerWork
@@ -240,6 +243,32 @@
         assert find_home(make_runners(2), (Part("own", 5),)) == ""
 
 
+class TestHomeOrders:
+    @given(st.lists(st.tuples(st.integers(1, 6), st.integers(0, 9))))
+    def test_what_is_kept_is_what_would_be_ranked(self, steps):
+        """A session goes on to a runner that has gone or come since."""
+        orders = HomeOrders()
+        for count, session in steps:
+            runners = tuple(make_runners(count))
+            parts = make_draft(f"s{session}").parts
+            assert orders.rank(runners, parts) == rank_homes(runners, parts)
+
+    def test_a_runner_that_leaves_is_seen(self):
+        orders = HomeOrders()
+        runners = tuple(make_runners(3))
+        parts = make_draft("s1").parts
+        orders.rank(runners, parts)
+        leaving = (runners[0]._replace(leaving=True), *runners[1:])
+        assert any(each.leaving for each in orders.rank(leaving, parts))
+
+    def test_orders_of_many_sessions_are_not_all_kept(self):
+        orders = HomeOrders()
+        for session in range(2 * MOST_ORDERS):
+            parts = make_draft(f"s{session}").parts
+            orders.rank(tuple(make_runners(2)), parts)
+        assert len(orders._ranked) == MOST_ORDERS
+
+
 class TestFindHolder:
     def test_a_new_home_copies_from_the_one_before(self):
         """Runners come and go in droughts, and sessions change their home.
@@ -252,7 +281,7 @@
             draft = make_draft(f"s{number}")
             before = rank_homes(runners[:3], draft.parts)[0]
             order = rank_homes(runners, draft.parts)
-            holder = find_holder(order, order[0], draft)
+            holder = find_holder(order, order[0], draft.parts)
             assert before in (order[0], holder)
 
     def test_a_leaving_home_gives_what_it_holds(self):
@@ -279,11 +308,11 @@
     def test_little_is_read_and_not_copied(self):
         small = make_draft("s1")._replace(parts=(Part("a", 300), Part("b", 9)))
         runners = make_runners(2)
-        assert find_holder(runners, runners[0], small) is None
+        assert find_holder(runners, runners[0], small.parts) is None
 
     def test_memory_of_another_version_is_not_copied(self):
         target, other = make_runners(2)
         new = other._replace(version="v2")
         draft = make_draft("s1")
-        assert find_holder([target, other], target, draft) == other
-        assert find_holder([target, new], target, draft) is None
+        assert find_holder([target, other], target, draft.parts) == other
+        assert find_holder([target, new], target, draft.parts) is None
