Handle a caller's request in the task of its connection

Each request took two tasks besides: its handler, and a read that waited for the caller to leave. The reader of the connection now tells that its end has come, which cancels the request; reads of a stream that may be silent for as long as it takes have no timer each.

What a caller sends ahead stays in the reader until its turn, as before up to a buffer full. A caller that had left before its request was handled is not handled at all.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -95,6 +95,8 @@
                 to be lost; None waits for as long as it takes.
         """
         try:
+            if patience is None:
+                return await anext(self._parts)
             async with asyncio.timeout(patience):
                 return await anext(self._parts)
         except StopAsyncIteration:
--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -29,6 +29,31 @@
         self.detail = detail
 
 
+class _CallerReader(asyncio.StreamReader):
+    """Reads a caller's bytes, and tells at once when it has gone.
+
+    Attributes:
+        gone: Whether nothing more can come.
+        on_gone: Called when that is so, while a request is handled.
+    """
+
+    gone = False
+    on_gone: Callable[[], None] | None = None
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        self._tell_gone()
+
+    def set_exception(self, exc: Exception) -> None:
+        super().set_exception(exc)
+        self._tell_gone()
+
+    def _tell_gone(self) -> None:
+        self.gone = True
+        if self.on_gone is not None:
+            self.on_gone()
+
+
 class Server:
     """Listens on one address and hands whole requests to a handler.
 
@@ -59,8 +84,14 @@
 
     async def start(self, address: Address) -> Address:
         """Listen on ``address`` and return the bound address."""
-        self._server = await asyncio.start_server(
-            self._serve, address.host, address.port, limit=READ_SIZE
+        loop = asyncio.get_running_loop()
+
+        def make_protocol() -> asyncio.StreamReaderProtocol:
+            reader = _CallerReader(limit=READ_SIZE, loop=loop)
+            return asyncio.StreamReaderProtocol(reader, self._serve, loop=loop)
+
+        self._server = await loop.create_server(
+            make_protocol, address.host, address.port
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
@@ -129,9 +160,7 @@
             if request is None:
                 return
             if self._cancel_when_gone:
-                await self._handle_watched(
-                    request, responder, connection, reader
-                )
+                await self._handle_watched(request, responder, reader)
             else:
                 await self._handler(request, responder)
             if not responder.finished:
@@ -149,28 +178,36 @@
         self,
         request: Request,
         responder: Responder,
-        connection: h11.Connection,
         reader: asyncio.StreamReader,
     ) -> None:
         """Run the handler, and cancel it once its caller has gone.
 
         Without this a caller that gave up would keep its runner at work
-        for nobody; it shows as a read that ends while nothing is due.
+        for nobody. A peer that sends more than a buffer full ahead is not
+        read until it is answered, and its end is not seen either.
         """
-        work = asyncio.ensure_future(self._handler(request, responder))
-        watch = asyncio.ensure_future(_wait_gone(reader, connection))
+        task = asyncio.current_task()
+        assert task is not None and isinstance(reader, _CallerReader)
+        if reader.gone:
+            raise PeerGoneError("the caller closed the connection")
+        cancelled = False
+
+        def cancel() -> None:
+            nonlocal cancelled
+            if not cancelled:
+                cancelled = True
+                task.cancel()
+
+        reader.on_gone = cancel
         try:
-            await asyncio.wait(
-                {work, watch}, return_when=asyncio.FIRST_COMPLETED
-            )
+            await self._handler(request, responder)
+        except asyncio.CancelledError:
+            if not cancelled:
+                raise
+            task.uncancel()
+            raise PeerGoneError("the caller closed the connection") from None
         finally:
-            watch.cancel()
-            if not work.done():
-                work.cancel()
-            await asyncio.wait({work, watch})
-        if work.cancelled():
-            raise PeerGoneError("the caller closed the connection")
-        work.result()
+            reader.on_gone = None
 
     async def _read(
         self,
@@ -220,24 +257,6 @@
                 return None
 
 
-async def _wait_gone(
-    reader: asyncio.StreamReader, connection: h11.Connection
-) -> None:
-    early = 0
-    while early < READ_SIZE:
-        try:
-            data = await reader.read(READ_SIZE)
-        except OSError:
-            return
-        if not data:
-            return
-        # The next request, sent before this one is answered. A peer that
-        # sends more than a buffer full is not read until it is.
-        connection.receive_data(data)
-        early += len(data)
-    await asyncio.Event().wait()
-
-
 async def _receive(
     reader: asyncio.StreamReader, deadline: float, started: bool
 ) -> bytes:
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -1,6 +1,7 @@
 """Tests of lagoonpost.http."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 
 import pytest
@@ -159,6 +160,78 @@
         assert b'"execution":"not_run"' in answer
 
 
+class TestGoneCaller:
+    """Handlers of requests whose callers may leave before the answer."""
+
+    @pytest.mark.parametrize("leave", ["close", "reset", "half_close"])
+    def test_a_request_is_given_up_when_its_caller_leaves(self, leave) -> None:
+        """Runners would go on working for nobody."""
+        ended = asyncio.Event()
+
+        async def wait(request: Request, responder: Responder) -> None:
+            try:
+                await asyncio.sleep(3600)
+            finally:
+                ended.set()
+
+        async def story() -> None:
+            server = Server(wait, cancel_when_gone=True)
+            address = await server.start(LOOPBACK)
+            _, writer = await asyncio.open_connection(*address)
+            writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            await asyncio.sleep(0.1)
+            _LEAVE[leave](writer)
+            async with asyncio.timeout(20):
+                await ended.wait()
+            writer.close()
+            await server.close(0.0)
+
+        asyncio.run(story())
+
+    def test_a_request_sent_ahead_is_answered_in_its_turn(self) -> None:
+        async def answer_late(request: Request, responder: Responder) -> None:
+            await asyncio.sleep(0.05)
+            await responder.send(Response(200, (), request.path.encode()))
+
+        async def story() -> bytes:
+            server = Server(answer_late, cancel_when_gone=True)
+            address = await server.start(LOOPBACK)
+            reader, writer = await asyncio.open_connection(*address)
+            for path in (b"/one", b"/two"):
+                writer.write(b"GET %b HTTP/1.1\r\nhost: x\r\n\r\n" % path)
+            async with asyncio.timeout(20):
+                first = await reader.readuntil(b"/one")
+                second = await reader.readuntil(b"/two")
+            writer.close()
+            await server.close(0.0)
+            return first + second
+
+        assert asyncio.run(story()).count(b"200") == 2
+
+    def test_a_server_that_closes_cancels_what_is_open(self) -> None:
+        async def wait(request: Request, responder: Responder) -> None:
+            await asyncio.sleep(3600)
+
+        async def story() -> bytes:
+            server = Server(wait, cancel_when_gone=True)
+            address = await server.start(LOOPBACK)
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            await asyncio.sleep(0.1)
+            await server.close(0.0)
+            async with asyncio.timeout(20):
+                return await reader.read()
+
+        assert asyncio.run(story()) == b""
+
+
+_LEAVE: dict[str, Callable[[asyncio.StreamWriter], None]] = {
+    "close": lambda writer: writer.close(),
+    "reset": lambda writer: writer.transport.abort(),
+    "half_close": lambda writer: writer.write_eof(),
+}
+
+
 class TestAddress:
     def test_parses_host_and_port(self) -> None:
         assert parse_address("127.0.0.1:80") == Address("127.0.0.1", 80)
