Let small repeated work wake the gateway together

An idle gateway woke 78 times a second, mostly for works that look at a clock or a table each 0.1 to 1 s, each at times of its own. They sleep to common wake-ups now, four a second. Reports take one timer each and not two, the gauges are set when somebody asks for the metrics, and clocks are looked at four times a second for ten: a thaw shows at the first look after it whenever that is.

--- a/bench/system.py
+++ b/bench/system.py
@@ -25,7 +25,7 @@
 START_SECONDS = 30.0
 PORTS = (15000, 32000)
 _given: set[int] = set()
-_claims: list[IO[str]] = []
+_claims: dict[int, IO[str]] = {}
 
 
 def _claim(port: int) -> bool:
@@ -41,7 +41,7 @@
     except BlockingIOError:
         file.close()
         return False
-    _claims.append(file)
+    _claims[port] = file
     return True
 
 
@@ -61,6 +61,12 @@
             return port
 
 
+def release_port(port: int) -> None:
+    """Let other systems have a port that is no longer used."""
+    _given.discard(port)
+    _claims.pop(port).close()
+
+
 class Process:
     """One started process, its address and its log."""
 
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -19,6 +19,7 @@
 from lagoonpost.forwarding.metrics import ForwardingMetrics
 from lagoonpost.forwarding.shared import Shared
 from lagoonpost.forwarding.shifts import Shifts, keep_shifting
+from lagoonpost.forwarding.step import sleep_in_step
 from lagoonpost.forwarding.upkeep import SettingsWatch, watch_thaw
 from lagoonpost.forwarding.usage import UsageCount
 from lagoonpost.http.client import Client
@@ -43,7 +44,7 @@
 entries again after two seconds."""
 END_SECONDS = 0.7
 """What is left of the grace for the process to end."""
-UPKEEP_SECONDS = 0.2
+UPKEEP_SECONDS = 0.25
 """Pause between rounds of small work that nothing triggers."""
 SHIFT_SECONDS = 0.5
 """Pause between looks at services that move to another version."""
@@ -75,7 +76,7 @@
         rng = random.Random(settings.name)
         self._client = Client()
         traffic = Traffic()
-        self._metrics = ForwardingMetrics(traffic)
+        self._metrics = ForwardingMetrics(traffic, self._measure)
         self.belief = Belief(read_clock)
         self._store = PlatformStore(self._client, settings.store, traffic)
         wall_clock = make_clock()
@@ -329,9 +330,8 @@
 
     async def _keep_up(self) -> None:
         while True:
-            await asyncio.sleep(UPKEEP_SECONDS)
+            await sleep_in_step(UPKEEP_SECONDS)
             self._front.placement.hear(self._shared.reports.sum_others())
-            self._measure()
             self._shared.publish_store_lost(self._follower.lost)
             for key in self.belief.drop_lapsed():
                 self._shared.publish_entry(key)
--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -8,6 +8,7 @@
 
 from lagoonpost.forwarding.belief import Belief
 from lagoonpost.forwarding.shared import Shared
+from lagoonpost.forwarding.step import sleep_in_step
 from lagoonpost.platform.cloud import CloudCalls, CloudOutcome, Duty
 from lagoonpost.platform.settings import HostSettings
 from lagoonpost.store.clock import read_clock
@@ -117,7 +118,7 @@
     async def _look(self) -> None:
         while True:
             self._lease.want(self._may_contend())
-            await asyncio.sleep(LOOK_SECONDS)
+            await sleep_in_step(LOOK_SECONDS)
 
     def _may_contend(self) -> bool:
         """Tell whether this gateway is among the first that hear all."""
@@ -132,7 +133,7 @@
     async def _report_usage(self) -> None:
         bounds = self._settings.bounds
         while True:
-            await asyncio.sleep(LOOK_SECONDS)
+            await sleep_in_step(LOOK_SECONDS)
             if not self.is_held():
                 continue
             due = find_due(
@@ -183,7 +184,7 @@
 
     async def _order_runners(self) -> None:
         while True:
-            await asyncio.sleep(LOOK_SECONDS)
+            await sleep_in_step(LOOK_SECONDS)
             self._measure()
             if not self.is_held():
                 continue
--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -6,6 +6,7 @@
 import eliot
 
 from lagoonpost.forwarding.belief import Belief
+from lagoonpost.forwarding.step import sleep_in_step
 from lagoonpost.platform.store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -117,7 +118,7 @@
             if self._may_rest():
                 # What changes meanwhile is not in a feed from here on.
                 self._version = None
-                await asyncio.sleep(REST_SECONDS)
+                await sleep_in_step(REST_SECONDS)
                 continue
             answer = await self._ask_or_restart()
             if isinstance(answer, Unavailable):
--- a/lagoonpost/forwarding/metrics.py
+++ b/lagoonpost/forwarding/metrics.py
@@ -1,6 +1,6 @@
 """Counters and latency histograms, as text for whoever collects them."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from prometheus_client import (
     CollectorRegistry,
@@ -54,9 +54,11 @@
 
     Args:
         traffic: Counts of what is sent and received to run the system.
+        measure: Called before the metrics are told, to set the gauges.
     """
 
-    def __init__(self, traffic: Traffic) -> None:
+    def __init__(self, traffic: Traffic, measure: Callable[[], None]) -> None:
+        self._measure = measure
         registry = self._registry = CollectorRegistry()
         registry.register(_TrafficCollector(traffic))
         self._requests = Counter(
@@ -128,5 +130,6 @@
             await responder.send(Response(404))
             return
         headers = (("content-type", CONTENT_TYPE_PLAIN_0_0_4),)
+        self._measure()
         body = generate_latest(self._registry)
         await responder.send(Response(200, headers, body))
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -138,8 +138,10 @@
             self._send_summaries()
             gateways = len(self._find_members())
             crowd = max(1.0, gateways / HUB_REPORTS / REPORT_SECONDS)
-            await asyncio.sleep(SOON_SECONDS * crowd)
-            await self._wait_nudge((REPORT_SECONDS - SOON_SECONDS) * crowd)
+            soonest = self._now() + SOON_SECONDS * crowd
+            await self._wait_nudge(REPORT_SECONDS * crowd)
+            if self._now() < soonest:
+                await asyncio.sleep(soonest - self._now())
 
     async def _wait_nudge(self, seconds: float) -> None:
         try:
--- a/lagoonpost/forwarding/shifts.py
+++ b/lagoonpost/forwarding/shifts.py
@@ -1,12 +1,12 @@
 """Moves of services to new versions: what this gateway sends, hears, tells."""
 
-import asyncio
 from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
 import eliot
 import msgspec
 
+from lagoonpost.forwarding.step import sleep_in_step
 from lagoonpost.platform.configuration import UnreadableError
 from lagoonpost.platform.rollout import (
     ORDER_PREFIX,
@@ -241,6 +241,6 @@
 ) -> None:
     """Advance all orders while it is this gateway's duty, until cancelled."""
     while True:
-        await asyncio.sleep(pause)
+        await sleep_in_step(pause)
         if may_advance():
             await shifts.advance(find_reports(), store)
--- a/lagoonpost/forwarding/upkeep.py
+++ b/lagoonpost/forwarding/upkeep.py
@@ -1,11 +1,11 @@
 """Watches what changes around the process: its settings and its host."""
 
-import asyncio
 import time
 from collections.abc import Callable
 
 import eliot
 
+from lagoonpost.forwarding.step import sleep_in_step
 from lagoonpost.platform.settings import (
     HostSettings,
     SettingsError,
@@ -20,7 +20,7 @@
 THAW_SECONDS = 0.3
 """Suspension from which news may have been missed: shorter ones are as long
 as a report's way."""
-LOOK_SECONDS = 0.1
+LOOK_SECONDS = 0.25
 """Pause between looks at the clocks."""
 
 
@@ -76,7 +76,7 @@
     async def run(self) -> None:
         """Look for changes that no signal tells of, until cancelled."""
         while True:
-            await asyncio.sleep(SETTINGS_SECONDS)
+            await sleep_in_step(SETTINGS_SECONDS)
             if read_change_time(self._path) != self._read_at:
                 self.reload()
 
@@ -90,7 +90,7 @@
     """
     ahead = read_clock() - time.monotonic()
     while True:
-        await asyncio.sleep(LOOK_SECONDS)
+        await sleep_in_step(LOOK_SECONDS)
         before, ahead = ahead, read_clock() - time.monotonic()
         if ahead - before > THAW_SECONDS:
             eliot.log_message(
--- a/test/forwarding_stack.py
+++ b/test/forwarding_stack.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import itertools
-import socket
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any, Self, TypeVar
 
+from bench.system import find_port, release_port
 from lagoonpost.forwarding.daemon import ForwardingDaemon
 from lagoonpost.http.client import Client, Stream
 from lagoonpost.http.message import Address, Headers, Response
@@ -117,7 +117,9 @@
     async def add_gateway(self) -> ForwardingDaemon:
         """Start one more gateway."""
         number = len(self.gateways) + 1
-        ports = [_find_free_port() for _ in range(4)]
+        ports = [find_port() for _ in range(4)]
+        for port in ports:
+            self._exit.callback(release_port, port)
         addresses = GatewayAddresses(
             *(Address("127.0.0.1", port) for port in ports)
         )
@@ -218,9 +220,3 @@
         ("prompt-prefix", f"aa:{prompt // 2},bb:{prompt - prompt // 2}"),
         *more.items(),
     )
-
-
-def _find_free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return int(listener.getsockname()[1])
