Ask a neighbour that differs again at the next second

Suspected cause: a gateway that is slow to answer is passed over by those that push to it, and what was pushed meanwhile is found by digests only. A difference counts once it shows twice at the same neighbour, and the three neighbours are asked in turn, one a second. Asking it in place of the one whose turn it is was red in test_failure_domain_lost_at_once, as lost neighbours were found later.

--- a/lagoonpost/systems/gossip.py
+++ b/lagoonpost/systems/gossip.py
@@ -150,8 +150,11 @@
         if not names:
             return []
         self._turn += 1
-        name = names[self._turn % len(names)]
-        return self._call_each((name,), purpose, now)
+        chosen = {names[self._turn % len(names)]}
+        # Who differed is asked again at once: in its turn that would be
+        # seconds later, and lost news would be known as late.
+        chosen.update(name for name in names if name in self._differences)
+        return self._call_each(sorted(chosen), purpose, now)
 
     def _join(self, now: float) -> list[Action]:
         known = self._call_each(self.view.neighbours(now), "sync", now)
