Ask a lost store seldom while others read it

Cause: readers that lose the store are replaced by others, which lose it too if it is away for all, and whoever had lost it went on asking four times a second and table until it was back: 195 gateways would make 1,560 calls a second. A gateway that does not have to read looks for the return every two seconds now, and at once when it has to read. Readers, backups and those whose hub is silent ask as before.

--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -31,6 +31,11 @@
 REST_SECONDS = 0.25
 """Pause between looks whether this gateway has to read for others again."""
 
+LOST_LOOKS = 8
+"""Rests after which a gateway that has lost the store looks for its return
+while others read for it, two seconds: if all that have lost it asked as often
+as a reader, an outage would cost more calls than a day."""
+
 OnChange = Callable[[FeedRow], None]
 Answer = Page | HistoryLost | Unavailable
 
@@ -124,6 +129,7 @@
             if isinstance(answer, Unavailable):
                 self._note_failure(answer)
                 await pause_after_failure(self._count_call())
+                await self._rest_lost()
                 continue
             self._note_back()
             self._read_once = True
@@ -146,12 +152,19 @@
     def _may_rest(self) -> bool:
         """Tell whether others read the table for this gateway.
 
-        Not before a first read, and not while the store is lost: a gateway
-        that does not know whether the store answers could not take over.
+        Not before a first read, and not while the store is lost: whoever
+        has lost it looks for its return, if more seldom, and says so.
         """
         needed = self._find_pause() is not None
         return self._read_once and not self.lost and not needed
 
+    async def _rest_lost(self) -> None:
+        """Wait before the next look for a lost store, unless it is needed."""
+        for _ in range(LOST_LOOKS):
+            if not self._read_once or self._find_pause() is not None:
+                return
+            await sleep_in_step(REST_SECONDS)
+
     async def _ask_or_restart(self) -> Answer:
         self._asked_at = asyncio.get_running_loop().time()
         call = self._call = asyncio.create_task(self._ask())
