Send small gossip requests as letters

What was seen: gossip over HTTP/2 took a fifth of a gateway's own time beside 24 others, where it asks one neighbour a second and is asked by one.

Change: probes and news go as datagrams over the socket that the reports use (`peers.post`), and are answered so.

--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -3,14 +3,11 @@
 import asyncio
 import math
 import secrets
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-import eliot
-import msgspec
-
 from lagoonpost.http.message import Address, parse_address
-from lagoonpost.peers.datagram import Datagrams
+from lagoonpost.peers.post import Post
 from lagoonpost.systems.hearing import find_heard_part, find_unheard
 from lagoonpost.systems.hub import Heard, Roles
 from lagoonpost.tables.gateway_report import (
@@ -19,12 +16,9 @@
     Summary,
     Taken,
     add_work,
-    decode_letter,
-    encode_letter,
     subtract_work,
 )
 from lagoonpost.tables.peer import Member
-from lagoonpost.tables.traffic import Traffic
 
 REPORT_SECONDS = 0.4
 """Pause between reports. What others let through meanwhile is not known:
@@ -84,7 +78,7 @@
         find_all_members: Returns also those that left or are held dead.
         find_roles: Returns who is a hub.
         clock: Seconds since the epoch, as the members' rows use them.
-        traffic: Counts what is sent and received.
+        post: Takes and brings the letters.
 
     Attributes:
         run_id: Identifies this run of the process.
@@ -100,7 +94,7 @@
         find_all_members: Callable[[], tuple[Member, ...]],
         find_roles: Callable[[], Roles],
         clock: Callable[[], float],
-        traffic: Traffic | None = None,
+        post: Post,
     ) -> None:
         self._name = name
         self._address = address
@@ -109,7 +103,9 @@
         self._find_all_members = find_all_members
         self._find_roles = find_roles
         self._clock = clock
-        self._traffic = traffic or Traffic()
+        self._post = post
+        post.receive(GatewayReport, self._take_report)
+        post.receive(Summary, self._take_summary)
         self.run_id = secrets.token_hex(4)
         self.held: dict[str, tuple[float, GatewayReport]] = {}
         self._started = 0.0
@@ -120,16 +116,15 @@
         self._others: dict[str, RunnerWork] = {}
         self._heard_part = (-math.inf, 1.0)
         self._nudged = asyncio.Event()
-        self._datagrams = Datagrams(self._take_datagram)
 
     async def start(self) -> None:
         """Listen for reports."""
         self._started = self._now()
-        await self._datagrams.start(self._address)
+        await self._post.start(self._address)
 
     def close(self) -> None:
         """Stop listening."""
-        self._datagrams.close()
+        self._post.close()
 
     async def run(self) -> None:
         """Send reports, and sums where this is a hub, until cancelled."""
@@ -175,7 +170,7 @@
             for each in self._find_members()
             if each.name in hubs and each.name != self._name
         ]
-        self._send("report", encode_letter(report), targets)
+        self._post.send(report, targets)
 
     def _send_summaries(self) -> None:
         """Send the sums to those who have this gateway for their hub."""
@@ -212,31 +207,13 @@
             run, rank = ranks.get(each.name, ("", 0))
             own = summary._replace(run=run, rank=rank)
             target = parse_address(each.address)
-            self._send("summary", encode_letter(own), [target])
-
-    def _send(
-        self, kind: str, letter: bytes, targets: Sequence[Address]
-    ) -> None:
-        for _ in targets:
-            self._traffic.note(kind, "sent", len(letter))
-        self._datagrams.send(letter, targets)
+            self._post.send(own, [target])
 
     # Taking
 
-    def _take_datagram(self, body: bytes) -> None:
-        try:
-            letter = decode_letter(body)
-        except (msgspec.DecodeError, KeyError) as error:
-            eliot.log_message(
-                message_type="lagoonpost:peers:unreadable", detail=str(error)
-            )
-            return
-        kind = "summary" if isinstance(letter, Summary) else "report"
-        self._traffic.note(kind, "received", len(body))
-        if isinstance(letter, Summary):
-            self._take_summary(letter)
-        elif letter.run != self.run_id and self._keep_report(letter):
-            self._party.hear_report(letter)
+    def _take_report(self, report: GatewayReport, sender: Address) -> None:
+        if report.run != self.run_id and self._keep_report(report):
+            self._party.hear_report(report)
 
     def _keep_report(self, report: GatewayReport) -> bool:
         """Keep a report unless a later one of the same run came before."""
@@ -253,7 +230,7 @@
         for key in [k for k, (at, _) in self.held.items() if at < oldest]:
             del self.held[key]
 
-    def _take_summary(self, summary: Summary) -> None:
+    def _take_summary(self, summary: Summary, sender: Address) -> None:
         """Take a hub's sums, less what this gateway has in them itself."""
         before = self._summary
         if self.is_hub() or (
--- a/lagoonpost/forwarding/shared.py
+++ b/lagoonpost/forwarding/shared.py
@@ -13,6 +13,7 @@
 from lagoonpost.http.message import Address
 from lagoonpost.peers.message import Document
 from lagoonpost.peers.node import Peers, PeerSettings, make_clock
+from lagoonpost.peers.post import Post
 from lagoonpost.platform.settings import Bounds, HostSettings
 from lagoonpost.store.store import Store, Unavailable, Write
 from lagoonpost.systems.hub import Roles, choose_roles, must_read
@@ -101,6 +102,7 @@
             seeds=settings.seeds,
             entry=settings.entry,
         )
+        post = Post(traffic)
         self.peers = Peers(
             peer_settings,
             self._learn_facts,
@@ -108,6 +110,7 @@
             self._give_documents,
             rng=rng,
             traffic=traffic,
+            post=post,
         )
         self.reports = Reports(
             settings.name,
@@ -117,7 +120,7 @@
             self.peers.all_members,
             self.find_roles,
             make_clock(),
-            traffic,
+            post,
         )
 
     def set_bounds(self, bounds: Bounds) -> None:
--- a/lagoonpost/peers/datagram.py
+++ b/lagoonpost/peers/datagram.py
@@ -1,13 +1,8 @@
-"""One-way news that is repeated soon anyway, as UDP datagrams.
-
-Pattern of load: each gateway tells all others some times a second what it
-has under way. As calls over HTTP/2 that took 7% of a core at nine gateways
-with nothing to do, 1.1 ms a call; a datagram takes some 30 us. One that is
-lost is made good by the next, as they carry totals and not changes.
-"""
+"""A socket for UDP datagrams."""
 
 import asyncio
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from lagoonpost.http.message import Address
 
@@ -19,10 +14,10 @@
     """A socket that sends to peers and hands over what comes.
 
     Args:
-        on_datagram: Told each datagram's bytes.
+        on_datagram: Told each datagram's bytes and its sender.
     """
 
-    def __init__(self, on_datagram: Callable[[bytes], None]) -> None:
+    def __init__(self, on_datagram: Callable[[bytes, Address], None]) -> None:
         self._on_datagram = on_datagram
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -45,9 +40,9 @@
         if self._transport is not None:
             self._transport.close()
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Take one datagram."""
-        self._on_datagram(data)
+        self._on_datagram(data, Address(*addr[:2]))
 
     def error_received(self, exc: Exception) -> None:
         """Pass over a peer that has nobody listening: it is restarting."""
--- a/lagoonpost/peers/message.py
+++ b/lagoonpost/peers/message.py
@@ -1,7 +1,23 @@
-"""Messages between peers besides gossip: fetching and hand-over."""
+"""Messages between peers: asking, fetching and hand-over."""
 
 from typing import NamedTuple
 
+from lagoonpost.systems.packet import Packet, Reply
+
+
+class Ask(NamedTuple):
+    """A gossip request as a letter; its number is the asker's own."""
+
+    number: int
+    packet: Packet
+
+
+class Told(NamedTuple):
+    """The answer to the letter with this number."""
+
+    number: int
+    reply: Reply
+
 
 class FetchRequest(NamedTuple):
     """Ask for documents of a kind with numbers above ``after``."""
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -1,9 +1,7 @@
 """What each gateway tells all others about its own work."""
 
 from collections.abc import Iterable, Mapping
-from typing import Literal, NamedTuple
-
-import msgspec
+from typing import NamedTuple
 
 from lagoonpost.tables.version_shift import VersionCounts
 
@@ -88,36 +86,6 @@
     read_age: float | None = None
 
 
-class _Letter(NamedTuple):
-    """What a datagram holds: a word for the type, and the value."""
-
-    kind: Literal["report", "summary"]
-    body: msgspec.Raw
-
-
-_TYPES: dict[str, type[GatewayReport] | type[Summary]] = {
-    "report": GatewayReport,
-    "summary": Summary,
-}
-_KINDS = {type_: kind for kind, type_ in _TYPES.items()}
-
-
-def encode_letter(value: GatewayReport | Summary) -> bytes:
-    """Return a datagram with one report or summary."""
-    body = msgspec.Raw(msgspec.msgpack.encode(value))
-    return msgspec.msgpack.encode((_KINDS[type(value)], body))
-
-
-def decode_letter(datagram: bytes) -> GatewayReport | Summary:
-    """Return what a datagram holds.
-
-    Raises:
-        msgspec.DecodeError: If it is neither report nor summary.
-    """
-    letter = msgspec.msgpack.decode(datagram, type=_Letter)
-    return msgspec.msgpack.decode(letter.body, type=_TYPES[letter.kind])
-
-
 def add_work(reports: Iterable[GatewayReport]) -> dict[str, RunnerWork]:
     """Return the sum of some gateways' open work by runner."""
     total: dict[str, RunnerWork] = {}
--- a/test/test_reports.py
+++ b/test/test_reports.py
@@ -7,13 +7,12 @@
 
 from lagoonpost.forwarding.reports import Reports
 from lagoonpost.http.message import Address
+from lagoonpost.peers.post import Post, decode_letter, encode_letter
 from lagoonpost.systems.hub import choose_roles
 from lagoonpost.tables.gateway_report import (
     GatewayReport,
     RunnerWork,
     Taken,
-    decode_letter,
-    encode_letter,
 )
 from lagoonpost.tables.peer import Member
 
@@ -72,6 +71,7 @@
             for number, port in enumerate(ports)
         ]
         self.parties = [Party(number) for number in range(COUNT)]
+        self.posts = [Post() for _ in ports]
         self.reports = [
             Reports(
                 member.name,
@@ -81,6 +81,7 @@
                 lambda: tuple(self.members),
                 lambda: choose_roles(self.members, ()),
                 lambda: 0.0,
+                self.posts[number],
             )
             for number, member in enumerate(self.members)
         ]
@@ -176,7 +177,7 @@
         async def story() -> None:
             async with Crowd() as crowd:
                 for body in (b"", b"\xc1", encode_letter(_make_report())[:-3]):
-                    crowd.reports[0]._take_datagram(body)
+                    crowd.posts[0]._take(body, Address("127.0.0.1", 9))
 
         asyncio.run(story())
 
