Suspect nobody while late oneself

What was seen: after a loss of power everywhere 232 gateways started within 0.6 s and had the configuration within 0.7 s. In the next two seconds they took 53,000 rows of members, then next to none for two, then 148,000 in five seconds, 90,282 of them suspicions; one took 2,033 rows of 231 others.

A member whose own tick is over 0.3 s late now drops what it began to find out and begins nothing for three seconds: others that are in time judge.

test_gossip TestSlow, red before.

--- a/lagoonpost/systems/detection.py
+++ b/lagoonpost/systems/detection.py
@@ -94,6 +94,10 @@
         held = [rows[name] for name in due if name in rows]
         return [condemn(row) for row in held if row.state == "suspect"]
 
+    def drop_inquiries(self) -> None:
+        """Begin no verdict by what this member was too slow to hear."""
+        self._inquiries.clear()
+
     def distrust(self) -> None:
         """Drop what was found out before a freeze.
 
--- a/lagoonpost/systems/gossip.py
+++ b/lagoonpost/systems/gossip.py
@@ -37,6 +37,12 @@
 # or so busy that its facts may be as old.
 TICK_SECONDS = 1.0
 STALL_SECONDS = 3.0
+# A tick that is later than this shows that this member is itself too slow to
+# tell whether others are: their answers wait unread in its sockets. All that
+# start together are slow for a while, and if they suspected each other, the
+# verdicts and their refutations would keep them slow.
+LATE_SECONDS = 0.3
+BUSY_SECONDS = 3.0
 # One member in HEAL_TICKS tries each second one that is held dead: 32
 # members a second at 320, so that a healed partition is found at once.
 HEAL_TICKS = 10
@@ -70,6 +76,7 @@
         self._differences: dict[str, int] = {}
         self._turn = 0
         self._last_tick = started
+        self._busy_until = started
         self._settled_after = started
         self._answers: set[str] = set()
 
@@ -128,8 +135,11 @@
         return self._call_each(self.view.neighbours(now), "sync", now)
 
     def _tick(self, event: Tick, now: float, rng: Random) -> list[Action]:
-        self._last_tick = now
         view = self.view
+        if now - self._last_tick > TICK_SECONDS + LATE_SECONDS:
+            self._busy_until = now + BUSY_SECONDS
+            view.detector.drop_inquiries()
+        self._last_tick = now
         view.drop_expired(now)
         for row in view.detector.judge(view.members.rows, now):
             view.adopt_member(row, view.me.name, now)
@@ -343,7 +353,7 @@
 
     def _inquire(self, row: Member, now: float, rng: Random) -> list[Action]:
         view = self.view
-        if row.region != view.me.region:
+        if row.region != view.me.region or now < self._busy_until:
             return []
         if not view.detector.inquire(row, now):
             return []
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -5,7 +5,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 from peer_network import Network, start_cluster, start_settled
 
-from lagoonpost.systems.packet import Leave
+from lagoonpost.systems.gossip import TICK_SECONDS
+from lagoonpost.systems.packet import Call, Failed, Leave, Tick
 from lagoonpost.tables.fact import Fact
 
 HOUR = 3600.0
@@ -181,6 +182,34 @@
             network.check_converged()
 
 
+class TestSlow:
+    """Members that are late themselves, and what they say of others."""
+
+    def play(self, late: float) -> list[Call]:
+        """Return what a member asks after a lost probe and a late tick."""
+        network = Network()
+        names = start_cluster(network, 6)
+        node = network.nodes[names[0]]
+        now = network.now
+        node.step(Tick(), now, network.rng)
+        now += TICK_SECONDS + late
+        calls = node.step(Tick(), now, network.rng)
+        lost = next(c for c in calls if getattr(c, "purpose", "") == "probe")
+        actions = node.step(Failed(lost), now + 1.0, network.rng)
+        return [a for a in actions if isinstance(a, Call)]
+
+    def test_a_member_in_time_asks_others_about_a_silent_one(self):
+        assert any(call.purpose == "ask" for call in self.play(0.1))
+
+    def test_a_late_member_suspects_nobody(self):
+        """All hosts lose power, and are slow as they start together.
+
+        Each held the others dead, whose refutations kept all of them slow:
+        news took four seconds to reach everyone.
+        """
+        assert not any(call.purpose == "ask" for call in self.play(0.8))
+
+
 class TestFreeze:
     def test_thawed_member_serves_only_what_is_in_force(self):
         """A caller's request is routed by a configuration long replaced.
