--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -12,14 +12,13 @@
 from grpclib.server import Server
 
 from lagoonpost.http.message import Address, parse_address
+from lagoonpost.peers.asking import ASK_SECONDS, Asking
 from lagoonpost.peers.codec import MessagePackCodec
 from lagoonpost.peers.message import (
-    Ask,
     Document,
     FetchReply,
     FetchRequest,
     HandOver,
-    Told,
 )
 from lagoonpost.peers.pool import ChannelPool, call_once
 from lagoonpost.peers.post import Post
@@ -56,9 +55,6 @@
 
 # News of one burst leaves in one packet; ten hops still take only 0.2 s.
 FLUSH_SECONDS = 0.02
-ASK_SECONDS = 0.3
-"""Wait for the answer to a letter before the call is made; the way there and
-back between failure domains takes a hundredth, but a host may be slow."""
 FETCH_TIMEOUT = 5.0
 HAND_OVER_TIMEOUT = 2.0
 HAND_OVER_TRIES = 2
@@ -133,12 +129,7 @@
         self._rng = rng or random.Random()
         self._service = PeerService(self._receive, on_fetch, on_hand_over)
         self._codec = MessagePackCodec(traffic)
-        self._post = post
-        self._asked = 0
-        self._waiting: dict[int, asyncio.Future[Reply]] = {}
-        if post is not None:
-            post.receive(Ask, self._take_ask)
-            post.receive(Told, self._take_told)
+        self._asking = Asking(post, self._answer_letter) if post else None
         self._pool = ChannelPool(codec=self._codec)
         self._tasks: set[asyncio.Task[None]] = set()
         self._timers: dict[str, asyncio.TimerHandle] = {}
@@ -322,6 +313,9 @@
         loop = asyncio.get_running_loop()
         self._timers[name] = loop.call_later(delay, function)
 
+    def _answer_letter(self, packet: Packet) -> Reply | None:
+        return None if self._closed else self._receive(packet)
+
     def _receive(self, packet: Packet) -> Reply:
         for action in self._step(Received(packet)):
             if isinstance(action, Reply):
@@ -354,8 +348,8 @@
         address = parse_address(call.address)
         seconds = PROBE_SECONDS
         reply = None
-        if self._post is not None and not call.packet.buckets:
-            reply = await self._ask(self._post, address, call.packet)
+        if self._asking is not None and not call.packet.buckets:
+            reply = await self._asking.ask(address, call.packet)
             seconds -= ASK_SECONDS
         if reply is None:
             reply = await self._pool.call(
@@ -366,38 +360,6 @@
         else:
             self._step(Answered(call, reply))
 
-    async def _ask(
-        self, post: Post, address: Address, packet: Packet
-    ) -> Reply | None:
-        """Ask by letter; None if no answer came.
-
-        The call that follows then takes the same packet, which may arrive
-        twice: rows merge alike however often they come.
-        """
-        self._asked += 1
-        number = self._asked
-        waiting: asyncio.Future[Reply]
-        waiting = asyncio.get_running_loop().create_future()
-        self._waiting[number] = waiting
-        try:
-            post.send(Ask(number, packet), [address])
-            async with asyncio.timeout(ASK_SECONDS):
-                return await waiting
-        except TimeoutError:
-            return None
-        finally:
-            del self._waiting[number]
-
-    def _take_ask(self, ask: Ask, sender: Address) -> None:
-        if self._post is not None and not self._closed:
-            reply = self._receive(ask.packet)
-            self._post.send(Told(ask.number, reply), [sender])
-
-    def _take_told(self, told: Told, sender: Address) -> None:
-        waiting = self._waiting.get(told.number)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(told.reply)
-
     def _tell(self, learned: Learned) -> None:
         for row in learned.members:
             log_message(
--- a/test/test_post.py
+++ b/test/test_post.py
@@ -8,6 +8,7 @@
 from test_node import LEAVING, close_all, make_peers, start_all, wait_for
 
 from lagoonpost.http.message import Address
+from lagoonpost.peers.asking import Asking
 from lagoonpost.peers.message import Ask, Told
 from lagoonpost.peers.node import Peers
 from lagoonpost.peers.post import Post, decode_letter, encode_letter
@@ -133,9 +134,12 @@
         """A late answer came to a request that was given up."""
 
         async def story() -> None:
-            members, _ = await start_with_posts(1)
-            members[0]._take_told(Told(99, Reply("gateway-9", True)), SENDER)
-            await close_all(members)
+            post = Post()
+            asking = Asking(post, lambda packet: None)
+            late = encode_letter(Told(1, Reply("gateway-9", True)))
+            post.send = lambda letter, targets: None
+            assert await asking.ask(SENDER, Packet("gateway-1")) is None
+            post._take(late, SENDER)
 
         asyncio.run(story())
 
