Keep to a quota when much of it becomes free at once

Cause: the workspace used up its quota in half a second, which is free again as fast eight seconds later, when all that were refused come back. Each of the nine gateways let through what had become free before it heard that the others did as well: 0.9 to 1.0 million tokens in that second, of some 600,000.

Change: a gateway expects the others that it hears to have let through as much as itself in the last 0.2 s, the age of their news.

Ruled out: hosts that were cut off.

--- a/lagoonpost/forwarding/admission.py
+++ b/lagoonpost/forwarding/admission.py
@@ -90,12 +90,13 @@
         total = None if tokens is None else tokens.prompt + tokens.output
         cost = count_units(workspace, total)
         reports = self.shared.reports
+        gateways = self.shared.count_gateways()
         wait = self.quotas.take(
-            workspace, cost, reports.heard_part(), exchange.now()
+            workspace, cost, reports.heard_part(), exchange.now(), gateways
         )
         if wait is None:
             exchange.units = cost
-            if self.quotas.must_tell(workspace, self.shared.count_gateways()):
+            if self.quotas.must_tell(workspace, gateways):
                 reports.nudge()
             return None
         detail = "the workspace is over its quota"
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -38,7 +38,9 @@
 there to its limit within a second."""
 FEW_GATEWAYS = 9
 """Gateways up to which that part holds; more share it among them."""
-
+NEWS_SECONDS = 0.2
+"""Age of the news of what others let through: two reports at the fastest
+pace."""
 
 YOUNG_TOLERANCE = 0.3
 """Part of the tolerance left beyond the limit that a gateway which has just
@@ -100,7 +102,12 @@
         self._bounds = bounds
 
     def take(
-        self, workspace: Workspace, cost: float, part: float, now: float
+        self,
+        workspace: Workspace,
+        cost: float,
+        part: float,
+        now: float,
+        gateways: int = 1,
     ) -> float | None:
         """Take a request's units.
 
@@ -110,6 +117,7 @@
             part: Part of all gateways that this one hears of, itself
                 included; 0 to 1.
             now: Time in seconds.
+            gateways: Number of gateways.
 
         Returns:
             None if it is let through, else seconds until it would be.
@@ -118,14 +126,31 @@
             return None
         limit = self._find_limit(workspace, now) * part
         total = self._sum(workspace.name, now)
+        unheard = self._expect_unheard(workspace.name, gateways * part, now)
         # A window without any other request lets even the largest through.
-        if total > 0 and total + cost > limit:
-            return self._find_wait(workspace.name, total + cost - limit, now)
+        if total > 0 and total + unheard + cost > limit:
+            excess = total + unheard + cost - limit
+            return self._find_wait(workspace.name, excess, now)
         self._add_own(workspace.name, cost, now)
         untold = self._untold.get(workspace.name, 0.0) + cost
         self._untold[workspace.name] = untold
         return None
 
+    def _expect_unheard(self, name: str, heard: float, now: float) -> float:
+        """Return what others may have let through that is not heard yet.
+
+        As much as this gateway each: what has become free is free for all
+        of them, and they do not hear of each other for some tenths of a
+        second. Most of many have let through nothing.
+        """
+        own = 0.0
+        for at, units in reversed(self._own.get(name, ())):
+            if at <= now - NEWS_SECONDS:
+                break
+            own += units
+        others = max(0.0, min(heard, FEW_GATEWAYS) - 1)
+        return max(0.0, own) * others
+
     def must_tell(self, workspace: Workspace, gateways: int) -> bool:
         """Tell whether the others should hear of a workspace's use now.
 
--- a/test/test_quota.py
+++ b/test/test_quota.py
@@ -16,12 +16,18 @@
 
 
 def play_hot_workspace(
-    gateways: int, rate: float, seconds: float, seed: int
+    gateways: int,
+    rate: float,
+    seconds: float,
+    seed: int,
+    workspace: Workspace = LARGE,
+    pause: tuple[float, float] = (0.0, 0.0),
 ) -> list[tuple[float, float]]:
     """Return time and units of what was let through by all gateways.
 
     Each gateway tells the others when it has much to tell, and otherwise
-    every 0.4 s; the news takes some milliseconds.
+    every 0.4 s; the news takes some milliseconds. Nobody calls in a pause
+    from one time to another.
     """
     rng = Random(seed)
     quotas = [Quotas(BOUNDS) for _ in range(gateways)]
@@ -31,13 +37,15 @@
     while now < seconds:
         cost = rng.choice([1000.0, 3000.0, 9000.0, 20000.0])
         now += rng.expovariate(rate / cost)
+        if pause[0] <= now < pause[1]:
+            now = pause[1]
         number = rng.randrange(gateways)
         quota = quotas[number]
-        if quota.take(LARGE, cost, 1.0, now) is None:
+        if quota.take(workspace, cost, 1.0, now, gateways) is None:
             passed.append((now, cost))
         for other, quota in enumerate(quotas):
-            pause = 0.1 if quota.must_tell(LARGE, gateways) else 0.4
-            if now - told[other] < pause:
+            wait = 0.1 if quota.must_tell(workspace, gateways) else 0.4
+            if now - told[other] < wait:
                 continue
             told[other] = now
             quota.note_told()
@@ -73,6 +81,21 @@
         assert most <= quota * 1.1 + 110_000
         assert most >= quota * 0.95
 
+    @pytest.mark.parametrize("seed", range(4))
+    def test_refused_callers_that_return_at_once_do_not_pass_it(self, seed):
+        """Half of a quota is free again within half a second.
+
+        It was used up as fast, and everyone who was refused comes back. Each
+        gateway let through what had become free before it heard that the
+        others did as well.
+        """
+        big = LARGE._replace(rate=140_000.0)
+        passed = play_hot_workspace(
+            9, 3_000_000, 10.0, seed, big, pause=(0.6, 8.0)
+        )
+        quota = big.rate * 8 + big.burst
+        assert find_most(passed, 8.0) <= quota * 1.1 + 110_000
+
     def test_usual_use_is_never_refused(self):
         passed = play_hot_workspace(9, LARGE.rate, 30.0, 1)
         total = sum(units for _, units in passed)
@@ -175,7 +198,7 @@
             cost = rng.choice([1000.0, 3000.0, 9000.0, 20000.0])
             now += rng.expovariate(rate / cost)
             number = rng.randrange(gateways)
-            if quotas[number].take(HUGE, cost, 1.0, now) is None:
+            if quotas[number].take(HUGE, cost, 1.0, now, gateways) is None:
                 passed.append((now, cost))
             for other, quota in enumerate(quotas[1:], 1):
                 pause = 0.1 if quota.must_tell(HUGE, gateways) else 0.4
