Log why a lease passes on, and calls of the duties as they were sent

The lines of the duties printed the fence after the call, not the one that was sent, and nothing told why a lease was released, what it was taken from or who contends.

No decision is changed.

--- a/lagoonpost/cli/timeline.py
+++ b/lagoonpost/cli/timeline.py
@@ -14,6 +14,13 @@
 than the worst that any news may take."""
 
 Describe = Callable[[dict[str, Any]], str]
+
+
+def _tell_cause(fields: dict[str, Any]) -> str:
+    cause = fields.get("cause")
+    return f" ({cause})" if cause else ""
+
+
 _CHANGES: dict[str, Describe] = {
     "lagoonpost:forwarding:started": lambda f: "started",
     "lagoonpost:forwarding:leaving": lambda f: "was told to stop",
@@ -31,6 +38,12 @@
     ),
     "lagoonpost:controller:lease": lambda f: (
         f"{f['holder']} {'holds' if f['held'] else 'lost'} the duties"
+        f" with fence {f['fence']}{_tell_cause(f)}"
+    ),
+    "lagoonpost:duties:contend": lambda f: (
+        "contends for the duties"
+        if f["wanted"]
+        else f"leaves the duties to {', '.join(f['contenders'])}"
     ),
     "lagoonpost:duties:order": lambda f: (
         f"ordered {f['count']} {'reclaimable ' if f['spot'] else ''}runners "
--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -120,18 +120,30 @@
         await self._lease.release()
 
     async def _look(self) -> None:
+        wanted = False
         while True:
-            self._lease.want(self._may_contend())
+            contenders = self._list_contenders()
+            before, wanted = wanted, self._settings.name in contenders
+            self._lease.want(wanted)
+            if wanted != before:
+                eliot.log_message(
+                    message_type="lagoonpost:duties:contend",
+                    wanted=wanted,
+                    contenders=contenders,
+                )
             await sleep_in_step(LOOK_SECONDS)
 
-    def _may_contend(self) -> bool:
-        """Tell whether this gateway is among the first that hear all."""
-        hubs = self._shared.find_roles().hubs
-        return self._settings.name in hubs[:CONTENDERS]
+    def _list_contenders(self) -> tuple[str, ...]:
+        """Return the names of the first that hear all."""
+        return self._shared.find_roles().hubs[:CONTENDERS]
 
     def _duty(self) -> Duty:
         return Duty(self._settings.name, self._lease.fence)
 
+    def _tell_call(self, duty: Duty) -> dict[str, object]:
+        """Return what a line says of a call that is about to be sent."""
+        return {**duty._asdict(), "sent_at": round(self._wall_clock(), 4)}
+
     # Usage
 
     async def _report_usage(self) -> None:
@@ -159,15 +171,17 @@
         counts = await self._fix_counts(window)
         if counts is None or not self.is_held():
             return
-        outcome = await self._cloud.report_usage(self._duty(), window, counts)
+        duty = self._duty()
+        call = self._tell_call(duty)
+        outcome = await self._cloud.report_usage(duty, window, counts)
         if outcome in ("done", "fenced"):
             self._reported[window] = True
         eliot.log_message(
             message_type="lagoonpost:duties:usage",
             window=window,
             counts=counts,
-            fence=self._lease.fence,
             outcome=outcome,
+            **call,
         )
 
     async def _fix_counts(self, window: int) -> dict[str, int] | None:
@@ -285,8 +299,10 @@
 
     async def _give(self, service: str, order: Order) -> None:
         tenure, count = order
+        duty = self._duty()
+        call = self._tell_call(duty)
         outcome = await self._cloud.order_runners(
-            self._duty(), service, tenure.domain, count, tenure.spot
+            duty, service, tenure.domain, count, tenure.spot
         )
         eliot.log_message(
             message_type="lagoonpost:duties:order",
@@ -294,9 +310,9 @@
             failure_domain=tenure.domain,
             spot=tenure.spot,
             count=count,
-            **self._meter(service).describe(),
-            fence=self._lease.fence,
             outcome=outcome,
+            **self._meter(service).describe(),
+            **call,
         )
         self._take_outcome(service, order, outcome)
 
--- a/lagoonpost/store/lease.py
+++ b/lagoonpost/store/lease.py
@@ -31,6 +31,8 @@
     get_fence,
     is_held,
     may_order,
+    name_gain,
+    name_loss,
     take_reply,
 )
 from lagoonpost.tables.lease import LeaseRow
@@ -124,7 +126,7 @@
     async def run(self) -> None:
         """Keep the lease until cancelled."""
         while True:
-            held = self.is_held()
+            before, held = self.lease, self.is_held()
             self.lease, action = choose_action(self.lease, read_clock())
             match action:
                 case Pause(seconds):
@@ -132,7 +134,7 @@
                 case Put() | Read():
                     await self._call(action)
             if held != self.is_held():
-                self._log()
+                self._log(before)
 
     async def _call(self, action: Put | Read) -> None:
         reply = await self._perform(action)
@@ -167,13 +169,18 @@
         except TimeoutError:
             pass
 
-    def _log(self) -> None:
+    def _log(self, before: Lease) -> None:
+        now = read_clock()
+        held = self.is_held()
         eliot.log_message(
             message_type="lagoonpost:controller:lease",
             lease=self._key,
             holder=self.lease.holder,
-            held=self.is_held(),
+            held=held,
             fence=self.fence,
+            cause=name_gain(before) if held else name_loss(self.lease),
+            before=before.row._asdict() if before.row else None,
+            seconds=None if held else round(now - before.taken, 3),
         )
 
 
--- a/lagoonpost/systems/lease.py
+++ b/lagoonpost/systems/lease.py
@@ -7,7 +7,7 @@
 slow the store is and wherever either of them is paused.
 """
 
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 from lagoonpost.tables.lease import LeaseRow
 
@@ -79,6 +79,9 @@
 
 Reply = Stored | Seen | NoReply
 
+Gain = Literal["new", "released", "lapsed"]
+Loss = Literal["released", "lapsed", "taken"]
+
 
 class Lease(NamedTuple):
     """One process's view of one lease.
@@ -149,6 +152,25 @@
     return waited and is_held(lease, now + lease.policy.order)
 
 
+def name_gain(before: Lease) -> Gain:
+    """Return how a lease was free that was just taken.
+
+    Args:
+        before: The lease as it was seen before that.
+    """
+    if before.row is None:
+        return "new"
+    return "lapsed" if before.row.holder else "released"
+
+
+def name_loss(lease: Lease) -> Loss:
+    """Return why a lease that was held just now no longer is."""
+    if not lease.wanted:
+        return "released"
+    ours = lease.row is not None and lease.row.nonce == lease.nonce
+    return "lapsed" if ours else "taken"
+
+
 def distrust(lease: Lease, era: int, now: float) -> Lease:
     """Return the lease after the store came back from an older copy.
 
