Let who held a lease rest before it takes it back from another

Cause: a released lease was free at once for everybody, also for who had just held it; the wait of the lease's length stood for lapsed rows alone. The class of fault: work that is handed over without the one before it being over, or without a bound on when it may come back. Four ways to it, all mended here: - taken back: a host rests `rest` seconds from when its last work may have had effects until it takes the lease again, unless nobody else had it. A process that starts counts its start as work, since it can't know what one before it did; - released under a call: a release waits for calls under way, and nothing new begins meanwhile; a call whose answer was lost counts until its latest effect; - pushed out: the contenders were the first three of a list by name. Now one hub a failure domain contends, and who holds the duties keeps them while it hears all and has the store; - taken while leaving: a gateway that leaves could want the lease again at its next look, and its calls are checked again when their bytes leave.

The model also has calls that end late or lose their answer, and a lease held alone is taken back at once as before.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -254,6 +254,8 @@
             message_type="lagoonpost:forwarding:leaving", grace=grace
         )
         self._server.leave()
+        if self._duties is not None:
+            self._duties.leave()
         await self._shared.peers.leave()
         if self._duties is not None:
             await self._duties.release()
--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -1,7 +1,7 @@
 """Work that one gateway at a time does: usage reports and orders."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from statistics import median
 
 import eliot
@@ -21,6 +21,7 @@
     Write,
 )
 from lagoonpost.systems.demand import DemandMeter, Sample, expect_busy
+from lagoonpost.systems.hub import Roles
 from lagoonpost.systems.lease import LeasePolicy
 from lagoonpost.systems.placement import FIRST_TOKEN_PACE
 from lagoonpost.systems.scaling import (
@@ -36,9 +37,11 @@
 
 LEASE_NAME = "duties"
 USAGE_PREFIX = "usage/"
-CONTENDERS = 3
-"""Gateways that look after the lease: one may hold it, one be cut off from
-the store, and one is left; all of them would look nine times as often."""
+LATE_CALL_SECONDS = 10.0
+"""Longest time after which a call without an answer may still take effect:
+the platform says some seconds."""
+LEASE_MARGIN_SECONDS = 0.5
+"""Covers clocks that run unlike, and the way of a call to the platform."""
 LOOK_SECONDS = 0.5
 """Pause between looks at what is due: a reclaim's notice is two seconds."""
 REPEAT_SECONDS = 8.0
@@ -78,14 +81,13 @@
         self._base = base
         seconds = settings.bounds.lease_seconds
         policy = LeasePolicy(
-            # A gateway that loses the lease waits out its duration before
-            # it can take it again, which is longer than the time in which
-            # holders must not come back.
             duration=seconds + 1.0,
-            margin=0.5,
+            margin=LEASE_MARGIN_SECONDS,
             renew=seconds / 2,
             retry=0.3,
             poll=1.0,
+            order=LATE_CALL_SECONDS,
+            rest=seconds + LEASE_MARGIN_SECONDS,
         )
         self._lease = LeaseKeeper(
             store, LEASE_NAME, settings.name, shared.reports.run_id, policy
@@ -95,6 +97,7 @@
         self._ask_again: dict[tuple[str, str], float] = {}
         self._meters: dict[str, DemandMeter] = {}
         self._from_start = settings.first_start
+        self._leaving = False
 
     def note_era(self) -> None:
         """Take the lease only after all who may still hold it."""
@@ -115,34 +118,60 @@
             if self._settings.orders_runners:
                 group.create_task(self._order_runners())
 
+    def leave(self) -> None:
+        """Begin nothing more, as this process is about to end."""
+        self._leaving = True
+        self._lease.want(False)
+
     async def release(self) -> None:
         """Give the lease away before this process ends."""
+        self.leave()
         await self._lease.release()
 
     async def _look(self) -> None:
         wanted = False
         while True:
-            contenders = self._list_contenders()
-            before, wanted = wanted, self._settings.name in contenders
+            roles = self._shared.find_roles()
+            before, wanted = wanted, self._may_contend(roles)
             self._lease.want(wanted)
             if wanted != before:
                 eliot.log_message(
                     message_type="lagoonpost:duties:contend",
                     wanted=wanted,
-                    contenders=contenders,
+                    contenders=roles.contenders,
                 )
             await sleep_in_step(LOOK_SECONDS)
 
-    def _list_contenders(self) -> tuple[str, ...]:
-        """Return the names of the first that hear all."""
-        return self._shared.find_roles().hubs[:CONTENDERS]
-
-    def _duty(self) -> Duty:
-        return Duty(self._settings.name, self._lease.fence)
-
-    def _tell_call(self, duty: Duty) -> dict[str, object]:
-        """Return what a line says of a call that is about to be sent."""
-        return {**duty._asdict(), "sent_at": round(self._wall_clock(), 4)}
+    def _may_contend(self, roles: Roles) -> bool:
+        name = self._settings.name
+        if self._leaving:
+            return False
+        if self.is_held():
+            return name in roles.keepers
+        return name in roles.contenders
+
+    async def _send(
+        self, send: Callable[[Duty], Awaitable[CloudOutcome]], **told: object
+    ) -> CloudOutcome:
+        """Make a call as the holder, and log it with what is told of it."""
+        fence = self._lease.fence
+
+        def may_send() -> bool:
+            return self._lease.fence == fence and self.is_held()
+
+        duty = Duty(self._settings.name, fence, may_send)
+        sent_at = round(self._wall_clock(), 4)
+        with self._lease.call() as call:
+            outcome = await send(duty)
+            call.answered = outcome != "unknown"
+        eliot.log_message(
+            holder=duty.holder,
+            fence=fence,
+            sent_at=sent_at,
+            outcome=outcome,
+            **told,
+        )
+        return outcome
 
     # Usage
 
@@ -171,18 +200,14 @@
         counts = await self._fix_counts(window)
         if counts is None or not self.is_held():
             return
-        duty = self._duty()
-        call = self._tell_call(duty)
-        outcome = await self._cloud.report_usage(duty, window, counts)
-        if outcome in ("done", "fenced"):
-            self._reported[window] = True
-        eliot.log_message(
+        outcome = await self._send(
+            lambda duty: self._cloud.report_usage(duty, window, counts),
             message_type="lagoonpost:duties:usage",
             window=window,
             counts=counts,
-            outcome=outcome,
-            **call,
         )
+        if outcome in ("done", "fenced"):
+            self._reported[window] = True
 
     async def _fix_counts(self, window: int) -> dict[str, int] | None:
         counts = self._shared.written.usage.get(window)
@@ -299,20 +324,16 @@
 
     async def _give(self, service: str, order: Order) -> None:
         tenure, count = order
-        duty = self._duty()
-        call = self._tell_call(duty)
-        outcome = await self._cloud.order_runners(
-            duty, service, tenure.domain, count, tenure.spot
-        )
-        eliot.log_message(
+        outcome = await self._send(
+            lambda duty: self._cloud.order_runners(
+                duty, service, tenure.domain, count, tenure.spot
+            ),
             message_type="lagoonpost:duties:order",
             service=service,
             failure_domain=tenure.domain,
             spot=tenure.spot,
             count=count,
-            outcome=outcome,
             **self._meter(service).describe(),
-            **call,
         )
         self._take_outcome(service, order, outcome)
 
--- a/lagoonpost/platform/cloud.py
+++ b/lagoonpost/platform/cloud.py
@@ -1,5 +1,6 @@
 """The platform's calls that only the holder of a duty may make."""
 
+from collections.abc import Callable
 from typing import Literal, NamedTuple
 
 import msgspec
@@ -11,13 +12,21 @@
 """Longest wait; a call without an answer is repeated as it was."""
 
 CloudOutcome = Literal["done", "fenced", "refused", "unknown"]
+_OUTCOMES: dict[int, CloudOutcome] = {200: "done", 409: "fenced"}
 
 
 class Duty(NamedTuple):
-    """Under which name and fencing number a call is made."""
+    """Under which name and fencing number a call is made.
+
+    Attributes:
+        holder: Name of the host.
+        fence: Fencing number.
+        may_send: Asked right before the first byte leaves.
+    """
 
     holder: str
     fence: int
+    may_send: Callable[[], bool]
 
 
 class CloudCalls:
@@ -41,8 +50,7 @@
             "fenced" if a higher fencing number was seen before.
         """
         body = {"window_id": window, "counts": counts}
-        status = await self._call("/usage", duty, body)
-        return _OUTCOMES.get(status, "refused")
+        return await self._call("/usage", duty, body)
 
     async def order_runners(
         self, duty: Duty, service: str, domain: str, count: int, spot: bool
@@ -53,17 +61,12 @@
             "fenced" if there are none to be had, or a higher fencing
             number was seen: both have the same answer.
         """
-        body: dict[str, object] = {
-            "service": service,
-            "zone": domain,
-            "desired_count": count,
-        }
+        body = {"service": service, "zone": domain, "desired_count": count}
         if spot:
             body["spot"] = True
-        status = await self._call("/scale", duty, body)
-        return _OUTCOMES.get(status, "refused")
+        return await self._call("/scale", duty, body)
 
-    async def _call(self, path: str, duty: Duty, body: object) -> int:
+    async def _call(self, path: str, duty: Duty, body: object) -> CloudOutcome:
         headers = (
             ("content-type", "application/json"),
             ("duty-holder", duty.holder),
@@ -78,10 +81,8 @@
                 headers,
                 timeout=CLOUD_SECONDS,
                 fresh=True,
+                may_send=duty.may_send,
             )
         except CallFailedError as error:
-            return 0 if error.sent else 503
-        return answer.status
-
-
-_OUTCOMES: dict[int, CloudOutcome] = {200: "done", 409: "fenced", 0: "unknown"}
+            return "unknown" if error.sent else "refused"
+        return _OUTCOMES.get(answer.status, "refused")
--- a/lagoonpost/store/lease.py
+++ b/lagoonpost/store/lease.py
@@ -1,6 +1,8 @@
 """Driver of one lease: keeps it in the store as its decisions say."""
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import eliot
@@ -26,11 +28,13 @@
     Reply,
     Seen,
     Stored,
+    begin_call,
     choose_action,
     distrust,
+    end_call,
     get_fence,
-    is_held,
     may_order,
+    may_work,
     name_gain,
     name_loss,
     take_reply,
@@ -42,6 +46,17 @@
 DEFAULT_POLICY = LeasePolicy()
 
 
+class Call:
+    """A call that is made by a lease.
+
+    Attributes:
+        answered: Whether its effect is known.
+    """
+
+    def __init__(self) -> None:
+        self.answered = False
+
+
 class LeaseKeeper:
     """Takes, renews and releases one lease.
 
@@ -64,14 +79,14 @@
         nonce: str,
         policy: LeasePolicy = DEFAULT_POLICY,
     ) -> None:
-        self.lease = Lease(holder, nonce, policy)
+        self.lease = Lease(holder, nonce, policy, worked=read_clock())
         self._store = store
         self._key = PREFIX + name
         self._changed = asyncio.Event()
 
     def is_held(self) -> bool:
         """Tell whether this process may work by the lease right now."""
-        return is_held(self.lease, read_clock())
+        return may_work(self.lease, read_clock())
 
     def may_order(self, checks_fence: bool) -> bool:
         """Tell whether an order may leave at this moment."""
@@ -101,11 +116,25 @@
             self.lease = self.lease._replace(wanted=wanted, delay=delay)
             self._changed.set()
 
+    @contextmanager
+    def call(self) -> Iterator[Call]:
+        """Keep the lease from being released while a call is under way."""
+        call = Call()
+        sent = read_clock()
+        self.lease = begin_call(self.lease)
+        try:
+            yield call
+        finally:
+            now = read_clock()
+            self.lease = end_call(self.lease, sent, call.answered, now)
+            if not self.lease.wanted:
+                self._changed.set()
+
     async def release(self) -> None:
-        """Give the lease away; the work under it must have stopped.
+        """Give the lease away, once no call is under way.
 
-        If the store does not answer for a while, others wait for the lease
-        to end instead.
+        If that takes long, or the store does not answer for a while, this
+        returns before it: the lease is released later, or ends by itself.
         """
         self.want(False)
         try:
--- a/lagoonpost/systems/hub.py
+++ b/lagoonpost/systems/hub.py
@@ -1,4 +1,4 @@
-"""Which gateways hear all others, and which read the store for all.
+"""Which gateways hear all others, read the store for all, do the duties.
 
 Pattern of load: each gateway needs to know what all of them have under way
 and have let through, and which runners there are. Told by everyone to
@@ -38,6 +38,10 @@
 READER_WAIT_SECONDS = 0.5
 """Longest time for which a reader lets the store hold a call back: its answer
 shows all others that it still reads."""
+CONTENDERS = 3
+"""Gateways that contend for the duties' lease: one may hold it, one be cut
+off from the store, and one is left; all of them would look nine times as
+often."""
 TAKE_OVER_SECONDS = 0.8
 """What a gateway that begins to read needs to be up to date: a look whether it
 has to, the whole tables, and on slow links a large configuration."""
@@ -51,12 +55,19 @@
         readers: Names of those that read the store.
         mesh: Whether all gateways are both.
         backups: Names of those that read it when the readers seem not to.
+        contenders: Names of those that take the duties if they are free, in
+            as many failure domains as there are.
+        keepers: Names of those that go on with the duties once they do them:
+            hubs that have not lost the store. Who comes or goes elsewhere
+            does not move the duties.
     """
 
     hubs: tuple[str, ...]
     readers: frozenset[str]
     mesh: bool
     backups: frozenset[str] = frozenset()
+    contenders: tuple[str, ...] = ()
+    keepers: frozenset[str] = frozenset()
 
 
 def choose_roles(members: Sequence[Member], lost: Collection[str]) -> Roles:
@@ -70,9 +81,6 @@
         members,
         key=lambda each: (each.name in lost, each.state != "alive", each.name),
     )
-    if len(ordered) <= MESH:
-        names = tuple(each.name for each in ordered)
-        return Roles(names, frozenset(names), True)
     domains: dict[str, list[str]] = {}
     for each in ordered:
         domains.setdefault(each.failure_domain, []).append(each.name)
@@ -81,14 +89,28 @@
         (names[0] for names in domains.values()), key=lambda name: place[name]
     )
     others = [each.name for each in ordered if each.name not in firsts]
-    hubs = firsts + others[: max(0, LEAST_HUBS - len(firsts))]
-    readers = frozenset(hubs[:READERS])
+    mesh = len(ordered) <= MESH
+    hubs = (
+        [each.name for each in ordered]
+        if mesh
+        else firsts + others[: max(0, LEAST_HUBS - len(firsts))]
+    )
+    readers = frozenset(hubs if mesh else hubs[:READERS])
     backups = {
         name
         for names in domains.values()
         for name in [each for each in names if each not in readers][:BACKUPS]
     }
-    return Roles(tuple(hubs), readers, False, frozenset(backups))
+    able = [name for name in hubs if name not in lost] or hubs
+    spread = [name for name in firsts + others if name in able]
+    return Roles(
+        tuple(hubs),
+        readers,
+        mesh,
+        frozenset(backups),
+        tuple(spread[:CONTENDERS]),
+        frozenset(able),
+    )
 
 
 class Heard(NamedTuple):
--- a/lagoonpost/systems/lease.py
+++ b/lagoonpost/systems/lease.py
@@ -5,6 +5,10 @@
 from the moment before it sent the write that made this version, which is
 earlier than anybody can have seen it. So the holder's time ends first, however
 slow the store is and wherever either of them is paused.
+
+A released lease is free at once, for others. Who held it rests before it takes
+it back from them: the effects of its last work, of which it may not know when
+they came, must not mix with those of the holder in between.
 """
 
 from typing import Literal, NamedTuple
@@ -30,6 +34,8 @@
         retry: Pause after a call that the store did not answer.
         poll: Pause between looks at a lease that another one holds.
         order: Longest time from sending an order to its effect.
+        rest: Least time from the last work of a host to its next, where
+            another one may have held the lease in between.
     """
 
     duration: float = 15.0
@@ -38,6 +44,7 @@
     retry: float = 1.0
     poll: float = 5.0
     order: float = 5.0
+    rest: float = 5.0
 
 
 class Read(NamedTuple):
@@ -79,7 +86,7 @@
 
 Reply = Stored | Seen | NoReply
 
-Gain = Literal["new", "released", "lapsed"]
+Gain = Literal["new", "released", "lapsed", "kept"]
 Loss = Literal["released", "lapsed", "taken"]
 
 
@@ -103,6 +110,10 @@
         not_before: Own time before which it is not taken.
         least_fence: Fencing number from which on no other holder can have
             had the next one.
+        calls: Calls under way that this process makes by the lease.
+        worked: Own time until which work of this host may have had effects.
+            A process that starts takes its start, as one of the same host
+            may have held the lease before.
     """
 
     holder: str
@@ -119,13 +130,40 @@
     unsure: bool = True
     not_before: float = 0.0
     least_fence: int = 0
+    calls: int = 0
+    worked: float = 0.0
 
 
 def is_held(lease: Lease, now: float) -> bool:
-    """Tell whether this process holds the lease and may work by it."""
+    """Tell whether this process holds the lease."""
     return now < lease.until - lease.policy.margin
 
 
+def may_work(lease: Lease, now: float) -> bool:
+    """Tell whether new work may begin: it is held and not to be released."""
+    return lease.wanted and is_held(lease, now)
+
+
+def begin_call(lease: Lease) -> Lease:
+    """Return the lease with one more call under way."""
+    return lease._replace(calls=lease.calls + 1)
+
+
+def end_call(lease: Lease, sent: float, answered: bool, now: float) -> Lease:
+    """Return the lease after a call.
+
+    Args:
+        lease: The lease by which it was made.
+        sent: Own time at which the call began.
+        answered: Whether its effect is known; else it may still come.
+        now: Own time.
+    """
+    effect = now if answered else max(now, sent + lease.policy.order)
+    return lease._replace(
+        calls=lease.calls - 1, worked=max(lease.worked, effect)
+    )
+
+
 def get_fence(lease: Lease) -> int:
     """Return the fencing number of the lease as last seen."""
     return lease.row.fence if lease.row else 0
@@ -147,9 +185,9 @@
         checks_fence: Whether the runner refuses old fencing numbers.
     """
     if checks_fence:
-        return is_held(lease, now)
+        return may_work(lease, now)
     waited = now >= lease.taken + lease.policy.order
-    return waited and is_held(lease, now + lease.policy.order)
+    return waited and may_work(lease, now + lease.policy.order)
 
 
 def name_gain(before: Lease) -> Gain:
@@ -160,6 +198,8 @@
     """
     if before.row is None:
         return "new"
+    if before.until > 0 and _is_own(before):
+        return "kept"
     return "lapsed" if before.row.holder else "released"
 
 
@@ -167,8 +207,7 @@
     """Return why a lease that was held just now no longer is."""
     if not lease.wanted:
         return "released"
-    ours = lease.row is not None and lease.row.nonce == lease.nonce
-    return "lapsed" if ours else "taken"
+    return "lapsed" if _is_own(lease) else "taken"
 
 
 def distrust(lease: Lease, era: int, now: float) -> Lease:
@@ -184,7 +223,7 @@
     """
     return lease._replace(
         unsure=True,
-        not_before=now + lease.policy.duration,
+        not_before=now + max(lease.policy.duration, lease.policy.rest),
         least_fence=era * FENCES_OF_ERA,
     )
 
@@ -203,6 +242,8 @@
     if not lease.wanted:
         return lease, Pause(lease.policy.poll)
     free = _find_free(lease)
+    if lease.calls and not _is_own(lease):
+        return lease._replace(unsure=True), Pause(lease.policy.poll)
     if now < free:
         # Looking at the row again shows a renewal, which starts a new wait.
         pause = min(free - now, lease.policy.poll)
@@ -220,9 +261,10 @@
     row = lease.row
     assert row is not None
     if not lease.wanted:
-        # Whoever asked for this has stopped its work. The lease ends here
-        # before the row says so.
-        lease = lease._replace(until=0.0)
+        if lease.calls:
+            return lease, Pause(lease.policy.poll)
+        # The lease ends here before the row says so.
+        lease = lease._replace(until=0.0, worked=max(lease.worked, now))
         return _send(lease, row._replace(holder=""), now)
     age = now - (lease.until - lease.policy.duration)
     if age < lease.policy.renew:
@@ -232,14 +274,21 @@
 
 def _find_free(lease: Lease) -> float:
     """Return the own time from which the lease may be taken."""
-    if lease.row is None or not lease.row.holder:
-        return max(lease.seen, lease.not_before) + lease.delay
-    # Our own row after we lost track of it counts as anybody's: an order
-    # given under its fencing number may still be under way.
-    free = lease.seen + lease.row.duration
+    free = lease.seen
+    if lease.row is not None and lease.row.holder:
+        # Our own row after we lost track of it counts as anybody's: an order
+        # given under its fencing number may still be under way.
+        free += lease.row.duration
+    if lease.row is not None and not _is_own(lease):
+        free = max(free, lease.worked + lease.policy.rest)
     return max(free, lease.not_before) + lease.delay
 
 
+def _is_own(lease: Lease) -> bool:
+    """Tell whether nobody else has taken the lease since this process."""
+    return lease.row is not None and lease.row.nonce == lease.nonce
+
+
 def _send(lease: Lease, row: LeaseRow, now: float) -> tuple[Lease, Action]:
     return lease._replace(sent=now), Put(lease.version, row)
 
@@ -293,6 +342,7 @@
         return lease._replace(unsure=False)
     ours = row is not None and row.nonce == lease.nonce
     kept = ours and lease.until > 0 and get_fence(lease) == _fence(row)
+    end = min(now, lease.until - lease.policy.margin)
     return lease._replace(
         version=version,
         row=row,
@@ -300,6 +350,7 @@
         # A renewal with a lost reply: still ours, until the earlier end.
         until=lease.until if kept else 0.0,
         unsure=False,
+        worked=max(lease.worked, end) if lease.until > 0 else lease.worked,
     )
 
 
--- a/test/lease_model.py
+++ b/test/lease_model.py
@@ -13,27 +13,38 @@
     Reply,
     Seen,
     Stored,
+    begin_call,
     choose_action,
     distrust,
+    end_call,
     get_fence,
     is_held,
     may_order,
+    may_work,
     take_reply,
 )
 from lagoonpost.tables.stamp import find_era, find_version, make_stamp
 from lagoonpost_standins.table import Table
 
 KEY = "lease/shard"
-POLICY = LeasePolicy()
+POLICY = LeasePolicy(rest=3.2)
 RETURN_SECONDS = 3.0
 """Time in which the work may not go from one holder to another and back."""
 
 
-class Turn(NamedTuple):
-    """When a controller last worked, in world time."""
+class Turns:
+    """Who worked when, in world time; nobody may come back too soon."""
 
-    name: str
-    at: float
+    def __init__(self) -> None:
+        self._last = ""
+        self._worked: dict[str, float] = {}
+
+    def take(self, name: str, now: float) -> None:
+        """Note that a host works, and check when it did so before."""
+        if name != self._last and name in self._worked:
+            assert now - self._worked[name] >= RETURN_SECONDS
+        self._last = name
+        self._worked[name] = now
 
 
 class Order(NamedTuple):
@@ -45,6 +56,20 @@
     latest: float
 
 
+class Call(NamedTuple):
+    """A call to a platform that refuses old fencing numbers.
+
+    Attributes:
+        holder: Who made it.
+        fence: Its fencing number.
+        sent: World time at which it was sent.
+    """
+
+    holder: "Holder"
+    fence: int
+    sent: float
+
+
 class Holder:
     """One controller with a clock of its own."""
 
@@ -66,7 +91,9 @@
     def restart(self, now: float) -> None:
         """Begin anew under the same name, as a new process does."""
         lease = self.lease
-        self.lease = Lease(lease.holder, lease.nonce + "'", POLICY)
+        self.lease = Lease(
+            lease.holder, lease.nonce + "'", POLICY, worked=self.clock(now)
+        )
         self.call = self.reply = None
         self.era = 0
 
@@ -92,7 +119,11 @@
         self.late: list[Put] = []
         self.orders: list[Order] = []
         self.applied: list[int] = []
-        self.turns: list[Turn] = []
+        self.held = Turns()
+        self.acted = Turns()
+        self.calls: list[Call] = []
+        self.lost_calls: dict[Call, float] = {}
+        self.newest_fence = 0
 
     def go_on(self, holder: Holder, fault: str = "none") -> None:
         """Let a controller take its next step: send, effect or reply."""
@@ -198,6 +229,47 @@
         for _ in range(8):
             self.go_on(holder)
 
+    def begin_call(self, holder: Holder) -> None:
+        """Let a controller call the platform, if it may."""
+        if may_work(holder.lease, holder.clock(self.now)):
+            holder.lease = begin_call(holder.lease)
+            fence = get_fence(holder.lease)
+            self.calls.append(Call(holder, fence, self.now))
+
+    def end_call(self, call: Call, answered: bool) -> None:
+        """Let a call take effect with its answer, or be given up."""
+        self.calls.remove(call)
+        if answered:
+            self.take_effect(call)
+        else:
+            latest = max(self.now, call.sent + POLICY.order)
+            self.lost_calls[call] = latest
+        holder = call.holder
+        holder.lease = end_call(
+            holder.lease,
+            holder.clock(call.sent),
+            answered,
+            holder.clock(self.now),
+        )
+
+    def take_effect(self, call: Call) -> None:
+        """Let the platform take a call, or refuse its fencing number."""
+        self.lost_calls.pop(call, None)
+        if call.fence >= self.newest_fence:
+            self.newest_fence = call.fence
+            self.acted.take(call.holder.lease.holder, self.now)
+
+    def restart(self, holder: Holder) -> None:
+        """End a process, with what it sent, and begin it anew."""
+        self.drop_orders(holder)
+        self.calls = [each for each in self.calls if each.holder != holder]
+        self.lost_calls = {
+            call: latest
+            for call, latest in self.lost_calls.items()
+            if call.holder != holder
+        }
+        holder.restart(self.now)
+
     def apply(self, order: Order) -> None:
         """Let an order take effect at the runner."""
         self.orders.remove(order)
@@ -208,8 +280,13 @@
         for each in self.holders:
             if each.is_held(self.now):
                 end = min(self.now + seconds, each.find_end())
-                self._note_turn(each, end)
+                self.held.take(each.lease.holder, end)
         self.now += seconds
+        self.lost_calls = {
+            call: latest
+            for call, latest in self.lost_calls.items()
+            if latest > self.now
+        }
         for order in [o for o in self.orders if o.latest < self.now]:
             self.apply(order)
 
@@ -218,29 +295,13 @@
         held = [each for each in self.holders if each.is_held(self.now)]
         assert len(held) <= 1
         for each in held:
-            self._check_turn(each)
-            self._note_turn(each, self.now)
+            self.held.take(each.lease.holder, self.now)
             fence = get_fence(each.lease)
             assert self.fences.setdefault(fence, each.lease.nonce) == (
                 each.lease.nonce
             )
         assert self.applied == sorted(self.applied)
 
-    def _check_turn(self, holder: Holder) -> None:
-        """Check that it has not just worked, with another one in between."""
-        name = holder.lease.holder
-        if not self.turns or self.turns[-1].name == name:
-            return
-        before = [turn.at for turn in self.turns if turn.name == name]
-        if before:
-            assert self.now - before[-1] >= RETURN_SECONDS
-
-    def _note_turn(self, holder: Holder, at: float) -> None:
-        turn = Turn(holder.lease.holder, at)
-        if self.turns and self.turns[-1].name == turn.name:
-            self.turns.pop()
-        self.turns.append(turn)
-
     def finish(self) -> None:
         """With all faults gone, one controller gets the lease and keeps it."""
         for holder in self.holders:
--- a/test/test_holder.py
+++ b/test/test_holder.py
@@ -14,7 +14,7 @@
 from lagoonpost.platform.cloud import CloudOutcome, Duty
 from lagoonpost.platform.settings import Bounds
 from lagoonpost.store.lease import PREFIX
-from lagoonpost.systems.hub import Roles
+from lagoonpost.systems.hub import CONTENDERS, Roles
 from lagoonpost.tables.lease import LeaseRow
 
 LEASE_KEY = PREFIX + LEASE_NAME
@@ -58,7 +58,6 @@
         )
         shared = SimpleNamespace(
             find_roles=self._find_roles,
-            count_domains=lambda: 3,
             reports=SimpleNamespace(run_id="run", all_reports=list),
             written=SimpleNamespace(
                 usage={}, publish_usage=lambda window, counts: None
@@ -69,7 +68,14 @@
 
     def _find_roles(self) -> Roles:
         self.looks += 1
-        return Roles(self.hubs, frozenset(self.hubs), True)
+        hubs = frozenset(self.hubs)
+        return Roles(
+            self.hubs,
+            hubs,
+            True,
+            contenders=self.hubs[:CONTENDERS],
+            keepers=hubs,
+        )
 
     def read_lease(self) -> LeaseRow:
         """Return the lease as the store has it."""
--- a/test/test_hub.py
+++ b/test/test_hub.py
@@ -6,6 +6,7 @@
 from lagoonpost.forwarding.shared import TURN_SECONDS
 from lagoonpost.systems.hub import (
     BACKUPS,
+    CONTENDERS,
     LEAST_HUBS,
     MESH,
     READER_WAIT_SECONDS,
@@ -131,3 +132,39 @@
     def test_everyone_reads_when_the_hub_is_silent(self):
         """A configuration would not be in force in time."""
         assert self.ORDINARY in self.find_who_reads(Heard(2.3, 2.3))
+
+
+class TestContenders:
+    @pytest.mark.parametrize("gateways", [9, 67, 195])
+    def test_they_stand_in_different_domains(self, gateways):
+        """Guards against duties that nobody takes when a domain is lost."""
+        members = make_sorted_members(gateways)
+        roles = choose_roles(members, ())
+        domains = {m.name: m.failure_domain for m in members}
+        assert len({domains[name] for name in roles.contenders}) == CONTENDERS
+        assert set(roles.contenders) <= set(roles.hubs)
+
+    @pytest.mark.parametrize("gateways", [9, 67])
+    def test_who_has_lost_the_store_neither_contends_nor_keeps_on(
+        self, gateways
+    ):
+        members = make_sorted_members(gateways)
+        first = choose_roles(members, ()).contenders[0]
+        roles = choose_roles(members, {first})
+        assert first not in roles.contenders
+        assert first not in roles.keepers
+
+    def test_a_few_keep_on_whoever_comes(self):
+        """Guards against a healthy holder that a restart elsewhere moves."""
+        members = make_sorted_members(9)
+        (last, *_) = members[-1:]
+        assert last.name in choose_roles(members, ()).keepers
+
+
+def make_sorted_members(count: int) -> list[Member]:
+    """Return members of three domains, those of one with similar names."""
+    third = count // 3
+    return [
+        each._replace(failure_domain=f"domain-{min(2, number // third)}")
+        for number, each in enumerate(make_members(count, 1))
+    ]
--- a/test/test_lease.py
+++ b/test/test_lease.py
@@ -79,9 +79,23 @@
 
     @rule(index=INDEXES)
     def restart(self, index: int) -> None:
-        holder = self.holder(index)
-        self.world.drop_orders(holder)
-        holder.restart(self.world.now)
+        self.world.restart(self.holder(index))
+
+    @rule(index=INDEXES)
+    def begin_call(self, index: int) -> None:
+        self.world.begin_call(self.holder(index))
+
+    @precondition(lambda self: self.world.calls)
+    @rule(data=strategies.data(), answered=strategies.booleans())
+    def end_call(self, data: strategies.DataObject, answered: bool) -> None:
+        call = data.draw(strategies.sampled_from(self.world.calls))
+        self.world.end_call(call, answered)
+
+    @precondition(lambda self: self.world.lost_calls)
+    @rule(data=strategies.data())
+    def take_effect(self, data: strategies.DataObject) -> None:
+        calls = list(self.world.lost_calls)
+        self.world.take_effect(data.draw(strategies.sampled_from(calls)))
 
     @rule(seconds=SECONDS)
     def wait(self, seconds: float) -> None:
@@ -206,12 +220,62 @@
         world.check()
         world.want(new, False)
         world.acquire(new)
-        old.restart(world.now)
+        world.restart(old)
         world.acquire(old)
         world.check()
 
+    def test_call_that_takes_effect_late_counts_as_work(self) -> None:
+        """Guards against A, B, A where the first one's answer was lost."""
+        world = World([1.0, 1.0])
+        old, new = world.holders
+        world.acquire(old)
+        world.begin_call(old)
+        (call,) = world.calls
+        world.end_call(call, answered=False)
+        world.want(old, False)
+        world.acquire(old)
+        world.acquire(new)
+        world.wait(4.0)
+        world.take_effect(call)
+        world.begin_call(new)
+        world.end_call(world.calls[0], answered=True)
+        world.want(new, False)
+        world.acquire(new)
+        world.want(old, True)
+        world.acquire(old)
+        assert not old.is_held(world.now)
+        world.finish()
 
-QUICK = LeasePolicy(0.6, 0.1, 0.1, 0.1, 0.1, 0.1)
+    def test_lease_is_not_released_under_a_call(self) -> None:
+        """Guards against a call that ends after the next holder's began."""
+        world = World([1.0, 1.0])
+        old, new = world.holders
+        world.acquire(old)
+        world.begin_call(old)
+        world.want(old, False)
+        for _ in range(4):
+            world.go_on(old)
+            world.go_on(new)
+        assert new.lease.row is not None
+        assert new.lease.row.holder == old.lease.holder
+        world.begin_call(old)
+        assert len(world.calls) == 1
+
+    def test_alone_it_is_taken_back_at_once(self) -> None:
+        """Guards against work that stands still for nobody's sake."""
+        world = World([1.0])
+        (holder,) = world.holders
+        world.acquire(holder)
+        world.want(holder, False)
+        world.acquire(holder)
+        assert not holder.is_held(world.now)
+        world.want(holder, True)
+        for _ in range(8):
+            world.go_on(holder)
+        assert holder.is_held(world.now)
+
+
+QUICK = LeasePolicy(0.6, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1)
 SHARDS = ("a", "b", "c", "d")
 
 
