Number fences by the store's versions after it came back from a copy

What operators would see: two gateways that send the same fencing number (ONE), after the store came back from an older copy.

Cause: versions are given out again, so that a gateway which has not heard of the return can overwrite the lease that another one took since, with its own old row and a lower number. Who took the lease next counted on from the first number of the era and gave out the same one again. Numbers of an era follow from the version of the row now, which only rises within it.

Found by hand-overs as a step of the state machine over returns; the shortest case needs one return and is red on the code before (a test of its own). Without a return numbers are as they were. Besides: tests for a lapsed holder that comes back amid its call, and for one that lost the store; turns begin a minute after the start, where a missing rest shows.

--- a/lagoonpost/systems/lease.py
+++ b/lagoonpost/systems/lease.py
@@ -14,9 +14,7 @@
 from typing import Literal, NamedTuple
 
 from lagoonpost.tables.lease import LeaseRow
-
-FENCES_OF_ERA = 1_000_000
-"""Fencing numbers of one era: one a second for eleven days."""
+from lagoonpost.tables.stamp import make_stamp
 
 
 class LeasePolicy(NamedTuple):
@@ -224,7 +222,7 @@
     return lease._replace(
         unsure=True,
         not_before=now + max(lease.policy.duration, lease.policy.rest),
-        least_fence=era * FENCES_OF_ERA,
+        least_fence=make_stamp(era, 0),
     )
 
 
@@ -249,10 +247,7 @@
         pause = min(free - now, lease.policy.poll)
         return lease._replace(unsure=True), Pause(pause)
     row = LeaseRow(
-        lease.holder,
-        lease.nonce,
-        max(get_fence(lease), lease.least_fence) + 1,
-        lease.policy.duration,
+        lease.holder, lease.nonce, _choose_fence(lease), lease.policy.duration
     )
     return _send(lease, row, now)
 
@@ -284,6 +279,18 @@
     return max(free, lease.not_before) + lease.delay
 
 
+def _choose_fence(lease: Lease) -> int:
+    """Return a fencing number that nobody has had.
+
+    After a return of the store the row may be one that a process wrote
+    without knowing of the return, over a row with a higher number. Versions
+    of the row only rise within an era, whoever writes it.
+    """
+    if not lease.least_fence:
+        return get_fence(lease) + 1
+    return max(get_fence(lease), lease.least_fence, lease.version) + 1
+
+
 def _is_own(lease: Lease) -> bool:
     """Tell whether nobody else has taken the lease since this process."""
     return lease.row is not None and lease.row.nonce == lease.nonce
--- a/test/lease_model.py
+++ b/test/lease_model.py
@@ -229,6 +229,13 @@
         for _ in range(8):
             self.go_on(holder)
 
+    def hand_over(self, holder: Holder, other: Holder) -> None:
+        """Let one controller give the lease away and another take it."""
+        self.want(holder, False)
+        self.acquire(holder)
+        self.acquire(other)
+        self.want(holder, True)
+
     def begin_call(self, holder: Holder) -> None:
         """Let a controller call the platform, if it may."""
         if may_work(holder.lease, holder.clock(self.now)):
--- a/test/test_lease.py
+++ b/test/test_lease.py
@@ -77,6 +77,10 @@
     def want(self, index: int, wanted: bool) -> None:
         self.world.want(self.holder(index), wanted)
 
+    @rule(index=INDEXES, other=INDEXES)
+    def hand_over(self, index: int, other: int) -> None:
+        self.world.hand_over(self.holder(index), self.holder(other))
+
     @rule(index=INDEXES)
     def restart(self, index: int) -> None:
         self.world.restart(self.holder(index))
@@ -117,6 +121,21 @@
         self.world.go_back(transactions)
 
 
+class TestFences:
+    def test_number_is_not_given_out_again_after_returns(self) -> None:
+        """Guards against a row that one who missed a return overwrites."""
+        world = World([1.0, 1.0])
+        second, first = world.holders
+        world.acquire(first)
+        world.hand_over(first, second)
+        world.check()
+        world.go_back(1)
+        for holder in (second, first):
+            world.acquire(holder)
+            assert holder.is_held(world.now)
+            world.check()
+
+
 class TestLeaseOverReturns(ReturnMachine.TestCase):
     """Two holders at once, or one fencing number of two holders."""
 
@@ -194,6 +213,7 @@
         """Guards against work that goes from A to B and back at once."""
         world = World([1.0, 1.0])
         old, new = world.holders
+        world.wait(60.0)
         world.acquire(old)
         world.check()
         world.want(old, False)
@@ -212,6 +232,7 @@
         """Guards against A, B, A by two processes of one host."""
         world = World([1.0, 1.0])
         old, new = world.holders
+        world.wait(60.0)
         world.acquire(old)
         world.check()
         world.want(old, False)
@@ -246,6 +267,41 @@
         assert not old.is_held(world.now)
         world.finish()
 
+    def test_lease_is_not_taken_back_under_an_earlier_call(self) -> None:
+        """Guards against a lapsed holder that comes back amid its call."""
+        world = World([1.0, 1.0])
+        old, new = world.holders
+        world.acquire(old)
+        world.begin_call(old)
+        world.wait(60.0)
+        world.acquire(new)
+        assert new.is_held(world.now)
+        world.want(new, False)
+        world.acquire(new)
+        world.acquire(old)
+        world.acquire(old)
+        assert not old.is_held(world.now)
+        world.end_call(world.calls[0], answered=True)
+        world.finish()
+
+    def test_lapsed_lease_is_not_taken_back_from_the_next_holder(self) -> None:
+        """Guards against A, B, A where the first one lost the store."""
+        world = World([1.0, 1.0])
+        old, new = world.holders
+        world.wait(60.0)
+        for _ in range(4):
+            world.go_on(new)
+        world.acquire(old)
+        for _ in range(4):
+            world.go_on(new)
+        world.wait(15.2)
+        world.acquire(new)
+        world.check()
+        world.want(new, False)
+        world.acquire(new)
+        world.acquire(old)
+        world.check()
+
     def test_lease_is_not_released_under_a_call(self) -> None:
         """Guards against a call that ends after the next holder's began."""
         world = World([1.0, 1.0])
