Tell from gateways' logs what came nearest to each bound

What no line tells reliably has a row that says so. It reads logs of one gateway and files of many with time and name before each line; any other line ends it with file and number.

--- a/lagoonpost/cli/main.py
+++ b/lagoonpost/cli/main.py
@@ -6,6 +6,7 @@
 from lagoonpost.cli.daemon import controller, gateway, settings
 from lagoonpost.cli.entries import entries, status
 from lagoonpost.cli.explain import explain
+from lagoonpost.cli.margins import margins
 from lagoonpost.cli.serve import serve
 from lagoonpost.cli.ticket import ticket
 from lagoonpost.cli.timeline import timeline
@@ -21,6 +22,7 @@
     status,
     explain,
     timeline,
+    margins,
     settings,
     ticket,
 )
