Name what checks each of the users' rules, and which have nothing

docs/GUARANTEES.md lists tests by guarantee, so that a rule without any check did not show: that no holder of the duties acts again soon after another one had none, in no model and no test.

test_guarantees holds the table to the tests and promises that there are: seen red for a class, a test and a promise that are named wrongly, and for an empty cell.

--- /dev/null
+++ b/test/test_guarantees.py
@@ -0,0 +1,39 @@
+"""Tests that docs/GUARANTEES.md names checks that there are."""
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+PAGE = (ROOT / "docs" / "GUARANTEES.md").read_text()
+TABLE = PAGE.partition("## What checks each rule")[2].partition("\n## ")[0]
+NAMED = r"(?:(test_\w+) )?(Test\w+)(?:\.(test_\w+))?"
+
+
+class TestRules:
+    def test_names_only_tests_that_there_are(self):
+        """A test that is renamed leaves no rule without its check."""
+        named = re.findall(NAMED, TABLE)
+        module = ""
+        for before, class_, test in named:
+            module = before or module
+            text = (ROOT / "test" / f"{module}.py").read_text()
+            assert re.search(rf"^class {class_}\b", text, re.M), class_
+            assert not test or f"def {test}(" in text, test
+        assert len(named) > 40
+
+    def test_names_only_promises_of_the_soak_that_there_are(self):
+        """A promise that is renamed is found here as well."""
+        promises = (ROOT / "soak" / "promises.py").read_text()
+        named = re.findall(r"soak promise `([^`]+)`", TABLE)
+        assert len(named) > 8
+        for each in named:
+            assert f'"{each}"' in promises, each
+
+    def test_each_rule_has_all_columns(self):
+        """A rule without a check says so."""
+        rows = [line for line in TABLE.splitlines() if line.startswith("| ")]
+        assert len(rows) > 25
+        for row in rows:
+            cells = [cell.strip() for cell in row.strip("|").split("|")]
+            assert len(cells) == 5, row
+            assert all(cells), row
