Drop a feed's answer that came just before the table is read anew

Cause: a gateway that thaws or notices the store's return forgets the version up to which it knows a table, and cancels the call under way. If that call had ended and its answer was not handled yet, there was nothing to cancel. The answer of a feed was taken then for the whole table, as no version was known, and each row that it did not name for deleted. Runners that renew their entries come back with the next renewal; those of the test don't.

Change: the answer of a call that was given up is dropped, also if it came. The test of it was red before for both ways of restarting.

Ruled out: gateways of another run.

Over processes, the fault was not shown.

--- a/lagoonpost/forwarding/follow.py
+++ b/lagoonpost/forwarding/follow.py
@@ -113,8 +113,7 @@
         """Give up the call under way and read the whole table."""
         self._version = None
         self._read_once = False
-        if self._call is not None:
-            self._call.cancel()
+        self._give_up_call()
 
     def note_era(self) -> None:
         """Read the whole table, as the store came back from an older copy.
@@ -123,8 +122,17 @@
         return is answered already.
         """
         self._version = None
-        call = self._call
-        if call is not None and call is not asyncio.current_task():
+        if self._call is not asyncio.current_task():
+            self._give_up_call()
+
+    def _give_up_call(self) -> None:
+        """Drop the answer of the call under way, even if it came already.
+
+        A feed's answer would count as the whole table, which is read next,
+        and all rows that it does not name as deleted.
+        """
+        call, self._call = self._call, None
+        if call is not None:
             call.cancel()
 
     async def run(self) -> None:
@@ -180,7 +188,7 @@
         call = self._call = asyncio.create_task(self._ask())
         try:
             await asyncio.wait({call})
-            if call.cancelled():
+            if call.cancelled() or call is not self._call:
                 return Unavailable("given up", applied=False)
             return call.result()
         finally:
--- a/test/test_follow.py
+++ b/test/test_follow.py
@@ -211,6 +211,27 @@
     assert host.follower.lost
 
 
+class TestRestart:
+    """What a gateway believes when it reads everything anew."""
+
+    @pytest.mark.parametrize("told", ["restart", "note_era"])
+    def test_a_feed_s_answer_is_not_taken_for_the_whole_table(self, told):
+        """All runners gone, as a feed was answered just before a restart."""
+
+        async def story(host: Host) -> bool:
+            await asyncio.sleep(1.0)
+            endpoints = host.follower.endpoints
+            endpoints._call.add_done_callback(
+                lambda call: getattr(endpoints, told)()
+            )
+            entry = make_entry("chat", Address("10.0.0.3", 80), "domain-a")
+            await host.rows.put("servers", "chat-1", entry)
+            await count_seconds(lambda: host.belief.is_known("chat-1"))
+            return host.serves()
+
+        assert play_host(story)
+
+
 class TestWait:
     @pytest.mark.parametrize("pause", [GATHER_SECONDS, TURN_SECONDS])
     @given(contact=st.floats(3.0, 60.0))
