Test that shards' work stays apart when it passes on

Restarts in turn hold a shard in the order A, B, A within a lease's length. What keeps their work apart: the work is over before the lease is given away, fences rise, and a runner that ignores fences gets no order for the longest order's time after the lease was taken. A list of live controllers that flaps moves a shard once in STAY at most. A late deletion of one sweeper is conditional on the row's version and leaves a claim made since alone. No fault found; no code changed.

--- /dev/null
+++ b/test/test_handover.py
@@ -0,0 +1,204 @@
+"""Work that passes from one process to another, outside of the duties."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+import pytest
+from lease_model import World
+from memory_store import MemoryStore
+from played_loop import play_time
+
+from lagoonpost.controller.loop import Controller
+from lagoonpost.store.lease import LeaseKeeper
+from lagoonpost.store.ledger import sweep
+from lagoonpost.store.store import Condition, Write
+from lagoonpost.systems.shard import STAY
+from lagoonpost.tables.ledger import LedgerEntry
+
+
+@pytest.fixture
+def played_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let leases and shards go by the played loop's time."""
+    for module in ("store.lease", "controller.loop"):
+        monkeypatch.setattr(f"lagoonpost.{module}.read_clock", read_played)
+
+
+def read_played() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class Turn:
+    """One time for which a controller worked on a shard."""
+
+    def __init__(self, name: str, fence: int) -> None:
+        self.name = name
+        self.fence = fence
+        self.began = read_played()
+        self.ended: float | None = None
+
+
+class Shards:
+    """Controllers of one shard over one store.
+
+    Args:
+        ending: Seconds that the work goes on for once it is cancelled.
+    """
+
+    def __init__(self, ending: float = 0.0) -> None:
+        self.store = MemoryStore()
+        self.turns: list[Turn] = []
+        self._ending = ending
+        self._runs: dict[str, tuple[asyncio.Event, asyncio.Task[None]]] = {}
+
+    def start(self, name: str, list_live: Callable[[], set[str]]) -> None:
+        async def work(shard: str, keeper: LeaseKeeper) -> None:
+            turn = Turn(name, keeper.fence)
+            self.turns.append(turn)
+            try:
+                await asyncio.Event().wait()
+            finally:
+                await asyncio.sleep(self._ending)
+                turn.ended = read_played()
+
+        stop = asyncio.Event()
+        controller = Controller(self.store, name, ["s"], work, list_live)
+        task = asyncio.create_task(controller.run(stop))
+        self._runs[name] = stop, task
+
+    async def stop(self, name: str) -> None:
+        stop, task = self._runs.pop(name)
+        stop.set()
+        await task
+
+    async def close(self) -> None:
+        for name in [*self._runs]:
+            await self.stop(name)
+
+    def check(self) -> None:
+        """Check that one works at a time, with a higher fence each."""
+        for before, after in zip(self.turns, self.turns[1:], strict=False):
+            assert before.ended is not None
+            assert before.ended <= after.began
+            assert before.fence < after.fence
+
+
+@pytest.mark.usefixtures("played_clock")
+class TestShards:
+    def test_a_flapping_list_moves_a_shard_once_a_while(self):
+        """Guards against a shard that goes to and fro with the list."""
+
+        async def story() -> Shards:
+            shards = Shards()
+            names = {"one", "two", "three"}
+
+            def list_live(own: str, period: float) -> set[str]:
+                # Each of them loses all others from sight now and then.
+                seen = int(read_played() / period) % 3
+                return names if seen else {own}
+
+            for number, name in enumerate(sorted(names)):
+                period = 0.7 + 0.4 * number
+                shards.start(name, lambda n=name, p=period: list_live(n, p))
+            await asyncio.sleep(20 * STAY)
+            await shards.close()
+            return shards
+
+        shards = play_time(story())
+        shards.check()
+        assert len(shards.turns) <= 21
+
+    def test_restarts_in_turn_work_one_after_another(self):
+        """Guards against two that work at once when A, B, A hold a shard."""
+
+        async def story() -> Shards:
+            shards = Shards()
+            live = {"one", "two"}
+            for name in ("one", "two"):
+                shards.start(name, lambda: live)
+            await asyncio.sleep(40.0)
+            for name in ("one", "two") * 3:
+                live.discard(name)
+                await shards.stop(name)
+                await asyncio.sleep(6.0)
+                live.add(name)
+                shards.start(name, lambda: live)
+            await shards.close()
+            return shards
+
+        shards = play_time(story())
+        shards.check()
+        names = [turn.name for turn in shards.turns]
+        assert names == ["one", "two"] * 3 or names == ["two", "one"] * 3
+
+    def test_a_shard_is_given_away_after_its_work(self):
+        """Guards against work that goes on under a lease given away."""
+
+        async def story() -> Shards:
+            shards = Shards(ending=20.0)
+            live = {"one", "two"}
+            for name in ("one", "two"):
+                shards.start(name, lambda: live)
+            await asyncio.sleep(40.0)
+            first = shards.turns[0].name
+            live.discard(first)
+            await shards.stop(first)
+            await asyncio.sleep(30.0)
+            await shards.close()
+            return shards
+
+        shards = play_time(story())
+        shards.check()
+        assert len({turn.name for turn in shards.turns}) == 2
+
+
+class TestOrdersOfTurns:
+    def test_orders_of_three_turns_stay_in_order(self):
+        """Guards against A's late order after B's, and B's after A's next.
+
+        The runner ignores fencing numbers, and each gives the lease away
+        right after its order has left.
+        """
+        world = World([1.0, 1.0])
+        one, two = world.holders
+        for holder in (one, two, one):
+            world.acquire(holder)
+            world.order(holder, 0.0)
+            world.wait(5.1)
+            world.order(holder, 0.0)
+            holder.lease = holder.lease._replace(wanted=False)
+            for _ in range(2):
+                world.go_on(holder)
+            holder.lease = holder.lease._replace(wanted=True)
+        assert [order.fence for order in world.orders] == [3]
+        assert world.applied == [1, 2]
+
+
+EXPIRED = LedgerEntry("lost", "n", "d", "gateway", 0.0, 0.0, 1.0)
+
+
+class TestSweepers:
+    def test_a_late_deletion_leaves_a_new_claim(self):
+        """Guards against a booking that runs twice after two sweepers."""
+
+        async def story() -> MemoryStore:
+            store = MemoryStore()
+            key = "ledger/w/1"
+            row = msgspec.to_builtins(EXPIRED)
+            await store.transact([], [Write(key, row)])
+            faults = deque(["", "late"])
+            store.fault = lambda call: faults.popleft() if faults else ""
+            assert await sweep(store, "") is None
+            assert await sweep(store, "") == ""
+            gone = (await store.read([key]))[0]
+            assert gone.value is None
+            claim = msgspec.to_builtins(EXPIRED._replace(expires=9e9))
+            await store.transact(
+                [Condition(key, gone.version)], [Write(key, claim)]
+            )
+            store.deliver()
+            return store
+
+        store = asyncio.run(story())
+        assert store.rows["ledger/w/1"].value is not None
