Let the first end that operators were told of a move stand

At complete the old runners are stopped and at rolled_back the new ones, so that after both none of the service is left.

Cause: the judging of moves passes with the lease on the duties. A holder that regains it, or goes on after its turn while it waits for the store, judged by what it knew and wrote over an end of the holder between: an end found in the row counted only for one that had told operators nothing yet, and even that one wrote over it at its next look, if it judged otherwise in its first. The right to judge was asked once before calls for all services.

Now a holder that takes over, for the first time or again, reads what was written before it judges; whoever finds an end adopts it and writes nothing over it; and the right is asked again after each wait for the store.

Ruled out: a write of the holder before that takes effect late. It names the row's version, and a holder that takes over writes the state anew (test_a_late_write_of_the_one_before_has_no_effect, green before).

Red before: TestHolders, test_the_first_end_stands for three of four cases and test_a_holder_tells_nothing_after_its_turn; the fourth case, a gateway that never held and finds rolled_back, was green. test_shift.py and test_duties.py are green with the change.

Not covered: a version is taken back at once, also without the store. If two gateways judge at once and the one's complete is written first, the other's gateways keep to the old runners.

--- a/lagoonpost/forwarding/shifts.py
+++ b/lagoonpost/forwarding/shifts.py
@@ -36,6 +36,7 @@
 )
 
 Counts = dict[str, VersionCounts]
+ENDS: tuple[Phase, ...] = ("complete", "taken_back")
 
 
 class _Shift:
@@ -47,7 +48,7 @@
         self.exposure = Exposure()
         self.counts: Counts = {}
         self.judge = ShiftJudge(order, read_clock())
-        self.told: str | None = None
+        self.told: Phase | None = None
 
     @property
     def rank(self) -> int:
@@ -178,7 +179,7 @@
     ) -> None:
         """Count an answer, or that it broke off."""
         shift = self._shifts.get(endpoint.service)
-        if shift is None or shift.phase in ("complete", "taken_back"):
+        if shift is None or shift.phase in ENDS:
             return
         seen = (1, int(failed), int(slow))
         none = (0, 0, 0)
@@ -192,56 +193,91 @@
         return {
             service: shift.counts
             for service, shift in self._shifts.items()
-            if shift.counts and shift.phase not in ("complete", "taken_back")
+            if shift.counts and shift.phase not in ENDS
         }
 
     # The duty of one gateway at a time
 
     async def advance(
-        self, reports: Iterable[GatewayReport], store: PlatformStore
+        self,
+        reports: Iterable[GatewayReport],
+        store: PlatformStore,
+        may_go_on: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Judge all orders and tell operators how far they are."""
+        """Judge all orders and tell operators how far they are.
+
+        Args:
+            reports: Of all gateways.
+            store: Where operators read it.
+            may_go_on: Tells whether it is still this gateway's duty; it may
+                have passed on while the store was waited for.
+        """
         held = list(reports)
-        for service, shift in list(self._shifts.items()):
-            counts = _sum_counts(held, service)
-            phase = shift.judge.advance(shift.phase, counts, read_clock())
-            if phase != shift.phase:
-                self._take(shift.order, phase, "own")
-                self._tell(shift)
-                eliot.log_message(
-                    message_type="lagoonpost:shift:judged",
-                    service=service,
-                    phase=phase,
-                    counts={k: v._asdict() for k, v in counts.items()},
-                )
-            await self._tell_operators(shift, store)
+        for shift in list(self._shifts.values()):
+            if shift.told is None:
+                # An end that was written before comes before any judgement.
+                await self._tell_operators(shift, store, may_go_on)
+            if not may_go_on():
+                return
+            self._judge(shift, held)
+            if shift.told is not None:
+                await self._tell_operators(shift, store, may_go_on)
+
+    def pass_on(self) -> None:
+        """Note that another gateway may tell operators from now on."""
+        for shift in self._shifts.values():
+            shift.told = None
+
+    def _judge(self, shift: _Shift, held: list[GatewayReport]) -> None:
+        service = shift.order.service
+        counts = _sum_counts(held, service)
+        phase = shift.judge.advance(shift.phase, counts, read_clock())
+        if phase == shift.phase:
+            return
+        self._take(shift.order, phase, "own")
+        self._tell(shift)
+        eliot.log_message(
+            message_type="lagoonpost:shift:judged",
+            service=service,
+            phase=phase,
+            counts={k: v._asdict() for k, v in counts.items()},
+        )
 
     async def _tell_operators(
-        self, shift: _Shift, store: PlatformStore
+        self,
+        shift: _Shift,
+        store: PlatformStore,
+        may_go_on: Callable[[], bool],
     ) -> None:
-        """Write the state where operators read it, never behind an end.
+        """Write the state where operators read it, never over an end.
 
-        A gateway that takes over after all were killed knows nothing of how
-        an order ended; what was written before tells it.
+        A gateway that takes over may know nothing of how an order ended;
+        what was written before tells it. At either end runners are stopped,
+        so that the first one stands.
         """
         key = f"{ORDER_PREFIX}{shift.order.service}"
-        status = make_status(shift.order, shift.phase)
-        if shift.told == status["state"]:
+        order, told = shift.order, shift.told
+        if told in ENDS or (
+            told is not None
+            and make_status(order, told) == make_status(order, shift.phase)
+        ):
             return
         row = await store.read_status(key)
-        if isinstance(row, Unavailable):
+        if isinstance(row, Unavailable) or not may_go_on():
             return
         end = decode_end(row.value, shift.order) if row.value else None
-        if shift.told is None and end is not None:
+        if end is not None:
             # Only the own order's end counts; one to the same version that
             # was given again is not told apart, and has ended as well.
-            self._take(shift.order, end, "status")
-            self._tell(shift)
-            shift.told = make_status(shift.order, end)["state"]
+            if self._take(shift.order, end, "status"):
+                self._tell(shift)
+            shift.told = end
             return
+        phase = shift.phase
+        status = make_status(shift.order, phase)
         outcome = await store.write_status(key, row.version, status)
         if isinstance(outcome, Committed):
-            shift.told = status["state"]
+            shift.told = phase
 
 
 def _name_content(order: ShiftOrder) -> ShiftOrder:
@@ -280,4 +316,6 @@
     while True:
         await sleep_in_step(pause)
         if may_advance():
-            await shifts.advance(find_reports(), store)
+            await shifts.advance(find_reports(), store, may_advance)
+        else:
+            shifts.pass_on()
--- a/test/test_shift.py
+++ b/test/test_shift.py
@@ -1,8 +1,9 @@
 """Services that move to a new version: what callers get of it."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 import pytest
@@ -10,7 +11,7 @@
 from played_loop import play_time
 from played_store import PlayedClient
 
-from lagoonpost.forwarding.shifts import Shifts
+from lagoonpost.forwarding.shifts import Shifts, keep_shifting
 from lagoonpost.http.message import Address
 from lagoonpost.platform.store import FeedRow, PlatformStore
 from lagoonpost.systems.shift import (
@@ -21,6 +22,7 @@
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.stamp import make_stamp
 from lagoonpost.tables.version_shift import (
+    Phase,
     ShiftOrder,
     VersionCounts,
     add_counts,
@@ -28,6 +30,11 @@
 from lagoonpost_standins.rows import RowStore
 
 BOUNDS = ExposureBounds(share=0.1, slack=50)
+ACTIVE = {"state": "active", "to": "v2"}
+ENDS = [
+    ("taken_back", "complete", "rolled_back"),
+    ("complete", "taken_back", "complete"),
+]
 
 
 class Version(NamedTuple):
@@ -294,3 +301,110 @@
             return str(rows.get("status", "rollout/chat")["state"])
 
         assert play_time(story()) == "rolled_back"
+
+
+class Holder:
+    """A gateway that may judge orders; it hears nothing of the others."""
+
+    def __init__(self, rows: RowStore, services: tuple[str, ...]) -> None:
+        self.shifts = Shifts(BOUNDS, Random(1), lambda fact: None)
+        client = PlayedClient(rows)
+        self.store = PlatformStore(client, Address("10.0.0.1", 80))
+        self.holds = False
+        for number, service in enumerate(services, 1):
+            order = {"service": service, "to": "v2", "duration_s": 16}
+            value = msgspec.json.encode(order)
+            self.shifts.take_row(FeedRow(f"rollout/{service}", number, value))
+
+    async def run(self) -> None:
+        await keep_shifting(
+            self.shifts, self.store, lambda: self.holds, lambda: [], 0.5
+        )
+
+    async def hold(self, seconds: float) -> None:
+        self.holds = True
+        await asyncio.sleep(seconds)
+        self.holds = False
+        await asyncio.sleep(1.0)
+
+    def judge(self, phase: Phase, service: str = "chat") -> None:
+        judge = self.shifts._shifts[service].judge
+        advance = judge.advance
+
+        def come_to(held: Phase, *known: Any) -> Phase:
+            ended = held in ("complete", "taken_back")
+            return advance(held, *known) if ended else phase
+
+        judge.advance = come_to  # type: ignore[method-assign]
+
+    def phase(self) -> Phase:
+        return self.shifts._shifts["chat"].phase
+
+
+class TestHolders:
+    """Two gateways judge an order in turn and differ over its end."""
+
+    def play(
+        self,
+        story: Callable[[RowStore, Holder, Holder], Awaitable[None]],
+        services: tuple[str, ...] = ("chat",),
+    ) -> tuple[str, Holder, Holder]:
+        rows = RowStore()
+
+        async def run() -> tuple[str, Holder, Holder]:
+            holders = Holder(rows, services), Holder(rows, services)
+            tasks = [asyncio.create_task(each.run()) for each in holders]
+            await story(rows, *holders)
+            for task in tasks:
+                task.cancel()
+            state = str(rows.get("status", "rollout/chat")["state"])
+            return state, *holders
+
+        return play_time(run())
+
+    @pytest.mark.parametrize("end", ENDS)
+    @pytest.mark.parametrize("held_before", [True, False])
+    def test_the_first_end_stands(
+        self, end: tuple[Phase, Phase, str], held_before: bool
+    ) -> None:
+        """Guards against runners of both versions that are stopped."""
+        first, second, state = end
+
+        async def story(rows: RowStore, one: Holder, two: Holder) -> None:
+            if held_before:
+                await one.hold(2.0)
+            two.judge(first)
+            await two.hold(2.0)
+            one.judge(second)
+            await one.hold(3.0)
+
+        told, one, two = self.play(story)
+        assert told == state
+        assert one.phase() == two.phase() == first
+
+    def test_a_holder_tells_nothing_after_its_turn(self) -> None:
+        """Guards against an end judged while the store was waited for."""
+
+        async def story(rows: RowStore, one: Holder, two: Holder) -> None:
+            await one.hold(2.0)
+            one.judge("complete", "desk")
+            one.judge("complete", "chat")
+            one.holds = True
+            while rows.get("status", "rollout/desk") == ACTIVE:  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+            one.holds = False
+            await asyncio.sleep(2.0)
+
+        assert self.play(story, ("desk", "chat"))[0] == "active"
+
+    def test_a_late_write_of_the_one_before_has_no_effect(self) -> None:
+        """Guards against an end that a lost call writes in another's turn."""
+
+        async def story(rows: RowStore, one: Holder, two: Holder) -> None:
+            await one.hold(2.0)
+            row = await one.store.read_status("rollout/chat")
+            await two.hold(2.0)
+            late = ACTIVE | {"state": "complete"}
+            await one.store.write_status("rollout/chat", row.version, late)
+
+        assert self.play(story)[0] == "active"
