Count the old runners' end from when all requests moved, also at a new judge

What callers would see (found by the tests, not in a play): a good version is complete up to 2 s after its deadline if the judging passes to another gateway shortly before it.

Cause: each judge counted the time in which the old runners end what they do from its own first look, though it had heard long before that all requests go to the new version.

Ruled out: what was seen of a fault is not lost with the holder. Counts are reported since the order, so that a new judge has them in its first look.

Red before: test_a_turn_that_begins_near_the_deadline_completes_in_time.

--- a/lagoonpost/forwarding/shifts.py
+++ b/lagoonpost/forwarding/shifts.py
@@ -116,6 +116,8 @@
         ) >= PHASES.index(phase):
             return False
         held.phase = phase
+        if phase == "all":
+            held.judge.note_all(read_clock())
         eliot.log_message(
             message_type="lagoonpost:shift:phase",
             source=source,
--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -122,12 +122,20 @@
                 return "taken_back"
         if phase == "trial":
             return "all" if self._may_take_all(counts, now) else phase
-        if self._all_since is None:
-            self._all_since = now
-        ended = now >= self._all_since + ALL_SECONDS
+        ended = now >= self.note_all(now) + ALL_SECONDS
         due = self._started + self.order.seconds - SPARE_SECONDS
         return "complete" if ended and now >= due else phase
 
+    def note_all(self, now: float) -> float:
+        """Note that all requests go to the new version; return since when.
+
+        Whoever judges next counts the time of the old runners' end from
+        there, and not from its own first look.
+        """
+        if self._all_since is None:
+            self._all_since = now
+        return self._all_since
+
     def _may_take_all(
         self, counts: Mapping[str, VersionCounts], now: float
     ) -> bool:
--- a/test/test_shift.py
+++ b/test/test_shift.py
@@ -408,3 +408,21 @@
             await one.store.write_status("rollout/chat", row.version, late)
 
         assert self.play(story)[0] == "active"
+
+    def test_a_turn_that_begins_near_the_deadline_completes_in_time(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a good version that is complete after its time."""
+        monkeypatch.setattr(
+            "lagoonpost.forwarding.shifts.read_clock",
+            lambda: asyncio.get_running_loop().time(),
+        )
+
+        async def story(rows: RowStore, one: Holder, two: Holder) -> None:
+            one.shifts._publish = two.shifts.learn
+            one.judge("all")
+            await asyncio.sleep(12.0)
+            await one.hold(1.0)
+            await two.hold(2.0)
+
+        assert self.play(story)[0] == "complete"
