Wait for an answer's cancel at a runner before it begins there again

Cause: the cancel of the run before is sent aside, and names the request alone, as all runs of one answer at a runner do. A slow one arrives after the next run began and ends that.

Ruled out: tokens of the run before that come late. They carry the attempt's number and are dropped (test_tokens_of_the_run_before_are_dropped, green before).

Red before: test_the_run_that_came_back_is_not_cancelled; a third run began. test_relay, test_answer, test_engine and test_gateway are green with it.

--- a/lagoonpost/runners/answer.py
+++ b/lagoonpost/runners/answer.py
@@ -13,9 +13,10 @@
 
 from eliot import log_message
 
-from lagoonpost.http.client import Client
+from lagoonpost.http.client import Client, Stream
 from lagoonpost.http.message import Address, parse_address
 from lagoonpost.runners.engine import (
+    Refusal,
     cancel_answer,
     open_answer,
     resume_answer,
@@ -117,6 +118,7 @@
         self._detached = False
         self._placing: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._cancels: dict[str, asyncio.Task[None]] = {}
         self._broken: BaseException | None = None
 
     @property
@@ -219,14 +221,25 @@
             case ev.Cancel(runner):
                 address = parse_address(runner.endpoint)
                 name = self._order.request_id
-                self._start(_cancel(self._client, address, name))
+                self._cancels[runner.name] = self._start(
+                    _cancel(self._client, address, name)
+                )
             case ev.Export():
                 self._start(self._export(action))
         return None
 
     def _open(self, attempt: int, runner: Runner) -> None:
         self._close_reading()
-        opening = open_answer(
+        opening = self._begin(runner)
+        self._reading = Reading(opening, attempt, self._post, None)
+        self._watch(self._reading.task)
+
+    async def _begin(self, runner: Runner) -> Stream | Refusal:
+        cancel = self._cancels.get(runner.name)
+        if cancel is not None:
+            # It names the request alone: late, it would end the next run.
+            await asyncio.wait([cancel])
+        return await open_answer(
             self._client,
             parse_address(runner.endpoint),
             self._order.request_id,
@@ -235,8 +248,6 @@
             self._order.priority,
             runner.version,
         )
-        self._reading = Reading(opening, attempt, self._post, None)
-        self._watch(self._reading.task)
 
     def _probe(self, attempt: int, runner: Runner, after: int) -> None:
         self._log("probed", runner, "")
