Pass over a hub's late sums also after another hub's

What callers would see: hardly anything; for up to a report's pause a gateway places requests, and counts quotas, by sums of a moment ago.

Cause: sums were compared with those taken last, which may be another hub's. If the role went from A to B and back, or both send for a moment, a late datagram of A replaced newer sums. Now the newest number of each hub's run is kept.

Ruled out: sums of another run of the same hub; runs are counted apart.

Red before: test_late_sums_of_a_hub_before_are_passed_over. test_reports is green with it.

--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -114,6 +114,7 @@
         self._summaries = 0
         self._sent: dict[int, _Sent] = {}
         self._summary: tuple[float, Summary] | None = None
+        self._numbers: dict[str, int] = {}
         self._others: dict[str, RunnerWork] = {}
         self._heard_part = (-math.inf, 1.0)
         self._nudged = asyncio.Event()
@@ -233,18 +234,15 @@
 
     def _take_summary(self, summary: Summary, sender: Address) -> None:
         """Take a hub's sums, less what this gateway has in them itself."""
-        before = self._summary
-        if self.is_hub() or (
-            before is not None
-            and before[1].hub == summary.hub
-            and before[1].number >= summary.number
-        ):
+        before = self._numbers.get(summary.hub, 0)
+        if self.is_hub() or before >= summary.number:
             return
         # Nothing of this run is in sums that name another one.
         mine = summary.run == self.run_id
         sent = self._sent.get(summary.rank) if mine else None
         if mine and sent is None:
             return
+        self._numbers[summary.hub] = summary.number
         self._summary = (self._now(), summary)
         self._others = subtract_work(summary.work, sent.work if sent else {})
         since = sent.at if sent else 0.0
--- a/test/test_reports.py
+++ b/test/test_reports.py
@@ -9,10 +9,11 @@
 from lagoonpost.http.message import Address
 from lagoonpost.peers.post import Post, decode_letter, encode_letter
 from lagoonpost.store.clock import read_clock
-from lagoonpost.systems.hub import choose_roles
+from lagoonpost.systems.hub import Roles, choose_roles
 from lagoonpost.tables.gateway_report import (
     GatewayReport,
     RunnerWork,
+    Summary,
     Taken,
 )
 from lagoonpost.tables.peer import Member
@@ -199,6 +200,24 @@
         report = _make_report()
         assert decode_letter(encode_letter(report)) == report
 
+    def test_late_sums_of_a_hub_before_are_passed_over(self):
+        """Guards against an older state after two changes of the hub."""
+        reports = Reports(
+            "gateway",
+            Address("127.0.0.1", 1),
+            Party(1),
+            tuple,
+            tuple,
+            lambda: Roles(("a", "b"), frozenset(), False),
+            lambda: 0.0,
+            Post(),
+        )
+        for hub, number, requests in [("a", 4, 1), ("b", 1, 2), ("a", 3, 9)]:
+            work = {"runner": RunnerWork(requests)}
+            summary = Summary(hub, number, "", 0, 3, work, {})
+            reports._take_summary(summary, Address("127.0.0.1", 1))
+        assert reports.sum_others()["runner"].requests == 2
+
 
 def _make_report() -> GatewayReport:
     return Party(3).make_report("gateway", "run")
