Test that claims and usage stay apart when they pass to and fro

A key's claim that hangs, is given up and is taken by another gateway and the first again runs once, whatever comes late: each write names the row's version. Usage of a window that one gateway's call fixes late is reported by the counts of whoever fixed them first, also by the first one's next turn. No fault found; no code changed.

--- a/test/test_handover.py
+++ b/test/test_handover.py
@@ -3,18 +3,24 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
 
 import msgspec
 import pytest
 from lease_model import World
+from ledger_model import World as LedgerWorld
 from memory_store import MemoryStore
 from played_loop import play_time
 
 from lagoonpost.controller.loop import Controller
+from lagoonpost.forwarding.duties import Duties
+from lagoonpost.forwarding.written import Written
 from lagoonpost.store.lease import LeaseKeeper
 from lagoonpost.store.ledger import sweep
 from lagoonpost.store.store import Condition, Write
 from lagoonpost.systems.shard import STAY
+from lagoonpost.tables.gateway_report import GatewayReport
 from lagoonpost.tables.ledger import LedgerEntry
 
 
@@ -202,3 +208,62 @@
 
         store = asyncio.run(story())
         assert store.rows["ledger/w/1"].value is not None
+
+
+class TestClaims:
+    def test_a_key_that_goes_to_and_fro_runs_once(self):
+        """Guards against a booking that runs under an old claim.
+
+        The first claim hangs and is given up, another gateway's is voided,
+        and the first gateway takes the key again; then all that hung comes.
+        """
+        world = LedgerWorld()
+        for faults in (("late",) * 4, ("none", "no_runner", "none")):
+            world.call("key", "same", 0.0)
+            for fault in faults:
+                world.serve(world.callers[-1], fault)
+        world.call("key", "same", 0.0)
+        third = world.callers[-1]
+        for _ in range(2):
+            world.serve(third)
+        assert len(world.late) == 4
+        for late in world.late:
+            world.write(*late)
+            world.check()
+        world.finish()
+        assert len(world.runs) == 1
+
+
+class TestUsage:
+    def test_all_turns_report_the_same_counts(self):
+        """Guards against two bills of one window in the order A, B, A."""
+        store = MemoryStore()
+        faults = deque(["late"])
+        store.fault = lambda call: faults.popleft() if faults else ""
+
+        async def story() -> list[dict[str, int] | None]:
+            one, two = make_duties(store, 3), make_duties(store, 5)
+            found = [await each._fix_counts(7) for each in (one, two)]
+            store.deliver()
+            return [*found, await one._fix_counts(7)]
+
+        assert asyncio.run(story()) == [None, {"pottery": 5}, {"pottery": 5}]
+
+
+def make_duties(store: MemoryStore, begun: int) -> Duties:
+    """Return the duties of a gateway that has heard of some requests."""
+    report = GatewayReport(
+        "g", "r", {}, {}, {}, {7: {"pottery": begun}}, {}, {}, {}, 1, {}
+    )
+    written = Written("g", lambda fact: None, lambda s: s, lambda *told: None)
+    shared = SimpleNamespace(
+        reports=SimpleNamespace(run_id="r", all_reports=lambda: [report]),
+        written=written,
+    )
+    settings = SimpleNamespace(
+        name="g",
+        bounds=SimpleNamespace(lease_seconds=3.0),
+        first_start=False,
+    )
+    parts: list[Any] = [settings, store, None, None, shared, None, 1]
+    return Duties(*parts)
