Test that a process that starts rests before it takes a released lease

Removing the start from what counts as work was noticed by no test of the driver: the model sets it by itself. Red without it, green with it; no code is changed.

--- a/test/test_lease.py
+++ b/test/test_lease.py
@@ -1,8 +1,11 @@
 """Tests of lagoonpost.systems.lease, its driver and the controller loop."""
 
 import asyncio
+import time
 from collections import Counter
 
+import msgspec
+import pytest
 from hypothesis import settings, strategies
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -15,9 +18,11 @@
 from memory_store import MemoryStore
 
 from lagoonpost.controller.loop import Controller
-from lagoonpost.store.lease import LeaseKeeper
+from lagoonpost.store.lease import PREFIX, LeaseKeeper
+from lagoonpost.store.store import Row
 from lagoonpost.systems.lease import LeasePolicy
 from lagoonpost.systems.shard import STAY, choose_claim, rank_controller
+from lagoonpost.tables.lease import LeaseRow
 
 RATES = strategies.sampled_from([0.99, 1.0, 1.01])
 FAULTS = strategies.sampled_from(
@@ -331,6 +336,36 @@
         assert holder.is_held(world.now)
 
 
+REST_SECONDS = 3600.0
+
+
+class TestKeeper:
+    def test_process_that_starts_does_not_take_a_released_lease_at_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against A, B, A by two processes of one host."""
+        monkeypatch.setattr(
+            "lagoonpost.store.lease.read_clock",
+            lambda: time.monotonic() + 2 * REST_SECONDS,
+        )
+
+        async def play() -> None:
+            store = MemoryStore()
+            released = LeaseRow("", "nonce-b", 2, 0.1)
+            store.rows[f"{PREFIX}shard"] = Row(
+                f"{PREFIX}shard", 3, msgspec.to_builtins(released)
+            )
+            policy = LeasePolicy(0.2, 0.01, 0.1, 0.01, 0.01, 0.1, REST_SECONDS)
+            keeper = LeaseKeeper(store, "shard", "a", "nonce-a", policy)
+            task = asyncio.create_task(keeper.run())
+            while len(store.calls) < 10:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            task.cancel()
+            assert set(store.calls) == {"read"}
+
+        asyncio.run(play())
+
+
 QUICK = LeasePolicy(0.6, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1)
 SHARDS = ("a", "b", "c", "d")
 
