Measure the load by what each gateway sent since it was heard before

Cause: the load was the growth of a sum of counters over the runs that are heard, and that set changes: a run heard a moment later brought all that it ever sent as new load, one that was forgotten took it away again.

Now what each run sent since it was heard before is added up; the first report of a run and its end add nothing. Red before: one runner's load was measured as 197 after a change of the holder and as 0.61 after a run was forgotten (test_measure).

Ruled out: the meter's own start, which says nothing for its first seconds; those seconds were filled by the wrong sum.

--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -1,6 +1,7 @@
 """Work that one gateway at a time does: usage reports and orders."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from statistics import median
 
@@ -34,6 +35,7 @@
 )
 from lagoonpost.systems.usage import find_due, sum_begun
 from lagoonpost.tables.configuration import Service
+from lagoonpost.tables.gateway_report import GatewayReport
 
 LEASE_NAME = "duties"
 USAGE_PREFIX = "usage/"
@@ -96,6 +98,8 @@
         self._ordered: dict[tuple[str, Tenure], tuple[int, float]] = {}
         self._ask_again: dict[tuple[str, str], float] = {}
         self._meters: dict[str, DemandMeter] = {}
+        self._heard: dict[str, dict[str, int]] = {}
+        self._sent: Counter[str] = Counter()
         self._from_start = settings.first_start
         self._leaving = False
 
@@ -259,18 +263,30 @@
         """
         if not self._shared.reports.is_hub():
             self._meters.clear()
+            self._heard.clear()
             self._from_start = False
             return
-        reports = self._shared.reports.all_reports()
+        self._add_sent(self._shared.reports.all_reports())
         fresh = self._shared.reports.fresh(with_own=True)
         now = read_clock()
         for service in self._list_scaled():
-            total = sum(r.prompt_tokens.get(service, 0) for r in reports)
             waiting = sum(r.waiting.get(service, 0) for r in fresh)
             paces = [r.pace[service] for r in fresh if service in r.pace]
             pace = median(paces) if paces else FIRST_TOKEN_PACE
             meter = self._meter(service)
-            meter.note(Sample(now, total, waiting, pace))
+            meter.note(Sample(now, self._sent[service], waiting, pace))
+
+    def _add_sent(self, reports: list[GatewayReport]) -> None:
+        """Add what each run has sent since it was heard before.
+
+        What one that is heard for the first time has sent is no load of
+        now, nor does one that is forgotten take any away.
+        """
+        heard = {each.run: each.prompt_tokens for each in reports}
+        for run, sent in heard.items():
+            self._sent.update(sent)
+            self._sent.subtract(self._heard.get(run, sent))
+        self._heard = heard
 
     def _meter(self, service: str) -> DemandMeter:
         meter = self._meters.get(service)
--- /dev/null
+++ b/test/test_measure.py
@@ -0,0 +1,83 @@
+"""What a new holder of the duties takes for the load."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonpost.forwarding import duties
+from lagoonpost.forwarding.duties import Duties
+from lagoonpost.tables.gateway_report import GatewayReport
+
+PACE = 1 / 30_000
+RATE = 30_000.0
+GATEWAYS = 9
+
+
+class Meter:
+    """A gateway's measure of a load that keeps one runner busy."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 600.0
+        self.heard = [f"run-{n}" for n in range(GATEWAYS)]
+        monkeypatch.setattr(duties, "read_clock", lambda: self.now)
+        settings = SimpleNamespace(
+            name="one",
+            bounds=SimpleNamespace(lease_seconds=3.0),
+            first_start=False,
+        )
+        reports = SimpleNamespace(
+            run_id="run-0",
+            is_hub=lambda: True,
+            all_reports=self.list_reports,
+            fresh=lambda with_own: self.list_reports(),
+        )
+        shared = SimpleNamespace(reports=reports)
+        self.duties = Duties(
+            settings, None, None, None, shared, lambda: self.now, 1
+        )
+        self.duties._list_scaled = lambda: {"chat": None}
+
+    def list_reports(self) -> list[GatewayReport]:
+        sent = int(RATE / GATEWAYS * self.now)
+        return [
+            GatewayReport(
+                run,
+                run,
+                {},
+                {},
+                {},
+                {},
+                {"chat": sent},
+                {},
+                {"chat": PACE},
+                1,
+                {},
+            )
+            for run in self.heard
+        ]
+
+    def measure(self, seconds: float) -> list[float]:
+        found = []
+        for _ in range(int(2 * seconds)):
+            self.duties._measure()
+            busy = self.duties._meter("chat").busy()
+            found += [] if busy is None else [busy]
+            self.now += 0.5
+        return found
+
+
+class TestMeasure:
+    def test_those_heard_a_moment_later_are_no_new_load(self, monkeypatch):
+        """Guards against runners ordered at a change of the holder."""
+        meter = Meter(monkeypatch)
+        everyone, meter.heard = meter.heard, meter.heard[:1]
+        meter.measure(0.5)
+        meter.heard = everyone
+        assert max(meter.measure(20.0)) == pytest.approx(1.0, rel=0.2)
+
+    def test_one_that_is_forgotten_takes_no_load_away(self, monkeypatch):
+        """Guards against runners sent away a minute after a restart."""
+        meter = Meter(monkeypatch)
+        meter.measure(20.0)
+        meter.heard = meter.heard[1:]
+        assert min(meter.measure(20.0)) > 0.8
