Let contenders take a bad version back while the holder of the duties is gone

Cause: judging passes with the lease, whose length follows from the bound on turns, not from the one on bad versions. What a bad version is follows from reports that each hub has.

Now those that contend for the duties judge as well, and take back; everything else, and what operators are told, stays with the holder. In the last seconds before an order's end the holder judges alone, as it may complete the version in the same moment.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -37,7 +37,6 @@
 from lagoonpost.systems.poison import Break
 from lagoonpost.systems.route import RouteTable
 from lagoonpost.systems.shift import ExposureBounds
-from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.gateway_report import GatewayReport, Taken
 from lagoonpost.tables.traffic import Traffic
 
@@ -106,7 +105,7 @@
             self.belief,
             self,
             self._hear_break,
-            self._hear_shift,
+            lambda fact: self._shifts.learn(fact),
             self._hear_recorded,
             self._store.eras.note,
             rng,
@@ -214,6 +213,7 @@
                     self._shifts,
                     self._store,
                     self._duties.is_held,
+                    self._duties.is_contender,
                     self._shared.reports.all_reports,
                     SHIFT_SECONDS,
                 )
@@ -353,9 +353,6 @@
         quotas = self._front.admission.quotas
         quotas.note_recorded(workspace, read_clock() - age)
 
-    def _hear_shift(self, fact: Fact) -> None:
-        self._shifts.learn(fact)
-
     def _note_down(self, runner: str) -> None:
         now = asyncio.get_running_loop().time()
         self._front.admission.breaks.note_down(runner, now)
--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -111,6 +111,11 @@
         """Tell whether this gateway does the duties."""
         return self._lease.is_held()
 
+    def is_contender(self) -> bool:
+        """Tell whether this gateway may do the duties next."""
+        roles = self._shared.find_roles()
+        return not self._leaving and self._settings.name in roles.contenders
+
     async def run(self) -> None:
         """Contend for the lease and do what is due until cancelled."""
         self._lease.want(False)
@@ -147,12 +152,9 @@
             await sleep_in_step(LOOK_SECONDS)
 
     def _may_contend(self, roles: Roles) -> bool:
-        name = self._settings.name
-        if self._leaving:
-            return False
         if self.is_held():
-            return name in roles.keepers
-        return name in roles.contenders
+            return self._settings.name in roles.keepers
+        return self.is_contender()
 
     async def _send(
         self, send: Callable[[Duty], Awaitable[CloudOutcome]], **told: object
--- a/lagoonpost/forwarding/shifts.py
+++ b/lagoonpost/forwarding/shifts.py
@@ -1,6 +1,6 @@
 """Moves of services to new versions: what this gateway sends, hears, tells."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 
 import eliot
@@ -37,6 +37,7 @@
 
 Counts = dict[str, VersionCounts]
 ENDS: tuple[Phase, ...] = ("complete", "taken_back")
+BAD: tuple[Phase, ...] = ("taken_back",)
 
 
 class _Shift:
@@ -221,20 +222,39 @@
                 await self._tell_operators(shift, store, may_go_on)
             if not may_go_on():
                 return
-            self._judge(shift, held)
+            self._judge(shift, held, PHASES)
             if shift.told is not None:
                 await self._tell_operators(shift, store, may_go_on)
 
+    def watch(self, reports: Iterable[GatewayReport]) -> None:
+        """Take bad versions back while it is another gateway's duty.
+
+        That one may have died, and its lease lasts longer than a bad version
+        may go on. Operators are told by who has the duty next.
+
+        Args:
+            reports: Of all gateways.
+        """
+        held = list(reports)
+        for shift in self._shifts.values():
+            if shift.judge.may_watch(read_clock()):
+                self._judge(shift, held, BAD)
+
     def pass_on(self) -> None:
         """Note that another gateway may tell operators from now on."""
         for shift in self._shifts.values():
             shift.told = None
 
-    def _judge(self, shift: _Shift, held: list[GatewayReport]) -> None:
+    def _judge(
+        self,
+        shift: _Shift,
+        held: list[GatewayReport],
+        allowed: Collection[Phase],
+    ) -> None:
         service = shift.order.service
         counts = _sum_counts(held, service)
         phase = shift.judge.advance(shift.phase, counts, read_clock())
-        if phase == shift.phase:
+        if phase == shift.phase or phase not in allowed:
             return
         self._take(shift.order, phase, "own")
         self._tell(shift)
@@ -311,13 +331,25 @@
     shifts: Shifts,
     store: PlatformStore,
     may_advance: Callable[[], bool],
+    may_watch: Callable[[], bool],
     find_reports: Callable[[], Iterable[GatewayReport]],
     pause: float,
 ) -> None:
-    """Advance all orders while it is this gateway's duty, until cancelled."""
+    """Advance all orders until cancelled.
+
+    Args:
+        shifts: The orders.
+        store: Where operators read how far they are.
+        may_advance: Tells whether it is this gateway's duty.
+        may_watch: Tells whether this gateway may have the duty next.
+        find_reports: Returns the reports of all gateways.
+        pause: Seconds between two looks.
+    """
     while True:
         await sleep_in_step(pause)
         if may_advance():
             await shifts.advance(find_reports(), store, may_advance)
-        else:
-            shifts.pass_on()
+            continue
+        shifts.pass_on()
+        if may_watch():
+            shifts.watch(find_reports())
--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -46,6 +46,10 @@
 the old runners end what they do."""
 ALL_SECONDS = 2.0
 """The same at least: most answers take less."""
+LAST_SECONDS = 3.0
+"""Time before the end in which the holder of the duties judges alone: it may
+complete a version then, and one that others took back in the same moment
+would be left without runners."""
 SPARE_SECONDS = 1.0
 """Left before the end for the news of it to be written and acknowledged, with
 one call to the store that is lost."""
@@ -126,6 +130,10 @@
         due = self._started + self.order.seconds - SPARE_SECONDS
         return "complete" if ended and now >= due else phase
 
+    def may_watch(self, now: float) -> bool:
+        """Tell whether one that is not the holder may take a version back."""
+        return now < self._started + self.order.seconds - LAST_SECONDS
+
     def note_all(self, now: float) -> float:
         """Note that all requests go to the new version; return since when.
 
--- a/test/test_shift.py
+++ b/test/test_shift.py
@@ -7,7 +7,7 @@
 
 import msgspec
 import pytest
-from forwarding_stack import Stack, play, wait_until
+from forwarding_stack import PATIENCE, Stack, play, wait_until
 from played_loop import play_time
 from played_store import PlayedClient
 
@@ -213,6 +213,30 @@
         assert state == "rolled_back"
         assert tried == after
 
+    def test_a_bad_version_is_taken_back_though_the_holder_died(self):
+        """Guards against a fault that goes on for the length of a lease."""
+
+        async def story(stack: Stack):
+            await wait_until(lambda: bool(find_holders(stack)))
+            (first,) = find_holders(stack)
+            other = 1 - first
+            await stack.gateways[first].abandon()
+            for id_ in NEW:
+                stack.runners[id_].fault = "fail"
+                await stack.register(id_, version="v2")
+            order = {"service": "desk", "to": "v2", "duration_s": 60}
+            await stack.store.put("op", "rollout/desk", order)
+            shifts = stack.gateways[other]._shifts
+            await wait_until(lambda: "desk" in shifts._shifts)
+            async with asyncio.timeout(PATIENCE):
+                while shifts._shifts["desk"].phase != "taken_back":
+                    await stack.call("/check/1", gateway=other)
+
+        bounds = {"lease_ms": 60_000}
+        play(
+            story, gateways=2, desk=4, duties=("usage_report",), bounds=bounds
+        )
+
     def test_an_end_that_was_told_before_stands(self):
         """All gateways are killed right after a move was taken back.
 
@@ -237,6 +261,15 @@
         assert told == {"state": "rolled_back", "to": "v2"}
 
 
+def find_holders(stack: Stack) -> list[int]:
+    """Return the numbers of the gateways that do the duties."""
+    return [
+        number
+        for number, daemon in enumerate(stack.gateways)
+        if daemon._duties is not None and daemon._duties.is_held()
+    ]
+
+
 AT_ONCE = 20
 OLD = ("desk-1", "desk-2")
 NEW = ("desk-3", "desk-4")
@@ -318,7 +351,12 @@
 
     async def run(self) -> None:
         await keep_shifting(
-            self.shifts, self.store, lambda: self.holds, lambda: [], 0.5
+            self.shifts,
+            self.store,
+            lambda: self.holds,
+            lambda: False,
+            lambda: [],
+            0.5,
         )
 
     async def hold(self, seconds: float) -> None:
