Show work in turn and a number given twice by other routes

All four are red on: a call of an ended process that takes effect after the restart; a late call after the store lost the row of the holder in between (row absent, and own older row); a fencing number given twice where one who does not know of the store's return writes under a version that was given out again.

--- a/test/lease_model.py
+++ b/test/lease_model.py
@@ -73,9 +73,11 @@
 class Holder:
     """One controller with a clock of its own."""
 
-    def __init__(self, number: int, rate: float) -> None:
+    def __init__(
+        self, number: int, rate: float, policy: LeasePolicy = POLICY
+    ) -> None:
         name = f"controller-{number}"
-        self.lease = Lease(name, f"nonce-{number}", POLICY)
+        self.lease = Lease(name, f"nonce-{number}", policy)
         self.call: Put | Read | None = None
         self.reply: Reply | None = None
         self.era = 0
@@ -92,7 +94,10 @@
         """Begin anew under the same name, as a new process does."""
         lease = self.lease
         self.lease = Lease(
-            lease.holder, lease.nonce + "'", POLICY, worked=self.clock(now)
+            lease.holder,
+            lease.nonce + "'",
+            lease.policy,
+            worked=self.clock(now),
         )
         self.call = self.reply = None
         self.era = 0
@@ -110,12 +115,14 @@
 class World:
     """The store, the controllers, and a runner that checks no fence."""
 
-    def __init__(self, rates: list[float]) -> None:
+    def __init__(
+        self, rates: list[float], policy: LeasePolicy = POLICY
+    ) -> None:
         self.now = 0.0
         self.table = Table()
         self.era = 0
         self.fences: dict[int, str] = {}
-        self.holders = [Holder(*each) for each in enumerate(rates)]
+        self.holders = [Holder(*each, policy) for each in enumerate(rates)]
         self.late: list[Put] = []
         self.orders: list[Order] = []
         self.applied: list[int] = []
@@ -249,8 +256,7 @@
         if answered:
             self.take_effect(call)
         else:
-            latest = max(self.now, call.sent + POLICY.order)
-            self.lost_calls[call] = latest
+            self._lose(call)
         holder = call.holder
         holder.lease = end_call(
             holder.lease,
@@ -259,6 +265,11 @@
             holder.clock(self.now),
         )
 
+    def _lose(self, call: Call) -> None:
+        """Let a call take effect at any time up to its latest one."""
+        order = call.holder.lease.policy.order
+        self.lost_calls[call] = max(self.now, call.sent + order)
+
     def take_effect(self, call: Call) -> None:
         """Let the platform take a call, or refuse its fencing number."""
         self.lost_calls.pop(call, None)
@@ -267,14 +278,14 @@
             self.acted.take(call.holder.lease.holder, self.now)
 
     def restart(self, holder: Holder) -> None:
-        """End a process, with what it sent, and begin it anew."""
+        """End a process and begin it anew.
+
+        The platform may still carry out what the ended one had sent.
+        """
         self.drop_orders(holder)
-        self.calls = [each for each in self.calls if each.holder != holder]
-        self.lost_calls = {
-            call: latest
-            for call, latest in self.lost_calls.items()
-            if call.holder != holder
-        }
+        for call in [each for each in self.calls if each.holder is holder]:
+            self.calls.remove(call)
+            self._lose(call)
         holder.restart(self.now)
 
     def apply(self, order: Order) -> None:
--- a/test/test_lease.py
+++ b/test/test_lease.py
@@ -30,6 +30,7 @@
 )
 SECONDS = strategies.sampled_from([0.5, 2.0, 4.0, 5.0, 9.0, 14.5, 40.0])
 INDEXES = strategies.integers(0, 2)
+DUTIES = LeasePolicy(4.0, 0.5, 1.5, 0.3, 1.0, 10.0, 3.5)
 
 
 class LeaseMachine(RuleBasedStateMachine):
@@ -335,6 +336,88 @@
             world.go_on(holder)
         assert holder.is_held(world.now)
 
+    def test_call_of_an_ended_process_counts_as_work(self) -> None:
+        """Guards against A, B, A where A restarted with a call under way."""
+        world = World([1.0, 1.0], DUTIES)
+        old, new = world.holders
+        world.acquire(old)
+        world.begin_call(old)
+        (call,) = world.calls
+        world.end_call(call, answered=False)
+        world.want(old, False)
+        world.acquire(old)
+        world.wait(3.7)
+        world.restart(old)
+        world.acquire(new)
+        world.wait(3.3)
+        world.take_effect(call)
+        world.begin_call(new)
+        world.end_call(world.calls[0], answered=True)
+        world.want(new, False)
+        world.acquire(new)
+        world.wait(0.3)
+        world.acquire(old)
+        world.begin_call(old)
+        for each in world.calls:
+            world.take_effect(each)
+
+
+class TestReturns:
+    @pytest.mark.parametrize("transactions", [1, 3])
+    def test_late_call_counts_as_work_after_a_return(
+        self, transactions: int
+    ) -> None:
+        """Guards against A, B, A where the store no longer knows of B."""
+        world = World([1.0, 1.0], DUTIES)
+        old, new = world.holders
+        world.acquire(old)
+        world.begin_call(old)
+        (lost,) = world.calls
+        world.end_call(lost, answered=False)
+        world.want(old, False)
+        world.acquire(old)
+        world.acquire(new)
+        assert new.is_held(world.now)
+        world.go_back(transactions)
+        world.want(old, True)
+        for _ in range(8):
+            world.go_on(old)
+        assert old.era == 1
+        world.wait(3.4)
+        world.begin_call(new)
+        (call,) = world.calls
+        world.wait(0.7)
+        world.take_effect(lost)
+        world.end_call(call, answered=True)
+        for _ in range(8):
+            world.go_on(old)
+        world.begin_call(old)
+        for each in world.calls:
+            world.take_effect(each)
+
+    def test_late_write_of_an_earlier_era_gives_no_number_twice(self) -> None:
+        """Guards against one fencing number of two holders.
+
+        The version that a renewal expects is given out again by the store
+        that came back, so that the renewal undoes a newer holder's row.
+        """
+        world = World([1.0, 1.0, 1.0], DUTIES)
+        first, old, new = world.holders
+        world.acquire(first)
+        world.acquire(old)
+        world.wait(2.0)
+        world.go_on(old)
+        assert old.call is not None
+        world.go_back(1)
+        world.acquire(new)
+        assert new.is_held(world.now)
+        world.check()
+        world.go_on(old)
+        world.wait(4.0)
+        world.acquire(first)
+        assert first.is_held(world.now)
+        world.check()
+
 
 REST_SECONDS = 3600.0
 
