Let a host rest where the store may have lost the row of another

After a return of the store an absent row, or an own one of an earlier era, does not tell that nobody else held the lease: who had lost a call's answer took it back while that call could still take effect. Such rows count as another's now.

--- a/lagoonpost/systems/lease.py
+++ b/lagoonpost/systems/lease.py
@@ -240,7 +240,7 @@
     if not lease.wanted:
         return lease, Pause(lease.policy.poll)
     free = _find_free(lease)
-    if lease.calls and not _is_own(lease):
+    if lease.calls and not _is_alone(lease):
         return lease._replace(unsure=True), Pause(lease.policy.poll)
     if now < free:
         # Looking at the row again shows a renewal, which starts a new wait.
@@ -274,7 +274,7 @@
         # Our own row after we lost track of it counts as anybody's: an order
         # given under its fencing number may still be under way.
         free += lease.row.duration
-    if lease.row is not None and not _is_own(lease):
+    if not _is_alone(lease):
         free = max(free, lease.worked + lease.policy.rest)
     return max(free, lease.not_before) + lease.delay
 
@@ -296,6 +296,16 @@
     return lease.row is not None and lease.row.nonce == lease.nonce
 
 
+def _is_alone(lease: Lease) -> bool:
+    """Tell whether no other host can have worked since this process.
+
+    A store that came back from an older copy may have lost another's row.
+    """
+    if lease.row is None:
+        return lease.least_fence == 0
+    return _is_own(lease) and lease.row.fence > lease.least_fence
+
+
 def _send(lease: Lease, row: LeaseRow, now: float) -> tuple[Lease, Action]:
     return lease._replace(sent=now), Put(lease.version, row)
 
