Name in the lease's row who held it lately, for processes that start

Cause: a process counted its start as the work of its host, and a call without an answer may take effect later than that.

Now the row names those that held it before, until effects of their work can't come any more. A process that starts and finds its host there rests for `order` and `rest`; one that doesn't find it need not rest at all, so that after a loss of power everywhere others take the duties as soon as the lease has lapsed.

test_handover waits as long as that between its restarts, as it tests turns that do go A, B, A; its checks are as they were.

--- a/lagoonpost/store/lease.py
+++ b/lagoonpost/store/lease.py
@@ -79,7 +79,7 @@
         nonce: str,
         policy: LeasePolicy = DEFAULT_POLICY,
     ) -> None:
-        self.lease = Lease(holder, nonce, policy, worked=read_clock())
+        self.lease = Lease(holder, nonce, policy, started=read_clock())
         self._store = store
         self._key = PREFIX + name
         self._changed = asyncio.Event()
--- a/lagoonpost/systems/lease.py
+++ b/lagoonpost/systems/lease.py
@@ -11,6 +11,7 @@
 they came, must not mix with those of the holder in between.
 """
 
+import math
 from typing import Literal, NamedTuple
 
 from lagoonpost.tables.lease import LeaseRow
@@ -109,9 +110,9 @@
         least_fence: Fencing number from which on no other holder can have
             had the next one.
         calls: Calls under way that this process makes by the lease.
-        worked: Own time until which work of this host may have had effects.
-            A process that starts takes its start, as one of the same host
-            may have held the lease before.
+        worked: Own time until which work of this process may have effects.
+        started: Own time at which this process started. The work of one that
+            ran on this host before may have effects later.
     """
 
     holder: str
@@ -129,7 +130,8 @@
     not_before: float = 0.0
     least_fence: int = 0
     calls: int = 0
-    worked: float = 0.0
+    worked: float = -math.inf
+    started: float = -math.inf
 
 
 def is_held(lease: Lease, now: float) -> bool:
@@ -247,7 +249,11 @@
         pause = min(free - now, lease.policy.poll)
         return lease._replace(unsure=True), Pause(pause)
     row = LeaseRow(
-        lease.holder, lease.nonce, _choose_fence(lease), lease.policy.duration
+        lease.holder,
+        lease.nonce,
+        _choose_fence(lease),
+        lease.policy.duration,
+        tuple(name for name in _list_holders(lease) if name != lease.holder),
     )
     return _send(lease, row, now)
 
@@ -260,10 +266,13 @@
             return lease, Pause(lease.policy.poll)
         # The lease ends here before the row says so.
         lease = lease._replace(until=0.0, worked=max(lease.worked, now))
-        return _send(lease, row._replace(holder=""), now)
+        before = (*row.before, row.holder)
+        return _send(lease, row._replace(holder="", before=before), now)
     age = now - (lease.until - lease.policy.duration)
     if age < lease.policy.renew:
         return lease, Pause(lease.policy.renew - age)
+    if now >= lease.taken + lease.policy.order + lease.policy.rest:
+        row = row._replace(before=())
     return _send(lease, row, now)
 
 
@@ -276,9 +285,20 @@
         free += lease.row.duration
     if not _is_alone(lease):
         free = max(free, lease.worked + lease.policy.rest)
+    if lease.holder in _list_holders(lease)[:-1]:
+        late = lease.started + lease.policy.order
+        free = max(free, late + lease.policy.rest)
     return max(free, lease.not_before) + lease.delay
 
 
+def _list_holders(lease: Lease) -> tuple[str, ...]:
+    """Return who may have worked lately by the row, the last one last."""
+    row = lease.row
+    if row is None:
+        return ()
+    return (*row.before, row.holder) if row.holder else row.before
+
+
 def _choose_fence(lease: Lease) -> int:
     """Return a fencing number that nobody has had.
 
@@ -335,7 +355,7 @@
 
 def _store(lease: Lease, put: Put, version: int, now: float) -> Lease:
     held = put.row.holder == lease.holder
-    renewed = held and lease.row is not None and put.row == lease.row
+    renewed = held and _is_own(lease) and put.row.fence == get_fence(lease)
     if held and not renewed and put.row.fence <= lease.least_fence:
         # Written before the era was known: another holder may have had it.
         return lease._replace(unsure=True)
--- a/lagoonpost/tables/lease.py
+++ b/lagoonpost/tables/lease.py
@@ -13,9 +13,12 @@
         fence: Grows each time that the lease is taken.
         duration: Seconds for which others must leave a version of this row
             alone after they first saw it.
+        before: Names of those that held it before, of whose work effects may
+            still come; the last one last. Who releases it adds its own.
     """
 
     holder: str
     nonce: str
     fence: int
     duration: float
+    before: tuple[str, ...] = ()
--- a/test/lease_model.py
+++ b/test/lease_model.py
@@ -97,7 +97,7 @@
             lease.holder,
             lease.nonce + "'",
             lease.policy,
-            worked=self.clock(now),
+            started=self.clock(now),
         )
         self.call = self.reply = None
         self.era = 0
--- a/test/test_handover.py
+++ b/test/test_handover.py
@@ -16,7 +16,7 @@
 from lagoonpost.controller.loop import Controller
 from lagoonpost.forwarding.duties import Duties
 from lagoonpost.forwarding.written import Written
-from lagoonpost.store.lease import LeaseKeeper
+from lagoonpost.store.lease import DEFAULT_POLICY, LeaseKeeper
 from lagoonpost.store.ledger import sweep
 from lagoonpost.store.store import Condition, Write
 from lagoonpost.systems.shard import STAY
@@ -90,6 +90,10 @@
             assert before.fence < after.fence
 
 
+REST_SECONDS = DEFAULT_POLICY.order + DEFAULT_POLICY.rest
+"""Time for which a host that held a lease lately leaves it after a start."""
+
+
 @pytest.mark.usefixtures("played_clock")
 class TestShards:
     def test_a_flapping_list_moves_a_shard_once_a_while(self):
@@ -127,7 +131,7 @@
             for name in ("one", "two") * 3:
                 live.discard(name)
                 await shards.stop(name)
-                await asyncio.sleep(6.0)
+                await asyncio.sleep(REST_SECONDS + 2.0)
                 live.add(name)
                 shards.start(name, lambda: live)
             await shards.close()
--- a/test/test_lease.py
+++ b/test/test_lease.py
@@ -434,7 +434,7 @@
 
         async def play() -> None:
             store = MemoryStore()
-            released = LeaseRow("", "nonce-b", 2, 0.1)
+            released = LeaseRow("", "nonce-b", 2, 0.1, ("a", "b"))
             store.rows[f"{PREFIX}shard"] = Row(
                 f"{PREFIX}shard", 3, msgspec.to_builtins(released)
             )
