Give roles to who has run longest, and duties to who has heard the others

Cause: hubs and contenders were the first by name of those that run, so that one that comes back takes a role from one that runs, and has to hear everything anew. Now the one that has run longest undisturbed comes first (members tell their start already), and a gateway that is started among others contends once it can have heard them.

Red before: test_who_comes_back_takes_no_role at 9, 67 and 195 gateways, and test_duties_wait_until_the_others_are_heard.

--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -44,6 +44,9 @@
 the platform says some seconds."""
 LEASE_MARGIN_SECONDS = 0.5
 """Covers clocks that run unlike, and the way of a call to the platform."""
+HEAR_SECONDS = 2.0
+"""Time after a start until the others' reports are heard: counts and orders of
+one that takes the duties before would be by its own requests alone."""
 LOOK_SECONDS = 0.5
 """Pause between looks at what is due: a reclaim's notice is two seconds."""
 REPEAT_SECONDS = 8.0
@@ -102,6 +105,9 @@
         self._sent: Counter[str] = Counter()
         self._from_start = settings.first_start
         self._leaving = False
+        self._hears_from = read_clock()
+        if not settings.first_start:
+            self._hears_from += HEAR_SECONDS
 
     def note_era(self) -> None:
         """Take the lease only after all who may still hold it."""
@@ -113,8 +119,9 @@
 
     def is_contender(self) -> bool:
         """Tell whether this gateway may do the duties next."""
-        roles = self._shared.find_roles()
-        return not self._leaving and self._settings.name in roles.contenders
+        if self._leaving or read_clock() < self._hears_from:
+            return False
+        return self._settings.name in self._shared.find_roles().contenders
 
     async def run(self) -> None:
         """Contend for the lease and do what is due until cancelled."""
--- a/lagoonpost/systems/hub.py
+++ b/lagoonpost/systems/hub.py
@@ -11,7 +11,9 @@
 domain. A few hubs read the store and tell the others of what has changed:
 three readers at times of their own bring news nearly as soon as ten, at a
 third of the calls. All choose from the same list of members, so nobody has to
-be asked, and who is lost or has lost the store is passed over.
+be asked, and who is lost or has lost the store is passed over. Who has run
+longest undisturbed comes first: one that comes back and has to hear all anew
+takes no role from one that runs.
 
 That a reader is lost shows only after seconds. Hubs say how old the readers'
 news is. If it is too old, a few backups read as well; if the hub itself is
@@ -79,7 +81,12 @@
     """
     ordered = sorted(
         members,
-        key=lambda each: (each.name in lost, each.state != "alive", each.name),
+        key=lambda each: (
+            each.name in lost,
+            each.state != "alive",
+            each.incarnation,
+            each.name,
+        ),
     )
     domains: dict[str, list[str]] = {}
     for each in ordered:
--- a/test/test_holder.py
+++ b/test/test_holder.py
@@ -44,7 +44,7 @@
 class Gateway:
     """One gateway's duties among others that are only names."""
 
-    def __init__(self, store: MemoryStore) -> None:
+    def __init__(self, store: MemoryStore, first_start: bool = True) -> None:
         self.store = store
         self.desk = Desk()
         self.looks = 0
@@ -54,7 +54,7 @@
             bounds=Bounds(lease_seconds=0.5),
             reports_usage=True,
             orders_runners=False,
-            first_start=True,
+            first_start=first_start,
         )
         shared = SimpleNamespace(
             find_roles=self._find_roles,
@@ -87,11 +87,13 @@
         await wait_until(lambda: self.looks >= looks)
 
 
-def play(story: Callable[[Gateway], Awaitable[_T]]) -> _T:
+def play(
+    story: Callable[[Gateway], Awaitable[_T]], first_start: bool = True
+) -> _T:
     """Run a story of one gateway."""
 
     async def run() -> _T:
-        gateway = Gateway(MemoryStore())
+        gateway = Gateway(MemoryStore(), first_start)
         task = asyncio.create_task(gateway.duties.run())
         try:
             return await story(gateway)
@@ -141,6 +143,21 @@
         play(story)
 
 
+class TestStart:
+    def test_duties_wait_until_the_others_are_heard(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against usage and orders by one gateway's requests alone."""
+        monkeypatch.setattr(duties, "HEAR_SECONDS", 3600.0)
+
+        async def story(gateway: Gateway) -> None:
+            await gateway.look_on()
+            assert not gateway.duties.is_contender()
+            assert LEASE_KEY not in gateway.store.rows
+
+        play(story, first_start=False)
+
+
 class TestRelease:
     def test_lease_is_kept_while_a_call_is_under_way(self) -> None:
         """Guards against a call that ends after the next holder's began."""
--- a/test/test_hub.py
+++ b/test/test_hub.py
@@ -154,6 +154,16 @@
         assert first not in roles.contenders
         assert first not in roles.keepers
 
+    @pytest.mark.parametrize("gateways", [9, 67, 195])
+    def test_who_comes_back_takes_no_role(self, gateways):
+        """Guards against duties that wait for gateways that just started."""
+        members = make_sorted_members(gateways)
+        before = choose_roles(members[1:], ())
+        back = members[0]._replace(incarnation=2)
+        roles = choose_roles([back, *members[1:]], ())
+        assert roles.contenders == before.contenders
+        assert roles.mesh or roles.hubs == before.hubs
+
     def test_a_few_keep_on_whoever_comes(self):
         """Guards against a healthy holder that a restart elsewhere moves."""
         members = make_sorted_members(9)
