Count orders of controllers as work under the lease; test the duties' own times

A controller that gave a shard away cancelled orders that were under way and counted them as over. They count until their latest effect now, as calls of the duties do.

--- a/lagoonpost/controller/order.py
+++ b/lagoonpost/controller/order.py
@@ -55,13 +55,15 @@
         may_send = self._make_guard(runner, fence)
         if not may_send():
             return
-        answer = await send_order(
-            self._client,
-            parse_address(runner.endpoint),
-            EngineOrder(fence, list(wanted.versions), wanted.role),
-            timeout=self._keeper.lease.policy.order,
-            may_send=may_send,
-        )
+        with self._keeper.call() as call:
+            answer = await send_order(
+                self._client,
+                parse_address(runner.endpoint),
+                EngineOrder(fence, list(wanted.versions), wanted.role),
+                timeout=self._keeper.lease.policy.order,
+                may_send=may_send,
+            )
+            call.answered = answer is not None
         confirmed = answer is not None and answer.status == 200
         self._given[runner.name] = Given(
             wanted, fence, read_clock(), confirmed
--- a/test/test_duties.py
+++ b/test/test_duties.py
@@ -11,6 +11,8 @@
     wait_until,
 )
 
+from lagoonpost.platform.cloud import CloudCalls, Duty
+
 BOUNDS = {"report_window_s": 1, "usage_late_s": 10, "lease_ms": 500}
 SCALED = {
     "name": "chat",
@@ -121,6 +123,25 @@
         assert more == 0
 
 
+class TestCalls:
+    def test_a_call_that_may_not_be_sent_is_not(self):
+        """Guards against a call that leaves after the lease has ended."""
+
+        async def story(stack: Stack):
+            calls = CloudCalls(stack.client, stack.cloud_address)
+            answers = [
+                await calls.report_usage(
+                    Duty("gateway-1", 1, lambda may=may: may), 7, {}
+                )
+                for may in (False, True)
+            ]
+            return answers, len(stack.cloud.calls)
+
+        answers, count = play(story)
+        assert answers == ["refused", "done"]
+        assert count == 1
+
+
 class TestOrders:
     def configuration(self):
         return make_configuration(
--- a/test/test_holder.py
+++ b/test/test_holder.py
@@ -10,9 +10,14 @@
 from memory_store import MemoryStore
 
 from lagoonpost.forwarding import duties
-from lagoonpost.forwarding.duties import LEASE_NAME, Duties
+from lagoonpost.forwarding.duties import (
+    LATE_CALL_SECONDS,
+    LEASE_NAME,
+    Duties,
+)
 from lagoonpost.platform.cloud import CloudOutcome, Duty
 from lagoonpost.platform.settings import Bounds
+from lagoonpost.store.clock import read_clock
 from lagoonpost.store.lease import PREFIX
 from lagoonpost.systems.hub import CONTENDERS, Roles
 from lagoonpost.tables.lease import LeaseRow
@@ -21,6 +26,7 @@
 LOOKS = 6
 PATIENCE = 20.0
 OWN = "gateway-5"
+BOUNDS = Bounds(lease_seconds=0.5)
 WINDOW = 5
 _T = TypeVar("_T")
 
@@ -32,11 +38,13 @@
         self.begun = 0
         self.may_answer = asyncio.Event()
         self.outcome: CloudOutcome = "done"
+        self.duty: Duty | None = None
 
     async def report_usage(
         self, duty: Duty, window: int, counts: dict[str, int]
     ) -> CloudOutcome:
         self.begun += 1
+        self.duty = duty
         await self.may_answer.wait()
         return self.outcome
 
@@ -51,7 +59,7 @@
         self.hubs: tuple[str, ...] = (OWN,)
         settings = SimpleNamespace(
             name=OWN,
-            bounds=Bounds(lease_seconds=0.5),
+            bounds=BOUNDS,
             reports_usage=True,
             orders_runners=False,
             first_start=first_start,
@@ -185,3 +193,51 @@
             assert gateway.read_lease().fence == 1
 
         play(story)
+
+    def test_call_under_way_may_not_leave_once_the_lease_is_given_away(
+        self,
+    ) -> None:
+        """Guards against a call whose connection took long to be made."""
+
+        async def story(gateway: Gateway) -> None:
+            await wait_until(lambda: gateway.desk.begun > 0)
+            duty = gateway.desk.duty
+            assert duty is not None
+            assert duty.may_send()
+            await gateway.duties.release()
+            assert not duty.may_send()
+
+        play(story)
+
+
+class TestWork:
+    @pytest.mark.parametrize(
+        ("outcome", "seconds"), [("done", 0.0), ("unknown", LATE_CALL_SECONDS)]
+    )
+    def test_call_counts_as_work_until_its_effect_is_known(
+        self, outcome: CloudOutcome, seconds: float
+    ) -> None:
+        """Guards against A, B, A by a call that is carried out late."""
+
+        async def story(gateway: Gateway) -> None:
+            gateway.desk.outcome = outcome
+            gateway.desk.may_answer.set()
+            began = read_clock()
+            await wait_until(lambda: gateway.desk.begun > 0)
+            keeper = gateway.duties._lease
+            await wait_until(lambda: keeper.lease.calls == 0)
+            worked = keeper.lease.worked
+            assert began + seconds <= worked <= read_clock() + seconds
+
+        play(story)
+
+    def test_rest_is_longer_than_the_bound_on_turns(self) -> None:
+        """Guards against A, B, A at the end of the rest."""
+
+        async def story(gateway: Gateway) -> None:
+            policy = gateway.duties._lease.lease.policy
+            clocks_apart = 1.02
+            assert policy.rest > BOUNDS.lease_seconds * clocks_apart
+            assert policy.duration - policy.margin >= BOUNDS.lease_seconds
+
+        play(story)
