Count an order's time from when a gateway first learned it

Cause: a judge counted the order's time from when it learned the order itself. The fact "shift" told order and phase only.

Now the fact tells the start as a time since the epoch, as other facts tell their ends, so that it ages on the way. The earliest start holds, also between facts of equal rank: it is written so that it is the larger body. Bodies without it are read as before. A start further back than the order's own time is not believed.

Ruled out: an age in the body, as facts are passed on unchanged and as late as they are asked for; the store's clock, as gateways that don't read the store have none.

Red before: TestHolders, a_restarted_holder_completes_in_time ("active" where "complete" is wanted). Green after, with test_shift_start, which has no meaning on the code before.

Conclusion: a judge that was started within the order's time completes it in time.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -85,7 +85,8 @@
         self.belief = Belief(read_clock)
         self._store = PlatformStore(self._client, settings.store, traffic)
         wall_clock = make_clock()
-        usage = UsageCount(settings.bounds.usage_window, wall_clock)
+        bounds = settings.bounds
+        usage = UsageCount(bounds.usage_window, wall_clock)
         self._usage = usage
         self._front = Front(
             self.belief,
@@ -113,11 +114,10 @@
             traffic,
         )
         self._shifts = Shifts(
-            ExposureBounds(
-                settings.bounds.exposure_share, settings.bounds.exposure_slack
-            ),
+            ExposureBounds(bounds.exposure_share, bounds.exposure_slack),
             rng,
             self._shared.peers.publish,
+            wall_clock,
         )
         self._front.shifts = self._shifts
         self.belief.on_down.append(self._note_down)
--- a/lagoonpost/forwarding/shifts.py
+++ b/lagoonpost/forwarding/shifts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from random import Random
+from typing import NamedTuple
 
 import eliot
 import msgspec
@@ -39,6 +40,22 @@
 ENDS: tuple[Phase, ...] = ("complete", "taken_back")
 
 
+class _Told(NamedTuple):
+    """Body of a fact about an order.
+
+    Attributes:
+        order: The order.
+        phase: How far it is.
+        before: Milliseconds from the order's start to the epoch, below zero
+            so that the earliest start is the largest of bodies that are
+            alike else; zero if it is not told.
+    """
+
+    order: ShiftOrder
+    phase: Phase
+    before: int = 0
+
+
 class _Shift:
     """One order as this gateway knows it."""
 
@@ -63,6 +80,7 @@
         bounds: What a version may get before it is trusted.
         rng: Source of random choices.
         publish: Tells other gateways a fact.
+        clock: Returns seconds since the epoch; never set back.
     """
 
     def __init__(
@@ -70,10 +88,12 @@
         bounds: ExposureBounds,
         rng: Random,
         publish: Callable[[Fact], None],
+        clock: Callable[[], float],
     ) -> None:
         self._bounds = bounds
         self._rng = rng
         self._publish = publish
+        self._clock = clock
         self._shifts: dict[str, _Shift] = {}
         self._orders: set[ShiftOrder] = set()
 
@@ -95,10 +115,18 @@
 
     def learn(self, fact: Fact) -> None:
         """Take an order or its phase from another gateway."""
-        order, phase = msgspec.msgpack.decode(
-            fact.body, type=tuple[ShiftOrder, Phase]
-        )
-        self._take(order, phase, "peer")
+        told = msgspec.msgpack.decode(fact.body, type=_Told)
+        self._take(told.order, told.phase, "peer")
+        held = self._shifts[told.order.service]
+        if told.before and held.order == told.order:
+            self._note_start(held, told.before)
+
+    def _note_start(self, shift: _Shift, before: int) -> None:
+        age = self._clock() + before / 1000
+        # An order past its time gains nothing by it, and by one wrong clock
+        # a version would get all requests before it was tried.
+        if 0 <= age <= shift.order.seconds:
+            shift.judge.note_start(read_clock() - age)
 
     def _take(self, order: ShiftOrder, phase: Phase, source: str) -> bool:
         """Take what is newer; tell whether it was."""
@@ -140,7 +168,10 @@
             shift.told = None
 
     def _tell(self, shift: _Shift) -> None:
-        body = msgspec.msgpack.encode((shift.order, shift.phase))
+        age = read_clock() - shift.judge.started
+        before = round((age - self._clock()) * 1000)
+        told = _Told(shift.order, shift.phase, before)
+        body = msgspec.msgpack.encode(told)
         self._publish(Fact("shift", shift.order.service, shift.rank, body))
 
     # Requests
--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -126,6 +126,15 @@
         due = self._started + self.order.seconds - SPARE_SECONDS
         return "complete" if ended and now >= due else phase
 
+    @property
+    def started(self) -> float:
+        """Time from which the order's own time counts."""
+        return self._started
+
+    def note_start(self, started: float) -> None:
+        """Take when another gateway learned the order; the first counts."""
+        self._started = min(self._started, started)
+
     def note_all(self, now: float) -> float:
         """Note that all requests go to the new version; return since when.
 
--- a/test/test_shift.py
+++ b/test/test_shift.py
@@ -1,6 +1,7 @@
 """Services that move to a new version: what callers get of it."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any, NamedTuple
@@ -29,6 +30,7 @@
 )
 from lagoonpost_standins.rows import RowStore
 
+EPOCH = 1.8e9
 BOUNDS = ExposureBounds(share=0.1, slack=50)
 ACTIVE = {"state": "active", "to": "v2"}
 ENDS = [
@@ -247,7 +249,7 @@
 
     def setup_method(self) -> None:
         self.told: list[Fact] = []
-        self.shifts = Shifts(BOUNDS, Random(1), self.told.append)
+        self.shifts = Shifts(BOUNDS, Random(1), self.told.append, time.time)
 
     def take(self, era: int, version: int, to: str) -> None:
         order = {"service": "chat", "to": to, "duration_s": 10}
@@ -307,7 +309,12 @@
     """A gateway that may judge orders; it hears nothing of the others."""
 
     def __init__(self, rows: RowStore, services: tuple[str, ...]) -> None:
-        self.shifts = Shifts(BOUNDS, Random(1), lambda fact: None)
+        self.shifts = Shifts(
+            BOUNDS,
+            Random(1),
+            lambda fact: None,
+            lambda: EPOCH + asyncio.get_running_loop().time(),
+        )
         client = PlayedClient(rows)
         self.store = PlatformStore(client, Address("10.0.0.1", 80))
         self.holds = False
@@ -426,3 +433,27 @@
             await two.hold(2.0)
 
         assert self.play(story)[0] == "complete"
+
+    def test_a_restarted_holder_completes_in_time(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a deadline counted from a gateway's start."""
+        monkeypatch.setattr(
+            "lagoonpost.forwarding.shifts.read_clock",
+            lambda: asyncio.get_running_loop().time(),
+        )
+
+        async def story(rows: RowStore, one: Holder, two: Holder) -> None:
+            told: list[Fact] = []
+            one.shifts._publish = told.append
+            one.judge("all")
+            await asyncio.sleep(8.0)
+            await one.hold(1.0)
+            started = Holder(rows, ("chat",))
+            for fact in told:
+                started.shifts.learn(fact)
+            task = asyncio.create_task(started.run())
+            await started.hold(6.0)
+            task.cancel()
+
+        assert self.play(story)[0] == "complete"
--- /dev/null
+++ b/test/test_shift_start.py
@@ -0,0 +1,76 @@
+"""When the time of a move to a new version began, as gateways tell it."""
+
+from random import Random
+
+import msgspec
+import pytest
+from test_shift import BOUNDS, EPOCH
+
+from lagoonpost.forwarding.shifts import Shifts
+from lagoonpost.platform.store import FeedRow
+from lagoonpost.store.clock import read_clock
+from lagoonpost.tables.fact import Fact, merge_facts
+from lagoonpost.tables.version_shift import ShiftOrder
+
+
+class TestStart:
+    """Gateways that learned an order at other times."""
+
+    def make(self, now: float) -> tuple[Shifts, list[Fact]]:
+        """Return a gateway that learns each order at ``now``."""
+        told: list[Fact] = []
+        shifts = Shifts(BOUNDS, Random(1), told.append, lambda: EPOCH + now)
+        return shifts, told
+
+    def take(self, now: float) -> tuple[Shifts, list[Fact]]:
+        shifts, told = self.make(now)
+        value = msgspec.json.encode(
+            {"service": "chat", "to": "v2", "duration_s": 16}
+        )
+        shifts.take_row(FeedRow("rollout/chat", 1, value))
+        return shifts, told
+
+    def find_age(self, shifts: Shifts) -> float:
+        return read_clock() - shifts._shifts["chat"].judge.started
+
+    def test_it_ages_on_the_way(self) -> None:
+        """Guards against an age as old as the message that told it."""
+        _, (fact,) = self.take(0.0)
+        later, _ = self.make(9.0)
+        later.learn(fact)
+        assert self.find_age(later) == pytest.approx(9.0, abs=0.5)
+
+    @pytest.mark.parametrize("first", [True, False])
+    def test_the_earliest_holds_of_equal_ranks(self, first: bool) -> None:
+        """Guards against a restarted gateway's start over the first one."""
+        _, (early,) = self.take(0.0)
+        _, (late,) = self.take(8.0)
+        pair = (early, late) if first else (late, early)
+        assert merge_facts(*pair) == early
+        own, _ = self.take(8.0)
+        for fact in pair:
+            own.learn(fact)
+        assert self.find_age(own) == pytest.approx(8.0, abs=0.5)
+
+    def test_a_clock_that_is_behind_makes_no_start_to_come(self) -> None:
+        """Guards against an order that starts in a gateway's future."""
+        _, (fact,) = self.take(60.0)
+        behind, _ = self.make(0.0)
+        behind.learn(fact)
+        assert self.find_age(behind) == pytest.approx(0.0, abs=0.5)
+
+    def test_a_clock_that_is_far_behind_is_not_believed(self) -> None:
+        """Guards against a version that is trusted by one wrong clock."""
+        _, (fact,) = self.take(-3600.0)
+        right, _ = self.make(0.0)
+        right.learn(fact)
+        assert self.find_age(right) == pytest.approx(0.0, abs=0.5)
+
+    def test_a_body_without_it_is_read(self) -> None:
+        """Guards against gateways that can't hear older ones."""
+        shifts, _ = self.make(0.0)
+        order = ShiftOrder("chat", "v2", 16.0, 1)
+        body = msgspec.msgpack.encode((order, "all"))
+        shifts.learn(Fact("shift", "chat", 5, body))
+        assert shifts._shifts["chat"].phase == "all"
+        assert self.find_age(shifts) == pytest.approx(0.0, abs=0.5)
