Tell "unknown" of a ticket that the store did not answer for

Cause: `not_run` was said of one hand-in at one process, and read as said of the ticket. The command line kept an unknown within one command only, and made `not_run` of gateways that it did not reach.

Now a hand-in without a verdict is always `unknown`, with exit code 5; its detail says where this hand-in wrote nothing. `not_run` stays for readings that the store did not answer, and for refusals, which follow from a reading.

Ruled out: `not_run` that speaks of one hand-in only (it is the next answer to who was told to hand in again); a memory of the command line (a second operator has none).

Tests: test_surely_not_run_is_said and test_store_failures_have_codes_of_their_own asked for `not_run` of a gateway that can't know it: what it sees is the same call by call in the new test, where the ticket comes into force. In their place the exact detail is asked for, that nothing is written later either, and that a write that hangs doesn't say it. The machine passes over no "not run" any more, whoever handed the ticket in besides.

Red before: TestHandInElsewhere, an_earlier_command_may_have_written, the machine (not_run_stays_out).

Conclusion: who is told `not_run` or a refusal of a ticket doesn't meet it in force. Not covered: two operators who get a refusal and an acceptance of one ticket at the same time, as the one is judged before and the other after a third ticket. Cost: in an outage operators hear `unknown` also of a first hand-in; the detail alone tells it apart.

--- a/lagoonpost/cli/operator.py
+++ b/lagoonpost/cli/operator.py
@@ -41,9 +41,11 @@
         This is safe for tickets too: the same ticket gets the same answer
         at each gateway.
         """
-        # The first gateway may have written before it failed. That a later
-        # one did not run the ticket must not turn "unknown" to "not run".
-        details, executions = [], set()
+        # The first gateway may have written before it failed, or one that
+        # an earlier command called. That a later one did not run the ticket
+        # must not turn "unknown" to "not run".
+        details = []
+        executions = set() if method == "GET" else {"unknown"}
         for entry in self.entries:
             try:
                 response = await self.call(entry, method, path, body)
--- a/lagoonpost/cli/ticket.py
+++ b/lagoonpost/cli/ticket.py
@@ -50,7 +50,7 @@
 
     \b
     Exit codes: 0 done, 1 faulty ticket, 2 wrong command line,
-    3 refused (number taken, stale, overlaps a move), 4 not run,
+    3 refused (number taken, stale, overlaps a move), 4 not read,
     5 unknown: hand the same ticket in again, 6 accepted but not yet in
     force everywhere, 7 not found.
     """
--- a/lagoonpost/gateway/tickets.py
+++ b/lagoonpost/gateway/tickets.py
@@ -150,7 +150,7 @@
     )
 
 
-def _answer(outcome: TicketOutcome) -> Response:
+def _answer(outcome: TicketOutcome | NotRun) -> Response:
     match outcome:
         case Accepted(record):
             return _accept(record, ())
--- a/lagoonpost/store/ticket.py
+++ b/lagoonpost/store/ticket.py
@@ -33,7 +33,6 @@
 from lagoonpost.systems.ticket import Proceed, judge
 from lagoonpost.tables.ticket import (
     Accepted,
-    NotRun,
     Refused,
     Ticket,
     TicketOutcome,
@@ -41,6 +40,10 @@
     Unsettled,
 )
 
+WROTE_NOTHING = "this hand-in wrote nothing; another one may have"
+"""Said with the cause where no write of this hand-in can take effect. It
+can't be told here whether the ticket is under way at another gateway."""
+
 
 class Patience(NamedTuple):
     """How long to try before the operator is told to come back.
@@ -126,7 +129,9 @@
             detail = await self._commit(
                 ticket, digest, operator, reading, verdict, doubt
             )
-        return Unsettled(detail) if doubt.stands else NotRun(detail)
+        if not doubt.stands:
+            detail = f"{detail}; {WROTE_NOTHING}"
+        return Unsettled(detail)
 
     async def _commit(
         self,
@@ -163,11 +168,11 @@
 
 
 class _Doubt:
-    """Whether a write without a reply may still take effect.
+    """Whether a write of one hand-in may still take effect.
 
     The platform may lose a reply after the write took effect, or deliver a
     write late. It shows as an absent ticket that is accepted a moment after
-    the operator was told that nothing was run. Every write is conditional
+    the operator was told that nothing was written. Every write is conditional
     on the revision row's version, so that once this has grown no earlier
     write can take effect any more.
     """
--- a/lagoonpost/tables/ticket.py
+++ b/lagoonpost/tables/ticket.py
@@ -100,16 +100,16 @@
     faults: tuple[Fault, ...] = ()
 
 
-class NotRun(NamedTuple):
-    """The store did not answer; the ticket surely had no effect."""
+class Unsettled(NamedTuple):
+    """The store did not answer; the same ticket again settles it."""
 
     detail: str
 
 
-class Unsettled(NamedTuple):
-    """The store went away in mid-write; the same ticket again settles it."""
+TicketOutcome = Accepted | Refused | Unsettled
 
-    detail: str
 
+class NotRun(NamedTuple):
+    """The store did not answer a reading, which changes nothing."""
 
-TicketOutcome = Accepted | Refused | NotRun | Unsettled
+    detail: str
--- a/test/test_ticket.py
+++ b/test/test_ticket.py
@@ -11,7 +11,7 @@
 from lagoonpost.declarations.content import parse_ticket
 from lagoonpost.declarations.file import load_ticket
 from lagoonpost.store.declaration import Changed, read_declaration
-from lagoonpost.store.ticket import Intake, Patience
+from lagoonpost.store.ticket import WROTE_NOTHING, Intake, Patience
 from lagoonpost.tables.ticket import (
     Accepted,
     NotRun,
@@ -321,9 +321,34 @@
 
 class TestStoreDown:
     @pytest.mark.parametrize("call", ["read", "scan", "transact"])
-    def test_surely_not_run_is_said(self, call: str) -> None:
+    def test_that_this_hand_in_wrote_nothing_is_said(self, call: str) -> None:
+        """Guards against a hand-in that writes after it said it did not."""
         store = MemoryStore()
         store.fault = lambda met: "down" if met == call else ""
         (outcome,) = submit(store, make_ticket(1))
-        assert outcome == NotRun("down")
+        assert outcome == Unsettled(f"down; {WROTE_NOTHING}")
+        store.deliver()
         assert not store.rows
+
+    def test_it_is_not_said_of_a_write_that_hangs(self) -> None:
+        """Guards against a change that its own hand-in denied."""
+        store = MemoryStore()
+        store.fault = lambda call: "late" if call == "transact" else ""
+        assert submit(store, make_ticket(1)) == [Unsettled("no reply")]
+
+
+class TestHandInElsewhere:
+    def test_not_run_is_not_said_of_a_ticket_under_way_elsewhere(self) -> None:
+        """Guards against a change that comes into force after "not run"."""
+        store = MemoryStore()
+        store.fault = lambda call: "late" if call == "transact" else ""
+        (first,) = submit(store, make_ticket(1))
+        assert isinstance(first, Unsettled)
+        store.fault = lambda call: "down"
+        (second,) = submit(store, make_ticket(1))
+        store.fault = lambda call: ""
+        store.deliver()
+        assert (
+            not isinstance(second, NotRun)
+            or "ticket/00000001" not in store.rows
+        )
--- a/test/test_ticket_machine.py
+++ b/test/test_ticket_machine.py
@@ -178,17 +178,8 @@
                 assert known == record
             case Unsettled():
                 self.unsettled.append(ticket)
-            case Refused():
+            case Refused() | NotRun():
                 self.not_run.append(ticket)
-            case NotRun() if not self._may_run(ticket):
-                self.not_run.append(ticket)
-
-    def _may_run(self, ticket: Ticket) -> bool:
-        # "Not run" is said of one hand-in. The same ticket, handed in at
-        # another gateway as well, may have been accepted there.
-        record = self.accepted.get(ticket.number)
-        same = record is not None and record.objects == ticket.objects
-        return same or ticket in self.unsettled
 
     def _states(self, watch: Watch) -> dict[str, tuple[int, object]]:
         objects = watch.snapshot.objects
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -16,7 +16,7 @@
 from lagoonpost.http.message import Address, Request
 from lagoonpost.http.responder import Responder
 from lagoonpost.http.server import Server
-from lagoonpost.store.ticket import Intake, Patience
+from lagoonpost.store.ticket import WROTE_NOTHING, Intake, Patience
 from lagoonpost.store.watch import Watch
 
 START = Path(__file__).parent.parent / "examples/tickets/1-start.yaml"
@@ -129,20 +129,29 @@
         assert [record["number"] for record in tickets] == [1]
 
     @pytest.mark.parametrize(
-        ("fault", "code"),
-        [("down", ExitCode.NOT_RUN), ("late", ExitCode.UNKNOWN)],
+        ("fault", "wrote_nothing"), [("down", True), ("late", False)]
     )
-    def test_store_failures_have_codes_of_their_own(
-        self, site: Site, fault: str, code: ExitCode
+    def test_store_failures_are_told_apart(
+        self, site: Site, fault: str, wrote_nothing: bool
     ) -> None:
         site.store.fault = lambda call: fault if call == "transact" else ""
         result = site.invoke("apply", str(START))
-        assert result.exit_code == code
+        assert result.exit_code == ExitCode.UNKNOWN
+        detail = json.loads(result.stdout)["detail"]
+        assert (WROTE_NOTHING in detail) == wrote_nothing
+
+    def test_an_earlier_command_may_have_written(self, site: Site) -> None:
+        """Guards against "not run" of a ticket that comes into force."""
+        site.store.fault = lambda call: "late" if call == "transact" else ""
+        assert site.invoke("apply", str(START)).exit_code == ExitCode.UNKNOWN
+        site.entries = [Address("127.0.0.1", 1)]
+        assert site.invoke("apply", str(START)).exit_code == ExitCode.UNKNOWN
+        assert site.invoke("status", "1").exit_code == ExitCode.NOT_RUN
 
     def test_unknown_at_one_gateway_stays_unknown(self, site: Site) -> None:
         """The first gateway's write hangs, the second finds the store down.
 
-        The second surely did not run the ticket, the first perhaps did. An
+        The second wrote nothing, the first perhaps did. An
         operator who is told "not run" would drop a change that comes.
         """
         plan = iter(["late", "down", "down", "down"])
