Let a cancel name the attempt that reads a run

Cause: a cancel named the request alone, and both gateways read the same run.

Now each attempt of a gateway has an id, told to the engine with each open, resume and cancel (header x-reader-id). The engine ends a run for the attempt that came to it last, and answers 409 to others. Engines that don't know the header, and gateways that don't send it, go on as before.

Ruled out: the id of who opened the run, as the gateway before is the one that opened it; ending a run with its last connection, as a gateway that probes has none for a moment.

Conclusion: with engines that know the header a gateway ends no run that another one reads. Not covered: engines that don't; a gateway that came last and died, whose run goes on until it ends or the engine's time without a reader is over; a gateway before whose caller left, but which goes on to place the answer elsewhere when its connection is lost.

--- a/lagoonpost/runners/answer.py
+++ b/lagoonpost/runners/answer.py
@@ -1,6 +1,7 @@
 """Drives one streamed answer: the relay's actions become calls."""
 
 import asyncio
+import secrets
 from collections import deque
 from collections.abc import (
     AsyncGenerator,
@@ -119,6 +120,8 @@
         self._placing: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._cancels: dict[str, asyncio.Task[None]] = {}
+        self._id = secrets.token_hex(6)
+        self._attempts: dict[str, str] = {}
         self._broken: BaseException | None = None
 
     @property
@@ -221,8 +224,9 @@
             case ev.Cancel(runner):
                 address = parse_address(runner.endpoint)
                 name = self._order.request_id
+                reader = self._attempts.get(runner.name, "")
                 self._cancels[runner.name] = self._start(
-                    _cancel(self._client, address, name)
+                    _cancel(self._client, address, name, reader)
                 )
             case ev.Export():
                 self._start(self._export(action))
@@ -230,14 +234,20 @@
 
     def _open(self, attempt: int, runner: Runner) -> None:
         self._close_reading()
-        opening = self._begin(runner)
+        opening = self._begin(runner, self._name_attempt(attempt, runner))
         self._reading = Reading(opening, attempt, self._post, None)
         self._watch(self._reading.task)
 
-    async def _begin(self, runner: Runner) -> Stream | Refusal:
+    def _name_attempt(self, attempt: int, runner: Runner) -> str:
+        name = f"{self._id}.{attempt}"
+        self._attempts[runner.name] = name
+        return name
+
+    async def _begin(self, runner: Runner, attempt: str) -> Stream | Refusal:
         cancel = self._cancels.get(runner.name)
         if cancel is not None:
-            # It names the request alone: late, it would end the next run.
+            # Late, it would end the next run at an engine that goes by the
+            # request alone.
             await asyncio.wait([cancel])
         return await open_answer(
             self._client,
@@ -247,6 +257,7 @@
             self._relay.tokens,
             self._order.priority,
             runner.version,
+            attempt,
         )
 
     def _probe(self, attempt: int, runner: Runner, after: int) -> None:
@@ -258,6 +269,7 @@
             parse_address(runner.endpoint),
             self._order.request_id,
             after,
+            self._name_attempt(attempt, runner),
         )
         self._reading = Reading(opening, attempt, self._post, previous)
         self._watch(self._reading.task)
@@ -330,8 +342,10 @@
         )
 
 
-async def _cancel(client: Client, address: Address, name: str) -> None:
-    await cancel_answer(client, address, name)
+async def _cancel(
+    client: Client, address: Address, name: str, attempt: str
+) -> None:
+    await cancel_answer(client, address, name, attempt)
 
 
 def relay_answer(
--- a/lagoonpost/runners/engine.py
+++ b/lagoonpost/runners/engine.py
@@ -6,13 +6,16 @@
 import msgspec
 
 from lagoonpost.http.client import CallFailedError, Client, Stream
-from lagoonpost.http.message import Address, Response
+from lagoonpost.http.message import Address, Headers, Response
 from lagoonpost.tables.report import LoadReport
 
 _T = TypeVar("_T")
 
 CALL_SECONDS = 2.0
 CANCEL_SECONDS = 1.0
+READER_HEADER = "x-reader-id"
+"""Names who reads a run. An engine that knows it ends the run for the last
+attempt alone that came to read it; others end it for whoever asks."""
 
 
 class Refusal(NamedTuple):
@@ -70,6 +73,7 @@
     tokens: Sequence[str],
     priority: int,
     version: str = "",
+    attempt: str = "",
 ) -> Stream | Refusal:
     """Ask an engine for an answer, from its first token or a later one.
 
@@ -81,6 +85,7 @@
         tokens: The answer's tokens that the caller already has.
         priority: Higher is more urgent.
         version: The version to run, in place of the body's.
+        attempt: Id of the attempt that reads it.
 
     Raises:
         CallFailedError: If the connection fails.
@@ -95,6 +100,7 @@
         ("content-type", "application/json"),
         ("x-request-id", request_id),
         ("x-priority", str(priority)),
+        *_name_attempt(attempt),
     )
     data = msgspec.json.encode(wanted)
     stream = await client.open(
@@ -104,10 +110,21 @@
 
 
 async def resume_answer(
-    client: Client, address: Address, request_id: str, after: int
+    client: Client,
+    address: Address,
+    request_id: str,
+    after: int,
+    attempt: str = "",
 ) -> Stream | Refusal:
     """Read an answer on from token ``after`` over a new connection.
 
+    Args:
+        client: HTTP client.
+        address: The runner's endpoint.
+        request_id: Id of the request, also that of the engine's stream.
+        after: Number of its tokens that are not wanted again.
+        attempt: Id of the attempt that reads it.
+
     Raises:
         CallFailedError: If the connection fails.
     """
@@ -115,19 +132,30 @@
     # between the two ends; they look healthy but stay silent. Only a
     # connection made now tells a silent path from a dead runner.
     target = f"/v1/streams/{request_id}?after={after}"
-    stream = await client.open(address, "GET", target, fresh=True)
+    stream = await client.open(
+        address, "GET", target, headers=_name_attempt(attempt), fresh=True
+    )
     return await _receive(stream)
 
 
 async def cancel_answer(
-    client: Client, address: Address, request_id: str
+    client: Client, address: Address, request_id: str, attempt: str = ""
 ) -> bool:
-    """Tell an engine to drop an answer; False if it can't be told."""
+    """Tell an engine to drop an answer; False if it can't be told.
+
+    Args:
+        client: HTTP client.
+        address: The runner's endpoint.
+        request_id: Id of the request, also that of the engine's stream.
+        attempt: Id of the attempt that read it; the answer goes on if
+            another one came to read it since.
+    """
     try:
         await client.call(
             address,
             "DELETE",
             f"/v1/streams/{request_id}",
+            headers=_name_attempt(attempt),
             timeout=CANCEL_SECONDS,
             fresh=True,
         )
@@ -201,6 +229,10 @@
         return None
 
 
+def _name_attempt(attempt: str) -> Headers:
+    return ((READER_HEADER, attempt),) if attempt else ()
+
+
 async def _receive(stream: Stream) -> Stream | Refusal:
     try:
         await stream.receive_head()
--- a/lagoonpost_standins/engine_batch.py
+++ b/lagoonpost_standins/engine_batch.py
@@ -78,9 +78,19 @@
         self.ended = False
         self.failed = False
         self.readers = 0
+        self.attempts: list[str] = []
         self.unread_since = 0.0
         self.grown = asyncio.Event()
 
+    def note_attempt(self, attempt: str) -> None:
+        """Note who reads; one that read before doesn't come to be last."""
+        if attempt not in self.attempts:
+            self.attempts.append(attempt)
+
+    def is_ended_by(self, attempt: str) -> bool:
+        """Tell whether a cancel ends it; one without a name always does."""
+        return not attempt or attempt == self.attempts[-1]
+
     def is_true_continuation(self) -> bool:
         """Tell whether the earlier tokens begin this answer."""
         return all(
--- a/lagoonpost_standins/engine_routes.py
+++ b/lagoonpost_standins/engine_routes.py
@@ -41,6 +41,10 @@
     return _Target(stream, tail)
 
 
+def _find_attempt(request: Request) -> str:
+    return request.header("x-reader-id") or ""
+
+
 class Routes:
     """Turns HTTP requests into calls of the engine."""
 
@@ -76,12 +80,17 @@
         if answer is None:
             await responder.send(make_problem(404, "no such stream"))
         elif request.method == "DELETE":
+            if not answer.is_ended_by(_find_attempt(request)):
+                problem = make_problem(409, "another attempt reads it")
+                await responder.send(problem)
+                return
             batch.cancel(target.stream)
             batch.counts.canceled += 1
             await responder.send(Response(204))
         elif target.tail == "export":
             await self._export(responder, answer)
         else:
+            answer.note_attempt(_find_attempt(request))
             after = int(parse_qs(request.query).get("after", ["0"])[0])
             await self._engine.feed.send(responder, answer, after, first=False)
 
@@ -103,6 +112,7 @@
             engine.batch.counts.bad_continuations += 1
             await responder.send(make_problem(400, "not this answer's tokens"))
             return
+        answer.note_attempt(_find_attempt(request))
         priority = int(request.header("x-priority") or "0")
         engine.batch.submit(answer, priority)
         await engine.feed.send(responder, answer, answer.first, first=True)
--- a/test/test_comeback.py
+++ b/test/test_comeback.py
@@ -78,6 +78,7 @@
         tokens: Sequence[str],
         priority: int,
         version: str = "",
+        attempt: str = "",
     ) -> Stream | Refusal:
         if address.port == 2:
             return Refusal(503, "not_run", "full")
