--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -130,6 +130,15 @@
         due = self._started + self.order.seconds - SPARE_SECONDS
         return "complete" if ended and now >= due else phase
 
+    @property
+    def started(self) -> float:
+        """Time from which the order's own time counts."""
+        return self._started
+
+    def note_start(self, started: float) -> None:
+        """Take when another gateway learned the order; the first counts."""
+        self._started = min(self._started, started)
+
     def may_watch(self, now: float) -> bool:
         """Tell whether one that is not the holder may take a version back."""
         return now < self._started + self.order.seconds - LAST_SECONDS
