Let the tests of readers look who reads once the others rest

Cause of a wait for good: the tests chose the gateways that do not read, waited until they rested, and chose the readers then. A reader that is passed over for a moment, as it has lost the store, was among the first and read again: the wait for its rest timed out after 20 s. Had the roles changed later, a gateway could have been among both, silenced and waited for.

Change: both are chosen in the same turn of the loop, once all that do not read rest, and the wait wants exactly the usual number of readers besides. What the tests check after it is unchanged. The new test of a reader that is passed over for a moment was red before (20 s).

That a host under load brings it about is not shown.

--- a/test/test_news.py
+++ b/test/test_news.py
@@ -236,13 +236,24 @@
     def find_readers(self, stack: Stack) -> list[ForwardingDaemon]:
         return [each for each in stack.gateways if each._shared.is_reader()]
 
+    def find_others(self, stack: Stack) -> list[ForwardingDaemon]:
+        return [d for d in stack.gateways if not d._shared.is_reader()]
+
     async def wait_resting(self, stack: Stack) -> list[ForwardingDaemon]:
-        """Return the others once they no longer read the store."""
-        others = [d for d in stack.gateways if not d._shared.is_reader()]
-        tables = [d._follower.endpoints for d in others]
-        tables += [d._follower.operator for d in others]
-        await wait_until(lambda: all(t._version is None for t in tables))
-        return others
+        """Return the others once they no longer read the store.
+
+        Who reads may change meanwhile, as the store is lost for a moment.
+        """
+
+        def are_resting() -> bool:
+            others = self.find_others(stack)
+            tables = [d._follower.endpoints for d in others]
+            tables += [d._follower.operator for d in others]
+            rest = all(table._version is None for table in tables)
+            return rest and len(others) == len(stack.gateways) - hub.READERS
+
+        await wait_until(are_resting)
+        return self.find_others(stack)
 
     def test_news_reaches_those_that_do_not_read(self):
         async def story(stack: Stack):
@@ -257,6 +268,17 @@
 
         assert play(story, gateways=6) == 3
 
+    def test_a_reader_that_was_passed_over_for_a_moment_reads_again(self):
+        """Guards against a wait for a gateway to rest that has to read."""
+
+        async def story(stack: Stack):
+            shared = stack.gateways[0]._shared
+            shared.publish_store_lost(True)
+            assert not shared.is_reader()
+            return stack.gateways[0] in await self.wait_resting(stack)
+
+        assert not play(story, gateways=6)
+
     def test_others_read_when_the_readers_have_lost_the_store(self):
         """The store turns the readers away and serves all others.
 
