Check duties and known leavings in the soak's drill as well

Purpose: the soak draws the store's return from an older copy since (`drill`; its gateways use the stand-in of the users' store, which names eras), but checked nothing of what a return does to leases and usage windows, and excused all work for leaving runners near a drill.

Change: all calls to the cloud are kept, and a fencing number with two holders or a window with two counts is a finding, never excused. A leaving that was acknowledged two seconds before a drill has to hold through it. A drill ends, and with it what it excuses, once the operators have written again and not when the last entry lapsed. Runners renew their entries each at a time of its own and no longer all at once, and entries that only the copy has lapse two seconds later, whatever else goes on.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
     check_attempts,
     check_calm,
     check_configuration,
+    check_duties,
     check_in_force,
     check_leaving,
 )
@@ -69,6 +70,7 @@
         findings += check_leaving(system)
         findings += check_configuration(callers)
         findings += check_in_force(system, callers)
+        findings += check_duties(system)
         findings += await check_calm(system, callers)
         if findings:
             _keep(system, seed, findings, keep)
--- a/soak/disturbance.py
+++ b/soak/disturbance.py
@@ -26,8 +26,6 @@
 """Pause after which the platform starts a process again."""
 EARLY_SECONDS = 0.5
 """Longest start of the interpreter, before the gateway's first line."""
-LAPSE_SECONDS = 2.0
-"""Time in which a runner's entry is gone if nobody writes it anew."""
 _HARMS: tuple[Harm, ...] = (
     "delay",
     "reset",
@@ -195,7 +193,11 @@
 
 
 async def _drill(system: SoakSystem, step: Step, rng: Random) -> str:
-    """Let the store come back from an older copy, at times twice."""
+    """Let the store come back from an older copy, at times twice.
+
+    Runners write their entries again at times of their own, and entries that
+    are in the copy alone lapse.
+    """
     for _ in range(rng.choice([1, 1, 2])):
         system.store.outage = rng.choice(_OUTAGES)
         await asyncio.sleep(rng.uniform(0.0, 1.0))
@@ -203,8 +205,6 @@
         system.store.outage = "none"
     await asyncio.sleep(rng.uniform(0.0, 1.0))
     await system.write_configuration()
-    await asyncio.sleep(LAPSE_SECONDS)
-    await system.lapse_entries()
     return "store"
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -106,7 +106,12 @@
         acknowledged = left.get(runner)
         if acknowledged is None or at <= acknowledged + DRAIN_SECONDS:
             return False
-        return not _near(system.spans, NEWS_SPANS, acknowledged, at)
+        # What gateways knew before a drill holds in it and after.
+        known = acknowledged + DRAIN_SECONDS
+        return not (
+            _near(system.spans, NEWS_SPANS - {"drill"}, acknowledged, at)
+            or _near(system.spans, frozenset({"drill"}), acknowledged, known)
+        )
 
     return [
         Finding("a leaving runner gets no new work", f"{late}")
@@ -154,6 +159,22 @@
     return not _near(system.spans, NEWS_SPANS, probe.at, probe.at, name)
 
 
+def check_duties(system: SoakSystem) -> list[Finding]:
+    """Check that duties have one holder, whatever the store lost."""
+    holders: dict[int, set[str]] = {}
+    for _, holder, fence, _ in system.cloud.calls:
+        holders.setdefault(fence, set()).add(holder)
+    found = [
+        Finding("a fencing number has one holder", f"{fence}: {names}")
+        for fence, names in holders.items()
+        if len(names) > 1
+    ]
+    return found + [
+        Finding("a window has one count", f"{window}")
+        for window in system.cloud.conflicts
+    ]
+
+
 async def check_calm(system: SoakSystem, callers: Callers) -> list[Finding]:
     """Check that all is served again everywhere, by the newest version."""
     found = []
--- a/soak/system.py
+++ b/soak/system.py
@@ -35,7 +35,9 @@
 APPLY_SECONDS = 2.0
 """Bound on the time until a configuration is in force."""
 BEAT_SECONDS = 1.0
-"""Pause between renewals of the runners' entries."""
+"""Pause between renewals of a runner's entry; each has a time of its own."""
+LAPSE_SECONDS = 2.0
+"""Time in which a runner's entry is gone if nobody writes it anew."""
 START_SECONDS = 40.0
 """Longest time for all gateways to serve; some dozens start side by side."""
 
@@ -92,6 +94,8 @@
         metrics: Whether gateways tell their metrics.
 
     Attributes:
+        store: Where gateways read and write rows.
+        cloud: Where they report usage.
         gateways: Processes by number.
         runs: How often each was started.
         started: When each was started last.
@@ -111,6 +115,7 @@
         self._count = gateways
         self._metrics = metrics
         self.store = RowStore()
+        self.cloud = OrderDesk()
         self.store_links: list[Proxy] = []
         self.runners = [
             Runner(service, number)
@@ -127,6 +132,7 @@
         self.changes: list[Change] = []
         self.spans: list[Span] = []
         self.version = 1
+        self._strange: dict[str, float] = {}
         self.folder = Path()
         self._exit = AsyncExitStack()
 
@@ -134,7 +140,7 @@
         self.folder = Path(
             self._exit.enter_context(tempfile.TemporaryDirectory())
         )
-        store, cloud = Server(self.store.handle), Server(OrderDesk().handle)
+        store, cloud = Server(self.store.handle), Server(self.cloud.handle)
         store_address = await store.start(Address("127.0.0.1", 0))
         cloud_address = await cloud.start(Address("127.0.0.1", 0))
         self._exit.push_async_callback(store.close, 0.0)
@@ -242,11 +248,14 @@
             "op", "config", make_configuration(self.version, routes=routes)
         )
 
-    async def lapse_entries(self) -> None:
-        """Delete the entries of runners that do not renew them."""
+    async def _lapse_entries(self) -> None:
+        """Delete entries of runners that ended, which a copy brought back."""
+        now = asyncio.get_running_loop().time()
         known = {place.runner.id for place in self.runners}
-        for id_ in self.store.list_keys("servers"):
-            if id_ not in known:
+        strange = set(self.store.list_keys("servers")) - known
+        self._strange = {id_: self._strange.get(id_, now) for id_ in strange}
+        for id_, since in self._strange.items():
+            if now > since + LAPSE_SECONDS:
                 await self.forget(id_)
 
     def recent_versions(self) -> tuple[int, ...]:
@@ -278,10 +287,11 @@
 
     async def _beat(self) -> None:
         while True:
-            await asyncio.sleep(BEAT_SECONDS)
             for place in self.runners:
+                await asyncio.sleep(BEAT_SECONDS / len(self.runners))
                 if place.state != "down":
                     await self.register(place)
+                await self._lapse_entries()
 
     # What was seen
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -6,25 +6,28 @@
 
 import pytest
 from forwarding_stack import wait_until
+from played_loop import play_time
 
 from lagoonpost.http.message import Address, Request
 from lagoonpost_standins.forwarded import Seen
 from soak.__main__ import Options, play
 from soak.callers import Callers
-from soak.disturbance import plan_steps
+from soak.disturbance import ACTIONS, Step, plan_steps
 from soak.promises import (
     check_attempts,
     check_configuration,
+    check_duties,
     check_in_force,
     check_leaving,
 )
 from soak.proxy import Proxy
 from soak.record import Attempt, Change, Drain, Probe, Span
-from soak.system import SoakSystem
+from soak.system import BEAT_SECONDS, LAPSE_SECONDS, SoakSystem
 
 SMALL = Options(gateways=3, runners=2, callers=6, seconds=8.0, pause=0.7)
 USUAL = Options(gateways=4, runners=3, callers=12, seconds=14.0, pause=0.8)
 LONG = Options(gateways=4, runners=3, callers=12, seconds=20.0, pause=2.5)
+DRILL = Step(0.0, "drill", 1.0, 1)
 GOOD = Attempt("a", "book", 0, 1, 10.0, 10.1, 200, True, "", 12.0)
 
 
@@ -80,6 +83,29 @@
         runner.seen.append(Seen(request, True, 102.5))
         assert len(check_leaving(system)) == 1
 
+    def test_work_for_a_runner_whose_leaving_a_drill_took_back(self, system):
+        """Guards against a copy that lets a leaving runner have new work."""
+        runner = system.runners[0].runner
+        system.drains.append(Drain(runner.id, 100.0))
+        request = Request("GET", "/check/1", "", (), b"", "here")
+        runner.seen.append(Seen(request, True, 103.0))
+        system.spans.append(Span("drill", "store", 102.5, 103.0))
+        assert len(check_leaving(system)) == 1
+        system.spans.append(Span("drill", "store", 101.5, 103.0))
+        assert check_leaving(system) == []
+
+    def test_duties_of_two_holders(self, system):
+        """Guards against a lease that is given out again after a drill."""
+        system.cloud.calls = [
+            ("/usage", "gateway-1", 7, 200),
+            ("/usage", "gateway-1", 7, 200),
+            ("/usage", "gateway-2", 8, 200),
+        ]
+        assert check_duties(system) == []
+        system.cloud.calls.append(("/usage", "gateway-2", 7, 200))
+        system.cloud.conflicts.append(10)
+        assert len(check_duties(system)) == 2
+
     def test_a_configuration_that_goes_back(self, system):
         callers = Callers(system, None)
         callers.probes = [
@@ -117,6 +143,34 @@
         )
 
 
+class TestDrill:
+    def test_what_a_copy_lost_comes_again(self, system):
+        """Guards against a drill that takes nothing back, or for good."""
+
+        async def story() -> None:
+            store = system.store
+            await system.configure(1)
+            await store.put("servers", "ended", {})
+            await asyncio.sleep(10.0)
+            await system.forget("ended")
+            await system.configure(2)
+            drill = asyncio.create_task(
+                ACTIONS["drill"](system, DRILL, Random(DRILL.draw))
+            )
+            await wait_until(lambda: store.era == 1)
+            assert store.get("op", "config")["version"] == 1
+            assert store.list_keys("servers") == ["ended"]
+            beat = asyncio.create_task(system._beat())
+            await drill
+            assert store.get("op", "config")["version"] == 2
+            await asyncio.sleep(LAPSE_SECONDS + BEAT_SECONDS)
+            names = sorted(place.runner.id for place in system.runners)
+            assert sorted(store.list_keys("servers")) == names
+            beat.cancel()
+
+        play_time(story())
+
+
 class TestProxy:
     @pytest.mark.parametrize("harm", ["silent", "one_way", "forgotten"])
     def test_what_is_held_back_does_not_come(self, harm):
