Check in the soak that holders of the duties do not go to and fro

The soak sees all calls that its cloud accepts, and checked one holder a fencing number and one count a window. A holder that acts again within the bound after another one acted on the same subject is a finding now, whatever is disturbed.

--- a/lagoonpost_standins/orders.py
+++ b/lagoonpost_standins/orders.py
@@ -1,6 +1,7 @@
 """Stand-in for the users' cloud: usage reports and orders under a fence."""
 
-from typing import Any
+import time
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -8,6 +9,20 @@
 from lagoonpost.http.responder import Responder
 
 
+class Act(NamedTuple):
+    """A call that was accepted.
+
+    Attributes:
+        at: When, by the steady clock.
+        subject: What it is about: calls on one subject have one holder.
+        holder: Who made it.
+    """
+
+    at: float
+    subject: tuple[str, str, str]
+    holder: str
+
+
 class OrderDesk:
     """Takes calls, refuses old fencing numbers, and remembers all.
 
@@ -16,6 +31,7 @@
         conflicts: Windows that were reported twice with other counts.
         orders: Number ordered by service, failure domain and tenure.
         calls: All calls: path, holder, fencing number and outcome.
+        acts: Those that were accepted, in order.
         dry: Whether reclaimable runners are not to be had.
         lose_answers: Whether calls are carried out and not answered.
     """
@@ -25,6 +41,7 @@
         self.conflicts: list[int] = []
         self.orders: dict[tuple[str, str, bool], int] = {}
         self.calls: list[tuple[str, str, int, int]] = []
+        self.acts: list[Act] = []
         self.dry = False
         self.lose_answers = False
         self._fences: dict[object, int] = {}
@@ -36,11 +53,14 @@
         fence = int(request.header("fence-token") or 0)
         status = self._take(request.path, call, fence)
         self.calls.append((request.path, holder, fence, status))
+        if status == 200:
+            subject = _name_subject(request.path, call)
+            self.acts.append(Act(time.monotonic(), subject, holder))
         if not self.lose_answers:
             await responder.send(Response(status))
 
     def _take(self, path: str, call: dict[str, Any], fence: int) -> int:
-        subject = (path, call.get("service"), call.get("zone"))
+        subject = _name_subject(path, call)
         if fence < self._fences.get(subject, 0):
             return 409
         self._fences[subject] = fence
@@ -57,3 +77,7 @@
     def _take_usage(self, window: int, counts: dict[str, int]) -> None:
         if self.usage.setdefault(window, counts) != counts:
             self.conflicts.append(window)
+
+
+def _name_subject(path: str, call: dict[str, Any]) -> tuple[str, str, str]:
+    return path, call.get("service", ""), call.get("zone", "")
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,9 +1,11 @@
 """What must hold, checked from what callers and back ends saw."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from lagoonpost.http.client import Client
+from lagoonpost.platform.settings import Bounds
+from lagoonpost_standins.orders import Act
 from soak.callers import Callers, ask_for_route
 from soak.record import KINDS, ONCE, Attempt, Finding, Probe, Span
 from soak.system import APPLY_SECONDS, DRAIN_SECONDS, SoakSystem
@@ -21,6 +23,8 @@
 RUNNER_SPANS = frozenset(("crash", "fault", "harm_runner"))
 LEAST_SERVED = 0.9
 """Part of the calls that is served once all is calm again."""
+TURN_SECONDS = Bounds().lease_seconds
+"""Time in which no holder may act, another one act and the first act again."""
 CALM_CALLS = 5
 """Calls of each kind at each gateway when all is calm again."""
 
@@ -169,10 +173,27 @@
         for fence, names in holders.items()
         if len(names) > 1
     ]
-    return found + [
+    found += [
         Finding("a window has one count", f"{window}")
         for window in system.cloud.conflicts
     ]
+    return found + _check_turns(system.cloud.acts)
+
+
+def _check_turns(acts: Sequence[Act]) -> list[Finding]:
+    """Check that no holder acts again soon after another one has."""
+    found = []
+    latest: dict[object, str] = {}
+    last: dict[object, float] = {}
+    for at, subject, holder in acts:
+        before = last.get((subject, holder))
+        turned = latest.get(subject, holder) != holder
+        if turned and before is not None and at < before + TURN_SECONDS:
+            text = f"{holder} after {at - before:.3f} s on {subject}"
+            found.append(Finding("holders do not come back at once", text))
+        latest[subject] = holder
+        last[subject, holder] = at
+    return found
 
 
 async def check_calm(system: SoakSystem, callers: Callers) -> list[Finding]:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -10,6 +10,7 @@
 
 from lagoonpost.http.message import Address, Request
 from lagoonpost_standins.forwarded import Seen
+from lagoonpost_standins.orders import Act
 from soak.__main__ import Options, play
 from soak.callers import Callers
 from soak.disturbance import ACTIONS, Step, plan_steps
@@ -142,6 +143,19 @@
             for one, other in zip(plans[0], plans[0][1:], strict=False)
         )
 
+    def test_duties_that_go_to_and_fro(self, system):
+        """Guards against a holder that is back at once after another one."""
+        usage, order = ("/usage", "", ""), ("/scale", "chat", "domain-a")
+        system.cloud.acts = [
+            Act(1.0, usage, "gateway-1"),
+            Act(2.0, usage, "gateway-2"),
+            Act(3.9, order, "gateway-1"),
+            Act(4.1, usage, "gateway-1"),
+        ]
+        assert check_duties(system) == []
+        system.cloud.acts.append(Act(4.9, usage, "gateway-2"))
+        assert len(check_duties(system)) == 1
+
 
 class TestDrill:
     def test_what_a_copy_lost_comes_again(self, system):
