--- a/test/forwarding_stack.py
+++ b/test/forwarding_stack.py
@@ -200,6 +200,15 @@
                 runner.fault = fault
 
 
+def find_holders(stack: Stack) -> list[int]:
+    """Return the numbers of the gateways that do the duties."""
+    return [
+        number
+        for number, daemon in enumerate(stack.gateways)
+        if daemon._duties is not None and daemon._duties.is_held()
+    ]
+
+
 def make_headers(
     key: str | None = KEY, headers: Headers = (), deadline: float = 5.0
 ) -> Headers:
--- a/test/test_duties.py
+++ b/test/test_duties.py
@@ -5,6 +5,7 @@
 
 from forwarding_stack import (
     Stack,
+    find_holders,
     make_configuration,
     make_prompt,
     play,
@@ -27,18 +28,10 @@
 }
 
 
-def find_held(stack: Stack) -> list[int]:
-    return [
-        number
-        for number, daemon in enumerate(stack.gateways)
-        if daemon._duties is not None and daemon._duties.is_held()
-    ]
-
-
 class TestUsage:
     def test_what_began_is_reported_once_for_all_gateways(self):
         async def story(stack: Stack):
-            await wait_until(lambda: len(find_held(stack)) == 1)
+            await wait_until(lambda: len(find_holders(stack)) == 1)
             for number in range(12):
                 await stack.call("/check/1", gateway=number % 3)
                 await stack.call("/open/1", key=None, gateway=number % 3)
@@ -64,15 +57,15 @@
 
         async def story(stack: Stack):
             stack.cloud.lose_answers = True
-            await wait_until(lambda: bool(find_held(stack)))
-            (first,) = find_held(stack)
+            await wait_until(lambda: bool(find_holders(stack)))
+            (first,) = find_holders(stack)
             other = (first + 1) % 2
             await stack.call("/check/1", gateway=other)
             window = int(time.time())
             await wait_until(lambda: window in stack.cloud.usage)
             await stack.gateways[first].abandon()
             stack.cloud.lose_answers = False
-            await wait_until(lambda: find_held(stack) == [other])
+            await wait_until(lambda: find_holders(stack) == [other])
             calls = len(stack.cloud.calls)
             await wait_until(lambda: len(stack.cloud.calls) > calls + 1)
             return stack.cloud
@@ -88,8 +81,8 @@
         """Guards against a window that is billed twice, differently."""
 
         async def story(stack: Stack):
-            await wait_until(lambda: bool(find_held(stack)))
-            (first,) = find_held(stack)
+            await wait_until(lambda: bool(find_holders(stack)))
+            (first,) = find_holders(stack)
             other = (first + 1) % 2
             await stack.call("/check/1", gateway=other)
             window = int(time.time())
@@ -98,7 +91,7 @@
             # A count that was not heard before the report was made.
             stack.gateways[other]._usage.begun[window]["pottery"] = 7
             await stack.store.go_back(60.0)
-            await wait_until(lambda: find_held(stack) == [other])
+            await wait_until(lambda: find_holders(stack) == [other])
             again = stack.gateways[other]._duties._reported
             await wait_until(lambda: window in again)
             return stack.cloud
@@ -112,9 +105,9 @@
 
     def test_a_holder_that_loses_the_store_stops(self):
         async def story(stack: Stack):
-            await wait_until(lambda: bool(find_held(stack)))
+            await wait_until(lambda: bool(find_holders(stack)))
             stack.store.outage = "reset"
-            await wait_until(lambda: not find_held(stack))
+            await wait_until(lambda: not find_holders(stack))
             calls = len(stack.cloud.calls)
             await asyncio.sleep(1.5)
             return len(stack.cloud.calls) - calls
--- a/test/test_lease.py
+++ b/test/test_lease.py
@@ -213,23 +213,23 @@
 
 
 class TestTurns:
+    def take_turns(self, world: World) -> None:
+        """Let one controller hold the lease, and another one after it."""
+        old, new = world.holders
+        world.wait(60.0)
+        world.acquire(old)
+        world.check()
+        world.hand_over(old, new)
+        world.check()
+
     def test_released_lease_is_not_taken_back_from_the_next_holder(
         self,
     ) -> None:
         """Guards against work that goes from A to B and back at once."""
         world = World([1.0, 1.0])
         old, new = world.holders
-        world.wait(60.0)
-        world.acquire(old)
-        world.check()
-        world.want(old, False)
-        world.acquire(old)
-        world.acquire(new)
-        world.check()
-        world.want(new, False)
-        world.acquire(new)
-        world.want(old, True)
-        world.acquire(old)
+        self.take_turns(world)
+        world.hand_over(new, old)
         world.check()
 
     def test_restarted_holder_does_not_take_it_back_from_the_next_one(
@@ -238,17 +238,9 @@
         """Guards against A, B, A by two processes of one host."""
         world = World([1.0, 1.0])
         old, new = world.holders
-        world.wait(60.0)
-        world.acquire(old)
-        world.check()
-        world.want(old, False)
-        world.acquire(old)
-        world.acquire(new)
-        world.check()
-        world.want(new, False)
-        world.acquire(new)
+        self.take_turns(world)
         world.restart(old)
-        world.acquire(old)
+        world.hand_over(new, old)
         world.check()
 
     def test_call_that_takes_effect_late_counts_as_work(self) -> None:
--- a/test/test_shift.py
+++ b/test/test_shift.py
@@ -8,7 +8,13 @@
 
 import msgspec
 import pytest
-from forwarding_stack import PATIENCE, Stack, play, wait_until
+from forwarding_stack import (
+    PATIENCE,
+    Stack,
+    find_holders,
+    play,
+    wait_until,
+)
 from played_loop import play_time
 from played_store import PlayedClient
 
@@ -263,15 +269,6 @@
         assert told == {"state": "rolled_back", "to": "v2"}
 
 
-def find_holders(stack: Stack) -> list[int]:
-    """Return the numbers of the gateways that do the duties."""
-    return [
-        number
-        for number, daemon in enumerate(stack.gateways)
-        if daemon._duties is not None and daemon._duties.is_held()
-    ]
-
-
 AT_ONCE = 20
 OLD = ("desk-1", "desk-2")
 NEW = ("desk-3", "desk-4")
