--- /dev/null
+++ b/search/__init__.py
@@ -0,0 +1,1 @@
+"""A search for days that come near to breaking a rule."""
--- /dev/null
+++ b/search/changes.py
@@ -0,0 +1,168 @@
+"""Changes of a day, drawn one at a time."""
+
+import math
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Literal, NamedTuple
+
+from search.day import Day, Trouble, Value
+
+Part = Literal["plan", "faults"]
+
+MOST_MOVE = 4.0
+"""Longest move of a trouble, in seconds. Most moves are far shorter: what
+breaks a rule by a race is found by tenths and hundredths of a second."""
+LEAST_MOVE = 0.02
+MOST_FACTOR = 2.0
+LEAST_SECONDS = 0.05
+MOST_SEED = 1 << 31
+
+
+class Place(NamedTuple):
+    """Where a trouble stands."""
+
+    part: Part
+    number: int
+
+
+class Changed(NamedTuple):
+    """A day after a change, and the change in words."""
+
+    day: Day
+    what: str
+
+
+class Mutator:
+    """Draws changes of days.
+
+    Args:
+        starts: Days that the search begins with; a changed kind is that of
+            one of their troubles, so that it fits the site.
+        until: Seconds that are played; no trouble begins later.
+    """
+
+    def __init__(self, starts: Sequence[Day], until: float) -> None:
+        self._until = until
+        self._known: dict[Part, list[Trouble]] = {
+            "plan": [each for day in starts for each in day.plan],
+            "faults": [each for day in starts for each in day.faults],
+        }
+
+    def change(self, rng: Random, day: Day) -> Changed:
+        """Return a day with one change, or a pair moved together."""
+        places = _list_places(day)
+        # Half of all changes are moves, as times decide races.
+        choices = ["time", "time", "time", "pair", "number", "number", "kind"]
+        kind = rng.choice([*choices, "seed"]) if places else "seed"
+        return _CHANGES[kind](self, rng, day, places)
+
+    def scatter(self, rng: Random, day: Day) -> Changed:
+        """Return a day with a new seed and half of its troubles changed."""
+        day = self._seed(rng, day, []).day
+        for place in _list_places(day):
+            if rng.random() < 0.5:
+                change = rng.choice([Mutator._move, Mutator._scale])
+                day = change(self, rng, day, [place]).day
+        return Changed(day, "drawn anew")
+
+    def _seed(self, rng: Random, day: Day, _places: list[Place]) -> Changed:
+        seed = rng.randrange(1, MOST_SEED)
+        return Changed(day._replace(seed=seed), f"seed {seed}")
+
+    def _move(self, rng: Random, day: Day, places: list[Place]) -> Changed:
+        return self._move_all(day, [rng.choice(places)], _draw_move(rng))
+
+    def _pair(self, rng: Random, day: Day, places: list[Place]) -> Changed:
+        pair = rng.sample(places, min(2, len(places)))
+        return self._move_all(day, pair, _draw_move(rng))
+
+    def _move_all(self, day: Day, places: list[Place], by: float) -> Changed:
+        words = []
+        for place in places:
+            trouble = _find(day, place)
+            before = float(trouble["at"])
+            at = round(min(max(before + by, 0.0), self._until), 3)
+            day = _put(day, place, {**trouble, "at": at})
+            words.append(f"{trouble['kind']} at {before:g} to {at:g}")
+        return Changed(day, " and ".join(words))
+
+    def _scale(self, rng: Random, day: Day, places: list[Place]) -> Changed:
+        place = rng.choice(places)
+        trouble = _find(day, place)
+        names = [name for name in _NUMBERS if name in trouble]
+        if not names:
+            return self._move(rng, day, [place])
+        name = rng.choice(names)
+        value = _NUMBERS[name](rng, float(trouble[name]))
+        if isinstance(trouble[name], int):
+            value = max(1, round(value))
+        what = f"{trouble['kind']} at {trouble['at']:g}: {name} {value:g}"
+        return Changed(_put(day, place, {**trouble, name: value}), what)
+
+    def _kind(self, rng: Random, day: Day, places: list[Place]) -> Changed:
+        place = rng.choice(places)
+        at = _find(day, place)["at"]
+        other = rng.choice(self._known[place.part])
+        what = f"{_find(day, place)['kind']} at {at:g} to {other['kind']}"
+        return Changed(_put(day, place, {**other, "at": at}), what)
+
+
+_Change = Callable[[Mutator, Random, Day, list[Place]], Changed]
+_CHANGES: dict[str, _Change] = {
+    "time": Mutator._move,
+    "pair": Mutator._pair,
+    "number": Mutator._scale,
+    "kind": Mutator._kind,
+    "seed": Mutator._seed,
+}
+
+
+def _scale_number(rng: Random, value: float) -> float:
+    factor = math.pow(MOST_FACTOR, rng.uniform(-1, 1))
+    return max(LEAST_SECONDS, round(value * factor, 3))
+
+
+def _move_share(rng: Random, value: float) -> float:
+    return round(min(max(value + rng.uniform(-0.3, 0.3), 0.05), 1.0), 3)
+
+
+def _step_count(rng: Random, value: float) -> float:
+    return max(1, value + rng.choice((-1, 1)))
+
+
+_NUMBERS: dict[str, Callable[[Random, float], float]] = {
+    "for_s": _scale_number,
+    "gap_s": _scale_number,
+    "x": _scale_number,
+    "share": _move_share,
+    "count": _step_count,
+}
+
+
+def _draw_move(rng: Random) -> float:
+    size = LEAST_MOVE * math.pow(MOST_MOVE / LEAST_MOVE, rng.random())
+    return rng.choice((-size, size))
+
+
+def _list_places(day: Day) -> list[Place]:
+    return [
+        *(Place("plan", number) for number in range(len(day.plan))),
+        *(Place("faults", number) for number in range(len(day.faults))),
+    ]
+
+
+def _find(day: Day, place: Place) -> Trouble:
+    troubles = day.plan if place.part == "plan" else day.faults
+    return troubles[place.number]
+
+
+def _put(day: Day, place: Place, trouble: dict[str, Value]) -> Day:
+    if place.part == "plan":
+        return day._replace(plan=_set(day.plan, place.number, trouble))
+    return day._replace(faults=_set(day.faults, place.number, trouble))
+
+
+def _set(
+    troubles: tuple[Trouble, ...], number: int, trouble: Trouble
+) -> tuple[Trouble, ...]:
+    return (*troubles[:number], trouble, *troubles[number + 1 :])
--- /dev/null
+++ b/search/player.py
@@ -0,0 +1,142 @@
+"""Plays a day on the users' bench and reads what its logs tell."""
+
+import subprocess
+from collections.abc import Iterable
+from pathlib import Path
+from typing import NamedTuple, Protocol
+
+from lagoonpost.margins.finding import find_margins
+from lagoonpost.margins.margin import Margin
+from lagoonpost.margins.reading import LogError, Logs, read_logs
+from search.day import Day, write_day
+
+_BROKEN = "rules broken: "
+
+
+class Play(NamedTuple):
+    """What came of playing a day.
+
+    Attributes:
+        distances: Least distance to each rule's bound, as a part of the
+            bound; a rule that no case occurred of is not there.
+        told: The margins in words.
+        broken: Rules that the bench says were broken.
+        died: Why there was no whole play; empty if there was.
+    """
+
+    distances: dict[str, float]
+    told: tuple[str, ...] = ()
+    broken: str = ""
+    died: str = ""
+
+
+class Player(Protocol):
+    """Plays days; called from several threads at once."""
+
+    def play(self, number: int, day: Day) -> Play:
+        """Return what came of playing a day, the number-th of the search."""
+        ...
+
+
+class BenchPlayer:
+    """Plays days on the users' bench.
+
+    Args:
+        bench: The program.
+        site: File of the site.
+        code: Checkout that is played.
+        folder: Where the days and what the bench printed are kept.
+        until: Seconds to play.
+        wait: Seconds after which a play is given up.
+        why: Line for the bench's journal.
+    """
+
+    def __init__(
+        self,
+        bench: Path,
+        site: Path,
+        code: Path,
+        folder: Path,
+        until: float,
+        wait: float,
+        why: str,
+    ) -> None:
+        self._start = [str(bench.absolute()), "run", str(site.absolute())]
+        self._end = ["--until", f"{until:g}", "--no-cpu", "--log", "all"]
+        self._end += ["--why", why]
+        self._code = code
+        self._folder = folder.absolute()
+        self._wait = wait
+
+    def play(self, number: int, day: Day) -> Play:
+        """Play a day; logs are kept if it broke a rule or died."""
+        file = self._folder / f"{number:04}.toml"
+        report = file.with_suffix(".txt")
+        log = file.with_suffix(".log")
+        file.write_text(write_day(day))
+        command = [*self._start, str(file), "--seed", str(day.seed)]
+        with report.open("wb") as out, log.open("wb") as err:
+            try:
+                status = subprocess.run(
+                    [*command, *self._end],
+                    cwd=self._code,
+                    stdin=subprocess.DEVNULL,
+                    stdout=out,
+                    stderr=err,
+                    timeout=self._wait,
+                ).returncode
+            except subprocess.TimeoutExpired:
+                return Play({}, died=f"no end after {self._wait:g} s")
+        play = read_play(status, report.read_text(errors="replace"), log)
+        if not play.broken and not play.died:
+            log.unlink()
+        return play
+
+
+def read_play(status: int, report: str, log: Path) -> Play:
+    """Return what the bench's exit status, report and log tell."""
+    broken = "".join(
+        line.removeprefix(_BROKEN)
+        for line in report.splitlines()
+        if line.startswith(_BROKEN)
+    )
+    if status and not broken:
+        last = log.read_text(errors="replace").strip().splitlines()[-1:]
+        return Play({}, died=f"exit status {status}: {''.join(last)}")
+    try:
+        margins = find_margins(read_logs([log]))
+    except LogError as error:
+        return Play({}, broken=broken, died=f"no margins: {error}")
+    return Play(measure_all(margins), describe(margins), broken)
+
+
+def measure_all(margins: Iterable[Margin]) -> dict[str, float]:
+    """Return the least distance of each rule, as a part of its bound."""
+    distances: dict[str, float] = {}
+    for each in margins:
+        if each.distance is None:
+            continue
+        distance = each.distance / (each.bound or 1.0)
+        distances[each.rule] = min(
+            distance, distances.get(each.rule, distance)
+        )
+    return distances
+
+
+def describe(margins: Iterable[Margin]) -> tuple[str, ...]:
+    """Return the margins that occurred, in words."""
+    return tuple(
+        f"{each.rule}{f' ({each.subject})' if each.subject else ''}: "
+        f"{each.value:.3f} {each.unit}".rstrip()
+        + f", bound {each.bound:g}"
+        for each in margins
+        if each.value is not None and each.bound is not None
+    )
+
+
+def list_rules() -> tuple[list[str], dict[str, str]]:
+    """Return the rules with a margin, and those that no log tells of."""
+    margins = find_margins(Logs())
+    untold = {each.rule: each.untold for each in margins if each.untold}
+    told = dict.fromkeys(each.rule for each in margins)
+    return [rule for rule in told if rule not in untold], untold
