--- a/search/__main__.py
+++ b/search/__main__.py
@@ -85,8 +85,8 @@
     results = search(chooser, player, rules, limits, _report)
     summary = make_summary(results, rules, seed, even)
     write_all(out, results, summary)
-    click.echo(format_summary(results, summary), nl=False)
-    sys.exit(1 if summary["findings"] else 0)
+    click.echo(format_summary(summary), nl=False)
+    sys.exit(1 if summary.findings else 0)
 
 
 def _report(played: Played) -> None:
--- a/search/changes.py
+++ b/search/changes.py
@@ -3,11 +3,9 @@
 import math
 from collections.abc import Callable, Sequence
 from random import Random
-from typing import Literal, NamedTuple
+from typing import NamedTuple
 
-from search.day import Day, Trouble, Value
-
-Part = Literal["plan", "faults"]
+from search.day import Day
 
 MOST_MOVE = 4.0
 """Longest move of a trouble, in seconds. Most moves are far shorter: what
@@ -18,13 +16,6 @@
 MOST_SEED = 1 << 31
 
 
-class Place(NamedTuple):
-    """Where a trouble stands."""
-
-    part: Part
-    number: int
-
-
 class Changed(NamedTuple):
     """A day after a change, and the change in words."""
 
@@ -43,14 +34,13 @@
 
     def __init__(self, starts: Sequence[Day], until: float) -> None:
         self._until = until
-        self._known: dict[Part, list[Trouble]] = {
-            "plan": [each for day in starts for each in day.plan],
-            "faults": [each for day in starts for each in day.faults],
-        }
+        planned = [e for day in starts for e in day.troubles[: day.planned]]
+        faults = [e for day in starts for e in day.troubles[day.planned :]]
+        self._known = {True: planned, False: faults}
 
     def change(self, rng: Random, day: Day) -> Changed:
         """Return a day with one change, or a pair moved together."""
-        places = _list_places(day)
+        places = range(len(day.troubles))
         # Half of all changes are moves, as times decide races.
         choices = ["time", "time", "time", "pair", "number", "number", "kind"]
         kind = rng.choice([*choices, "seed"]) if places else "seed"
@@ -59,36 +49,36 @@
     def scatter(self, rng: Random, day: Day) -> Changed:
         """Return a day with a new seed and half of its troubles changed."""
         day = self._seed(rng, day, []).day
-        for place in _list_places(day):
+        for place in range(len(day.troubles)):
             if rng.random() < 0.5:
                 change = rng.choice([Mutator._move, Mutator._scale])
                 day = change(self, rng, day, [place]).day
         return Changed(day, "drawn anew")
 
-    def _seed(self, rng: Random, day: Day, _places: list[Place]) -> Changed:
+    def _seed(self, rng: Random, day: Day, _places: Sequence[int]) -> Changed:
         seed = rng.randrange(1, MOST_SEED)
         return Changed(day._replace(seed=seed), f"seed {seed}")
 
-    def _move(self, rng: Random, day: Day, places: list[Place]) -> Changed:
+    def _move(self, rng: Random, day: Day, places: Sequence[int]) -> Changed:
         return self._move_all(day, [rng.choice(places)], _draw_move(rng))
 
-    def _pair(self, rng: Random, day: Day, places: list[Place]) -> Changed:
+    def _pair(self, rng: Random, day: Day, places: Sequence[int]) -> Changed:
         pair = rng.sample(places, min(2, len(places)))
         return self._move_all(day, pair, _draw_move(rng))
 
-    def _move_all(self, day: Day, places: list[Place], by: float) -> Changed:
+    def _move_all(self, day: Day, places: Sequence[int], by: float) -> Changed:
         words = []
         for place in places:
-            trouble = _find(day, place)
+            trouble = day.troubles[place]
             before = float(trouble["at"])
             at = round(min(max(before + by, 0.0), self._until), 3)
-            day = _put(day, place, {**trouble, "at": at})
+            day = day.put(place, {**trouble, "at": at})
             words.append(f"{trouble['kind']} at {before:g} to {at:g}")
         return Changed(day, " and ".join(words))
 
-    def _scale(self, rng: Random, day: Day, places: list[Place]) -> Changed:
+    def _scale(self, rng: Random, day: Day, places: Sequence[int]) -> Changed:
         place = rng.choice(places)
-        trouble = _find(day, place)
+        trouble = day.troubles[place]
         names = [name for name in _NUMBERS if name in trouble]
         if not names:
             return self._move(rng, day, [place])
@@ -97,17 +87,17 @@
         if isinstance(trouble[name], int):
             value = max(1, round(value))
         what = f"{trouble['kind']} at {trouble['at']:g}: {name} {value:g}"
-        return Changed(_put(day, place, {**trouble, name: value}), what)
+        return Changed(day.put(place, {**trouble, name: value}), what)
 
-    def _kind(self, rng: Random, day: Day, places: list[Place]) -> Changed:
+    def _kind(self, rng: Random, day: Day, places: Sequence[int]) -> Changed:
         place = rng.choice(places)
-        at = _find(day, place)["at"]
-        other = rng.choice(self._known[place.part])
-        what = f"{_find(day, place)['kind']} at {at:g} to {other['kind']}"
-        return Changed(_put(day, place, {**other, "at": at}), what)
+        at = day.troubles[place]["at"]
+        other = rng.choice(self._known[place < day.planned])
+        what = f"{day.troubles[place]['kind']} at {at:g} to {other['kind']}"
+        return Changed(day.put(place, {**other, "at": at}), what)
 
 
-_Change = Callable[[Mutator, Random, Day, list[Place]], Changed]
+_Change = Callable[[Mutator, Random, Day, Sequence[int]], Changed]
 _CHANGES: dict[str, _Change] = {
     "time": Mutator._move,
     "pair": Mutator._pair,
@@ -142,27 +132,3 @@
 def _draw_move(rng: Random) -> float:
     size = LEAST_MOVE * math.pow(MOST_MOVE / LEAST_MOVE, rng.random())
     return rng.choice((-size, size))
-
-
-def _list_places(day: Day) -> list[Place]:
-    return [
-        *(Place("plan", number) for number in range(len(day.plan))),
-        *(Place("faults", number) for number in range(len(day.faults))),
-    ]
-
-
-def _find(day: Day, place: Place) -> Trouble:
-    troubles = day.plan if place.part == "plan" else day.faults
-    return troubles[place.number]
-
-
-def _put(day: Day, place: Place, trouble: dict[str, Value]) -> Day:
-    if place.part == "plan":
-        return day._replace(plan=_set(day.plan, place.number, trouble))
-    return day._replace(faults=_set(day.faults, place.number, trouble))
-
-
-def _set(
-    troubles: tuple[Trouble, ...], number: int, trouble: Trouble
-) -> tuple[Trouble, ...]:
-    return (*troubles[:number], trouble, *troubles[number + 1 :])
--- a/search/day.py
+++ b/search/day.py
@@ -4,47 +4,46 @@
 import re
 import tomllib
 from pathlib import Path
-from typing import NamedTuple, cast
+from typing import Annotated, NamedTuple, cast
+
+import msgspec
 
 Value = str | int | float
 Trouble = dict[str, Value]
 
-_NUMBER = (int, float)
-_FIELDS: dict[str, tuple[type, ...]] = {
-    "at": _NUMBER,
-    "kind": (str,),
-    "for_s": _NUMBER,
-    "gap_s": _NUMBER,
-    "share": _NUMBER,
-    "x": _NUMBER,
-    "count": (int,),
-    "how": (str,),
-    "on": (str,),
-    "zone": (str,),
-    "to_zone": (str,),
-    "region": (str,),
-    "service": (str,),
-    "class": (str,),
-}
-"""Fields of a trouble with their types."""
-
-_HEAD: dict[str, tuple[type, ...]] = {
-    "name": (str,),
-    "seed": (int,),
-    "slot": (str,),
-    "zero": _NUMBER,
-    "one": _NUMBER,
-}
-"""Fields of a day that are checked; others are passed on as they are."""
-
-_RANGES: dict[str, tuple[float, float]] = {
-    "at": (0.0, float("inf")),
-    "for_s": (0.0, float("inf")),
-    "gap_s": (0.0, float("inf")),
-    "share": (0.0, 1.0),
-    "count": (1, float("inf")),
-}
-"""Least and greatest value of a trouble's numbers."""
+_PLACE = re.compile(r"at `\$\.(\w+)(?:\[(\d+)\])?")
+"""Field of a day in an error's text, and the number of the trouble."""
+
+_Seconds = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _Trouble(msgspec.Struct, forbid_unknown_fields=True):
+    """Fields of a trouble; the bench looks at kinds and variants."""
+
+    at: _Seconds
+    kind: str
+    for_s: _Seconds = 0
+    gap_s: _Seconds = 0
+    share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1
+    count: Annotated[int, msgspec.Meta(ge=1)] = 1
+    x: float = 1
+    how: str = ""
+    on: str = ""
+    zone: str = ""
+    to_zone: str = ""
+    region: str = ""
+    service: str = ""
+    class_: str = msgspec.field(default="", name="class")
+
+
+class _Table(msgspec.Struct):
+    """Fields of a day that are checked; others are passed on."""
+
+    name: str
+    seed: int
+    slot: str = ""
+    plan: list[_Trouble] = []
+    faults: list[_Trouble] = []
 
 
 class DayError(Exception):
@@ -57,17 +56,22 @@
     Attributes:
         name: Label.
         seed: What the bench draws the rest of the day from.
-        plan: Planned work.
-        faults: The rest of the troubles.
+        troubles: Planned work, then the faults.
+        planned: How many of these are planned work.
         head: The other fields as they stand in the file.
     """
 
     name: str
     seed: int
-    plan: tuple[Trouble, ...]
-    faults: tuple[Trouble, ...]
+    troubles: tuple[Trouble, ...]
+    planned: int
     head: dict[str, object]
 
+    def put(self, place: int, trouble: Trouble) -> "Day":
+        """Return the day with another trouble at a place."""
+        before, after = self.troubles[:place], self.troubles[place + 1 :]
+        return self._replace(troubles=(*before, trouble, *after))
+
 
 def read_days(path: Path) -> list[Day]:
     """Return the days of a file.
@@ -83,105 +87,44 @@
     if not isinstance(tables, list) or not tables:
         raise DayError(f"{path}, line 1: day: no [[day]] in the file")
     lines = _find_lines(text)
-    days = []
     for number, table in enumerate(tables):
-        wrong = find_fault(table)
-        if wrong:
-            where, detail = wrong
-            line = lines.get((number, *where), lines.get((number,), 1))
-            raise DayError(f"{path}, line {line}: {detail}")
-        days.append(_make_day(table))
-    return days
-
-
-def find_fault(
-    table: dict[str, object],
-) -> tuple[tuple[str, int], str] | None:
-    """Return where a day's table is wrong and how; None if it is valid.
-
-    A place is a field's name and, within a list of troubles, the number of
-    the trouble; 0 for other fields.
-    """
-    for name, types in _HEAD.items():
-        if name in table or name in ("name", "seed"):
-            fault = _find_wrong(name, table.get(name), types)
-            if fault:
-                return (name, 0), fault
-    for part in ("plan", "faults"):
-        troubles = table.get(part, [])
-        if not isinstance(troubles, list):
-            return (part, 0), f"{part}: not a list of troubles"
-        for number, trouble in enumerate(troubles):
-            fault = _find_faulty_field(trouble)
-            if fault:
-                return (part, number), fault
-    return None
-
-
-def _find_faulty_field(trouble: object) -> str:
-    if not isinstance(trouble, dict):
-        return "a trouble is no table"
-    for name in ("at", "kind"):
-        if name not in trouble:
-            return f"{name}: missing"
-    for name, value in trouble.items():
-        if name not in _FIELDS:
-            return f"{name}: no field of a trouble"
-        fault = _find_wrong(name, value, _FIELDS[name])
-        if fault:
-            return fault
-    return ""
-
-
-def _find_wrong(name: str, value: object, types: tuple[type, ...]) -> str:
-    if value is None:
-        return f"{name}: missing"
-    if isinstance(value, bool) or not isinstance(value, types):
-        kinds = " or ".join(each.__name__ for each in types)
-        return f"{name}: {value!r} is not {kinds}"
-    least, most = _RANGES.get(name, (float("-inf"), float("inf")))
-    if isinstance(value, _NUMBER) and not least <= value <= most:
-        return f"{name}: {value} is not within {least:g} to {most:g}"
-    return ""
+        try:
+            msgspec.convert(table, _Table)
+        except msgspec.ValidationError as error:
+            found = _PLACE.search(str(error))
+            place = (found[1], int(found[2] or 0)) if found else ("", 0)
+            line = lines.get((number, *place), lines.get((number, "", 0)))
+            raise DayError(f"{path}, line {line}: {error}") from error
+    return [_make_day(table) for table in tables]
 
 
 def _make_day(table: dict[str, object]) -> Day:
-    own = ("name", "seed", "plan", "faults")
-    return Day(
-        name=cast(str, table["name"]),
-        seed=cast(int, table["seed"]),
-        plan=tuple(cast("list[Trouble]", table.get("plan", []))),
-        faults=tuple(cast("list[Trouble]", table.get("faults", []))),
-        head={name: each for name, each in table.items() if name not in own},
-    )
+    head = dict(table)
+    name, seed = cast(str, head.pop("name")), cast(int, head.pop("seed"))
+    plan = cast("list[Trouble]", head.pop("plan", []))
+    faults = cast("list[Trouble]", head.pop("faults", []))
+    return Day(name, seed, (*plan, *faults), len(plan), head)
 
 
-def _find_lines(text: str) -> dict[tuple[object, ...], int]:
+def _find_lines(text: str) -> dict[tuple[int, str, int], int]:
     """Return the lines of days, of their fields and of their troubles.
 
-    The reader of TOML tells no lines. A trouble is a table in one line of a
-    list, or a section of its own.
+    The reader of TOML tells no lines. In a list, a trouble is in one line.
     """
-    lines: dict[tuple[object, ...], int] = {}
-    day, part, count = -1, "", {"plan": 0, "faults": 0}
+    lines = {}
+    day, part, count = -1, "", 0
     for number, line in enumerate(text.splitlines(), 1):
         code = line.strip()
-        if code.startswith("#"):
-            continue
         if code.startswith("[[day]]"):
-            day, part, count = day + 1, "", {"plan": 0, "faults": 0}
-            lines[(day,)] = number
-        elif section := re.match(r"\[\[day\.(plan|faults)\]\]", code):
-            lines[(day, section[1], count[section[1]])] = number
-            count[section[1]] += 1
-            part = "section"
-        elif part != "section" and (field := re.match(r"(\w+)\s*=", code)):
-            part = field[1]
+            day, part = day + 1, ""
+            lines[(day, "", 0)] = number
+        elif field := re.match(r"(\w+)\s*=", code):
+            part, count = field[1], 0
             lines[(day, part, 0)] = number
-        if part in count:
+        if part in ("plan", "faults") and not code.startswith("#"):
             for _ in range(code.count("{")):
-                lines[(day, part, count[part])] = number
-                count[part] += 1
+                lines[(day, part, count)] = number
+                count += 1
     return lines
 
 
@@ -190,10 +133,9 @@
     lines = [f"# {comment}"] if comment else []
     lines += ["[[day]]", f"name = {_write(day.name)}", f"seed = {day.seed}"]
     lines += [f"{name} = {_write(each)}" for name, each in day.head.items()]
-    for part, troubles in (("plan", day.plan), ("faults", day.faults)):
-        lines += [f"{part} = ["]
-        lines += [f"  {_write(each)}," for each in troubles]
-        lines += ["]"]
+    written = [f"  {_write(each)}," for each in day.troubles]
+    lines += ["plan = [", *written[: day.planned], "]"]
+    lines += ["faults = [", *written[day.planned :], "]"]
     return "\n".join(lines) + "\n"
 
 
@@ -203,5 +145,6 @@
         return f"{{ {inner} }}"
     if isinstance(value, list):
         return f"[{', '.join(map(_write, value))}]"
-    # A JSON string is a TOML string but for characters beyond the first plane.
+    # Numbers and strings are written in TOML as in JSON, unless JSON escapes
+    # characters beyond the first plane.
     return json.dumps(value, ensure_ascii=False)
--- a/search/player.py
+++ b/search/player.py
@@ -1,5 +1,7 @@
 """Plays a day on the users' bench and reads what its logs tell."""
 
+import os
+import signal
 import subprocess
 from collections.abc import Iterable
 from pathlib import Path
@@ -38,10 +40,10 @@
         ...
 
 
-class BenchPlayer:
+class BenchPlayer(NamedTuple):
     """Plays days on the users' bench.
 
-    Args:
+    Attributes:
         bench: The program.
         site: File of the site.
         code: Checkout that is played.
@@ -51,42 +53,41 @@
         why: Line for the bench's journal.
     """
 
-    def __init__(
-        self,
-        bench: Path,
-        site: Path,
-        code: Path,
-        folder: Path,
-        until: float,
-        wait: float,
-        why: str,
-    ) -> None:
-        self._start = [str(bench.absolute()), "run", str(site.absolute())]
-        self._end = ["--until", f"{until:g}", "--no-cpu", "--log", "all"]
-        self._end += ["--why", why]
-        self._code = code
-        self._folder = folder.absolute()
-        self._wait = wait
+    bench: Path
+    site: Path
+    code: Path
+    folder: Path
+    until: float
+    wait: float
+    why: str
 
     def play(self, number: int, day: Day) -> Play:
         """Play a day; logs are kept if it broke a rule or died."""
-        file = self._folder / f"{number:04}.toml"
-        report = file.with_suffix(".txt")
-        log = file.with_suffix(".log")
+        file = self.folder.absolute() / f"{number:04}.toml"
+        report, log = file.with_suffix(".txt"), file.with_suffix(".log")
         file.write_text(write_day(day))
-        command = [*self._start, str(file), "--seed", str(day.seed)]
-        with report.open("wb") as out, log.open("wb") as err:
+        command = [str(self.bench.absolute()), "run"]
+        command += [str(self.site.absolute()), str(file)]
+        options = f"--seed {day.seed} --until {self.until:g}".split()
+        options += ["--no-cpu", "--log", "all", "--why", self.why]
+        with (
+            report.open("wb") as out,
+            log.open("wb") as err,
+            subprocess.Popen(
+                [*command, *options],
+                cwd=self.code,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+                process_group=0,
+            ) as process,
+        ):
             try:
-                status = subprocess.run(
-                    [*command, *self._end],
-                    cwd=self._code,
-                    stdin=subprocess.DEVNULL,
-                    stdout=out,
-                    stderr=err,
-                    timeout=self._wait,
-                ).returncode
+                status = process.wait(self.wait)
             except subprocess.TimeoutExpired:
-                return Play({}, died=f"no end after {self._wait:g} s")
+                # The processes that it plays would go on without it.
+                os.killpg(process.pid, signal.SIGKILL)
+                return Play({}, died=f"no end after {self.wait:g} s")
         play = read_play(status, report.read_text(errors="replace"), log)
         if not play.broken and not play.died:
             log.unlink()
