--- a/search/player.py
+++ b/search/player.py
@@ -62,7 +62,7 @@
     why: str
 
     def play(self, number: int, day: Day) -> Play:
-        """Play a day; logs are kept if it broke a rule or died."""
+        """Play a day; its file, report and log stay in the folder."""
         file = self.folder.absolute() / f"{number:04}.toml"
         report, log = file.with_suffix(".txt"), file.with_suffix(".log")
         file.write_text(write_day(day))
@@ -88,10 +88,7 @@
                 # The processes that it plays would go on without it.
                 os.killpg(process.pid, signal.SIGKILL)
                 return Play({}, died=f"no end after {self.wait:g} s")
-        play = read_play(status, report.read_text(errors="replace"), log)
-        if not play.broken and not play.died:
-            log.unlink()
-        return play
+        return read_play(status, report.read_text(errors="replace"), log)
 
 
 def read_play(status: int, report: str, log: Path) -> Play:
