--- /dev/null
+++ b/search/summary.py
@@ -0,0 +1,97 @@
+"""What a search found: the closest days, findings, and counts."""
+
+import json
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from search.choice import Played, is_beyond, measure
+from search.day import write_day
+
+CLOSEST = 5
+"""Days that are written as files, besides the findings."""
+
+
+class Summary(NamedTuple):
+    """What a search found; days that died are no closest ones.
+
+    Attributes:
+        first: Number of the first play beyond the first rule's bound.
+    """
+
+    rules: Sequence[str]
+    seed: int
+    even: bool
+    plays: int
+    first: int | None
+    findings: list[Played]
+    closest: list[Played]
+
+
+def make_summary(
+    results: Sequence[Played], rules: Sequence[str], seed: int, even: bool
+) -> Summary:
+    """Return what a search found."""
+    beyond = [each for each in results if is_beyond(each.play, rules)]
+    whole = [each for each in results if not each.play.died]
+    whole.sort(key=lambda each: measure(each.play, rules))
+    return Summary(
+        rules,
+        seed,
+        even,
+        plays=len(results),
+        first=beyond[0].trial.number if beyond else None,
+        findings=[
+            each for each in results if each.play.broken or each.play.died
+        ],
+        closest=whole[:CLOSEST],
+    )
+
+
+def write_all(
+    folder: Path, results: Sequence[Played], summary: Summary
+) -> None:
+    """Write the summary, and the days of closest plays and of findings."""
+    names = {f"closest-{n}": p for n, p in enumerate(summary.closest, 1)}
+    names |= {f"finding-{p.trial.number}": p for p in summary.findings}
+    for name, played in names.items():
+        text = write_day(played.trial.day, describe(played))
+        (folder / f"{name}.toml").write_text(text)
+    document = summary._asdict() | {
+        "findings": [each.trial.number for each in summary.findings],
+        "closest": [each.trial.number for each in summary.closest],
+        "rows": list(map(_make_row, results)),
+    }
+    (folder / "summary.json").write_text(json.dumps(document, indent=1) + "\n")
+    (folder / "summary.txt").write_text(format_summary(summary))
+
+
+def format_summary(summary: Summary) -> str:
+    """Return a summary as text."""
+    way = "even draws" if summary.even else "guided"
+    lines = [
+        f"{summary.plays} plays, {way}, seed {summary.seed}, "
+        f"{len(summary.findings)} findings",
+        f"first play beyond the bound of {summary.rules[0]!r}: "
+        f"{summary.first or 'none'}",
+        *(f"closest: {describe(each)}" for each in summary.closest),
+        *(f"finding: {describe(each)}" for each in summary.findings),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def describe(played: Played) -> str:
+    """Return a play in one line, as a comment in a day's file has to be."""
+    trial, play = played
+    line = f"play {trial.number}, day {trial.day.name}, seed {trial.day.seed}"
+    line += f", from {trial.parent}" if trial.parent else ""
+    line += f", {trial.change}: "
+    line += f"BROKEN {play.broken}; " if play.broken else ""
+    line += f"DIED {play.died}; " if play.died else ""
+    return " ".join((line + "; ".join(play.told)).split())
+
+
+def _make_row(played: Played) -> dict[str, Any]:
+    trial = played.trial._asdict()
+    trial |= {"day": played.trial.day.name, "seed": played.trial.day.seed}
+    return trial | played.play._asdict()
