Log why and how fast a connection to a runner failed

A request's line names the runners that could not be reached, but not whether the connection was refused or timed out. Client.connect becomes a method, so that a path can be cut for one gateway. Tests of test_http and test_forwarding pass as before.

--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -29,6 +29,7 @@
     make_refusal,
 )
 from lagoonpost.forwarding.relay import relay
+from lagoonpost.forwarding.request_log import log_unreachable
 from lagoonpost.forwarding.usage_counter import UsageCounter
 from lagoonpost.forwarding.version_shifts import VersionShifts
 from lagoonpost.http.client import Client
@@ -420,8 +421,9 @@
         state = self.placement.state(choice.endpoint.id)
         now = exchange.now()
         match outcome:
-            case Unreachable():
+            case Unreachable(detail):
                 state.note_unreachable(now)
+                log_unreachable(choice, detail, took)
             case NotRun() | Broken():
                 state.note_outcome(True)
             case Silent():
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -1,8 +1,9 @@
-"""Writes the access log line of a finished request."""
+"""Writes the log lines about requests and their offers to runners."""
 
 import eliot
 
 from lagoonpost.forwarding.exchange import Exchange
+from lagoonpost.systems.placement import Choice
 
 
 def log_exchange(exchange: Exchange) -> None:
@@ -25,5 +26,21 @@
     )
 
 
+def log_unreachable(choice: Choice, detail: str, took: float) -> None:
+    """Write the log line of a connection that could not be opened.
+
+    Args:
+        choice: The runner.
+        detail: Reason of the failure.
+        took: Seconds until it failed.
+    """
+    eliot.log_message(
+        message_type="lagoonpost:forwarding:unreachable",
+        runner=choice.endpoint.id,
+        detail=detail,
+        took=_round(took),
+    )
+
+
 def _round(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 4)
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -35,7 +35,7 @@
         self.sent = sent
 
 
-class _Socket(NamedTuple):
+class Socket(NamedTuple):
     """Both directions of one TCP connection."""
 
     reader: asyncio.StreamReader
@@ -45,7 +45,7 @@
 class _IdleSocket(NamedTuple):
     """A pooled connection and the loop time at which it became idle."""
 
-    socket: _Socket
+    socket: Socket
     idle_since: float
 
 
@@ -63,7 +63,7 @@
         self,
         client: "Client",
         address: Address,
-        socket: _Socket,
+        socket: Socket,
         connection: h11.Connection,
     ) -> None:
         self._client = client
@@ -268,7 +268,7 @@
         """
         socket = None if fresh else self._take_idle(address)
         if socket is None:
-            socket = await _connect(address, connect_seconds)
+            socket = await self.connect(address, connect_seconds)
         connection = h11.Connection(h11.CLIENT)
         host = find_header(headers, "host") or str(address)
         head = h11.Request(
@@ -291,6 +291,26 @@
         socket.writer.write(data)
         return Stream(self, address, socket, connection)
 
+    async def connect(self, address: Address, seconds: float) -> Socket:
+        """Open a connection.
+
+        Args:
+            address: Address of the server.
+            seconds: Longest time for opening it.
+
+        Raises:
+            CallFailedError: If the connection cannot be opened.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                reader, writer = await asyncio.open_connection(
+                    address.host, address.port, limit=READ_BYTES
+                )
+        except (OSError, TimeoutError) as error:
+            detail = f"cannot connect to {address}: {_describe(error)}"
+            raise CallFailedError(detail, sent=False) from error
+        return Socket(reader, writer)
+
     def close(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle):
@@ -306,7 +326,7 @@
         for entry in self._idle.pop(address, []):
             entry.socket.writer.close()
 
-    def _take_idle(self, address: Address) -> _Socket | None:
+    def _take_idle(self, address: Address) -> Socket | None:
         idle = self._idle.get(address, [])
         now = asyncio.get_running_loop().time()
         while idle:
@@ -320,7 +340,7 @@
             writer.close()
         return None
 
-    def _release(self, address: Address, socket: _Socket) -> None:
+    def _release(self, address: Address, socket: Socket) -> None:
         idle = self._idle.setdefault(address, [])
         if len(idle) >= MAX_IDLE_PER_ADDRESS:
             socket.writer.close()
@@ -329,13 +349,7 @@
         idle.append(_IdleSocket(socket, now))
 
 
-async def _connect(address: Address, seconds: float) -> _Socket:
-    try:
-        async with asyncio.timeout(seconds):
-            reader, writer = await asyncio.open_connection(
-                address.host, address.port, limit=READ_BYTES
-            )
-    except (OSError, TimeoutError) as error:
-        detail = f"cannot connect to {address}"
-        raise CallFailedError(detail, sent=False) from error
-    return _Socket(reader, writer)
+def _describe(error: OSError | TimeoutError) -> str:
+    if isinstance(error, TimeoutError):
+        return "no answer"
+    return error.strerror or type(error).__name__
