Let gateways that lost the path to runners connect through other gateways

Cause: a request had one path, from the gateway that its caller chose to a runner.

Gateways now listen for requests for tunnels (HTTP CONNECT) on the port after the one for peers, and open connections to runners for each other. Admission, placement, retries, deadlines and counting stay with the gateway that the caller chose; only the connection is opened elsewhere, and a failure to open it is known before anything was sent. A key in the store keeps strangers out. A runner that wasn't reached on one path may be tried on the other one. Connections to runners are closed after their answer: they were pooled but never reused.

--- a/bench/system.py
+++ b/bench/system.py
@@ -71,12 +71,31 @@
             return port
 
 
+def find_port_pair() -> int:
+    """Reserve two ports in a row and return the first one."""
+    while True:
+        port = find_port()
+        following = port + 1
+        if following not in _reserved_ports and _lock_port(following):
+            with socket.socket() as probe, suppress(OSError):
+                probe.bind(("127.0.0.1", following))
+                _reserved_ports.add(following)
+                return port
+        release_port(port)
+
+
 def release_port(port: int) -> None:
     """Release a port from ``find_port`` that is no longer used."""
     _reserved_ports.discard(port)
     _port_locks.pop(port).close()
 
 
+def release_port_pair(port: int) -> None:
+    """Release the ports from ``find_port_pair``."""
+    release_port(port)
+    release_port(port + 1)
+
+
 class Process:
     """A child process that runs a Python module.
 
--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -1,10 +1,15 @@
 """Sends a request to one runner and classifies the answer."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import NamedTuple
 
-from lagoonpost.http.client import CallFailedError, Client, Stream
+from lagoonpost.http.client import (
+    CallFailedError,
+    Client,
+    Socket,
+    Stream,
+)
 from lagoonpost.http.message import Headers, Request, Response
 from lagoonpost.platform.headers import (
     AddedHeaders,
@@ -15,9 +20,6 @@
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.kv_copy import KvCopy
 
-CONNECT_TIMEOUT_SECONDS = 0.3
-"""Connect timeout: 50 round trips between the failure domains of one region.
-A runner that disappears without a reset delays the request by as much."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Limit for an answer that is not a stream; a larger one counts as broken."""
 
@@ -137,9 +139,10 @@
 async def send_request(
     client: Client,
     endpoint: Endpoint,
+    connect: Callable[[], Awaitable[Socket]],
     request: Request,
     request_id: str,
-    instructions: AddedHeaders,
+    make_instructions: Callable[[], AddedHeaders],
     first_byte_timeout: float | None,
 ) -> Outcome:
     """Send a request over a new connection and read the start of its answer.
@@ -151,10 +154,12 @@
 
     Args:
         client: HTTP client.
-        endpoint: Address of the runner.
+        endpoint: The runner.
+        connect: Opens the connection.
         request: The caller's request.
         request_id: Id of the request, which the answer has to repeat.
-        instructions: Headers added for the runner.
+        make_instructions: Returns the headers added for the runner. They
+            name the time that is left, of which connecting takes a part.
         first_byte_timeout: Seconds to wait for the head of the answer, and
             again for the first bytes of a stream; None for no timeout.
 
@@ -162,17 +167,18 @@
         The outcome; a `Began` leaves the connection open.
     """
     try:
-        stream = await client.open(
-            endpoint.address,
-            request.method,
-            request.target,
-            request.body,
-            make_request_headers(request.headers, instructions),
-            fresh=True,
-            connect_seconds=CONNECT_TIMEOUT_SECONDS,
-        )
+        socket = await connect()
     except CallFailedError as error:
         return Unreachable(str(error))
+    stream = client.send(
+        socket,
+        endpoint.address,
+        request.method,
+        request.target,
+        request.body,
+        make_request_headers(request.headers, make_instructions()),
+        reusable=False,
+    )
     keep_open = False
     try:
         async with asyncio.timeout(first_byte_timeout):
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -16,11 +16,18 @@
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.forwarding.forwarder import Forwarder
 from lagoonpost.forwarding.metrics import ForwardingMetrics
+from lagoonpost.forwarding.peer_key import PeerKey
 from lagoonpost.forwarding.peer_sync import PeerSync
 from lagoonpost.forwarding.quota_recorder import QuotaRecorder
 from lagoonpost.forwarding.request_log import log_exchange
+from lagoonpost.forwarding.runner_paths import (
+    RunnerPaths,
+    TunnelPeer,
+    list_tunnel_peers,
+)
 from lagoonpost.forwarding.store_follower import StoreFollower, find_feed_wait
 from lagoonpost.forwarding.timers import sleep_aligned
+from lagoonpost.forwarding.tunnel_server import TunnelServer
 from lagoonpost.forwarding.usage_counter import UsageCounter
 from lagoonpost.forwarding.version_shifts import (
     VersionShifts,
@@ -93,6 +100,7 @@
         self._store = PlatformStore(self._client, settings.store, traffic)
         wall_clock = make_clock()
         bounds = settings.bounds
+        self._peer_key = PeerKey(self._store, rng)
         usage = UsageCounter(bounds.usage_window, wall_clock)
         self._usage = usage
         self._forwarder = Forwarder(
@@ -108,6 +116,14 @@
                 rng,
                 None if settings.first_start else read_clock(),
             ),
+            lambda reach: RunnerPaths(
+                self._client,
+                self.view,
+                reach,
+                self._peer_key,
+                self._list_tunnel_peers,
+                rng,
+            ),
         )
         self._cluster = PeerSync(
             settings,
@@ -127,6 +143,13 @@
             wall_clock,
         )
         self._forwarder.shifts = self._shifts
+        self._tunnels = TunnelServer(
+            self._client,
+            self.view,
+            self._forwarder.placement.reach,
+            self._peer_key,
+            self._shifts.is_rolled_back,
+        )
         self.view.on_runner_down.append(self._note_runner_down)
         self.view.was_store_unavailable = self._cluster.was_store_unavailable
         self._forwarder.cluster = self._cluster
@@ -186,6 +209,7 @@
             self._cluster.handle_new_era,
             self._shifts.handle_new_era,
             self._forwarder.admission.quotas.forget_records,
+            self._peer_key.refresh,
         ]
         self._leaving = False
         self._stop = asyncio.Event()
@@ -206,12 +230,16 @@
         settings = self._settings
         self._spawn(self._follower.run())
         await self._cluster.start()
+        if settings.tunnel is not None:
+            await self._tunnels.start(settings.tunnel)
         await self._serve(self._server, settings.entry)
         for address, server in self._auxiliary_servers:
             await self._serve(server, address)
         self._spawn(self._cluster.run())
         self._spawn(self._cluster.discover_gateways(self._store))
         self._spawn(self._bursts.run())
+        self._spawn(self._peer_key.run())
+        self._spawn(self._forwarder.paths.run())
         self._spawn(self._run_maintenance())
         self._spawn(self._settings_watcher.run())
         self._spawn(watch_for_suspension(self._reconnect))
@@ -270,6 +298,7 @@
             message_type="lagoonpost:forwarding:leaving", grace=grace
         )
         self._server.leave()
+        self._tunnels.leave()
         if self._duties is not None:
             self._duties.leave()
         await self._cluster.peers.leave()
@@ -277,8 +306,10 @@
             await self._duties.release()
         await asyncio.sleep(min(LAME_DUCK_SECONDS, grace / 3))
         await self._server.drain(end - loop.time())
+        await self._tunnels.drain(end - loop.time())
         for task in self._tasks:
             task.cancel()
+        await self._tunnels.close()
         await self._server.close(0.0)
         eliot.log_message(message_type="lagoonpost:forwarding:stopped")
 
@@ -289,8 +320,14 @@
         for _, server in self._auxiliary_servers:
             await server.close(0.0)
         await self._server.close(0.0)
+        await self._tunnels.close()
         await self._cluster.close()
 
+    def _list_tunnel_peers(self) -> list[TunnelPeer]:
+        return list_tunnel_peers(
+            self._cluster.find_others(), self._settings.region
+        )
+
     def _record_exchange(self, exchange: Exchange) -> None:
         self._metrics.note(exchange)
         log_exchange(exchange)
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -45,7 +45,10 @@
         quota: Inputs of the quota decision, for the log.
         version: Version of the configuration that the request was admitted
             under.
-        tried_runners: Ids of the runners to which the request was offered.
+        tried_runners: Ids of the runners that the request may have reached.
+        tried_paths: Runners that could not be reached, and whether on the
+            path through another gateway.
+        offer_count: Number of offers to runners, reached or not.
         reached_count: Number of runners that the request may have reached.
         run_count: Number of runners that may have run the request.
         last_event: Id of the last event passed on to the caller.
@@ -78,6 +81,8 @@
         self.quota: QuotaCheck | None = None
         self.version = 0
         self.tried_runners: set[str] = set()
+        self.tried_paths: set[tuple[str, bool]] = set()
+        self.offer_count = 0
         self.reached_count = 0
         self.run_count = 0
         self.last_event = arrival.last_event
@@ -164,7 +169,7 @@
 
     def note_sent(self, choice: Choice) -> None:
         """Record that the request is being sent to a runner."""
-        self.tried_runners.add(choice.endpoint.id)
+        self.offer_count += 1
         self._in_flight = True
 
     def note_outcome(self, choice: Choice, outcome: Outcome) -> None:
@@ -173,8 +178,11 @@
         label = type(outcome).__name__.lower()
         self.outcomes.append(label)
         self.note(f"{choice.endpoint.id}:{label}:{choice.seconds:.3f}")
+        if not isinstance(outcome, Unreachable):
+            self.tried_runners.add(choice.endpoint.id)
         match outcome:
             case Unreachable(detail):
+                self.tried_paths.add((choice.endpoint.id, choice.indirect))
                 self.last_refusal = self._refuse("unreachable", detail)
             case NotRun():
                 self.reached_count += 1
@@ -205,6 +213,12 @@
         detail = "no runner can begin to answer in time"
         return Refusal(503, "overloaded", detail, retry_after=retry_after)
 
+    def may_offer(self, runner: str, indirect: bool) -> bool:
+        """Return whether a runner was not tried yet on this path."""
+        if runner in self.tried_runners:
+            return False
+        return (runner, indirect) not in self.tried_paths
+
     def may_retry(self) -> bool:
         """Return whether the request may be sent to another runner."""
         if not self.may_have_run:
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -30,6 +30,7 @@
 )
 from lagoonpost.forwarding.relay import relay
 from lagoonpost.forwarding.request_log import log_unreachable
+from lagoonpost.forwarding.runner_paths import RunnerClient, RunnerPaths
 from lagoonpost.forwarding.usage_counter import UsageCounter
 from lagoonpost.forwarding.version_shifts import VersionShifts
 from lagoonpost.http.client import Client
@@ -46,6 +47,7 @@
 from lagoonpost.systems.overload import find_retry_delay
 from lagoonpost.systems.placement import Choice, Placement
 from lagoonpost.systems.poison import BrokenAnswer
+from lagoonpost.systems.reach import Reach
 from lagoonpost.tables.bounds import Bounds
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.kv_copy import KvCopy
@@ -77,12 +79,14 @@
         rng: Source of random choices.
         log: Called with each finished exchange.
         admission: Accepts or refuses requests before they are forwarded.
+        make_paths: Returns the paths to runners, given what is known of them.
 
     Attributes:
         admission: Accepts or refuses requests before they are forwarded.
         cluster: State exchanged with the other gateways.
         shifts: Services that shift to another version.
         placement: Chooses runners by their load.
+        paths: Opens connections to runners.
         migrations: Streams in flight and their moves to other runners.
         prompt_tokens: Prompt tokens sent to runners that were not in their
             caches, by service.
@@ -97,6 +101,7 @@
         rng: random.Random,
         log: Callable[[Exchange], None],
         admission: Admission,
+        make_paths: Callable[[Reach], RunnerPaths],
     ) -> None:
         self._view = view
         self._client = client
@@ -108,10 +113,11 @@
         self.cluster: PeerSync
         self.shifts: VersionShifts
         self.placement = Placement()
+        self.paths = make_paths(self.placement.reach)
         self.migrations = Migrations(
             view,
             self.placement,
-            KvCacheClient(client),
+            KvCacheClient(RunnerClient(self.paths)),
             self._take_retry,
             lambda: self._bounds.drain_seconds,
             rng,
@@ -270,15 +276,21 @@
         self, exchange: Exchange, moved: Moved | None
     ) -> Choice | None:
         if moved is not None:
-            return Choice(moved.target, 0.0, 1, suspect=False)
-        if len(exchange.tried_runners) >= MAX_RUNNERS_PER_REQUEST:
+            target = moved.target
+            path = self.paths.find_all([target.id])[target.id]
+            return Choice(
+                target, 0.0, 1, suspect=False, indirect=path.indirect
+            )
+        if exchange.offer_count >= MAX_RUNNERS_PER_REQUEST:
             return None
         service = exchange.requirements.service
         delays = self._find_delays(exchange)
+        paths = self.paths.find_all(runner.id for runner in delays)
         usable = {
             runner: delay
             for runner, delay in delays.items()
-            if delay is not None and runner.id not in exchange.tried_runners
+            if delay is not None
+            and exchange.may_offer(runner.id, paths[runner.id].indirect)
         }
         # A turn at a cold runner is worth waiting for only if no other runner
         # is left.
@@ -295,6 +307,7 @@
             self._rng,
             leaving,
             {runner.id: delay for runner, delay in usable.items()},
+            paths,
         )
 
     def _find_delays(self, exchange: Exchange) -> dict[Endpoint, float | None]:
@@ -360,9 +373,10 @@
             outcome = await send_request(
                 self._client,
                 choice.endpoint,
+                lambda: self.paths.connect(choice.endpoint, choice.indirect),
                 exchange.request,
                 exchange.arrival.id,
-                self._make_instructions(exchange, choice, saved),
+                lambda: self._make_instructions(exchange, choice, saved),
                 self._find_first_byte_timeout(exchange, choice),
             )
             self._record_outcome(
@@ -419,21 +433,21 @@
         took: float,
     ) -> None:
         state = self.placement.state(choice.endpoint.id)
+        reach = self.placement.reach
         now = exchange.now()
         match outcome:
             case Unreachable(detail):
-                state.note_unreachable(now)
                 log_unreachable(choice, detail, took)
             case NotRun() | Broken():
                 state.note_outcome(True)
             case Silent():
                 state.note_outcome(True)
-                state.note_unreachable(now)
+                reach.note_silent(choice.endpoint.id, now)
             case Whole(response):
-                state.note_reached()
+                reach.note_answered(choice.endpoint.id)
                 state.note_outcome(response.status >= 500)
             case Began():
-                state.note_reached()
+                reach.note_answered(choice.endpoint.id)
                 state.note_outcome(False)
         if not isinstance(outcome, Unreachable | NotRun):
             self.shifts.note_answer(
--- a/lagoonpost/forwarding/migration.py
+++ b/lagoonpost/forwarding/migration.py
@@ -208,7 +208,8 @@
             state = self._placement.state(runner.id)
             running = state.requests + state.peer_work.requests
             running += self._incoming_counts[runner.id]
-            places.append(Candidate(runner, running, state.is_suspect(now)))
+            is_lost = self._placement.reach.is_lost(runner.id, now)
+            places.append(Candidate(runner, running, is_lost))
         target = choose_target(places, run.choice.endpoint, self._rng)
         if target is not None:
             cold_starts.take_turn(target.id, rate, read_clock())
--- /dev/null
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -0,0 +1,291 @@
+"""Opens connections to runners, directly or through other gateways."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from typing import Any, NamedTuple
+
+import eliot
+
+from lagoonpost.forwarding.cluster_state import ClusterState
+from lagoonpost.forwarding.peer_key import PeerKey
+from lagoonpost.forwarding.tunnel_server import (
+    CONNECT_TIMEOUT_SECONDS,
+    DENIED,
+    GATEWAY_UNABLE,
+    KEY_HEADER,
+    PURPOSE_HEADER,
+    TunnelPurpose,
+)
+from lagoonpost.http.client import CallFailedError, Client, Socket
+from lagoonpost.http.message import Address, parse_address
+from lagoonpost.http.tunnel import (
+    TunnelRefusedError,
+    TunnelRequest,
+    open_tunnel,
+)
+from lagoonpost.systems.reach import (
+    DIRECT_PATH,
+    Path,
+    PeerChoice,
+    Reach,
+)
+from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.peer import Member
+
+ANSWER_TIMEOUT_SECONDS = CONNECT_TIMEOUT_SECONDS + 0.2
+"""Longest wait for a peer's answer: it may need the whole connect timeout."""
+MAX_SEARCH_SECONDS = 0.8
+"""Time after which no further peer is asked for a connection: callers of
+checks wait for one second in total."""
+PROBE_PAUSE_SECONDS = 0.25
+"""Pause between checks for direct paths that are to be probed."""
+_UNABLE = frozenset((DENIED, GATEWAY_UNABLE))
+"""Answers of a peer that can't open connections to any runner."""
+
+
+class TunnelPeer(NamedTuple):
+    """A gateway that may open connections for this one.
+
+    Attributes:
+        name: Name of the gateway.
+        address: Address at which it listens for requests for tunnels.
+    """
+
+    name: str
+    address: Address
+
+
+def list_tunnel_peers(
+    members: Sequence[Member], region: str
+) -> list[TunnelPeer]:
+    """Return the gateways of a region that may open connections.
+
+    Requests of some routes must not leave their region, so gateways of
+    others are not used. By convention, each gateway listens for requests for
+    tunnels on the port after the one for its peers.
+    """
+    peers = []
+    for member in members:
+        if member.state == "alive" and member.region == region:
+            host, port = parse_address(member.address)
+            peers.append(TunnelPeer(member.name, Address(host, port + 1)))
+    return peers
+
+
+class RunnerPaths:
+    """Opens connections to runners on the paths that work.
+
+    Args:
+        client: Opens direct connections, and those to peers.
+        view: Local view of the configuration and the runners.
+        reach: What this gateway knows of its paths to the runners.
+        key: Key to show to other gateways.
+        list_peers: Returns the gateways that may open connections.
+        rng: Source of random choices.
+    """
+
+    def __init__(
+        self,
+        client: Client,
+        view: ClusterState,
+        reach: Reach,
+        key: PeerKey,
+        list_peers: Callable[[], list[TunnelPeer]],
+        rng: random.Random,
+    ) -> None:
+        self._client = client
+        self._view = view
+        self._reach = reach
+        self._key = key
+        self._list_peers = list_peers
+        self._rng = rng
+        self._peer_choice = PeerChoice()
+        self._checks: dict[str, asyncio.Task[None]] = {}
+        self._logged_partition = False
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def find_all(self, runners: Iterable[str]) -> dict[str, Path]:
+        """Return the path on which to send a request, for each runner."""
+        if not self._reach.has_failures():
+            return dict.fromkeys(runners, DIRECT_PATH)
+        now = self._now()
+        has_peers = self._has_peers(now)
+        return {
+            runner: self._reach.find_path(runner, has_peers, now)
+            for runner in runners
+        }
+
+    def _has_peers(self, now: float) -> bool:
+        if self._key.current is None:
+            return False
+        return self._peer_choice.has_any(self._list_peers(), now)
+
+    async def connect(
+        self,
+        endpoint: Endpoint,
+        indirect: bool,
+        purpose: TunnelPurpose = "requests",
+    ) -> Socket:
+        """Open a connection to a runner.
+
+        Args:
+            endpoint: The runner.
+            indirect: Whether to go through another gateway.
+            purpose: What the connection is for.
+
+        Raises:
+            CallFailedError: If it cannot be opened; nothing was sent.
+        """
+        if indirect:
+            return await self._connect_through_peer(endpoint.id, purpose)
+        try:
+            socket = await self._client.connect(
+                endpoint.address, CONNECT_TIMEOUT_SECONDS
+            )
+        except CallFailedError:
+            self._reach.note_direct(endpoint.id, False, self._now())
+            self._test_indirect(endpoint.id)
+            raise
+        self._reach.note_direct(endpoint.id, True, self._now())
+        return socket
+
+    async def connect_address(
+        self, address: Address, seconds: float
+    ) -> Socket:
+        """Open a connection for a call that moves a run, by address.
+
+        Raises:
+            CallFailedError: If it cannot be opened; nothing was sent.
+        """
+        for entry in self._view.entries.values():
+            endpoint = entry.endpoint
+            if endpoint is not None and endpoint.address == address:
+                path = self.find_all([endpoint.id])[endpoint.id]
+                return await self.connect(endpoint, path.indirect, "control")
+        return await self._client.connect(address, seconds)
+
+    async def _connect_through_peer(
+        self, runner: str, purpose: TunnelPurpose
+    ) -> Socket:
+        began = self._now()
+        request = TunnelRequest(
+            runner,
+            (
+                (KEY_HEADER, self._key.current or ""),
+                (PURPOSE_HEADER, purpose),
+            ),
+        )
+        peers = self._peer_choice.choose(self._list_peers(), began, self._rng)
+        for peer in peers:
+            if self._now() > began + MAX_SEARCH_SECONDS:
+                break
+            socket = await self._ask_peer(peer, request)
+            if socket is not None:
+                self._reach.note_indirect(runner, True, self._now())
+                return socket
+        self._reach.note_indirect(runner, False, self._now())
+        detail = f"no gateway of {len(peers)} asked reaches runner {runner}"
+        raise CallFailedError(detail, sent=False)
+
+    async def _ask_peer(
+        self, peer: TunnelPeer, request: TunnelRequest
+    ) -> Socket | None:
+        able = True
+        try:
+            return await open_tunnel(
+                self._client,
+                peer.address,
+                request,
+                CONNECT_TIMEOUT_SECONDS,
+                ANSWER_TIMEOUT_SECONDS,
+            )
+        except CallFailedError:
+            able = False
+        except TunnelRefusedError as error:
+            able = error.status not in _UNABLE
+            if error.status == DENIED:
+                self._key.refresh()
+        finally:
+            self._peer_choice.note(peer.name, able, self._now())
+        return None
+
+    # Background checks of paths
+
+    def _test_indirect(self, runner: str) -> None:
+        """Find out in the background whether peers reach a runner."""
+        now = self._now()
+        if self._reach.needs_test(runner, now) and self._has_peers(now):
+            self._start(runner, self._try_indirect(runner))
+
+    async def _try_indirect(self, runner: str) -> None:
+        try:
+            socket = await self._connect_through_peer(runner, "control")
+        except CallFailedError:
+            return
+        socket.writer.transport.abort()
+
+    async def _try_direct(self, endpoint: Endpoint) -> None:
+        try:
+            socket = await self.connect(endpoint, indirect=False)
+        except CallFailedError:
+            return
+        socket.writer.close()
+
+    def _start(self, runner: str, check: Coroutine[Any, Any, None]) -> None:
+        """Start a check of a path unless one of that runner is running."""
+        if runner in self._checks:
+            check.close()
+            return
+        task = asyncio.create_task(check)
+        self._checks[runner] = task
+        task.add_done_callback(lambda _: self._checks.pop(runner))
+
+    async def run(self) -> None:
+        """Probe direct paths that were lost, until cancelled."""
+        while True:
+            await asyncio.sleep(PROBE_PAUSE_SECONDS)
+            self._log_partition()
+            if not self._reach.has_failures():
+                continue
+            known = {
+                id_: entry.endpoint
+                for id_, entry in self._view.entries.items()
+                if entry.endpoint is not None
+            }
+            self._reach.forget_missing(known)
+            for runner in self._reach.list_probes(
+                list(known), self._now(), self._rng
+            ):
+                self._start(runner, self._try_direct(known[runner]))
+
+    def _log_partition(self) -> None:
+        partitioned = self._reach.partitioned
+        if partitioned != self._logged_partition:
+            self._logged_partition = partitioned
+            eliot.log_message(
+                message_type="lagoonpost:forwarding:partitioned",
+                partitioned=partitioned,
+            )
+
+
+class RunnerClient(Client):
+    """HTTP client whose connections take the paths to runners that work.
+
+    Args:
+        paths: Opens the connections.
+    """
+
+    def __init__(self, paths: RunnerPaths) -> None:
+        super().__init__()
+        self._paths = paths
+
+    async def connect(self, address: Address, seconds: float) -> Socket:
+        """Open a connection to a runner, through a peer if necessary.
+
+        Raises:
+            CallFailedError: If it cannot be opened; nothing was sent.
+        """
+        return await self._paths.connect_address(address, seconds)
--- /dev/null
+++ b/lagoonpost/forwarding/tunnel_server.py
@@ -0,0 +1,184 @@
+"""Opens connections to runners for gateways that do not reach them.
+
+Only connections are opened here. What is sent on them was admitted, counted
+and placed by the gateway that asked, and a failure to connect is reported
+before it has sent anything. A connection leads to a runner that this gateway
+knows, never to another gateway, so there is no second hop and no loop.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Literal
+
+import eliot
+import h11
+
+from lagoonpost.forwarding.cluster_state import ClusterState
+from lagoonpost.forwarding.peer_key import PeerKey
+from lagoonpost.http.client import CallFailedError, Client, Socket
+from lagoonpost.http.listener import open_listener
+from lagoonpost.http.message import Address, find_header
+from lagoonpost.http.tunnel import (
+    READ_BYTES,
+    TunnelRequest,
+    read_tunnel_request,
+    relay_tunnel,
+    send_tunnel_answer,
+    set_keepalive,
+)
+from lagoonpost.systems.reach import Reach
+from lagoonpost.tables.endpoint import Endpoint
+
+TunnelPurpose = Literal["requests", "control"]
+"""What a connection is for: requests, which a leaving runner must not get, or
+calls that move its runs elsewhere."""
+
+KEY_HEADER = "peer-key"
+PURPOSE_HEADER = "purpose"
+CONNECT_TIMEOUT_SECONDS = 0.3
+"""Connect timeout: 50 round trips between the failure domains of one region.
+A runner that disappears without a reset delays the request by as much."""
+MAX_TUNNELS = 256
+"""Limit for open tunnels: 512 descriptors, and 25 MB if no receiver reads."""
+
+OPENED = 200
+DENIED = 403
+NOT_SERVED = 404
+RUNNER_UNREACHABLE = 502
+GATEWAY_UNABLE = 503
+
+
+class TunnelServer:
+    """Listens for other gateways' requests for tunnels.
+
+    Args:
+        client: Opens connections to runners.
+        view: Local view of the configuration and the runners.
+        reach: What this gateway knows of its paths to the runners.
+        key: Key that other gateways have to show.
+        is_rolled_back: Whether a runner has a version that was rolled back.
+    """
+
+    def __init__(
+        self,
+        client: Client,
+        view: ClusterState,
+        reach: Reach,
+        key: PeerKey,
+        is_rolled_back: Callable[[Endpoint], bool],
+    ) -> None:
+        self._client = client
+        self._view = view
+        self._reach = reach
+        self._key = key
+        self._is_rolled_back = is_rolled_back
+        self._server: asyncio.Server | None = None
+        self._open: set[asyncio.Task[None]] = set()
+        self._leaving = False
+
+    async def start(self, address: Address) -> None:
+        """Listen on an address."""
+        self._server = await asyncio.start_server(
+            self._serve, sock=open_listener(address), limit=READ_BYTES
+        )
+
+    def leave(self) -> None:
+        """Open no more tunnels."""
+        self._leaving = True
+
+    async def drain(self, seconds: float) -> None:
+        """Wait until no tunnel is open, for a limited time."""
+        if self._open:
+            await asyncio.wait(self._open, timeout=max(0.0, seconds))
+
+    async def close(self) -> None:
+        """Stop listening and close all tunnels."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._open:
+            task.cancel()
+        await asyncio.gather(*self._open, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._open.add(task)
+        try:
+            await self._handle(Socket(reader, writer))
+        except (OSError, h11.ProtocolError):
+            writer.transport.abort()
+        except asyncio.CancelledError:
+            # The stream's callback would log a cancelled task as an error.
+            writer.transport.abort()
+        finally:
+            self._open.discard(task)
+
+    async def _handle(self, near: Socket) -> None:
+        set_keepalive(near.writer)
+        connection = h11.Connection(h11.SERVER)
+        request = await read_tunnel_request(connection, near.reader)
+        if request is None:
+            near.writer.transport.abort()
+            return
+        result = await self._connect(request)
+        if isinstance(result, int):
+            await send_tunnel_answer(connection, near.writer, result)
+            near.writer.close()
+            return
+        try:
+            await send_tunnel_answer(connection, near.writer, OPENED)
+            await relay_tunnel(near, result)
+        finally:
+            result.writer.transport.abort()
+
+    async def _connect(self, request: TunnelRequest) -> Socket | int:
+        """Connect to the runner, or return the status of the refusal."""
+        if not self._key.accepts(
+            find_header(request.headers, KEY_HEADER) or ""
+        ):
+            return DENIED
+        if self._leaving or len(self._open) > MAX_TUNNELS:
+            return GATEWAY_UNABLE
+        if self._reach.partitioned:
+            return GATEWAY_UNABLE
+        is_new_work = find_header(request.headers, PURPOSE_HEADER) != "control"
+        endpoint = self._find_runner(request.target, is_new_work)
+        if endpoint is None:
+            return NOT_SERVED
+        now = asyncio.get_running_loop().time
+        if self._reach.is_lost(endpoint.id, now()):
+            return RUNNER_UNREACHABLE
+        try:
+            socket = await self._client.connect(
+                endpoint.address, CONNECT_TIMEOUT_SECONDS
+            )
+        except CallFailedError:
+            self._reach.note_direct(endpoint.id, False, now())
+            return RUNNER_UNREACHABLE
+        self._reach.note_direct(endpoint.id, True, now())
+        # The runner may have begun to leave while it was connected.
+        if self._find_runner(request.target, is_new_work) != endpoint:
+            socket.writer.transport.abort()
+            return NOT_SERVED
+        return socket
+
+    def _find_runner(self, runner: str, is_new_work: bool) -> Endpoint | None:
+        entry = self._view.entries.get(runner)
+        endpoint = entry.endpoint if entry is not None else None
+        if endpoint is None or not is_new_work:
+            return endpoint
+        if endpoint not in self._view.find_runners(endpoint.service):
+            return None
+        return None if self._is_rolled_back(endpoint) else endpoint
+
+
+def log_opened(runner: str, peer: str, took: float) -> None:
+    """Write the log line of a connection through a peer."""
+    eliot.log_message(
+        message_type="lagoonpost:forwarding:tunnel",
+        runner=runner,
+        peer=peer,
+        took=round(took, 4),
+    )
--- a/lagoonpost/forwarding/version_shifts.py
+++ b/lagoonpost/forwarding/version_shifts.py
@@ -227,6 +227,13 @@
             return new
         return old
 
+    def is_rolled_back(self, endpoint: Endpoint) -> bool:
+        """Tell whether a runner has a version that was rolled back."""
+        shift = self._shifts.get(endpoint.service)
+        if shift is None or shift.phase != "taken_back":
+            return False
+        return endpoint.version == shift.order.to
+
     def note_sent(self, endpoint: Endpoint) -> None:
         """Count a request that is sent to a runner."""
         shift = self._shifts.get(endpoint.service)
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -65,7 +65,9 @@
         address: Address,
         socket: Socket,
         connection: h11.Connection,
+        reusable: bool = True,
     ) -> None:
+        self._reusable = reusable
         self._client = client
         self._address = address
         self._socket = socket
@@ -136,7 +138,9 @@
         """Return a reusable connection to the pool and abort any other."""
         # A connection with an unfinished response is never reused: the rest
         # of that response would be read as the response to another request.
-        if self.complete and self._connection.our_state is h11.DONE:
+        if not self._reusable and self.complete:
+            self._socket.writer.close()
+        elif self.complete and self._connection.our_state is h11.DONE:
             try:
                 self._connection.start_next_cycle()
             except h11.LocalProtocolError:
@@ -269,6 +273,36 @@
         socket = None if fresh else self._take_idle(address)
         if socket is None:
             socket = await self.connect(address, connect_seconds)
+        # Connecting may have taken long, or the process may have been
+        # suspended meanwhile, so the check follows it.
+        if may_send is not None and not may_send():
+            socket.writer.close()
+            raise CallFailedError("sending was no longer allowed", sent=False)
+        return self.send(socket, address, method, target, body, headers)
+
+    def send(
+        self,
+        socket: Socket,
+        address: Address,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: Headers = (),
+        *,
+        reusable: bool = True,
+    ) -> Stream:
+        """Send a request on an open connection.
+
+        Args:
+            socket: The connection.
+            address: Address of the server.
+            method: HTTP method.
+            target: Path and query.
+            body: Request body.
+            headers: Request headers other than ``content-length``. A
+                ``host`` header overrides the address.
+            reusable: Whether to keep the connection for other requests.
+        """
         connection = h11.Connection(h11.CLIENT)
         host = find_header(headers, "host") or str(address)
         head = h11.Request(
@@ -283,13 +317,8 @@
         data = connection.send(head) or b""
         data += connection.send(h11.Data(data=body)) or b""
         data += connection.send(h11.EndOfMessage()) or b""
-        # Connecting may have taken long, or the process may have been
-        # suspended meanwhile, so the check follows it.
-        if may_send is not None and not may_send():
-            socket.writer.close()
-            raise CallFailedError("sending was no longer allowed", sent=False)
         socket.writer.write(data)
-        return Stream(self, address, socket, connection)
+        return Stream(self, address, socket, connection, reusable)
 
     async def connect(self, address: Address, seconds: float) -> Socket:
         """Open a connection.
--- a/lagoonpost/platform/settings.py
+++ b/lagoonpost/platform/settings.py
@@ -22,6 +22,8 @@
         ready: Address of the readiness check; None if it is not served.
         directory: Address that serves the list of entries, or None.
         peer: Address at which peers connect.
+        tunnel: Address at which peers ask for connections to runners; None
+            if the platform leaves no port for it.
         seeds: Addresses of some initial peers; these may no longer exist.
         store: Address of the store.
         cloud: Address of the cloud API; None if the host has no duties.
@@ -40,6 +42,7 @@
     ready: Address | None
     directory: Address | None
     peer: Address
+    tunnel: Address | None
     seeds: tuple[Address, ...]
     store: Address
     cloud: Address | None
@@ -87,7 +90,7 @@
     host = str(document["ip"])
     # The port of a seed belongs to the platform's own pages. Peer ports are
     # the same on all hosts, so only the seed's host is used.
-    port = int(document["internal_ports"][0])
+    port, last_port = map(int, document["internal_ports"])
     seeds = [parse_address(text).host for text in document.get("seeds") or []]
     return HostSettings(
         name=str(document["node_name"]),
@@ -98,6 +101,7 @@
         ready=_parse_optional(listen.get("ready")),
         directory=_parse_optional(listen.get("directory")),
         peer=Address(host, port),
+        tunnel=Address(host, port + 1) if port < last_port else None,
         seeds=tuple(Address(seed, port) for seed in seeds if seed != host),
         store=parse_address(document["platform"]["address"]),
         cloud=_parse_optional(cloud.get("address")),
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -20,6 +20,7 @@
 from random import Random
 from typing import NamedTuple
 
+from lagoonpost.systems.reach import LOST_RANK, Path, Reach
 from lagoonpost.systems.session_affinity import RankingCache, find_copy_source
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.gateway_report import RunnerWork
@@ -56,11 +57,9 @@
 """How long a part is assumed to stay in a runner's cache after its use."""
 FAILURE_PENALTY_SECONDS = 1.0
 """Predicted wait added to a runner whose requests all fail."""
-MIN_SUSPECT_SECONDS = 0.5
-MAX_SUSPECT_SECONDS = 4.0
-"""First and longest backoff for a runner that cannot be reached. A crashed
-runner returns after some seconds, and each attempt costs one caller a
-connection timeout."""
+PEER_HOP_SECONDS = 0.005
+"""Predicted wait added to a runner that is reached through another gateway:
+two more round trips between the failure domains of one region."""
 STEP_OVERHEAD_SECONDS = 0.0005
 """Rough time that each concurrent request adds to a step. It only decides
 between runners that are otherwise equal."""
@@ -96,6 +95,7 @@
         delay: Seconds until the request may be sent.
         backlog: Least seconds in which the runner can prefill the prompts
             before this one.
+        indirect: Whether the request goes through another gateway.
     """
 
     endpoint: Endpoint
@@ -106,6 +106,7 @@
     copy_source: Endpoint | None = None
     delay: float = 0.0
     backlog: float = 0.0
+    indirect: bool = False
 
 
 class RunnerState:
@@ -125,8 +126,6 @@
         self.failure_rate = 0.0
         self._slowness = 1.0
         self._measured = -math.inf
-        self._suspect_until = -math.inf
-        self._suspect_for = 0.0
         self._parts: dict[str, float] = {}
 
     def slowness(self, now: float) -> float:
@@ -156,21 +155,6 @@
             float(failed) - self.failure_rate
         )
 
-    def note_unreachable(self, now: float) -> None:
-        """Mark the runner as suspect, with exponential backoff."""
-        doubled = max(MIN_SUSPECT_SECONDS, 2 * self._suspect_for)
-        self._suspect_for = min(MAX_SUSPECT_SECONDS, doubled)
-        self._suspect_until = now + self._suspect_for
-
-    def note_reached(self) -> None:
-        """Clear the suspicion after a successful connection."""
-        self._suspect_for = 0.0
-        self._suspect_until = -math.inf
-
-    def is_suspect(self, now: float) -> bool:
-        """Return whether the runner was recently unreachable."""
-        return now < self._suspect_until
-
     def note_parts(self, parts: Iterable[PromptPart], now: float) -> None:
         """Record that the runner prefills and caches these parts."""
         for part in parts:
@@ -201,6 +185,7 @@
 
     Attributes:
         states: State of each runner by its id.
+        reach: What is known of the paths to the runners.
         paces_alone: Prefill seconds per prompt token at an unloaded
             runner, by service. The mean pace includes the time that prompts
             wait for each other, so scaling by it would order runners for
@@ -209,6 +194,7 @@
 
     def __init__(self) -> None:
         self.states: dict[str, RunnerState] = {}
+        self.reach = Reach()
         self._pace: dict[str, float] = {}
         self.unloaded_paces: dict[str, float] = {}
         self._overheads: dict[str, float] = {}
@@ -256,6 +242,7 @@
         rng: Random,
         leaving: Sequence[Endpoint] = (),
         delays: Mapping[str, float] | None = None,
+        paths: Mapping[str, Path] | None = None,
     ) -> Choice | None:
         """Choose the runner with the shortest predicted time to first byte.
 
@@ -269,6 +256,8 @@
                 but can be copied from.
             delays: Seconds until a request may be sent, by runner; 0 for
                 other runners.
+            paths: Path to each runner; None if there are no gateways to go
+                through.
 
         Returns:
             The choice; None if there are no runners.
@@ -276,12 +265,17 @@
         if not endpoints:
             return None
         delays = delays or {}
+        if paths is None:
+            paths = {
+                runner.id: self.reach.find_path(runner.id, False, now)
+                for runner in endpoints
+            }
         order = self._rankings.rank((*endpoints, *leaving), wanted.parts)
         usable = {endpoint.id for endpoint in endpoints}
         home = next((runner.id for runner in order if runner.id in usable), "")
         pace = self.pace(wanted)
         predict = _predict_prompt if wanted.engine else _predict_plain
-        best_rank: tuple[bool, float, float] | None = None
+        best_rank: tuple[int, float, float] | None = None
         best = endpoints[0], _Predicted(0.0, 0, False)
         for candidate in endpoints:
             state = self.state(candidate.id)
@@ -290,8 +284,9 @@
                 predicted.seconds
                 + state.failure_rate * FAILURE_PENALTY_SECONDS
                 + delays.get(candidate.id, 0.0)
+                + paths[candidate.id].indirect * PEER_HOP_SECONDS
             )
-            rank = state.is_suspect(now), wait, rng.random()
+            rank = paths[candidate.id].rank, wait, rng.random()
             if best_rank is None or rank < best_rank:
                 best_rank, best = rank, (candidate, predicted)
         endpoint, (seconds, uncached_tokens, unloaded) = best
@@ -300,19 +295,20 @@
         reachable = (
             runner
             for runner in order
-            if not self.state(runner.id).is_suspect(now)
+            if not self.reach.is_lost(runner.id, now)
         )
         return Choice(
             endpoint,
             seconds,
             uncached_tokens,
-            state.is_suspect(now),
+            paths[endpoint.id].rank == LOST_RANK,
             unloaded,
             find_copy_source(reachable, endpoint, wanted.parts)
             if wanted.engine
             else None,
             delays.get(endpoint.id, 0.0),
             ahead * self.unloaded_paces.get(wanted.service, 0.0),
+            paths[endpoint.id].indirect,
         )
 
     def note_sent(
--- a/lagoonpost_standins/deployment.py
+++ b/lagoonpost_standins/deployment.py
@@ -17,7 +17,8 @@
         entry: For callers.
         ready: For readiness checks.
         directory: For directory queries.
-        peer: For gossip with other gateways.
+        peer: For gossip with other gateways. The port after it is for
+            connections to runners that other gateways ask for.
     """
 
     entry: Address
@@ -108,7 +109,7 @@
 zone = "{DOMAINS[(number - 1) % 3]}"
 region = "here"
 ip = "127.0.0.1"
-internal_ports = [{addresses.peer.port}, {addresses.peer.port}]
+internal_ports = [{addresses.peer.port}, {addresses.peer.port + 1}]
 seeds = [{seed_words}]
 [zones]
 domain-a = "here"
--- a/soak/system.py
+++ b/soak/system.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Self
 
-from bench.system import Process, find_port
+from bench.system import Process, find_port, find_port_pair
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address
 from lagoonpost.http.server import Server
@@ -185,8 +185,9 @@
         cloud: Address,
         peers: list[Address],
     ) -> None:
+        ports = (find_port(), find_port(), find_port(), find_port_pair())
         addresses = GatewayAddresses(
-            *(Address("127.0.0.1", find_port()) for _ in range(4))
+            *(Address("127.0.0.1", port) for port in ports)
         )
         path = self.folder / f"gateway-{number}.toml"
         path.write_text(
--- a/test/forwarding_stack.py
+++ b/test/forwarding_stack.py
@@ -8,7 +8,12 @@
 from tempfile import TemporaryDirectory
 from typing import Any, Self, TypeVar
 
-from bench.system import find_port, release_port
+from bench.system import (
+    find_port,
+    find_port_pair,
+    release_port,
+    release_port_pair,
+)
 from lagoonpost.forwarding.daemon import ForwardingDaemon
 from lagoonpost.http.client import Client, Stream
 from lagoonpost.http.message import Address, Headers, Response
@@ -128,11 +133,13 @@
     async def add_gateway(self) -> ForwardingDaemon:
         """Start one more gateway."""
         number = len(self.gateways) + 1
-        ports = [find_port() for _ in range(4)]
+        ports = [find_port() for _ in range(3)]
         for port in ports:
             self._exit.callback(release_port, port)
+        pair = find_port_pair()
+        self._exit.callback(release_port_pair, pair)
         addresses = GatewayAddresses(
-            *(Address("127.0.0.1", port) for port in ports)
+            *(Address("127.0.0.1", port) for port in (*ports, pair))
         )
         path = self.folder / f"gateway-{number}.toml"
         path.write_text(
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -155,7 +155,7 @@
     def test_an_unreachable_runner_is_passed_over_for_a_while(self):
         placement = Placement()
         runners = make_runners(2, "desk")
-        placement.state("desk-0").note_unreachable(10.0)
+        placement.reach.note_direct("desk-0", False, 10.0)
         chosen = {
             placement.choose(runners, CHECK, 10.2, Random(n)).endpoint.id
             for n in range(10)
@@ -170,7 +170,7 @@
     def test_the_last_runner_is_tried_even_if_it_was_not_reached(self):
         placement = Placement()
         runners = make_runners(1, "desk")
-        placement.state("desk-0").note_unreachable(10.0)
+        placement.reach.note_direct("desk-0", False, 10.0)
         assert placement.choose(runners, CHECK, 10.1, Random(1)) is not None
 
     def test_no_runner_at_all(self):
@@ -315,7 +315,7 @@
         placement = Placement()
         draft = make_draft("s1")
         for runner in runners[1:]:
-            placement.state(runner.id).note_unreachable(0.0)
+            placement.reach.note_direct(runner.id, False, 0.0)
         choice = placement.choose(runners, draft, 0.1, Random(1))
         assert choice is not None
         assert choice.copy_source is None
