--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -122,6 +122,7 @@
                 reach,
                 self._peer_key,
                 self._list_tunnel_peers,
+                self._note_runner_down,
                 rng,
             ),
         )
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -233,14 +233,12 @@
     ) -> None:
         """Record evidence for or against the request crashing its runners.
 
-        A broken answer counts against the request, an answer clears it, and
-        an unreachable runner confirms earlier broken answers.
+        A broken answer counts against the request once its runner is found
+        to be down, and an answer clears it.
         """
         runner = choice.endpoint.id
         if isinstance(outcome, Whole | Began):
             self.admission.crashes.note_answered(exchange.fingerprint)
-        elif isinstance(outcome, Unreachable):
-            self.admission.crashes.note_down(runner, exchange.now())
         elif isinstance(outcome, Broken):
             crash = BrokenAnswer(
                 exchange.fingerprint, runner, exchange.arrival.id
@@ -300,7 +298,7 @@
         group = self.shifts.choose_candidates(
             service, runners, self.cluster.count_gateways()
         )
-        return self.placement.choose(
+        choice = self.placement.choose(
             group,
             exchange.requirements,
             exchange.now(),
@@ -309,6 +307,13 @@
             {runner.id: delay for runner, delay in usable.items()},
             paths,
         )
+        # If no path is left that may work, one failed connection per request
+        # is enough: probes find out when a path works again.
+        if choice is None or not exchange.tried_paths:
+            return choice
+        runner, now = choice.endpoint.id, exchange.now()
+        lost = self.placement.reach.is_unreached(runner, now)
+        return None if lost and not choice.indirect else choice
 
     def _find_delays(self, exchange: Exchange) -> dict[Endpoint, float | None]:
         """Return the seconds until this gateway may send, by runner.
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -14,7 +14,9 @@
     DENIED,
     GATEWAY_UNABLE,
     KEY_HEADER,
+    OPENED,
     PURPOSE_HEADER,
+    RUNNER_UNREACHABLE,
     TunnelPurpose,
 )
 from lagoonpost.http.client import CallFailedError, Client, Socket
@@ -82,6 +84,7 @@
         reach: What this gateway knows of its paths to the runners.
         key: Key to show to other gateways.
         list_peers: Returns the gateways that may open connections.
+        on_down: Called with each runner that is found to be down.
         rng: Source of random choices.
     """
 
@@ -92,6 +95,7 @@
         reach: Reach,
         key: PeerKey,
         list_peers: Callable[[], list[TunnelPeer]],
+        on_down: Callable[[str], None],
         rng: random.Random,
     ) -> None:
         self._client = client
@@ -99,6 +103,7 @@
         self._reach = reach
         self._key = key
         self._list_peers = list_peers
+        self._on_down = on_down
         self._rng = rng
         self._peer_choice = PeerChoice()
         self._checks: dict[str, asyncio.Task[None]] = {}
@@ -147,7 +152,7 @@
             )
         except CallFailedError:
             self._reach.note_direct(endpoint.id, False, self._now())
-            self._test_indirect(endpoint.id)
+            self._find_out_if_down(endpoint.id)
             raise
         self._reach.note_direct(endpoint.id, True, self._now())
         return socket
@@ -179,46 +184,62 @@
             ),
         )
         peers = self._peer_choice.choose(self._list_peers(), began, self._rng)
+        found_down = False
         for peer in peers:
             if self._now() > began + MAX_SEARCH_SECONDS:
                 break
-            socket = await self._ask_peer(peer, request)
-            if socket is not None:
+            result = await self._ask_peer(peer, request)
+            if isinstance(result, Socket):
                 self._reach.note_indirect(runner, True, self._now())
-                return socket
+                return result
+            found_down |= result == RUNNER_UNREACHABLE
         self._reach.note_indirect(runner, False, self._now())
+        if found_down:
+            self._on_down(runner)
         detail = f"no gateway of {len(peers)} asked reaches runner {runner}"
         raise CallFailedError(detail, sent=False)
 
     async def _ask_peer(
         self, peer: TunnelPeer, request: TunnelRequest
-    ) -> Socket | None:
-        able = True
+    ) -> Socket | int:
+        """Return a connection to the runner, or the status of a refusal."""
+        status = GATEWAY_UNABLE
         try:
-            return await open_tunnel(
+            socket = await open_tunnel(
                 self._client,
                 peer.address,
                 request,
                 CONNECT_TIMEOUT_SECONDS,
                 ANSWER_TIMEOUT_SECONDS,
             )
+            status = OPENED
+            return socket
         except CallFailedError:
-            able = False
+            return status
         except TunnelRefusedError as error:
-            able = error.status not in _UNABLE
-            if error.status == DENIED:
+            status = error.status
+            if status == DENIED:
                 self._key.refresh()
+            return status
         finally:
+            able = status not in _UNABLE
             self._peer_choice.note(peer.name, able, self._now())
-        return None
 
     # Background checks of paths
 
-    def _test_indirect(self, runner: str) -> None:
-        """Find out in the background whether peers reach a runner."""
+    def _find_out_if_down(self, runner: str) -> None:
+        """Find out whether a runner is down or only the path to it is cut.
+
+        Peers are asked in the background. Without peers, and if they did not
+        reach the runner either a moment ago, it counts as down.
+        """
         now = self._now()
-        if self._reach.needs_test(runner, now) and self._has_peers(now):
-            self._start(runner, self._try_indirect(runner))
+        if self._reach.is_proven(runner):
+            return
+        if self._reach.is_down(runner, now) or not self._has_peers(now):
+            self._on_down(runner)
+            return
+        self._start(runner, self._try_indirect(runner))
 
     async def _try_indirect(self, runner: str) -> None:
         try:
--- a/lagoonpost/forwarding/tunnel_server.py
+++ b/lagoonpost/forwarding/tunnel_server.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from typing import Literal
 
-import eliot
 import h11
 
 from lagoonpost.forwarding.cluster_state import ClusterState
@@ -148,7 +147,7 @@
         if endpoint is None:
             return NOT_SERVED
         now = asyncio.get_running_loop().time
-        if self._reach.is_lost(endpoint.id, now()):
+        if self._reach.is_unreached(endpoint.id, now()):
             return RUNNER_UNREACHABLE
         try:
             socket = await self._client.connect(
@@ -172,13 +171,3 @@
         if endpoint not in self._view.find_runners(endpoint.service):
             return None
         return None if self._is_rolled_back(endpoint) else endpoint
-
-
-def log_opened(runner: str, peer: str, took: float) -> None:
-    """Write the log line of a connection through a peer."""
-    eliot.log_message(
-        message_type="lagoonpost:forwarding:tunnel",
-        runner=runner,
-        peer=peer,
-        took=round(took, 4),
-    )
--- a/lagoonpost/systems/reach.py
+++ b/lagoonpost/systems/reach.py
@@ -172,6 +172,11 @@
         """Return whether any path failed since it last worked."""
         return bool(self._runners)
 
+    def is_unreached(self, runner: str, now: float) -> bool:
+        """Return whether a runner was recently not reached directly."""
+        found = self._runners.get(runner)
+        return found is not None and found.direct.is_active(now)
+
     def is_lost(self, runner: str, now: float) -> bool:
         """Return whether a runner was recently not reached, or was silent."""
         found = self._runners.get(runner)
@@ -199,10 +204,13 @@
             return Path(True, max(rank, untested))
         return Path(False, LOST_RANK if lost else max(rank, UNTESTED_RANK))
 
-    def needs_test(self, runner: str, now: float) -> bool:
-        """Return whether to find out if peers reach a runner."""
-        found = self._find(runner)
-        return not found.proven and not found.indirect.is_active(now)
+    def is_proven(self, runner: str) -> bool:
+        """Return whether a peer was found to reach a runner."""
+        return self._find(runner).proven
+
+    def is_down(self, runner: str, now: float) -> bool:
+        """Return whether peers were found not to reach a runner either."""
+        return self._find(runner).indirect.is_active(now)
 
     def list_probes(
         self, known: Sequence[str], now: float, rng: Random
--- /dev/null
+++ b/test/test_tunnel.py
@@ -0,0 +1,224 @@
+"""Tests for tunnels through another process."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import h11
+import pytest
+
+from lagoonpost.http.client import CallFailedError, Client, Socket
+from lagoonpost.http.message import Address
+from lagoonpost.http.tunnel import (
+    KEEPALIVE_IDLE_SECONDS,
+    KEEPALIVE_INTERVAL_SECONDS,
+    KEEPALIVE_PROBES,
+    TunnelRefusedError,
+    TunnelRequest,
+    open_tunnel,
+    read_tunnel_request,
+    relay_tunnel,
+    send_tunnel_answer,
+    set_keepalive,
+)
+
+_T = TypeVar("_T")
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+UNFRAMED = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nthe answer"
+"""A response that ends with its connection."""
+
+
+class Between:
+    """A process that opens tunnels to one target.
+
+    Attributes:
+        status: Status of its answers.
+        task: The last tunnel.
+    """
+
+    def __init__(self, target: Address) -> None:
+        self.target = target
+        self.status = 200
+        self.task: asyncio.Task[None] | None = None
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.task = asyncio.current_task()
+        connection = h11.Connection(h11.SERVER)
+        request = await read_tunnel_request(connection, reader)
+        assert request is not None
+        await send_tunnel_answer(connection, writer, self.status)
+        if self.status != 200:
+            writer.close()
+            return
+        far = await Client().connect(self.target, 1.0)
+        try:
+            await relay_tunnel(Socket(reader, writer), far)
+        except asyncio.CancelledError:
+            writer.close()
+
+
+async def listen(serve: Serve) -> Address:
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return Address("127.0.0.1", server.sockets[0].getsockname()[1])
+
+
+async def call_through(
+    serve: Serve, body: bytes = b"", status: int = 200
+) -> tuple[int, bytes]:
+    """Call a target through a tunnel; return the response."""
+    target = await listen(serve)
+    between = Between(target)
+    between.status = status
+    client = Client()
+    outer = await open_tunnel(
+        client,
+        await listen(between.serve),
+        TunnelRequest("target", (("peer-key", "k"),)),
+        1.0,
+        1.0,
+    )
+    stream = client.send(outer, target, "POST", "/", body, (), reusable=False)
+    async with stream:
+        await stream.receive_head()
+        response = await stream.read()
+        return response.status, response.body
+
+
+class TestTunnel:
+    def test_bytes_pass_both_ways(self):
+        body = bytes(range(256)) * 4000
+
+        async def echo(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            data = await reader.readexactly(len(body))
+            assert head.startswith(b"POST / HTTP/1.1\r\n")
+            length = b"content-length: %d\r\n\r\n" % len(data)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + length + data)
+            await writer.drain()
+
+        assert asyncio.run(call_through(echo, body)) == (200, body)
+
+    def test_a_response_may_end_with_its_connection(self):
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(UNFRAMED)
+            writer.close()
+
+        found = asyncio.run(call_through(answer))
+        assert found == (200, b"the answer")
+
+    def test_a_reset_target_leaves_no_complete_response(self):
+        """Guards against taking a broken answer without length for whole."""
+
+        async def reset(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(UNFRAMED)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+        with pytest.raises(CallFailedError):
+            asyncio.run(call_through(reset))
+
+    def test_an_end_of_the_process_between_leaves_no_complete_response(self):
+        """Guards against the same as that process ends and closes politely."""
+
+        async def scenario():
+            async def answer(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(UNFRAMED)
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                between.task.cancel()
+
+            target = await listen(answer)
+            between = Between(target)
+            client = Client()
+            outer = await open_tunnel(
+                client,
+                await listen(between.serve),
+                TunnelRequest("target", ()),
+                1.0,
+                1.0,
+            )
+            async with client.send(
+                outer, target, "GET", "/", reusable=False
+            ) as stream:
+                await stream.receive_head()
+                await stream.read()
+
+        with pytest.raises(CallFailedError):
+            asyncio.run(scenario())
+
+    def test_an_answer_before_the_body_was_read_arrives(self):
+        """Guards against losing the answer to a long request."""
+
+        async def refuse(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 413 Too Large\r\ncontent-length: 2\r\n\r\nno"
+            )
+            await writer.drain()
+            await asyncio.sleep(0.2)
+            writer.close()
+
+        found = asyncio.run(call_through(refuse, b"x" * 8_000_000))
+        assert found == (413, b"no")
+
+    def test_a_refusal_says_that_nothing_was_sent(self):
+        async def never(reader, writer):
+            raise AssertionError("the target was connected")
+
+        with pytest.raises(TunnelRefusedError) as caught:
+            asyncio.run(call_through(never, status=503))
+        assert caught.value.status == 503
+
+    def test_no_answer_says_that_nothing_was_sent(self):
+        async def keep_silent(reader, writer):
+            await asyncio.sleep(5.0)
+
+        async def scenario():
+            address = await listen(keep_silent)
+            request = TunnelRequest("target", ())
+            await open_tunnel(Client(), address, request, 1.0, 0.05)
+
+        with pytest.raises(CallFailedError) as caught:
+            asyncio.run(scenario())
+        assert not caught.value.sent
+
+
+class TestKeepalive:
+    def test_the_user_timeout_lets_all_probes_be_sent(self):
+        """Guards against a user timeout that ends probing early.
+
+        Linux closes the connection once it has passed and a probe is
+        unanswered, whatever the number of probes.
+        """
+
+        async def scenario():
+            address = await listen(lambda reader, writer: asyncio.sleep(1.0))
+            outer = await Client().connect(address, 1.0)
+            set_keepalive(outer.writer)
+            sock = outer.writer.get_extra_info("socket")
+            return [
+                sock.getsockopt(socket.IPPROTO_TCP, option)
+                for option in (
+                    socket.TCP_KEEPIDLE,
+                    socket.TCP_KEEPINTVL,
+                    socket.TCP_KEEPCNT,
+                    socket.TCP_USER_TIMEOUT,
+                )
+            ]
+
+        idle, interval, probes, timeout = asyncio.run(scenario())
+        assert idle == KEEPALIVE_IDLE_SECONDS
+        assert interval == KEEPALIVE_INTERVAL_SECONDS
+        assert probes == KEEPALIVE_PROBES
+        assert timeout >= 1000 * (idle + probes * interval)
