Keep runners that say they are brittle from falling over

Runners that answer with Server-Brittle fall over if they have to turn away more than a few requests a second.

Gateways now divide most of the slots of such runners among themselves, borrow what the reports show as free, pause at a runner that turned a request away, wait up to 0.4 s for room and then refuse as not run. TestForwarding, over two gateways and real sockets, was red before (runners fell over, 502) and passes.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -104,6 +104,7 @@
         usage = UsageCounter(bounds.usage_window, wall_clock)
         self._usage = usage
         self._forwarder = Forwarder(
+            settings.name,
             self.view,
             self._client,
             usage,
@@ -430,8 +431,10 @@
     async def _run_maintenance(self) -> None:
         while True:
             await sleep_aligned(MAINTENANCE_INTERVAL_SECONDS)
-            self._forwarder.placement.update_from_peers(
-                self._cluster.reports.sum_peer_work()
+            peer_work = self._cluster.reports.sum_peer_work()
+            self._forwarder.note_peer_work(
+                peer_work,
+                [member.name for member in self._cluster.peers.members()],
             )
             self._cluster.publish_store_lost(self._follower.lost)
             self.view.cold_starts.note_gateways(
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -49,6 +49,8 @@
         tried_paths: Runners that could not be reached, and whether on the
             path through another gateway.
         offer_count: Number of offers to runners, reached or not.
+        waits_for_room: Whether all runners left are brittle and full.
+        room_wait: Seconds waited for room at one of them.
         reached_count: Number of runners that the request may have reached.
         run_count: Number of runners that may have run the request.
         last_event: Id of the last event passed on to the caller.
@@ -83,6 +85,8 @@
         self.tried_runners: set[str] = set()
         self.tried_paths: set[tuple[str, bool]] = set()
         self.offer_count = 0
+        self.waits_for_room = False
+        self.room_wait = 0.0
         self.reached_count = 0
         self.run_count = 0
         self.last_event = arrival.last_event
@@ -186,9 +190,7 @@
                 self.last_refusal = self._refuse("unreachable", detail)
             case NotRun():
                 self.reached_count += 1
-                self.last_refusal = self._refuse(
-                    "runners_full", "the runners of the service are full"
-                )
+                self.note_no_room()
             case Broken() | Silent():
                 self.reached_count += 1
                 self.run_count += 1
@@ -199,6 +201,12 @@
                 self.run_count += 1
                 self.may_have_run = True
 
+    def note_no_room(self) -> None:
+        """Record that no runner has room for the request."""
+        self.last_refusal = self._refuse(
+            "runners_full", "the runners of the service are full"
+        )
+
     def _refuse(self, reason: str, detail: str) -> Refusal:
         # Once a runner may have run the request, no refusal may claim that
         # it has not run.
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 
 from lagoonpost.forwarding.admission import Admission
 from lagoonpost.forwarding.attempt import (
@@ -40,9 +40,11 @@
     AddedHeaders,
     make_response_headers,
     parse_request_headers,
+    read_brittle_threshold,
 )
 from lagoonpost.platform.kv_cache import KvCacheClient
 from lagoonpost.store.clock import read_clock
+from lagoonpost.systems.brittle import BrittleRunners
 from lagoonpost.systems.budget import RetryBudget
 from lagoonpost.systems.overload import find_retry_delay
 from lagoonpost.systems.placement import Choice, Placement
@@ -50,6 +52,7 @@
 from lagoonpost.systems.reach import Reach
 from lagoonpost.tables.bounds import Bounds
 from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.gateway_report import RunnerWork
 from lagoonpost.tables.kv_copy import KvCopy
 
 MAX_RUNNERS_PER_REQUEST = 4
@@ -67,11 +70,18 @@
 deadline. Callers of checks wait for one second in total, and another runner
 needs part of it."""
 
+MAX_ROOM_WAIT_SECONDS, ROOM_WAIT_SHARE = 0.4, 0.25
+"""Longest wait for room at a brittle runner, in seconds and relative to the
+request's time. Reports of free slots come as often."""
+ROOM_POLL_SECONDS = 0.04
+"""Pause between looks for room at a brittle runner."""
+
 
 class Forwarder:
     """Handles callers' requests.
 
     Args:
+        name: Name of this gateway.
         view: Local view of the configuration and the runners.
         client: HTTP client.
         usage: Counts of started requests by workspace.
@@ -87,6 +97,7 @@
         shifts: Services that shift to another version.
         placement: Chooses runners by their load.
         paths: Opens connections to runners.
+        brittle: Limits for runners that fall over when they are full.
         migrations: Streams in flight and their moves to other runners.
         prompt_tokens: Prompt tokens sent to runners that were not in their
             caches, by service.
@@ -94,6 +105,7 @@
 
     def __init__(
         self,
+        name: str,
         view: ClusterState,
         client: Client,
         usage: UsageCounter,
@@ -114,6 +126,7 @@
         self.shifts: VersionShifts
         self.placement = Placement()
         self.paths = make_paths(self.placement.reach)
+        self.brittle = BrittleRunners(name, rng)
         self.migrations = Migrations(
             view,
             self.placement,
@@ -126,6 +139,24 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._configuration_deadline: float | None = None
 
+    def note_peer_work(
+        self, work: Mapping[str, RunnerWork], gateways: Sequence[str]
+    ) -> None:
+        """Apply the newest reports of the other gateways.
+
+        Args:
+            work: Their open work by runner.
+            gateways: Names of the gateways that are running.
+        """
+        self.placement.update_from_peers(work)
+        own = self.placement.report() if self.brittle.has_any() else {}
+        self.brittle.note_reports(
+            gateways,
+            {id_: each.requests for id_, each in own.items()},
+            {id_: each.requests for id_, each in work.items()},
+            asyncio.get_running_loop().time(),
+        )
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Apply new bounds and start with fresh retry budgets."""
         if bounds == self._bounds:
@@ -194,6 +225,8 @@
         moved: Moved | None = None
         while True:
             choice = self._choose_runner(exchange, moved)
+            if choice is None and await self._wait_for_room(exchange):
+                continue
             if choice is None:
                 return await self._give_up(exchange, responder)
             overload = self._find_overload(exchange, choice)
@@ -290,6 +323,8 @@
             if delay is not None
             and exchange.may_offer(runner.id, paths[runner.id].indirect)
         }
+        if self.brittle.has_any():
+            usable = self._drop_full(usable, exchange)
         # A turn at a cold runner is worth waiting for only if no other runner
         # is left.
         ready = [runner for runner, delay in usable.items() if not delay]
@@ -315,6 +350,40 @@
         lost = self.placement.reach.is_unreached(runner, now)
         return None if lost and not choice.indirect else choice
 
+    def _drop_full(
+        self, runners: dict[Endpoint, float], exchange: Exchange
+    ) -> dict[Endpoint, float]:
+        """Leave out brittle runners to which no more may be sent now."""
+        now = exchange.now()
+        kept = {
+            runner: delay
+            for runner, delay in runners.items()
+            if self.brittle.may_send(
+                runner, self.placement.state(runner.id).requests, now
+            )
+        }
+        exchange.waits_for_room = bool(runners) and not kept
+        return kept
+
+    async def _wait_for_room(self, exchange: Exchange) -> bool:
+        """Wait a little for room at a brittle runner.
+
+        Returns:
+            Whether to look again.
+        """
+        if not exchange.waits_for_room:
+            return False
+        longest = min(
+            MAX_ROOM_WAIT_SECONDS,
+            ROOM_WAIT_SHARE * (exchange.deadline - exchange.started),
+        )
+        if exchange.room_wait >= longest:
+            exchange.note_no_room()
+            return False
+        exchange.room_wait += ROOM_POLL_SECONDS
+        await asyncio.sleep(ROOM_POLL_SECONDS)
+        return True
+
     def _find_delays(self, exchange: Exchange) -> dict[Endpoint, float | None]:
         """Return the seconds until this gateway may send, by runner.
 
@@ -454,6 +523,7 @@
             case Began():
                 reach.note_answered(choice.endpoint.id)
                 state.note_outcome(False)
+        self._note_brittle(choice, outcome, now)
         if not isinstance(outcome, Unreachable | NotRun):
             self.shifts.note_answer(
                 choice.endpoint,
@@ -470,6 +540,24 @@
             if isinstance(outcome, Began):
                 self._count_prompt(exchange, choice)
 
+    def _note_brittle(
+        self, choice: Choice, outcome: Outcome, now: float
+    ) -> None:
+        """Record whether the runners of a service are brittle."""
+        match outcome:
+            case NotRun(_, headers):
+                pass
+            case Whole(response):
+                headers = response.headers
+            case Began(call):
+                headers = call.headers
+            case _:
+                return
+        threshold = read_brittle_threshold(headers)
+        self.brittle.note_answer(choice.endpoint.service, threshold, now)
+        if isinstance(outcome, NotRun):
+            self.brittle.note_refused(choice.endpoint, now)
+
     def _count_prompt(self, exchange: Exchange, choice: Choice) -> None:
         service = exchange.requirements.service
         before = self.prompt_tokens.get(service, 0)
--- a/lagoonpost/platform/headers.py
+++ b/lagoonpost/platform/headers.py
@@ -22,6 +22,7 @@
 SAVED_RUN = "kv-from"
 CACHE_HOLDER = "kv-fetch"
 LENGTH_HINT = "length-hint"
+BRITTLE = "server-brittle"
 READY_PATH = "/v1/ready"
 RESOLVE_PATH = "/v1/resolve"
 MISDIRECTED = 421
@@ -152,6 +153,18 @@
     return find_header(headers, NOT_EXECUTED) is not None
 
 
+def read_brittle_threshold(headers: Headers) -> float | None:
+    """Return the refusals a second beyond which the runner falls over.
+
+    None if the runner doesn't say that it is brittle.
+    """
+    text = find_header(headers, BRITTLE)
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
+
+
 def is_answer_to(headers: Headers, request_id: str) -> bool:
     """Return whether a response echoes this request id or none."""
     echoed = find_header(headers, REQUEST_ID)
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -3,11 +3,12 @@
 import asyncio
 import json
 import time
-from collections import Counter
+from collections import Counter, deque
 from typing import ClassVar, Literal, NamedTuple
 
 from lagoonpost.http.message import (
     Address,
+    Headers,
     Request,
     Response,
     make_json_response,
@@ -53,6 +54,12 @@
     "no_room": 503,
 }
 
+DEFAULT_ROOM = 10
+"""Requests that a brittle runner accepts at once: its slots and a few that
+wait."""
+FALL_SECONDS = 1.0
+"""Time for which a runner that has fallen over ends each connection."""
+
 
 class KvCopy(NamedTuple):
     """The KV cache of a run, copied to the runner at ``target``."""
@@ -92,6 +99,10 @@
         move_fault: Injected fault for moves from this runner.
         copies: Unused KV copies of all runners, by handle.
         freed_handles: Handles of copies that this runner was told to free.
+        brittle: Refusals a second beyond which the runner falls over, which
+            it says in all its answers; 0 if it stands any number.
+        room: Requests that a brittle runner accepts at once.
+        falls: How often it has fallen over.
     """
 
     copies: ClassVar[dict[str, KvCopy]] = {}
@@ -102,6 +113,12 @@
         self.move_fault: MoveFault = "none"
         self.freed_handles: list[str] = []
         self._stopped: dict[str, bool] = {}
+        self.brittle = 0
+        self.room = DEFAULT_ROOM
+        self.falls = 0
+        self._accepted = 0
+        self._refusals: deque[float] = deque()
+        self._down_until = 0.0
         self.pause = 0.0
         self.events = events
         self.received: list[ReceivedRequest] = []
@@ -128,6 +145,8 @@
             self.freed_handles.append(request.path.rpartition("/")[2])
             await responder.send(Response(200))
             return
+        if time.monotonic() < self._down_until:
+            return
         attempt = request.header("attempt-id") or ""
         refusal = self._refuse(request)
         self.received.append(
@@ -140,20 +159,41 @@
             return
         # A request that resumes from a KV copy continues the same run.
         self.runs[attempt] += request.header("kv-from") is None
+        self._accepted += 1
         try:
             await self._run(request, responder)
         except asyncio.CancelledError:
             self.cancelled.append(attempt)
             raise
+        finally:
+            self._accepted -= 1
 
     def _refuse(self, request: Request) -> Response | None:
         expected = request.header("target-instance")
         if expected not in (None, self.id):
             return Response(421, (("instance-id", self.id),))
         if self.fault == "full" or not self._has_copy(request):
-            return Response(503, (("not-executed", "1"),))
+            return Response(503, (("not-executed", "1"), *self._tell()))
+        if self.brittle and self._accepted >= self.room:
+            self._note_refusal()
+            return Response(503, (("not-executed", "1"), *self._tell()))
         return None
 
+    def _tell(self) -> Headers:
+        """Return the header by which the runner says that it is brittle."""
+        return (("server-brittle", str(self.brittle)),) if self.brittle else ()
+
+    def _note_refusal(self) -> None:
+        """Count a refusal, and fall over if there were too many."""
+        now = time.monotonic()
+        self._refusals.append(now)
+        while self._refusals[0] < now - 1.0:
+            self._refusals.popleft()
+        if len(self._refusals) > self.brittle:
+            self.falls += 1
+            self._refusals.clear()
+            self._down_until = now + FALL_SECONDS
+
     def _has_copy(self, request: Request) -> bool:
         """Consume the KV copy that a request names.
 
@@ -198,6 +238,7 @@
         headers = (
             ("attempt-id", attempt),
             ("response-signature", f"signed-{self.id}-{attempt}"),
+            *self._tell(),
         )
         if self.fault == "fail":
             await responder.send(Response(500, headers, b"failed"))
