Wait for a runner that is silent for a second or so

A sound runner may fall silent for a second and go on. A stream was resumed at another runner after 1.2 s without a byte, and after 1.0 s before its first byte: the runner before may not notice that its caller has left, and the same run went on at two runners. Now both waits are 1.8 s; callers give up after two seconds or more. The test plays silences of 1.5 s before and within a stream: two runs before, one now.

--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -28,7 +28,7 @@
     Refusal,
     make_refusal,
 )
-from lagoonpost.forwarding.relay import relay
+from lagoonpost.forwarding.relay import STREAM_IDLE_TIMEOUT_SECONDS, relay
 from lagoonpost.forwarding.request_log import log_unreachable
 from lagoonpost.forwarding.runner_paths import RunnerClient, RunnerPaths
 from lagoonpost.forwarding.usage_counter import UsageCounter
@@ -62,7 +62,7 @@
 """Time from the first request after a start during which requests wait for
 the first configuration, which usually arrives some hundredths of a second
 later."""
-MIN_FIRST_BYTE_TIMEOUT_SECONDS = 1.0
+MIN_FIRST_BYTE_TIMEOUT_SECONDS = STREAM_IDLE_TIMEOUT_SECONDS
 """Shortest wait for the first byte before another runner is tried, unless the
 deadline is too close."""
 FIRST_BYTE_TIMEOUT_SHARE = 0.5
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -15,9 +15,9 @@
 from lagoonpost.platform.headers import make_response_headers
 from lagoonpost.systems.placement import Choice
 
-STREAM_IDLE_TIMEOUT_SECONDS = 1.2
-"""Pause in a stream after which its runner is considered lost: four times the
-longest acceptable pause. Callers give up after two seconds or more."""
+STREAM_IDLE_TIMEOUT_SECONDS = 1.8
+"""Pause in a stream after which its runner is considered lost. A sound runner
+may be silent for a second or so; callers give up after two seconds or more."""
 
 
 async def relay(
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -28,6 +28,8 @@
     "break_off",
     "break_within",
     "silent_midway",
+    "pause_first",
+    "pause_midway",
     "crash",
 ]
 """Faults of a runner:
@@ -40,6 +42,8 @@
 - rude: sends bytes that are not HTTP
 - break_off, break_within: ends a stream between events or within one
 - silent_midway: stops sending in the middle of a stream
+- pause_first, pause_midway: is silent for a second or so before the answer or
+  in the middle of a stream, and goes on
 - crash: closes the connection of each request that it starts to run
 """
 
@@ -54,6 +58,8 @@
     "no_room": 503,
 }
 
+PAUSE_SECONDS = 1.5
+"""Silence of a sound runner."""
 DEFAULT_ROOM = 10
 """Requests that a brittle runner accepts at once: its slots and a few that
 wait."""
@@ -229,6 +235,8 @@
         if self.fault == "hang":
             await asyncio.sleep(3600)
         await asyncio.sleep(self.pause)
+        if self.fault == "pause_first":
+            await asyncio.sleep(PAUSE_SECONDS)
         if self.fault in ("reset_after", "crash"):
             return
         if self.fault == "rude":
@@ -293,6 +301,8 @@
                 return
             if number > broken_at and self.fault == "silent_midway":
                 await asyncio.sleep(3600)
+            if number == broken_at + 1 and self.fault == "pause_midway":
+                await asyncio.sleep(PAUSE_SECONDS)
             event = make_event(request.target, number)
             if number > broken_at and self.fault == "break_within":
                 await responder.write(event[: len(event) // 2])
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -420,6 +420,22 @@
         signatures = {a.header("response-signature") for a in answers}
         assert len(signatures) == len(answers)
 
+    @pytest.mark.parametrize("fault", ["pause_first", "pause_midway"])
+    def test_a_sound_runner_may_be_silent_for_a_second(self, fault):
+        """Guards against a second run beside one that goes on.
+
+        A runner that is silent may not notice that its caller has left, and
+        work on while another one runs the same request.
+        """
+
+        async def scenario(stack: Stack):
+            stack.set_fault(fault, "chat")
+            headers = (*make_prompt(), ("attempt-id", "a-1"))
+            answer = await stack.call("/draft/1", "POST", headers=headers)
+            return answer.body, stack.count_runs("a-1")
+
+        assert play(scenario) == (make_stream("/draft/1"), 1)
+
     def test_a_stream_that_may_not_be_resumed_is_aborted(self):
         async def scenario(stack: Stack):
             stack.set_fault("break_within", "chat")
