Draw partitions, brittle runners and silent seconds in the soak; margins for them

The soak starts gateways through soak.gateway, in which connections to runners can be refused or hang; proxies can only end what they have accepted. Runners have two slots, so that its callers fill them, and may be brittle or silent for a second. lagoonpost margins tells what was served at partitioned gateways, refusals of brittle runners, the shortest silence after which a stream's runner was given up, and how tunnels are probed.

--- a/bench/system.py
+++ b/bench/system.py
@@ -103,10 +103,18 @@
         name: Name of the process.
         arguments: Module name and its arguments.
         log: File that receives standard output and standard error.
+        environment: Further environment variables.
     """
 
-    def __init__(self, name: str, arguments: list[str], log: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        log: Path,
+        environment: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
+        self._environment = environment or {}
         self._arguments = arguments
         self.log = log
         self._output: IO[bytes] | None = None
@@ -124,6 +132,7 @@
         environment = {
             **os.environ,
             "LAGOONPOST_SIGNING_KEY": "not-a-secret-for-trying-out",
+            **self._environment,
         }
         self._popen = subprocess.Popen(
             [sys.executable, "-m", *self._arguments],
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -41,6 +41,7 @@
 from lagoonpost.http.message import Address
 from lagoonpost.http.responder import Limits
 from lagoonpost.http.server import Server
+from lagoonpost.http.tunnel import describe_keepalive
 from lagoonpost.peers.node import make_clock
 from lagoonpost.platform.cloud import CloudClient
 from lagoonpost.platform.settings import HostSettings
@@ -261,6 +262,7 @@
             message_type="lagoonpost:forwarding:started",
             settings=settings._asdict(),
             run=self._cluster.reports.run_id,
+            keepalive=describe_keepalive(),
         )
 
     async def _serve(self, server: Server, address: Address) -> None:
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -29,7 +29,11 @@
     make_refusal,
 )
 from lagoonpost.forwarding.relay import STREAM_IDLE_TIMEOUT_SECONDS, relay
-from lagoonpost.forwarding.request_log import log_unreachable
+from lagoonpost.forwarding.request_log import (
+    log_brittle_refusal,
+    log_silent,
+    log_unreachable,
+)
 from lagoonpost.forwarding.runner_paths import RunnerClient, RunnerPaths
 from lagoonpost.forwarding.usage_counter import UsageCounter
 from lagoonpost.forwarding.version_shifts import VersionShifts
@@ -514,8 +518,9 @@
                 log_unreachable(choice, detail, took)
             case NotRun() | Broken():
                 state.note_outcome(True)
-            case Silent():
+            case Silent(seconds):
                 state.note_outcome(True)
+                log_silent(choice, seconds, exchange.requirements.engine)
                 reach.note_silent(choice.endpoint.id, now)
             case Whole(response):
                 reach.note_answered(choice.endpoint.id)
@@ -555,8 +560,9 @@
                 return
         threshold = read_brittle_threshold(headers)
         self.brittle.note_answer(choice.endpoint.service, threshold, now)
-        if isinstance(outcome, NotRun):
+        if isinstance(outcome, NotRun) and threshold is not None:
             self.brittle.note_refused(choice.endpoint, now)
+            log_brittle_refusal(choice, threshold)
 
     def _count_prompt(self, exchange: Exchange, choice: Choice) -> None:
         service = exchange.requirements.service
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -37,10 +37,41 @@
     eliot.log_message(
         message_type="lagoonpost:forwarding:unreachable",
         runner=choice.endpoint.id,
+        indirect=choice.indirect,
         detail=detail,
         took=_round(took),
     )
 
 
+def log_silent(choice: Choice, seconds: float, stream: bool) -> None:
+    """Write the log line of a runner that was given up as silent.
+
+    Args:
+        choice: The runner.
+        seconds: Seconds without a byte.
+        stream: Whether the request is one for a stream.
+    """
+    eliot.log_message(
+        message_type="lagoonpost:forwarding:silent",
+        runner=choice.endpoint.id,
+        seconds=_round(seconds),
+        stream=stream,
+    )
+
+
+def log_brittle_refusal(choice: Choice, threshold: float) -> None:
+    """Write the log line of a request that a brittle runner turned away.
+
+    Args:
+        choice: The runner.
+        threshold: Refusals a second beyond which it falls over.
+    """
+    eliot.log_message(
+        message_type="lagoonpost:forwarding:brittle_refusal",
+        runner=choice.endpoint.id,
+        threshold=threshold,
+    )
+
+
 def _round(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 4)
--- a/lagoonpost/http/tunnel.py
+++ b/lagoonpost/http/tunnel.py
@@ -81,6 +81,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def describe_keepalive() -> dict[str, float]:
+    """Return how tunnels are probed, in seconds, for the log."""
+    return {
+        "idle": KEEPALIVE_IDLE_SECONDS,
+        "interval": KEEPALIVE_INTERVAL_SECONDS,
+        "probes": KEEPALIVE_PROBES,
+        "user_timeout": USER_TIMEOUT_SECONDS,
+    }
+
+
 class _FrameReader(asyncio.StreamReader):
     """Reads the target's bytes out of the frames of a tunnel."""
 
--- a/lagoonpost/margins/line.py
+++ b/lagoonpost/margins/line.py
@@ -16,14 +16,32 @@
     timestamp: float = 0.0
 
 
+class Keepalive(msgspec.Struct, gc=False):
+    """How a gateway probes its tunnels.
+
+    Attributes:
+        idle: Seconds without a byte until the first probe.
+        interval: Seconds between probes.
+        probes: Unanswered probes until the other end is gone.
+        user_timeout: Seconds without an acknowledgement until then.
+    """
+
+    idle: float
+    interval: float
+    probes: int
+    user_timeout: float
+
+
 class Started(Message, kw_only=True, gc=False):
     """A gateway started.
 
     Attributes:
         settings: Settings with which it started.
+        keepalive: How it probes its tunnels; None in logs without it.
     """
 
     settings: dict[str, Any]
+    keepalive: Keepalive | None = None
 
 
 class DutyCall(Message, kw_only=True, gc=False):
@@ -114,6 +132,42 @@
     quota: tuple[float, ...] = ()
 
 
+class PartitionChange(Message, kw_only=True, gc=False):
+    """A gateway lost its path to the runners, or has it again.
+
+    Attributes:
+        partitioned: Whether it has no path after the change.
+    """
+
+    partitioned: bool
+
+
+class BrittleRefusal(Message, kw_only=True, gc=False):
+    """A brittle runner turned a request away.
+
+    Attributes:
+        runner: Id of the runner.
+        threshold: Refusals a second beyond which it falls over.
+    """
+
+    runner: str
+    threshold: float
+
+
+class SilentRunner(Message, kw_only=True, gc=False):
+    """A gateway gave up waiting for a runner.
+
+    Attributes:
+        runner: Id of the runner.
+        seconds: Seconds without a byte.
+        stream: Whether the request is one for a stream.
+    """
+
+    runner: str
+    seconds: float
+    stream: bool
+
+
 class Dropped(Message, kw_only=True, gc=False):
     """Log lines were dropped because the consumer was too slow.
 
@@ -132,6 +186,9 @@
     "lagoonpost:belief:runner": RunnerUpdate,
     "lagoonpost:belief:configuration": ConfigurationUpdate,
     "lagoonpost:forwarding:request": RequestEnd,
+    "lagoonpost:forwarding:partitioned": PartitionChange,
+    "lagoonpost:forwarding:brittle_refusal": BrittleRefusal,
+    "lagoonpost:forwarding:silent": SilentRunner,
     "lagoonpost:log:dropped": Dropped,
 }
 """Message classes by log message type; other types are ignored."""
--- a/lagoonpost/margins/rules.py
+++ b/lagoonpost/margins/rules.py
@@ -11,15 +11,24 @@
     list_tenures,
 )
 from lagoonpost.margins.line import (
+    BrittleRefusal,
     ConfigurationUpdate,
     DutyCall,
     LeaseChange,
+    PartitionChange,
     RequestEnd,
     RunnerUpdate,
+    SilentRunner,
     Started,
 )
 from lagoonpost.margins.log_reader import Logs
 from lagoonpost.margins.margin import Margin
+from lagoonpost.margins.partition import (
+    find_brittle_refusals,
+    find_keepalive,
+    find_partition_service,
+    find_shortest_silence,
+)
 from lagoonpost.margins.quota import find_quota_use
 from lagoonpost.margins.staleness import (
     find_late_offer,
@@ -81,9 +90,21 @@
     return [find_quota_use(logs.find(RequestEnd), window, overage, slack)]
 
 
+def _find_runner_care(logs: Logs) -> list[Margin]:
+    contact = logs.find_bound("contact_seconds")
+    changes = logs.find(PartitionChange)
+    return [
+        find_partition_service(changes, logs.find(RequestEnd), contact),
+        find_brittle_refusals(logs.find(BrittleRefusal)),
+        find_shortest_silence(logs.find(SilentRunner)),
+        find_keepalive(logs.find(Started)),
+    ]
+
+
 _FINDERS: tuple[Finder, ...] = (
     _find_calls,
     _find_leases,
     _find_staleness,
     _find_quota_use,
+    _find_runner_care,
 )
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 from soak.promises import (
     check_applied_in_time,
     check_attempts,
+    check_brittle_runners,
     check_configuration,
     check_draining,
     check_duties,
@@ -79,6 +80,7 @@
         findings += check_configuration(callers)
         findings += check_applied_in_time(system, callers)
         findings += check_duties(system)
+        findings += check_brittle_runners(system)
         findings += await check_recovery(system, callers)
         if findings:
             _save_findings(system, seed, findings, keep)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,9 +9,10 @@
 
 from lagoonpost_standins.rows import Outage
 from lagoonpost_standins.runner import RunnerFault
+from soak.gateway import write_cut
 from soak.proxy import LinkFault, Proxy
-from soak.record import Span
-from soak.system import DRAIN_SECONDS, RunnerSlot, SoakSystem
+from soak.record import Falls, Span
+from soak.system import DRAIN_SECONDS, SLOTS, RunnerSlot, SoakSystem
 
 QUIET_START_SECONDS = 0.5
 """Time without faults at the start."""
@@ -20,6 +21,12 @@
 OUTAGE_DURATION_FACTOR = 3.0
 """Factor on the duration of store outages, so that some of them outlast
 several of the gateways' calls."""
+PARTITION_DURATION_FACTOR = 2.0
+"""Factor on the duration of partitions, so that direct paths are probed
+several times."""
+BRITTLE_WAITING, BRITTLE_REFUSALS = 2, 4
+"""Requests that may wait at a brittle runner, and refusals a second beyond
+which it falls over."""
 STOP_TIMEOUT_SECONDS = 12.0
 """Longest wait for a gateway to stop: 1.5 times its grace period."""
 RESTART_DELAY_SECONDS = 0.5
@@ -270,6 +277,44 @@
     return runner.id
 
 
+async def _cut_runners(
+    system: SoakSystem, step: PlannedFault, rng: Random
+) -> str:
+    """Cut the path of half of the gateways to runners, mostly to all."""
+    numbers = rng.sample(
+        range(len(system.gateways)), max(1, len(system.gateways) // 2)
+    )
+    mode = rng.choice(["refuse", "hang"])
+    addresses = [str(slot.proxy.address) for slot in system.runners]
+    if rng.random() < 0.3:
+        addresses = rng.sample(addresses, len(addresses) // 2)
+    for number in numbers:
+        write_cut(system.cuts[number], mode, addresses)
+    await asyncio.sleep(PARTITION_DURATION_FACTOR * step.seconds)
+    for number in numbers:
+        system.cuts[number].unlink(missing_ok=True)
+    return "half"
+
+
+async def _make_brittle(
+    system: SoakSystem, step: PlannedFault, rng: Random
+) -> str:
+    """Let the runners of a service say that they are brittle."""
+    service = rng.choice(["chat", "desk"])
+    slots = [slot for slot in system.runners if slot.service == service]
+    begin, falls = time.monotonic(), system.count_falls(service)
+    for slot in slots:
+        slot.runner.room = SLOTS + BRITTLE_WAITING
+        slot.runner.brittle = BRITTLE_REFUSALS
+    await asyncio.sleep(step.seconds)
+    for slot in slots:
+        for runner in slot.all_runners():
+            runner.brittle = 0
+    number = system.count_falls(service) - falls
+    system.falls.append(Falls(service, begin, time.monotonic(), number))
+    return service
+
+
 async def _crash_runner(
     system: SoakSystem, step: PlannedFault, rng: Random
 ) -> str:
@@ -323,6 +368,8 @@
     "change": _change_configuration,
     "compact": _compact_store,
     "crash": _crash_runner,
+    "brittle": _make_brittle,
+    "cut_runners": _cut_runners,
     "cut_store": _disturb_store_link,
     "drill": _restore_store,
     "fault": _inject_runner_fault,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -32,12 +32,15 @@
     "drill",
 }
 """Faults that may delay updates from the store to the gateways."""
-RUNNER_FAULTS = frozenset(("crash", "fault", "harm_runner"))
+RUNNER_FAULTS = frozenset(("crash", "fault", "harm_runner", "brittle"))
 MIN_SERVED_RATIO = 0.9
 """Share of calls that must be served after the faults are over."""
 MIN_HANDBACK_SECONDS = Bounds().lease_seconds
 """Least time between two calls of a lease holder if another holder makes a
 call in between."""
+MAX_FALLS, MAX_FALLS_SHARE = 2, 0.1
+"""Times that brittle runners of a service may fall over, and further times by
+the number of its runners."""
 RECOVERY_CALLS = 5
 """Calls of each kind to each gateway after the faults are over."""
 
@@ -231,6 +234,23 @@
     return found
 
 
+def check_brittle_runners(system: SoakSystem) -> list[Finding]:
+    """Check that runners that say they are brittle rarely fall over.
+
+    Gateways that start or wake know of no others for a moment, and requests
+    of a gateway that was killed still run at their runners.
+    """
+    runners = len(system.runners) / 2
+    return [
+        Finding("brittle runners stand", str(falls))
+        for falls in system.falls
+        if falls.number > MAX_FALLS + MAX_FALLS_SHARE * runners
+        and not _has_fault(
+            system.spans, GATEWAY_FAULTS, falls.begin, falls.end
+        )
+    ]
+
+
 async def check_recovery(
     system: SoakSystem, callers: Callers
 ) -> list[Finding]:
--- a/soak/record.py
+++ b/soak/record.py
@@ -85,6 +85,22 @@
     at: float
 
 
+class Falls(NamedTuple):
+    """A time in which the runners of a service were brittle.
+
+    Attributes:
+        service: Name of the service.
+        begin: Start time.
+        end: End time.
+        number: How often a runner fell over.
+    """
+
+    service: str
+    begin: float
+    end: float
+    number: int
+
+
 class Finding(NamedTuple):
     """A violation of a promise."""
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -23,13 +23,16 @@
 )
 from lagoonpost_standins.rows import RowStore
 from lagoonpost_standins.runner import RunnerStandin
+from soak.gateway import CUT_VARIABLE
 from soak.proxy import Proxy
-from soak.record import Change, Drain, Span
+from soak.record import Change, Drain, Falls, Span
 
 STREAM_EVENTS = 6
 """Number of events of a stream."""
 EVENT_SECONDS = 0.05
 """Pause between events, long enough for faults to occur in mid-stream."""
+SLOTS = 2
+"""Slots of a runner, few enough for the callers to fill them."""
 DRAIN_SECONDS = 2.0
 """Longest time until a draining runner gets no new work."""
 APPLY_SECONDS = 2.0
@@ -107,11 +110,14 @@
         entries: Address of each gateway for callers.
         metrics_addresses: Address of each gateway's metrics, if enabled.
         settings: Settings file of each gateway.
+        cuts: File by which each gateway's paths to runners are cut.
         store_proxies: Proxy between each gateway and the store.
         runners: Slots of runners.
         drains: Drains of runners, in order.
         changes: Configurations, in order.
         spans: Faults that are over.
+        falls: Services whose runners were brittle, and how often these fell
+            over meanwhile.
         version: Newest configuration.
         folder: Temporary folder of settings and logs.
     """
@@ -135,9 +141,11 @@
         self.entries: list[Address] = []
         self.metrics_addresses: list[Address] = []
         self.settings: list[Path] = []
+        self.cuts: list[Path] = []
         self.drains: list[Drain] = []
         self.changes: list[Change] = []
         self.spans: list[Span] = []
+        self.falls: list[Falls] = []
         self.version = 1
         self._unknown_since: dict[str, float] = {}
         self.folder = Path()
@@ -203,12 +211,17 @@
         )
         peers.append(addresses.peer)
         log = self.folder / f"gateway-{number}.log"
-        arguments = ["lagoonpost.serve", "--config", str(path)]
+        arguments = ["soak.gateway", "--config", str(path)]
         if self._metrics:
             collected = Address("127.0.0.1", find_port())
             self.metrics_addresses.append(collected)
             arguments += ["--metrics-port", str(collected.port)]
-        self.gateways.append(Process(f"gateway-{number}", arguments, log))
+        cut = self.folder / f"gateway-{number}.cut"
+        self.cuts.append(cut)
+        environment = {CUT_VARIABLE: str(cut)}
+        self.gateways.append(
+            Process(f"gateway-{number}", arguments, log, environment)
+        )
         self.runs.append(0)
         self.started.append(0.0)
         self.settings.append(path)
@@ -282,6 +295,7 @@
             state=slot.state,
             seq=slot.seq,
             born=len(slot.previous) + 1,
+            slots=SLOTS,
         )
         await self.store.put("servers", slot.runner.id, entry)
 
@@ -314,6 +328,15 @@
                     total[id_] = total.get(id_, 0) + count
         return total
 
+    def count_falls(self, service: str) -> int:
+        """Return how often brittle runners of a service have fallen over."""
+        return sum(
+            runner.falls
+            for slot in self.runners
+            if slot.service == service
+            for runner in slot.all_runners()
+        )
+
     def find_requests(
         self, is_late: Callable[[str, float], bool]
     ) -> list[tuple[str, str, float]]:
--- /dev/null
+++ b/test/test_margins_partition.py
@@ -0,0 +1,86 @@
+"""Tests of the margins of partitions and of the care for runners."""
+
+import pytest
+
+from lagoonpost.margins.line import (
+    BrittleRefusal,
+    Keepalive,
+    Line,
+    PartitionChange,
+    RequestEnd,
+    SilentRunner,
+    Started,
+)
+from lagoonpost.margins.partition import (
+    find_brittle_refusals,
+    find_keepalive,
+    find_partition_service,
+    find_shortest_silence,
+)
+
+
+def make_change(
+    at: float, gateway: str, partitioned: bool
+) -> Line[PartitionChange]:
+    return Line(at, gateway, PartitionChange(at, partitioned=partitioned))
+
+
+def make_request(at: float, gateway: str, outcome: str) -> Line[RequestEnd]:
+    steps = (f"i-1:{outcome}:0.1",)
+    message = RequestEnd(at, request="r", version=1, steps=steps, took=0.0)
+    return Line(at, gateway, message)
+
+
+class TestPartitionedGateways:
+    def test_the_share_served_there_relative_to_the_others(self):
+        changes = [make_change(10.0, "a", True), make_change(20.0, "a", False)]
+        requests = [
+            make_request(14.0, "a", "unreachable"),
+            make_request(15.0, "a", "whole"),
+            make_request(15.0, "b", "whole"),
+            make_request(16.0, "b", "began"),
+        ]
+        margin = find_partition_service(changes, requests, 3.0)
+        assert margin.value == pytest.approx(0.5)
+        assert margin.distance < 0
+
+    def test_only_what_arrives_while_it_counts(self):
+        """The first seconds of a partition are not bounded."""
+        changes = [make_change(10.0, "a", True), make_change(20.0, "a", False)]
+        requests = [
+            make_request(12.0, "a", "unreachable"),
+            make_request(21.0, "a", "unreachable"),
+            make_request(15.0, "b", "whole"),
+        ]
+        assert find_partition_service(changes, requests, 3.0).value is None
+
+
+class TestBrittleRunners:
+    def test_the_most_refusals_in_a_second(self):
+        lines = [
+            Line(at, "a", BrittleRefusal(at, runner="i-1", threshold=4.0))
+            for at in (10.0, 10.5, 10.9, 12.0)
+        ]
+        margin = find_brittle_refusals(lines)
+        assert (margin.value, margin.bound) == (3.0, 4.0)
+
+    def test_none(self):
+        assert find_brittle_refusals([]).value is None
+
+
+class TestSilence:
+    def test_the_shortest_of_a_stream(self):
+        lines = [
+            Line(
+                10.0, "a", SilentRunner(10.0, runner="i", seconds=s, stream=st)
+            )
+            for s, st in ((1.8, True), (0.5, False), (2.0, True))
+        ]
+        assert find_shortest_silence(lines).value == 1.8
+
+
+class TestKeepalive:
+    def test_a_time_out_before_all_probes_were_sent_breaks_it(self):
+        keepalive = Keepalive(1.0, 1.0, 3, 2.0)
+        started = Started(1.0, settings={}, keepalive=keepalive)
+        assert find_keepalive([Line(1.0, "a", started)]).distance == -2.0
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -17,12 +17,13 @@
 from soak.promises import (
     check_applied_in_time,
     check_attempts,
+    check_brittle_runners,
     check_configuration,
     check_draining,
     check_duties,
 )
 from soak.proxy import Proxy
-from soak.record import Attempt, Change, Drain, Probe, Span
+from soak.record import Attempt, Change, Drain, Falls, Probe, Span
 from soak.system import ENTRY_TTL_SECONDS, HEARTBEAT_SECONDS, SoakSystem
 
 SMALL = Options(gateways=3, runners=2, callers=6, seconds=8.0, pause=0.7)
@@ -53,6 +54,13 @@
         system.runners[1].runner.runs["a"] = 1
         assert check(system, GOOD) == ["at most once"]
 
+    def test_brittle_runners_that_fall_over(self, system):
+        system.falls.append(Falls("desk", 1.0, 2.0, 2))
+        assert check_brittle_runners(system) == []
+        system.falls.append(Falls("desk", 5.0, 6.0, 3))
+        found = [finding.promise for finding in check_brittle_runners(system)]
+        assert found == ["brittle runners stand"]
+
     def test_a_refusal_of_what_ran(self, system):
         system.runners[0].runner.runs["a"] = 1
         refused = GOOD._replace(status=503)
