--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -20,11 +20,7 @@
 from lagoonpost.forwarding.peer_sync import PeerSync
 from lagoonpost.forwarding.quota_recorder import QuotaRecorder
 from lagoonpost.forwarding.request_log import log_exchange
-from lagoonpost.forwarding.runner_paths import (
-    RunnerPaths,
-    TunnelPeer,
-    list_tunnel_peers,
-)
+from lagoonpost.forwarding.runner_paths import RunnerPaths
 from lagoonpost.forwarding.store_follower import StoreFollower, find_feed_wait
 from lagoonpost.forwarding.timers import sleep_aligned
 from lagoonpost.forwarding.tunnel_server import TunnelServer
@@ -123,7 +119,8 @@
                 self.view,
                 reach,
                 self._peer_key,
-                self._list_tunnel_peers,
+                lambda: self._cluster.find_others(),
+                settings.region,
                 self._note_runner_down,
                 rng,
             ),
@@ -327,11 +324,6 @@
         await self._tunnels.close()
         await self._cluster.close()
 
-    def _list_tunnel_peers(self) -> list[TunnelPeer]:
-        return list_tunnel_peers(
-            self._cluster.find_others(), self._settings.region
-        )
-
     def _record_exchange(self, exchange: Exchange) -> None:
         self._metrics.note(exchange)
         log_exchange(exchange)
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -1,6 +1,7 @@
 """Opens connections to runners, directly or through other gateways."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import Any, NamedTuple
@@ -42,6 +43,9 @@
 checks wait for one second in total."""
 PROBE_PAUSE_SECONDS = 0.25
 """Pause between checks for direct paths that are to be probed."""
+PEERS_CACHE_SECONDS = 0.25
+"""How long the list of peers is kept: a tenth of the time in which the loss of
+a gateway is noticed."""
 _UNABLE = frozenset((DENIED, GATEWAY_UNABLE))
 """Answers of a peer that can't open connections to any runner."""
 
@@ -83,7 +87,8 @@
         view: Local view of the configuration and the runners.
         reach: What this gateway knows of its paths to the runners.
         key: Key to show to other gateways.
-        list_peers: Returns the gateways that may open connections.
+        list_members: Returns the other gateways.
+        region: Region of this gateway.
         on_down: Called with each runner that is found to be down.
         rng: Source of random choices.
     """
@@ -94,7 +99,8 @@
         view: ClusterState,
         reach: Reach,
         key: PeerKey,
-        list_peers: Callable[[], list[TunnelPeer]],
+        list_members: Callable[[], Sequence[Member]],
+        region: str,
         on_down: Callable[[str], None],
         rng: random.Random,
     ) -> None:
@@ -102,7 +108,9 @@
         self._view = view
         self._reach = reach
         self._key = key
-        self._list_peers = list_peers
+        self._list_members = list_members
+        self._region = region
+        self._peers: tuple[float, list[TunnelPeer]] = (-math.inf, [])
         self._on_down = on_down
         self._rng = rng
         self._peer_choice = PeerChoice()
@@ -126,7 +134,18 @@
     def _has_peers(self, now: float) -> bool:
         if self._key.current is None:
             return False
-        return self._peer_choice.has_any(self._list_peers(), now)
+        return self._peer_choice.has_any(self._list_peers(now), now)
+
+    def _list_peers(self, now: float) -> list[TunnelPeer]:
+        """Return the gateways to ask, as of a moment ago.
+
+        While a path is lost, each request needs the list.
+        """
+        at, peers = self._peers
+        if now >= at + PEERS_CACHE_SECONDS:
+            peers = list_tunnel_peers(self._list_members(), self._region)
+            self._peers = now, peers
+        return peers
 
     async def connect(
         self,
@@ -183,7 +202,9 @@
                 (PURPOSE_HEADER, purpose),
             ),
         )
-        peers = self._peer_choice.choose(self._list_peers(), began, self._rng)
+        peers = self._peer_choice.choose(
+            self._list_peers(began), began, self._rng
+        )
         found_down = False
         for peer in peers:
             if self._now() > began + MAX_SEARCH_SECONDS:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
     check_configuration,
     check_draining,
     check_duties,
+    check_partitions,
     check_recovery,
 )
 from soak.record import Finding
@@ -81,6 +82,7 @@
         findings += check_applied_in_time(system, callers)
         findings += check_duties(system)
         findings += check_brittle_runners(system)
+        findings += check_partitions(system, callers.attempts)
         findings += await check_recovery(system, callers)
         if findings:
             _save_findings(system, seed, findings, keep)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -293,7 +293,7 @@
     await asyncio.sleep(PARTITION_DURATION_FACTOR * step.seconds)
     for number in numbers:
         system.cuts[number].unlink(missing_ok=True)
-    return "half"
+    return " ".join(system.gateways[number].name for number in numbers)
 
 
 async def _make_brittle(
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -41,6 +41,11 @@
 MAX_FALLS, MAX_FALLS_SHARE = 2, 0.1
 """Times that brittle runners of a service may fall over, and further times by
 the number of its runners."""
+MIN_PARTITIONED_RATIO = 2 / 3
+"""Least share of attempts served at partitioned gateways, relative to the
+others."""
+MAX_FAILED, MAX_FAILED_SHARE = 10, 1 / 50
+"""Attempts that may fail there in any case, and by the number of attempts."""
 RECOVERY_CALLS = 5
 """Calls of each kind to each gateway after the faults are over."""
 
@@ -234,6 +239,51 @@
     return found
 
 
+def check_partitions(
+    system: SoakSystem, attempts: Sequence[Attempt]
+) -> list[Finding]:
+    """Check that callers of partitioned gateways are served as others are."""
+    found = []
+    for span in system.spans:
+        if span.what != "cut_runners":
+            continue
+        counted = [
+            attempt
+            for attempt in attempts
+            if span.begin + RECOVERY_SECONDS < attempt.sent < span.end
+            and not _has_fault(
+                system.spans,
+                GATEWAY_FAULTS | RUNNER_FAULTS,
+                attempt.sent,
+                attempt.ended,
+            )
+        ]
+        names = span.whom.split()
+        inside = [_is_served(a) for a in counted if _name_gateway(a) in names]
+        outside = [
+            _is_served(a) for a in counted if _name_gateway(a) not in names
+        ]
+        if _are_served_worse(inside, outside):
+            detail = (
+                f"{span}: {sum(inside)} of {len(inside)} there, "
+                f"{sum(outside)} of {len(outside)} elsewhere"
+            )
+            found.append(Finding("served while partitioned", detail))
+    return found
+
+
+def _is_served(attempt: Attempt) -> bool:
+    return attempt.whole and attempt.status == 200
+
+
+def _are_served_worse(inside: list[bool], outside: list[bool]) -> bool:
+    failed = len(inside) - sum(inside)
+    if not outside or failed <= MAX_FAILED + MAX_FAILED_SHARE * len(inside):
+        return False
+    share, usual = sum(inside) / len(inside), sum(outside) / len(outside)
+    return share < MIN_PARTITIONED_RATIO * usual
+
+
 def check_brittle_runners(system: SoakSystem) -> list[Finding]:
     """Check that runners that say they are brittle rarely fall over.
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -66,8 +66,9 @@
 
     Attributes:
         what: Kind of fault, a key of ``soak.faults.FAULT_ACTIONS``.
-        whom: Name of the affected gateway or runner; ``half`` for half of
-            the gateways, ``store`` or ``configuration``; empty if none.
+        whom: Name of the affected gateway or runner, or several of them;
+            ``half`` for half of the gateways, ``store`` or
+            ``configuration``; empty if none.
         begin: Start time.
         end: End time.
     """
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -21,6 +21,7 @@
     check_configuration,
     check_draining,
     check_duties,
+    check_partitions,
 )
 from soak.proxy import Proxy
 from soak.record import Attempt, Change, Drain, Falls, Probe, Span
@@ -54,6 +55,16 @@
         system.runners[1].runner.runs["a"] = 1
         assert check(system, GOOD) == ["at most once"]
 
+    def test_callers_of_partitioned_gateways_that_are_refused(self, system):
+        system.spans.append(Span("cut_runners", "gateway-1", 0.0, 9.0))
+        there = [
+            GOOD._replace(status=503, sent=5.0, ended=5.1) for _ in range(20)
+        ]
+        served = GOOD._replace(gateway=1, sent=5.0, ended=5.1)
+        found = check_partitions(system, [*there, served])
+        assert [f.promise for f in found] == ["served while partitioned"]
+        assert check_partitions(system, [*there[:5], served]) == []
+
     def test_brittle_runners_that_fall_over(self, system):
         system.falls.append(Falls("desk", 1.0, 2.0, 2))
         assert check_brittle_runners(system) == []
