--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -316,6 +316,7 @@
             return Choice(
                 target, 0.0, 1, suspect=False, indirect=path.indirect
             )
+        exchange.waits_for_room = False
         if exchange.offer_count >= MAX_RUNNERS_PER_REQUEST:
             return None
         service = exchange.requirements.service
