Leave out no peer because a caller left while it was asked

A cancelled request noted the peer that it was waiting for as unable, and a gateway with one peer had none for half a second. The test was red before: no peer left after a caller had left within 0.1 s.

--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -15,7 +15,6 @@
     DENIED,
     GATEWAY_UNABLE,
     KEY_HEADER,
-    OPENED,
     PURPOSE_HEADER,
     RUNNER_UNREACHABLE,
     TunnelPurpose,
@@ -224,27 +223,23 @@
         self, peer: TunnelPeer, request: TunnelRequest
     ) -> Socket | int:
         """Return a connection to the runner, or the status of a refusal."""
-        status = GATEWAY_UNABLE
+        result: Socket | int
         try:
-            socket = await open_tunnel(
+            result = await open_tunnel(
                 self._client,
                 peer.address,
                 request,
                 CONNECT_TIMEOUT_SECONDS,
                 ANSWER_TIMEOUT_SECONDS,
             )
-            status = OPENED
-            return socket
         except CallFailedError:
-            return status
+            result = GATEWAY_UNABLE
         except TunnelRefusedError as error:
-            status = error.status
-            if status == DENIED:
-                self._key.refresh()
-            return status
-        finally:
-            able = status not in _UNABLE
-            self._peer_choice.note(peer.name, able, self._now())
+            result = error.status
+        if result == DENIED:
+            self._key.refresh()
+        self._peer_choice.note(peer.name, result not in _UNABLE, self._now())
+        return result
 
     # Background checks of paths
 
--- a/lagoonpost/systems/reach.py
+++ b/lagoonpost/systems/reach.py
@@ -206,11 +206,13 @@
 
     def is_proven(self, runner: str) -> bool:
         """Return whether a peer was found to reach a runner."""
-        return self._find(runner).proven
+        found = self._runners.get(runner)
+        return found is not None and found.proven
 
     def is_down(self, runner: str, now: float) -> bool:
         """Return whether peers were found not to reach a runner either."""
-        return self._find(runner).indirect.is_active(now)
+        found = self._runners.get(runner)
+        return found is not None and found.indirect.is_active(now)
 
     def list_probes(
         self, known: Sequence[str], now: float, rng: Random
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -256,6 +256,30 @@
 
         assert play(scenario, gateways=3) == [200] * 6
 
+    def test_a_caller_that_leaves_says_nothing_of_the_peer(self):
+        """Guards against leaving out peers because callers were impatient."""
+
+        async def scenario(stack: Stack):
+            slow = stack.gateways[1]._client
+            connect = slow.connect
+
+            async def connect_late(address: Address, seconds: float) -> Socket:
+                await asyncio.sleep(0.2)
+                return await connect(address, seconds)
+
+            slow.connect = connect_late
+            cut_path(stack, stack.gateways[0], "refuse")
+            await call_each(stack)
+            paths = stack.gateways[0]._forwarder.paths
+            runner = stack.gateways[0].view.entries["desk-1"].endpoint
+            asking = asyncio.create_task(paths.connect(runner, True))
+            await asyncio.sleep(0.1)
+            asking.cancel()
+            await asyncio.wait((asking,))
+            return paths._has_peers(asyncio.get_running_loop().time())
+
+        assert play(scenario, gateways=2)
+
     def test_a_peer_of_an_older_build_is_passed_over(self):
         """Guards against gateways that listen for no tunnels yet."""
 
