--- a/lagoonpost/systems/brittle.py
+++ b/lagoonpost/systems/brittle.py
@@ -15,8 +15,8 @@
 
 Reports are older than the load, so some requests are turned away all the
 same. A gateway that is turned away pauses for that runner, for as long as
-keeps the sum over all gateways within half of what the runner bears. Requests
-that find no runner are refused at once as not run.
+keeps the sum over all gateways within half of what the runner bears. A request
+that finds no runner waits a moment for room, and is then refused as not run.
 """
 
 import math
