Log runs that end without their whole answer

The line cut_off names the parts, the hash of the content and how the run ended. No decision changes.

--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -10,6 +10,7 @@
     Broken,
     Moved,
     Outcome,
+    Silent,
     Whole,
 )
 from lagoonpost.forwarding.cluster_state import ClusterState
@@ -26,6 +27,7 @@
     Refusal,
     make_refusal,
 )
+from lagoonpost.forwarding.request_log import log_cut_off
 from lagoonpost.forwarding.retry_budgets import RetryBudgets
 from lagoonpost.forwarding.runner_choice import RunnerChooser
 from lagoonpost.forwarding.runner_paths import RunnerClient, RunnerPaths
@@ -254,6 +256,8 @@
         to be down, and an answer clears it.
         """
         runner = choice.endpoint.id
+        if isinstance(outcome, Broken | Silent):
+            log_cut_off(exchange, choice, outcome)
         if isinstance(outcome, Whole | Began):
             self.admission.crashes.note_answered(exchange.fingerprint)
         elif isinstance(outcome, Broken):
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -2,10 +2,14 @@
 
 import eliot
 
+from lagoonpost.forwarding.attempt import Outcome
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.systems.placement import Choice
 from lagoonpost.tables.stated_limits import StatedLimits
 
+MAX_LOGGED_PARTS = 16
+"""Limit for the parts of a prompt in a log line."""
+
 
 def log_exchange(exchange: Exchange) -> None:
     """Write the log line of one request."""
@@ -60,6 +64,26 @@
     )
 
 
+def log_cut_off(exchange: Exchange, choice: Choice, outcome: Outcome) -> None:
+    """Write the log line of a run that ended without its whole answer.
+
+    Args:
+        exchange: The request.
+        choice: The runner.
+        outcome: How the run ended.
+    """
+    eliot.log_message(
+        message_type="lagoonpost:forwarding:cut_off",
+        request=exchange.arrival.id,
+        runner=choice.endpoint.id,
+        outcome=type(outcome).__name__.lower(),
+        parts=[part.id for part in exchange.arrival.parts[:MAX_LOGGED_PARTS]],
+        content=exchange.fingerprint,
+        first_byte=_round(exchange.first_byte),
+        took=_round(exchange.now() - exchange.started),
+    )
+
+
 def log_brittle_refusal(choice: Choice, threshold: float) -> None:
     """Write the log line of a request that a brittle runner turned away.
 
