--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -4,6 +4,7 @@
 import json
 import time
 from collections import Counter, deque
+from collections.abc import Awaitable, Callable
 from typing import ClassVar, Literal, NamedTuple
 
 from lagoonpost.http.message import (
@@ -111,6 +112,11 @@
             which it says in all its answers; None to say nothing.
         room: Requests that a brittle runner accepts at once.
         falls: How often it has fallen over.
+        crash_part: Part of a prompt, not its last one, that crashes the runner
+            when it begins to answer; empty for none.
+        down_seconds: Time for which it is down after a crash.
+        on_return: Called when it listens again after a crash.
+        crashes: Times of its crashes, in seconds of the monotonic clock.
     """
 
     copies: ClassVar[dict[str, KvCopy]] = {}
@@ -134,6 +140,12 @@
         self.runs: Counter[str] = Counter()
         self.cancelled: list[str] = []
         self.address = Address("127.0.0.1", 0)
+        self.crash_part = ""
+        self.down_seconds = 0.5
+        self.on_return: Callable[[RunnerStandin], Awaitable[None]] | None
+        self.on_return = None
+        self.crashes: list[float] = []
+        self._crashing: asyncio.Task[None] | None = None
         self._server = Server(self.handle, cancel_on_disconnect=True)
 
     async def start(self) -> Address:
@@ -143,8 +155,28 @@
 
     async def close(self) -> None:
         """Stop and cut all connections."""
+        if self._crashing is not None:
+            self._crashing.cancel()
         await self._server.close(0.0)
 
+    def crash(self) -> None:
+        """Cut all connections, and listen again after a while."""
+        if self._crashing is None or self._crashing.done():
+            self.crashes.append(time.monotonic())
+            self._crashing = asyncio.create_task(self._restart())
+
+    async def _restart(self) -> None:
+        await self._server.close(0.0)
+        await asyncio.sleep(self.down_seconds)
+        self._server = Server(self.handle, cancel_on_disconnect=True)
+        await self.start()
+        if self.on_return is not None:
+            await self.on_return(self)
+
+    def _is_crashed_by(self, request: Request) -> bool:
+        parts = (request.header("prompt-prefix") or "").split(",")[:-1]
+        return self.crash_part in [part.partition(":")[0] for part in parts]
+
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve one request; a return without an answer disconnects."""
         if request.path == "/v1/kv-move":
@@ -250,6 +282,9 @@
         if self.fault == "rude":
             responder._writer.write(b"these bytes are no answer\r\n\r\n")
             return
+        if self.crash_part and self._is_crashed_by(request):
+            self.crash()
+            return
         attempt = request.header("attempt-id") or ""
         headers = (
             ("attempt-id", attempt),
