Take an unframed answer as whole only if its runner is up

An answer with neither length nor chunks ends with its connection, and so does one that a crash has cut off: callers got half a body as a success, a stream cut off between two events ended as complete, and half an answer spoke for what had crashed the runner. After such an end the gateway connects to the runner once; if it can't, the answer counts as broken. Runners that leave as planned are not asked.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -58,9 +58,16 @@
 
 
 class Whole(NamedTuple):
-    """A complete answer that is not a stream."""
+    """A complete answer that is not a stream.
+
+    Attributes:
+        response: The answer.
+        ends_with_connection: Whether nothing but the end of its connection
+            shows that it is complete.
+    """
 
     response: Response
+    ends_with_connection: bool = False
 
 
 class Began(NamedTuple):
@@ -112,6 +119,11 @@
         """Headers of the answer."""
         return self._stream.headers
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection marks the answer's end."""
+        return self._stream.ends_with_connection
+
     async def read(
         self, idle_timeout: float | None
     ) -> bytes | Broken | Silent:
@@ -218,7 +230,7 @@
         first = await call.read(first_byte_timeout)
         return first if not isinstance(first, bytes) else Began(call, first)
     response = await stream.read(MAX_BODY_BYTES)
-    return Whole(response)
+    return Whole(response, stream.ends_with_connection)
 
 
 def is_event_stream(headers: Headers) -> bool:
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -125,6 +125,8 @@
                 lambda: self._crashes.may_send(exchange),
                 self._find_first_byte_timeout(exchange, choice),
             )
+            if isinstance(outcome, Whole):
+                outcome = await self._confirm_end(choice, outcome)
             self._record_outcome(
                 exchange, choice, outcome, exchange.now() - sent_at
             )
@@ -133,7 +135,12 @@
             if isinstance(outcome, Began):
                 watched.note_first_byte()
                 outcome = await relay(
-                    exchange, choice, outcome, responder, self._migrations
+                    exchange,
+                    choice,
+                    outcome,
+                    responder,
+                    self._migrations,
+                    lambda: self._paths.is_up(choice),
                 )
             ended = outcome
             if isinstance(outcome, Whole):
@@ -143,6 +150,16 @@
             watched.end(ended)
             placement.note_ended(choice, began)
 
+    async def _confirm_end(
+        self, choice: Choice, outcome: Whole
+    ) -> Whole | Broken:
+        """Return an answer, or that its runner's crash may have cut it off."""
+        if outcome.ends_with_connection and not await self._paths.is_up(
+            choice
+        ):
+            return Broken("the runner that ended the answer is down")
+        return outcome
+
     def _make_instructions(
         self, exchange: Exchange, choice: Choice, saved: KvCopy | None
     ) -> AddedHeaders:
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -1,5 +1,7 @@
 """Relays a runner's event stream to the caller."""
 
+from collections.abc import Awaitable, Callable
+
 from lagoonpost.forwarding.attempt import (
     Began,
     Broken,
@@ -26,6 +28,7 @@
     began: Began,
     responder: Responder,
     migrations: Migrations,
+    confirm_end: Callable[[], Awaitable[bool]],
 ) -> Outcome:
     """Pass on each complete event of a stream as it arrives.
 
@@ -35,6 +38,8 @@
         began: The stream.
         responder: Sends the answer to the caller.
         migrations: Moves streams away from departing runners.
+        confirm_end: Tells whether the runner, and not its crash, has ended
+            a stream that ends with its connection.
 
     Returns:
         ``began`` if the stream was passed on to its end, otherwise the
@@ -48,6 +53,8 @@
             assert run.target is not None and run.saved is not None
             return Moved(run.target, run.saved)
         if isinstance(outcome, Began):
+            if call.ends_with_connection and not await confirm_end():
+                return Broken("the runner that ended the stream is down")
             if responder.started:
                 await responder.finish()
             exchange.note_answered(call.status)
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -242,6 +242,24 @@
         self._peer_choice.note(peer.name, result not in _UNABLE, self._now())
         return result
 
+    async def is_up(self, choice: Choice) -> bool:
+        """Return whether a runner accepts connections, or leaves as planned.
+
+        Takes a round trip, for answers whose end does not show whether it is
+        their runner's end as well.
+        """
+        entry = self._view.entries.get(choice.endpoint.id)
+        if entry is not None and entry.endpoint and entry.endpoint.leaving:
+            return True
+        try:
+            socket = await self.connect(
+                choice.endpoint, choice.indirect, "control"
+            )
+        except CallFailedError:
+            return False
+        socket.writer.close()
+        return True
+
     # Background checks of paths
 
     def check(self, choice: Choice) -> None:
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -19,6 +19,8 @@
 IDLE_TIMEOUT_SECONDS = 5.0
 MAX_IDLE_PER_ADDRESS = 32
 MAX_BODY_BYTES = 64 * 1024 * 1024
+_FRAMING = ("content-length", "transfer-encoding")
+_BODYLESS = (204, 304)
 
 
 class CallFailedError(Exception):
@@ -96,6 +98,16 @@
             for name, value in event.headers
         )
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection marks the body's end.
+
+        A server that crashes may end the connection in the same way.
+        """
+        if self.status in _BODYLESS:
+            return False
+        return not any(name in _FRAMING for name, _ in self.headers)
+
     async def parts(self) -> AsyncIterator[bytes]:
         """Yield the chunks of the body as they arrive.
 
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -112,6 +112,9 @@
             which it says in all its answers; None to say nothing.
         room: Requests that a brittle runner accepts at once.
         falls: How often it has fallen over.
+        framed: Whether answers have a length or come in chunks; otherwise they
+            end with their connection.
+        crash_midway: Whether to crash in the middle of each answer.
         crash_part: Part of a prompt, not its last one, that crashes the runner
             when it begins to answer; empty for none.
         down_seconds: Time for which it is down after a crash.
@@ -140,6 +143,8 @@
         self.runs: Counter[str] = Counter()
         self.cancelled: list[str] = []
         self.address = Address("127.0.0.1", 0)
+        self.framed = True
+        self.crash_midway = False
         self.crash_part = ""
         self.down_seconds = 0.5
         self.on_return: Callable[[RunnerStandin], Awaitable[None]] | None
@@ -305,6 +310,13 @@
         headers: tuple[tuple[str, str], ...],
     ) -> None:
         body = make_body(request)
+        if not self.framed or self.crash_midway:
+            self._start_bare(responder, headers, len(body))
+            half = body[: len(body) // 2] if self.crash_midway else body
+            responder._writer.write(half)
+            if self.crash_midway:
+                await self._crash_after_sending(responder)
+            return
         if self.fault != "torn":
             await responder.send(Response(200, headers, body))
             return
@@ -320,7 +332,10 @@
     ) -> None:
         first = int(request.header("last-event-id") or 0) + 1
         content = (("content-type", "text/event-stream"),)
-        await responder.start(200, headers + content)
+        if self.framed:
+            await responder.start(200, headers + content)
+        else:
+            self._start_bare(responder, headers + content)
         broken_at = (first + self.events) // 2
         attempt = request.header("attempt-id") or ""
         self._stopped[attempt] = False
@@ -342,6 +357,9 @@
                 return
             if number > broken_at and self.fault == "break_off":
                 return
+            if number > broken_at and self.crash_midway:
+                await self._crash_after_sending(responder)
+                return
             if number > broken_at and self.fault == "silent_midway":
                 await asyncio.sleep(3600)
             if number == broken_at + 1 and self.fault == "pause_midway":
@@ -350,9 +368,32 @@
             if number > broken_at and self.fault == "break_within":
                 await responder.write(event[: len(event) // 2])
                 return
-            await responder.write(event)
+            if self.framed:
+                await responder.write(event)
+            else:
+                responder._writer.write(event)
             await asyncio.sleep(self.pause)
-        await responder.finish()
+        if self.framed:
+            await responder.finish()
+
+    def _start_bare(
+        self, responder: Responder, headers: Headers, length: int | None = None
+    ) -> None:
+        """Send a head as written here, with the length of a framed answer."""
+        lines = [
+            "HTTP/1.1 200 OK",
+            *(f"{name}: {text}" for name, text in headers),
+        ]
+        if self.framed and length is not None:
+            lines.append(f"content-length: {length}")
+        lines.append("connection: close")
+        head = "".join(f"{line}\r\n" for line in (*lines, ""))
+        responder._writer.write(head.encode("latin-1"))
+
+    async def _crash_after_sending(self, responder: Responder) -> None:
+        await responder._writer.drain()
+        await asyncio.sleep(0.05)
+        self.crash()
 
 
 def make_body(request: Request) -> bytes:
--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -6,10 +6,12 @@
 from collections import Counter
 from typing import NamedTuple
 
+import pytest
 from forwarding_stack import Stack, play
 
+from lagoonpost.http.client import CallFailedError
 from lagoonpost.http.message import Headers
-from lagoonpost_standins.runner import RunnerStandin
+from lagoonpost_standins.runner import RunnerStandin, make_event
 
 CRASHES_BEFORE = 5
 CONTACT_SECONDS = 3.0
@@ -101,6 +103,136 @@
     return len(crashes), late
 
 
+FRAMING = pytest.mark.parametrize(
+    "framed", [True, False], ids=["framed", "unframed"]
+)
+
+
+def set_endings(stack: Stack, framed: bool, *crashing: str) -> None:
+    """Set how the runners' answers end, and which crash in the middle."""
+    for id_, runner in stack.runners.items():
+        runner.framed = framed
+        runner.crash_midway = id_ in crashing
+        runner.down_seconds = 60.0
+
+
+class TestEndings:
+    """Answers that end with their connection, whole and cut off."""
+
+    @FRAMING
+    def test_a_whole_answer_is_passed_on(self, framed):
+        async def story(stack: Stack):
+            set_endings(stack, framed)
+            return await stack.call("/book/1", "POST", b"{}")
+
+        answer = play(story)
+        assert answer.status == 200
+        assert answer.body == b"POST /book/1 {}"
+
+    @FRAMING
+    def test_a_whole_stream_is_passed_on(self, framed):
+        async def story(stack: Stack):
+            set_endings(stack, framed)
+            return await stack.call(
+                "/draft/1", "POST", headers=make_parts("a")
+            )
+
+        answer = play(story)
+        assert answer.status == 200
+        assert answer.body == make_stream("/draft/1")
+
+    @FRAMING
+    def test_a_check_cut_off_by_a_crash_is_answered_by_another(self, framed):
+        """Guards against half a body that is passed on as a success."""
+
+        async def story(stack: Stack):
+            set_endings(stack, framed, "desk-1")
+            return [await stack.call(f"/check/{n}") for n in range(6)]
+
+        answers = play(story)
+        assert {answer.status for answer in answers} == {200}
+        assert [answer.body for answer in answers] == [
+            b"GET /check/%d " % number for number in range(6)
+        ]
+
+    @FRAMING
+    def test_a_booking_cut_off_by_a_crash_is_no_success(self, framed):
+        """Guards against half a body that is passed on as a success."""
+
+        async def story(stack: Stack):
+            set_endings(stack, framed, "desk-1", "desk-2")
+            answer = await stack.call("/book/1", "POST", b"{}")
+            return answer.status
+
+        assert play(story) == 502
+
+    @FRAMING
+    def test_a_stream_cut_off_by_a_crash_goes_on_elsewhere(self, framed):
+        """Guards against a cut-off stream that is passed on as complete."""
+
+        async def story(stack: Stack):
+            set_endings(stack, framed, "chat-1")
+            calls = [
+                stack.call(f"/draft/{n}", "POST", headers=make_parts("a"))
+                for n in range(8)
+            ]
+            answers = await asyncio.gather(*calls)
+            return answers, len(stack.runners["chat-1"].crashes)
+
+        answers, crashes = play(story)
+        assert crashes
+        for number, answer in enumerate(answers):
+            assert answer.body == make_stream(f"/draft/{number}")
+
+    @FRAMING
+    def test_a_stream_that_runs_once_is_broken_off(self, framed):
+        """Guards against a cut-off stream that is passed on as complete."""
+
+        async def story(stack: Stack):
+            set_endings(stack, framed, "chat-1", "chat-2")
+            with pytest.raises(CallFailedError):
+                await stack.call("/reply/1", "POST", headers=make_parts("a"))
+
+        play(story)
+
+    @FRAMING
+    def test_a_runner_that_leaves_may_end_with_its_answer(self, framed):
+        """Guards against taking a planned end for a crash."""
+
+        async def story(stack: Stack):
+            set_endings(stack, framed)
+            for runner in stack.runners.values():
+                runner.pause = 0.3
+            call = asyncio.create_task(stack.call("/book/1", "POST", b"{}"))
+            await asyncio.sleep(0.1)
+            for id_ in ("desk-1", "desk-2"):
+                await stack.register(id_, state="draining")
+                stack.runners[id_]._server._server.close()
+            return (await call).body
+
+        assert play(story) == b"POST /book/1 {}"
+
+    @FRAMING
+    def test_cut_off_answers_do_not_clear_what_crashes_runners(self, framed):
+        """Guards against half an answer that counts as a sound run."""
+
+        async def story(stack: Stack):
+            set_endings(stack, framed, "desk-1", "desk-2")
+            for runner in stack.runners.values():
+                runner.down_seconds = 0.1
+            for _ in range(4):
+                await stack.call("/book/1", "POST")
+                await asyncio.sleep(0.8)
+            daemon = stack.gateways[0]
+            return len(daemon._crashes.causes.list_evidence())
+
+        assert play(story) >= 3
+
+
+def make_stream(path: str, events: int = 5) -> bytes:
+    return b"".join(make_event(path, n) for n in range(1, events + 1))
+
+
 class TestForwarding:
     def test_requests_that_share_a_part_do_not_crash_runners_for_ever(self):
         """Guards against a part that crashes runners in ever new requests."""
