Test that each sender asks before it sends, and that verdicts are kept

First offers, retries, requests that wait, resumed streams, moved runs and tunnels meet a verdict that comes as late as it can. Gateways that all start again read the verdicts; a lifted one leaves the store.

--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -2,15 +2,24 @@
 
 import asyncio
 import itertools
+import json
 import time
 from collections import Counter
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
-from forwarding_stack import Stack, play
+from forwarding_stack import Stack, make_prompt, play, wait_until
+from test_partition import cut_path
 
-from lagoonpost.http.client import CallFailedError
+from lagoonpost.forwarding.crash_recorder import VERDICT_PREFIX
+from lagoonpost.http.client import CallFailedError, Socket
 from lagoonpost.http.message import Headers
+from lagoonpost.platform.store import OWN_TABLE
+from lagoonpost.systems.crash_causes import find_causes
+from lagoonpost.systems.migration import MIN_PROMPT_TOKENS
+from lagoonpost.systems.permit_issuer import Denied, Granted
+from lagoonpost.tables.crash import Soundness, Verdict
+from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost_standins.runner import RunnerStandin, make_event
 
 CRASHES_BEFORE = 5
@@ -252,3 +261,177 @@
         assert played.crashes >= 1
         assert played.late <= LATE_ALLOWED
         assert set(played.statuses) == {200}
+
+
+def convict(stack: Stack, path: str, body: bytes = b"") -> None:
+    """Let all gateways know that a request crashes runners."""
+    now = time.time()
+    (cause,) = find_causes("pottery", path, body, ())
+    for daemon in stack.gateways:
+        daemon._crashes.merge(Verdict(cause, now, now))
+
+
+def count_all_runs(stack: Stack) -> int:
+    return sum(runner.runs.total() for runner in stack.runners.values())
+
+
+class TestSenders:
+    """Each of them asks again right before it sends."""
+
+    def test_a_first_offer_is_refused_as_not_run(self):
+        async def story(stack: Stack):
+            convict(stack, "/book/1", b"{}")
+            answer = await stack.call("/book/1", "POST", b"{}")
+            other = await stack.call("/book/2", "POST", b"{}")
+            return answer, other.status, count_all_runs(stack)
+
+        answer, other, runs = play(story)
+        assert answer.status == 503
+        assert json.loads(answer.body)["execution"] == "not_run"
+        assert float(answer.header("retry-after")) > 1.0
+        assert (other, runs) == (200, 1)
+
+    def test_a_retry_is_not_sent_after_the_verdict(self):
+        """Guards against one more crash by the retry of a request."""
+
+        async def story(stack: Stack):
+            stack.set_fault("reset_after", "desk")
+            for runner in stack.runners.values():
+                runner.pause = 0.2
+            call = asyncio.create_task(stack.call("/check/1"))
+            await wait_until(lambda: count_all_runs(stack) == 1)
+            convict(stack, "/check/1")
+            return (await call).status, count_all_runs(stack)
+
+        assert play(story) == (502, 1)
+
+    def test_a_request_that_waits_is_not_sent_after_the_verdict(self):
+        """Guards against requests that wait when the verdict comes."""
+
+        async def story(stack: Stack):
+            for id_ in ("desk-1", "desk-2"):
+                stack.runners[id_].limit = 50.0
+            await stack.call("/check/1")
+            permits = stack.gateways[0]._forwarder.permits
+            acquire = permits.acquire
+
+            async def acquire_as_the_verdict_comes(
+                endpoint: Endpoint, longest: float
+            ) -> Granted | Denied:
+                decision = await acquire(endpoint, longest)
+                convict(stack, "/check/bad")
+                return decision
+
+            permits.acquire = acquire_as_the_verdict_comes
+            before = count_all_runs(stack)
+            answer = await stack.call("/check/bad")
+            return answer.status, count_all_runs(stack) - before
+
+        assert play(story) == (503, 0)
+
+    def test_a_stream_is_not_resumed_after_the_verdict(self):
+        """Guards against one more crash by the rest of a stream."""
+
+        async def story(stack: Stack):
+            stack.set_fault("break_off", "chat")
+            for runner in stack.runners.values():
+                runner.pause = 0.1
+            headers = make_parts("a")
+            call = asyncio.create_task(
+                stack.call("/draft/1", "POST", headers=headers)
+            )
+            await wait_until(lambda: count_all_runs(stack) == 1)
+            convict(stack, "/draft/1")
+            await asyncio.gather(call, return_exceptions=True)
+            return count_all_runs(stack)
+
+        assert play(story) == 1
+
+    def test_a_run_is_not_moved_after_the_verdict(self):
+        """Guards against a run that crashes the runner to which it moves."""
+
+        async def story(stack: Stack):
+            for runner in stack.runners.values():
+                runner.pause, runner.events = 0.05, 40
+            headers = make_prompt(MIN_PROMPT_TOKENS)
+            call = asyncio.create_task(
+                stack.call("/draft/1", "POST", headers=headers)
+            )
+            await wait_until(lambda: count_all_runs(stack) == 1)
+            now = time.time()
+            causes = find_causes("pottery", "/draft/1", b"", ["aa", "bb"])
+            stack.gateways[0]._crashes.merge(Verdict(causes[0], now, now))
+            (busy,) = (id_ for id_, r in stack.runners.items() if r.runs)
+            await stack.register(busy, state="draining")
+            answer = await call
+            received = [
+                each.request.header("kv-from")
+                for runner in stack.runners.values()
+                for each in runner.received
+            ]
+            return answer, received
+
+        answer, received = play(story)
+        assert answer.body == make_stream("/draft/1", 40)
+        assert received == [None]
+
+    def test_a_request_over_a_tunnel_is_not_sent_after_the_verdict(self):
+        """Guards against requests that go through another gateway."""
+
+        async def story(stack: Stack):
+            await wait_until(
+                lambda: all(
+                    daemon._peer_key.current for daemon in stack.gateways
+                )
+            )
+            cut_path(stack, stack.gateways[0], "refuse")
+            first = await stack.call("/check/1")
+            before = count_all_runs(stack)
+            paths = stack.gateways[0]._forwarder.paths
+            connect = paths.connect
+
+            async def connect_as_the_verdict_comes(*args: Any) -> Socket:
+                socket = await connect(*args)
+                convict(stack, "/check/2")
+                return socket
+
+            paths.connect = connect_as_the_verdict_comes
+            second = await stack.call("/check/2")
+            return first.status, second.status, count_all_runs(stack) - before
+
+        assert play(story, gateways=2) == (200, 503, 0)
+
+
+def has_verdict(stack: Stack) -> bool:
+    """Return whether the store keeps a verdict."""
+    keys = stack.store.list_keys(OWN_TABLE)
+    return any(key.startswith(VERDICT_PREFIX) for key in keys)
+
+
+class TestRecords:
+    def test_gateways_that_all_start_again_know_the_verdict(self):
+        """Guards against more crashes after a kill of all gateways."""
+
+        async def story(stack: Stack):
+            convict(stack, "/book/1")
+            await wait_until(lambda: has_verdict(stack))
+            await asyncio.gather(*(each.abort() for each in stack.gateways))
+            daemon = await stack.add_gateway()
+            await wait_until(lambda: bool(daemon._crashes.causes._verdicts))
+            answer = await stack.call("/book/1", "POST", gateway=-1)
+            return answer.status, count_all_runs(stack)
+
+        assert play(story, gateways=2) == (503, 0)
+
+    def test_a_lifted_verdict_leaves_the_store(self):
+        """Guards against refusing a sound part after the next start."""
+
+        async def story(stack: Stack):
+            convict(stack, "/book/1")
+            await wait_until(lambda: has_verdict(stack))
+            (cause,) = find_causes("pottery", "/book/1", b"", ())
+            sound = Soundness(cause, time.time())
+            stack.gateways[0]._crashes.merge(sound)
+            await wait_until(lambda: not has_verdict(stack))
+
+        play(story)
