A margin and a fault in the soak for what crashes runners

`lagoonpost margins` tells how many late requests of one cause ended a runner. The soak sends requests with a part that crashes each model runner and checks that three at most arrive late after the fifth crash, beside its other faults.

--- a/lagoonpost/margins/line.py
+++ b/lagoonpost/margins/line.py
@@ -166,6 +166,30 @@
     rate: float
 
 
+class RunnerCrash(Message, kw_only=True, gc=False):
+    """A runner is down that cut off a run near its start.
+
+    Attributes:
+        runner: Id of the runner.
+        causes: What the request may have in common with others.
+        crashed: Time of the crash, in seconds since the epoch.
+    """
+
+    runner: str
+    causes: tuple[str, ...]
+    crashed: float
+
+
+class Conviction(Message, kw_only=True, gc=False):
+    """Requests with something in common are sent to no runner any more.
+
+    Attributes:
+        cause: What they have in common.
+    """
+
+    cause: str
+
+
 class SilentRunner(Message, kw_only=True, gc=False):
     """A gateway gave up waiting for a runner.
 
@@ -201,6 +225,8 @@
     "lagoonpost:forwarding:partitioned": PartitionChange,
     "lagoonpost:forwarding:brittle_refusal": BrittleRefusal,
     "lagoonpost:forwarding:limited_request": LimitedRequest,
+    "lagoonpost:forwarding:runner_crash": RunnerCrash,
+    "lagoonpost:forwarding:convicted": Conviction,
     "lagoonpost:forwarding:silent": SilentRunner,
     "lagoonpost:log:dropped": Dropped,
 }
--- a/lagoonpost/margins/rules.py
+++ b/lagoonpost/margins/rules.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from lagoonpost.margins.crash import find_late_crashes
 from lagoonpost.margins.duties import (
     find_holder_returns,
     find_lease_returns,
@@ -14,11 +15,13 @@
 from lagoonpost.margins.line import (
     BrittleRefusal,
     ConfigurationUpdate,
+    Conviction,
     DutyCall,
     LeaseChange,
     LimitedRequest,
     PartitionChange,
     RequestEnd,
+    RunnerCrash,
     RunnerUpdate,
     SilentRunner,
     Started,
@@ -99,6 +102,9 @@
         find_partition_service(changes, logs.find(RequestEnd), contact),
         find_brittle_refusals(logs.find(BrittleRefusal)),
         find_limited_requests(logs.find(LimitedRequest), contact),
+        find_late_crashes(
+            logs.find(RunnerCrash), logs.find(Conviction), contact
+        ),
         find_shortest_silence(logs.find(SilentRunner)),
         find_keepalive(logs.find(Started)),
     ]
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
     check_attempts,
     check_brittle_runners,
     check_configuration,
+    check_crashing_parts,
     check_draining,
     check_duties,
     check_limits,
@@ -84,6 +85,7 @@
         findings += check_duties(system)
         findings += check_brittle_runners(system)
         findings += check_limits(system)
+        findings += check_crashing_parts(system)
         findings += check_partitions(system, callers.attempts)
         findings += await check_recovery(system, callers)
         if findings:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,17 +1,21 @@
 """Fault injection: seeded schedules of faults that may overlap."""
 
 import asyncio
+import contextlib
 import signal
 import time
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import NamedTuple, get_args
 
+from lagoonpost.http.client import CallFailedError, Client
+from lagoonpost.http.message import Address
+from lagoonpost_standins.deployment import make_caller_headers
 from lagoonpost_standins.rows import Outage
 from lagoonpost_standins.runner import RunnerFault
 from soak.gateway import write_cut
 from soak.proxy import LinkFault, Proxy
-from soak.record import Falls, LimitTime, Span
+from soak.record import CrashTime, Falls, LimitTime, Span
 from soak.system import DRAIN_SECONDS, SLOTS, RunnerSlot, SoakSystem
 
 QUIET_START_SECONDS = 0.5
@@ -32,6 +36,13 @@
 LIMIT_DURATION_FACTOR = 2.5
 """Factor on the duration of limits, so that some outlast the time after which
 they count by several seconds."""
+CRASH_DURATION_FACTOR = 4.0
+"""Factor on the time for which requests come that crash runners, so that
+most go on for seconds after the fifth crash."""
+CRASHING_PAUSE_SECONDS = 0.4
+"""Mean pause between such requests."""
+CRASHED_SECONDS = 0.5
+"""Time for which a runner is down that a request has crashed."""
 STOP_TIMEOUT_SECONDS = 12.0
 """Longest wait for a gateway to stop: 1.5 times its grace period."""
 RESTART_DELAY_SECONDS = 0.5
@@ -345,6 +356,56 @@
     return " ".join(runner.id for runner, _ in limited)
 
 
+async def _send_crashing_requests(
+    system: SoakSystem, step: PlannedFault, rng: Random
+) -> str:
+    """Send requests with a part that crashes all model runners."""
+    slots = [slot for slot in system.runners if slot.service == "chat"]
+    if any(slot.runner.crash_part for slot in slots):
+        return ""
+    part = f"{step.seed:x}"
+    client = Client()
+    begin = time.monotonic()
+    end = begin + CRASH_DURATION_FACTOR * step.seconds
+    calls = set()
+    number = 0
+    while time.monotonic() < end:
+        for slot in slots:
+            slot.runner.crash_part = part
+            slot.runner.down_seconds = CRASHED_SECONDS
+        number += 1
+        entry = rng.choice(system.entries)
+        call = asyncio.create_task(
+            _send_crashing_request(client, entry, part, number)
+        )
+        calls.add(call)
+        await asyncio.sleep(rng.expovariate(1 / CRASHING_PAUSE_SECONDS))
+    await asyncio.gather(*calls)
+    for slot in slots:
+        for runner in slot.all_runners():
+            runner.crash_part = ""
+    system.crash_times.append(CrashTime(part, begin, time.monotonic()))
+    client.close()
+    return part
+
+
+async def _send_crashing_request(
+    client: Client, entry: Address, part: str, number: int
+) -> None:
+    """Send a request that shares a part with others, and its first part."""
+    headers = make_caller_headers(f"crash-{part}-{number}", 2.0)
+    headers += (
+        ("model", "m"),
+        ("token-count", "300,20"),
+        ("prompt-prefix", f"aa:100,{part}:100,{number:x}:100"),
+    )
+    path = f"/draft/crash-{part}-{number}"
+    with contextlib.suppress(CallFailedError):
+        await client.call(
+            entry, "POST", path, b"%d" % number, headers, timeout=3.0
+        )
+
+
 async def _crash_runner(
     system: SoakSystem, step: PlannedFault, rng: Random
 ) -> str:
@@ -399,6 +460,7 @@
     "compact": _compact_store,
     "crash": _crash_runner,
     "brittle": _make_brittle,
+    "crash_part": _send_crashing_requests,
     "cut_runners": _cut_runners,
     "cut_store": _disturb_store_link,
     "drill": _restore_store,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -35,7 +35,7 @@
 }
 """Faults that may delay updates from the store to the gateways."""
 RUNNER_FAULTS = frozenset(
-    ("crash", "fault", "harm_runner", "brittle", "limit")
+    ("crash", "crash_part", "fault", "harm_runner", "brittle", "limit")
 )
 MIN_SERVED_RATIO = 0.9
 """Share of calls that must be served after the faults are over."""
@@ -55,6 +55,10 @@
 ``LIMIT_WINDOW_SECONDS``, and ``LIMIT_SLACK`` requests."""
 LIMIT_TOLD_SECONDS = Bounds().contact_seconds
 """Time from which a limit counts after a runner first named it."""
+CRASHES_BEFORE, LATE_ALLOWED = 5, 3
+"""Crashes under one part of prompts after which its requests are late, and
+those that may come ``CONTACT_SECONDS`` later all the same."""
+CONTACT_SECONDS = Bounds().contact_seconds
 RECOVERY_CALLS = 5
 """Calls of each kind to each gateway after the faults are over."""
 
@@ -341,6 +345,38 @@
     return found
 
 
+def check_crashing_parts(system: SoakSystem) -> list[Finding]:
+    """Check that few requests reach runners that a part of them crashes.
+
+    Requests that arrive while gateways or their view of the store have
+    faults, or soon after, are left out.
+    """
+    found = []
+    for times in system.crash_times:
+        crashes = sorted(
+            at
+            for slot in system.runners
+            for runner in slot.all_runners()
+            for at in runner.crashes
+            if times.begin <= at < times.end
+        )
+        if len(crashes) < CRASHES_BEFORE:
+            continue
+        since = crashes[CRASHES_BEFORE - 1] + CONTACT_SECONDS
+        late = [
+            at
+            for at in system.list_arrivals_with(times.part)
+            if at > since
+            and not _has_fault(
+                system.spans, PROPAGATION_FAULTS, at - CONTACT_SECONDS, at
+            )
+        ]
+        if len(late) > LATE_ALLOWED:
+            detail = f"{times}: {len(late)} late, {len(crashes)} crashes"
+            found.append(Finding("what crashes runners stops", detail))
+    return found
+
+
 def _is_excused(spans: Sequence[Span], limit: LimitTime) -> bool:
     """Return whether gateways may not know of a runner's limit."""
     begin, end = limit.begin, limit.end
--- a/soak/record.py
+++ b/soak/record.py
@@ -118,6 +118,20 @@
     rate: float
 
 
+class CrashTime(NamedTuple):
+    """A time in which a part of prompts crashed runners.
+
+    Attributes:
+        part: Id of the part.
+        begin: Start time.
+        end: End time.
+    """
+
+    part: str
+    begin: float
+    end: float
+
+
 class Finding(NamedTuple):
     """A violation of a promise."""
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -25,7 +25,7 @@
 from lagoonpost_standins.runner import RunnerStandin
 from soak.gateway import CUT_VARIABLE
 from soak.proxy import Proxy
-from soak.record import Change, Drain, Falls, LimitTime, Span
+from soak.record import Change, CrashTime, Drain, Falls, LimitTime, Span
 
 STREAM_EVENTS = 6
 """Number of events of a stream."""
@@ -119,6 +119,7 @@
         falls: Services whose runners were brittle, and how often these fell
             over meanwhile.
         limit_times: Times in which runners named a limit.
+        crash_times: Times in which a part of prompts crashed runners.
         version: Newest configuration.
         folder: Temporary folder of settings and logs.
     """
@@ -148,6 +149,7 @@
         self.spans: list[Span] = []
         self.falls: list[Falls] = []
         self.limit_times: list[LimitTime] = []
+        self.crash_times: list[CrashTime] = []
         self.version = 1
         self._unknown_since: dict[str, float] = {}
         self.folder = Path()
@@ -290,13 +292,14 @@
     async def register(self, slot: RunnerSlot) -> None:
         """Write the entry of a slot's runner."""
         slot.seq += 1
+        crashes = sum(len(each.crashes) for each in slot.all_runners())
         entry = make_entry(
             slot.service,
             slot.proxy.address,
             slot.domain,
             state=slot.state,
             seq=slot.seq,
-            born=len(slot.previous) + 1,
+            born=len(slot.previous) + crashes + 1,
             slots=SLOTS,
         )
         await self.store.put("servers", slot.runner.id, entry)
@@ -341,6 +344,16 @@
             if received.ran
         )
 
+    def list_arrivals_with(self, part: str) -> list[float]:
+        """Return the times at which requests with a part reached runners."""
+        return sorted(
+            received.at
+            for slot in self.runners
+            for runner in slot.all_runners()
+            for received in runner.received
+            if f"{part}:" in (received.request.header("prompt-prefix") or "")
+        )
+
     def count_falls(self, service: str) -> int:
         """Return how often brittle runners of a service have fallen over."""
         return sum(
--- a/test/test_margins_partition.py
+++ b/test/test_margins_partition.py
@@ -2,17 +2,21 @@
 
 import pytest
 
+from lagoonpost.margins.crash import find_late_crashes
 from lagoonpost.margins.limit import find_limited_requests
 from lagoonpost.margins.line import (
     BrittleRefusal,
+    Conviction,
     Keepalive,
     LimitedRequest,
     Line,
     PartitionChange,
     RequestEnd,
+    RunnerCrash,
     SilentRunner,
     Started,
 )
+from lagoonpost.margins.margin import Margin
 from lagoonpost.margins.partition import (
     find_brittle_refusals,
     find_keepalive,
@@ -91,6 +95,33 @@
         assert find_limited_requests(lines, 3.0).distance < 0
 
 
+class TestCrashes:
+    def find(self, *times: float, contact: float | None = 3.0) -> Margin:
+        crashes = [
+            Line(
+                at,
+                "a",
+                RunnerCrash(at, runner=f"i-{at}", causes=("c",), crashed=at),
+            )
+            for at in times
+        ]
+        convictions = [Line(9.0, "a", Conviction(9.0, cause="c"))]
+        return find_late_crashes(crashes, convictions, contact)
+
+    def test_late_ones_count(self):
+        margin = self.find(1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 8.1, 9.0)
+        assert (margin.value, margin.bound, margin.subject) == (2.0, 3.0, "c")
+
+    def test_up_to_the_fifth_nothing_is_late(self):
+        assert self.find(1.0, 2.0, 3.0, 40.0).value is None
+
+    def test_more_than_is_allowed(self):
+        assert self.find(*(5.0 * n for n in range(10))).distance < 0
+
+    def test_unknown_without_the_contact_time(self):
+        assert self.find(1.0, contact=None).untold
+
+
 class TestSilence:
     def test_the_shortest_of_a_stream(self):
         lines = [
