Spread news of crashes as facts that older builds ignore

A fact of a new kind makes gateways of an older build refuse the whole gossip packet, so a rolling upgrade would have cut them off from news of runners and configurations. The news have a kind that they know and don't handle.

--- a/lagoonpost/forwarding/peer_sync.py
+++ b/lagoonpost/forwarding/peer_sync.py
@@ -36,6 +36,8 @@
 from lagoonpost.tables.stamp import find_era
 
 CONFIGURATION_DOCUMENT = "configuration"
+CRASH_KEY, SOUND_KEY, VERDICT_KEY = "crash", "sound", "verdict"
+"""First words of the keys of facts about what crashes runners."""
 MS_PER_SECOND = 1000
 ENTRY_TTL_SECONDS = 3600.0
 """How long a fact about a runner's entry is kept."""
@@ -246,22 +248,24 @@
         self.peers.publish(Fact("evacuation", domain, version, body))
 
     def publish_crash_news(self, news: News) -> None:
-        """Publish evidence on what crashes runners, or a verdict."""
-        body = msgspec.msgpack.encode(news)
+        """Publish evidence on what crashes runners, or a verdict.
+
+        All are facts of a kind that older builds know and ignore. One of a
+        new kind would make them refuse the whole message it comes in.
+        """
+        seconds = EVIDENCE_SECONDS
         match news:
             case Crash(runner, attempt):
-                key = f"{runner}/{attempt}"
-                end = self._find_end(EVIDENCE_SECONDS)
-                fact = Fact("runner_crash", key, 1, body, end)
+                key, rank = f"{CRASH_KEY}/{runner}/{attempt}", 1
             case Soundness(cause, began):
-                end = self._find_end(EVIDENCE_SECONDS)
-                rank = int(began * MS_PER_SECOND)
-                fact = Fact("sound_run", cause, rank, body, end)
-            case Verdict():
+                key, rank = f"{SOUND_KEY}/{cause}", int(began * MS_PER_SECOND)
+            case Verdict(cause):
+                key = f"{VERDICT_KEY}/{cause}"
                 rank = int(news.met * MS_PER_SECOND)
-                end = self._find_end(VERDICT_RETENTION_SECONDS)
-                fact = Fact("crash_verdict", news.cause, rank, body, end)
-        self.peers.publish(fact)
+                seconds = VERDICT_RETENTION_SECONDS
+        body = msgspec.msgpack.encode(news)
+        end = self._find_end(seconds)
+        self.peers.publish(Fact("poison_verdict", key, rank, body, end))
 
     def publish_store_lost(self, lost: bool) -> None:
         """Publish whether this gateway has lost the store.
@@ -302,8 +306,10 @@
         self._cluster.apply_evacuation(fact.key, fact.rank, active, "peer")
 
     def _handle_crash_news(self, fact: Fact) -> None:
-        type_ = _CRASH_NEWS[fact.kind]
-        self._on_crash_news(msgspec.msgpack.decode(fact.body, type=type_))
+        type_ = _CRASH_NEWS.get(fact.key.partition("/")[0])
+        if type_ is not None:
+            news = msgspec.msgpack.decode(fact.body, type=type_)
+            self._on_crash_news(news)
 
     def _handle_shift(self, fact: Fact) -> None:
         self._on_shift(fact)
@@ -458,9 +464,9 @@
 
 
 _CRASH_NEWS: dict[str, type[News]] = {
-    "runner_crash": Crash,
-    "sound_run": Soundness,
-    "crash_verdict": Verdict,
+    CRASH_KEY: Crash,
+    SOUND_KEY: Soundness,
+    VERDICT_KEY: Verdict,
 }
 
 
@@ -468,9 +474,7 @@
     "endpoint": PeerSync._handle_entry,
     "configuration": PeerSync._handle_version,
     "evacuation": PeerSync._handle_evacuation,
-    "runner_crash": PeerSync._handle_crash_news,
-    "sound_run": PeerSync._handle_crash_news,
-    "crash_verdict": PeerSync._handle_crash_news,
+    "poison_verdict": PeerSync._handle_crash_news,
     "store_lost": PeerSync._handle_store_lost,
     "shift": PeerSync._handle_shift,
     "recorded": PeerSync._handle_recorded,
--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -18,7 +18,7 @@
 from lagoonpost.systems.crash_causes import find_causes
 from lagoonpost.systems.migration import MIN_PROMPT_TOKENS
 from lagoonpost.systems.permit_issuer import Denied, Granted
-from lagoonpost.tables.crash import Soundness, Verdict
+from lagoonpost.tables.crash import Crash, Soundness, Verdict
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost_standins.runner import RunnerStandin, make_event
 
@@ -408,6 +408,33 @@
     return any(key.startswith(VERDICT_PREFIX) for key in keys)
 
 
+class TestNews:
+    def test_older_builds_can_read_what_carries_the_news(self):
+        """Guards against older gateways that refuse whole gossip packets."""
+        older = {"runner_leaving", "crash_seen", "poison_verdict", "endpoint"}
+
+        async def story(stack: Stack):
+            watch = stack.gateways[0]._crashes
+            peers = stack.gateways[0]._cluster.peers
+            publish, facts = peers.publish, []
+            peers.publish = lambda fact: (facts.append(fact), publish(fact))
+            now = time.time()
+            crash = Crash("chat-1", "a-1", ("part:1",), now, now)
+            for news in (
+                crash,
+                Soundness("part:2", now),
+                Verdict("part:3", now, now),
+            ):
+                watch.publish(news)
+            other = stack.gateways[1]._crashes.causes
+            await wait_until(lambda: bool(other._verdicts))
+            await wait_until(lambda: "part:2" in other._sound)
+            await wait_until(lambda: crash in other._crashes.values())
+            return {fact.kind for fact in facts}
+
+        assert play(story, gateways=2) <= older
+
+
 class TestRecords:
     def test_gateways_that_all_start_again_know_the_verdict(self):
         """Guards against more crashes after a kill of all gateways."""
