Let gateways that are cut off from the others read the verdicts

A gateway that reaches the store but not its peers heard of no verdict, and would have gone on sending what crashes runners. It now reads the records each second while it reaches no majority. Tests for it and for two writers.

--- a/lagoonpost/forwarding/crash_recorder.py
+++ b/lagoonpost/forwarding/crash_recorder.py
@@ -30,6 +30,9 @@
 """Pause between calls, in which changes are batched: each call is billed."""
 MAX_READ_PAUSE_SECONDS = 2.0
 """Longest pause between reads at the start while the store does not answer."""
+CUT_OFF_PAUSE_SECONDS = 1.0
+"""Pause between reads while this gateway is cut off from the others: a third
+of the time in which it has to know."""
 MAX_ROWS_PER_WRITE = 50
 WRITERS = 2
 """Gateways that write: one of them may be cut off from the store."""
@@ -42,6 +45,7 @@
         store: Store that holds the records.
         watch: The evidence and the verdicts.
         is_writer: Returns whether this gateway is one of those that write.
+        is_cut_off: Returns whether this gateway hears little of the others.
     """
 
     def __init__(
@@ -49,10 +53,12 @@
         store: Store,
         watch: CrashWatch,
         is_writer: Callable[[], bool],
+        is_cut_off: Callable[[], bool],
     ) -> None:
         self._store = store
         self._watch = watch
         self._is_writer = is_writer
+        self._is_cut_off = is_cut_off
         self._rows: dict[str, Row] = {}
         self._wake = asyncio.Event()
         watch.on_change = self._wake.set
@@ -60,17 +66,22 @@
     async def run(self, has_records: bool) -> None:
         """Read the records, then write changes until cancelled.
 
+        A gateway that is cut off from the others reads them again and again.
+
         Args:
             has_records: Whether the store may have records of an earlier run.
         """
         if has_records:
             await self._read()
         while True:
-            await self._wake.wait()
-            await asyncio.sleep(WRITE_PAUSE_SECONDS)
-            self._wake.clear()
-            if self._is_writer():
-                await self._write()
+            await self._wait_for_change()
+            if self._is_cut_off():
+                await self._read_once()
+            if self._wake.is_set():
+                await asyncio.sleep(WRITE_PAUSE_SECONDS)
+                self._wake.clear()
+                if self._is_writer():
+                    await self._write()
 
     def handle_new_era(self) -> None:
         """Write all records again, as the store has lost some rows."""
@@ -79,14 +90,25 @@
 
     async def _read(self) -> None:
         pause = WRITE_PAUSE_SECONDS
-        while True:
-            rows = await self._store.scan(PREFIX)
-            if not isinstance(rows, Unavailable):
-                self._apply(rows)
-                return
+        while not await self._read_once():
             await asyncio.sleep(pause)
             pause = min(2 * pause, MAX_READ_PAUSE_SECONDS)
 
+    async def _read_once(self) -> bool:
+        """Read the records; return whether the store has answered."""
+        rows = await self._store.scan(PREFIX)
+        if isinstance(rows, Unavailable):
+            return False
+        self._apply(rows)
+        return True
+
+    async def _wait_for_change(self) -> None:
+        try:
+            async with asyncio.timeout(CUT_OFF_PAUSE_SECONDS):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+
     def _apply(self, rows: Sequence[Row]) -> None:
         for row in rows:
             self._rows[row.key] = row
--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -9,9 +9,17 @@
 
 import pytest
 from forwarding_stack import Stack, make_prompt, play, wait_until
+from memory_store import MemoryStore
 from test_partition import cut_path
 
-from lagoonpost.forwarding.crash_recorder import VERDICT_PREFIX
+from lagoonpost.forwarding.crash_recorder import (
+    CUT_OFF_PAUSE_SECONDS,
+    EVIDENCE_KEY,
+    VERDICT_PREFIX,
+    WRITE_PAUSE_SECONDS,
+    CrashRecorder,
+)
+from lagoonpost.forwarding.crash_watch import CrashWatch
 from lagoonpost.http.client import CallFailedError, Socket
 from lagoonpost.http.message import Headers
 from lagoonpost.platform.store import OWN_TABLE
@@ -450,6 +458,62 @@
 
         assert play(story, gateways=2) == (503, 0)
 
+    def test_a_gateway_that_is_cut_off_reads_the_verdict(self):
+        """Guards against gateways that reach the store but not their peers."""
+
+        async def story() -> tuple[bool, bool]:
+            store = MemoryStore()
+            sound, cut_off = (CrashWatch(time.time) for _ in range(2))
+            for watch in (sound, cut_off):
+                watch.publish = lambda news: None
+            recorders = [
+                CrashRecorder(store, sound, lambda: True, lambda: False),
+                CrashRecorder(store, cut_off, lambda: False, lambda: True),
+            ]
+            tasks = [
+                asyncio.create_task(each.run(has_records=False))
+                for each in recorders
+            ]
+            now = time.time()
+            before = cut_off.causes.may_send(["part:1"], now)
+            sound.merge(Verdict("part:1", now, now))
+            await asyncio.sleep(CUT_OFF_PAUSE_SECONDS + 1.0)
+            after = cut_off.causes.may_send(["part:1"], now)
+            for task in tasks:
+                task.cancel()
+            return before, after
+
+        assert asyncio.run(story()) == (True, False)
+
+    def test_two_writers_do_not_undo_what_the_other_wrote(self):
+        """Guards against writers that each know only some verdicts."""
+
+        async def story() -> set[str]:
+            store = MemoryStore()
+            watches = [CrashWatch(time.time) for _ in range(2)]
+            tasks = []
+            for watch in watches:
+                watch.publish = lambda news: None
+                recorder = CrashRecorder(
+                    store, watch, lambda: True, lambda: False
+                )
+                run = recorder.run(has_records=False)
+                tasks.append(asyncio.create_task(run))
+            now = time.time()
+            for number, watch in enumerate(watches):
+                watch.merge(Verdict(f"part:{number}", now, now))
+                crash = Crash(f"chat-{number}", "a", ("part:9",), now, now)
+                watch.merge(crash)
+            await asyncio.sleep(8 * WRITE_PAUSE_SECONDS)
+            for task in tasks:
+                task.cancel()
+            kept = {key for key, row in store.rows.items() if row.value}
+            return kept, len(store.rows[EVIDENCE_KEY].value)
+
+        kept, crashes = asyncio.run(story())
+        assert {f"{VERDICT_PREFIX}part:{n}" for n in range(2)} <= kept
+        assert crashes == 2
+
     def test_a_lifted_verdict_leaves_the_store(self):
         """Guards against refusing a sound part after the next start."""
 
