--- a/bench/crash_play.py
+++ b/bench/crash_play.py
@@ -127,16 +127,28 @@
 
 
 class CrashPlay:
-    """One play of a scenario."""
+    """One play of a scenario.
 
-    def __init__(self, scenario: Scenario, seed: int) -> None:
+    Args:
+        scenario: What is played.
+        seed: Seed of all that is drawn.
+        make_causes: Makes the decision of each gateway.
+    """
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        make_causes: Callable[[], CrashCauses] = CrashCauses,
+    ) -> None:
         self._scenario = scenario
         self._rng = Random(seed)
         self._now = 0.0
         self._events: list[tuple[float, int, Callable[..., None], Any]] = []
         self._order = itertools.count()
         self._ids = itertools.count()
-        self._causes = [CrashCauses() for _ in range(scenario.gateways)]
+        self._make_causes = make_causes
+        self._causes = [make_causes() for _ in range(scenario.gateways)]
         self._lives = [0] * scenario.gateways
         self._started = [-inf] * scenario.gateways
         self._up = [True] * scenario.gateways
@@ -345,7 +357,7 @@
             self._at(self._now + RESTART_SECONDS, self._restart, gateway)
 
     def _restart(self, gateway: int) -> None:
-        self._causes[gateway] = CrashCauses()
+        self._causes[gateway] = self._make_causes()
         self._lives[gateway] += 1
         self._up[gateway] = True
         self._started[gateway] = self._now
