Keep a verdict whose evidence is gone in part

A verdict was dropped if the crashes that are still known didn't suffice: after an hour, when the first of three slow crashes had ended, and at gateways that started and had read only the newest ones. It is now dropped only if a run was sound after the first crash that counted, or if another cause explains all that is left. Both tests failed before.

--- a/lagoonpost/systems/crash_causes.py
+++ b/lagoonpost/systems/crash_causes.py
@@ -132,10 +132,12 @@
 
     def is_convicted(self, cause: str, now: float) -> bool:
         """Return whether requests with a cause are not sent."""
+        return cause not in self._overruled and self._is_in_force(cause, now)
+
+    def _is_in_force(self, cause: str, now: float) -> bool:
+        """Return whether a verdict has not lapsed, even if it is overruled."""
         verdict = self._verdicts.get(cause)
-        if verdict is None or cause in self._overruled:
-            return False
-        return now < _find_end(verdict)
+        return verdict is not None and now < _find_end(verdict)
 
     def _renew(self, cause: str, now: float) -> None:
         verdict = self._verdicts[cause]
@@ -221,10 +223,7 @@
         counted = (
             crash
             for crash in reversed(self._crashes.values())
-            if any(
-                crash.latest > self._sound.get(cause, -inf)
-                for cause in crash.causes
-            )
+            if any(self._counts(crash, cause) for cause in crash.causes)
         )
         newest = islice(counted, MAX_RECORDED)
         return sorted(newest, key=lambda crash: (crash.latest, crash))
@@ -274,24 +273,23 @@
         if now < self._judge_at:
             return
         self._judge_at = inf
+        oldest = now - EVIDENCE_SECONDS
+        left = [c for c in self._crashes.values() if c.latest >= oldest]
         guilty: set[str] = set()
-        counted = list(self._crashes.values())
-        while (cause := self._find_worst(counted, now)) is not None:
+        while (cause := self._find_worst(left, now)) is not None:
             guilty.add(cause)
-            self._overruled.discard(cause)
-            if not self.is_convicted(cause, now):
-                self._convict(cause, counted, now)
-            explained = {
+            if not self._is_in_force(cause, now):
+                self._convict(cause, left, now)
+            crashed = {
                 crash.runner: crash.latest
-                for crash in counted
+                for crash in left
                 if cause in crash.causes
             }
-            counted = [
-                crash for crash in counted if not _is_in(explained, crash)
-            ]
+            left = [crash for crash in left if not _is_in(crashed, crash)]
+        unexplained = {cause for crash in left for cause in crash.causes}
         self._overruled = {
             cause
-            for cause in self._verdicts.keys() - guilty
+            for cause in self._verdicts.keys() - guilty - unexplained
             if self._has_evidence(cause)
         }
 
@@ -301,16 +299,16 @@
         by_cause: dict[str, list[Crash]] = {}
         for crash in crashes:
             for rank, cause in enumerate(crash.causes):
-                if crash.latest > self._sound.get(cause, -inf):
+                if self._counts(crash, cause):
                     ranks[cause] = max(rank, ranks.get(cause, 0))
                     by_cause.setdefault(cause, []).append(crash)
         runners: dict[str, int] = {}
         for cause, cut_off in by_cause.items():
-            if _count_crashes(cut_off) < self._find_limit(cause):
+            if _count_crashes(cut_off) < self._find_limit(cause, now):
                 continue
-            since = min(crash.latest for crash in cut_off)
-            if now < since + TRIAL_SECONDS:
-                self._judge_at = min(self._judge_at, since + TRIAL_SECONDS)
+            due = min(crash.latest for crash in cut_off) + TRIAL_SECONDS
+            if now < due:
+                self._judge_at = min(self._judge_at, due)
             else:
                 runners[cause] = len({crash.runner for crash in cut_off})
         return max(
@@ -319,14 +317,19 @@
             default=None,
         )
 
-    def _find_limit(self, cause: str) -> int:
+    def _counts(self, crash: Crash, cause: str) -> bool:
+        """Return whether no sound run has cleared a cause of a crash."""
+        return crash.latest > self._sound.get(cause, -inf)
+
+    def _find_limit(self, cause: str, now: float) -> int:
         """Return the crashes that convict a cause."""
-        if cause in self._verdicts and not self._has_evidence(cause):
-            return 1
-        return CRASHES_TO_CONVICT
+        has_lapsed = cause in self._verdicts and not self._is_in_force(
+            cause, now
+        )
+        return 1 if has_lapsed else CRASHES_TO_CONVICT
 
     def _has_evidence(self, cause: str) -> bool:
-        """Return whether the crashes that led to a verdict are known."""
+        """Return whether the first crash that led to a verdict is known."""
         since = self._verdicts[cause].since
         crashes = self._by_cause.get(cause, ())
         return any(crash.latest == since for crash in crashes)
@@ -334,7 +337,11 @@
     def _convict(
         self, cause: str, crashes: Iterable[Crash], now: float
     ) -> None:
-        since = max(c.latest for c in crashes if cause in c.causes)
+        since = min(
+            crash.latest
+            for crash in crashes
+            if cause in crash.causes and self._counts(crash, cause)
+        )
         before = self._verdicts.get(cause)
         number = before.number + 1 if before else 1
         self._add_verdict(Verdict(cause, since, now, number))
@@ -351,7 +358,7 @@
         self._lift(cause)
 
     def _lift(self, cause: str) -> None:
-        """Drop a verdict if a run was sound after its last crash."""
+        """Drop a verdict if a run was sound after its first crash."""
         verdict = self._verdicts.get(cause)
         if verdict and self._sound.get(cause, -inf) > verdict.since:
             del self._verdicts[cause]
--- a/lagoonpost/tables/crash.py
+++ b/lagoonpost/tables/crash.py
@@ -42,7 +42,8 @@
 
     Attributes:
         cause: What the requests have in common.
-        since: Time of the last crash that counted, in seconds since the epoch.
+        since: Time of the first crash that counted, in seconds since the
+            epoch.
         met: Last time at which such a request was refused, to within some
             minutes.
         number: How often the cause was convicted.
--- a/test/test_crash_causes.py
+++ b/test/test_crash_causes.py
@@ -189,7 +189,26 @@
         assert not evidence.may_send([FIRST], 12.0)
         assert evidence.may_send([MIDDLE], 12.0)
 
-    def test_sound_runs_after_the_last_crash_lift_a_verdict(self):
+    def test_a_verdict_holds_while_a_part_of_its_evidence_is_gone(self):
+        """Guards against verdicts that end because evidence does."""
+        minute = 60.0
+        evidence = CrashCauses()
+        for at in (0.0, 25 * minute, 50 * minute):
+            evidence.merge(make_crash(at, (MIDDLE,)), at)
+        assert not evidence.may_send([MIDDLE], 51 * minute)
+        evidence.forget_old(80 * minute)
+        evidence.merge(make_crash(80 * minute, ("part:other",)), 80 * minute)
+        assert not evidence.may_send([MIDDLE], 81 * minute)
+
+    def test_a_verdict_from_the_store_holds_with_a_part_of_its_evidence(self):
+        """Guards against gateways that start and know the last crashes."""
+        before = convict()
+        after = merge_all(
+            *before.list_evidence()[1:], *before.list_verdicts(), now=10.0
+        )
+        assert not after.may_send([MIDDLE], 20.0)
+
+    def test_sound_runs_after_a_crash_that_counted_lift_a_verdict(self):
         evidence = convict()
         evidence.merge(Soundness(MIDDLE, 5.0), 10.0)
         assert evidence.may_send([MIDDLE], 10.0)
@@ -334,6 +353,11 @@
         scenario = HUNDRED_NINETY_FIVE._replace(guilty=guilty, seconds=50.0)
         check_rule(CrashPlay(scenario, 0).run())
 
+    def test_few_requests_come_late_in_three_hours(self):
+        """Guards against evidence and verdicts that end after some time."""
+        scenario = NINE._replace(rate=2.0, guilty_rate=0.05, seconds=10_800.0)
+        check_rule(CrashPlay(scenario, 0).run())
+
     @pytest.mark.parametrize("seed", range(3))
     @pytest.mark.parametrize(
         "waves",
