--- a/lagoonpost/forwarding/crash_recorder.py
+++ b/lagoonpost/forwarding/crash_recorder.py
@@ -124,10 +124,7 @@
         }
         evidence = causes.list_evidence()
         if evidence:
-            records[EVIDENCE_KEY] = [
-                [*crash[:2], list(crash.causes), *crash[3:]]
-                for crash in evidence
-            ]
+            records[EVIDENCE_KEY] = [_encode(crash) for crash in evidence]
         return records
 
     async def _write(self) -> None:
@@ -172,6 +169,17 @@
         return row.version if row is not None else 0
 
 
+def _encode(crash: Crash) -> list[Any]:
+    """Return a crash as the store returns it."""
+    return [
+        crash.runner,
+        crash.attempt,
+        list(crash.causes),
+        crash.earliest,
+        crash.latest,
+    ]
+
+
 def _decode(row: Row) -> Sequence[Crash | Verdict]:
     """Return the records in a row; none if it is deleted or unreadable."""
     if row.value is None:
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -234,7 +234,10 @@
                 log_cut_off(exchange, choice, outcome)
             if responder.finished or exchange.outcome == "answered":
                 return None
-            if isinstance(outcome, Barred) or not exchange.may_retry():
+            barred = isinstance(outcome, Barred) or not self._crashes.may_send(
+                exchange
+            )
+            if barred or not exchange.may_retry():
                 return await self._give_up(exchange, responder)
 
     async def _choose(
--- a/lagoonpost/tables/crash.py
+++ b/lagoonpost/tables/crash.py
@@ -6,7 +6,7 @@
 
 
 class Crash(NamedTuple):
-    """A run that was cut off near its start when its runner crashed.
+    """Evidence of a crash: a run that it cut off near its start.
 
     Attributes:
         runner: Id of the runner.
