Take evidence that has ended for no sign against a verdict

A verdict whose evidence had ended but was not yet dropped counted as outdated when another runner crashed at that moment. The test failed before. Plainer names in the decision and its plays.

--- a/bench/crash_play.py
+++ b/bench/crash_play.py
@@ -65,8 +65,8 @@
         gateways: Number of gateways.
         runners: Number of runners.
         rate: Sound requests a second.
-        guilty_rate: Requests a second that crash their runners.
-        guilty: Part that crashes runners: "first", "middle", "new", which no
+        crashing_rate: Requests a second that crash their runners.
+        crashing: Part that crashes runners: "first", "middle", "new", which no
             sound request has, "content" for one request that comes again,
             "bodies" for requests that crash by their bodies, all different.
         turns: Time from which they do, in seconds.
@@ -74,7 +74,7 @@
         waves: Runners that crash for other reasons.
         kill_at: Time at which all gateways are killed.
         retries: Attempts that follow one that was cut off.
-        extra_parts: Parts of each guilty request that nobody else names.
+        extra_parts: Parts of each crashing request that nobody else names.
         skew: Seconds by which the clocks of a third of the gateways are
             ahead.
     """
@@ -82,8 +82,8 @@
     gateways: int
     runners: int
     rate: float
-    guilty_rate: float = 0.0
-    guilty: str = "middle"
+    crashing_rate: float = 0.0
+    crashing: str = "middle"
     turns: float = 20.0
     seconds: float = 90.0
     waves: tuple[Wave, ...] = ()
@@ -97,8 +97,8 @@
     """What came of a play.
 
     Attributes:
-        crashes: Times at which guilty requests crashed runners.
-        late: Guilty requests that reached runners too late.
+        crashes: Times at which crashing requests crashed runners.
+        late: Crashing requests that reached runners too late.
         refused: Sound requests that were refused.
         share: Least share of first attempts that began of a group of sound
             requests with one first part, from six seconds after the fifth or
@@ -121,8 +121,8 @@
         self.sent = self.first_byte = self.end = 0.0
         self.attempts = 0
         self.id = ""
-        self.crashes = False
-        self.guilty = False
+        self.crashes_by_body = False
+        self.crashing = False
         self.runner = ""
 
 
@@ -156,7 +156,7 @@
         self._store: list[News] = []
         self._weights = [1 / (rank + 1) for rank in range(MIDDLE_PARTS)]
         self._crashes: list[float] = []
-        self._guilty_sent: list[float] = []
+        self._crashing_sent: list[float] = []
         self._first_attempts: list[tuple[float, str, bool]] = []
         self._refused = 0
         self._convicted: set[str] = set()
@@ -167,7 +167,7 @@
         for _ in range(scenario.runners):
             self._start_runner()
         self._arrive(False)
-        if scenario.guilty_rate:
+        if scenario.crashing_rate:
             self._at(scenario.turns, self._arrive, True)
         for wave in scenario.waves:
             self._at(wave.at, self._strike, wave)
@@ -192,22 +192,22 @@
 
     # Requests
 
-    def _arrive(self, guilty: bool) -> None:
+    def _arrive(self, crashing: bool) -> None:
         scenario, rng = self._scenario, self._rng
-        rate = scenario.guilty_rate if guilty else scenario.rate
-        self._at(self._now + rng.expovariate(rate), self._arrive, guilty)
+        rate = scenario.crashing_rate if crashing else scenario.rate
+        self._at(self._now + rng.expovariate(rate), self._arrive, crashing)
         gateway = rng.randrange(scenario.gateways)
         if self._up[gateway]:
-            self._offer(self._make_run(gateway, guilty))
+            self._offer(self._make_run(gateway, crashing))
 
-    def _make_run(self, gateway: int, guilty: bool) -> _Run:
-        rng, kind = self._rng, self._scenario.guilty
+    def _make_run(self, gateway: int, crashing: bool) -> _Run:
+        rng, kind = self._rng, self._scenario.crashing
         number = next(self._ids)
         first = f"first-{rng.randrange(FIRST_PARTS)}"
         middle = rng.choices(range(MIDDLE_PARTS), self._weights)[0]
         parts = [first, f"middle-{middle}", f"last-{number}"]
         body = b"%d" % number
-        if guilty:
+        if crashing:
             extra = range(self._scenario.extra_parts)
             parts[2:2] = [f"extra-{number}-{each}" for each in extra]
             if kind == "first":
@@ -215,28 +215,28 @@
             elif kind == "middle":
                 parts[1] = "middle-3"
             elif kind == "new":
-                parts[1] = "guilty"
+                parts[1] = "crashing"
             elif kind == "content":
-                parts, body = ["first-0", "middle-3", "last"], b"guilty"
+                parts, body = ["first-0", "middle-3", "last"], b"crashing"
         run = _Run(gateway, parts, body)
-        run.crashes = guilty and kind == "bodies"
+        run.crashes_by_body = crashing and kind == "bodies"
         return run
 
-    def _is_guilty(self, run: _Run) -> bool:
+    def _is_crashing(self, run: _Run) -> bool:
         scenario = self._scenario
-        if not scenario.guilty_rate or self._now < scenario.turns:
+        if not scenario.crashing_rate or self._now < scenario.turns:
             return False
-        names = {"first": "first-0", "middle": "middle-3", "new": "guilty"}
-        if scenario.guilty == "content":
+        names = {"first": "first-0", "middle": "middle-3", "new": "crashing"}
+        if scenario.crashing == "content":
             return run.parts[-1] == "last"
-        return names.get(scenario.guilty) in run.parts
+        return names.get(scenario.crashing) in run.parts
 
     def _offer(self, run: _Run) -> None:
-        run.guilty = run.crashes or self._is_guilty(run)
+        run.crashing = run.crashes_by_body or self._is_crashing(run)
         causes = self._causes[run.gateway]
         allowed = causes.may_send(run.causes, self._clock(run.gateway))
         self._spread(run.gateway)
-        if not run.guilty and run.attempts == 0:
+        if not run.crashing and run.attempts == 0:
             begun = allowed and bool(self._runners)
             self._first_attempts.append((self._now, run.parts[0], begun))
             self._refused += not allowed
@@ -249,9 +249,9 @@
         run.sent = self._now
         run.first_byte = self._now + self._rng.uniform(*FIRST_BYTE_SECONDS)
         run.end = run.first_byte + self._rng.uniform(0.3, 5.0)
-        if run.guilty:
+        if run.crashing:
             if self._now > self._started[run.gateway] + CONTACT_SECONDS:
-                self._guilty_sent.append(self._now)
+                self._crashing_sent.append(self._now)
             run.end = run.first_byte + CRASH_SECONDS
             self._at(run.end, self._crash_by, run, run.id)
             return
@@ -371,7 +371,9 @@
         fifth = inf
         if len(crashes) >= CRASHES_TO_COUNT:
             fifth = crashes[CRASHES_TO_COUNT - 1]
-        late = [at for at in self._guilty_sent if at > fifth + CONTACT_SECONDS]
+        late = [
+            at for at in self._crashing_sent if at > fifth + CONTACT_SECONDS
+        ]
         last = min(fifth, crashes[-1]) if crashes else self._scenario.turns
         return Outcome(
             crashes,
--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -74,9 +74,9 @@
 
 WAYS = (
     Way("whole requests", ContentOnly, {}),
-    Way("crashes alone", NoSoundRuns, {"TRIAL_SECONDS": 0.0}),
+    Way("crashes alone", NoSoundRuns, {"MIN_AGE_SECONDS": 0.0}),
     Way("own sound runs", OwnSoundRuns, {}),
-    Way("no time for sound runs", CrashCauses, {"TRIAL_SECONDS": 0.0}),
+    Way("no time for sound runs", CrashCauses, {"MIN_AGE_SECONDS": 0.0}),
     Way("each crash counts", CrashCauses, {"SIMULTANEOUS_SECONDS": -1.0}),
     Way(
         "an end after 10 s",
@@ -93,11 +93,11 @@
 }
 WAVES = (Wave(20.5, 0.3), Wave(22.5, 0.3), Wave(24.5, 0.3))
 CASES: dict[str, dict[str, object]] = {
-    "middle": {"guilty": "middle"},
-    "first": {"guilty": "first"},
-    "middle, waves": {"guilty": "middle", "waves": WAVES},
-    "waves alone": {"guilty_rate": 0.0, "waves": WAVES},
-    "all killed at 23 s": {"guilty": "middle", "kill_at": 23.0},
+    "middle": {"crashing": "middle"},
+    "first": {"crashing": "first"},
+    "middle, waves": {"crashing": "middle", "waves": WAVES},
+    "waves alone": {"crashing_rate": 0.0, "waves": WAVES},
+    "all killed at 23 s": {"crashing": "middle", "kill_at": 23.0},
 }
 
 
--- a/lagoonpost/systems/crash_causes.py
+++ b/lagoonpost/systems/crash_causes.py
@@ -45,7 +45,7 @@
 """Longest time between crashes that count as one."""
 JUDGEMENT_DELAY_SECONDS = 0.4
 """Time in which the other gateways' evidence on a crash arrives."""
-TRIAL_SECONDS = 2.7
+MIN_AGE_SECONDS = 2.7
 """Time from the first crash that counts to the verdict. In this time sound
 runs of a cause that many requests share go on and are heard of."""
 EVIDENCE_SECONDS = 3600.0
@@ -114,7 +114,7 @@
         self._sound: OrderedDict[str, float] = OrderedDict()
         self._published_sound: dict[str, float] = {}
         self._verdicts: dict[str, Verdict] = {}
-        self._overruled: set[str] = set()
+        self._outdated: set[str] = set()
         self._judge_at = inf
         self._news: list[News] = []
 
@@ -132,10 +132,10 @@
 
     def is_convicted(self, cause: str, now: float) -> bool:
         """Return whether requests with a cause are not sent."""
-        return cause not in self._overruled and self._is_in_force(cause, now)
+        return cause not in self._outdated and self._is_in_force(cause, now)
 
     def _is_in_force(self, cause: str, now: float) -> bool:
-        """Return whether a verdict has not lapsed, even if it is overruled."""
+        """Return whether a verdict has not lapsed, even if it is outdated."""
         verdict = self._verdicts.get(cause)
         return verdict is not None and now < _find_end(verdict)
 
@@ -215,7 +215,7 @@
         return [
             verdict
             for cause, verdict in self._verdicts.items()
-            if cause not in self._overruled
+            if cause not in self._outdated
         ]
 
     def list_evidence(self) -> list[Crash]:
@@ -247,6 +247,11 @@
             if not self._by_cause[cause]:
                 del self._by_cause[cause]
 
+    def _drop_old_crashes(self, now: float) -> None:
+        for id_, crash in list(self._crashes.items()):
+            if crash.latest < now - EVIDENCE_SECONDS:
+                self._drop_crash(id_)
+
     def _tell_sound(self, cause: str) -> None:
         """Tell the others of a sound run that clears a cause of a crash."""
         began = self._sound.get(cause, -inf)
@@ -273,11 +278,11 @@
         if now < self._judge_at:
             return
         self._judge_at = inf
-        oldest = now - EVIDENCE_SECONDS
-        left = [c for c in self._crashes.values() if c.latest >= oldest]
-        guilty: set[str] = set()
+        self._drop_old_crashes(now)
+        left = list(self._crashes.values())
+        convicted: set[str] = set()
         while (cause := self._find_worst(left, now)) is not None:
-            guilty.add(cause)
+            convicted.add(cause)
             if not self._is_in_force(cause, now):
                 self._convict(cause, left, now)
             crashed = {
@@ -287,9 +292,9 @@
             }
             left = [crash for crash in left if not _is_in(crashed, crash)]
         unexplained = {cause for crash in left for cause in crash.causes}
-        self._overruled = {
+        self._outdated = {
             cause
-            for cause in self._verdicts.keys() - guilty - unexplained
+            for cause in self._verdicts.keys() - convicted - unexplained
             if self._has_evidence(cause)
         }
 
@@ -306,7 +311,7 @@
         for cause, cut_off in by_cause.items():
             if _count_crashes(cut_off) < self._find_limit(cause, now):
                 continue
-            due = min(crash.latest for crash in cut_off) + TRIAL_SECONDS
+            due = min(crash.latest for crash in cut_off) + MIN_AGE_SECONDS
             if now < due:
                 self._judge_at = min(self._judge_at, due)
             else:
@@ -366,9 +371,7 @@
     def forget_old(self, now: float) -> None:
         """Drop what no longer counts."""
         self._judge_if_due(now)
-        for id_, crash in list(self._crashes.items()):
-            if crash.latest < now - EVIDENCE_SECONDS:
-                self._drop_crash(id_)
+        self._drop_old_crashes(now)
         for cause, verdict in list(self._verdicts.items()):
             if verdict.met < now - VERDICT_RETENTION_SECONDS:
                 del self._verdicts[cause]
--- a/test/test_crash_causes.py
+++ b/test/test_crash_causes.py
@@ -12,7 +12,7 @@
     MAX_CAUSES,
     MAX_CRASHES,
     MAX_SOUND,
-    TRIAL_SECONDS,
+    MIN_AGE_SECONDS,
     VERDICT_GROWTH,
     VERDICT_SECONDS,
     CrashCauses,
@@ -200,6 +200,14 @@
         evidence.merge(make_crash(80 * minute, ("part:other",)), 80 * minute)
         assert not evidence.may_send([MIDDLE], 81 * minute)
 
+    def test_a_verdict_holds_when_all_of_its_evidence_has_ended(self):
+        """Guards against taking evidence that has ended for outdated."""
+        evidence = convict()
+        assert not evidence.may_send([MIDDLE], 0.9 * HOUR)
+        later = HOUR + 100.0
+        evidence.merge(make_crash(later, ("part:other",)), later)
+        assert not evidence.may_send([MIDDLE], later + 1.0)
+
     def test_a_verdict_from_the_store_holds_with_a_part_of_its_evidence(self):
         """Guards against gateways that start and know the last crashes."""
         before = convict()
@@ -262,7 +270,7 @@
         back = 2 * HOUR
         evidence.forget_old(back)
         evidence.merge(make_crash(back, (MIDDLE,)), back)
-        at = back + TRIAL_SECONDS + 1.0
+        at = back + MIN_AGE_SECONDS + 1.0
         assert not evidence.may_send([MIDDLE], at)
         later = at + 0.9 * VERDICT_GROWTH * VERDICT_SECONDS
         assert not evidence.may_send([MIDDLE], later)
@@ -291,10 +299,10 @@
         assert len(evidence._sound) <= MAX_SOUND
 
 
-NINE = Scenario(gateways=9, runners=24, rate=25.0, guilty_rate=0.6)
-EIGHTY_TWO = Scenario(gateways=82, runners=60, rate=60.0, guilty_rate=2.0)
+NINE = Scenario(gateways=9, runners=24, rate=25.0, crashing_rate=0.6)
+EIGHTY_TWO = Scenario(gateways=82, runners=60, rate=60.0, crashing_rate=2.0)
 HUNDRED_NINETY_FIVE = Scenario(
-    gateways=195, runners=150, rate=120.0, guilty_rate=4.0
+    gateways=195, runners=150, rate=120.0, crashing_rate=4.0
 )
 LATE_ALLOWED = 3
 USUAL_SHARE = 0.9
@@ -315,20 +323,20 @@
     @pytest.mark.parametrize(
         "more",
         [
-            {"guilty": "middle"},
-            {"guilty": "first"},
-            {"guilty": "new"},
-            {"guilty": "content"},
-            {"guilty": "middle", "guilty_rate": 0.1, "seconds": 400.0},
-            {"guilty": "new", "guilty_rate": 5.0},
-            {"guilty": "new", "extra_parts": 60},
-            {"guilty": "middle", "retries": 3},
-            {"guilty": "middle", "waves": WAVES},
-            {"guilty": "first", "waves": DARK_WAVES},
-            {"guilty": "middle", "waves": ONE_AFTER_THE_OTHER},
-            {"guilty": "middle", "kill_at": 21.5},
-            {"guilty": "middle", "kill_at": 23.0},
-            {"guilty": "middle", "kill_at": 40.0},
+            {"crashing": "middle"},
+            {"crashing": "first"},
+            {"crashing": "new"},
+            {"crashing": "content"},
+            {"crashing": "middle", "crashing_rate": 0.1, "seconds": 400.0},
+            {"crashing": "new", "crashing_rate": 5.0},
+            {"crashing": "new", "extra_parts": 60},
+            {"crashing": "middle", "retries": 3},
+            {"crashing": "middle", "waves": WAVES},
+            {"crashing": "first", "waves": DARK_WAVES},
+            {"crashing": "middle", "waves": ONE_AFTER_THE_OTHER},
+            {"crashing": "middle", "kill_at": 21.5},
+            {"crashing": "middle", "kill_at": 23.0},
+            {"crashing": "middle", "kill_at": 40.0},
         ],
         ids=str,
     )
@@ -338,24 +346,28 @@
     @pytest.mark.parametrize(
         "more",
         [
-            {"guilty": "middle"},
-            {"guilty": "first", "seconds": 60.0},
-            {"guilty": "new", "kill_at": 23.0},
-            {"guilty": "middle", "waves": WAVES, "seconds": 60.0},
+            {"crashing": "middle"},
+            {"crashing": "first", "seconds": 60.0},
+            {"crashing": "new", "kill_at": 23.0},
+            {"crashing": "middle", "waves": WAVES, "seconds": 60.0},
         ],
         ids=str,
     )
     def test_few_requests_come_late_at_82_gateways(self, more):
         check_rule(CrashPlay(EIGHTY_TWO._replace(**more), 0).run())
 
-    @pytest.mark.parametrize("guilty", ["middle", "new"])
-    def test_few_requests_come_late_at_195_gateways(self, guilty):
-        scenario = HUNDRED_NINETY_FIVE._replace(guilty=guilty, seconds=50.0)
+    @pytest.mark.parametrize("crashing", ["middle", "new"])
+    def test_few_requests_come_late_at_195_gateways(self, crashing):
+        scenario = HUNDRED_NINETY_FIVE._replace(
+            crashing=crashing, seconds=50.0
+        )
         check_rule(CrashPlay(scenario, 0).run())
 
     def test_few_requests_come_late_in_three_hours(self):
         """Guards against evidence and verdicts that end after some time."""
-        scenario = NINE._replace(rate=2.0, guilty_rate=0.05, seconds=10_800.0)
+        scenario = NINE._replace(
+            rate=2.0, crashing_rate=0.05, seconds=10_800.0
+        )
         check_rule(CrashPlay(scenario, 0).run())
 
     @pytest.mark.parametrize("seed", range(3))
@@ -366,13 +378,13 @@
     )
     def test_nothing_is_refused_where_no_part_is_at_fault(self, waves, seed):
         """Guards against refusing what ran on runners that were lost."""
-        scenario = NINE._replace(guilty_rate=0.0, waves=waves)
+        scenario = NINE._replace(crashing_rate=0.0, waves=waves)
         outcome = CrashPlay(scenario, seed).run()
         assert outcome.refused == 0
         assert not outcome.convicted
 
     def test_bodies_that_crash_convict_no_part_that_they_name(self):
         """Guards against callers who get others' popular parts refused."""
-        scenario = NINE._replace(guilty="bodies")
+        scenario = NINE._replace(crashing="bodies")
         outcome = CrashPlay(scenario, 0).run()
         assert outcome.share >= USUAL_SHARE
--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -36,7 +36,7 @@
 LATE_ALLOWED = 3
 PLAY_SECONDS = 9.0
 DOWN_SECONDS = 0.4
-GUILTY, SOUND, OTHER = "f00d", "cafe", "beef"
+CRASHING, SOUND, OTHER = "f00d", "cafe", "beef"
 _numbers = itertools.count(1)
 
 
@@ -45,7 +45,7 @@
 
     Attributes:
         crashes: Number of crashes.
-        late: Requests with the guilty part that reached runners too late.
+        late: Requests with the crashing part that reached runners too late.
         statuses: Answers to sound requests by status, at the end.
     """
 
@@ -113,7 +113,7 @@
     since = crashes[CRASHES_BEFORE - 1] + CONTACT_SECONDS
     late = sum(
         each.at > since
-        and GUILTY in (each.request.header("prompt-prefix") or "")
+        and CRASHING in (each.request.header("prompt-prefix") or "")
         for runner in stack.runners.values()
         for each in runner.received
     )
@@ -256,10 +256,10 @@
 
         async def story(stack: Stack) -> Played:
             until = time.monotonic() + PLAY_SECONDS
-            make_crash(stack, GUILTY)
-            guilty = send_drafts(stack, (SOUND, GUILTY), 0.2, until)
+            make_crash(stack, CRASHING)
+            crashing = send_drafts(stack, (SOUND, CRASHING), 0.2, until)
             sound = send_drafts(stack, (SOUND, OTHER), 0.1, until - 1.0)
-            await asyncio.gather(guilty, sound)
+            await asyncio.gather(crashing, sound)
             crashes, late = count_late(stack)
             after = time.monotonic() + 0.5
             statuses = await send_drafts(stack, (SOUND, OTHER), 0.05, after)
