Write verdicts also at gateways that become writers later

If both writers ended before their call, no other gateway wrote until the next change. Writers now compare what they know with what they wrote each second; without a difference there is no call. The test failed before.

--- a/lagoonpost/forwarding/crash_recorder.py
+++ b/lagoonpost/forwarding/crash_recorder.py
@@ -30,8 +30,8 @@
 """Pause between calls, in which changes are batched: each call is billed."""
 MAX_READ_PAUSE_SECONDS = 2.0
 """Longest pause between reads at the start while the store does not answer."""
-CUT_OFF_PAUSE_SECONDS = 1.0
-"""Pause between reads while this gateway is cut off from the others: a third
+CHECK_PAUSE_SECONDS = 1.0
+"""Pause between checks for what is to be read or written: a third
 of the time in which it has to know."""
 MAX_ROWS_PER_WRITE = 50
 WRITERS = 2
@@ -67,6 +67,7 @@
         """Read the records, then write changes until cancelled.
 
         A gateway that is cut off from the others reads them again and again.
+        One that becomes a writer writes what the store lacks.
 
         Args:
             has_records: Whether the store may have records of an earlier run.
@@ -80,8 +81,8 @@
             if self._wake.is_set():
                 await asyncio.sleep(WRITE_PAUSE_SECONDS)
                 self._wake.clear()
-                if self._is_writer():
-                    await self._write()
+            if self._is_writer():
+                await self._write()
 
     def handle_new_era(self) -> None:
         """Write all records again, as the store has lost some rows."""
@@ -104,7 +105,7 @@
 
     async def _wait_for_change(self) -> None:
         try:
-            async with asyncio.timeout(CUT_OFF_PAUSE_SECONDS):
+            async with asyncio.timeout(CHECK_PAUSE_SECONDS):
                 await self._wake.wait()
         except TimeoutError:
             pass
--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -13,7 +13,7 @@
 from test_partition import cut_path
 
 from lagoonpost.forwarding.crash_recorder import (
-    CUT_OFF_PAUSE_SECONDS,
+    CHECK_PAUSE_SECONDS,
     EVIDENCE_KEY,
     VERDICT_PREFIX,
     WRITE_PAUSE_SECONDS,
@@ -477,7 +477,7 @@
             now = time.time()
             before = cut_off.causes.may_send(["part:1"], now)
             sound.merge(Verdict("part:1", now, now))
-            await asyncio.sleep(CUT_OFF_PAUSE_SECONDS + 1.0)
+            await asyncio.sleep(CHECK_PAUSE_SECONDS + 1.0)
             after = cut_off.causes.may_send(["part:1"], now)
             for task in tasks:
                 task.cancel()
@@ -485,6 +485,28 @@
 
         assert asyncio.run(story()) == (True, False)
 
+    def test_a_gateway_that_becomes_a_writer_writes_what_is_known(self):
+        """Guards against verdicts that are lost with those who write."""
+
+        async def story() -> list[bool]:
+            store, watch, writers = MemoryStore(), CrashWatch(time.time), set()
+            watch.publish = lambda news: None
+            recorder = CrashRecorder(
+                store, watch, lambda: bool(writers), lambda: False
+            )
+            task = asyncio.create_task(recorder.run(has_records=False))
+            now = time.time()
+            watch.merge(Verdict("part:1", now, now))
+            kept = []
+            for _ in range(2):
+                await asyncio.sleep(2 * CHECK_PAUSE_SECONDS)
+                kept.append(f"{VERDICT_PREFIX}part:1" in store.rows)
+                writers.add("me")
+            task.cancel()
+            return kept
+
+        assert asyncio.run(story()) == [False, True]
+
     def test_two_writers_do_not_undo_what_the_other_wrote(self):
         """Guards against writers that each know only some verdicts."""
 
