Read unchanged records only once, and explain barred offers

A gateway that was cut off read the records three times a second instead of once, as each read looked like a change. `lagoonpost explain` names offers that were barred.

--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -44,6 +44,7 @@
     "broken": "ended the connection before a whole answer",
     "silent": "sent nothing for so long that it was considered lost",
     "unreachable": "could not be connected to",
+    "barred": "was not sent the request, as others like it crashed runners",
     "moved": "stopped the run, which went on at another runner",
 }
 _STEPS = {
--- a/lagoonpost/forwarding/crash_recorder.py
+++ b/lagoonpost/forwarding/crash_recorder.py
@@ -112,6 +112,8 @@
 
     def _apply(self, rows: Sequence[Row]) -> None:
         for row in rows:
+            if self._rows.get(row.key) == row:
+                continue
             self._rows[row.key] = row
             for record in _decode(row):
                 self._watch.merge(record)
