Read what a runner says of itself with the head of its answer, and log it

An answer's headers were read after its outcome: an answer that was cut off after its head, or whose caller had left, said nothing. They are now read as soon as the head has arrived, also Server-Leaving and a 503's Retry-After, which no code knew. No decision reads them yet.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -12,6 +12,7 @@
 )
 from lagoonpost.http.message import Headers, Request, Response
 from lagoonpost.platform.headers import (
+    MISDIRECTED,
     AddedHeaders,
     is_answer_to,
     is_not_run,
@@ -162,6 +163,7 @@
     request_id: str,
     make_instructions: Callable[[], AddedHeaders],
     may_send: Callable[[], bool],
+    on_head: Callable[[int, Headers], None],
     first_byte_timeout: float | None,
 ) -> Outcome:
     """Send a request over a new connection and read the start of its answer.
@@ -180,6 +182,8 @@
         make_instructions: Returns the headers added for the runner. They
             name the time that is left, of which connecting takes a part.
         may_send: Asked right before the request is sent.
+        on_head: Called with the status and the headers of this runner's
+            answer as soon as they are read, whatever becomes of its body.
         first_byte_timeout: Seconds to wait for the head of the answer, and
             again for the first bytes of a stream; None for no timeout.
 
@@ -206,6 +210,8 @@
     try:
         async with asyncio.timeout(first_byte_timeout):
             await stream.receive_head()
+        if _is_from_runner(stream, request_id):
+            on_head(stream.status, stream.headers)
         outcome = await _read_start(stream, request_id, first_byte_timeout)
         keep_open = isinstance(outcome, Began)
         return outcome
@@ -218,6 +224,13 @@
             stream.close()
 
 
+def _is_from_runner(stream: Stream, request_id: str) -> bool:
+    """Return whether an answer is the intended runner's, to this request."""
+    if stream.status == MISDIRECTED:
+        return False
+    return is_answer_to(stream.headers, request_id)
+
+
 async def _read_start(
     stream: Stream, request_id: str, first_byte_timeout: float | None
 ) -> Outcome:
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -19,6 +19,7 @@
 from lagoonpost.forwarding.request_log import (
     log_brittle_refusal,
     log_limited_request,
+    log_notice,
     log_silent,
     log_stated_limits,
     log_unreachable,
@@ -27,17 +28,17 @@
 from lagoonpost.forwarding.usage_counter import UsageCounter
 from lagoonpost.forwarding.version_shifts import VersionShifts
 from lagoonpost.http.client import Client
-from lagoonpost.http.message import Headers, Response
+from lagoonpost.http.message import Response
 from lagoonpost.http.responder import Responder
 from lagoonpost.platform.headers import (
-    MISDIRECTED,
     AddedHeaders,
     make_response_headers,
-    read_stated_limits,
+    read_notice,
 )
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.placement import Choice, Placement
 from lagoonpost.tables.kv_copy import KvCopy
+from lagoonpost.tables.runner_notice import RunnerNotice
 from lagoonpost.tables.stated_limits import NO_LIMITS
 
 MIN_FIRST_BYTE_TIMEOUT_SECONDS = STREAM_IDLE_TIMEOUT_SECONDS
@@ -123,6 +124,9 @@
                 exchange.arrival.id,
                 lambda: self._make_instructions(exchange, choice, saved),
                 lambda: self._crashes.may_send(exchange),
+                lambda status, headers: self._note_head(
+                    choice, read_notice(status, headers), clock_sent_at
+                ),
                 self._find_first_byte_timeout(exchange, choice),
             )
             if isinstance(outcome, Whole):
@@ -130,7 +134,6 @@
             self._record_outcome(
                 exchange, choice, outcome, exchange.now() - sent_at
             )
-            self._note_limits(choice, outcome, clock_sent_at)
             began = isinstance(outcome, Began | Whole)
             if isinstance(outcome, Began):
                 watched.note_first_byte()
@@ -233,27 +236,30 @@
             if isinstance(outcome, Began):
                 self._count_prompt(exchange, choice)
 
-    def _note_limits(
-        self, choice: Choice, outcome: Outcome, sent_at: float
+    def _note_head(
+        self, choice: Choice, notice: RunnerNotice, sent_at: float
     ) -> None:
-        """Record which limits a runner names.
+        """Record what a runner says of itself in the head of an answer.
 
         Args:
             choice: The runner.
-            outcome: Outcome of the offer.
+            notice: What it says.
             sent_at: Time in seconds at which the request was sent.
         """
-        headers = _find_headers(outcome)
-        if headers is None:
-            return
-        limits = read_stated_limits(headers)
-        is_refusal = isinstance(outcome, NotRun)
+        if notice.leaving or notice.rest is not None:
+            log_notice(choice, notice)
+        self._note_limits(choice, notice, sent_at)
+
+    def _note_limits(
+        self, choice: Choice, notice: RunnerNotice, sent_at: float
+    ) -> None:
+        limits = notice.limits
         # A refusal need not name limits that still hold.
-        if is_refusal and limits == NO_LIMITS:
+        if notice.refused and limits == NO_LIMITS:
             return
         if self._permits.note_answer(choice.endpoint, limits, sent_at):
             log_stated_limits(choice, limits)
-        if is_refusal and limits.refusals is not None:
+        if notice.refused and limits.refusals is not None:
             self._permits.note_refused(choice.endpoint)
             log_brittle_refusal(choice, limits.refusals)
 
@@ -263,18 +269,6 @@
         self.prompt_tokens[service] = before + choice.uncached_tokens
 
 
-def _find_headers(outcome: Outcome) -> Headers | None:
-    """Return the headers of the chosen runner's answer; None without one."""
-    match outcome:
-        case NotRun(status, headers) if status != MISDIRECTED:
-            return headers
-        case Whole(response):
-            return response.headers
-        case Began(call):
-            return call.headers
-    return None
-
-
 def _has_failed(outcome: Outcome) -> bool:
     if isinstance(outcome, Whole):
         return outcome.response.status >= 500
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -5,6 +5,7 @@
 from lagoonpost.forwarding.attempt import Outcome
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.systems.placement import Choice
+from lagoonpost.tables.runner_notice import RunnerNotice
 from lagoonpost.tables.stated_limits import StatedLimits
 
 MAX_LOGGED_CAUSES = 16
@@ -126,5 +127,21 @@
     )
 
 
+def log_notice(choice: Choice, notice: RunnerNotice) -> None:
+    """Write the log line of a runner that leaves or wants a rest.
+
+    Args:
+        choice: The runner.
+        notice: What it says of itself in an answer.
+    """
+    eliot.log_message(
+        message_type="lagoonpost:forwarding:notice",
+        runner=choice.endpoint.id,
+        indirect=choice.indirect,
+        leaving=notice.leaving,
+        rest=notice.rest,
+    )
+
+
 def _round(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 4)
--- a/lagoonpost/platform/headers.py
+++ b/lagoonpost/platform/headers.py
@@ -6,6 +6,7 @@
 from lagoonpost.http.message import Address, Headers, find_header
 from lagoonpost.tables.kv_copy import KvCopy
 from lagoonpost.tables.metadata import PromptPart, RequestMetadata, TokenCount
+from lagoonpost.tables.runner_notice import RunnerNotice
 from lagoonpost.tables.stated_limits import StatedLimits
 
 REQUEST_ID = "attempt-id"
@@ -26,9 +27,11 @@
 LENGTH_HINT = "length-hint"
 BRITTLE = "server-brittle"
 RATE_LIMIT = "server-limit"
+LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
 READY_PATH = "/v1/ready"
 RESOLVE_PATH = "/v1/resolve"
-MISDIRECTED = 421
+MISDIRECTED, UNAVAILABLE = 421, 503
 
 # Set by the gateway or valid per connection; never forwarded from a caller.
 _DROPPED = frozenset(
@@ -156,21 +159,29 @@
     return find_header(headers, NOT_EXECUTED) is not None
 
 
-def read_stated_limits(headers: Headers) -> StatedLimits:
-    """Return the limits that a runner names in the headers of an answer."""
-    return StatedLimits(
-        rate=_read_limit(headers, RATE_LIMIT),
-        refusals=_read_limit(headers, BRITTLE),
+def read_notice(status: int, headers: Headers) -> RunnerNotice:
+    """Return what a runner says of itself in the head of an answer."""
+    rest = find_header(headers, RETRY_AFTER)
+    limits = _read_limit(headers, RATE_LIMIT), _read_limit(headers, BRITTLE)
+    return RunnerNotice(
+        refused=is_not_run(status, headers),
+        leaving=find_header(headers, LEAVING) not in (None, "0"),
+        rest=_read_number(rest) if status == UNAVAILABLE and rest else None,
+        limits=StatedLimits(*limits),
     )
 
 
 def _read_limit(headers: Headers, name: str) -> float | None:
     """Return a header's number; None if it is no limit that can be kept."""
+    limit = _read_number(find_header(headers, name) or "")
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
+def _read_number(text: str) -> float:
     try:
-        limit = float(find_header(headers, name) or "")
+        return float(text)
     except ValueError:
-        return None
-    return limit if math.isfinite(limit) and limit >= 0 else None
+        return math.nan
 
 
 def is_answer_to(headers: Headers, request_id: str) -> bool:
