Tests of runners that leave or want a rest by their answers, red

Runners whose entries say ready, and whose answers say Server-Leaving, get 68 to 218 requests later than drain_ms after the first such answer, whatever becomes of its body. Two runners that turn all requests away and ask for 1.5 s of rest get 240 of two gateways in that time (4 allowed).

--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -110,6 +110,9 @@
             it says in all its answers; 0 if it stands any number.
         limit: Requests a second that it takes from all gateways together,
             which it says in all its answers; None to say nothing.
+        leaving: Whether it says in all its answers that it leaves.
+        rest: Value of ``Retry-After`` in its refusals when it is full; empty
+            to ask for no rest.
         room: Requests that a brittle runner accepts at once.
         falls: How often it has fallen over.
         framed: Whether answers have a length or come in chunks; otherwise they
@@ -132,6 +135,8 @@
         self._stopped: dict[str, bool] = {}
         self.brittle = 0
         self.limit: float | None = None
+        self.leaving = False
+        self.rest = ""
         self.room = DEFAULT_ROOM
         self.falls = 0
         self._accepted = 0
@@ -218,7 +223,10 @@
         expected = request.header("target-instance")
         if expected not in (None, self.id):
             return Response(421, (("instance-id", self.id),))
-        if self.fault == "full" or not self._has_copy(request):
+        if self.fault == "full":
+            rest = (("retry-after", self.rest),) if self.rest else ()
+            return Response(503, (("not-executed", "1"), *rest, *self._tell()))
+        if not self._has_copy(request):
             return Response(503, (("not-executed", "1"), *self._tell()))
         if self.brittle and self._accepted >= self.room:
             self._note_refusal()
@@ -226,8 +234,10 @@
         return None
 
     def _tell(self) -> Headers:
-        """Return the headers by which the runner says what it bears."""
+        """Return the headers by which the runner speaks of itself."""
         headers: list[tuple[str, str]] = []
+        if self.leaving:
+            headers.append(("server-leaving", "1"))
         if self.brittle:
             headers.append(("server-brittle", str(self.brittle)))
         if self.limit is not None:
@@ -265,7 +275,7 @@
         if refusal is None and attempt not in self._stopped:
             refusal = 404
         if refusal is not None:
-            await responder.send(Response(refusal))
+            await responder.send(Response(refusal, self._tell()))
             return
         handle = f"{self.id}-{attempt}"
         self.copies[handle] = KvCopy(attempt, call["to"])
@@ -274,7 +284,9 @@
             if self.move_fault == "stop_unanswered":
                 return
         body = {"handle": handle, "create_revision": 1}
-        await responder.send(make_json_response(200, body))
+        answer = make_json_response(200, body)
+        headers = (*answer.headers, *self._tell())
+        await responder.send(answer._replace(headers=headers))
 
     async def _run(self, request: Request, responder: Responder) -> None:
         if self.fault == "hang":
