Listen to runners that say in their answers that they leave

A runner left for us only when its entry in the store said so, and its report had not reached the store, which was away.

The news is kept by id and start in systems/runner_notices.py, apart from entries, so no row, peer or later era of the store takes it back; only a later start under the same id serves again. Everything that looks whether a runner leaves (choice, moves, tunnels, scaling, duties) gets it from the view, which joins both. It goes to all gateways as a fact of a kind that older builds ignore. Answers are heard by their heads: also those that are cut off, refusals, answers to calls that move runs, and those that a gateway passes on in a tunnel. Each sender asks again right before its bytes leave (Withheld); a moved run that can go nowhere else asks before it is stopped. Streams are moved 0.3 s after the news unless the entry tells when.

test_partition stubbed find_runners of the gateway between; it now gives it the news itself, by the same expectations.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -12,7 +12,6 @@
 )
 from lagoonpost.http.message import Headers, Request, Response
 from lagoonpost.platform.headers import (
-    MISDIRECTED,
     AddedHeaders,
     is_answer_to,
     is_not_run,
@@ -35,6 +34,10 @@
     """The request was not sent, as it would crash the runner."""
 
 
+class Withheld(NamedTuple):
+    """The request was not sent, as the runner takes none any more or now."""
+
+
 class NotRun(NamedTuple):
     """The runner answered that it did not run the request."""
 
@@ -96,7 +99,15 @@
 
 
 Outcome = (
-    Unreachable | Barred | NotRun | Broken | Silent | Whole | Began | Moved
+    Unreachable
+    | Barred
+    | Withheld
+    | NotRun
+    | Broken
+    | Silent
+    | Whole
+    | Began
+    | Moved
 )
 
 
@@ -162,7 +173,7 @@
     request: Request,
     request_id: str,
     make_instructions: Callable[[], AddedHeaders],
-    may_send: Callable[[], bool],
+    find_obstacle: Callable[[], Barred | Withheld | None],
     on_head: Callable[[int, Headers], None],
     first_byte_timeout: float | None,
 ) -> Outcome:
@@ -181,9 +192,10 @@
         request_id: Id of the request, which the answer has to repeat.
         make_instructions: Returns the headers added for the runner. They
             name the time that is left, of which connecting takes a part.
-        may_send: Asked right before the request is sent.
-        on_head: Called with the status and the headers of this runner's
-            answer as soon as they are read, whatever becomes of its body.
+        find_obstacle: Returns why the request must not be sent, or None.
+            Asked right before its first byte leaves.
+        on_head: Called with the status and the headers of the answer to this
+            request as soon as they are read, whatever becomes of its body.
         first_byte_timeout: Seconds to wait for the head of the answer, and
             again for the first bytes of a stream; None for no timeout.
 
@@ -194,9 +206,10 @@
         socket = await connect()
     except CallFailedError as error:
         return Unreachable(str(error))
-    if not may_send():
+    obstacle = find_obstacle()
+    if obstacle is not None:
         socket.writer.close()
-        return Barred()
+        return obstacle
     stream = client.send(
         socket,
         endpoint.address,
@@ -210,7 +223,7 @@
     try:
         async with asyncio.timeout(first_byte_timeout):
             await stream.receive_head()
-        if _is_from_runner(stream, request_id):
+        if is_answer_to(stream.headers, request_id):
             on_head(stream.status, stream.headers)
         outcome = await _read_start(stream, request_id, first_byte_timeout)
         keep_open = isinstance(outcome, Began)
@@ -224,13 +237,6 @@
             stream.close()
 
 
-def _is_from_runner(stream: Stream, request_id: str) -> bool:
-    """Return whether an answer is the intended runner's, to this request."""
-    if stream.status == MISDIRECTED:
-        return False
-    return is_answer_to(stream.headers, request_id)
-
-
 async def _read_start(
     stream: Stream, request_id: str, first_byte_timeout: float | None
 ) -> Outcome:
--- a/lagoonpost/forwarding/cluster_state.py
+++ b/lagoonpost/forwarding/cluster_state.py
@@ -3,7 +3,8 @@
 Updates arrive from the store and by gossip, in any order and more than once.
 Each carries a version stamp, and only a newer stamp replaces an older one.
 After the store was restored from an older copy, the sequence numbers that
-runners write into their own entries decide which entry is newer.
+runners write into their own entries decide which entry is newer. A runner that
+says in its answers that it leaves does so whatever its entry says.
 """
 
 import asyncio
@@ -21,6 +22,8 @@
 from lagoonpost.platform.endpoint import decode_endpoint, decode_sequence
 from lagoonpost.systems.route import RouteTable
 from lagoonpost.systems.runner_limits import RunnerLimits
+from lagoonpost.systems.runner_notices import RunnerNotices
+from lagoonpost.tables.address import Address
 from lagoonpost.tables.configuration import Workspace
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.stamp import Stamp, find_era
@@ -35,13 +38,16 @@
 
     Attributes:
         version: Stamp of the row.
-        endpoint: The decoded entry; None if it is deleted or unreadable.
+        endpoint: The runner; None if its entry is deleted or unreadable. It
+            leaves if its entry or its answers say so.
+        registered: The same as its entry alone says it.
         raw: Bytes of the row, as published to peers; None if deleted.
         last_raw: Last bytes that were not None, kept after a deletion.
     """
 
     version: int
     endpoint: Endpoint | None
+    registered: Endpoint | None
     raw: bytes | None
     last_raw: bytes | None = None
 
@@ -76,12 +82,15 @@
             that fetch it.
         entries: Runner entries by id, including deleted ones.
         limits: What each runner bears.
+        notices: What runners say of themselves in answers.
         evacuated_domains: Failure domains whose runners get no requests.
         on_configuration: Called with the routes of each newer configuration.
         on_runner_down: Called with the id of a runner that disappeared or
             restarted.
         on_runner_leaving: Called with the id of a runner that is about to
             leave and the seconds until then, or None if unknown.
+        on_notice: Called with the id of a runner that says in an answer that
+            it leaves.
     """
 
     def __init__(
@@ -94,6 +103,7 @@
         self._clock = clock
         self._regions = regions or {}
         self.limits = RunnerLimits(name, clock(), rng or random.Random(name))
+        self.notices = RunnerNotices()
         self.evacuated_domains: frozenset[str] = frozenset()
         self._evacuations: dict[str, _Evacuation] = {}
         self.was_store_unavailable: Callable[[], bool] = lambda: True
@@ -108,6 +118,7 @@
         self.on_configuration: list[Callable[[RouteTable], None]] = []
         self.on_runner_down: list[Callable[[str], None]] = []
         self.on_runner_leaving: list[Callable[[str, float | None], None]] = []
+        self.on_notice: list[Callable[[str], None]] = []
 
     @property
     def version(self) -> int:
@@ -167,12 +178,12 @@
         if raw is None and self._is_lapse(key, current, version, source):
             return False
         self._lapsed.pop(key, None)
-        endpoint, cold_seconds = None, 0.0
+        registered, cold_seconds = None, 0.0
         if raw is not None:
             try:
                 decoded = decode_endpoint(key, raw)
                 # The remaining time differs in each entry of a cold runner.
-                endpoint = decoded._replace(cold_seconds=0.0)
+                registered = decoded._replace(cold_seconds=0.0)
                 cold_seconds = decoded.cold_seconds
             except InvalidRowError as error:
                 eliot.log_message(
@@ -180,9 +191,13 @@
                     source=source,
                     detail=str(error),
                 )
+        endpoint = self._hear_notices(registered)
         last = raw or (current.last_raw if current is not None else None)
-        self.entries[key] = RunnerEntry(version, endpoint, raw, last)
+        self.entries[key] = RunnerEntry(
+            version, endpoint, registered, raw, last
+        )
         before = current.endpoint if current is not None else None
+        known = current.registered if current is not None else None
         if _went_down(before, endpoint):
             self.limits.forget(key)
         turned = self._note_cold(key, endpoint, cold_seconds)
@@ -192,25 +207,59 @@
         if _went_down(before, endpoint):
             for callback in self.on_runner_down:
                 callback(key)
-        if _began_to_leave(before, endpoint):
+        if _began_to_leave(known, registered):
             for notify_leaving in self.on_runner_leaving:
                 notify_leaving(
                     key, endpoint.leaves_in_seconds if endpoint else None
                 )
-        changed = current is None or current.endpoint != endpoint or turned
+        changed = current is None or known != registered or turned
         if changed:
-            eliot.log_message(
-                message_type="lagoonpost:belief:runner",
-                runner=key,
-                version=version,
-                source=source,
-                state=_describe(endpoint),
-                service=endpoint.service if endpoint else "",
-                failure_domain=endpoint.failure_domain if endpoint else "",
-                cold=self.limits.cold.is_cold(key, self._clock()),
-            )
+            self._log_runner(key, version, source)
         return changed
 
+    def _hear_notices(self, registered: Endpoint | None) -> Endpoint | None:
+        """Return a runner as its entry and its answers say it."""
+        if registered is None or not self.notices.is_leaving(registered):
+            return registered
+        return registered._replace(leaving=True)
+
+    def _log_runner(self, key: str, version: Stamp, source: str) -> None:
+        endpoint = self.entries[key].endpoint
+        eliot.log_message(
+            message_type="lagoonpost:belief:runner",
+            runner=key,
+            version=version,
+            source=source,
+            state=_describe(endpoint),
+            service=endpoint.service if endpoint else "",
+            failure_domain=endpoint.failure_domain if endpoint else "",
+            cold=self.limits.cold.is_cold(key, self._clock()),
+        )
+
+    def note_leaving(self, runner: str, born: int, source: str) -> bool:
+        """Apply the news that a runner says in an answer that it leaves.
+
+        Args:
+            runner: Id of the runner.
+            born: Start of its process in milliseconds since the epoch.
+            source: Where the news came from, for the log.
+
+        Returns:
+            Whether the news was not known.
+        """
+        if not self.notices.note_leaving(runner, born, self._clock()):
+            return False
+        entry = self.entries.get(runner)
+        endpoint = self._hear_notices(entry.registered if entry else None)
+        if entry is None or endpoint == entry.endpoint:
+            return True
+        self.entries[runner] = entry._replace(endpoint=endpoint)
+        self._index_runner(runner, entry.endpoint, endpoint)
+        self._log_runner(runner, entry.version, source)
+        for notify in self.on_notice:
+            notify(runner)
+        return True
+
     def _note_cold(
         self, key: str, endpoint: Endpoint | None, seconds: float
     ) -> bool:
@@ -347,6 +396,29 @@
             )
         ]
 
+    def may_send(self, endpoint: Endpoint) -> bool:
+        """Return whether a runner may get a request now.
+
+        To be asked right before each sending, as what is known of a runner
+        may change between its choice and the first byte.
+        """
+        known = self._services.get(endpoint.service, {}).get(endpoint.id)
+        return (
+            known is not None
+            and known.born == endpoint.born
+            and not known.leaving
+            and known.failure_domain not in self.evacuated_domains
+        )
+
+    def find_by_address(self, address: Address) -> Endpoint | None:
+        """Return the runner that is registered at an address."""
+        for entry in self.entries.values():
+            if entry.endpoint is not None and (
+                entry.endpoint.address == address
+            ):
+                return entry.endpoint
+        return None
+
     def find_copy_sources(self, service: str) -> list[Endpoint]:
         """Return leaving runners whose KV caches may be copied from."""
         return [
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -135,6 +135,7 @@
             self.view,
             self,
             crashes.merge,
+            self._forwarder.notices.merge,
             lambda fact: self._shifts.handle_fact(fact),
             self._note_recorded_quota,
             self._store.eras.note,
@@ -154,6 +155,7 @@
             self._forwarder.placement.reach,
             self._peer_key,
             self._shifts.is_rolled_back,
+            self._forwarder.notices,
         )
         crashes.publish = self._cluster.publish_crash_news
         self._crash_recorder = CrashRecorder(
@@ -438,6 +440,7 @@
             self._forwarder.note_peer_work(peer_work)
             self._cluster.publish_store_lost(self._follower.lost)
             self._crashes.forget_old()
+            self.view.notices.forget_old(read_clock())
             self._forwarder.permits.note_members(
                 self._cluster.peers.all_members(), self._wall_clock()
             )
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -12,6 +12,7 @@
     Silent,
     Unreachable,
     Whole,
+    Withheld,
 )
 from lagoonpost.forwarding.refusal import (
     ANSWER_LOST,
@@ -188,7 +189,7 @@
         label = type(outcome).__name__.lower()
         self.outcomes.append(label)
         self.note(f"{choice.endpoint.id}:{label}:{choice.seconds:.3f}")
-        if not isinstance(outcome, Unreachable):
+        if not isinstance(outcome, Unreachable | Withheld):
             self.tried_runners.add(choice.endpoint.id)
         match outcome:
             case Unreachable(detail):
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from lagoonpost.forwarding.crash_watch import CrashWatch
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.forwarding.migration import Migrations
+from lagoonpost.forwarding.notice_reader import NoticeReader
 from lagoonpost.forwarding.offers import Offers, send_response
 from lagoonpost.forwarding.peer_sync import PeerSync
 from lagoonpost.forwarding.permits import Permits
@@ -69,6 +70,7 @@
         placement: Chooses runners by their load.
         paths: Opens connections to runners.
         permits: Gets permits for runners that bear less than usual.
+        notices: Reads what runners say of themselves in answers.
         offers: Offers requests to runners.
     """
 
@@ -97,13 +99,14 @@
         self._budgets = RetryBudgets(
             bounds, lambda: self.cluster.count_gateways()
         )
+        self.notices = NoticeReader(view, self.permits)
         self._chooser = RunnerChooser(
             view, self.permits, self.placement, self.paths, rng
         )
         migrations = Migrations(
             view,
             self.placement,
-            KvCacheClient(RunnerClient(self.paths)),
+            KvCacheClient(RunnerClient(self.paths, self.notices.note_call)),
             self._chooser.find_waits,
             self.permits,
             self._budgets.take,
@@ -119,6 +122,8 @@
             migrations,
             usage,
             crashes,
+            view,
+            self.notices,
         )
         self._configuration_deadline: float | None = None
 
@@ -132,6 +137,7 @@
         self.cluster = self._chooser.cluster = cluster
         self.offers.shifts = self._chooser.shifts = shifts
         self.permits.listen(cluster.messenger)
+        self.notices.publish = cluster.publish_departure
 
     def note_peer_work(self, work: Mapping[str, RunnerWork]) -> None:
         """Apply the newest reports of the other gateways.
--- a/lagoonpost/forwarding/migration.py
+++ b/lagoonpost/forwarding/migration.py
@@ -17,6 +17,7 @@
 from lagoonpost.forwarding.permits import Permits
 from lagoonpost.platform.kv_cache import KvCacheClient
 from lagoonpost.systems.migration import (
+    MIGRATION_LEAD_SECONDS,
     Candidate,
     choose_target,
     compute_migration_delay,
@@ -32,6 +33,9 @@
 PERMIT_WAIT_SECONDS = 0.5
 """Longest wait until a moved run may be sent to its target: a part of the time
 between the notice and the shutdown."""
+ENTRY_WAIT_SECONDS = 0.3
+"""How long to wait for the entry of a runner that says in an answer that it
+leaves: most entries come as soon, and tell how much time is left."""
 MAX_TARGETS = 2
 """Limit for the targets tried for one run. The time between the notice and
 the shutdown does not suffice for more."""
@@ -110,6 +114,7 @@
         self._incoming_counts: Counter[str] = Counter()
         self._cleanup_tasks: set[asyncio.Task[None]] = set()
         view.on_runner_leaving.append(self._note_leaving)
+        view.on_notice.append(self._note_notice)
 
     def track_run(
         self, exchange: Exchange, choice: Choice, close: Callable[[], None]
@@ -176,6 +181,15 @@
         for run in self._runs.get(runner, ()):
             self._schedule(run)
 
+    def _note_notice(self, runner: str) -> None:
+        """Move a runner's streams soon, as it may have been leaving for long.
+
+        If its entry comes meanwhile, it tells when.
+        """
+        if runner not in self._departures or self._has_returned(runner):
+            wait = MIGRATION_LEAD_SECONDS + ENTRY_WAIT_SECONDS
+            self._note_leaving(runner, wait)
+
     def _schedule(self, run: StreamRun) -> None:
         exchange = run.exchange
         prompt = exchange.requirements.prompt
@@ -186,8 +200,7 @@
 
     async def _move(self, run: StreamRun) -> None:
         loop = asyncio.get_running_loop()
-        departure = self._departures[run.choice.endpoint.id]
-        await asyncio.sleep(compute_migration_delay(departure, loop.time()))
+        departure = await self._wait_for_departure(run.choice.endpoint.id)
         outcome = "no_target"
         for _ in range(MAX_TARGETS):
             target = self._choose_target(run)
@@ -209,6 +222,20 @@
             outcome=outcome,
         )
 
+    async def _wait_for_departure(self, runner: str) -> float:
+        """Wait until a runner's streams are to be moved.
+
+        Returns:
+            Loop time at which the runner departs, as far as is known.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            departure = self._departures.get(runner, loop.time())
+            delay = compute_migration_delay(departure, loop.time())
+            if not delay:
+                return departure
+            await asyncio.sleep(delay)
+
     def _choose_target(self, run: StreamRun) -> Endpoint | None:
         now = asyncio.get_running_loop().time()
         waits = self._find_waits(run.exchange, PERMIT_WAIT_SECONDS)
@@ -252,6 +279,10 @@
         await asyncio.sleep(permit.wait)
         if not self._may_send(run.exchange):
             return "barred"
+        if not self._view.may_send(target):
+            await self._memory.free(first.saved)
+            run.saved = None
+            return "withheld"
         if not self._take_retry(run.exchange.requirements.service):
             return "no_budget"
         run.stopping = True
@@ -266,5 +297,7 @@
         return "moved"
 
 
-_WORTH_ANOTHER_TARGET = frozenset((NoRoom.__name__.lower(), "no_permit"))
+_WORTH_ANOTHER_TARGET = frozenset(
+    (NoRoom.__name__.lower(), "no_permit", "withheld")
+)
 """Outcomes of a move that say nothing of other targets."""
--- /dev/null
+++ b/lagoonpost/forwarding/notice_reader.py
@@ -0,0 +1,102 @@
+"""Records what runners say of themselves in the heads of their answers."""
+
+from collections.abc import Callable
+
+from lagoonpost.forwarding.cluster_state import ClusterState
+from lagoonpost.forwarding.permits import Permits
+from lagoonpost.forwarding.request_log import (
+    log_brittle_refusal,
+    log_notice,
+    log_stated_limits,
+)
+from lagoonpost.http.message import Address, Headers
+from lagoonpost.platform.headers import MISDIRECTED, read_notice
+from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.runner_notice import Departure, RunnerNotice
+from lagoonpost.tables.stated_limits import NO_LIMITS
+
+
+class NoticeReader:
+    """Reads the head of each answer of a runner, whatever its body becomes.
+
+    Args:
+        view: Local view of the runners.
+        permits: Records the limits that runners name.
+
+    Attributes:
+        publish: Tells the other gateways of a runner that leaves.
+    """
+
+    publish: Callable[[Departure], None]
+
+    def __init__(self, view: ClusterState, permits: Permits) -> None:
+        self._view = view
+        self._permits = permits
+
+    def note_head(
+        self,
+        endpoint: Endpoint,
+        status: int,
+        headers: Headers,
+        sent_at: float,
+    ) -> None:
+        """Record the head of an answer to a request.
+
+        Args:
+            endpoint: The runner as it was when the request was sent.
+            status: HTTP status of the answer.
+            headers: Headers of the answer.
+            sent_at: Time in seconds at which the request was sent.
+        """
+        if status == MISDIRECTED:  # another runner has the address
+            return
+        notice = read_notice(status, headers)
+        self._note(endpoint, notice)
+        self._note_limits(endpoint, notice, sent_at)
+
+    def note_passing_head(
+        self, endpoint: Endpoint, status: int, headers: Headers
+    ) -> None:
+        """Record the head of an answer that isn't to a request from here.
+
+        Args:
+            endpoint: The runner.
+            status: HTTP status of the answer.
+            headers: Headers of the answer.
+        """
+        if status != MISDIRECTED:
+            self._note(endpoint, read_notice(status, headers))
+
+    def note_call(
+        self, address: Address, status: int, headers: Headers
+    ) -> None:
+        """Record the head of an answer to a call to an address."""
+        endpoint = self._view.find_by_address(address)
+        if endpoint is not None:
+            self.note_passing_head(endpoint, status, headers)
+
+    def merge(self, departure: Departure, source: str = "peer") -> None:
+        """Record another gateway's news of a runner that leaves."""
+        self._view.note_leaving(departure.runner, departure.born, source)
+
+    def _note(self, endpoint: Endpoint, notice: RunnerNotice) -> None:
+        if notice.rest is not None:
+            log_notice(endpoint, notice.leaving, notice.rest)
+        if notice.leaving and self._view.note_leaving(
+            endpoint.id, endpoint.born, "answer"
+        ):
+            log_notice(endpoint, notice.leaving, None)
+            self.publish(Departure(endpoint.id, endpoint.born))
+
+    def _note_limits(
+        self, endpoint: Endpoint, notice: RunnerNotice, sent_at: float
+    ) -> None:
+        limits = notice.limits
+        # A refusal need not name limits that still hold.
+        if notice.refused and limits == NO_LIMITS:
+            return
+        if self._permits.note_answer(endpoint, limits, sent_at):
+            log_stated_limits(endpoint, limits)
+        if notice.refused and limits.refusals is not None:
+            self._permits.note_refused(endpoint)
+            log_brittle_refusal(endpoint, limits.refusals)
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -9,19 +9,19 @@
     Silent,
     Unreachable,
     Whole,
+    Withheld,
     send_request,
 )
+from lagoonpost.forwarding.cluster_state import ClusterState
 from lagoonpost.forwarding.crash_watch import CrashWatch
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.forwarding.migration import Migrations
+from lagoonpost.forwarding.notice_reader import NoticeReader
 from lagoonpost.forwarding.permits import Permits
 from lagoonpost.forwarding.relay import STREAM_IDLE_TIMEOUT_SECONDS, relay
 from lagoonpost.forwarding.request_log import (
-    log_brittle_refusal,
     log_limited_request,
-    log_notice,
     log_silent,
-    log_stated_limits,
     log_unreachable,
 )
 from lagoonpost.forwarding.runner_paths import RunnerPaths
@@ -33,13 +33,10 @@
 from lagoonpost.platform.headers import (
     AddedHeaders,
     make_response_headers,
-    read_notice,
 )
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.placement import Choice, Placement
 from lagoonpost.tables.kv_copy import KvCopy
-from lagoonpost.tables.runner_notice import RunnerNotice
-from lagoonpost.tables.stated_limits import NO_LIMITS
 
 MIN_FIRST_BYTE_TIMEOUT_SECONDS = STREAM_IDLE_TIMEOUT_SECONDS
 """Shortest wait for the first byte before another runner is tried, unless the
@@ -57,10 +54,12 @@
         client: HTTP client.
         paths: Opens connections to runners.
         placement: Load of the runners.
-        permits: Records what runners say that they bear.
+        permits: Tells the limits that runners name.
         migrations: Streams in flight and their moves to other runners.
         usage: Counts of started requests by workspace.
         crashes: Tells which requests crash runners.
+        view: Local view of the runners.
+        notices: Reads what runners say of themselves in answers.
 
     Attributes:
         shifts: Services that shift to another version.
@@ -77,7 +76,11 @@
         migrations: Migrations,
         usage: UsageCounter,
         crashes: CrashWatch,
+        view: ClusterState,
+        notices: NoticeReader,
     ) -> None:
+        self._view = view
+        self._notices = notices
         self._client = client
         self._paths = paths
         self._placement = placement
@@ -123,9 +126,9 @@
                 exchange.request,
                 exchange.arrival.id,
                 lambda: self._make_instructions(exchange, choice, saved),
-                lambda: self._crashes.may_send(exchange),
-                lambda status, headers: self._note_head(
-                    choice, read_notice(status, headers), clock_sent_at
+                lambda: self._find_obstacle(exchange, choice, saved),
+                lambda status, headers: self._notices.note_head(
+                    choice.endpoint, status, headers, clock_sent_at
                 ),
                 self._find_first_byte_timeout(exchange, choice),
             )
@@ -220,7 +223,7 @@
             case Began():
                 reach.note_answered(choice.endpoint.id)
                 state.note_outcome(False)
-        if not isinstance(outcome, Unreachable | Barred | NotRun):
+        if not isinstance(outcome, Unreachable | Barred | Withheld | NotRun):
             self.shifts.note_answer(
                 choice.endpoint,
                 exchange.route.name if exchange.route else "",
@@ -236,32 +239,20 @@
             if isinstance(outcome, Began):
                 self._count_prompt(exchange, choice)
 
-    def _note_head(
-        self, choice: Choice, notice: RunnerNotice, sent_at: float
-    ) -> None:
-        """Record what a runner says of itself in the head of an answer.
+    def _find_obstacle(
+        self, exchange: Exchange, choice: Choice, saved: KvCopy | None
+    ) -> Barred | Withheld | None:
+        """Return why the request must not be sent to the runner now.
 
-        Args:
-            choice: The runner.
-            notice: What it says.
-            sent_at: Time in seconds at which the request was sent.
+        A run that was moved and may run only once has no other runner to go
+        to. Its target was asked for before the run was stopped.
         """
-        if notice.leaving or notice.rest is not None:
-            log_notice(choice, notice)
-        self._note_limits(choice, notice, sent_at)
-
-    def _note_limits(
-        self, choice: Choice, notice: RunnerNotice, sent_at: float
-    ) -> None:
-        limits = notice.limits
-        # A refusal need not name limits that still hold.
-        if notice.refused and limits == NO_LIMITS:
-            return
-        if self._permits.note_answer(choice.endpoint, limits, sent_at):
-            log_stated_limits(choice, limits)
-        if notice.refused and limits.refusals is not None:
-            self._permits.note_refused(choice.endpoint)
-            log_brittle_refusal(choice, limits.refusals)
+        if not self._crashes.may_send(exchange):
+            return Barred()
+        is_committed = saved is not None and not exchange.idempotent
+        if is_committed or self._view.may_send(choice.endpoint):
+            return None
+        return Withheld()
 
     def _count_prompt(self, exchange: Exchange, choice: Choice) -> None:
         service = exchange.requirements.service
--- a/lagoonpost/forwarding/peer_sync.py
+++ b/lagoonpost/forwarding/peer_sync.py
@@ -28,16 +28,20 @@
     find_seniority_delay,
     should_read_store,
 )
+from lagoonpost.systems.runner_notices import DEPARTURE_MEMORY_SECONDS
 from lagoonpost.tables.bounds import Bounds
 from lagoonpost.tables.control_traffic import ControlTraffic
 from lagoonpost.tables.crash import Crash, Soundness, Verdict
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.peer import Member
+from lagoonpost.tables.runner_notice import Departure
 from lagoonpost.tables.stamp import find_era
 
 CONFIGURATION_DOCUMENT = "configuration"
 CRASH_KEY, SOUND_KEY, VERDICT_KEY = "crash", "sound", "verdict"
 """First words of the keys of facts about what crashes runners."""
+DEPARTURE_KEY = "departure"
+"""First word of the keys of facts about runners that leave."""
 MS_PER_SECOND = 1000
 ENTRY_TTL_SECONDS = 3600.0
 """How long a fact about a runner's entry is kept."""
@@ -82,6 +86,8 @@
         cluster: State to update from peers' facts.
         delegate: Makes the own reports and handles those of others.
         on_crash_news: Called with other gateways' evidence on crashes.
+        on_departure: Called with runners that leave by what they told other
+            gateways.
         on_shift: Called with each fact about a version shift.
         on_recorded: Called with a workspace whose quota use the store has
             recorded, and the age of that use in seconds.
@@ -102,6 +108,7 @@
         cluster: ClusterState,
         delegate: ReportDelegate,
         on_crash_news: Callable[[News], None],
+        on_departure: Callable[[Departure], None],
         on_shift: Callable[[Fact], None],
         on_recorded: Callable[[str, float], None],
         on_era: Callable[[int], None],
@@ -112,6 +119,7 @@
         self._bounds = settings.bounds
         self._cluster = cluster
         self._on_crash_news = on_crash_news
+        self._on_departure = on_departure
         self._on_shift = on_shift
         self._on_era = on_era
         self._seed_written = False
@@ -248,11 +256,7 @@
         self.peers.publish(Fact("evacuation", domain, version, body))
 
     def publish_crash_news(self, news: News) -> None:
-        """Publish evidence on what crashes runners, or a verdict.
-
-        All are facts of a kind that older builds know and ignore. One of a
-        new kind would make them refuse the whole message it comes in.
-        """
+        """Publish evidence on what crashes runners, or a verdict."""
         seconds = EVIDENCE_SECONDS
         match news:
             case Crash(runner, attempt):
@@ -263,7 +267,22 @@
                 key = f"{VERDICT_KEY}/{cause}"
                 rank = int(news.met * MS_PER_SECOND)
                 seconds = VERDICT_RETENTION_SECONDS
-        body = msgspec.msgpack.encode(news)
+        self._publish_news(key, rank, msgspec.msgpack.encode(news), seconds)
+
+    def publish_departure(self, departure: Departure) -> None:
+        """Publish that a runner says that it leaves."""
+        key = f"{DEPARTURE_KEY}/{departure.runner}"
+        rank = max(1, departure.born)
+        body = msgspec.msgpack.encode(departure)
+        self._publish_news(key, rank, body, DEPARTURE_MEMORY_SECONDS)
+
+    def _publish_news(
+        self, key: str, rank: int, body: bytes, seconds: float
+    ) -> None:
+        """Publish a fact of a kind that older builds know and ignore.
+
+        One of a new kind would make them refuse the whole message.
+        """
         end = self._find_end(seconds)
         self.peers.publish(Fact("poison_verdict", key, rank, body, end))
 
@@ -305,8 +324,13 @@
         active = msgspec.msgpack.decode(fact.body, type=bool)
         self._cluster.apply_evacuation(fact.key, fact.rank, active, "peer")
 
-    def _handle_crash_news(self, fact: Fact) -> None:
-        type_ = _CRASH_NEWS.get(fact.key.partition("/")[0])
+    def _handle_news(self, fact: Fact) -> None:
+        word = fact.key.partition("/")[0]
+        if word == DEPARTURE_KEY:
+            self._on_departure(
+                msgspec.msgpack.decode(fact.body, type=Departure)
+            )
+        type_ = _CRASH_NEWS.get(word)
         if type_ is not None:
             news = msgspec.msgpack.decode(fact.body, type=type_)
             self._on_crash_news(news)
@@ -474,7 +498,7 @@
     "endpoint": PeerSync._handle_entry,
     "configuration": PeerSync._handle_version,
     "evacuation": PeerSync._handle_evacuation,
-    "poison_verdict": PeerSync._handle_crash_news,
+    "poison_verdict": PeerSync._handle_news,
     "store_lost": PeerSync._handle_store_lost,
     "shift": PeerSync._handle_shift,
     "recorded": PeerSync._handle_recorded,
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -5,7 +5,7 @@
 from lagoonpost.forwarding.attempt import Outcome
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.systems.placement import Choice
-from lagoonpost.tables.runner_notice import RunnerNotice
+from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.stated_limits import StatedLimits
 
 MAX_LOGGED_CAUSES = 16
@@ -84,16 +84,16 @@
     )
 
 
-def log_brittle_refusal(choice: Choice, threshold: float) -> None:
+def log_brittle_refusal(runner: Endpoint, threshold: float) -> None:
     """Write the log line of a request that a brittle runner turned away.
 
     Args:
-        choice: The runner.
+        runner: The runner.
         threshold: Refusals a second beyond which it falls over.
     """
     eliot.log_message(
         message_type="lagoonpost:forwarding:brittle_refusal",
-        runner=choice.endpoint.id,
+        runner=runner.id,
         threshold=threshold,
     )
 
@@ -112,34 +112,36 @@
     )
 
 
-def log_stated_limits(choice: Choice, limits: StatedLimits) -> None:
+def log_stated_limits(runner: Endpoint, limits: StatedLimits) -> None:
     """Write the log line of a runner that names other limits than before.
 
     Args:
-        choice: The runner.
+        runner: The runner.
         limits: The limits in its last answer.
     """
     eliot.log_message(
         message_type="lagoonpost:forwarding:stated_limits",
-        runner=choice.endpoint.id,
+        runner=runner.id,
         rate=limits.rate,
         refusals=limits.refusals,
     )
 
 
-def log_notice(choice: Choice, notice: RunnerNotice) -> None:
+def log_notice(runner: Endpoint, leaving: bool, rest: float | None) -> None:
     """Write the log line of a runner that leaves or wants a rest.
 
     Args:
-        choice: The runner.
-        notice: What it says of itself in an answer.
+        runner: The runner.
+        leaving: Whether it leaves.
+        rest: Seconds for which it wants no request from this gateway; None if
+            it asks for no rest.
     """
     eliot.log_message(
         message_type="lagoonpost:forwarding:notice",
-        runner=choice.endpoint.id,
-        indirect=choice.indirect,
-        leaving=notice.leaving,
-        rest=notice.rest,
+        runner=runner.id,
+        born=runner.born,
+        leaving=leaving,
+        rest=_round(rest),
     )
 
 
--- a/lagoonpost/forwarding/runner_choice.py
+++ b/lagoonpost/forwarding/runner_choice.py
@@ -192,9 +192,7 @@
         exchange.note("turn")
         exchange.waited += decision.wait
         await asyncio.sleep(decision.wait)
-        return endpoint in self._view.find_runners(
-            endpoint.service, exchange.regions
-        )
+        return self._view.may_send(endpoint)
 
     async def _wait_for_room(self, exchange: Exchange, longest: float) -> bool:
         """Wait a little for room at a brittle runner.
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -20,7 +20,7 @@
     TunnelPurpose,
 )
 from lagoonpost.http.client import CallFailedError, Client, Socket
-from lagoonpost.http.message import Address, parse_address
+from lagoonpost.http.message import Address, Headers, parse_address
 from lagoonpost.http.tunnel import (
     TunnelRefusedError,
     TunnelRequest,
@@ -184,11 +184,10 @@
         Raises:
             CallFailedError: If it cannot be opened; nothing was sent.
         """
-        for entry in self._view.entries.values():
-            endpoint = entry.endpoint
-            if endpoint is not None and endpoint.address == address:
-                path = self.find_all([endpoint.id])[endpoint.id]
-                return await self.connect(endpoint, path.indirect, "control")
+        endpoint = self._view.find_by_address(address)
+        if endpoint is not None:
+            path = self.find_all([endpoint.id])[endpoint.id]
+            return await self.connect(endpoint, path.indirect, "control")
         return await self._client.connect(address, seconds)
 
     async def _connect_through_peer(
@@ -343,10 +342,16 @@
 
     Args:
         paths: Opens the connections.
+        on_head: Called with the address, status and headers of each answer.
     """
 
-    def __init__(self, paths: RunnerPaths) -> None:
+    def __init__(
+        self,
+        paths: RunnerPaths,
+        on_head: Callable[[Address, int, Headers], None],
+    ) -> None:
         super().__init__()
+        self.on_head = on_head
         self._paths = paths
 
     async def connect(self, address: Address, seconds: float) -> Socket:
--- a/lagoonpost/forwarding/tunnel_server.py
+++ b/lagoonpost/forwarding/tunnel_server.py
@@ -8,11 +8,12 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Literal
+from typing import Literal, NamedTuple
 
 import h11
 
 from lagoonpost.forwarding.cluster_state import ClusterState
+from lagoonpost.forwarding.notice_reader import NoticeReader
 from lagoonpost.forwarding.peer_key import PeerKey
 from lagoonpost.http.client import CallFailedError, Client, Socket
 from lagoonpost.http.listener import open_listener
@@ -47,6 +48,13 @@
 GATEWAY_UNABLE = 503
 
 
+class _Opened(NamedTuple):
+    """A connection to a runner."""
+
+    endpoint: Endpoint
+    socket: Socket
+
+
 class TunnelServer:
     """Listens for other gateways' requests for tunnels.
 
@@ -56,6 +64,7 @@
         reach: What this gateway knows of its paths to the runners.
         key: Key that other gateways have to show.
         is_rolled_back: Whether a runner has a version that was rolled back.
+        notices: Reads what runners say of themselves in answers.
     """
 
     def __init__(
@@ -65,12 +74,14 @@
         reach: Reach,
         key: PeerKey,
         is_rolled_back: Callable[[Endpoint], bool],
+        notices: NoticeReader,
     ) -> None:
         self._client = client
         self._view = view
         self._reach = reach
         self._key = key
         self._is_rolled_back = is_rolled_back
+        self._notices = notices
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.Task[None]] = set()
         self._accepted: set[asyncio.Task[None]] = set()
@@ -130,11 +141,18 @@
             return
         try:
             await send_tunnel_answer(connection, near.writer, OPENED)
-            await relay_tunnel(near, result)
+            # To the runner, this gateway is the one that it answers.
+            await relay_tunnel(
+                near,
+                result.socket,
+                lambda status, headers: self._notices.note_passing_head(
+                    result.endpoint, status, headers
+                ),
+            )
         finally:
-            result.writer.transport.abort()
+            result.socket.writer.transport.abort()
 
-    async def _connect(self, request: TunnelRequest) -> Socket | int:
+    async def _connect(self, request: TunnelRequest) -> "_Opened | int":
         """Connect to the runner, or return the status of the refusal."""
         if not self._key.accepts(
             find_header(request.headers, KEY_HEADER) or ""
@@ -167,13 +185,13 @@
         if self._find_runner(request.target, is_new_work) != endpoint:
             socket.writer.transport.abort()
             return NOT_SERVED
-        return socket
+        return _Opened(endpoint, socket)
 
     def _find_runner(self, runner: str, is_new_work: bool) -> Endpoint | None:
         entry = self._view.entries.get(runner)
         endpoint = entry.endpoint if entry is not None else None
         if endpoint is None or not is_new_work:
             return endpoint
-        if endpoint not in self._view.find_runners(endpoint.service):
+        if not self._view.may_send(endpoint):
             return None
         return None if self._is_rolled_back(endpoint) else endpoint
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -97,6 +97,7 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers
         )
+        self._client.on_head(self._address, self.status, self.headers)
 
     @property
     def ends_with_connection(self) -> bool:
@@ -190,9 +191,15 @@
 
     Args:
         idle_seconds: Seconds for which an idle connection may be reused.
+
+    Attributes:
+        on_head: Called with the address, status and headers of each response
+            as soon as its head is read.
     """
 
     def __init__(self, idle_seconds: float = IDLE_TIMEOUT_SECONDS) -> None:
+        self.on_head: Callable[[Address, int, Headers], None]
+        self.on_head = lambda address, status, headers: None
         self._idle: dict[Address, list[_IdleSocket]] = {}
         self._idle_seconds = idle_seconds
 
--- a/lagoonpost/http/tunnel.py
+++ b/lagoonpost/http/tunnel.py
@@ -10,6 +10,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -195,11 +196,7 @@
     if not isinstance(event, h11.Request) or event.method != b"CONNECT":
         return None
     return TunnelRequest(
-        event.target.decode("latin-1"),
-        tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in event.headers
-        ),
+        event.target.decode("latin-1"), _decode_headers(event)
     )
 
 
@@ -213,17 +210,68 @@
     await writer.drain()
 
 
-async def relay_tunnel(near: Socket, far: Socket) -> None:
+class _HeadReader:
+    """Reads the head of the first response in bytes that pass by.
+
+    Args:
+        on_head: Called with its status and headers, if the bytes are a
+            response.
+    """
+
+    def __init__(self, on_head: Callable[[int, Headers], None]) -> None:
+        self._on_head = on_head
+        self._connection: h11.Connection | None = h11.Connection(h11.CLIENT)
+        # A response is expected once a request was sent; which one, does not
+        # matter for its head.
+        self._connection.send(
+            h11.Request(method="GET", target="/", headers=[("host", "")])
+        )
+        self._connection.send(h11.EndOfMessage())
+
+    def feed(self, data: bytes) -> None:
+        """Read the next bytes; without effect after the head."""
+        if self._connection is None:
+            return
+        try:
+            self._connection.receive_data(data)
+            event = self._connection.next_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = self._connection.next_event()
+        except h11.RemoteProtocolError:
+            self._connection = None
+            return
+        if event is h11.NEED_DATA:
+            return
+        self._connection = None
+        if isinstance(event, h11.Response):
+            self._on_head(event.status_code, _decode_headers(event))
+
+
+def _decode_headers(event: h11.Request | h11.Response) -> Headers:
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in event.headers
+    )
+
+
+async def relay_tunnel(
+    near: Socket, far: Socket, on_head: Callable[[int, Headers], None]
+) -> None:
     """Pass bytes between both ends of a tunnel until one of them closes.
 
     Args:
         near: Connection of the process that asked for the tunnel.
         far: Connection to the target.
+        on_head: Called with the status and headers of the target's response
+            before it is passed on.
     """
     for end in (near, far):
         end.writer.transport.set_write_buffer_limits(high=READ_BYTES)
     outward = asyncio.create_task(_copy_out(near.reader, far.writer))
-    inward = asyncio.create_task(_copy_frames(far.reader, near.writer))
+    head_reader = _HeadReader(on_head)
+    inward = asyncio.create_task(
+        _copy_frames(far.reader, near.writer, head_reader)
+    )
     try:
         await asyncio.wait(
             (outward, inward), return_when=asyncio.FIRST_COMPLETED
@@ -262,10 +310,13 @@
 
 
 async def _copy_frames(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    head_reader: _HeadReader,
 ) -> None:
     while True:
         data = await reader.read(READ_BYTES)
+        head_reader.feed(data)
         writer.write(_LENGTH.pack(len(data)) + data)
         await writer.drain()
         if not data:
--- a/lagoonpost/tables/runner_notice.py
+++ b/lagoonpost/tables/runner_notice.py
@@ -24,3 +24,15 @@
 
 
 NO_NOTICE = RunnerNotice()
+
+
+class Departure(NamedTuple):
+    """The news that a runner leaves, for other gateways.
+
+    Attributes:
+        runner: Id of the runner.
+        born: Start of the runner's process in milliseconds since the epoch.
+    """
+
+    runner: str
+    born: int
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -326,8 +326,15 @@
             between = stack.gateways[1]
             if news == "rolled back":
                 between._tunnels._is_rolled_back = lambda endpoint: True
-            else:
-                between.view.find_runners = lambda service: []
+            for id_, entry in list(between.view.entries.items()):
+                born, domain = (
+                    entry.endpoint.born,
+                    entry.endpoint.failure_domain,
+                )
+                if news == "leaving":
+                    between.view.note_leaving(id_, born, "test")
+                if news == "evacuated":
+                    between.view.apply_evacuation(domain, 1, True, "test")
             cut_path(stack, stack.gateways[0], "refuse")
             answers = await call_each(stack)
             runs = [r.id for r in stack.runners.values() if r.received]
@@ -340,7 +347,8 @@
 
         async def scenario(stack: Stack):
             between = stack.gateways[1]
-            between.view.find_runners = lambda service: []
+            for id_, entry in list(between.view.entries.items()):
+                between.view.note_leaving(id_, entry.endpoint.born, "test")
             cut_path(stack, stack.gateways[0], "refuse")
             paths = stack.gateways[0]._forwarder.paths
             runner = stack.gateways[0].view.entries["chat-1"].endpoint
--- a/test/test_runner_notices.py
+++ b/test/test_runner_notices.py
@@ -1,10 +1,16 @@
 """Tests of gateways before runners that say in answers what they want."""
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
-from forwarding_stack import Stack, play
+from forwarding_stack import Stack, make_prompt, play, wait_until
+from test_partition import cut_path
 
+from lagoonpost.http.client import Socket
+from lagoonpost.store.clock import read_clock
+from lagoonpost.systems.migration import MIN_PROMPT_TOKENS
+from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost_standins.runner import RunnerStandin
 
 DRAIN_SECONDS = 0.5
@@ -122,3 +128,223 @@
         assert late <= MOST_IN_REST * GATEWAYS
         assert statuses == {503}
         assert set(then) == {200}
+
+
+def note_leaving(stack: Stack, runner: str, gateway: int = 0) -> None:
+    view = stack.gateways[gateway].view
+    view.note_leaving(runner, view.entries[runner].endpoint.born, "test")
+
+
+NOTICES = [note_leaving]
+Note = Callable[[Stack, str], None]
+
+
+def tell_while_connecting(stack: Stack, note: Note) -> list[str]:
+    """Let each runner's news come once a connection to it is open.
+
+    Returns:
+        A list to which the runners are added.
+    """
+    paths = stack.gateways[0]._forwarder.paths
+    connect = paths.connect
+    told: list[str] = []
+
+    async def connect_and_tell(
+        endpoint: Endpoint, indirect: bool, *purpose: str
+    ) -> Socket:
+        socket = await connect(endpoint, indirect, *purpose)
+        if not told:
+            note(stack, endpoint.id)
+            told.append(endpoint.id)
+        return socket
+
+    paths.connect = connect_and_tell
+    return told
+
+
+@pytest.mark.parametrize("note", NOTICES)
+class TestSenders:
+    """Each of them asks again right before its bytes leave."""
+
+    def test_a_first_offer_goes_elsewhere(self, note):
+        async def story(stack: Stack):
+            told = tell_while_connecting(stack, note)
+            answer = await stack.call("/book/1", "POST")
+            return answer.status, stack.runners[told[0]].received
+
+        assert play(story) == (200, [])
+
+    def test_a_first_offer_without_another_runner_is_refused(self, note):
+        async def story(stack: Stack):
+            tell_while_connecting(stack, note)
+            answer = await stack.call("/book/1", "POST")
+            return answer.status, stack.runners["desk-1"].received
+
+        assert play(story, desk=1) == (503, [])
+
+    def test_a_retry_goes_to_no_such_runner(self, note):
+        """Guards against the second attempt at a runner that was told of."""
+
+        async def story(stack: Stack):
+            runners = [stack.runners["desk-1"], stack.runners["desk-2"]]
+            stack.set_fault("reset_after", "desk")
+            for runner in runners:
+                runner.pause = 0.2
+            call = asyncio.create_task(stack.call("/check/1"))
+            await wait_until(lambda: any(r.received for r in runners))
+            (other,) = (r for r in runners if not r.received)
+            note(stack, other.id)
+            await call
+            return other.received
+
+        assert play(story) == []
+
+    def test_a_stream_is_resumed_at_no_such_runner(self, note):
+        async def story(stack: Stack):
+            runners = [stack.runners["chat-1"], stack.runners["chat-2"]]
+            stack.set_fault("break_off", "chat")
+            for runner in runners:
+                runner.pause = 0.1
+            call = asyncio.create_task(
+                stack.call("/draft/1", "POST", headers=make_prompt())
+            )
+            await wait_until(lambda: any(r.received for r in runners))
+            (other,) = (r for r in runners if not r.received)
+            note(stack, other.id)
+            await asyncio.gather(call, return_exceptions=True)
+            return other.received
+
+        assert play(story) == []
+
+    @pytest.mark.parametrize("path", ["/draft/1", "/reply/1"])
+    def test_a_run_is_moved_to_no_such_runner(self, note, path):
+        """Guards against a target that is looked at before the copy only."""
+
+        async def story(stack: Stack):
+            runners = [stack.runners[f"chat-{n}"] for n in (1, 2, 3)]
+            for runner in runners:
+                runner.pause, runner.events = 0.05, 40
+            headers = make_prompt(MIN_PROMPT_TOKENS)
+            call = asyncio.create_task(
+                stack.call(path, "POST", headers=headers)
+            )
+            await wait_until(lambda: any(r.runs for r in runners))
+            (busy,) = (r for r in runners if r.runs)
+            told: list[str] = []
+            permits = stack.gateways[0]._forwarder.permits
+            acquire = permits.acquire
+
+            async def acquire_as_the_news_comes(endpoint, longest):
+                if not told:
+                    note(stack, endpoint.id)
+                    told.append(endpoint.id)
+                return await acquire(endpoint, longest)
+
+            permits.acquire = acquire_as_the_news_comes
+            await stack.register(busy.id, state="draining", leaves_ms=1300)
+            answer = await call
+            return answer.status, stack.runners[told[0]].received
+
+        assert play(story, chat=3) == (200, [])
+
+    def test_tunnels_lead_to_no_such_runner(self, note):
+        """Guards against a notice that is evaded through another gateway."""
+
+        async def story(stack: Stack):
+            await wait_until(
+                lambda: all(
+                    daemon._peer_key.current for daemon in stack.gateways
+                )
+            )
+            cut_path(stack, stack.gateways[0], "refuse")
+            note(stack, "desk-1")
+            statuses = await send_checks(stack, 0, 0.3)
+            return set(statuses), stack.runners["desk-1"].received
+
+        assert play(story, gateways=2) == ({200}, [])
+
+
+class TestChannels:
+    """Ways in which a runner's own words reach the gateways."""
+
+    def test_all_gateways_hear_of_a_runner_that_leaves(self):
+        async def story(stack: Stack):
+            runner = stack.runners["desk-1"]
+            runner.leaving = True
+            await wait_until(lambda: len(stack.gateways) == 3)
+            while not runner.received:
+                await stack.call("/check/1")
+            await wait_until(
+                lambda: all(
+                    len(daemon.view.find_runners("desk")) == 1
+                    for daemon in stack.gateways
+                )
+            )
+            return len(runner.received)
+
+        assert play(story, gateways=3) == 1
+
+    def test_calls_that_move_runs_are_answers_as_well(self):
+        async def story(stack: Stack):
+            runner = stack.runners["chat-1"]
+            runner.leaving, runner.move_fault = True, "busy"
+            daemon = stack.gateways[0]
+            memory = daemon._forwarder.offers._migrations._memory
+            address = runner.address
+            await memory.copy(address, "a-1", address, stop=False)
+            return [each.id for each in daemon.view.find_runners("chat")]
+
+        assert play(story) == ["chat-2"]
+
+    def test_a_421_says_nothing_of_the_runner_that_was_meant(self):
+        """Guards against the words of a runner that has its address now."""
+
+        async def story(stack: Stack):
+            forwarder = stack.gateways[0]._forwarder
+            endpoint = stack.gateways[0].view.entries["desk-1"].endpoint
+            headers = (("server-leaving", "1"), ("retry-after", "30"))
+            forwarder.notices.note_head(endpoint, 421, headers, read_clock())
+            return stack.gateways[0].view.may_send(endpoint)
+
+        assert play(story)
+
+    def test_a_runner_that_is_back_under_its_id_serves(self):
+        async def story(stack: Stack):
+            for id_ in ("desk-1", "desk-2"):
+                stack.runners[id_].leaving = True
+            while (await stack.call("/check/1")).status == 200:
+                pass
+            for id_ in ("desk-1", "desk-2"):
+                stack.runners[id_].leaving = False
+                await stack.register(id_, born=2000)
+            view = stack.gateways[0].view
+            await wait_until(lambda: len(view.find_runners("desk")) == 2)
+            return (await stack.call("/check/1")).status
+
+        assert play(story) == 200
+
+
+class TestMoves:
+    @pytest.mark.parametrize("path", ["/draft/1", "/reply/1"])
+    def test_streams_are_moved_without_the_store(self, path):
+        """Guards against streams that are lost while the store is away."""
+
+        async def story(stack: Stack):
+            runners = [stack.runners["chat-1"], stack.runners["chat-2"]]
+            for runner in runners:
+                runner.pause, runner.events = 0.05, 60
+            headers = (
+                *make_prompt(MIN_PROMPT_TOKENS),
+                ("attempt-id", "a-1"),
+            )
+            call = asyncio.create_task(
+                stack.call(path, "POST", headers=headers)
+            )
+            await wait_until(lambda: any(r.runs for r in runners))
+            (busy,) = (r for r in runners if r.runs)
+            note_leaving(stack, busy.id)
+            await asyncio.sleep(1.3)
+            await busy.close()
+            return (await call).status, stack.count_runs("a-1")
+
+        assert play(story) == (200, 1)
--- a/test/test_tunnel.py
+++ b/test/test_tunnel.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lagoonpost.http.client import CallFailedError, Client, Socket
-from lagoonpost.http.message import Address
+from lagoonpost.http.message import Address, Headers
 from lagoonpost.http.tunnel import (
     KEEPALIVE_IDLE_SECONDS,
     KEEPALIVE_INTERVAL_SECONDS,
@@ -36,12 +36,17 @@
     Attributes:
         status: Status of its answers.
         task: The last tunnel.
+        heads: Statuses of the responses that passed.
     """
 
     def __init__(self, target: Address) -> None:
         self.target = target
         self.status = 200
         self.task: asyncio.Task[None] | None = None
+        self.heads: list[int] = []
+
+    def note_head(self, status: int, headers: Headers) -> None:
+        self.heads.append(status)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -56,7 +61,7 @@
             return
         far = await Client().connect(self.target, 1.0)
         try:
-            await relay_tunnel(Socket(reader, writer), far)
+            await relay_tunnel(Socket(reader, writer), far, self.note_head)
         except asyncio.CancelledError:
             writer.close()
 
@@ -102,6 +107,44 @@
 
         assert asyncio.run(call_through(echo, body)) == (200, body)
 
+    @pytest.mark.parametrize(
+        ("answer", "heads"),
+        [
+            (b"HTTP/1.1 503 Full\r\nretry-after: 3\r\n\r\n", [503]),
+            (b"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", [200]),
+            (b"HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 500 No\r\n\r\n", [200]),
+            (b"HTTP/1.1 200", []),
+            (b"no response\r\n\r\n", []),
+        ],
+    )
+    def test_heads_are_read_as_they_pass(self, answer, heads):
+        """Guards against runners that tell the gateway between in vain."""
+
+        async def scenario():
+            async def tell(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                for byte in answer:
+                    writer.write(bytes([byte]))
+                    await writer.drain()
+                writer.close()
+
+            between = Between(await listen(tell))
+            outer = await open_tunnel(
+                Client(),
+                await listen(between.serve),
+                TunnelRequest("target", ()),
+                1.0,
+                1.0,
+            )
+            outer.writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            data = b""
+            while part := await outer.reader.read():
+                data += part
+            outer.writer.close()
+            return data, between.heads
+
+        assert asyncio.run(scenario()) == (answer, heads)
+
     def test_a_response_may_end_with_its_connection(self):
         async def answer(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
@@ -196,7 +239,9 @@
                 await asyncio.sleep(0.01)
             far = Socket(asyncio.StreamReader(), Closed())
             outer.writer.write(b"request")
-            relaying = asyncio.create_task(relay_tunnel(ends[0], far))
+            relaying = asyncio.create_task(
+                relay_tunnel(ends[0], far, lambda status, headers: None)
+            )
             await asyncio.sleep(0.05)
             far.reader.feed_data(b"answer")
             far.reader.feed_eof()
