Keep to the rest that a runner asks for when it turns a request away

The 503 was heard as a failed attempt of one request only, and the runner, with nothing open, looked the least loaded.

A rest is kept by id and start beside what else runners say, on the steady clock, at the gateway that was turned away, and at the one that passed the refusal on in a tunnel; the longest end holds. A length that can't be read is taken for a second. Runners that rest are not chosen, and each sender asks again right before its bytes. If all rest, a request waits as long as one may for a turn, else it is refused at once with a Retry-After spread after the earliest end.

--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -29,6 +29,8 @@
     "runners_full": "refused: every runner that was tried was at capacity",
     "runners_limited": "refused: the runners that were left took no more "
     "requests by the limits that they name, or were cold",
+    "runners_rest": "refused: all runners of the service had asked this "
+    "gateway for a rest",
     "overloaded": "refused: no runner could have begun before its deadline",
     "unreachable": "refused: no runner that was tried could be reached",
     "not_sent": "refused: its deadline passed before a runner accepted it",
@@ -45,6 +47,8 @@
     "silent": "sent nothing for so long that it was considered lost",
     "unreachable": "could not be connected to",
     "barred": "was not sent the request, as others like it crashed runners",
+    "withheld": "was not sent the request, as it was leaving or had asked for "
+    "a rest",
     "moved": "stopped the run, which went on at another runner",
 }
 _STEPS = {
@@ -52,6 +56,7 @@
     "overload": "the work before it would have taken beyond its deadline",
     "turn": "it waited until its runner, which was cold or named a limit, "
     "took another request",
+    "rest": "it waited until a runner's rest was over",
     "no_budget": "the budget of repeats was used up: many failed at once",
 }
 _CONTEXT = {
--- a/lagoonpost/forwarding/cluster_state.py
+++ b/lagoonpost/forwarding/cluster_state.py
@@ -408,6 +408,7 @@
             and known.born == endpoint.born
             and not known.leaving
             and known.failure_domain not in self.evacuated_domains
+            and self.notices.may_send(known, self._clock())
         )
 
     def find_by_address(self, address: Address) -> Endpoint | None:
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -229,6 +229,11 @@
             "runners_limited", detail, retry_after
         )
 
+    def note_resting(self, retry_after: float) -> None:
+        """Record that all runners of the service want no requests for now."""
+        detail = "the runners of the service take no requests for now"
+        self.last_refusal = self._refuse("runners_rest", detail, retry_after)
+
     def make_overload(self, retry_after: float) -> Refusal:
         """Return the refusal of a request that cannot be served in time."""
         detail = "no runner can begin to answer in time"
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -99,7 +99,9 @@
         self._budgets = RetryBudgets(
             bounds, lambda: self.cluster.count_gateways()
         )
-        self.notices = NoticeReader(view, self.permits)
+        self.notices = NoticeReader(
+            view, self.permits, self.placement.count_open
+        )
         self._chooser = RunnerChooser(
             view, self.permits, self.placement, self.paths, rng
         )
--- a/lagoonpost/forwarding/notice_reader.py
+++ b/lagoonpost/forwarding/notice_reader.py
@@ -11,6 +11,7 @@
 )
 from lagoonpost.http.message import Address, Headers
 from lagoonpost.platform.headers import MISDIRECTED, read_notice
+from lagoonpost.store.clock import read_clock
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.runner_notice import Departure, RunnerNotice
 from lagoonpost.tables.stated_limits import NO_LIMITS
@@ -22,6 +23,7 @@
     Args:
         view: Local view of the runners.
         permits: Records the limits that runners name.
+        count_open: Returns a runner's open requests, as far as is known.
 
     Attributes:
         publish: Tells the other gateways of a runner that leaves.
@@ -29,9 +31,15 @@
 
     publish: Callable[[Departure], None]
 
-    def __init__(self, view: ClusterState, permits: Permits) -> None:
+    def __init__(
+        self,
+        view: ClusterState,
+        permits: Permits,
+        count_open: Callable[[str], int],
+    ) -> None:
         self._view = view
         self._permits = permits
+        self._count_open = count_open
 
     def note_head(
         self,
@@ -81,7 +89,13 @@
 
     def _note(self, endpoint: Endpoint, notice: RunnerNotice) -> None:
         if notice.rest is not None:
-            log_notice(endpoint, notice.leaving, notice.rest)
+            rest = self._view.notices.note_rest(
+                endpoint,
+                notice.rest,
+                self._count_open(endpoint.id),
+                read_clock(),
+            )
+            log_notice(endpoint, notice.leaving, rest)
         if notice.leaving and self._view.note_leaving(
             endpoint.id, endpoint.born, "answer"
         ):
--- a/lagoonpost/forwarding/runner_choice.py
+++ b/lagoonpost/forwarding/runner_choice.py
@@ -11,7 +11,11 @@
 from lagoonpost.forwarding.runner_paths import RunnerPaths
 from lagoonpost.forwarding.version_shifts import VersionShifts
 from lagoonpost.store.clock import read_clock
-from lagoonpost.systems.overload import ReturnTimes, find_retry_delay
+from lagoonpost.systems.overload import (
+    ReturnTimes,
+    find_retry_delay,
+    find_return_delay,
+)
 from lagoonpost.systems.permit_issuer import Denied
 from lagoonpost.systems.placement import Choice, Placement
 from lagoonpost.tables.endpoint import Endpoint
@@ -60,6 +64,7 @@
     ) -> None:
         self._view = view
         self._limits = view.limits
+        self._notices = view.notices
         self._permits = permits
         self._placement = placement
         self._paths = paths
@@ -115,10 +120,14 @@
         service, now = exchange.requirements.service, read_clock()
         cold_rate = self._view.find_cold_rate(service)
         runners = self._view.find_runners(service, exchange.regions)
-        if not self._limits.has_statements() and not cold_rate:
+        has_limits = self._limits.has_statements() or cold_rate > 0
+        if not has_limits and not self._notices.has_rests():
             return dict.fromkeys(runners, 0.0)
         return {
-            runner: self._limits.find_wait(
+            runner: None
+            if self._notices.find_rest(runner, now)
+            or self._may_be_full(runner, now)
+            else self._limits.find_wait(
                 runner, cold_rate, self._count_open(runner), longest, now
             )
             for runner in runners
@@ -195,7 +204,7 @@
         return self._view.may_send(endpoint)
 
     async def _wait_for_room(self, exchange: Exchange, longest: float) -> bool:
-        """Wait a little for room at a brittle runner.
+        """Wait a little for room at a brittle runner, or for a rest to end.
 
         If there is none in time, record why the request is refused.
 
@@ -205,11 +214,12 @@
         if exchange.offer_count >= MAX_RUNNERS_PER_REQUEST:
             return False
         now = read_clock()
+        known = self._view.find_runners(
+            exchange.requirements.service, exchange.regions
+        )
         runners = [
             runner
-            for runner in self._view.find_runners(
-                exchange.requirements.service, exchange.regions
-            )
+            for runner in known
             if runner.id not in exchange.tried_runners
         ]
         is_full = self._is_any_full(runners)
@@ -217,21 +227,44 @@
             exchange.waited += ROOM_POLL_SECONDS
             await asyncio.sleep(ROOM_POLL_SECONDS)
             return True
+        rest = self._find_shortest_rest(runners, now)
+        if rest is not None and rest <= longest:
+            exchange.note("rest")
+            exchange.waited += rest
+            await asyncio.sleep(rest)
+            return True
         rates = self._list_rates(runners, now)
         if is_full:
             exchange.note_no_room()
+        elif all(self._notices.find_rest(each, now) for each in known):
+            rest = self._find_shortest_rest(known, now)
+            exchange.note_resting(find_return_delay(rest or 0.0, self._rng))
         elif rates:
             exchange.note_limited(self._find_return(runners, sum(rates), now))
         return False
 
     def _is_any_full(self, runners: list[Endpoint]) -> bool:
-        """Return whether a runner has room only for other gateways."""
+        """Return whether a runner that doesn't rest has no room now."""
         now = read_clock()
         return any(
-            not self._limits.has_room(runner, self._count_open(runner), now)
+            self._may_be_full(runner, now)
+            or not self._limits.has_room(runner, self._count_open(runner), now)
             for runner in runners
+            if not self._notices.find_rest(runner, now)
         )
 
+    def _may_be_full(self, runner: Endpoint, now: float) -> bool:
+        """Return whether a runner is expected to ask for a rest."""
+        requests = self._placement.count_open(runner.id)
+        return not self._notices.has_room(runner, requests, now)
+
+    def _find_shortest_rest(
+        self, runners: list[Endpoint], now: float
+    ) -> float | None:
+        """Return the seconds until the first runner's rest ends, if any."""
+        rests = (self._notices.find_rest(runner, now) for runner in runners)
+        return min((rest for rest in rests if rest), default=None)
+
     def _list_rates(self, runners: list[Endpoint], now: float) -> list[float]:
         """Return the rates of runners that bear only some requests."""
         rates = (
--- a/lagoonpost/systems/overload.py
+++ b/lagoonpost/systems/overload.py
@@ -59,6 +59,17 @@
         return (at - now) * (1.0 + JITTER_SHARE * self._rng.random())
 
 
+def find_return_delay(wait: float, rng: Random) -> float:
+    """Return the seconds after which a refused caller may return.
+
+    Args:
+        wait: Seconds until a runner takes requests again.
+        rng: Source of the jitter.
+    """
+    delay = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
+    return delay * (1.0 + JITTER_SHARE * rng.random())
+
+
 def find_retry_delay(
     backlog: float, left: float, others_have_room: bool, rng: Random
 ) -> float | None:
@@ -79,5 +90,4 @@
     if backlog <= left:
         return None
     delay = MIN_RETRY_SECONDS if others_have_room else backlog
-    delay = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, delay))
-    return delay * (1.0 + JITTER_SHARE * rng.random())
+    return find_return_delay(delay, rng)
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -207,6 +207,11 @@
             state = self.states[runner] = RunnerState()
         return state
 
+    def count_open(self, runner: str) -> int:
+        """Return a runner's open requests, as far as is known here."""
+        state = self.state(runner)
+        return state.requests + state.peer_work.requests
+
     def forget_missing(self, known: Iterable[str]) -> None:
         """Drop the states of unknown runners that have no open requests.
 
--- a/test/test_partition.py
+++ b/test/test_partition.py
@@ -11,6 +11,7 @@
 from lagoonpost.forwarding.tunnel_server import MAX_TUNNELS
 from lagoonpost.http.client import CallFailedError, Socket
 from lagoonpost.http.message import Address, Response
+from lagoonpost.store.clock import read_clock
 from lagoonpost_standins.runner import make_event
 
 CutMode = Literal["refuse", "hang"]
@@ -315,7 +316,9 @@
 
 
 class TestRulesOfTheGatewayBetween:
-    @pytest.mark.parametrize("news", ["leaving", "evacuated", "rolled back"])
+    @pytest.mark.parametrize(
+        "news", ["leaving", "evacuated", "rolled back", "resting"]
+    )
     def test_its_newer_view_holds(self, news):
         """Guards against requests by the older view of the gateway that asks.
 
@@ -335,6 +338,10 @@
                     between.view.note_leaving(id_, born, "test")
                 if news == "evacuated":
                     between.view.apply_evacuation(domain, 1, True, "test")
+                if news == "resting":
+                    between.view.notices.note_rest(
+                        entry.endpoint, 30.0, 0, read_clock()
+                    )
             cut_path(stack, stack.gateways[0], "refuse")
             answers = await call_each(stack)
             runs = [r.id for r in stack.runners.values() if r.received]
--- a/test/test_runner_notices.py
+++ b/test/test_runner_notices.py
@@ -135,7 +135,13 @@
     view.note_leaving(runner, view.entries[runner].endpoint.born, "test")
 
 
-NOTICES = [note_leaving]
+def note_rest(stack: Stack, runner: str, gateway: int = 0) -> None:
+    view = stack.gateways[gateway].view
+    endpoint = view.entries[runner].endpoint
+    view.notices.note_rest(endpoint, 30.0, 0, read_clock())
+
+
+NOTICES = [note_leaving, note_rest]
 Note = Callable[[Stack, str], None]
 
 
@@ -264,9 +270,70 @@
         assert play(story, gateways=2) == ({200}, [])
 
 
+class TestFullRunners:
+    def test_after_a_rest_they_get_what_their_slots_take(self):
+        """Guards against a rush at the end of a rest that begins the next."""
+
+        async def story(stack: Stack):
+            runner = stack.runners["desk-1"]
+            runner.pause = 0.1
+            view = stack.gateways[0].view
+            endpoint = view.entries["desk-1"].endpoint
+            view.notices.note_rest(endpoint, 0.1, endpoint.slots, read_clock())
+            answers = await asyncio.gather(
+                *(stack.call("/check/1") for _ in range(24))
+            )
+            begun = sorted(each.at for each in runner.received)
+            return {each.status for each in answers}, [
+                sum(at <= other < at + 0.1 for other in begun) for at in begun
+            ]
+
+        statuses, together = play(story, desk=1)
+        assert statuses == {200}
+        assert max(together) <= 8
+
+
 class TestChannels:
     """Ways in which a runner's own words reach the gateways."""
 
+    def test_a_gateway_between_hears_the_answers_that_it_passes(self):
+        """Guards against tunnels that ask a runner for a resting gateway."""
+
+        async def story(stack: Stack):
+            await wait_until(
+                lambda: all(
+                    daemon._peer_key.current for daemon in stack.gateways
+                )
+            )
+            cut_path(stack, stack.gateways[0], "refuse")
+            for id_ in ("desk-1", "desk-2"):
+                runner = stack.runners[id_]
+                runner.fault, runner.rest = "full", "30"
+            for _ in range(6):
+                await stack.call("/check/1")
+            counts = [
+                len(stack.runners[id_].received)
+                for id_ in ("desk-1", "desk-2")
+            ]
+            between = stack.gateways[1].view
+            rests = [
+                between.notices.find_rest(
+                    between.entries[id_].endpoint, read_clock()
+                )
+                for id_ in ("desk-1", "desk-2")
+            ]
+            answer = await stack.call("/check/1", gateway=1)
+            later = [
+                len(stack.runners[id_].received)
+                for id_ in ("desk-1", "desk-2")
+            ]
+            return counts, min(rests) > 20, answer.status, later
+
+        counts, resting, status, later = play(story, gateways=2)
+        assert counts == later == [1, 1]
+        assert resting
+        assert status == 503
+
     def test_all_gateways_hear_of_a_runner_that_leaves(self):
         async def story(stack: Stack):
             runner = stack.runners["desk-1"]
@@ -284,6 +351,20 @@
 
         assert play(story, gateways=3) == 1
 
+    def test_a_rest_is_not_passed_on(self):
+        """Guards against a service that one full runner empties for all."""
+
+        async def story(stack: Stack):
+            runner = stack.runners["desk-1"]
+            runner.fault, runner.rest = "full", "30"
+            while not runner.received:
+                await stack.call("/check/1")
+            await asyncio.sleep(0.3)
+            other = stack.gateways[1].view
+            return other.may_send(other.entries["desk-1"].endpoint)
+
+        assert play(story, gateways=2)
+
     def test_calls_that_move_runs_are_answers_as_well(self):
         async def story(stack: Stack):
             runner = stack.runners["chat-1"]
