Margins and soak faults of runners that leave or rest by their answers

lagoonpost margins tells the latest offer to a runner by a gateway that it had told of its leaving, and the rest in which one gateway's requests reached a runner most. The soak has runners that leave while their entries say ready, and runners that turn requests away and ask for rests, each with a promise.

--- a/lagoonpost/forwarding/cluster_state.py
+++ b/lagoonpost/forwarding/cluster_state.py
@@ -231,6 +231,7 @@
             version=version,
             source=source,
             state=_describe(endpoint),
+            born=endpoint.born if endpoint else 0,
             service=endpoint.service if endpoint else "",
             failure_domain=endpoint.failure_domain if endpoint else "",
             cold=self.limits.cold.is_cold(key, self._clock()),
--- a/lagoonpost/margins/line.py
+++ b/lagoonpost/margins/line.py
@@ -92,11 +92,14 @@
         runner: Id of the runner.
         version: Version of the runner's entry; increases with each update.
         state: "ready", "leaving" or "gone".
+        born: Start of its process in milliseconds since the epoch; 0 if it is
+            gone, and in logs without it.
     """
 
     runner: str
     version: int
     state: str
+    born: int = 0
 
 
 class ConfigurationUpdate(Message, kw_only=True, gc=False):
@@ -166,6 +169,23 @@
     rate: float
 
 
+class Notice(Message, kw_only=True, gc=False):
+    """A runner said in an answer that it leaves, or asked for a rest.
+
+    Attributes:
+        runner: Id of the runner.
+        born: Start of its process in milliseconds since the epoch.
+        leaving: Whether it leaves.
+        rest: Seconds for which it wants no request from this gateway; None if
+            it asked for no rest.
+    """
+
+    runner: str
+    born: int
+    leaving: bool
+    rest: float | None = None
+
+
 class RunnerCrash(Message, kw_only=True, gc=False):
     """A runner is down that cut off a run near its start.
 
@@ -225,6 +245,7 @@
     "lagoonpost:forwarding:partitioned": PartitionChange,
     "lagoonpost:forwarding:brittle_refusal": BrittleRefusal,
     "lagoonpost:forwarding:limited_request": LimitedRequest,
+    "lagoonpost:forwarding:notice": Notice,
     "lagoonpost:forwarding:runner_crash": RunnerCrash,
     "lagoonpost:forwarding:convicted": Conviction,
     "lagoonpost:forwarding:silent": SilentRunner,
--- a/lagoonpost/margins/rules.py
+++ b/lagoonpost/margins/rules.py
@@ -19,6 +19,7 @@
     DutyCall,
     LeaseChange,
     LimitedRequest,
+    Notice,
     PartitionChange,
     RequestEnd,
     RunnerCrash,
@@ -28,6 +29,10 @@
 )
 from lagoonpost.margins.log_reader import Logs
 from lagoonpost.margins.margin import Margin
+from lagoonpost.margins.notice import (
+    find_offer_after_notice,
+    find_requests_in_rest,
+)
 from lagoonpost.margins.partition import (
     find_brittle_refusals,
     find_keepalive,
@@ -89,6 +94,17 @@
     ]
 
 
+def _find_notices(logs: Logs) -> list[Margin]:
+    notices = logs.find(Notice)
+    requests = logs.find(RequestEnd)
+    updates = logs.find(RunnerUpdate)
+    drain = logs.find_bound("drain_seconds")
+    return [
+        find_offer_after_notice(notices, updates, requests, drain),
+        find_requests_in_rest(notices, requests),
+    ]
+
+
 def _find_quota_use(logs: Logs) -> list[Margin]:
     names = ("quota_window", "quota_overage", "quota_slack")
     window, overage, slack = map(logs.find_bound, names)
@@ -114,6 +130,7 @@
     _find_calls,
     _find_leases,
     _find_staleness,
+    _find_notices,
     _find_quota_use,
     _find_runner_care,
 )
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable
+from random import Random
 from typing import ClassVar, Literal, NamedTuple
 
 from lagoonpost.http.message import (
@@ -81,12 +82,15 @@
     Attributes:
         request: The request.
         ran: Whether the runner accepted it.
+        rest: Rest that the runner asked for as it turned the request away;
+            empty if it did neither.
         at: Arrival, in seconds of the monotonic clock.
     """
 
     request: Request
     ran: bool
     at: float
+    rest: str = ""
 
 
 class RunnerStandin:
@@ -111,8 +115,9 @@
         limit: Requests a second that it takes from all gateways together,
             which it says in all its answers; None to say nothing.
         leaving: Whether it says in all its answers that it leaves.
-        rest: Value of ``Retry-After`` in its refusals when it is full; empty
-            to ask for no rest.
+        rest: Value of ``Retry-After`` in its refusals when it is full or
+            turns requests away; empty to ask for no rest.
+        turned_away: Share of the requests that it turns away, from 0 to 1.
         room: Requests that a brittle runner accepts at once.
         falls: How often it has fallen over.
         framed: Whether answers have a length or come in chunks; otherwise they
@@ -137,6 +142,8 @@
         self.limit: float | None = None
         self.leaving = False
         self.rest = ""
+        self.turned_away = 0.0
+        self._rng = Random(id)
         self.room = DEFAULT_ROOM
         self.falls = 0
         self._accepted = 0
@@ -201,7 +208,12 @@
         attempt = request.header("attempt-id") or ""
         refusal = self._refuse(request)
         self.received.append(
-            ReceivedRequest(request, refusal is None, time.monotonic())
+            ReceivedRequest(
+                request,
+                refusal is None,
+                time.monotonic(),
+                (refusal.header("retry-after") or "") if refusal else "",
+            )
         )
         if refusal is not None:
             await responder.send(refusal)
@@ -223,7 +235,7 @@
         expected = request.header("target-instance")
         if expected not in (None, self.id):
             return Response(421, (("instance-id", self.id),))
-        if self.fault == "full":
+        if self.fault == "full" or self._rng.random() < self.turned_away:
             rest = (("retry-after", self.rest),) if self.rest else ()
             return Response(503, (("not-executed", "1"), *rest, *self._tell()))
         if not self._has_copy(request):
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,11 +18,13 @@
     check_brittle_runners,
     check_configuration,
     check_crashing_parts,
+    check_departures,
     check_draining,
     check_duties,
     check_limits,
     check_partitions,
     check_recovery,
+    check_rests,
 )
 from soak.record import Finding
 from soak.system import SoakSystem
@@ -85,6 +87,8 @@
         findings += check_duties(system)
         findings += check_brittle_runners(system)
         findings += check_limits(system)
+        findings += check_departures(system)
+        findings += check_rests(system, callers.attempts)
         findings += check_crashing_parts(system)
         findings += check_partitions(system, callers.attempts)
         findings += await check_recovery(system, callers)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,7 +15,7 @@
 from lagoonpost_standins.runner import RunnerFault
 from soak.gateway import write_cut
 from soak.proxy import LinkFault, Proxy
-from soak.record import CrashTime, Falls, LimitTime, Span
+from soak.record import CrashTime, DepartureTime, Falls, LimitTime, Span
 from soak.system import DRAIN_SECONDS, SLOTS, RunnerSlot, SoakSystem
 
 QUIET_START_SECONDS = 0.5
@@ -43,6 +43,11 @@
 """Mean pause between such requests."""
 CRASHED_SECONDS = 0.5
 """Time for which a runner is down that a request has crashed."""
+NOTICE_DURATION_FACTOR = 2.5
+"""Factor on the time for which runners leave by their answers only, or turn
+requests away, so that most of them outlast the bounds by seconds."""
+RESTS = ("0.7", "1.5", "3")
+"""Seconds of rest that runners ask for."""
 STOP_TIMEOUT_SECONDS = 12.0
 """Longest wait for a gateway to stop: 1.5 times its grace period."""
 RESTART_DELAY_SECONDS = 0.5
@@ -439,6 +444,45 @@
     return id_
 
 
+async def _leave_unreported(
+    system: SoakSystem, step: PlannedFault, rng: Random
+) -> str:
+    """Let a runner leave that only its answers say to leave."""
+    slot = _choose_ready(system, rng)
+    if slot is None:
+        return ""
+    runner = slot.runner
+    slot.state, runner.leaving = "unreported", True
+    begin = time.monotonic()
+    await asyncio.sleep(NOTICE_DURATION_FACTOR * step.seconds)
+    slot.state = "down"
+    system.departure_times.append(
+        DepartureTime(runner.id, begin, time.monotonic())
+    )
+    await system.delete_entry(runner.id)
+    await slot.replace()
+    await system.register(slot)
+    return runner.id
+
+
+async def _turn_away(
+    system: SoakSystem, step: PlannedFault, rng: Random
+) -> str:
+    """Let runners turn requests away and ask for rests."""
+    slot = rng.choice(system.runners)
+    slots = [slot]
+    if rng.random() < 0.3:
+        slots = [s for s in system.runners if s.service == slot.service]
+    runners = [slot.runner for slot in slots]
+    for runner in runners:
+        runner.rest = rng.choice(RESTS)
+        runner.turned_away = rng.choice([0.3, 0.6, 1.0])
+    await asyncio.sleep(NOTICE_DURATION_FACTOR * step.seconds)
+    for runner in runners:
+        runner.rest, runner.turned_away = "", 0.0
+    return " ".join(runner.id for runner in runners)
+
+
 def _choose_ready(system: SoakSystem, rng: Random) -> RunnerSlot | None:
     """Return a slot whose runner may stop, or None.
 
@@ -469,9 +513,11 @@
     "herd": _kill_half,
     "kill": _kill_gateway,
     "leave": _drain_runner,
+    "leave_unreported": _leave_unreported,
     "limit": _limit_runner,
     "outage": _fail_store,
     "pause": _freeze_gateway,
     "reload": _reload_gateway,
     "stop": _stop_gateway,
+    "turn_away": _turn_away,
 }
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -35,8 +35,20 @@
 }
 """Faults that may delay updates from the store to the gateways."""
 RUNNER_FAULTS = frozenset(
-    ("crash", "crash_part", "fault", "harm_runner", "brittle", "limit")
+    (
+        "crash",
+        "crash_part",
+        "fault",
+        "harm_runner",
+        "brittle",
+        "limit",
+        "turn_away",
+    )
 )
+_MUTE_FAULTS = frozenset(("fault", "harm_runner"))
+"""Faults because of which a runner's words may not be heard."""
+_CRASHES = frozenset(("crash_part",))
+"""Faults that start runners anew, about which nothing is known then."""
 MIN_SERVED_RATIO = 0.9
 """Share of calls that must be served after the faults are over."""
 MIN_HANDBACK_SECONDS = Bounds().lease_seconds
@@ -55,6 +67,11 @@
 ``LIMIT_WINDOW_SECONDS``, and ``LIMIT_SLACK`` requests."""
 LIMIT_TOLD_SECONDS = Bounds().contact_seconds
 """Time from which a limit counts after a runner first named it."""
+ANSWER_SECONDS = 0.5
+"""Time by which the head of an answer of a sound runner is heard."""
+MOST_IN_REST, REST_SLACK_SECONDS = 2, 0.5
+"""Requests of a gateway that may reach a runner in a rest that it has asked
+for, and time after the refusal from which they count."""
 CRASHES_BEFORE, LATE_ALLOWED = 5, 3
 """Crashes under one part of prompts after which its requests are late, and
 those that may come ``CONTACT_SECONDS`` later all the same."""
@@ -345,6 +362,80 @@
     return found
 
 
+def check_departures(system: SoakSystem) -> list[Finding]:
+    """Check that runners get no new work once their answers say they leave.
+
+    Gateways that start or wake hear of it again, and answers of a runner with
+    a fault may not arrive.
+    """
+    found = []
+    for leaving in system.departure_times:
+        times = [
+            at
+            for at in system.list_arrivals(leaving.runner)
+            if leaving.begin <= at < leaving.end
+        ]
+        known = times[0] + ANSWER_SECONDS + DRAIN_SECONDS if times else 0.0
+        late = [
+            at
+            for at in times
+            if at > known
+            and not _has_fault(
+                system.spans, GATEWAY_FAULTS, at - DRAIN_SECONDS, at
+            )
+            and not _has_fault(
+                system.spans, _MUTE_FAULTS, leaving.begin, at, leaving.runner
+            )
+            and not _has_fault(system.spans, _CRASHES, leaving.begin, at)
+        ]
+        if late:
+            detail = f"{leaving.runner}: {len(late)} requests"
+            found.append(Finding("leaving by answers is heard", detail))
+    return found
+
+
+def check_rests(
+    system: SoakSystem, attempts: Sequence[Attempt]
+) -> list[Finding]:
+    """Check that runners get the rest that they ask gateways for."""
+    gateways = {attempt.id: attempt.gateway for attempt in attempts}
+    found = []
+    for slot in system.runners:
+        for runner in slot.all_runners():
+            arrivals = [
+                (each, gateways.get(each.request.header("attempt-id") or ""))
+                for each in runner.received
+            ]
+            for refused, gateway in arrivals:
+                if not refused.rest or gateway is None:
+                    continue
+                end = refused.at + float(refused.rest)
+                within = [
+                    each.at
+                    for each, sender in arrivals
+                    if sender == gateway
+                    and refused.at + REST_SLACK_SECONDS <= each.at < end
+                ]
+                if len(within) > MOST_IN_REST and not _may_forget_rest(
+                    system.spans, runner.id, gateway, refused.at, end
+                ):
+                    detail = f"{runner.id}: {len(within)} of {gateway + 1}"
+                    found.append(Finding("rests are kept", detail))
+    return found
+
+
+def _may_forget_rest(
+    spans: Sequence[Span], runner: str, gateway: int, begin: float, end: float
+) -> bool:
+    """Return whether a gateway may not know of a rest."""
+    name = f"gateway-{gateway + 1}"
+    return (
+        _has_fault(spans, GATEWAY_FAULTS, begin, end, name)
+        or _has_fault(spans, _MUTE_FAULTS, begin, end, runner)
+        or _has_fault(spans, _CRASHES, begin, end)
+    )
+
+
 def check_crashing_parts(system: SoakSystem) -> list[Finding]:
     """Check that few requests reach runners that a part of them crashes.
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -118,6 +118,20 @@
     rate: float
 
 
+class DepartureTime(NamedTuple):
+    """A time in which a runner said in its answers that it leaves.
+
+    Attributes:
+        runner: Id of the runner.
+        begin: Start time.
+        end: When the runner ended.
+    """
+
+    runner: str
+    begin: float
+    end: float
+
+
 class CrashTime(NamedTuple):
     """A time in which a part of prompts crashed runners.
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -25,7 +25,15 @@
 from lagoonpost_standins.runner import RunnerStandin
 from soak.gateway import CUT_VARIABLE
 from soak.proxy import Proxy
-from soak.record import Change, CrashTime, Drain, Falls, LimitTime, Span
+from soak.record import (
+    Change,
+    CrashTime,
+    DepartureTime,
+    Drain,
+    Falls,
+    LimitTime,
+    Span,
+)
 
 STREAM_EVENTS = 6
 """Number of events of a stream."""
@@ -119,6 +127,8 @@
         falls: Services whose runners were brittle, and how often these fell
             over meanwhile.
         limit_times: Times in which runners named a limit.
+        departure_times: Times in which runners said in their answers that
+            they leave, and their entries that they are ready.
         crash_times: Times in which a part of prompts crashed runners.
         version: Newest configuration.
         folder: Temporary folder of settings and logs.
@@ -149,6 +159,7 @@
         self.spans: list[Span] = []
         self.falls: list[Falls] = []
         self.limit_times: list[LimitTime] = []
+        self.departure_times: list[DepartureTime] = []
         self.crash_times: list[CrashTime] = []
         self.version = 1
         self._unknown_since: dict[str, float] = {}
@@ -297,7 +308,7 @@
             slot.service,
             slot.proxy.address,
             slot.domain,
-            state=slot.state,
+            state="ready" if slot.state == "unreported" else slot.state,
             seq=slot.seq,
             born=len(slot.previous) + crashes + 1,
             slots=SLOTS,
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -19,15 +19,18 @@
     check_attempts,
     check_brittle_runners,
     check_configuration,
+    check_departures,
     check_draining,
     check_duties,
     check_limits,
     check_partitions,
+    check_rests,
 )
 from soak.proxy import Proxy
 from soak.record import (
     Attempt,
     Change,
+    DepartureTime,
     Drain,
     Falls,
     LimitTime,
@@ -91,6 +94,38 @@
         found = [finding.promise for finding in check_limits(system)]
         assert found == ["limits are kept"]
 
+    def test_a_runner_that_leaves_by_its_answers(self, system):
+        runner = system.runners[0].runner
+        system.departure_times.append(DepartureTime(runner.id, 1.0, 9.0))
+        times = [0.5, 2.0, 4.4, 9.5]
+        runner.received = [ReceivedRequest(None, True, at) for at in times]
+        assert check_departures(system) == []
+        runner.received.append(ReceivedRequest(None, True, 4.6))
+        found = [finding.promise for finding in check_departures(system)]
+        assert found == ["leaving by answers is heard"]
+        system.spans.append(Span("pause", "gateway-1", 3.0, 4.0))
+        assert check_departures(system) == []
+
+    def test_a_runner_that_gets_no_rest(self, system):
+        runner = system.runners[0].runner
+        request = Request(
+            "GET", "/check/1", "", (("attempt-id", "a"),), b"", "here"
+        )
+        runner.received = [
+            ReceivedRequest(request, False, 10.0, "3"),
+            *(ReceivedRequest(request, True, at) for at in (10.4, 11.0, 12.9)),
+            ReceivedRequest(request, True, 13.1),
+        ]
+        other = GOOD._replace(id="b", gateway=1)
+        assert check_rests(system, [GOOD, other]) == []
+        runner.received.append(ReceivedRequest(request, True, 12.0))
+        found = check_rests(system, [GOOD, other])
+        assert [each.promise for each in found] == ["rests are kept"]
+        system.spans.append(Span("kill", "gateway-2", 11.0, 12.0))
+        assert check_rests(system, [GOOD, other]) != []
+        system.spans.append(Span("kill", "gateway-1", 11.0, 12.0))
+        assert check_rests(system, [GOOD, other]) == []
+
     def test_a_refusal_of_what_ran(self, system):
         system.runners[0].runner.runs["a"] = 1
         refused = GOOD._replace(status=503)
