Tell callers of a service without runners that it has none, not that they rest

With no runner left the list of resting ones is empty, and empty counted as all at rest: the refusal would have named rests. Tests of the refusal and of short rests.

--- a/lagoonpost/forwarding/runner_choice.py
+++ b/lagoonpost/forwarding/runner_choice.py
@@ -236,7 +236,9 @@
         rates = self._list_rates(runners, now)
         if is_full:
             exchange.note_no_room()
-        elif all(self._notices.find_rest(each, now) for each in known):
+        elif known and not any(
+            self._view.may_send(runner) for runner in known
+        ):
             rest = self._find_shortest_rest(known, now)
             exchange.note_resting(find_return_delay(rest or 0.0, self._rng))
         elif rates:
--- a/test/test_runner_notices.py
+++ b/test/test_runner_notices.py
@@ -1,6 +1,7 @@
 """Tests of gateways before runners that say in answers what they want."""
 
 import asyncio
+import json
 from collections.abc import Callable
 
 import pytest
@@ -84,11 +85,15 @@
                 for runner in runners
                 for at in list_late(runner, DRAIN_SECONDS, 60.0)
             ]
-            return late, statuses[-1]
+            answer = await stack.call("/check/1")
+            return late, statuses[-1], answer
 
-        late, status = play(story, gateways=GATEWAYS, bounds=SHORT_DRAIN)
+        late, status, answer = play(
+            story, gateways=GATEWAYS, bounds=SHORT_DRAIN
+        )
         assert late == []
         assert status == 503
+        assert json.loads(answer.body)["reason"] == "no_runner"
 
     def test_rows_of_the_store_do_not_take_it_back(self):
         """Guards against `ready` rows that outlast the runner's notice."""
@@ -129,16 +134,41 @@
         assert statuses == {503}
         assert set(then) == {200}
 
+    def test_if_all_rest_callers_are_told_to_return_after_it(self):
+        """Guards against callers that wait, or return within the rest."""
+
+        async def story(stack: Stack):
+            for id_ in ("desk-1", "desk-2"):
+                note_rest(stack, id_, seconds=2.0)
+            return await stack.call("/book/1", "POST")
+
+        answer = play(story)
+        assert answer.status == 503
+        assert json.loads(answer.body)["reason"] == "runners_rest"
+        assert 1.0 < float(answer.header("retry-after")) <= 3.0
+
+    def test_a_short_one_is_waited_for(self):
+        """Guards against refusals where a moment's patience serves."""
+
+        async def story(stack: Stack):
+            for id_ in ("desk-1", "desk-2"):
+                note_rest(stack, id_, seconds=0.2)
+            return (await stack.call("/book/1", "POST")).status
+
+        assert play(story) == 200
+
 
 def note_leaving(stack: Stack, runner: str, gateway: int = 0) -> None:
     view = stack.gateways[gateway].view
     view.note_leaving(runner, view.entries[runner].endpoint.born, "test")
 
 
-def note_rest(stack: Stack, runner: str, gateway: int = 0) -> None:
+def note_rest(
+    stack: Stack, runner: str, gateway: int = 0, seconds: float = 30.0
+) -> None:
     view = stack.gateways[gateway].view
     endpoint = view.entries[runner].endpoint
-    view.notices.note_rest(endpoint, 30.0, 0, read_clock())
+    view.notices.note_rest(endpoint, seconds, 0, read_clock())
 
 
 NOTICES = [note_leaving, note_rest]
