--- a/lagoonpost/systems/runner_notices.py
+++ b/lagoonpost/systems/runner_notices.py
@@ -41,7 +41,7 @@
 
 
 class _Departed(NamedTuple):
-    """The latest start that a runner has said to leave, and when."""
+    """The latest start of a runner that has said that it leaves, and when."""
 
     born: int
     at: float
