Keep two gateways from issuing permits for one runner

A cold runner got 21 requests in a second, 20 allowed, where half of 82 gateways never hear of 17 added ones: those asked one issuer, the others another, and each issued the whole rate. The issuer now tells the three gateways that would come after it; one that ranks lower issues nothing for that runner for two seconds, whether it knows the issuer or not, and who asks it falls back to its own part. Only higher ranks are believed, so two never stop for each other.

Two datagrams a second and runner to each of three gateways, only while a runner has a limit or is cold; older builds skip them.

--- a/bench/limited_play.py
+++ b/bench/limited_play.py
@@ -17,7 +17,12 @@
 from lagoonpost.systems.runner_limits import Ask, RunnerLimits
 from lagoonpost.tables.address import Address
 from lagoonpost.tables.endpoint import Endpoint
-from lagoonpost.tables.permit import LimitNews, PermitReply, PermitRequest
+from lagoonpost.tables.permit import (
+    LimitNews,
+    PermitClaim,
+    PermitReply,
+    PermitRequest,
+)
 from lagoonpost.tables.stated_limits import StatedLimits
 
 WINDOW_SECONDS, OVERAGE, SLACK = 4.0, 1.5, 5.0
@@ -236,8 +241,14 @@
                 if target != name:
                     self._deliver(now, name, target, self._hear, tell.news)
 
-    def _hear(self, now: float, name: str, news: LimitNews) -> None:
-        if self.is_running(name, now):
+    def _hear(
+        self, now: float, name: str, news: LimitNews | PermitClaim
+    ) -> None:
+        if not self.is_running(name, now):
+            return
+        if isinstance(news, PermitClaim):
+            self.limits[name].handle_claim(news, now)
+        else:
             self.limits[name].handle_news(news, now)
             self._spread_news(now, name)
 
@@ -280,6 +291,7 @@
         decision = limits.request_permit(
             self.endpoint, self.cold_rate, LONGEST_WAIT_SECONDS, now
         )
+        self._spread_news(now, name)
         if not isinstance(decision, Ask):
             self._act(now, name, decision)
             return
@@ -287,7 +299,9 @@
         self._asked[name, number] = decision
         values = name, decision.request
         issuer = decision.issuer
-        self._deliver(now, name, issuer, self._handle_request, *values)
+        # A gateway has no address of one that it only knows by its claim.
+        if self._sees(name, issuer, now):
+            self._deliver(now, name, issuer, self._handle_request, *values)
         timeout = now + REPLY_TIMEOUT_SECONDS
         self.at(timeout, self._finish, name, number, None)
 
--- a/lagoonpost/forwarding/permits.py
+++ b/lagoonpost/forwarding/permits.py
@@ -13,7 +13,12 @@
 from lagoonpost.systems.runner_limits import Ask
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.peer import Member
-from lagoonpost.tables.permit import LimitNews, PermitReply, PermitRequest
+from lagoonpost.tables.permit import (
+    LimitNews,
+    PermitClaim,
+    PermitReply,
+    PermitRequest,
+)
 from lagoonpost.tables.stated_limits import StatedLimits
 
 MS_PER_SECOND = 1000
@@ -48,6 +53,7 @@
         post.set_handler(PermitRequest, self._handle_request)
         post.set_handler(PermitReply, self._handle_reply)
         post.set_handler(LimitNews, self._handle_news)
+        post.set_handler(PermitClaim, self._handle_claim)
 
     def note_members(self, members: Sequence[Member], now: float) -> None:
         """Record the gateways among which limits are shared.
@@ -80,6 +86,7 @@
         decision = self._limits.request_permit(
             endpoint, cold_rate, longest, read_clock()
         )
+        self._spread_news()
         if isinstance(decision, Ask):
             reply = await self._ask(decision)
             decision = self._limits.handle_reply(
@@ -154,6 +161,9 @@
         if waiting is not None and not waiting.done():
             waiting.set_result(reply)
 
+    def _handle_claim(self, claim: PermitClaim, sender: Address) -> None:
+        self._limits.handle_claim(claim, read_clock())
+
     def _handle_news(self, news: LimitNews, sender: Address) -> None:
         self._limits.handle_news(news, read_clock())
         self._spread_news()
--- a/lagoonpost/peers/messenger.py
+++ b/lagoonpost/peers/messenger.py
@@ -19,7 +19,12 @@
 from lagoonpost.peers.message import GossipReply, GossipRequest
 from lagoonpost.tables.control_traffic import ControlTraffic
 from lagoonpost.tables.gateway_report import GatewayReport, HubSummary
-from lagoonpost.tables.permit import LimitNews, PermitReply, PermitRequest
+from lagoonpost.tables.permit import (
+    LimitNews,
+    PermitClaim,
+    PermitReply,
+    PermitRequest,
+)
 
 DatagramMessage = (
     GatewayReport
@@ -29,6 +34,7 @@
     | PermitRequest
     | PermitReply
     | LimitNews
+    | PermitClaim
 )
 Kind = Literal[
     "report",
@@ -38,6 +44,7 @@
     "permit_request",
     "permit_reply",
     "limit_news",
+    "permit_claim",
 ]
 
 
@@ -56,6 +63,7 @@
     "permit_request": PermitRequest,
     "permit_reply": PermitReply,
     "limit_news": LimitNews,
+    "permit_claim": PermitClaim,
 }
 _KINDS: dict[type, Kind] = {type_: kind for kind, type_ in _TYPES.items()}
 _decode_envelope = msgspec.msgpack.Decoder(_Envelope).decode
--- a/lagoonpost/systems/permit_group.py
+++ b/lagoonpost/systems/permit_group.py
@@ -37,7 +37,7 @@
         self._settled_at = started + SETTLING_SECONDS
         self._absent: frozenset[str] = frozenset()
         self._introduced = frozenset((name,))
-        self._issuers: dict[str, str] = {}
+        self._ranked: dict[str, list[str]] = {}
         self.running = frozenset((name,))
 
     def note_gateways(
@@ -59,7 +59,7 @@
         candidates = frozenset(introduced) or self.running
         if candidates != self._introduced:
             self._introduced = candidates
-            self._issuers.clear()
+            self._ranked.clear()
 
     def find_settling_time(self, now: float) -> float:
         """Return the seconds until this gateway knows the others."""
@@ -76,13 +76,21 @@
 
     def find_issuer(self, runner: str) -> str:
         """Return the gateway that issues the permits for a runner."""
-        issuer = self._issuers.get(runner)
-        if issuer is None:
-            issuer = self._issuers[runner] = max(
+        return self._rank(runner)[0]
+
+    def list_successors(self, runner: str, count: int) -> list[str]:
+        """Return the gateways that would issue next, in order."""
+        return self._rank(runner)[1 : count + 1]
+
+    def _rank(self, runner: str) -> list[str]:
+        ranked = self._ranked.get(runner)
+        if ranked is None:
+            ranked = self._ranked[runner] = sorted(
                 self._introduced,
                 key=lambda name: (rendezvous_score(runner, name), name),
+                reverse=True,
             )
-        return issuer
+        return ranked
 
     def is_issuer(self, runner: str) -> bool:
         """Return whether this gateway issues the permits for a runner."""
--- a/lagoonpost/systems/runner_limits.py
+++ b/lagoonpost/systems/runner_limits.py
@@ -30,6 +30,7 @@
 
 from lagoonpost.systems.brittle import BrittleRunners
 from lagoonpost.systems.cold_start import ColdStarts
+from lagoonpost.systems.permit_claims import PermitClaims
 from lagoonpost.systems.permit_group import PermitGroup
 from lagoonpost.systems.permit_issuer import (
     MIN_RATE,
@@ -42,6 +43,7 @@
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.permit import (
     LimitNews,
+    PermitClaim,
     PermitReply,
     PermitRequest,
 )
@@ -71,15 +73,15 @@
 
 
 class Tell(NamedTuple):
-    """Other gateways are to be told of a statement.
+    """Other gateways are to be told something.
 
     Attributes:
         gateway: Name of the gateway; None for all.
-        news: The statement.
+        news: What runners said, or who issues a runner's permits.
     """
 
     gateway: str | None
-    news: LimitNews
+    news: LimitNews | PermitClaim
 
 
 class RunnerLimits:
@@ -100,6 +102,7 @@
         self._rng = rng
         self.cold = ColdStarts()
         self.group = PermitGroup(name, started)
+        self._claims = PermitClaims(name, self.group)
         self._statements = Statements()
         self._brittle = BrittleRunners(name, rng)
         self._issuer = PermitIssuer()
@@ -118,6 +121,7 @@
         self._statements.forget(runner)
         self._issuer.forget(runner)
         self._fallback.forget(runner)
+        self._claims.forget(runner)
         self._earliest.pop(runner, None)
         self._told.pop(runner, None)
 
@@ -196,6 +200,10 @@
         if refusals is not None:
             self._brittle.note_refused(endpoint.id, refusals, now)
 
+    def handle_claim(self, claim: PermitClaim, now: float) -> None:
+        """Record that another gateway issues the permits for a runner."""
+        self._claims.handle_claim(claim, now)
+
     def handle_news(self, news: LimitNews, now: float) -> None:
         """Record what another gateway knows of runners."""
         for statement in news.statements:
@@ -308,7 +316,7 @@
         if rate is None:
             return Granted(0.0)
         runner = endpoint.id
-        issuer = self.group.find_issuer(runner)
+        issuer = self._claims.find_issuer(runner, now)
         if issuer == self._name:
             return self._issue(runner, rate, longest, now)
         if now < self._silent_until.get(issuer, now):
@@ -362,7 +370,7 @@
     ) -> PermitReply:
         """Handle another gateway's request for a permit."""
         runner = request.runner
-        if not self.group.is_issuer(runner):
+        if self._claims.find_issuer(runner, now) != self._name:
             return PermitReply(request.number, "not_issuer", 0.0, None)
         if request.statement is not None:
             self.handle_news(LimitNews((request.statement,)), now)
@@ -388,6 +396,8 @@
         After a cut, there may be many small groups, whose first permits must
         not be due at the same moment.
         """
+        for gateway in self._claims.list_due(runner, now):
+            self._tells.append(Tell(gateway, PermitClaim(runner, self._name)))
         share = self.group.find_share()
         rate = share * max(MIN_RATE, rate)
         if share < 1 and not self._issuer.knows(runner):
--- a/lagoonpost/tables/permit.py
+++ b/lagoonpost/tables/permit.py
@@ -63,6 +63,18 @@
     statement: Statement | None
 
 
+class PermitClaim(NamedTuple):
+    """Tells other gateways that one issues the permits for a runner.
+
+    Attributes:
+        runner: Id of the runner.
+        issuer: Name of the gateway that issues them.
+    """
+
+    runner: str
+    issuer: str
+
+
 class LimitNews(NamedTuple):
     """Tells other gateways what runners said last."""
 
