Setting of the scheduling over all gateways, and the types that its parts share

Each part (draws, speeds, order, shares) is off until it is built. 'auto' puts them in effect where there are more gateways than a full mesh takes, so that deployments with few gateways are served as before.

--- a/lagoonpost/cli/serve.py
+++ b/lagoonpost/cli/serve.py
@@ -14,7 +14,25 @@
 from lagoonpost.forwarding.daemon import BASE_RUNNERS, ForwardingDaemon
 from lagoonpost.forwarding.log import LogWriter
 from lagoonpost.platform.settings import PATH_VARIABLE, SettingsError
+from lagoonpost.systems.scheduling import (
+    AUTOMATIC,
+    SchedulingSetting,
+    parse_scheduling,
+)
 from lagoonpost.tables.address import Address
+from lagoonpost.tables.scheduling import Scheduling
+
+PARTS = Scheduling._fields
+
+
+def convert_scheduling(
+    ctx: click.Context, param: click.Parameter, value: str
+) -> SchedulingSetting:
+    """Return the parsed setting of the scheduling."""
+    try:
+        return parse_scheduling(value)
+    except ValueError as error:
+        raise click.BadParameter(str(error), ctx, param) from error
 
 
 @click.command()
@@ -43,12 +61,23 @@
     show_default=True,
     help="Port of the metrics on the entry's address; 0 for none.",
 )
+@click.option(
+    "--scheduling",
+    envvar="LAGOONPOST_SCHEDULING",
+    show_envvar=True,
+    callback=convert_scheduling,
+    default=AUTOMATIC,
+    show_default=True,
+    help="Parts of the scheduling over all gateways: auto for all parts where"
+    f" there are many gateways, off, or some of {','.join(PARTS)}.",
+)
 @click.pass_obj
 def serve(
     listeners: Mapping[Address, socket.socket] | None,
     config: str,
     base_runners: int,
     metrics_port: int,
+    scheduling: SchedulingSetting,
 ) -> None:
     """Forward requests on the users' platform until SIGTERM.
 
@@ -56,7 +85,15 @@
     """
     LogWriter().install()
     try:
-        asyncio.run(_run(config, base_runners, metrics_port, listeners or {}))
+        asyncio.run(
+            _run(
+                config,
+                base_runners,
+                metrics_port,
+                listeners or {},
+                scheduling,
+            )
+        )
     except SettingsError as error:
         raise fail(f"invalid settings: {error}", ExitCode.USAGE) from error
 
@@ -66,6 +103,9 @@
     base_runners: int,
     metrics_port: int,
     listeners: Mapping[Address, socket.socket],
+    scheduling: SchedulingSetting,
 ) -> None:
-    daemon = ForwardingDaemon(path, base_runners, metrics_port, listeners)
+    daemon = ForwardingDaemon(
+        path, base_runners, metrics_port, listeners, scheduling
+    )
     await daemon.run()
--- a/lagoonpost/forwarding/admission.py
+++ b/lagoonpost/forwarding/admission.py
@@ -20,6 +20,7 @@
 from lagoonpost.systems.route import choose_service
 from lagoonpost.tables.bounds import Bounds
 from lagoonpost.tables.quota import QuotaBounds, count_units
+from lagoonpost.tables.scheduling import NO_PARTS
 
 
 class Admission:
@@ -36,6 +37,7 @@
     Attributes:
         cluster: State exchanged with the other gateways.
         quotas: Quota used by each workspace.
+        scheduling: Parts of the scheduling that are in effect.
         on_quota_charged: Called after a request was charged to a quota.
     """
 
@@ -53,6 +55,7 @@
         self._view = view
         self._rng = rng
         self._crashes = crashes
+        self.scheduling = NO_PARTS
         self.quotas = Quotas(_find_quota_bounds(bounds), started)
 
     def set_bounds(self, bounds: Bounds) -> None:
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -47,6 +47,7 @@
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.hub import READER_LONG_POLL_SECONDS
 from lagoonpost.systems.route import RouteTable
+from lagoonpost.systems.scheduling import SchedulingSetting, choose_parts
 from lagoonpost.systems.shift import ExposureBounds
 from lagoonpost.tables.control_traffic import ControlTraffic
 from lagoonpost.tables.gateway_report import GatewayReport, UsageByAge
@@ -62,6 +63,7 @@
 """Pause between checks of services that shift to another version."""
 BASE_RUNNERS = 1
 """Minimum number of on-demand runners of each scaled service."""
+AUTOMATIC_SCHEDULING = SchedulingSetting()
 
 
 class ForwardingDaemon:
@@ -74,6 +76,7 @@
         metrics_port: Port on which the metrics are served, at the same host
             as the callers' requests; 0 to disable.
         listeners: Sockets that are already listening, by address.
+        scheduling: Parts of the scheduling that may be in effect.
 
     Attributes:
         view: This gateway's view of the configuration and the runners.
@@ -85,8 +88,10 @@
         base_runners: int = BASE_RUNNERS,
         metrics_port: int = 0,
         listeners: Mapping[Address, socket.socket] | None = None,
+        scheduling: SchedulingSetting = AUTOMATIC_SCHEDULING,
     ) -> None:
         self._listeners = listeners or {}
+        self._scheduling = scheduling
         self._settings_watcher = SettingsWatcher(path, self._apply_settings)
         settings = self._settings = self._settings_watcher.settings
         # Seeded, so that simulated days are reproducible.
@@ -435,6 +440,9 @@
     async def _run_maintenance(self) -> None:
         while True:
             await sleep_aligned(MAINTENANCE_INTERVAL_SECONDS)
+            self._forwarder.set_scheduling(
+                choose_parts(self._scheduling, self._cluster.count_gateways())
+            )
             peer_work = self._cluster.reports.sum_peer_work()
             self._forwarder.note_peer_work(peer_work)
             self._cluster.publish_store_lost(self._follower.lost)
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -28,7 +28,11 @@
     Refusal,
     make_refusal,
 )
-from lagoonpost.forwarding.request_log import log_cut_off, log_trial
+from lagoonpost.forwarding.request_log import (
+    log_cut_off,
+    log_scheduling,
+    log_trial,
+)
 from lagoonpost.forwarding.retry_budgets import RetryBudgets
 from lagoonpost.forwarding.runner_choice import RunnerChooser
 from lagoonpost.forwarding.runner_paths import RunnerClient, RunnerPaths
@@ -45,6 +49,7 @@
 from lagoonpost.systems.reach import Reach
 from lagoonpost.tables.bounds import Bounds
 from lagoonpost.tables.gateway_report import RunnerWork
+from lagoonpost.tables.scheduling import NO_PARTS, Scheduling
 
 CONFIGURATION_WAIT_SECONDS = 0.4
 """Time from the first request after a start during which requests wait for
@@ -75,6 +80,7 @@
         trials: Gets permits for trials of requests that may crash runners.
         notices: Reads what runners say of themselves in answers.
         offers: Offers requests to runners.
+        scheduling: Parts of the scheduling that are in effect.
     """
 
     def __init__(
@@ -134,6 +140,7 @@
             self.notices,
         )
         self._configuration_deadline: float | None = None
+        self.scheduling = NO_PARTS
 
     def connect(self, cluster: PeerSync, shifts: VersionShifts) -> None:
         """Set what is built after the forwarder, before the first request.
@@ -163,6 +170,16 @@
             read_clock(),
         )
 
+    def set_scheduling(self, scheduling: Scheduling) -> None:
+        """Apply the parts of the scheduling that are in effect now."""
+        if scheduling == self.scheduling:
+            return
+        log_scheduling(scheduling)
+        self.scheduling = scheduling
+        self.placement.scheduling = scheduling
+        self.admission.scheduling = scheduling
+        self._chooser.scheduling = scheduling
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Apply new bounds and start with fresh retry budgets."""
         if bounds == self._bounds:
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -6,6 +6,7 @@
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.systems.placement import Choice
 from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.scheduling import Scheduling
 from lagoonpost.tables.stated_limits import StatedLimits
 
 MAX_LOGGED_CAUSES = 16
@@ -32,6 +33,14 @@
     )
 
 
+def log_scheduling(scheduling: Scheduling) -> None:
+    """Write the log line of the parts of the scheduling now in effect."""
+    eliot.log_message(
+        message_type="lagoonpost:forwarding:scheduling",
+        **scheduling._asdict(),
+    )
+
+
 def log_unreachable(choice: Choice, detail: str, took: float) -> None:
     """Write the log line of a connection that could not be opened.
 
--- a/lagoonpost/forwarding/runner_choice.py
+++ b/lagoonpost/forwarding/runner_choice.py
@@ -19,6 +19,7 @@
 from lagoonpost.systems.permit_issuer import Denied
 from lagoonpost.systems.placement import Choice, Placement
 from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.scheduling import NO_PARTS
 
 MAX_RUNNERS_PER_REQUEST = 4
 """Limit for the runners to which one request is offered, including those that
@@ -52,6 +53,7 @@
     Attributes:
         cluster: State exchanged with the other gateways.
         shifts: Services that shift to another version.
+        scheduling: Parts of the scheduling that are in effect.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self._paths = paths
         self._rng = rng
         self._returns = ReturnTimes(rng)
+        self.scheduling = NO_PARTS
         self.cluster: PeerSync
         self.shifts: VersionShifts
 
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -25,6 +25,7 @@
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.gateway_report import RunnerWork
 from lagoonpost.tables.metadata import PromptPart
+from lagoonpost.tables.scheduling import NO_PARTS
 
 DEFAULT_SECONDS_PER_TOKEN = 1 / 30_000
 """Seconds per prompt token before the first measurement: the usual prefill
@@ -186,6 +187,7 @@
     Attributes:
         states: State of each runner by its id.
         reach: What is known of the paths to the runners.
+        scheduling: Parts of the scheduling that are in effect.
         paces_alone: Prefill seconds per prompt token at an unloaded
             runner, by service. The mean pace includes the time that prompts
             wait for each other, so scaling by it would order runners for
@@ -195,6 +197,7 @@
     def __init__(self) -> None:
         self.states: dict[str, RunnerState] = {}
         self.reach = Reach()
+        self.scheduling = NO_PARTS
         self._pace: dict[str, float] = {}
         self.unloaded_paces: dict[str, float] = {}
         self._overheads: dict[str, float] = {}
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from lagoonpost.tables.runner_speed import SpeedEvidence
 from lagoonpost.tables.version_shift import VersionCounts
 
 
@@ -43,6 +44,9 @@
             whose number is not higher than the last one.
         read_age: Age in seconds of the last successful store read of the
             least recently read table; None if some table was never read.
+        speeds: Measurements of the runners' speeds, by runner.
+        demand: Units that callers asked for lately, by service, then by
+            workspace.
     """
 
     name: str
@@ -58,6 +62,8 @@
     shift_counts: dict[str, dict[str, VersionCounts]]
     sequence: int = 0
     read_age: float | None = None
+    speeds: dict[str, SpeedEvidence] | None = None
+    demand: dict[str, dict[str, float]] | None = None
 
 
 UsageByAge = dict[str, list[tuple[float, float]]]
@@ -80,6 +86,10 @@
             window.
         read_age: Age in seconds of the last successful store read by any
             gateway; None if there was none.
+        speeds: Measurements of the runners' speeds by all gateways, by
+            runner.
+        demand: Units that callers asked for lately at all gateways, by
+            service, then by workspace.
     """
 
     hub: str
@@ -90,6 +100,8 @@
     work: dict[str, RunnerWork]
     recent_usage: UsageByAge
     read_age: float | None = None
+    speeds: dict[str, SpeedEvidence] | None = None
+    demand: dict[str, dict[str, float]] | None = None
 
 
 def add_work(reports: Iterable[GatewayReport]) -> dict[str, RunnerWork]:
