Keep hubs in an outage of the store, and count a summary's usage once

Callers saw 429 though they were within their quota: while the store was silent for 4.4 s, 1,455 and 939 of the requests of two seconds were refused.

Hubs were chosen among the gateways that have not lost the store. In an outage each new reader loses it in turn, so three other gateways became hubs each second. A hub that has just become one has heard of nobody, and admits its own 72nd of a quota. Hubs now stay; only the reading of the store, the records of bursts and the duties move on, and the gateways that take these over receive the reports besides.

A gateway that becomes a hub has the usage of all gateways from its last summary, and added what each of them had used in the window when its first report came: 11.4 million units for a limit of 8.8 million. The two accounts of the same usage are now compared, and the larger one counts.

Ruled out: records of bursts that the silent store could not take. The refusals had used and limit as their larger terms, not the burst.

test_hub.py and test_quota.py show both without a network, red before. Two fakes of tests name the role that is now asked for; no check is changed.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -430,7 +430,7 @@
         return waiting
 
     def _is_crash_writer(self) -> bool:
-        hubs = self._cluster.find_roles().hubs
+        hubs = self._cluster.find_roles().store_hubs
         return self._settings.name in hubs[:WRITERS]
 
     def _note_recorded_quota(self, workspace: str, age: float) -> None:
--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -277,10 +277,10 @@
     def _measure(self) -> None:
         """Add up the load of each service from all gateways' reports.
 
-        Only a hub receives all reports. A gateway that becomes a hub later
+        Only some gateways receive all reports. One that receives them later
         starts with empty meters, as it knew only its own share of the load.
         """
-        if not self._peer_sync.reports.is_hub():
+        if not self._peer_sync.reports.receives_reports():
             self._meters.clear()
             self._last_sent_by_run.clear()
             self._measures_from_start = False
--- a/lagoonpost/forwarding/peer_sync.py
+++ b/lagoonpost/forwarding/peer_sync.py
@@ -211,7 +211,8 @@
     def _searches_peers(self) -> bool:
         """Tell whether this gateway searches the store for unknown peers."""
         return (
-            self._settings.name in self.find_roles().hubs[:DISCOVERY_GATEWAYS]
+            self._settings.name
+            in self.find_roles().store_hubs[:DISCOVERY_GATEWAYS]
         )
 
     def handle_new_era(self) -> None:
--- a/lagoonpost/forwarding/quota_recorder.py
+++ b/lagoonpost/forwarding/quota_recorder.py
@@ -93,7 +93,7 @@
 
     def check_usage(self) -> None:
         """Schedule a record for each workspace that has used enough."""
-        hubs = self._peer_sync.find_roles().hubs[: len(RECORD_SHARES)]
+        hubs = self._peer_sync.find_roles().store_hubs[: len(RECORD_SHARES)]
         share = self._peer_sync.reports.reachable_share()
         if share > MAJORITY_SHARE and self._name not in hubs:
             return
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -176,9 +176,13 @@
         self._wake.set()
 
     def is_hub(self) -> bool:
-        """Tell whether this gateway receives the reports of all others."""
+        """Tell whether this gateway relies on reports, not on summaries."""
         return self._name in self._find_roles().hubs
 
+    def receives_reports(self) -> bool:
+        """Tell whether this gateway receives the reports of all others."""
+        return self._name in self._find_roles().receivers
+
     # Sending
 
     def _send_report(self) -> None:
@@ -189,11 +193,11 @@
         self._keep_report(report)
         self._sent[self._rank] = _Sent(self._now(), report.work)
         self._sent.pop(self._rank - MAX_SENT_REPORTS, None)
-        hubs = frozenset(self._find_roles().hubs)
+        receivers = self._find_roles().receivers
         targets = [
             parse_address(member.address)
             for member in self._find_members()
-            if member.name in hubs and member.name != self._name
+            if member.name in receivers and member.name != self._name
         ]
         self._post.send(report, targets)
 
@@ -242,7 +246,10 @@
     # Receiving
 
     def _handle_report(self, report: GatewayReport, sender: Address) -> None:
-        if report.run != self.run_id and self._keep_report(report):
+        if report.run == self.run_id or not self._keep_report(report):
+            return
+        # The summaries that other gateways get have the same usage.
+        if self.is_hub():
             self._delegate.handle_report(report)
 
     def _keep_report(self, report: GatewayReport) -> bool:
--- a/lagoonpost/systems/hub.py
+++ b/lagoonpost/systems/hub.py
@@ -11,7 +11,10 @@
 own failure domain. A few hubs read the store and publish changes: three
 readers with staggered reads detect changes nearly as soon as ten, with a
 third of the calls. All gateways choose from the same member list, so no
-election is needed, and gateways that failed or lost the store are skipped.
+election is needed. Gateways that failed are skipped, and for reading the store
+also those that lost it. Hubs stay hubs without the store: in an outage each
+gateway that is to read it in place of another loses it in turn, and hubs that
+changed as often would never know the reports of all gateways.
 Gateways that have run longest without interruption come first, so that a
 restarted gateway without current data does not take over a role from a
 running one. Of gateways that started together, those with fast links come
@@ -79,15 +82,18 @@
     """Roles of the gateways.
 
     Attributes:
-        hubs: Gateways that receive all reports, in order of preference.
+        hubs: Gateways that receive all reports and send summaries, in order
+            of preference, whether or not the store answers them.
         readers: Gateways that read the store.
         mesh: Whether all gateways are both hubs and readers.
         backups: Gateways that read the store if the readers appear inactive.
         contenders: Gateways that acquire the duties' lease when it is free,
             spread over as many failure domains as possible.
         eligible_holders: Gateways that may keep the duties once they hold
-            them: hubs that have not lost the store. Other gateways joining
-            or leaving does not move the duties.
+            them: gateways that receive all reports and have not lost the
+            store. Other gateways joining or leaving does not move the duties.
+        store_hubs: The hubs, each that has lost the store replaced by the
+            next gateway that has not, in order of preference.
     """
 
     hubs: tuple[str, ...]
@@ -96,6 +102,12 @@
     backups: frozenset[str] = frozenset()
     contenders: tuple[str, ...] = ()
     eligible_holders: frozenset[str] = frozenset()
+    store_hubs: tuple[str, ...] = ()
+
+    @property
+    def receivers(self) -> frozenset[str]:
+        """Gateways that receive the reports of all gateways."""
+        return frozenset((*self.hubs, *self.store_hubs))
 
 
 def choose_roles(members: Sequence[Member], lost: Collection[str]) -> Roles:
@@ -105,38 +117,22 @@
         members: All gateways that are assumed to be running.
         lost: Names of gateways that have lost the store.
     """
-    ordered = sorted(
-        members,
-        key=lambda member: (
-            member.name in lost,
-            member.state != "alive",
-            member.incarnation,
-            member.name,
-        ),
-    )
-    domains: dict[str, list[str]] = {}
-    for member in ordered:
-        domains.setdefault(member.failure_domain, []).append(member.name)
-    rank = {member.name: index for index, member in enumerate(ordered)}
-    firsts = sorted(
-        (names[0] for names in domains.values()), key=lambda name: rank[name]
-    )
-    others = [member.name for member in ordered if member.name not in firsts]
+    by_seniority = sorted(members, key=_rank_by_seniority)
+    ordered = sorted(by_seniority, key=lambda member: member.name in lost)
     mesh = len(ordered) <= MAX_MESH_GATEWAYS
-    hubs = (
-        [member.name for member in ordered]
-        if mesh
-        else firsts + others[: max(0, MIN_HUBS - len(firsts))]
-    )
-    readers = frozenset(hubs if mesh else hubs[:STORE_READERS])
+    hubs = _choose_hubs(by_seniority, mesh)
+    store_hubs = _choose_hubs(ordered, mesh)
+    readers = frozenset(store_hubs if mesh else store_hubs[:STORE_READERS])
+    firsts = _find_firsts(ordered)
+    others = [member.name for member in ordered if member.name not in firsts]
     backups = {
         name
-        for names in domains.values()
+        for names in _group_by_domain(ordered).values()
         for name in [other for other in names if other not in readers][
             :BACKUP_READERS_PER_DOMAIN
         ]
     }
-    eligible = [name for name in hubs if name not in lost] or hubs
+    eligible = [name for name in store_hubs if name not in lost] or store_hubs
     spread = [name for name in firsts + others if name in eligible]
     return Roles(
         tuple(hubs),
@@ -145,9 +141,36 @@
         frozenset(backups),
         tuple(spread[:DUTY_CONTENDERS]),
         frozenset(eligible),
+        tuple(store_hubs),
     )
 
 
+def _rank_by_seniority(member: Member) -> tuple[bool, int, str]:
+    return member.state != "alive", member.incarnation, member.name
+
+
+def _group_by_domain(ordered: Sequence[Member]) -> dict[str, list[str]]:
+    domains: dict[str, list[str]] = {}
+    for member in ordered:
+        domains.setdefault(member.failure_domain, []).append(member.name)
+    return domains
+
+
+def _find_firsts(ordered: Sequence[Member]) -> list[str]:
+    """Return the first gateway of each failure domain, in their order."""
+    names = {names[0] for names in _group_by_domain(ordered).values()}
+    return [member.name for member in ordered if member.name in names]
+
+
+def _choose_hubs(ordered: Sequence[Member], mesh: bool) -> list[str]:
+    """Return the hubs, the first gateways of the domains before others."""
+    if mesh:
+        return [member.name for member in ordered]
+    firsts = _find_firsts(ordered)
+    others = [member.name for member in ordered if member.name not in firsts]
+    return firsts + others[: max(0, MIN_HUBS - len(firsts))]
+
+
 class ReportAge(NamedTuple):
     """Age of the data that a gateway last received, in seconds.
 
--- a/lagoonpost/systems/prior_usage.py
+++ b/lagoonpost/systems/prior_usage.py
@@ -1,13 +1,17 @@
-"""Quota usage from before this gateway's start.
+"""Quota usage from before this gateway's start, or its role as a hub.
 
 Load pattern: all gateways are killed right after a workspace used up its
 quota. The restarted gateways have no counts and would admit the same usage
 again within the same window. The store has records of bursts; the usage after
 the last record is assumed to be a whole burst. Gateways that kept running
 report their own usage.
+
+A gateway that becomes a hub knows the usage of all gateways from its last
+summary, and gets the same usage again in the first report of each of them.
 """
 
 import math
+from collections.abc import Iterable
 
 from lagoonpost.systems.quota_limit import (
     compute_burst,
@@ -21,7 +25,7 @@
 
 
 class PriorUsage:
-    """Usage by workspace that was admitted before this gateway's start.
+    """Usage by workspace from before this gateway's start or role as a hub.
 
     Args:
         bounds: Window and tolerance of the quotas.
@@ -35,11 +39,12 @@
         self._records: dict[str, list[Charge]] | None = None
         self._assumed: dict[str, SlidingWindow] = {}
         self._reported: dict[str, SlidingWindow] = {}
+        self._summarized: dict[str, SlidingWindow] = {}
 
     def set_bounds(self, bounds: QuotaBounds) -> None:
         """Replace the window and tolerance of the quotas."""
         self._bounds = bounds
-        for windows in (self._assumed, self._reported):
+        for windows in (self._assumed, self._reported, self._summarized):
             for window in windows.values():
                 window.seconds = bounds.window
 
@@ -97,25 +102,56 @@
         )
         window.add_spread(units, now - self._bounds.window, now)
 
+    def note_summarized(self, name: str, charges: Iterable[Charge]) -> None:
+        """Record usage that is counted already, from a hub's last summary.
+
+        Args:
+            name: Name of the workspace.
+            charges: Usage that other gateways admitted.
+        """
+        window = self._summarized[name] = SlidingWindow(self._bounds.window)
+        window.replace(charges)
+
+    def has_summary(self, name: str) -> bool:
+        """Return whether a summary's usage of a workspace is counted."""
+        return name in self._summarized
+
     def discard(self) -> None:
         """Drop all prior usage, as a hub's summary includes it."""
         self._started = None
         self._assumed.clear()
         self._reported.clear()
+        self._summarized.clear()
 
     def workspace_names(self) -> set[str]:
         """Return the names of the workspaces that have prior usage."""
         return {*self._assumed, *self._reported}
 
     def sum(self, name: str, now: float) -> float:
-        """Return the units of prior usage within the window."""
+        """Return the units of prior usage within the window.
+
+        Usage that is counted already, from a summary, is left out.
+        """
         larger = self._find_larger_window(name, now)
-        return larger.sum(now) if larger else 0.0
+        if larger is None:
+            return 0.0
+        return max(0.0, larger.sum(now) - self._sum_summarized(name, now))
 
     def list_ages(self, name: str, now: float) -> list[tuple[float, float]]:
         """Return the prior usage as pairs of age in seconds and units."""
         larger = self._find_larger_window(name, now)
-        return larger.list_ages(now) if larger else []
+        if larger is None or not larger.sum(now):
+            return []
+        part = self.sum(name, now) / larger.sum(now)
+        return [
+            (age, round(part * units))
+            for age, units in larger.list_ages(now)
+            if part > 0
+        ]
+
+    def _sum_summarized(self, name: str, now: float) -> float:
+        window = self._summarized.get(name)
+        return window.sum(now) if window else 0.0
 
     def find_excess(
         self, workspace: Workspace, since: float, now: float
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -78,6 +78,7 @@
         self._own: dict[str, deque[Charge]] = {}
         self._recorded_at: dict[str, float] = {}
         self._changed: set[str] = set()
+        self._is_summarized = False
 
     def set_bounds(self, bounds: QuotaBounds) -> None:
         """Replace the window and tolerance of the quotas."""
@@ -318,6 +319,7 @@
                 report only these count, as the others left the window.
             now: Time in seconds.
         """
+        self._keep_summary(now)
         is_known = sender in self._peer_report_times
         since = self._peer_report_times.get(sender, now - self._bounds.window)
         self._peer_report_times[sender] = now
@@ -329,13 +331,30 @@
                 continue
             self._changed.add(name)
             # A peer whose whole usage is recent may have just started, like
-            # this gateway. Its usage does not overlap with prior usage.
-            if is_known or units <= recent.get(name, 0.0):
+            # this gateway. Its usage does not overlap with prior usage, but
+            # a summary may have had it.
+            is_new = units <= recent.get(name, 0.0)
+            if is_known or (is_new and not self.prior_usage.has_summary(name)):
                 window = self._find_window(name)
                 window.add_spread(units - before, since, now)
             else:
                 self.prior_usage.add_peer_usage(name, units - before, now)
 
+    def _keep_summary(self, now: float) -> None:
+        """Note the other gateways' usage in the last summary, if any.
+
+        Their first reports after it tell the same usage again.
+        """
+        if not self._is_summarized:
+            return
+        self._is_summarized = False
+        recent = self.list_own_usage(now)
+        for name, window in self._windows.items():
+            total = window.sum(now)
+            own = min(max(0.0, recent.get(name, 0.0)), total)
+            part = (total - own) / total if total > 0 else 0.0
+            self.prior_usage.note_summarized(name, window.scale(part))
+
     def list_own_usage(self, now: float) -> dict[str, float]:
         """Return the units by workspace that this gateway admitted recently.
 
@@ -377,8 +396,11 @@
             since: Time up to which this gateway's usage is included.
             now: Time in seconds.
         """
-        # The hub's summary includes the prior usage.
+        # The hub's summary includes the prior usage and all reports.
         self.prior_usage.discard()
+        self._peer_totals.clear()
+        self._peer_report_times.clear()
+        self._is_summarized = True
         for name in self._windows.keys() | taken.keys():
             rows = [
                 Charge(now - age, units) for age, units in taken.get(name, ())
--- a/lagoonpost/systems/sliding_window.py
+++ b/lagoonpost/systems/sliding_window.py
@@ -80,6 +80,10 @@
         self._sum = sum(charge.units for charge in self._rows)
         self.close_bucket()
 
+    def scale(self, factor: float) -> list[Charge]:
+        """Return all usage, multiplied by a factor."""
+        return [Charge(at, factor * units) for at, units in self._rows]
+
     def close_bucket(self) -> None:
         """Separate later usage from all that was added so far."""
         self._bucket_start = -math.inf
--- a/test/test_bursts.py
+++ b/test/test_bursts.py
@@ -45,7 +45,7 @@
         self.published: list[str] = []
         self.share = share
         shared = SimpleNamespace(
-            find_roles=lambda: SimpleNamespace(hubs=hubs),
+            find_roles=lambda: SimpleNamespace(store_hubs=hubs),
             count_gateways=lambda: 1,
             reports=SimpleNamespace(
                 has_summary=lambda: has_summary, reachable_share=lambda: share
--- a/test/test_hub.py
+++ b/test/test_hub.py
@@ -95,6 +95,23 @@
         assert not before.readers & after.readers
         assert len(after.hubs) == len(before.hubs)
 
+    def test_hubs_stay_without_the_store(self):
+        """Guards against hubs that change with each loss in an outage.
+
+        Each reader of a store that is away loses it in turn. A hub that had
+        just become one knew nobody's usage and refused nearly all requests.
+        """
+        members = make_members(82, 3)
+        before = choose_roles(members, ())
+        lost: set[str] = set()
+        for _ in range(5):
+            roles = choose_roles(members, lost)
+            assert roles.hubs == before.hubs
+            assert roles.readers <= roles.receivers
+            assert roles.eligible_holders <= roles.receivers
+            assert not roles.readers & lost
+            lost |= roles.readers
+
     def test_all_have_lost_the_store(self):
         members = make_members(82, 3)
         names = {each.name for each in members}
--- a/test/test_measure.py
+++ b/test/test_measure.py
@@ -27,7 +27,7 @@
         )
         reports = SimpleNamespace(
             run_id="run-0",
-            is_hub=lambda: True,
+            receives_reports=lambda: True,
             list_reports=self.list_reports,
             list_fresh_reports=lambda with_own: self.list_reports(),
         )
--- a/test/test_quota.py
+++ b/test/test_quota.py
@@ -272,6 +272,45 @@
         quota = HUGE.rate * BOUNDS.window
         assert self.play(20, 0.85 * HUGE.rate, seed) >= 0.75 * quota
 
+    def test_a_new_hub_counts_the_usage_of_its_summary_once(self):
+        """Guards against refusals by a gateway that has become a hub.
+
+        It knows the usage of all gateways from its last summary and gets it
+        again in the first report of each of them.
+        """
+        quota = Quotas(BOUNDS)
+        half = quota.limit(HUGE) / 2
+        ages = [(0.5 + age, half / 8) for age in range(8)]
+        quota.replace_with_summary({"huge": ages}, 0.0, 10.0)
+        for peer in range(8):
+            used, recent = {"huge": 1e8}, {"huge": half / 8}
+            quota.update_from_peers(str(peer), used, recent, 10.1)
+        assert quota.take(HUGE, half / 4, 1.0, 10.2) is None
+        assert quota.take(HUGE, half, 1.0, 10.2) is not None
+
+    def test_a_hub_again_counts_the_usage_between_once(self):
+        """Guards against usage that reports and summaries both have told."""
+        quota = Quotas(BOUNDS)
+        half = quota.limit(HUGE) / 2
+        quota.update_from_peers("peer", {"huge": 1e6}, {}, 1.0)
+        ages = [(0.5 + age, half / 8) for age in range(8)]
+        quota.replace_with_summary({"huge": ages}, 0.0, 20.0)
+        used = {"huge": 1e6 + 5 * half}
+        quota.update_from_peers("peer", used, {"huge": half}, 20.1)
+        assert quota.take(HUGE, half / 4, 1.0, 20.2) is None
+        used = {"huge": 1e6 + 5.9 * half}
+        quota.update_from_peers("peer", used, {"huge": 1.9 * half}, 20.3)
+        assert quota.take(HUGE, half / 4, 1.0, 20.4) is not None
+
+    def test_a_new_hub_counts_what_its_summary_did_not_have(self):
+        """Guards against a quota admitted twice while hubs change."""
+        quota = Quotas(BOUNDS)
+        limit = quota.limit(HUGE)
+        quota.replace_with_summary({"huge": [(1.0, limit / 4)]}, 0.0, 10.0)
+        used = {"huge": 0.97 * limit}
+        quota.update_from_peers("peer", used, used, 11.0)
+        assert quota.take(HUGE, limit / 8, 1.0, 11.1) is not None
+
     def test_own_use_is_counted_once(self):
         quota = Quotas(BOUNDS)
         quota.take(HUGE, 1000.0, 1.0, 1.0)
