Learn the runners' speeds at all gateways together

Cause: each gateway learned a runner's pace alone, from the time to the first byte, which holds the waits of other gateways' prompts, and forgot it in 5 s.

Change: gaps between events, prompts without others before them and plain calls with a free slot are reported to the hubs, six runners a report at most; hubs add them up and tell the sums, 16 runners a summary. With the part 'speeds' in effect, placement predicts with these. Without it, nothing is measured or sent.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -23,6 +23,7 @@
 from lagoonpost.forwarding.quota_recorder import QuotaRecorder
 from lagoonpost.forwarding.request_log import log_exchange
 from lagoonpost.forwarding.runner_paths import RunnerPaths
+from lagoonpost.forwarding.speed_exchange import SpeedExchange
 from lagoonpost.forwarding.store_follower import StoreFollower, find_feed_wait
 from lagoonpost.forwarding.timers import sleep_aligned
 from lagoonpost.forwarding.tunnel_server import TunnelServer
@@ -50,6 +51,7 @@
 from lagoonpost.systems.scheduling import SchedulingSetting, choose_parts
 from lagoonpost.systems.shift import ExposureBounds
 from lagoonpost.tables.control_traffic import ControlTraffic
+from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.gateway_report import GatewayReport, UsageByAge
 
 LAME_DUCK_SECONDS = 2.5
@@ -154,6 +156,11 @@
             wall_clock,
         )
         self._forwarder.connect(self._cluster, self._shifts)
+        self._speeds = SpeedExchange(
+            self._forwarder.placement,
+            lambda: asyncio.get_running_loop().time(),
+        )
+        self._cluster.reports.speeds = self._speeds
         self._tunnels = TunnelServer(
             self._client,
             self.view,
@@ -388,11 +395,13 @@
             version=self.view.version,
             shift_counts=self._shifts.report(),
             read_age=self._follower.find_age(),
+            speeds=self._speeds.make_report(),
         )
 
     def handle_report(self, report: GatewayReport) -> None:
         """Process a new report of another gateway."""
         now = read_clock()
+        self._speeds.handle_report(report.speeds)
         sender = f"{report.name}/{report.run}"
         quotas = self._forwarder.admission.quotas
         quotas.update_from_peers(sender, report.used, report.recent, now)
@@ -445,6 +454,7 @@
             )
             peer_work = self._cluster.reports.sum_peer_work()
             self._forwarder.note_peer_work(peer_work)
+            self._speeds.review(self._list_endpoints())
             self._cluster.publish_store_lost(self._follower.lost)
             self._crashes.forget_old()
             self.view.notices.forget_old(read_clock())
@@ -457,6 +467,14 @@
                 key for key in self.view.entries if self.view.is_known(key)
             )
 
+    def _list_endpoints(self) -> list[Endpoint]:
+        """Return the endpoints of all known runners."""
+        return [
+            entry.endpoint
+            for entry in self.view.entries.values()
+            if entry.endpoint is not None
+        ]
+
     def _update_gauges(self) -> None:
         metrics = self._metrics
         metrics.configuration.set(self.view.version)
@@ -466,6 +484,7 @@
         metrics.gateways.set(self._cluster.count_gateways())
         is_leader = self._duties is not None and self._duties.is_held()
         metrics.duties_held.set(is_leader)
+        metrics.set_slowness(self._speeds.list_exported())
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/lagoonpost/forwarding/metrics.py
+++ b/lagoonpost/forwarding/metrics.py
@@ -1,6 +1,6 @@
 """Prometheus metrics of a forwarding gateway."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from prometheus_client import (
     CollectorRegistry,
@@ -135,6 +135,18 @@
             "Gateways that are held to run, this one included.",
             registry=registry,
         )
+        self._slowness = Gauge(
+            "lagoonpost_runner_slowness",
+            "Time of a runner relative to its service's mean.",
+            ("runner",),
+            registry=registry,
+        )
+
+    def set_slowness(self, runners: Iterable[tuple[str, float]]) -> None:
+        """Replace the exported runners by those that deviate most now."""
+        self._slowness.clear()
+        for runner, slowness in runners:
+            self._slowness.labels(runner).set(slowness)
 
     def note(self, exchange: Exchange) -> None:
         """Record a finished request."""
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -25,6 +25,7 @@
     log_unreachable,
 )
 from lagoonpost.forwarding.runner_paths import RunnerPaths
+from lagoonpost.forwarding.speed_sampler import SpeedSampler
 from lagoonpost.forwarding.usage_counter import UsageCounter
 from lagoonpost.forwarding.version_shifts import VersionShifts
 from lagoonpost.http.client import Client
@@ -111,6 +112,7 @@
         placement = self._placement
         requirements = exchange.requirements
         placement.note_sent(choice, requirements, exchange.now())
+        sampler = SpeedSampler(placement, exchange, choice)
         sent_at, clock_sent_at = exchange.now(), read_clock()
         rate = self._permits.find_stated_rate(choice.endpoint)
         if rate is not None:
@@ -134,9 +136,9 @@
             )
             if isinstance(outcome, Whole):
                 outcome = await self._confirm_end(choice, outcome)
-            self._record_outcome(
-                exchange, choice, outcome, exchange.now() - sent_at
-            )
+            took = exchange.now() - sent_at
+            sampler.note_answer(outcome, took)
+            self._record_outcome(exchange, choice, outcome, took)
             began = isinstance(outcome, Began | Whole)
             if isinstance(outcome, Began):
                 watched.note_first_byte()
@@ -147,12 +149,14 @@
                     responder,
                     self._migrations,
                     lambda: self._paths.is_up(choice),
+                    sampler,
                 )
             ended = outcome
             if isinstance(outcome, Whole):
                 await _answer_or_retry(exchange, outcome, responder)
             return outcome
         finally:
+            sampler.end()
             watched.end(ended)
             placement.note_ended(choice, began)
 
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -12,6 +12,7 @@
 )
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.forwarding.migration import Migrations
+from lagoonpost.forwarding.speed_sampler import SpeedSampler
 from lagoonpost.http.events import EventSplitter, RawEvent
 from lagoonpost.http.responder import Responder
 from lagoonpost.platform.headers import make_response_headers
@@ -29,6 +30,7 @@
     responder: Responder,
     migrations: Migrations,
     confirm_end: Callable[[], Awaitable[bool]],
+    sampler: SpeedSampler,
 ) -> Outcome:
     """Pass on each complete event of a stream as it arrives.
 
@@ -40,6 +42,7 @@
         migrations: Moves streams away from departing runners.
         confirm_end: Tells whether the runner, and not its crash, has ended
             a stream that ends with its connection.
+        sampler: Measures the runner's pace.
 
     Returns:
         ``began`` if the stream was passed on to its end, otherwise the
@@ -48,7 +51,7 @@
     call = began.call
     run = migrations.track_run(exchange, choice, call.close)
     try:
-        outcome = await _relay_events(exchange, began, responder)
+        outcome = await _relay_events(exchange, began, responder, sampler)
         if await migrations.wait_for_move(run):
             assert run.target is not None and run.saved is not None
             return Moved(run.target, run.saved)
@@ -65,14 +68,20 @@
 
 
 async def _relay_events(
-    exchange: Exchange, began: Began, responder: Responder
+    exchange: Exchange,
+    began: Began,
+    responder: Responder,
+    sampler: SpeedSampler,
 ) -> Began | Broken | Silent:
     call = began.call
     cutter = EventSplitter()
     idle_timeout = STREAM_IDLE_TIMEOUT_SECONDS if exchange.idempotent else None
     data: bytes | Broken | Silent = began.first
     while isinstance(data, bytes) and data:
-        await _write_events(exchange, call, cutter.feed(data), responder)
+        events = cutter.feed(data)
+        sampler.note_events(len(events))
+        await _write_events(exchange, call, events, responder)
+        sampler.note_passed_on()
         data = await call.read(idle_timeout)
     if not isinstance(data, bytes):
         return data
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -28,6 +28,7 @@
     subtract_work,
 )
 from lagoonpost.tables.peer import Member
+from lagoonpost.tables.runner_speed import SpeedEvidence
 
 REPORT_SECONDS = 0.4
 """Pause between reports. What other gateways admit within a pause is unknown
@@ -77,6 +78,18 @@
         """
 
 
+class SpeedDelegate(Protocol):
+    """Makes and handles what a hub's summary tells of runners' speeds."""
+
+    def make_summary(self) -> dict[str, SpeedEvidence] | None:
+        """Return what this hub knows, or None."""
+
+    def handle_summary(
+        self, evidence: dict[str, SpeedEvidence] | None
+    ) -> None:
+        """Apply what a hub knows."""
+
+
 class _Sent(NamedTuple):
     """An own report's time in seconds and its open work by runner."""
 
@@ -103,6 +116,8 @@
         run_id: Identifies this run of the process.
         newest_reports: Newest report of each gateway's run, by
             "NAME/RUN", with the time of its arrival.
+        speeds: Makes and handles the speeds in summaries; None if there are
+            none.
     """
 
     def __init__(
@@ -130,6 +145,7 @@
         post.set_handler(HubSummary, self._handle_summary)
         self.run_id = secrets.token_hex(4)
         self.newest_reports: dict[str, tuple[float, GatewayReport]] = {}
+        self.speeds: SpeedDelegate | None = None
         self._started = 0.0
         self._rank = 0
         self._summaries_sent = 0
@@ -229,6 +245,7 @@
             work=add_work(fresh),
             recent_usage=self._delegate.list_taken(),
             read_age=self._find_read_age(),
+            speeds=self.speeds.make_summary() if self.speeds else None,
         )
         # A full link drops the last datagrams of a burst; in a fixed order,
         # the same gateways would never get a summary.
@@ -279,6 +296,8 @@
         )
         since = sent.at if sent else 0.0
         self._delegate.apply_taken(summary.recent_usage, since)
+        if self.speeds is not None:
+            self.speeds.handle_summary(summary.speeds)
 
     # Views
 
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -290,7 +290,8 @@
         best = endpoints[0], _Predicted(0.0, 0, False)
         for candidate in endpoints:
             state = self.state(candidate.id)
-            predicted = predict(state, candidate, wanted, home, pace, now)
+            own_pace = pace * self._find_slowness(candidate.id, now)
+            predicted = predict(state, candidate, wanted, home, own_pace, now)
             wait = (
                 predicted.seconds
                 + state.failure_rate * FAILURE_PENALTY_SECONDS
@@ -349,12 +350,20 @@
                 wanted.service, choice.uncached_tokens, took
             )
         ratio = took / max(1e-4, choice.seconds)
-        slowness = state.slowness(now)
-        state.note_pace(ratio * slowness, now)
-        bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio * slowness))
+        if not self.scheduling.speeds:
+            ratio *= state.slowness(now)
+            state.note_pace(ratio, now)
+        # With shared speeds, the prediction has the runner's own in it, and
+        # the mean pace is that of a runner of mean speed.
+        bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
         pace = self.pace(wanted)
         self._pace[wanted.service] = pace * bounded**_SHARED_GAIN
 
+    def _find_slowness(self, runner: str, now: float) -> float:
+        if self.scheduling.speeds:
+            return self.speeds.slowness(runner, now)
+        return self.state(runner).slowness(now)
+
     def _note_overhead(self, service: str, took: float) -> None:
         """Update the part of the time to first byte that is not prefill."""
         before = self._overheads.get(service, took)
@@ -423,9 +432,7 @@
     running = state.requests + state.peer_work.requests
     turns = max(1.0, (running + 1) / max(1, endpoint.slots))
     # Spreads requests over runners that are otherwise equal.
-    seconds = (
-        pace * state.slowness(now) * turns + running * STEP_OVERHEAD_SECONDS
-    )
+    seconds = pace * turns + running * STEP_OVERHEAD_SECONDS
     return _Predicted(seconds, 0, False)
 
 
@@ -438,7 +445,6 @@
     now: float,
 ) -> _Predicted:
     running = state.requests + state.peer_work.requests
-    pace *= state.slowness(now)
     cached = state.count_cached_tokens(wanted.parts, now)
     if endpoint.id == home and len(wanted.parts) > 1:
         shared = sum(part.tokens for part in wanted.parts[:-1])
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from lagoonpost.tables.runner_speed import SpeedEvidence
+from lagoonpost.tables.runner_speed import SpeedEvidence, SpeedSamples
 from lagoonpost.tables.version_shift import VersionCounts
 
 
@@ -44,7 +44,8 @@
             whose number is not higher than the last one.
         read_age: Age in seconds of the last successful store read of the
             least recently read table; None if some table was never read.
-        speeds: Measurements of the runners' speeds, by runner.
+        speeds: New measurements of the runners' speeds, by runner; those of
+            a lost report are lost.
         demand: Units that callers asked for lately, by service, then by
             workspace.
     """
@@ -62,7 +63,7 @@
     shift_counts: dict[str, dict[str, VersionCounts]]
     sequence: int = 0
     read_age: float | None = None
-    speeds: dict[str, SpeedEvidence] | None = None
+    speeds: dict[str, SpeedSamples] | None = None
     demand: dict[str, dict[str, float]] | None = None
 
 
@@ -86,8 +87,8 @@
             window.
         read_age: Age in seconds of the last successful store read by any
             gateway; None if there was none.
-        speeds: Measurements of the runners' speeds by all gateways, by
-            runner.
+        speeds: What all gateways together know of the runners' speeds, by
+            runner; others are as told before.
         demand: Units that callers asked for lately at all gateways, by
             service, then by workspace.
     """
