--- a/lagoonpost/systems/runner_speeds.py
+++ b/lagoonpost/systems/runner_speeds.py
@@ -8,21 +8,19 @@
 would leave a runner whose queue was long a moment ago and return together. So
 only times without a wait are taken: gaps between events, prompts that found no
 other in prefill, plain calls that found a free slot.
-
-The logarithm of a measured time is modelled as a sum: what the service takes
-at low load, how this grows with the load, how the runner's growth differs from
-its service's, and the runner's own speed. Measurements far from the expected
-count as if they were nearer, so neither one slow answer nor one gateway's
-false report moves a runner far. If the recent ones all lie on one side, the
-runner has changed, and the earlier ones are dropped.
 """
 
 import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
-from itertools import accumulate
 from typing import NamedTuple
 
+from lagoonpost.systems.runner_model import (
+    PRIOR_WEIGHT,
+    Estimate,
+    RunnerModel,
+    ServiceModel,
+)
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.runner_speed import (
     Measure,
@@ -30,53 +28,6 @@
     SpeedSamples,
 )
 
-EVIDENCE_SECONDS = 4.0
-"""Time constant with which measurements of a speed lose weight."""
-PRIOR_WEIGHT = 1.0
-"""Measurements that the assumption counts for that a runner is as fast as its
-service's mean. As the measurements lose weight, an avoided runner is held to
-be nearer to the mean and is tried again."""
-MAX_DEVIATION = 0.25
-"""Largest deviation of a measurement from the expected time that counts in
-full, as a logarithm: a factor of 1.4."""
-FIRST_DEVIATION = 0.7
-"""What this bound is wider by for a runner without measurements."""
-RECENT_SECONDS = 1.0
-"""Time constant of the measurements that show whether a runner changed."""
-CHANGE_DEVIATION, MAX_CHANGE = 0.2, 1.0
-"""Deviation of a measurement, as a logarithm, from which it speaks for a
-change, and the largest change that is followed at once."""
-CHANGE_SHARE = 0.7
-"""Part of the recent measurements that must speak for a change. If all of them
-do, this takes 1.2 s: a pause of half a second, as for a collection of garbage,
-is over by then, and two false reporters in five are too few."""
-MIN_CHANGE_WEIGHT = 2.0
-"""Fewest recent measurements that show a change."""
-KNOTS = 4
-"""Parts of the range of loads, from none to all slots taken."""
-NEW_LOAD = 0.25
-"""Load above a runner's mean, as a part of its slots, from which a deviation
-is ascribed to the load alone. At a steady load it is ascribed to the speed."""
-KNEE_GAIN = 0.2
-"""Weight of a measurement at a new load in the runner's growth."""
-MIN_LEARNED_WEIGHT = 5.0
-"""Measurements of a runner's speed before deviations are ascribed to the
-load."""
-SLOPE_SECONDS = 60.0
-"""Time constant with which measurements of a service's growth with the load
-lose weight."""
-SLOPE_PRIOR = 0.5
-"""Spread of loads, as a sum of squares, that the assumption counts for that
-times do not grow with the load: that of some ten measurements."""
-KNEE_SECONDS = 60.0
-"""Time constant with which a runner's own growth is forgotten. A runner that
-is kept below its knee shows no measurements above it, so after this time it
-is tried there again."""
-MIN_CAPACITY, CAPACITY_STEP = 25, 5
-"""Least capacity and its steps, in percent of the slots."""
-KNEE_TOLERANCE = 0.02
-"""Part of the highest throughput that may be given up for fewer requests at
-once."""
 MAX_REPORTED_COUNT = 3
 """Most measurements that one entry of a report counts for, so that one gateway
 has no more weight than a few others."""
@@ -119,33 +70,6 @@
     shared: bool
 
 
-class _Estimate(NamedTuple):
-    """An estimate of a runner's speed.
-
-    Attributes:
-        weight: Number of measurements behind it as of ``at``.
-        mean: Logarithm of the time relative to the service's mean, at the
-            load.
-        load: Mean load of the measurements, as a part of the slots; 0 if
-            ``mean`` holds for any load.
-        capacity: Capacity in percent of the slots.
-        at: Time of the newest measurement, in seconds.
-    """
-
-    weight: float = 0.0
-    mean: float = 0.0
-    capacity: int = 100
-    at: float = -math.inf
-    load: float = 0.0
-
-    def fade(self, now: float) -> float:
-        """Return the weight that is left."""
-        if not self.weight:
-            return 0.0
-        age = max(0.0, now - self.at)
-        return self.weight * math.exp(-age / EVIDENCE_SECONDS)
-
-
 class _Pending(NamedTuple):
     """Own measurements that were not reported yet."""
 
@@ -155,65 +79,31 @@
     at: float = -math.inf
 
 
-class _Service:
-    """Expected times of one measure at one service.
-
-    The slope is found by least squares over each runner's own loads. Between
-    runners, the loads differ because the speeds do.
+class _Runner:
+    """What is known of one incarnation of a runner.
 
     Attributes:
-        base: Logarithm of the mean time at low load.
-        count: Number of measurements.
+        endpoint: Its entry.
+        model: What was learned from measurements here.
+        shared: What a hub told.
+        pending: Own measurements that were not reported yet.
+        told: When a summary last had the runner, and what it told.
+        is_slow: Whether it is held to be slow.
     """
 
-    def __init__(self, base: float) -> None:
-        self.base = base
-        self.count = 0
-        self._product = 0.0
-        self._square = 0.0
-        self._at = -math.inf
-
-    @property
-    def slope(self) -> float:
-        """How much the logarithm grows from no load to all slots taken."""
-        return max(0.0, self._product / (self._square + SLOPE_PRIOR))
-
-    def note_growth(self, load: float, change: float, now: float) -> None:
-        """Record by how much a time changed with the load.
-
-        Args:
-            load: Difference of the load from the runner's mean load.
-            change: Difference of the logarithm of the time.
-            now: Time in seconds.
-        """
-        kept = math.exp(min(0.0, self._at - now) / SLOPE_SECONDS)
-        self._at = now
-        self._product = kept * self._product + load * change
-        self._square = kept * self._square + load * load
-
-
-class _Runner:
-    """Model of one incarnation of a runner."""
-
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
-        self.own = _Estimate()
-        self.shared = _Estimate()
-        self.measure = Measure.EVENT_GAP
-        self.recent_weight = 0.0
-        self.recent_mean = 0.0
-        self.recent_at = -math.inf
-        self.recent_side = 0.0
-        self.knee = [0.0] * (KNOTS + 1)
-        self.knee_at = -math.inf
+        self.model = RunnerModel()
+        self.shared = Estimate()
         self.pending: dict[Measure, _Pending] = {}
         self.told = (-math.inf, SpeedEvidence(0, 100, 100))
         self.is_slow = False
 
-    def best(self, now: float) -> tuple[float, _Estimate]:
+    def best(self, now: float) -> tuple[float, Estimate]:
         """Return the estimate with more evidence, and its weight."""
-        own, shared = self.own.fade(now), self.shared.fade(now)
-        return (own, self.own) if own > shared else (shared, self.shared)
+        own = self.model.own
+        weight, shared = own.fade(now), self.shared.fade(now)
+        return (weight, own) if weight > shared else (shared, self.shared)
 
 
 class RunnerSpeeds:
@@ -226,7 +116,7 @@
 
     def __init__(self) -> None:
         self._runners: dict[str, _Runner] = {}
-        self._services: dict[tuple[str, Measure], _Service] = {}
+        self._services: dict[tuple[str, Measure], ServiceModel] = {}
         self._reported = _Allowance(REPORTED_RUNNERS, REPORTED_PER_SECOND)
         self._summarized = _Allowance(SUMMARY_RUNNERS, SUMMARY_PER_SECOND)
         self._reviewed = -math.inf
@@ -359,7 +249,7 @@
         for runner, (weight, slowness, capacity) in evidence.items():
             state = self._runners.get(runner)
             if state is not None and weight > 0 and slowness > 0:
-                state.shared = _Estimate(
+                state.shared = Estimate(
                     weight, math.log(slowness / 100), capacity, now
                 )
 
@@ -385,7 +275,7 @@
         self._center(now)
         changes = []
         for state in self._runners.values():
-            self._update_capacity(state)
+            state.model.update_capacity(self._find_slope(state))
             change = self._find_change(state, now)
             if change is not None:
                 changes.append(change)
@@ -433,16 +323,19 @@
         """
         found = []
         for runner, state in self._runners.items():
-            weight = round(state.own.fade(now))
+            weight = round(state.model.own.fade(now))
             if not weight:
                 continue
             evidence = SpeedEvidence(
                 weight,
                 max(
                     1,
-                    round(100 * math.exp(self._find_speed(state, state.own))),
+                    round(
+                        100
+                        * math.exp(self._find_speed(state, state.model.own))
+                    ),
                 ),
-                state.own.capacity,
+                state.model.own.capacity,
             )
             at, told = state.told
             change = abs(math.log(evidence.slowness / told.slowness))
@@ -473,61 +366,24 @@
         measure: Measure,
         logarithm: float,
         load: float,
-        count: int,
+        samples: int,
         now: float,
     ) -> None:
-        """Update the models from measurements at one load."""
         key = state.endpoint.service, measure
         service = self._services.get(key)
         if service is None:
-            service = self._services[key] = _Service(logarithm)
-        state.measure = measure
-        _forget_knee(state, now)
-        own, weight = state.own, state.own.fade(now)
-        distance = load - own.load if weight else 0.0
-        slope = service.slope
-        deviation = (
-            logarithm
-            - service.base
-            - _interpolate(state.knee, load)
-            - own.mean
-            - slope * distance
-        )
-        new_load = 0.0
-        if weight >= MIN_LEARNED_WEIGHT:
-            new_load = min(1.0, max(0.0, distance / NEW_LOAD))
-        if new_load < 1.0 and _note_recent(state, deviation, count, now):
-            # What was measured before the change is void.
-            state.own = own._replace(
-                weight=min(weight, state.recent_weight),
-                mean=own.mean + state.recent_mean,
-                at=now,
-            )
-            state.recent_weight = state.recent_side = 0.0
-            return
-        bound = MAX_DEVIATION + FIRST_DEVIATION / (1 + weight)
-        deviation = min(bound, max(-bound, deviation))
-        if weight:
-            change = slope * distance + deviation
-            service.note_growth(distance, change, now)
-        gain = count / (weight + count)
-        state.own = own._replace(
-            weight=weight + count,
-            mean=own.mean
-            + gain * (slope * distance + (1 - new_load) * deviation),
-            load=own.load + gain * (load - own.load),
-            at=now,
-        )
-        service.count += count
-        service.base += count / service.count * deviation
-        _add_at(state.knee, load, KNEE_GAIN * new_load * count * deviation)
+            speed = state.model.own.mean
+            service = self._services[key] = ServiceModel(logarithm - speed)
+        state.model.learn(service, measure, logarithm, load, samples, now)
 
     def _find_slope(self, state: _Runner) -> float:
         """Return how much the logarithm of a time grows up to full load."""
-        service = self._services.get((state.endpoint.service, state.measure))
+        service = self._services.get(
+            (state.endpoint.service, state.model.measure)
+        )
         return service.slope if service else 0.0
 
-    def _find_speed(self, state: _Runner, estimate: _Estimate) -> float:
+    def _find_speed(self, state: _Runner, estimate: Estimate) -> float:
         """Return an estimate at low load."""
         return estimate.mean - self._find_slope(state) * estimate.load
 
@@ -535,10 +391,10 @@
         """Shift the speeds so that each service's mean is 1."""
         sums: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
         for state in self._runners.values():
-            weight = state.own.fade(now)
+            weight = state.model.own.fade(now)
             share = weight / (weight + PRIOR_WEIGHT)
             total = sums[state.endpoint.service]
-            total[0] += share * self._find_speed(state, state.own)
+            total[0] += share * self._find_speed(state, state.model.own)
             total[1] += share
         means = {
             service: mean / share
@@ -547,33 +403,12 @@
         }
         for state in self._runners.values():
             mean = means.get(state.endpoint.service, 0.0)
-            if state.own.weight:
-                state.own = state.own._replace(mean=state.own.mean - mean)
+            state.model.shift(-mean)
         for (name, _), service in self._services.items():
             service.base += means.get(name, 0.0)
 
-    def _update_capacity(self, state: _Runner) -> None:
-        """Find the load from which more requests get no more work done."""
-        slope = self._find_slope(state)
-        if slope < _HARMLESS_SLOPE and max(state.knee) < _HARMLESS_KNEE:
-            if state.own.capacity < 100:
-                state.own = state.own._replace(capacity=100)
-            return
-        # Knots above the loads seen so far still have their first value.
-        growth = list(accumulate(state.knee, max))
-        rates = {
-            percent: percent
-            / math.exp(
-                slope * percent / 100 + _interpolate(growth, percent / 100)
-            )
-            for percent in range(MIN_CAPACITY, 101, CAPACITY_STEP)
-        }
-        enough = (1 - KNEE_TOLERANCE) * max(rates.values())
-        capacity = min(p for p, rate in rates.items() if rate >= enough)
-        state.own = state.own._replace(capacity=capacity)
-
     def _find_change(self, state: _Runner, now: float) -> SpeedChange | None:
-        highest = max(state.own.mean, state.shared.mean)
+        highest = max(state.model.own.mean, state.shared.mean)
         if not state.is_slow and highest < _LOGARITHM_OF_SLOW:
             return None
         endpoint = state.endpoint
@@ -614,52 +449,5 @@
 
 _MEASURES = frozenset(int(measure) for measure in Measure)
 _LOGARITHM_OF_SLOW = math.log(SLOW)
-_HARMLESS_SLOPE, _HARMLESS_KNEE = 0.9, 0.1
-"""Growth with the load below which each request more gets more work done."""
 _NOTABLE_CHANGE = 0.05
 """Change of a speed, as a logarithm, that is told without delay."""
-
-
-def _note_recent(
-    state: _Runner, deviation: float, count: int, now: float
-) -> bool:
-    """Record a deviation, and return whether the runner has changed."""
-    side = 0.0
-    if abs(deviation) > CHANGE_DEVIATION:
-        side = math.copysign(1.0, deviation)
-    deviation = min(MAX_CHANGE, max(-MAX_CHANGE, deviation))
-    age = max(0.0, now - state.recent_at)
-    weight = state.recent_weight * math.exp(-age / RECENT_SECONDS)
-    state.recent_at = now
-    state.recent_weight = weight + count
-    gain = count / state.recent_weight
-    state.recent_mean += gain * (deviation - state.recent_mean)
-    state.recent_side += gain * (side - state.recent_side)
-    return (
-        abs(state.recent_side) >= CHANGE_SHARE
-        and state.recent_weight >= MIN_CHANGE_WEIGHT
-    )
-
-
-def _interpolate(values: list[float], load: float) -> float:
-    """Return the value of a piecewise linear function at a load, 0 to 1."""
-    index = min(KNOTS - 1, int(load * KNOTS))
-    part = load * KNOTS - index
-    return values[index] * (1 - part) + values[index + 1] * part
-
-
-def _add_at(values: list[float], load: float, change: float) -> None:
-    """Change the knots beside a load; the first stays 0, none falls below."""
-    index = min(KNOTS - 1, int(load * KNOTS))
-    part = load * KNOTS - index
-    for knot, share in ((index, 1 - part), (index + 1, part)):
-        if knot:
-            values[knot] = max(0.0, values[knot] + share * change)
-
-
-def _forget_knee(state: _Runner, now: float) -> None:
-    age = now - state.knee_at
-    state.knee_at = now
-    if age < math.inf:
-        kept = math.exp(-max(0.0, age) / KNEE_SECONDS)
-        state.knee = [value * kept for value in state.knee]
--- a/test/test_runner_speeds.py
+++ b/test/test_runner_speeds.py
@@ -1,13 +1,16 @@
 """Speeds and capacities of runners, learned by many gateways together."""
 
+import asyncio
 import math
 from random import Random
 
 import pytest
+from forwarding_stack import Stack, make_prompt, play, wait_until
 
 from lagoonpost.http.message import Address
 from lagoonpost.peers.messenger import encode_message
 from lagoonpost.systems.runner_speeds import RunnerSpeeds, SpeedChange
+from lagoonpost.systems.scheduling import parse_scheduling
 from lagoonpost.systems.stream_pace import GAPS_PER_SAMPLE, StreamPace
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.gateway_report import GatewayReport, HubSummary
@@ -278,6 +281,33 @@
         assert len(told) == 60
 
 
+class TestExchange:
+    def test_gateways_learn_from_each_others_requests(self):
+        """Guards against measurements that no other gateway hears of."""
+
+        async def scenario(stack: Stack):
+            for runner in stack.runners.values():
+                runner.pause = 0.02
+            for gateway in stack.gateways:
+                gateway._scheduling = parse_scheduling("speeds")
+            sender, other = (g._forwarder.placement for g in stack.gateways)
+            await wait_until(lambda: sender.scheduling.speeds)
+            await wait_until(lambda: other.scheduling.speeds)
+            now = asyncio.get_running_loop().time
+            await wait_until(lambda: len(other.speeds._runners) == 4)
+            await stack.call("/draft/1", "POST", headers=make_prompt())
+            await stack.call("/check/1")
+            told: set[str] = set()
+
+            def is_told() -> bool:
+                told.update(other.speeds.take_summary(now()))
+                return {id_[:4] for id_ in told} == {"chat", "desk"}
+
+            await wait_until(is_told)
+
+        play(scenario, gateways=2)
+
+
 class TestStreamPace:
     def test_gaps_lengthened_by_prefills_do_not_count(self):
         pace, at, samples = StreamPace(), 0.0, []
