--- a/lagoonpost/systems/runner_model.py
+++ b/lagoonpost/systems/runner_model.py
@@ -142,10 +142,16 @@
 
     def __init__(self) -> None:
         self.weight = 0.0
-        self.mean = 0.0
+        self._mean = 0.0
         self._side = 0.0
         self._at = -math.inf
 
+    @property
+    def change(self) -> float:
+        """Deviation of those that speak for a change."""
+        change = self._mean / max(CHANGE_SHARE, abs(self._side))
+        return min(MAX_CHANGE, max(-MAX_CHANGE, change))
+
     def note(self, deviation: float, samples: int, now: float) -> bool:
         """Record a deviation, and return whether the runner has changed."""
         side = 0.0
@@ -157,7 +163,7 @@
         self._at = now
         self.weight = self.weight * math.exp(-faded) + samples
         gain = samples / self.weight
-        self.mean += gain * (deviation - self.mean)
+        self._mean += gain * (deviation - self._mean)
         self._side += gain * (side - self._side)
         # One more measurement is assumed to speak against it.
         share = abs(self._side) * self.weight / (self.weight + 1)
@@ -214,7 +220,7 @@
             # What was measured before the change is void.
             self.own = own._replace(
                 weight=min(weight, self._recent.weight),
-                mean=own.mean + self._recent.mean,
+                mean=own.mean + self._recent.change,
                 at=now,
             )
             self._recent = _Recent()
