--- a/lagoonpost/forwarding/speed_sampler.py
+++ b/lagoonpost/forwarding/speed_sampler.py
@@ -33,11 +33,15 @@
     def note_answer(self, outcome: Outcome, took: float) -> None:
         """Record the first bytes of a stream, or a whole answer.
 
+        Those that came through another gateway took longer on the way.
+
         Args:
             outcome: What came of the request so far.
             took: Seconds since it was sent.
         """
         choice = self._choice
+        if choice.indirect:
+            return
         if self._exchange.requirements.engine:
             tokens = choice.uncached_tokens
             read_alone = choice.unloaded and tokens >= MIN_UNLOADED_TOKENS
--- a/lagoonpost/systems/runner_model.py
+++ b/lagoonpost/systems/runner_model.py
@@ -58,6 +58,8 @@
 """Time constant with which a runner's own growth is forgotten. A runner that
 is kept below its knee shows no measurements above it, so after this time it
 is tried there again."""
+KNEE_PAUSE_SECONDS = 1.0
+"""Pause between the steps in which it is forgotten."""
 MIN_CAPACITY, CAPACITY_STEP = 25, 5
 """Least capacity and its steps, in percent of the slots."""
 KNEE_TOLERANCE = 0.02
@@ -237,13 +239,13 @@
             load=own.load + gain * (load - own.load),
             at=now,
         )
-        change = KNEE_GAIN * new_load * samples * deviation
-        _add_at(self._knee, load, change)
+        if new_load:
+            change = KNEE_GAIN * new_load * samples * deviation
+            _add_at(self._knee, load, change)
 
     def shift(self, change: float) -> None:
         """Add to the logarithm of the relative time."""
-        if self.own.weight:
-            self.own = self.own._replace(mean=self.own.mean + change)
+        self.own = self.own._replace(mean=self.own.mean + change)
 
     def update_capacity(self, slope: float) -> None:
         """Find the load from which more requests get no more work done.
@@ -269,7 +271,9 @@
         return min(p for p, rate in rates.items() if rate >= enough)
 
     def _forget_knee(self, now: float) -> None:
-        age = max(0.0, now - self._knee_at)
+        age = now - self._knee_at
+        if age < KNEE_PAUSE_SECONDS:
+            return
         self._knee_at = now
         kept = math.exp(-age / KNEE_SECONDS)
         self._knee = [value * kept for value in self._knee]
--- a/lagoonpost/systems/runner_speeds.py
+++ b/lagoonpost/systems/runner_speeds.py
@@ -46,6 +46,8 @@
 SLOW, NO_LONGER_SLOW = 1.5, 1.25
 """Slowness from which a runner is held to be slow, and below which no
 longer."""
+MIN_WEIGHT = 0.1
+"""Measurements left from which a runner counts as measured."""
 REVIEW_SECONDS = 1.0
 """Pause between computations over all runners."""
 
@@ -99,6 +101,11 @@
         self.told = (-math.inf, SpeedEvidence(0, 100, 100))
         self.is_slow = False
 
+    def may_be_slow(self) -> bool:
+        """Tell cheaply whether it is worth computing the slowness."""
+        highest = max(self.model.own.mean, self.shared.mean)
+        return self.is_slow or highest >= _LOGARITHM_OF_SLOW
+
     def best(self, now: float) -> tuple[float, Estimate]:
         """Return the estimate with more evidence, and its weight."""
         own = self.model.own
@@ -116,6 +123,7 @@
 
     def __init__(self) -> None:
         self._runners: dict[str, _Runner] = {}
+        self._measured: dict[str, _Runner] = {}
         self._services: dict[tuple[str, Measure], ServiceModel] = {}
         self._reported = _Allowance(REPORTED_RUNNERS, REPORTED_PER_SECOND)
         self._summarized = _Allowance(SUMMARY_RUNNERS, SUMMARY_PER_SECOND)
@@ -269,17 +277,29 @@
         if now < self._reviewed + REVIEW_SECONDS:
             return []
         self._reviewed = now
-        self._runners = {
-            endpoint.id: self._find(endpoint) for endpoint in endpoints
+        known = set()
+        for endpoint in endpoints:
+            known.add(endpoint.id)
+            state = self._runners.get(endpoint.id)
+            if state is None or state.endpoint is not endpoint:
+                self._find(endpoint)
+        for runner in self._runners.keys() - known:
+            del self._runners[runner]
+        self._measured = {
+            runner: state
+            for runner, state in self._measured.items()
+            if self._runners.get(runner) is state
+            and state.model.own.fade(now) >= MIN_WEIGHT
         }
         self._center(now)
-        changes = []
-        for state in self._runners.values():
+        for state in self._measured.values():
             state.model.update_capacity(self._find_slope(state))
-            change = self._find_change(state, now)
-            if change is not None:
-                changes.append(change)
-        return changes
+        found = (
+            self._find_change(state, now)
+            for state in self._runners.values()
+            if state.may_be_slow()
+        )
+        return [change for change in found if change is not None]
 
     # Messages
 
@@ -291,7 +311,7 @@
         """
         oldest = now - PENDING_SECONDS
         found = []
-        for runner, state in self._runners.items():
+        for runner, state in self._measured.items():
             for measure, pending in list(state.pending.items()):
                 if pending.at < oldest:
                     del state.pending[measure]
@@ -322,7 +342,7 @@
         told longest ago.
         """
         found = []
-        for runner, state in self._runners.items():
+        for runner, state in self._measured.items():
             weight = round(state.model.own.fade(now))
             if not weight:
                 continue
@@ -375,6 +395,7 @@
             speed = state.model.own.mean
             service = self._services[key] = ServiceModel(logarithm - speed)
         state.model.learn(service, measure, logarithm, load, samples, now)
+        self._measured[state.endpoint.id] = state
 
     def _find_slope(self, state: _Runner) -> float:
         """Return how much the logarithm of a time grows up to full load."""
@@ -390,7 +411,7 @@
     def _center(self, now: float) -> None:
         """Shift the speeds so that each service's mean is 1."""
         sums: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
-        for state in self._runners.values():
+        for state in self._measured.values():
             weight = state.model.own.fade(now)
             share = weight / (weight + PRIOR_WEIGHT)
             total = sums[state.endpoint.service]
@@ -399,18 +420,16 @@
         means = {
             service: mean / share
             for service, (mean, share) in sums.items()
-            if share
+            if share and abs(mean / share) > _HARMLESS_SHIFT
         }
-        for state in self._runners.values():
-            mean = means.get(state.endpoint.service, 0.0)
-            state.model.shift(-mean)
+        for state in self._measured.values():
+            mean = means.get(state.endpoint.service)
+            if mean is not None:
+                state.model.shift(-mean)
         for (name, _), service in self._services.items():
             service.base += means.get(name, 0.0)
 
     def _find_change(self, state: _Runner, now: float) -> SpeedChange | None:
-        highest = max(state.model.own.mean, state.shared.mean)
-        if not state.is_slow and highest < _LOGARITHM_OF_SLOW:
-            return None
         endpoint = state.endpoint
         slowness = self.slowness(endpoint.id, now)
         bound = NO_LONGER_SLOW if state.is_slow else SLOW
@@ -449,5 +468,7 @@
 
 _MEASURES = frozenset(int(measure) for measure in Measure)
 _LOGARITHM_OF_SLOW = math.log(SLOW)
+_HARMLESS_SHIFT = 0.001
+"""Logarithm of a service's mean that need not be shifted to 0."""
 _NOTABLE_CHANGE = 0.05
 """Change of a speed, as a logarithm, that is told without delay."""
