--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import socket
-from collections.abc import Coroutine, Mapping
+from collections.abc import Coroutine, Iterator, Mapping
 from typing import Any
 
 import eliot
@@ -454,7 +454,7 @@
             )
             peer_work = self._cluster.reports.sum_peer_work()
             self._forwarder.note_peer_work(peer_work)
-            self._speeds.review(self._list_endpoints())
+            self._speeds.review(self._find_endpoints())
             self._cluster.publish_store_lost(self._follower.lost)
             self._crashes.forget_old()
             self.view.notices.forget_old(read_clock())
@@ -467,13 +467,11 @@
                 key for key in self.view.entries if self.view.is_known(key)
             )
 
-    def _list_endpoints(self) -> list[Endpoint]:
-        """Return the endpoints of all known runners."""
-        return [
-            entry.endpoint
-            for entry in self.view.entries.values()
-            if entry.endpoint is not None
-        ]
+    def _find_endpoints(self) -> Iterator[Endpoint]:
+        """Yield the endpoints of all known runners."""
+        for entry in self.view.entries.values():
+            if entry.endpoint is not None:
+                yield entry.endpoint
 
     def _update_gauges(self) -> None:
         metrics = self._metrics
