Shares of workspaces in a short service, over all gateways

Cause: a workspace within its quota may ask for most of a service that is short, and requests are served in order of arrival.

Change: while a service is short, each gateway divides it by max-min fairness over what all gateways are asked for, and marks requests beyond the share of their workspace: one level less urgent. In effect only with the part `shares` of the scheduling.

Nothing is marked while there is room. Trials that were dropped: a time constant of 2 s without subtracting what was had before (queue of the first second remained), dividing all that the runners prefill (requests within their shares wait for each other), marking from the share itself (those that ask for just their share are marked by chance).

--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -54,6 +54,8 @@
 _STEPS = {
     "timeout": "its deadline passed",
     "overload": "the work before it would have taken beyond its deadline",
+    "over_share": "its service was short and its workspace asked for more "
+    "than its share",
     "turn": "it waited until its runner, which was cold or named a limit, "
     "took another request",
     "rest": "it waited until a runner's rest was over",
--- a/lagoonpost/forwarding/admission.py
+++ b/lagoonpost/forwarding/admission.py
@@ -18,9 +18,12 @@
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.quota import Quotas
 from lagoonpost.systems.route import choose_service
+from lagoonpost.systems.service_load import count_work
+from lagoonpost.systems.service_shares import ServiceShares
 from lagoonpost.tables.bounds import Bounds
 from lagoonpost.tables.quota import QuotaBounds, count_units
 from lagoonpost.tables.scheduling import NO_PARTS
+from lagoonpost.tables.service_share import UNLISTED
 
 
 class Admission:
@@ -37,6 +40,7 @@
     Attributes:
         cluster: State exchanged with the other gateways.
         quotas: Quota used by each workspace.
+        shares: Shares of the workspaces in services that are short.
         scheduling: Parts of the scheduling that are in effect.
         on_quota_charged: Called after a request was charged to a quota.
     """
@@ -57,6 +61,7 @@
         self._crashes = crashes
         self.scheduling = NO_PARTS
         self.quotas = Quotas(_find_quota_bounds(bounds), started)
+        self.shares = ServiceShares()
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Apply new bounds to later requests."""
@@ -91,7 +96,23 @@
             return refusal
         if not self._view.find_runners(service, exchange.regions):
             return NO_RUNNER
-        return self._charge_quota(exchange)
+        refusal = self._charge_quota(exchange)
+        if refusal is None and self.scheduling.shares:
+            self._check_share(exchange)
+        return refusal
+
+    def _check_share(self, exchange: Exchange) -> None:
+        workspace, wanted = exchange.workspace, exchange.requirements
+        exchange.over_share = self.shares.is_over_share(
+            wanted.service,
+            workspace.name if workspace else UNLISTED,
+            count_work(wanted.prompt, wanted.parts),
+            read_clock(),
+            self._rng,
+        )
+        exchange.share = self.shares.check
+        if exchange.over_share:
+            exchange.note("over_share")
 
     def _charge_quota(self, exchange: Exchange) -> Refusal | None:
         workspace = exchange.workspace
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -388,6 +388,9 @@
             version=self.view.version,
             shift_counts=self._shifts.report(),
             read_age=self._follower.find_age(),
+            demand=forwarder.admission.shares.make_report(now)
+            if forwarder.scheduling.shares
+            else None,
         )
 
     def handle_report(self, report: GatewayReport) -> None:
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -24,6 +24,7 @@
 from lagoonpost.tables.configuration import Route, Service, Workspace
 from lagoonpost.tables.metadata import RequestMetadata
 from lagoonpost.tables.quota import QuotaCheck
+from lagoonpost.tables.service_share import ShareCheck
 
 DEFAULT_TIMEOUT_SECONDS = 60.0
 """Longest wait for the answer, and for the first byte, of a request that has
@@ -48,6 +49,9 @@
         requirements: Properties of the request that placement considers.
         units: Units charged to the quota.
         quota: Inputs of the quota decision, for the log.
+        over_share: Whether the request is beyond its workspace's share of a
+            service that is short.
+        share: Inputs of that decision, for the log.
         version: Version of the configuration that the request was admitted
             under.
         tried_runners: Ids of the runners that the request may have reached.
@@ -89,6 +93,8 @@
         self.requirements = PlacementRequest("", 0, (), False)
         self.units = 0.0
         self.quota: QuotaCheck | None = None
+        self.over_share = False
+        self.share: ShareCheck | None = None
         self.version = 0
         self.tried_runners: set[str] = set()
         self.tried_paths: set[tuple[str, bool]] = set()
@@ -159,10 +165,13 @@
 
     @property
     def urgency(self) -> int | None:
-        """Priority sent to a model runner; None for other services."""
+        """Priority sent to a model runner; None for other services.
+
+        A request over its workspace's share is one level less urgent.
+        """
         if not self.requirements.engine:
             return None
-        return min(LOWEST_PRIORITY, self.priority)
+        return min(LOWEST_PRIORITY, self.priority + self.over_share)
 
     @property
     def known_not_run(self) -> bool:
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -36,6 +36,7 @@
 from lagoonpost.forwarding.retry_budgets import RetryBudgets
 from lagoonpost.forwarding.runner_choice import RunnerChooser
 from lagoonpost.forwarding.runner_paths import RunnerClient, RunnerPaths
+from lagoonpost.forwarding.service_loads import ServiceLoads
 from lagoonpost.forwarding.trials import Trials
 from lagoonpost.forwarding.usage_counter import UsageCounter
 from lagoonpost.forwarding.version_shifts import VersionShifts
@@ -139,6 +140,7 @@
             view,
             self.notices,
         )
+        self._loads = ServiceLoads(view, self.placement, admission.shares)
         self._configuration_deadline: float | None = None
         self.scheduling = NO_PARTS
 
@@ -162,6 +164,8 @@
             work: Their open work by runner.
         """
         self.placement.update_from_peers(work)
+        if self.scheduling.shares:
+            self._loads.update(self.cluster.reports.find_peer_demand())
         limits = self._view.limits
         own = self.placement.report() if limits.has_statements() else {}
         limits.note_reports(
--- a/lagoonpost/forwarding/metrics.py
+++ b/lagoonpost/forwarding/metrics.py
@@ -95,6 +95,12 @@
             ("outcome",),
             registry=registry,
         )
+        self._shares = Counter(
+            "lagoonpost_share_checks",
+            "Requests while their service was short, by share.",
+            ("route", "share"),
+            registry=registry,
+        )
         self._first_byte = Histogram(
             "lagoonpost_first_byte_seconds",
             "Time from a request's arrival to its first byte.",
@@ -140,6 +146,9 @@
         """Record a finished request."""
         route = exchange.route.name if exchange.route else ""
         self._requests.labels(route, exchange.outcome).inc()
+        if exchange.share is not None:
+            share = "over" if exchange.over_share else "within"
+            self._shares.labels(route, share).inc()
         if exchange.first_byte is not None:
             self._first_byte.labels(route).observe(exchange.first_byte)
         self._whole.labels(route).observe(exchange.now() - exchange.started)
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -19,6 +19,7 @@
     compute_reachable_share,
     find_unreachable,
 )
+from lagoonpost.systems.service_shares import subtract_demand, sum_demand
 from lagoonpost.tables.gateway_report import (
     GatewayReport,
     HubSummary,
@@ -28,6 +29,7 @@
     subtract_work,
 )
 from lagoonpost.tables.peer import Member
+from lagoonpost.tables.service_share import Demand
 
 REPORT_SECONDS = 0.4
 """Pause between reports. What other gateways admit within a pause is unknown
@@ -51,6 +53,8 @@
 REACHABLE_SHARE_CACHE_SECONDS = 0.1
 """How long the computed share of reachable gateways is cached: a tenth of the
 time in which the loss of a gateway is noticed."""
+MIN_KNOWN_SHARE = 0.5
+"""Share of all gateways below which their demand counts as unknown."""
 MAX_SENT_REPORTS = 64
 """Own reports that are kept until a hub's summary includes them: six seconds
 of reports at the shortest pause."""
@@ -78,10 +82,11 @@
 
 
 class _Sent(NamedTuple):
-    """An own report's time in seconds and its open work by runner."""
+    """An own report's time in seconds, its open work and its demand."""
 
     at: float
     work: dict[str, RunnerWork]
+    demand: Demand | None
 
 
 class ReportExchange:
@@ -137,6 +142,7 @@
         self._summary: tuple[float, HubSummary] | None = None
         self._summary_numbers: dict[str, int] = {}
         self._peer_work: dict[str, RunnerWork] = {}
+        self._peer_demand: Demand | None = None
         self._reachable_share_cache = (-math.inf, 1.0)
         self._wake = asyncio.Event()
 
@@ -187,7 +193,7 @@
         report = report._replace(sequence=self._rank)
         self._drop_old()
         self._keep_report(report)
-        self._sent[self._rank] = _Sent(self._now(), report.work)
+        self._sent[self._rank] = _Sent(self._now(), report.work, report.demand)
         self._sent.pop(self._rank - MAX_SENT_REPORTS, None)
         hubs = frozenset(self._find_roles().hubs)
         targets = [
@@ -229,6 +235,7 @@
             work=add_work(fresh),
             recent_usage=self._delegate.list_taken(),
             read_age=self._find_read_age(),
+            demand=sum_demand(report.demand for report in fresh),
         )
         # A full link drops the last datagrams of a burst; in a fixed order,
         # the same gateways would never get a summary.
@@ -277,6 +284,10 @@
         self._peer_work = subtract_work(
             summary.work, sent.work if sent else {}
         )
+        self._peer_demand = None
+        if summary.demand is not None:
+            own_demand = sent.demand if sent else None
+            self._peer_demand = subtract_demand(summary.demand, own_demand)
         since = sent.at if sent else 0.0
         self._delegate.apply_taken(summary.recent_usage, since)
 
@@ -303,6 +314,22 @@
             return add_work(self.list_fresh_reports())
         return self._peer_work if self._has_fresh_summary() else {}
 
+    def find_peer_demand(self) -> Demand | None:
+        """Return what callers ask of the other gateways.
+
+        Returns:
+            Their demand; None if it isn't known, as this gateway reaches
+            less than half of them or none of them tells it.
+        """
+        if self.reachable_share() < MIN_KNOWN_SHARE:
+            return None
+        if self.is_hub():
+            reports = self.list_fresh_reports()
+            if not reports and self.reachable_share() == 1.0:
+                return {}
+            return sum_demand(report.demand for report in reports)
+        return self._peer_demand if self._has_fresh_summary() else None
+
     def has_summary(self) -> bool:
         """Tell whether a fresh summary has the quota use of all gateways."""
         return not self.is_hub() and self._has_fresh_summary()
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -25,6 +25,8 @@
         prompt=exchange.requirements.prompt,
         units=exchange.units,
         quota=[round(value) for value in exchange.quota or ()],
+        share=[round(value, 2) for value in exchange.share or ()],
+        over_share=exchange.over_share,
         outcome=exchange.outcome,
         status=exchange.status,
         steps=exchange.steps,
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -45,8 +45,8 @@
         read_age: Age in seconds of the last successful store read of the
             least recently read table; None if some table was never read.
         speeds: Measurements of the runners' speeds, by runner.
-        demand: Units that callers asked for lately, by service, then by
-            workspace.
+        demand: Units a second that callers ask for, by service, then by
+            workspace; only of services that are nearly short.
     """
 
     name: str
@@ -88,8 +88,9 @@
             gateway; None if there was none.
         speeds: Measurements of the runners' speeds by all gateways, by
             runner.
-        demand: Units that callers asked for lately at all gateways, by
-            service, then by workspace.
+        demand: Units a second that callers ask for at all gateways, by
+            service, then by workspace; only of services that are nearly
+            short.
     """
 
     hub: str
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -20,7 +20,11 @@
 )
 
 from lagoonpost.cli.main import main
+from lagoonpost.forwarding import service_loads
 from lagoonpost.http.client import CallFailedError
+from lagoonpost.systems.scheduling import SchedulingSetting
+from lagoonpost.tables.scheduling import Scheduling
+from lagoonpost.tables.service_share import ServiceLoad
 
 ID = "request-1"
 
@@ -164,6 +168,27 @@
         play(scenario, configuration=configuration)
         assert "the workspace was over its quota" in explain(log)
 
+    def test_a_request_over_its_share_says_so(self, log, monkeypatch):
+        """Guards against requests put behind without a trace in the log."""
+        short = ServiceLoad(2.0, 1.0)
+        monkeypatch.setattr(
+            service_loads, "measure_load", lambda *inputs: short
+        )
+        setting = SchedulingSetting(Scheduling(shares=True), automatic=False)
+
+        async def scenario(stack: Stack) -> None:
+            daemon = stack.gateways[0]
+            daemon._scheduling = setting
+            shares = daemon._forwarder.admission.shares
+            await wait_until(lambda: shares.is_short("desk"))
+            for _ in range(20):
+                await ask(stack, "/check/1")
+            await wait_until(lambda: shares._levels["desk"] < 1.0)
+            await ask(stack, "/check/1")
+
+        play(scenario)
+        assert "its workspace asked for more than its share" in explain(log)
+
     def test_a_key_that_was_taken_away(self, log):
         async def scenario(stack: Stack):
             tenants = [{"name": "pottery", "api_keys": ["another"]}]
