Quotas that run short are spent on the more urgent requests first

Cause: what is left of a quota goes to whoever comes first.

Change: the part of the tolerance that is admitted beyond the quota is kept for the more urgent: the least urgent are admitted up to the quota itself, the most urgent up to the enforced limit, others in proportion to their rank. The enforced limit stays as it was, and nothing that is owed is refused for it. In effect only with the part `shares` of the scheduling.

--- a/lagoonpost/forwarding/admission.py
+++ b/lagoonpost/forwarding/admission.py
@@ -17,6 +17,7 @@
 )
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.quota import Quotas
+from lagoonpost.systems.quota_limit import find_margin_share
 from lagoonpost.systems.route import choose_service
 from lagoonpost.systems.service_load import count_work
 from lagoonpost.systems.service_shares import ServiceShares
@@ -124,7 +125,12 @@
         reports = self.cluster.reports
         gateways = self.cluster.count_gateways()
         retry_after = self.quotas.take(
-            workspace, cost, reports.reachable_share(), read_clock(), gateways
+            workspace,
+            cost,
+            reports.reachable_share(),
+            read_clock(),
+            gateways,
+            self._find_margin_share(exchange),
         )
         exchange.quota = self.quotas.decision_inputs
         if retry_after is None:
@@ -136,6 +142,13 @@
         detail = "the workspace is over its quota"
         return Refusal(429, "over_quota", detail, retry_after=retry_after)
 
+    def _find_margin_share(self, exchange: Exchange) -> float:
+        routes = self._view.routes
+        if routes is None or not self.scheduling.shares:
+            return 1.0
+        priorities = {route.priority for route in routes.configuration.routes}
+        return find_margin_share(exchange.priority, priorities)
+
     def give_back(self, exchange: Exchange) -> None:
         """Refund the quota charged to a request that no runner started."""
         if exchange.known_not_run and exchange.workspace is not None:
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -93,6 +93,7 @@
         connected_share: float,
         now: float,
         gateways: int = 1,
+        margin_share: float = 1.0,
     ) -> float | None:
         """Admit a request and count its units, or refuse it.
 
@@ -103,6 +104,8 @@
                 this one included; 0 to 1.
             now: Time in seconds.
             gateways: Number of gateways.
+            margin_share: Part that the request may use of what is admitted
+                beyond the quota, from 0 to 1.
 
         Returns:
             None if the request is admitted, else the seconds until it would
@@ -112,7 +115,7 @@
             self.decision_inputs = None
             return None
         inputs = self.decision_inputs = self._collect_inputs(
-            workspace, connected_share, now, gateways
+            workspace, connected_share, now, gateways, margin_share
         )
         if not inputs.fits(cost):
             return self._find_wait(
@@ -129,10 +132,11 @@
         connected_share: float,
         now: float,
         gateways: int,
+        margin_share: float,
     ) -> QuotaCheck:
         name = workspace.name
-        limit = self.limit(workspace)
-        burst = compute_burst(self._bounds, workspace)
+        limit = compute_limit(self._bounds, workspace, margin_share)
+        burst = compute_burst(self._bounds, workspace, margin_share)
         self.prior_usage.assume_unrecorded(workspace)
         recorded_at = self._recorded_at.get(name, -math.inf)
         burst -= self.prior_usage.find_excess(workspace, recorded_at, now)
--- a/lagoonpost/systems/quota_limit.py
+++ b/lagoonpost/systems/quota_limit.py
@@ -1,4 +1,13 @@
-"""Limits of a quota: units per window, per burst and after a start."""
+"""Limits of a quota: units per window, per burst and after a start.
+
+Load pattern: a workspace asks for more than its quota with urgent and less
+urgent requests. What is left of it would go to whichever come first, mostly
+to the more frequent kind. The part of the tolerance that is admitted beyond
+the quota is therefore kept for the more urgent requests: usage leaves the
+window all the time, and what becomes free goes to them first.
+"""
+
+from collections.abc import Collection
 
 from lagoonpost.tables.configuration import Workspace
 from lagoonpost.tables.quota import QuotaBounds
@@ -15,16 +24,51 @@
 """Smallest burst, in seconds of the rate, as callers coincide by chance."""
 
 
-def compute_limit(bounds: QuotaBounds, workspace: Workspace) -> float:
-    """Return the units that may be admitted within a window."""
-    quota = _find_quota(bounds, workspace)
-    return quota + TOLERANCE_SHARE * _find_tolerance(bounds, workspace)
+def compute_limit(
+    bounds: QuotaBounds, workspace: Workspace, margin_share: float = 1.0
+) -> float:
+    """Return the units that may be admitted within a window.
+
+    Args:
+        bounds: Window and tolerance of the quotas.
+        workspace: The workspace.
+        margin_share: Part that may be used of what is admitted beyond the
+            quota, from 0 to 1.
+    """
+    margin = TOLERANCE_SHARE * _find_tolerance(bounds, workspace)
+    return _find_quota(bounds, workspace) + margin_share * margin
 
 
-def compute_burst(bounds: QuotaBounds, workspace: Workspace) -> float:
-    """Return the units beyond the rate that may be admitted unrecorded."""
+def compute_burst(
+    bounds: QuotaBounds, workspace: Workspace, margin_share: float = 1.0
+) -> float:
+    """Return the units beyond the rate that may be admitted unrecorded.
+
+    Args:
+        bounds: Window and tolerance of the quotas.
+        workspace: The workspace.
+        margin_share: As for `compute_limit`.
+    """
     burst = max(workspace.burst, workspace.rate * MIN_BURST_SECONDS)
-    return burst + TOLERANCE_SHARE * _find_tolerance(bounds, workspace)
+    margin = TOLERANCE_SHARE * _find_tolerance(bounds, workspace)
+    return burst + margin_share * margin
+
+
+def find_margin_share(priority: int, priorities: Collection[int]) -> float:
+    """Return the part of what lies beyond a quota that a request may use.
+
+    Args:
+        priority: Priority of the request; 0 is the most urgent.
+        priorities: Priorities of all routes.
+
+    Returns:
+        1 for the most urgent, 0 for the least urgent, others in proportion
+        to their rank.
+    """
+    ranks = sorted({*priorities, priority})
+    if len(ranks) == 1:
+        return 1.0
+    return 1.0 - ranks.index(priority) / (len(ranks) - 1)
 
 
 def compute_startup_allowance(
