Shares and margins: indexes by configuration, workspaces with their own priority

Change: the route table keeps the priorities, objectives and weights are found once a configuration; all requests of a workspace with its own priority may use the whole margin, as none is more urgent than another.

--- a/lagoonpost/forwarding/admission.py
+++ b/lagoonpost/forwarding/admission.py
@@ -143,11 +143,13 @@
         return Refusal(429, "over_quota", detail, retry_after=retry_after)
 
     def _find_margin_share(self, exchange: Exchange) -> float:
-        routes = self._view.routes
+        routes, workspace = self._view.routes, exchange.workspace
         if routes is None or not self.scheduling.shares:
             return 1.0
-        priorities = {route.priority for route in routes.configuration.routes}
-        return find_margin_share(exchange.priority, priorities)
+        if workspace is not None and workspace.priority is not None:
+            # All its requests are as urgent.
+            return 1.0
+        return find_margin_share(exchange.priority, routes.priorities)
 
     def give_back(self, exchange: Exchange) -> None:
         """Refund the quota charged to a request that no runner started."""
--- a/lagoonpost/forwarding/service_loads.py
+++ b/lagoonpost/forwarding/service_loads.py
@@ -1,12 +1,15 @@
 """Keeps the load of all services, and what it means for shares, up to date."""
 
+import math
+
 import eliot
 
 from lagoonpost.forwarding.cluster_state import ClusterState
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.placement import Placement
-from lagoonpost.systems.service_load import find_objective, measure_load
+from lagoonpost.systems.service_load import find_objectives, measure_load
 from lagoonpost.systems.service_shares import ServiceShares, find_weights
+from lagoonpost.tables.configuration import Configuration
 from lagoonpost.tables.service_share import Demand, ServiceLoad
 
 RUNNERS_PER_SECOND = 5000.0
@@ -30,6 +33,9 @@
         self._placement = placement
         self._shares = shares
         self._next_update = 0.0
+        self._configuration: Configuration | None = None
+        self._objectives: dict[str, float] = {}
+        self._weights: dict[str, float] = {}
 
     def update(self, others: Demand | None) -> None:
         """Measure all services and apply what other gateways tell.
@@ -41,18 +47,21 @@
         if self._view.routes is None or now < self._next_update:
             return
         configuration = self._view.routes.configuration
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._objectives = find_objectives(configuration.routes)
+            self._weights = find_weights(configuration.workspaces)
         loads = {}
         count = 0
         for service in configuration.services:
             runners = self._view.find_runners(service)
-            objective = find_objective(configuration.routes, service)
+            objective = self._objectives.get(service, math.inf)
             loads[service] = measure_load(
                 service, runners, self._placement, objective
             )
             count += len(runners)
         self._next_update = now + count / RUNNERS_PER_SECOND
-        weights = find_weights(configuration.workspaces)
-        changed = self._shares.update(loads, others, weights, now)
+        changed = self._shares.update(loads, others, self._weights, now)
         for service in changed:
             self._log(service, loads.get(service), others)
 
--- a/lagoonpost/systems/quota_limit.py
+++ b/lagoonpost/systems/quota_limit.py
@@ -59,16 +59,16 @@
 
     Args:
         priority: Priority of the request; 0 is the most urgent.
-        priorities: Priorities of all routes.
+        priorities: Priorities of all routes, each once.
 
     Returns:
         1 for the most urgent, 0 for the least urgent, others in proportion
         to their rank.
     """
-    ranks = sorted({*priorities, priority})
-    if len(ranks) == 1:
+    if len(priorities) <= 1:
         return 1.0
-    return 1.0 - ranks.index(priority) / (len(ranks) - 1)
+    more_urgent = sum(each < priority for each in priorities)
+    return max(0.0, 1.0 - more_urgent / (len(priorities) - 1))
 
 
 def compute_startup_allowance(
--- a/lagoonpost/systems/route.py
+++ b/lagoonpost/systems/route.py
@@ -21,10 +21,14 @@
 
     Attributes:
         configuration: The indexed configuration.
+        priorities: Priorities of all routes.
     """
 
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
+        self.priorities = frozenset(
+            route.priority for route in configuration.routes
+        )
         self._routes = {
             (route.host.lower(), route.prefix): route
             for route in configuration.routes
--- a/lagoonpost/systems/service_load.py
+++ b/lagoonpost/systems/service_load.py
@@ -24,16 +24,21 @@
 ones the next request waits; at four fifths taken some runners are full."""
 
 
-def find_objective(routes: Iterable[Route], service: str) -> float:
-    """Return the tightest objective for the first byte in seconds."""
-    return min(
-        (
-            route.target
-            for route in routes
-            if any(share.service == service for share in route.shares)
-        ),
-        default=math.inf,
-    )
+def find_objectives(routes: Iterable[Route]) -> dict[str, float]:
+    """Return the tightest objective for the first byte, by service.
+
+    Args:
+        routes: All routes.
+
+    Returns:
+        Seconds by service; services without a route are missing.
+    """
+    objectives: dict[str, float] = {}
+    for route in routes:
+        for share in route.shares:
+            known = objectives.get(share.service, math.inf)
+            objectives[share.service] = min(known, route.target)
+    return objectives
 
 
 def measure_load(
--- a/test/test_quota_margins.py
+++ b/test/test_quota_margins.py
@@ -107,3 +107,4 @@
         shares = [find_margin_share(each, {0, 3, 9}) for each in (0, 3, 9)]
         assert shares == [1.0, 0.5, 0.0]
         assert find_margin_share(4, {4}) == 1.0
+        assert find_margin_share(9, set()) == 1.0
--- a/test/test_service_load.py
+++ b/test/test_service_load.py
@@ -8,7 +8,7 @@
 from lagoonpost.systems.placement import Placement
 from lagoonpost.systems.service_load import (
     count_work,
-    find_objective,
+    find_objectives,
     measure_load,
 )
 from lagoonpost.tables.configuration import Route, TrafficShare
@@ -50,7 +50,7 @@
         assert measure_load("chat", [], Placement(), 0.5).pressure == 0.0
 
 
-class TestFindObjective:
+class TestFindObjectives:
     def test_the_tightest_route_counts(self):
         routes = [
             Route(
@@ -73,8 +73,7 @@
                 ("desk", 0.1),
             )
         ]
-        assert find_objective(routes, "chat") == 0.8
-        assert find_objective(routes, "other") == math.inf
+        assert find_objectives(routes) == {"chat": 0.8, "desk": 0.1}
 
 
 class TestCountWork:
