--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -396,6 +396,9 @@
             shift_counts=self._shifts.report(),
             read_age=self._follower.find_age(),
             speeds=self._speeds.make_report(),
+            demand=forwarder.admission.shares.make_report(now)
+            if forwarder.scheduling.shares
+            else None,
         )
 
     def handle_report(self, report: GatewayReport) -> None:
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -46,8 +46,8 @@
             least recently read table; None if some table was never read.
         speeds: New measurements of the runners' speeds, by runner; those of
             a lost report are lost.
-        demand: Units that callers asked for lately, by service, then by
-            workspace.
+        demand: Units a second that callers ask for, by service, then by
+            workspace; only of services that are nearly short.
     """
 
     name: str
@@ -89,8 +89,9 @@
             gateway; None if there was none.
         speeds: What all gateways together know of the runners' speeds, by
             runner; others are as told before.
-        demand: Units that callers asked for lately at all gateways, by
-            service, then by workspace.
+        demand: Units a second that callers ask for at all gateways, by
+            service, then by workspace; only of services that are nearly
+            short.
     """
 
     hub: str
