--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -21,6 +21,7 @@
 from typing import NamedTuple
 
 from lagoonpost.systems.reach import LOST_RANK, Path, Reach
+from lagoonpost.systems.runner_speeds import RunnerSpeeds
 from lagoonpost.systems.session_affinity import RankingCache, find_copy_source
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.gateway_report import RunnerWork
@@ -188,6 +189,7 @@
         states: State of each runner by its id.
         reach: What is known of the paths to the runners.
         scheduling: Parts of the scheduling that are in effect.
+        speeds: The runners' speeds as all gateways together learn them.
         paces_alone: Prefill seconds per prompt token at an unloaded
             runner, by service. The mean pace includes the time that prompts
             wait for each other, so scaling by it would order runners for
@@ -198,6 +200,7 @@
         self.states: dict[str, RunnerState] = {}
         self.reach = Reach()
         self.scheduling = NO_PARTS
+        self.speeds = RunnerSpeeds()
         self._pace: dict[str, float] = {}
         self.unloaded_paces: dict[str, float] = {}
         self._overheads: dict[str, float] = {}
