Choice among a few runners drawn at random

Gateways know each other's work late. Where each compares all runners, all choose the same one until the next report. With the part 'draws' of the scheduling, a prompt is compared at two drawn runners and its home, a plain request goes to one of six by the inverse of the predicted waits.

--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -74,6 +74,8 @@
 REQUEST_TYPE = "lagoonpost:forwarding:request"
 RUNNER_TYPE = "lagoonpost:belief:runner"
 ORDER_TYPE = "lagoonpost:duties:order"
+COMPARED_PREFIX = "compared "
+"""Beginning of the step that names the runners that were drawn."""
 MOVED_TYPE = "lagoonpost:forwarding:moved"
 
 
@@ -149,6 +151,9 @@
 def _describe_step(step: str) -> str:
     runner, _, rest = step.partition(":")
     outcome, _, seconds = rest.partition(":")
+    if step.startswith(COMPARED_PREFIX):
+        waits = step.removeprefix(COMPARED_PREFIX).replace(" ", ", ")
+        return f"drawn and compared, by predicted seconds: {waits}"
     if outcome not in _OFFERS:
         return _STEPS.get(step, step)
     predicted = f"predicted to begin in {seconds} s"
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -184,6 +184,9 @@
         """Record that the request is being sent to a runner."""
         self.offer_count += 1
         self._in_flight = True
+        if choice.compared:
+            waits = (f"{id_}={wait:.3f}" for id_, wait in choice.compared)
+            self.note(" ".join(("compared", *waits)))
 
     def note_outcome(self, choice: Choice, outcome: Outcome) -> None:
         """Record the outcome of an offer and what it implies for retries."""
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -20,7 +20,14 @@
 from random import Random
 from typing import NamedTuple
 
-from lagoonpost.systems.reach import LOST_RANK, Path, Reach
+from lagoonpost.systems.reach import DIRECT_RANK, LOST_RANK, Path, Reach
+from lagoonpost.systems.runner_draw import (
+    PLAIN_DRAWS,
+    PROMPT_DRAWS,
+    Room,
+    draw_runners,
+    draw_wait,
+)
 from lagoonpost.systems.runner_speeds import RunnerSpeeds
 from lagoonpost.systems.session_affinity import RankingCache, find_copy_source
 from lagoonpost.tables.endpoint import Endpoint
@@ -98,6 +105,8 @@
         backlog: Least seconds in which the runner can prefill the prompts
             before this one.
         indirect: Whether the request goes through another gateway.
+        compared: The runners that were drawn and compared, with their
+            predicted waits in seconds; empty if all were compared.
     """
 
     endpoint: Endpoint
@@ -109,6 +118,7 @@
     delay: float = 0.0
     backlog: float = 0.0
     indirect: bool = False
+    compared: tuple[tuple[str, float], ...] = ()
 
 
 class RunnerState:
@@ -257,6 +267,9 @@
     ) -> Choice | None:
         """Choose the runner with the shortest predicted time to first byte.
 
+        With draws in effect, only some runners are compared, see
+        `runner_draw`.
+
         Args:
             endpoints: The runners of the service that may get new work.
             wanted: The request.
@@ -288,7 +301,13 @@
         predict = _predict_prompt if wanted.engine else _predict_plain
         best_rank: tuple[int, float, float] | None = None
         best = endpoints[0], _Predicted(0.0, 0, False)
-        for candidate in endpoints:
+        draws = self.scheduling.draws
+        compared: list[tuple[str, float]] = []
+        for candidate in (
+            self._draw(endpoints, wanted, home, paths, delays, now, rng)
+            if draws
+            else endpoints
+        ):
             state = self.state(candidate.id)
             predicted = predict(state, candidate, wanted, home, pace, now)
             wait = (
@@ -297,6 +316,10 @@
                 + delays.get(candidate.id, 0.0)
                 + paths[candidate.id].indirect * PEER_HOP_SECONDS
             )
+            if draws:
+                compared.append((candidate.id, wait))
+            if draws and not wanted.engine:
+                wait = draw_wait(wait, rng)
             rank = paths[candidate.id].rank, wait, rng.random()
             if best_rank is None or rank < best_rank:
                 best_rank, best = rank, (candidate, predicted)
@@ -320,8 +343,35 @@
             delays.get(endpoint.id, 0.0),
             ahead * self.unloaded_paces.get(wanted.service, 0.0),
             paths[endpoint.id].indirect,
+            tuple(compared),
         )
 
+    def _draw(
+        self,
+        endpoints: Sequence[Endpoint],
+        wanted: PlacementRequest,
+        home: str,
+        paths: Mapping[str, Path],
+        delays: Mapping[str, float],
+        now: float,
+        rng: Random,
+    ) -> list[Endpoint]:
+        """Return the runners to compare: a few, and the prompt's home."""
+
+        def find_room(runner: Endpoint) -> Room:
+            return Room(
+                paths[runner.id].rank,
+                1 / self.speeds.slowness(runner.id, now),
+                not delays.get(runner.id)
+                and self.count_open(runner.id) < runner.slots,
+            )
+
+        count = PROMPT_DRAWS if wanted.engine else PLAIN_DRAWS
+        drawn = draw_runners(endpoints, count, find_room, DIRECT_RANK, rng)
+        if home and all(runner.id != home for runner in drawn):
+            drawn += [runner for runner in endpoints if runner.id == home]
+        return drawn
+
     def note_sent(
         self, choice: Choice, wanted: PlacementRequest, now: float
     ) -> None:
