--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -9,18 +9,28 @@
 report, and the parts of this prompt that the runner has not cached.
 
 A session's prompts go to the runner chosen by a hash of its last shared part,
-on which all gateways agree without communicating. Another runner gets such a
+on which all gateways agree without communicating (with draws in effect, to one
+of the runners that `prompt_homes` chooses). Another runner gets such a
 prompt only if it is predicted to be faster although it prefills the whole
 prompt. The pace of each runner is learned from its answers and decays to the
 mean of its service, so that a runner that was slow is tried again.
 """
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from random import Random
 from typing import NamedTuple
 
-from lagoonpost.systems.reach import LOST_RANK, Path, Reach
+from lagoonpost.systems.prompt_homes import PromptDemand, find_homes
+from lagoonpost.systems.reach import DIRECT_RANK, LOST_RANK, Path, Reach
+from lagoonpost.systems.runner_draw import (
+    PLAIN_DRAWS,
+    PROMPT_DRAWS,
+    Room,
+    draw_runners,
+    draw_wait,
+)
 from lagoonpost.systems.runner_speeds import RunnerSpeeds
 from lagoonpost.systems.session_affinity import RankingCache, find_copy_source
 from lagoonpost.tables.endpoint import Endpoint
@@ -98,6 +108,9 @@
         backlog: Least seconds in which the runner can prefill the prompts
             before this one.
         indirect: Whether the request goes through another gateway.
+        compared: The runners that were drawn and compared, with their
+            predicted waits in seconds; empty if all were compared.
+        homes: Number of runners that are to cache the prompt's shared parts.
     """
 
     endpoint: Endpoint
@@ -109,6 +122,8 @@
     delay: float = 0.0
     backlog: float = 0.0
     indirect: bool = False
+    compared: tuple[tuple[str, float], ...] = ()
+    homes: int = 1
 
 
 class RunnerState:
@@ -205,6 +220,9 @@
         self.unloaded_paces: dict[str, float] = {}
         self._overheads: dict[str, float] = {}
         self._rankings = RankingCache()
+        self._demands: defaultdict[str, PromptDemand] = defaultdict(
+            PromptDemand
+        )
 
     def state(self, runner: str) -> RunnerState:
         """Return the state of a runner, created on first use."""
@@ -257,6 +275,9 @@
     ) -> Choice | None:
         """Choose the runner with the shortest predicted time to first byte.
 
+        With draws in effect, only some runners are compared, see
+        `runner_draw`.
+
         Args:
             endpoints: The runners of the service that may get new work.
             wanted: The request.
@@ -288,7 +309,20 @@
         predict = _predict_prompt if wanted.engine else _predict_plain
         best_rank: tuple[int, float, float] | None = None
         best = endpoints[0], _Predicted(0.0, 0, False)
-        for candidate in endpoints:
+        draws = self.scheduling.draws
+        candidates = endpoints
+        homes: list[Endpoint] = []
+        compared: list[tuple[str, float]] = []
+        if draws:
+            find_room = self._make_room_finder(paths, delays, now)
+            ranked = (runner for runner in order if runner.id in usable)
+            homes = self._find_homes(
+                ranked, wanted, find_room, len(usable), now
+            )
+            candidates = _draw(endpoints, homes, wanted.engine, find_room, rng)
+        for candidate in candidates:
+            if candidate in homes:
+                home = candidate.id
             state = self.state(candidate.id)
             own_pace = pace * self._find_slowness(candidate.id, now)
             predicted = predict(state, candidate, wanted, home, own_pace, now)
@@ -298,6 +332,10 @@
                 + delays.get(candidate.id, 0.0)
                 + paths[candidate.id].indirect * PEER_HOP_SECONDS
             )
+            if draws:
+                compared.append((candidate.id, wait))
+            if draws and not wanted.engine:
+                wait = draw_wait(wait, rng)
             rank = paths[candidate.id].rank, wait, rng.random()
             if best_rank is None or rank < best_rank:
                 best_rank, best = rank, (candidate, predicted)
@@ -306,7 +344,7 @@
         ahead = state.tokens + state.peer_work.tokens
         reachable = (
             runner
-            for runner in order
+            for runner in (*homes, *order)
             if not self.reach.is_lost(runner.id, now)
         )
         return Choice(
@@ -321,6 +359,47 @@
             delays.get(endpoint.id, 0.0),
             ahead * self.unloaded_paces.get(wanted.service, 0.0),
             paths[endpoint.id].indirect,
+            tuple(compared),
+            max(1, len(homes)),
+        )
+
+    def _make_room_finder(
+        self,
+        paths: Mapping[str, Path],
+        delays: Mapping[str, float],
+        now: float,
+    ) -> Callable[[Endpoint], Room]:
+        """Return a function that returns the room of a runner."""
+        return lambda runner: Room(
+            paths[runner.id].rank,
+            1 / self.speeds.slowness(runner.id, now),
+            not delays.get(runner.id)
+            and self.count_open(runner.id) < runner.slots,
+        )
+
+    def _find_homes(
+        self,
+        order: Iterable[Endpoint],
+        wanted: PlacementRequest,
+        find_room: Callable[[Endpoint], Room],
+        runners: int,
+        now: float,
+    ) -> list[Endpoint]:
+        """Return the homes of a prompt; empty if it has no shared part."""
+        if not wanted.engine or len(wanted.parts) < 2:
+            return []
+
+        def has_room(runner: Endpoint) -> bool:
+            room = find_room(runner)
+            return room.free and room.rank == DIRECT_RANK
+
+        demand = self._demands[wanted.service]
+        return find_homes(
+            order,
+            wanted.parts[-2].id,
+            demand.count_homes(wanted.parts, runners, now),
+            lambda runner: self.speeds.slowness(runner.id, now),
+            has_room,
         )
 
     def note_sent(
@@ -331,6 +410,8 @@
         state.requests += 1
         state.tokens += choice.uncached_tokens
         state.note_parts(wanted.parts, now)
+        if self.scheduling.draws and wanted.engine:
+            self._demands[wanted.service].note(wanted.parts, now)
 
     def note_first_byte(
         self, choice: Choice, wanted: PlacementRequest, took: float, now: float
@@ -421,6 +502,22 @@
     unloaded: bool
 
 
+def _draw(
+    endpoints: Sequence[Endpoint],
+    homes: Sequence[Endpoint],
+    engine: bool,
+    find_room: Callable[[Endpoint], Room],
+    rng: Random,
+) -> list[Endpoint]:
+    """Return the runners to compare: a few of all, and a few of the homes."""
+    count = PROMPT_DRAWS if engine else PLAIN_DRAWS
+    drawn = draw_runners(endpoints, count, find_room, DIRECT_RANK, rng)
+    if not homes:
+        return drawn
+    near = draw_runners(homes, PROMPT_DRAWS, find_room, DIRECT_RANK, rng)
+    return near + [runner for runner in drawn if runner not in near]
+
+
 def _predict_plain(
     state: RunnerState,
     endpoint: Endpoint,
