Order requests over all gateways: in time, later, or refused

Cause: while a service is short all requests are sent first come, first served within their priority, and the certainly late ones are refused by counts of all prompts, also of those that run after them. Drafts of the highest priority were refused while chats were served.

Change: systems/request_order.py decides between two classes, a short wait and a refusal; the class is the minor part of Request-Urgency, so the engines order over all gateways. Reports tell unread prompt tokens by urgency, so that a request counts only what goes before it. In effect where scheduling.order is set; without it requests are served as before.

--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -54,11 +54,31 @@
 _STEPS = {
     "timeout": "its deadline passed",
     "overload": "the work before it would have taken beyond its deadline",
+    "place": "it waited a little for a place, as it had returned",
+    "memory": "it waited a little, as no runner had memory for it",
     "turn": "it waited until its runner, which was cold or named a limit, "
     "took another request",
     "rest": "it waited until a runner's rest was over",
     "no_budget": "the budget of repeats was used up: many failed at once",
 }
+ORDER_STEP, ORDER_FIELDS = "order:", 7
+_ORDER_ACTIONS = {
+    "send": "sent among those in time",
+    "send_later": "sent behind all that could still be in time",
+    "wait": "kept at the gateway for a little",
+    "refuse": "refused at once",
+}
+_OUTLOOKS = {
+    "in_time": "it was expected in time",
+    "late": "it was expected to be late",
+    "too_late": "it was not expected to begin before its deadline",
+    "hopeless": "it could not have begun before its deadline",
+}
+_STANDINGS = {
+    "yields": ", and its workspace had more than its share or more urgent "
+    "requests were being refused",
+    "returns": ", and it had been refused or offered before",
+}
 _CONTEXT = {
     "lagoonpost:store:unanswered": "a call to the store got no response",
     "lagoonpost:store:lost": "the store no longer answered this gateway",
@@ -146,7 +166,21 @@
     return sentences
 
 
+def _describe_order(step: str) -> str:
+    """Describe what the order of requests decided."""
+    _, action, outlook, standing, *figures = step.split(":")
+    first_byte, objective, wait, left = figures
+    return (
+        f"{_ORDER_ACTIONS.get(action, action)}: {_OUTLOOKS.get(outlook, '')}"
+        f"{_STANDINGS.get(standing, '')} (first byte expected in "
+        f"{first_byte} s, due in {objective} s; behind all others it would "
+        f"wait {wait} s, {left} s before its deadline)"
+    )
+
+
 def _describe_step(step: str) -> str:
+    if step.count(":") == ORDER_FIELDS and step.startswith(ORDER_STEP):
+        return _describe_order(step)
     runner, _, rest = step.partition(":")
     outcome, _, seconds = rest.partition(":")
     if outcome not in _OFFERS:
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -21,15 +21,15 @@
 from lagoonpost.http.events import RawEvent
 from lagoonpost.http.message import Request, Response
 from lagoonpost.systems.placement import Choice, PlacementRequest
+from lagoonpost.systems.request_order import Decision
 from lagoonpost.tables.configuration import Route, Service, Workspace
 from lagoonpost.tables.metadata import RequestMetadata
 from lagoonpost.tables.quota import QuotaCheck
+from lagoonpost.tables.urgency import MAX_URGENCY, RequestClass, find_urgency
 
 DEFAULT_TIMEOUT_SECONDS = 60.0
 """Longest wait for the answer, and for the first byte, of a request that has
 no route."""
-LOWEST_PRIORITY = 9
-"""Lowest priority that runners support; 0 is the highest."""
 RETRY_AFTER_SECONDS = 0.4
 """Retry-after when all runners are full: the time of a few of their answers,
 after which a runner is likely to have a free slot."""
@@ -72,6 +72,12 @@
         fallback_response: A runner's failure response, returned if no other
             runner gives a better answer.
         first_byte: Seconds until the caller's first byte, if there was one.
+        over_share: Whether its workspace has more than its share of the
+            service.
+        waited_before: Seconds that its caller has probably waited since it
+            was refused before.
+        decision: Whether it is sent, in which class, and why; None where
+            requests have no order.
     """
 
     def __init__(
@@ -110,6 +116,9 @@
         self.fallback_response: Response | None = None
         self.first_byte: float | None = None
         self._began = False
+        self.over_share = False
+        self.waited_before = 0.0
+        self.decision: Decision | None = None
 
     # Properties of the request
 
@@ -162,7 +171,19 @@
         """Priority sent to a model runner; None for other services."""
         if not self.requirements.engine:
             return None
-        return min(LOWEST_PRIORITY, self.priority)
+        if self.decision is None:
+            return min(MAX_URGENCY, self.priority)
+        return find_urgency(self.priority, self.request_class)
+
+    @property
+    def request_class(self) -> RequestClass:
+        """Class in which the request is sent.
+
+        A stream that has begun is in time, so that others don't interrupt it.
+        """
+        if self.decision is None or self._began:
+            return RequestClass.IN_TIME
+        return self.decision.request_class
 
     @property
     def known_not_run(self) -> bool:
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -138,6 +138,7 @@
             crashes,
             view,
             self.notices,
+            self._chooser.ordering,
         )
         self._configuration_deadline: float | None = None
         self.scheduling = NO_PARTS
--- a/lagoonpost/forwarding/metrics.py
+++ b/lagoonpost/forwarding/metrics.py
@@ -95,6 +95,12 @@
             ("outcome",),
             registry=registry,
         )
+        self._ordered = Counter(
+            "lagoonpost_ordered_requests",
+            "Requests by what the order of requests decided.",
+            ("action", "outlook", "standing"),
+            registry=registry,
+        )
         self._first_byte = Histogram(
             "lagoonpost_first_byte_seconds",
             "Time from a request's arrival to its first byte.",
@@ -143,6 +149,13 @@
         if exchange.first_byte is not None:
             self._first_byte.labels(route).observe(exchange.first_byte)
         self._whole.labels(route).observe(exchange.now() - exchange.started)
+        if exchange.decision is not None:
+            action, outlook, standing, _ = exchange.decision
+            self._ordered.labels(
+                action.name.lower(),
+                outlook.name.lower(),
+                standing.name.lower(),
+            ).inc()
         for outcome in exchange.outcomes:
             self._offers.labels(outcome).inc()
 
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -24,6 +24,7 @@
     log_silent,
     log_unreachable,
 )
+from lagoonpost.forwarding.request_ordering import RequestOrdering
 from lagoonpost.forwarding.runner_paths import RunnerPaths
 from lagoonpost.forwarding.usage_counter import UsageCounter
 from lagoonpost.forwarding.version_shifts import VersionShifts
@@ -60,6 +61,7 @@
         crashes: Tells which requests crash runners.
         view: Local view of the runners.
         notices: Reads what runners say of themselves in answers.
+        ordering: Learns from requests that are sent and answered.
 
     Attributes:
         shifts: Services that shift to another version.
@@ -78,7 +80,9 @@
         crashes: CrashWatch,
         view: ClusterState,
         notices: NoticeReader,
+        ordering: RequestOrdering,
     ) -> None:
+        self._ordering = ordering
         self._view = view
         self._notices = notices
         self._client = client
@@ -111,11 +115,12 @@
         placement = self._placement
         requirements = exchange.requirements
         placement.note_sent(choice, requirements, exchange.now())
+        self._ordering.note_sent(exchange, choice)
         sent_at, clock_sent_at = exchange.now(), read_clock()
         rate = self._permits.find_stated_rate(choice.endpoint)
         if rate is not None:
             log_limited_request(choice, rate)
-        began = False
+        began, began_at = False, sent_at
         watched = self._crashes.watch(exchange, choice)
         ended: Outcome | None = None
         try:
@@ -138,6 +143,7 @@
                 exchange, choice, outcome, exchange.now() - sent_at
             )
             began = isinstance(outcome, Began | Whole)
+            began_at = exchange.now()
             if isinstance(outcome, Began):
                 watched.note_first_byte()
                 outcome = await relay(
@@ -155,6 +161,8 @@
         finally:
             watched.end(ended)
             placement.note_ended(choice, began)
+            if began:
+                self._ordering.note_ended(exchange, exchange.now() - began_at)
 
     async def _confirm_end(
         self, choice: Choice, outcome: Whole
@@ -234,6 +242,7 @@
             self._placement.note_first_byte(
                 choice, exchange.requirements, took, now
             )
+            self._ordering.note_first_byte(exchange, choice, took)
             if exchange.note_began() and exchange.workspace is not None:
                 self._usage.record_begun(exchange.workspace.name)
             if isinstance(outcome, Began):
--- a/lagoonpost/forwarding/runner_choice.py
+++ b/lagoonpost/forwarding/runner_choice.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 
 from lagoonpost.forwarding.cluster_state import ClusterState
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.forwarding.peer_sync import PeerSync
 from lagoonpost.forwarding.permits import Permits
 from lagoonpost.forwarding.refusal import Refusal
+from lagoonpost.forwarding.request_ordering import RequestOrdering
 from lagoonpost.forwarding.runner_paths import RunnerPaths
 from lagoonpost.forwarding.version_shifts import VersionShifts
 from lagoonpost.store.clock import read_clock
@@ -20,6 +22,7 @@
 from lagoonpost.systems.placement import Choice, Placement
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.scheduling import NO_PARTS
+from lagoonpost.tables.urgency import RequestClass, is_later
 
 MAX_RUNNERS_PER_REQUEST = 4
 """Limit for the runners to which one request is offered, including those that
@@ -54,6 +57,7 @@
         cluster: State exchanged with the other gateways.
         shifts: Services that shift to another version.
         scheduling: Parts of the scheduling that are in effect.
+        ordering: Decides which requests go first and which are refused.
     """
 
     def __init__(
@@ -73,6 +77,9 @@
         self._rng = rng
         self._returns = ReturnTimes(rng)
         self.scheduling = NO_PARTS
+        self.ordering = RequestOrdering(
+            view, placement, lambda: self.cluster.count_gateways(), rng
+        )
         self.cluster: PeerSync
         self.shifts: VersionShifts
 
@@ -86,15 +93,29 @@
         Returns:
             The choice; None if the request may be sent to no runner in time.
         """
+        is_ordered = self.scheduling.order
+        urgency = None
+        if is_ordered:
+            urgency = self.ordering.find_urgency(
+                exchange, RequestClass.IN_TIME
+            )
+            if not exchange.offer_count:
+                self.ordering.note_arrival(exchange)
         while True:
             longest = _find_longest_wait(exchange, started)
             waits = self.find_waits(exchange, longest)
-            choice = self._choose_among(exchange, waits)
+            choice = self._choose_among(exchange, waits, urgency)
             if choice is None:
                 if await self._wait_for_room(exchange, longest):
                     continue
                 return None
-            overload = self._find_overload(exchange, choice)
+            if is_ordered and not started:
+                found = await self._order(exchange, choice, waits, longest)
+                if found is None:
+                    continue
+                choice, overload = found
+            else:
+                overload = self._find_overload(exchange, choice)
             if overload is not None and not started:
                 exchange.note("overload")
                 exchange.last_refusal = overload
@@ -140,7 +161,10 @@
         return self._placement.state(runner.id).requests
 
     def _choose_among(
-        self, exchange: Exchange, waits: dict[Endpoint, float | None]
+        self,
+        exchange: Exchange,
+        waits: dict[Endpoint, float | None],
+        urgency: int | None = None,
     ) -> Choice | None:
         if exchange.offer_count >= MAX_RUNNERS_PER_REQUEST:
             return None
@@ -160,7 +184,7 @@
         )
         choice = self._placement.choose(
             group,
-            exchange.requirements,
+            exchange.requirements._replace(urgency=urgency),
             exchange.now(),
             self._rng,
             leaving,
@@ -175,6 +199,56 @@
         lost = self._placement.reach.is_unreached(runner, now)
         return None if lost and not choice.indirect else choice
 
+    async def _order(
+        self,
+        exchange: Exchange,
+        soon: Choice,
+        waits: dict[Endpoint, float | None],
+        longest: float,
+    ) -> tuple[Choice, Refusal | None] | None:
+        """Decide whether a request is sent now, later or not at all.
+
+        Args:
+            exchange: The request.
+            soon: The choice made for it in the class in time.
+            waits: Least seconds until it may be sent, by runner.
+            longest: Seconds for which it may wait.
+
+        Returns:
+            The choice and the refusal, if it is refused; None if it has
+            waited for memory or a place and a runner has to be chosen again.
+        """
+        usable = [
+            runner
+            for runner, wait in waits.items()
+            if wait == 0.0 and runner.id not in exchange.tried_runners
+        ]
+
+        def choose(
+            urgency: int | None, runners: Sequence[Endpoint]
+        ) -> Choice | None:
+            kept = {runner: waits[runner] for runner in runners}
+            return self._choose_among(exchange, kept or waits, urgency)
+
+        choice, retry_after, waits_for_place = self.ordering.decide(
+            exchange, soon, choose, usable, longest > 0
+        )
+        if retry_after is not None:
+            return choice, exchange.make_overload(retry_after)
+        # A late request could take memory from a stream that has begun.
+        waits_for_memory = (
+            longest > 0
+            and is_later(choice.urgency)
+            and not self.ordering.has_memory(choice.endpoint)
+        )
+        if waits_for_memory or waits_for_place:
+            if not exchange.waited:
+                exchange.note("memory" if waits_for_memory else "place")
+            exchange.waited += ROOM_POLL_SECONDS
+            await asyncio.sleep(ROOM_POLL_SECONDS)
+            return None
+        return choice, None
+
     async def _wait_for_permit(
         self,
         exchange: Exchange,
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -26,6 +26,7 @@
 from lagoonpost.tables.gateway_report import RunnerWork
 from lagoonpost.tables.metadata import PromptPart
 from lagoonpost.tables.scheduling import NO_PARTS
+from lagoonpost.tables.urgency import MAX_URGENCY, is_later, trim
 
 DEFAULT_SECONDS_PER_TOKEN = 1 / 30_000
 """Seconds per prompt token before the first measurement: the usual prefill
@@ -61,6 +62,8 @@
 PEER_HOP_SECONDS = 0.005
 """Predicted wait added to a runner that is reached through another gateway:
 two more round trips between the failure domains of one region."""
+MIN_WORK_SECONDS = 0.001
+"""Least time of work that is assumed for a request."""
 STEP_OVERHEAD_SECONDS = 0.0005
 """Rough time that each concurrent request adds to a step. It only decides
 between runners that are otherwise equal."""
@@ -74,12 +77,15 @@
         prompt: Tokens of the prompt; 0 for a plain request.
         parts: Parts of the prompt.
         engine: Whether the service has model runners.
+        urgency: Level of urgency that the runner is told; None if prompts of
+            all levels count as ahead of this one.
     """
 
     service: str
     prompt: int
     parts: tuple[PromptPart, ...]
     engine: bool
+    urgency: int | None = None
 
 
 class Choice(NamedTuple):
@@ -97,6 +103,10 @@
         backlog: Least seconds in which the runner can prefill the prompts
             before this one.
         indirect: Whether the request goes through another gateway.
+        urgency: Level of urgency that the prediction is for; None if all
+            prompts count as ahead of this one.
+        ahead: Prompt tokens that the runner prefills before this one.
+        wait: Predicted seconds until the runner begins with the request.
     """
 
     endpoint: Endpoint
@@ -108,6 +118,9 @@
     delay: float = 0.0
     backlog: float = 0.0
     indirect: bool = False
+    urgency: int | None = None
+    ahead: int = 0
+    wait: float = 0.0
 
 
 class RunnerState:
@@ -116,6 +129,8 @@
     Attributes:
         requests: This gateway's open requests at the runner.
         tokens: Prompt tokens of these requests that are not yet prefilled.
+        by_urgency: The part of these tokens whose requests state an urgency,
+            by level.
         peer_work: Open work of the other gateways.
         failure_rate: Moving average of failed requests, 0 to 1.
     """
@@ -123,12 +138,39 @@
     def __init__(self) -> None:
         self.requests = 0
         self.tokens = 0
+        self.by_urgency = [0] * (MAX_URGENCY + 1)
         self.peer_work = RunnerWork()
         self.failure_rate = 0.0
         self._slowness = 1.0
         self._measured = -math.inf
         self._parts: dict[str, float] = {}
 
+    def count_ahead(self, urgency: int | None) -> int:
+        """Return the prompt tokens that are prefilled before a request.
+
+        Args:
+            urgency: Level of the request; None to count all tokens. Tokens
+                of unknown level count as ahead.
+        """
+        ahead = self.tokens + self.peer_work.tokens
+        if urgency is None:
+            return ahead
+        behind = sum(self.by_urgency[urgency + 1 :])
+        behind += sum(self.peer_work.by_urgency[urgency + 1 :])
+        return max(0, ahead - behind)
+
+    def add_tokens(self, tokens: int, urgency: int | None) -> None:
+        """Change the prompt tokens that are not yet prefilled.
+
+        Args:
+            tokens: Tokens to add, or to remove if negative.
+            urgency: Level of their request; None if it states none.
+        """
+        self.tokens = max(0, self.tokens + tokens)
+        if urgency is not None:
+            before = self.by_urgency[urgency]
+            self.by_urgency[urgency] = max(0, before + tokens)
+
     def slowness(self, now: float) -> float:
         """Return the pace relative to the service's; above 1 is slower."""
         if self._slowness == 1.0:
@@ -233,6 +275,31 @@
         for runner, work in others.items():
             self.state(runner).peer_work = work
 
+    def is_free(self, runner: str, slots: int) -> bool:
+        """Return whether a runner has a free place and no prompt waiting."""
+        state = self.state(runner)
+        has_place = self.count_open(runner) < max(1, slots)
+        return has_place and not state.count_ahead(None)
+
+    def find_work_seconds(
+        self, service: str, engine: bool, tokens: float
+    ) -> float:
+        """Return the seconds of work of a service's request, above 0.
+
+        Args:
+            service: Name of the service.
+            engine: Whether the service has model runners.
+            tokens: Prompt tokens to prefill.
+        """
+        if not engine:
+            return self._pace.get(service, DEFAULT_PLAIN_SECONDS)
+        pace = self.unloaded_paces.get(service, DEFAULT_SECONDS_PER_TOKEN)
+        return max(MIN_WORK_SECONDS, pace * tokens)
+
+    def is_measured(self, service: str) -> bool:
+        """Return whether the service's pace has been measured."""
+        return service in self._pace
+
     def pace(self, wanted: PlacementRequest) -> float:
         """Return the service's mean pace in seconds per token or request."""
         first = (
@@ -299,7 +366,7 @@
                 best_rank, best = rank, (candidate, predicted)
         endpoint, (seconds, uncached_tokens, unloaded) = best
         state = self.state(endpoint.id)
-        ahead = state.tokens + state.peer_work.tokens
+        ahead = state.count_ahead(wanted.urgency)
         reachable = (
             runner
             for runner in order
@@ -317,15 +384,29 @@
             delays.get(endpoint.id, 0.0),
             ahead * self.unloaded_paces.get(wanted.service, 0.0),
             paths[endpoint.id].indirect,
+            wanted.urgency,
+            ahead,
+            seconds - self._find_own_seconds(state, wanted, best[1], now),
         )
 
+    def _find_own_seconds(
+        self,
+        state: RunnerState,
+        wanted: PlacementRequest,
+        predicted: "_Predicted",
+        now: float,
+    ) -> float:
+        """Return the part of a prediction that is the request's own work."""
+        units = predicted.uncached_tokens if wanted.engine else 1
+        return units * self.pace(wanted) * state.slowness(now)
+
     def note_sent(
         self, choice: Choice, wanted: PlacementRequest, now: float
     ) -> None:
         """Count a request that is being sent."""
         state = self.state(choice.endpoint.id)
         state.requests += 1
-        state.tokens += choice.uncached_tokens
+        state.add_tokens(choice.uncached_tokens, choice.urgency)
         state.note_parts(wanted.parts, now)
 
     def note_first_byte(
@@ -333,7 +414,11 @@
     ) -> None:
         """Record the first byte: the prompt is prefilled; update the paces."""
         state = self.state(choice.endpoint.id)
-        state.tokens = max(0, state.tokens - choice.uncached_tokens)
+        state.add_tokens(-choice.uncached_tokens, choice.urgency)
+        if is_later(choice.urgency):
+            # Requests that arrived after it went first: its time tells
+            # nothing about the pace.
+            return
         if wanted.engine and choice.uncached_tokens < MIN_PACE_TOKENS:
             self._note_overhead(wanted.service, took)
             return
@@ -380,12 +465,14 @@
         state = self.state(choice.endpoint.id)
         state.requests = max(0, state.requests - 1)
         if not began:
-            state.tokens = max(0, state.tokens - choice.uncached_tokens)
+            state.add_tokens(-choice.uncached_tokens, choice.urgency)
 
     def report(self) -> dict[str, RunnerWork]:
         """Return this gateway's open work by runner, for the peers."""
         return {
-            runner: RunnerWork(state.requests, state.tokens)
+            runner: RunnerWork(
+                state.requests, state.tokens, trim(state.by_urgency)
+            )
             for runner, state in self.states.items()
             if state.requests
         }
@@ -441,10 +528,10 @@
         shared = sum(part.tokens for part in wanted.parts[:-1])
         cached = max(cached, shared)
     uncached_tokens = max(1, wanted.prompt - cached)
-    ahead = state.tokens + state.peer_work.tokens
+    ahead = state.count_ahead(wanted.urgency)
     seconds = (
         ahead + uncached_tokens
     ) * pace + running * STEP_OVERHEAD_SECONDS
     if running >= endpoint.slots:
         seconds += pace * ahead / max(1, running)
-    return _Predicted(seconds, uncached_tokens, ahead == 0)
+    return _Predicted(seconds, uncached_tokens, state.count_ahead(None) == 0)
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -1,9 +1,11 @@
 """Reports about in-flight work and quota use that gateways exchange."""
 
 from collections.abc import Iterable, Mapping
+from itertools import zip_longest
 from typing import NamedTuple
 
 from lagoonpost.tables.runner_speed import SpeedEvidence
+from lagoonpost.tables.urgency import trim
 from lagoonpost.tables.version_shift import VersionCounts
 
 
@@ -13,10 +15,13 @@
     Attributes:
         requests: Requests without a complete response.
         tokens: Prompt tokens of these requests that still need prefill.
+        by_urgency: The part of these tokens whose requests state an urgency,
+            by level, without zeros at the end.
     """
 
     requests: int = 0
     tokens: int = 0
+    by_urgency: tuple[int, ...] = ()
 
 
 class GatewayReport(NamedTuple):
@@ -113,6 +118,7 @@
             total[runner] = RunnerWork(
                 subtotal.requests + work.requests,
                 subtotal.tokens + work.tokens,
+                _combine(subtotal.by_urgency, work.by_urgency, 1),
             )
     return total
 
@@ -130,9 +136,22 @@
         runner: RunnerWork(
             max(0, work.requests - part.get(runner, _NO_WORK).requests),
             max(0, work.tokens - part.get(runner, _NO_WORK).tokens),
+            _combine(
+                work.by_urgency, part.get(runner, _NO_WORK).by_urgency, -1
+            ),
         )
         for runner, work in total.items()
     }
 
 
+def _combine(
+    first: tuple[int, ...], second: tuple[int, ...], sign: int
+) -> tuple[int, ...]:
+    """Return the sum by level; the second counts with the given sign."""
+    if not second:
+        return first
+    levels = zip_longest(first, second, fillvalue=0)
+    return trim([max(0, one + sign * other) for one, other in levels])
+
+
 _NO_WORK = RunnerWork()
