--- a/bench/order_play.py
+++ b/bench/order_play.py
@@ -53,7 +53,7 @@
 MEAN_WORK_SECONDS = 0.04
 SMALL_SHARE = 0.05
 """Share of the requests that are of the small workspace."""
-LOADS = (0.6, 1.2, 2.0, 5.0)
+LOADS, SEEDS = (0.6, 0.85, 1.2, 2.0, 5.0), range(1, 6)
 
 
 class Kind(NamedTuple):
@@ -325,13 +325,26 @@
     return sum(counts[each] for each in what) / max(1, counts["asked"])
 
 
+def play_seeds(
+    site: Site, load: float, ordered: bool
+) -> dict[str, Counter[str]]:
+    """Return the counts by group, summed over all seeds."""
+    total: dict[str, Counter[str]] = {}
+    for seed in SEEDS:
+        for group, counts in (
+            Overload(site, load, ordered, seed).play().items()
+        ):
+            total.setdefault(group, Counter()).update(counts)
+    return total
+
+
 def main() -> None:
     """Print what becomes of the requests, by load and kind."""
     words = "in_time", "late", "refused", "refused_again", "lost"
     click.echo(f"{'':34}" + "".join(f"{word:>14}" for word in words))
     for name, site in (("engines", ENGINES), ("desks", DESKS)):
         for load, ordered in itertools.product(LOADS, (False, True)):
-            counts = Overload(site, load, ordered).play()
+            counts = play_seeds(site, load, ordered)
             for group, each in sorted(counts.items()):
                 shares = (find_share(each, word) for word in words)
                 row = "".join(f"{share:14.3f}" for share in shares)
--- a/lagoonpost/forwarding/request_ordering.py
+++ b/lagoonpost/forwarding/request_ordering.py
@@ -100,7 +100,8 @@
             choice: The choice made for it.
             took: Seconds from when it was sent.
         """
-        if exchange.decision is None or is_later(choice.urgency):
+        is_moved = exchange.requirements.engine and choice.urgency is None
+        if exchange.decision is None or is_moved or is_later(choice.urgency):
             return
         self._delays.note(
             exchange.requirements.service,
@@ -166,8 +167,9 @@
             bool(free),
         )
         decision = self._order.decide(needs, prospect, now)
-        exchange.decision = decision
-        if decision.outlook is not Outlook.FREE and not exchange.waited:
+        before, exchange.decision = exchange.decision, decision
+        is_new = before is None or before[:3] != decision[:3]
+        if is_new and decision.outlook is not Outlook.FREE:
             exchange.note(_describe(needs, prospect, decision))
         if decision.action is Action.WAIT:
             return Verdict(soon, waits=True)
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -64,6 +64,9 @@
 two more round trips between the failure domains of one region."""
 MIN_WORK_SECONDS = 0.001
 """Least time of work that is assumed for a request."""
+OVERTAKEN_SHARE = 0.1
+"""Weight of the prompts that a request would overtake. It only decides between
+runners that are otherwise equal: a prompt in prefill is not interrupted."""
 STEP_OVERHEAD_SECONDS = 0.0005
 """Rough time that each concurrent request adds to a step. It only decides
 between runners that are otherwise equal."""
@@ -534,4 +537,6 @@
     ) * pace + running * STEP_OVERHEAD_SECONDS
     if running >= endpoint.slots:
         seconds += pace * ahead / max(1, running)
+    behind = state.count_ahead(None) - ahead
+    seconds += OVERTAKEN_SHARE * pace * min(behind, uncached_tokens)
     return _Predicted(seconds, uncached_tokens, state.count_ahead(None) == 0)
--- a/lagoonpost/systems/request_order.py
+++ b/lagoonpost/systems/request_order.py
@@ -59,15 +59,12 @@
 DELAY_DECAY_SECONDS = 3.0
 """Time constant with which a learned delay fades, so that requests are sent in
 time again after an overload."""
-MAX_DELAY_FACTOR = 10.0
-"""Largest factor learned from one answer."""
-MIN_PREDICTED_SECONDS = 0.05
-"""Predictions below it say nothing about delays: the network's share of such a
-time is large."""
-COMMON_DEADLINE_SHARE = 0.9
+FIRST_TIME_SHARE = 0.9
 """Part of a route's longest stated time from which a request counts as a first
-attempt, and share of requests that must be such before a shorter time is taken
-for that of a caller who has waited."""
+attempt. Callers return after a fifth of a second or more, of a few seconds."""
+COMMON_FIRST_SHARE = 0.5
+"""Least share of first attempts among a route's requests. Even if all callers
+are refused and return once, half of the requests are first attempts."""
 LONGEST_TIME_DECAY = 0.99
 """Factor for the longest stated time with each request, so that it follows a
 change of the callers' deadline within some hundred requests."""
@@ -122,25 +119,40 @@
     REFUSE = auto()
 
 
-_ORDERED = {
-    Outlook.FREE: (Action.SEND, Action.SEND_LATER, Action.SEND),
-    Outlook.IN_TIME: (Action.SEND, Action.SEND_LATER, Action.SEND),
-    Outlook.LATE: (Action.SEND_LATER, Action.REFUSE, Action.SEND_LATER),
-    Outlook.TOO_LATE: (Action.REFUSE, Action.REFUSE, Action.SEND_LATER),
-    Outlook.HOPELESS: (Action.REFUSE, Action.REFUSE, Action.REFUSE),
-}
-"""Actions at runners that admit by urgency, for each standing in turn."""
-_UNORDERED = {
-    Outlook.FREE: (Action.SEND, Action.SEND, Action.SEND),
-    Outlook.IN_TIME: (Action.SEND, Action.SEND, Action.SEND),
-    Outlook.LATE: (Action.SEND, Action.REFUSE, Action.SEND),
-    Outlook.TOO_LATE: (Action.REFUSE, Action.REFUSE, Action.WAIT),
-    Outlook.HOPELESS: (Action.REFUSE, Action.REFUSE, Action.REFUSE),
-}
-"""Actions at runners that serve first come, first served."""
+_Row = tuple[Action, Action, Action]
+"""Actions for the standings in turn: usual, yields, returns."""
 
 
-YIELDING = list(Standing).index(Standing.YIELDS)
+def _make_table(
+    rows: dict[Outlook, _Row],
+) -> dict[tuple[Outlook, Standing], Action]:
+    return {
+        (outlook, standing): action
+        for outlook, row in rows.items()
+        for standing, action in zip(Standing, row, strict=True)
+    }
+
+
+_ORDERED = _make_table(
+    {
+        Outlook.FREE: (Action.SEND, Action.SEND_LATER, Action.SEND),
+        Outlook.IN_TIME: (Action.SEND, Action.SEND_LATER, Action.SEND),
+        Outlook.LATE: (Action.SEND_LATER, Action.REFUSE, Action.SEND_LATER),
+        Outlook.TOO_LATE: (Action.REFUSE, Action.REFUSE, Action.SEND_LATER),
+        Outlook.HOPELESS: (Action.REFUSE, Action.REFUSE, Action.REFUSE),
+    }
+)
+"""Actions at runners that admit by urgency."""
+_UNORDERED = _make_table(
+    {
+        Outlook.FREE: (Action.SEND, Action.SEND, Action.SEND),
+        Outlook.IN_TIME: (Action.SEND, Action.SEND, Action.SEND),
+        Outlook.LATE: (Action.SEND, Action.REFUSE, Action.SEND),
+        Outlook.TOO_LATE: (Action.REFUSE, Action.REFUSE, Action.WAIT),
+        Outlook.HOPELESS: (Action.REFUSE, Action.REFUSE, Action.REFUSE),
+    }
+)
+"""Actions at runners that serve first come, first served."""
 
 
 class Needs(NamedTuple):
@@ -264,12 +276,12 @@
         outlook = find_outlook(needs, prospect)
         standing = self._find_standing(needs, now)
         table = _ORDERED if needs.ordered else _UNORDERED
-        actions = dict(zip(Standing, table[outlook], strict=True))
-        action = actions[standing]
+        action = table[outlook, standing]
         if action is Action.WAIT and not needs.may_wait:
             action = Action.REFUSE
         if action is Action.REFUSE and prospect.has_room:
-            action = actions[Standing.YIELDS] = table[Outlook.FREE][1]
+            # With a place free, late ones are served after all.
+            action = table[Outlook.FREE, Standing.YIELDS]
         if action is Action.REFUSE and standing is not Standing.YIELDS:
             key = needs.service, needs.priority, needs.returns
             self._refused[key] = now
@@ -364,7 +376,7 @@
         """
         decayed = self._longest.get(route, left) * LONGEST_TIME_DECAY
         longest = self._longest[route] = max(left, decayed)
-        is_first = left >= COMMON_DEADLINE_SHARE * longest
+        is_first = left >= FIRST_TIME_SHARE * longest
         before = self._common.get(route, 0.0)
         common = before + SIZE_GAIN * (is_first - before)
         self._common[route] = common
@@ -373,11 +385,6 @@
         return longest - left
 
 
-COMMON_FIRST_SHARE = 0.5
-"""Least share of first attempts among a route's requests. Even if all callers
-are refused and return once, half of the requests are first attempts."""
-
-
 class RequestSizes:
     """Mean sizes of the requests of each service.
 
--- a/test/test_request_order.py
+++ b/test/test_request_order.py
@@ -7,6 +7,7 @@
 from forwarding_stack import Stack, make_prompt, play
 from hypothesis import given
 from hypothesis import strategies as st
+from test_overload import fill_runners
 from test_placement import make_draft, make_runners
 
 from bench.order_play import DESKS, ENGINES, Overload, find_share
@@ -306,6 +307,25 @@
 
         assert play(story)[-1] == ("3" if ordered else "1")
 
+    def test_what_cannot_begin_is_refused_with_a_time_to_return(self):
+        """Guards against callers that are told to wait longer than they do."""
+
+        async def story(stack: Stack):
+            forwarder = stack.gateways[0]._forwarder
+            forwarder.set_scheduling(Scheduling(order=True))
+            fresh = await stack.call(
+                "/draft/1", "POST", headers=make_prompt(1000)
+            )
+            fill_runners(stack)
+            prompt = make_prompt(1000)
+            late = await stack.call("/draft/1", "POST", headers=prompt)
+            runs = sum(each.runs.total() for each in stack.runners.values())
+            return fresh, late, runs
+
+        fresh, late, runs = play(story)
+        assert (fresh.status, late.status, runs) == (200, 503, 1)
+        assert 0 < float(late.header("retry-after")) <= 5.0 / 3
+
 
 class TestExplain:
     def test_a_step_tells_what_was_decided_and_why(self):
