--- a/bench/draws.py
+++ b/bench/draws.py
@@ -235,9 +235,10 @@
         total: dict[str, RunnerWork] = {}
         for report in reports:
             for id_, work in report.items():
-                requests, tokens = total.get(id_, RunnerWork())
+                before = total.get(id_, RunnerWork())
                 total[id_] = RunnerWork(
-                    requests + work.requests, tokens + work.tokens
+                    before.requests + work.requests,
+                    before.tokens + work.tokens,
                 )
 
         def deliver(now: float) -> None:
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -139,6 +139,7 @@
             crashes,
             view,
             self.notices,
+            self._chooser.ordering,
         )
         self._loads = ServiceLoads(view, self.placement, admission.shares)
         self._configuration_deadline: float | None = None
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -24,6 +24,7 @@
     log_silent,
     log_unreachable,
 )
+from lagoonpost.forwarding.request_ordering import RequestOrdering
 from lagoonpost.forwarding.runner_paths import RunnerPaths
 from lagoonpost.forwarding.speed_sampler import SpeedSampler
 from lagoonpost.forwarding.usage_counter import UsageCounter
@@ -61,6 +62,7 @@
         crashes: Tells which requests crash runners.
         view: Local view of the runners.
         notices: Reads what runners say of themselves in answers.
+        ordering: Learns from requests that are sent and answered.
 
     Attributes:
         shifts: Services that shift to another version.
@@ -79,7 +81,9 @@
         crashes: CrashWatch,
         view: ClusterState,
         notices: NoticeReader,
+        ordering: RequestOrdering,
     ) -> None:
+        self._ordering = ordering
         self._view = view
         self._notices = notices
         self._client = client
@@ -113,11 +117,12 @@
         requirements = exchange.requirements
         placement.note_sent(choice, requirements, exchange.now())
         sampler = SpeedSampler(placement, exchange, choice)
+        self._ordering.note_sent(exchange, choice)
         sent_at, clock_sent_at = exchange.now(), read_clock()
         rate = self._permits.find_stated_rate(choice.endpoint)
         if rate is not None:
             log_limited_request(choice, rate)
-        began = False
+        began, began_at = False, sent_at
         watched = self._crashes.watch(exchange, choice)
         ended: Outcome | None = None
         try:
@@ -140,6 +145,7 @@
             sampler.note_answer(outcome, took)
             self._record_outcome(exchange, choice, outcome, took)
             began = isinstance(outcome, Began | Whole)
+            began_at = exchange.now()
             if isinstance(outcome, Began):
                 watched.note_first_byte()
                 outcome = await relay(
@@ -159,6 +165,8 @@
             sampler.end()
             watched.end(ended)
             placement.note_ended(choice, began)
+            if began:
+                self._ordering.note_ended(exchange, exchange.now() - began_at)
 
     async def _confirm_end(
         self, choice: Choice, outcome: Whole
@@ -238,6 +246,7 @@
             self._placement.note_first_byte(
                 choice, exchange.requirements, took, now
             )
+            self._ordering.note_first_byte(exchange, choice, took)
             if exchange.note_began() and exchange.workspace is not None:
                 self._usage.record_begun(exchange.workspace.name)
             if isinstance(outcome, Began):
--- a/test/test_share_reports.py
+++ b/test/test_share_reports.py
@@ -6,12 +6,13 @@
 from forwarding_stack import wait_until
 from test_reports import COUNT, Crowd
 
-from lagoonpost.forwarding.exchange import LOWEST_PRIORITY, Exchange
+from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.http.message import Request
 from lagoonpost.platform.headers import parse_request_headers
 from lagoonpost.systems.hub import choose_roles
 from lagoonpost.tables.configuration import Service, Workspace
 from lagoonpost.tables.gateway_report import GatewayReport
+from lagoonpost.tables.urgency import MAX_URGENCY
 
 
 class TestFindPeerDemand:
@@ -67,7 +68,7 @@
 
 
 class TestUrgency:
-    @pytest.mark.parametrize("priority", [0, 3, LOWEST_PRIORITY])
+    @pytest.mark.parametrize("priority", [0, 3, MAX_URGENCY])
     def test_a_request_over_its_share_is_less_urgent(self, priority):
         request = Request("GET", "/", "", (), b"", "")
         arrival = parse_request_headers(request.headers)
@@ -76,4 +77,4 @@
         exchange.set_service("chat", Service("chat", engine=True))
         assert exchange.urgency == priority
         exchange.over_share = True
-        assert exchange.urgency == min(LOWEST_PRIORITY, priority + 1)
+        assert exchange.urgency == min(MAX_URGENCY, priority + 1)
