Bytes without end from runners: bounded memory, time and outcome

Cause: what a runner sends was bounded only for a whole body (8 MiB) and, by h11, for a head. Interim responses, framing of chunks, an event that never completes, blocks without events and the sum over many answers had no bound; the splitter of events searched all that it kept with each read; small parts that had arrived were parsed without a turn for other tasks; bytes after an answer stayed on a kept connection and were taken for the next answer; a byte now and then kept a stream or a body alive until the deadline, and a runner given up there was not counted as failing.

Change: bounds for each part of an answer and for all together (http/client.py, http/buffer_budget.py), events split in linear time and bounded (http/events.py, runners/sse.py), a stream without a complete event is given up after three pauses (systems/stream_progress.py), connections with more than their answer are closed, descriptions of errors are cut at 200 characters. The stand-in runner and the soak's send answers without end.

--- a/lagoonpost/caller/client.py
+++ b/lagoonpost/caller/client.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from lagoonpost.http.client import CallFailedError, Client, Stream
-from lagoonpost.http.events import ServerEvent, read_events
+from lagoonpost.http.events import EventSizeError, ServerEvent, read_events
 from lagoonpost.http.message import (
     Address,
     Headers,
@@ -243,7 +243,7 @@
                         yield event
                         if isinstance(event, Finished | Problem):
                             return
-            except (CallFailedError, TimeoutError) as error:
+            except (CallFailedError, EventSizeError, TimeoutError) as error:
                 cause = str(error) or "silent"
             if draft.refused is not None:
                 await asyncio.sleep(draft.refused.retry_after or 0)
--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -8,6 +8,7 @@
 from lagoonpost.http.client import (
     CallFailedError,
     Client,
+    EndlessAnswerError,
     Socket,
     Stream,
 )
@@ -53,9 +54,15 @@
 
 
 class Broken(NamedTuple):
-    """The request was sent without a complete answer: it may have run."""
+    """The request was sent without a complete answer: it may have run.
+
+    Attributes:
+        detail: What happened.
+        endless: Whether the runner sent more bytes than any answer has.
+    """
 
     detail: str
+    endless: bool = False
 
 
 class Silent(NamedTuple):
@@ -166,7 +173,22 @@
         except TimeoutError:
             return Silent(idle_timeout or 0.0)
         except CallFailedError as error:
-            return Broken(str(error))
+            return _read_failure(error)
+
+    def hold(self, size: int) -> Broken | None:
+        """Account for bytes of the answer that are kept.
+
+        Args:
+            size: Bytes kept now.
+
+        Returns:
+            How the call failed if there is no memory for them.
+        """
+        try:
+            self._stream.hold(size)
+        except CallFailedError as error:
+            return _read_failure(error)
+        return None
 
     def close(self) -> None:
         """End the call."""
@@ -183,6 +205,7 @@
     find_obstacle: Callable[[], Barred | Withheld | None],
     on_head: Callable[[int, Headers], None],
     first_byte_timeout: float | None,
+    on_unfinished: Callable[[], None],
 ) -> Outcome:
     """Send a request over a new connection and read the start of its answer.
 
@@ -204,7 +227,10 @@
         on_head: Called with the status and the headers of the answer to this
             request as soon as they are read, whatever becomes of its body.
         first_byte_timeout: Seconds to wait for the head of the answer, and
-            again for the first bytes of a stream; None for no timeout.
+            again for the first bytes of a stream, or for each part of any
+            other body; None for no timeout.
+        on_unfinished: Called if the call is cancelled while the answer
+            arrives.
 
     Returns:
         The outcome; a `Began` leaves the connection open.
@@ -239,6 +265,10 @@
         return Silent(first_byte_timeout or 0.0)
     except CallFailedError as error:
         return Broken(str(error))
+    except asyncio.CancelledError:
+        if stream.received:
+            on_unfinished()
+        raise
     finally:
         if not keep_open:
             stream.close()
@@ -255,10 +285,14 @@
     if is_event_stream(stream.headers) and stream.status == 200:
         first = await call.read(first_byte_timeout)
         return first if not isinstance(first, bytes) else Began(call, first)
-    response = await stream.read(MAX_BODY_BYTES)
+    response = await stream.read(MAX_BODY_BYTES, first_byte_timeout)
     return Whole(response, stream.ends_with_connection)
 
 
+def _read_failure(error: CallFailedError) -> Broken:
+    return Broken(str(error), isinstance(error, EndlessAnswerError))
+
+
 def is_event_stream(headers: Headers) -> bool:
     """Return whether the body is a stream of server-sent events."""
     return any(
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -47,6 +47,11 @@
 needs part of it."""
 
 
+CLOCK_SLACK_SECONDS = 0.001
+"""Time before the deadline at which it counts as passed: timers may fire early
+by the resolution of their clock."""
+
+
 class Offers:
     """Offers requests to runners.
 
@@ -131,6 +136,7 @@
                     choice.endpoint, status, headers, clock_sent_at
                 ),
                 self._find_first_byte_timeout(exchange, choice),
+                lambda: self._note_unfinished(exchange, choice),
             )
             if isinstance(outcome, Whole):
                 outcome = await self._confirm_end(choice, outcome)
@@ -147,6 +153,7 @@
                     responder,
                     self._migrations,
                     lambda: self._paths.is_up(choice),
+                    lambda: self._note_failure(choice),
                 )
             ended = outcome
             if isinstance(outcome, Whole):
@@ -239,6 +246,17 @@
             if isinstance(outcome, Began):
                 self._count_prompt(exchange, choice)
 
+    def _note_unfinished(self, exchange: Exchange, choice: Choice) -> None:
+        """Record an answer that had begun and was given up.
+
+        It is no failure of the runner if the caller left before.
+        """
+        if exchange.deadline - exchange.now() < CLOCK_SLACK_SECONDS:
+            self._note_failure(choice)
+
+    def _note_failure(self, choice: Choice) -> None:
+        self._placement.state(choice.endpoint.id).note_outcome(True)
+
     def _find_obstacle(
         self, exchange: Exchange, choice: Choice, saved: KvCopy | None
     ) -> Barred | Withheld | None:
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -1,5 +1,6 @@
 """Relays a runner's event stream to the caller."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from lagoonpost.forwarding.attempt import (
@@ -16,10 +17,14 @@
 from lagoonpost.http.responder import Responder
 from lagoonpost.platform.headers import make_response_headers
 from lagoonpost.systems.placement import Choice
+from lagoonpost.systems.stream_progress import StreamProgress
 
 STREAM_IDLE_TIMEOUT_SECONDS = 1.8
 """Pause in a stream after which its runner is considered lost. A sound runner
 may be silent for a second or so; callers give up after two seconds or more."""
+MAX_STREAM_BYTES = 64 * 1024 * 1024
+"""Largest stream: some 200,000 tokens with their frames, more than a runner
+generates before the deadline of any request."""
 
 
 async def relay(
@@ -29,6 +34,7 @@
     responder: Responder,
     migrations: Migrations,
     confirm_end: Callable[[], Awaitable[bool]],
+    note_failure: Callable[[], None],
 ) -> Outcome:
     """Pass on each complete event of a stream as it arrives.
 
@@ -40,6 +46,7 @@
         migrations: Moves streams away from departing runners.
         confirm_end: Tells whether the runner, and not its crash, has ended
             a stream that ends with its connection.
+        note_failure: Called if the runner sends bytes without events.
 
     Returns:
         ``began`` if the stream was passed on to its end, otherwise the
@@ -47,8 +54,13 @@
     """
     call = began.call
     run = migrations.track_run(exchange, choice, call.close)
+    progress = StreamProgress(exchange.now(), STREAM_IDLE_TIMEOUT_SECONDS)
     try:
-        outcome = await _relay_events(exchange, began, responder)
+        outcome = await _relay_events(exchange, began, responder, progress)
+        if progress.is_stalled(exchange.now()) or (
+            isinstance(outcome, Broken) and outcome.endless
+        ):
+            note_failure()
         if await migrations.wait_for_move(run):
             assert run.target is not None and run.saved is not None
             return Moved(run.target, run.saved)
@@ -59,28 +71,67 @@
                 await responder.finish()
             exchange.note_answered(call.status)
         return outcome
+    except asyncio.CancelledError:
+        if progress.is_stalled(exchange.now()):
+            note_failure()
+        raise
     finally:
         migrations.end_run(run)
         call.close()
 
 
 async def _relay_events(
-    exchange: Exchange, began: Began, responder: Responder
+    exchange: Exchange,
+    began: Began,
+    responder: Responder,
+    progress: StreamProgress,
 ) -> Began | Broken | Silent:
     call = began.call
     cutter = EventSplitter()
     idle_timeout = STREAM_IDLE_TIMEOUT_SECONDS if exchange.idempotent else None
+    size = 0
     data: bytes | Broken | Silent = began.first
     while isinstance(data, bytes) and data:
-        await _write_events(exchange, call, cutter.feed(data), responder)
-        data = await call.read(idle_timeout)
+        size += len(data)
+        events = cutter.feed(data)
+        await _write_events(exchange, call, events, responder)
+        if events:
+            progress.note_event(exchange.now())
+        if exchange.idempotent and progress.is_stalled(exchange.now()):
+            return Silent(progress.limit)
+        data = _find_excess(call, cutter, size) or await call.read(
+            idle_timeout
+        )
     if not isinstance(data, bytes):
         return data
     if cutter.remainder:
         return Broken("the stream ended within an event")
+    if cutter.comments:
+        await _start(exchange, call, responder)
+        await responder.write(cutter.comments)
     return began
 
 
+def _find_excess(
+    call: RunnerCall, cutter: EventSplitter, size: int
+) -> Broken | None:
+    """Return that a stream has sent too many bytes, or None."""
+    if cutter.is_oversized:
+        return Broken(f"{cutter.size} bytes without an event", endless=True)
+    if size > MAX_STREAM_BYTES:
+        return Broken(f"a stream of {size} bytes", endless=True)
+    return call.hold(cutter.size)
+
+
+async def _start(
+    exchange: Exchange, call: RunnerCall, responder: Responder
+) -> None:
+    """Begin the caller's answer, unless it has begun."""
+    if not responder.started:
+        exchange.note_first_byte()
+        await responder.start(call.status, make_response_headers(call.headers))
+
+
 async def _write_events(
     exchange: Exchange,
     call: RunnerCall,
@@ -90,7 +141,5 @@
     new_events = [event for event in events if exchange.accept_event(event)]
     if not new_events:
         return
-    if not responder.started:
-        exchange.note_first_byte()
-        await responder.start(call.status, make_response_headers(call.headers))
+    await _start(exchange, call, responder)
     await responder.write(b"".join(event.data for event in new_events))
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -1,12 +1,21 @@
-"""HTTP/1.1 client on h11 and asyncio, with a pool of idle connections."""
+"""HTTP/1.1 client on h11 and asyncio, with a pool of idle connections.
+
+Load pattern: a server in trouble may send bytes that are no answer, without
+end and as fast as they are read, in a head, between chunks, in a body or after
+an answer. Without limits the caller's memory fills, and reading them leaves no
+time for other requests. Therefore each part of an answer is bounded, so is
+what all unfinished answers of a client keep together, and reading pauses for
+other tasks.
+"""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from types import TracebackType
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import h11
 
+from lagoonpost.http.buffer_budget import BufferBudget
 from lagoonpost.http.message import (
     Address,
     Headers,
@@ -19,8 +28,29 @@
 IDLE_TIMEOUT_SECONDS = 5.0
 MAX_IDLE_PER_ADDRESS = 32
 MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_BUFFERED_BYTES = 2 * MAX_BODY_BYTES
+"""Bytes kept of all unfinished answers of one client together."""
+MAX_INTERIM_RESPONSES = 16
+"""Interim responses (1xx) before an answer; servers send one or two."""
+MAX_FRAMING_BYTES = 64 * 1024
+"""Bytes of a body that are not its content, beyond ``MAX_FRAMING_RATIO``
+bytes for each byte of content: sizes and extensions of chunks, trailers."""
+MAX_FRAMING_RATIO = 0.5
+"""A chunk takes five bytes or a little more besides its content, and a token
+with its frame some hundred. Chunks of a byte each would take a hundred times
+the processor time."""
+EVENTS_PER_TURN = 64
+"""Parts of an answer after which other tasks get their turn: parsing them
+takes a millisecond or so, and data that has already arrived is read without
+waiting."""
+PROGRESS_BYTES = 64 * 1024
+"""Bytes of a body that count as progress, where progress is required."""
+MAX_DETAIL_CHARS = 200
+"""Longest description of an error: h11 quotes the line that is at fault."""
 _FRAMING = ("content-length", "transfer-encoding")
 _BODYLESS = (204, 304)
+_TOO_LONG = 431
+"""Status that h11 gives for a head or a chunk's size line without an end."""
 
 
 class CallFailedError(Exception):
@@ -33,10 +63,50 @@
     """
 
     def __init__(self, detail: str, *, sent: bool) -> None:
-        super().__init__(detail)
+        super().__init__(detail[:MAX_DETAIL_CHARS])
         self.sent = sent
 
 
+class EndlessAnswerError(CallFailedError):
+    """The server sent more bytes than any valid answer has.
+
+    Args:
+        detail: Which part of the answer is too long.
+    """
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=True)
+
+
+class _ConnectionReader(asyncio.StreamReader):
+    """A reader that notices bytes that nothing has asked for.
+
+    Attributes:
+        on_unasked: Called instead of keeping bytes that arrive, or None to
+            keep them.
+        unread: Bytes that arrived and were not read.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(limit=READ_BYTES)
+        self.on_unasked: Callable[[], None] | None = None
+        self.unread = 0
+
+    def feed_data(self, data: Any) -> None:
+        """Take bytes that arrived on the connection."""
+        if self.on_unasked is not None:
+            self.on_unasked()
+            return
+        self.unread += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return the next bytes, or none at the end of the connection."""
+        data = await super().read(n)
+        self.unread -= len(data)
+        return data
+
+
 class Socket(NamedTuple):
     """Both directions of one TCP connection."""
 
@@ -59,6 +129,7 @@
         headers: Response headers with names in lower case.
         complete: Whether the body was read to its end. Only then can the
             connection be reused.
+        received: Bytes received, those of the framing included.
     """
 
     def __init__(
@@ -77,6 +148,11 @@
         self.status = 0
         self.headers: Headers = ()
         self.complete = False
+        self.received = 0
+        self._content = 0
+        self._body_start = 0
+        self._held = 0
+        self._events = 0
 
     async def receive_head(self) -> None:
         """Read the status and headers of the response.
@@ -86,7 +162,13 @@
                 HTTP.
         """
         event = await self._next_event()
+        interim = 0
         while isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > MAX_INTERIM_RESPONSES:
+                raise EndlessAnswerError(
+                    f"more than {MAX_INTERIM_RESPONSES} interim responses"
+                )
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise CallFailedError(
@@ -97,6 +179,7 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers
         )
+        self._body_start = self.received
         self._client.on_head(self._address, self.status, self.headers)
 
     @property
@@ -119,6 +202,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                self._content += len(event.data)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.complete = True
@@ -128,30 +212,63 @@
                     "connection closed within the response body", sent=True
                 )
 
-    async def read(self, limit: int = MAX_BODY_BYTES) -> Response:
+    async def read(
+        self, limit: int = MAX_BODY_BYTES, pause: float | None = None
+    ) -> Response:
         """Read the complete body.
 
         Args:
             limit: Largest accepted body in bytes.
+            pause: Longest time for the next ``PROGRESS_BYTES`` bytes of the
+                body, or for its end, in seconds; None for no limit.
 
         Raises:
-            CallFailedError: If the body is longer than ``limit``, or if the
-                connection closes before its end.
+            CallFailedError: If the body is longer than ``limit``, if too much
+                is kept of all answers, or if the connection closes before the
+                body's end.
+            TimeoutError: If the body arrives too slowly.
         """
+        too_large = f"the response body is larger than {limit} bytes"
+        if int(find_header(self.headers, "content-length") or 0) > limit:
+            raise EndlessAnswerError(too_large)
         body = bytearray()
-        async for part in self.parts():
-            body += part
-            if len(body) > limit:
-                raise CallFailedError(
-                    "the response body is too large", sent=True
-                )
+        progress = PROGRESS_BYTES
+        async with asyncio.timeout(pause) as timer:
+            async for part in self.parts():
+                body += part
+                if len(body) > limit:
+                    raise EndlessAnswerError(too_large)
+                self.hold(len(body))
+                if pause is not None and len(body) >= progress:
+                    progress = len(body) + PROGRESS_BYTES
+                    timer.reschedule(asyncio.get_running_loop().time() + pause)
         return Response(self.status, self.headers, bytes(body))
 
+    def hold(self, size: int) -> None:
+        """Account for the bytes of the answer that the caller keeps.
+
+        Args:
+            size: Bytes kept now, until the stream is closed.
+
+        Raises:
+            CallFailedError: If too much is kept of all answers.
+        """
+        if not self._client.budget.resize(self._held, size):
+            raise EndlessAnswerError(
+                f"no memory for {size} bytes of an unfinished response"
+            )
+        self._held = size
+
     def close(self) -> None:
         """Return a reusable connection to the pool and abort any other."""
+        self._client.budget.resize(self._held, 0)
+        self._held = 0
         # A connection with an unfinished response is never reused: the rest
         # of that response would be read as the response to another request.
-        if not self._reusable and self.complete:
+        # Nor is one with bytes after the response, for the same reason.
+        if self._has_excess():
+            self._socket.writer.transport.abort()
+        elif not self._reusable and self.complete:
             self._socket.writer.close()
         elif self.complete and self._connection.our_state is h11.DONE:
             try:
@@ -163,6 +280,12 @@
         else:
             self._socket.writer.transport.abort()
 
+    def _has_excess(self) -> bool:
+        """Return whether the server sent more than its response."""
+        reader = self._socket.reader
+        unread = isinstance(reader, _ConnectionReader) and reader.unread
+        return bool(unread or self._connection.trailing_data[0])
+
     async def __aenter__(self) -> "Stream":
         return self
 
@@ -175,29 +298,54 @@
         self.close()
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        self._events += 1
+        if self._events % EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
         try:
             while True:
                 event = self._connection.next_event()
                 if event is not h11.NEED_DATA:
                     return event  # type: ignore[return-value]
+                self._check_framing()
                 data = await self._socket.reader.read(READ_BYTES)
+                self.received += len(data)
                 self._connection.receive_data(data)
-        except (OSError, h11.RemoteProtocolError) as error:
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == _TOO_LONG:
+                raise EndlessAnswerError(str(error)) from error
+            raise CallFailedError(str(error), sent=True) from error
+        except OSError as error:
             raise CallFailedError(str(error), sent=True) from error
 
+    def _check_framing(self) -> None:
+        if not self._body_start:
+            return
+        framing = self.received - self._body_start - self._content
+        if framing > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._content:
+            raise EndlessAnswerError(
+                f"{framing} bytes of framing for {self._content} of content"
+            )
+
 
 class Client:
     """Calls servers by address and pools idle connections.
 
     Args:
         idle_seconds: Seconds for which an idle connection may be reused.
+        max_buffered: Bytes kept of all unfinished answers together.
 
     Attributes:
+        budget: What is kept of unfinished answers.
         on_head: Called with the address, status and headers of each response
             as soon as its head is read.
     """
 
-    def __init__(self, idle_seconds: float = IDLE_TIMEOUT_SECONDS) -> None:
+    def __init__(
+        self,
+        idle_seconds: float = IDLE_TIMEOUT_SECONDS,
+        max_buffered: int = MAX_BUFFERED_BYTES,
+    ) -> None:
+        self.budget = BufferBudget(max_buffered)
         self.on_head: Callable[[Address, int, Headers], None]
         self.on_head = lambda address, status, headers: None
         self._idle: dict[Address, list[_IdleSocket]] = {}
@@ -351,12 +499,21 @@
         """
         try:
             async with asyncio.timeout(seconds):
-                reader, writer = await asyncio.open_connection(
-                    address.host, address.port, limit=READ_BYTES
+                reader = _ConnectionReader()
+                (
+                    transport,
+                    protocol,
+                ) = await asyncio.get_running_loop().create_connection(
+                    lambda: asyncio.StreamReaderProtocol(reader),
+                    address.host,
+                    address.port,
                 )
         except (OSError, TimeoutError) as error:
             detail = f"cannot connect to {address}: {_describe(error)}"
             raise CallFailedError(detail, sent=False) from error
+        writer = asyncio.StreamWriter(
+            transport, protocol, reader, asyncio.get_running_loop()
+        )
         return Socket(reader, writer)
 
     def close(self) -> None:
@@ -384,6 +541,7 @@
             if young and not (
                 writer.is_closing() or entry.socket.reader.at_eof()
             ):
+                _expect_bytes(entry.socket)
                 return entry.socket
             writer.close()
         return None
@@ -395,6 +553,15 @@
             return
         now = asyncio.get_running_loop().time()
         idle.append(_IdleSocket(socket, now))
+        if isinstance(socket.reader, _ConnectionReader):
+            # An answer that nothing has asked for would be taken for that to
+            # the next request.
+            socket.reader.on_unasked = socket.writer.transport.abort
+
+
+def _expect_bytes(socket: Socket) -> None:
+    if isinstance(socket.reader, _ConnectionReader):
+        socket.reader.on_unasked = None
 
 
 def _describe(error: OSError | TimeoutError) -> str:
--- a/lagoonpost/http/tunnel.py
+++ b/lagoonpost/http/tunnel.py
@@ -15,7 +15,12 @@
 
 import h11
 
-from lagoonpost.http.client import CallFailedError, Client, Socket
+from lagoonpost.http.client import (
+    MAX_INTERIM_RESPONSES,
+    CallFailedError,
+    Client,
+    Socket,
+)
 from lagoonpost.http.message import Address, Headers
 
 READ_BYTES = 16 * 1024
@@ -220,6 +225,7 @@
 
     def __init__(self, on_head: Callable[[int, Headers], None]) -> None:
         self._on_head = on_head
+        self._interim = 0
         self._connection: h11.Connection | None = h11.Connection(h11.CLIENT)
         # A response is expected once a request was sent; which one, does not
         # matter for its head.
@@ -236,6 +242,10 @@
             self._connection.receive_data(data)
             event = self._connection.next_event()
             while isinstance(event, h11.InformationalResponse):
+                self._interim += 1
+                if self._interim > MAX_INTERIM_RESPONSES:
+                    self._connection = None
+                    return
                 event = self._connection.next_event()
         except h11.RemoteProtocolError:
             self._connection = None
--- a/lagoonpost/runners/connection.py
+++ b/lagoonpost/runners/connection.py
@@ -8,7 +8,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from lagoonpost.http.client import CallFailedError, Stream
+from lagoonpost.http.client import (
+    CallFailedError,
+    EndlessAnswerError,
+    Stream,
+)
 from lagoonpost.runners.engine import Refusal
 from lagoonpost.runners.sse import Closing, EventReader, Tokens
 from lagoonpost.systems.relay import (
@@ -126,6 +130,10 @@
             self._start_silence_timer(answer)
             try:
                 await self._read(answer)
+            except EndlessAnswerError:
+                # Reading it again would bring the same bytes.
+                self._queue_event(AttemptFailed(attempt, "failed", "ran"))
+                return
             except CallFailedError:
                 pass
             finally:
--- a/lagoonpost/runners/sse.py
+++ b/lagoonpost/runners/sse.py
@@ -4,11 +4,9 @@
 
 import msgspec
 
+from lagoonpost.http.events import MAX_EVENT_BYTES
 from lagoonpost.tables.token_usage import TokenUsage
 
-# A larger event is a protocol error; a token with its frame takes a few
-# hundred bytes.
-MAX_EVENT_BYTES = 1024 * 1024
 _DATA = b"data:"
 _ID = b"id:"
 _DONE = b"[DONE]"
@@ -69,7 +67,7 @@
     """
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._incomplete = bytearray()
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events completed by ``data``.
@@ -77,11 +75,19 @@
         Args:
             data: Next bytes of the response.
         """
-        *blocks, self._incomplete = (self._incomplete + data).split(b"\n\n")
+        # Only the new bytes are searched: an event without an end would
+        # otherwise be searched again with each read.
+        searched = max(0, len(self._incomplete) - 1)
+        self._incomplete += data
+        blocks: list[bytes] = []
+        if self._incomplete.find(b"\n\n", searched) >= 0:
+            *blocks, rest = bytes(self._incomplete).split(b"\n\n")
+            self._incomplete = bytearray(rest)
         events: list[StreamEvent] = []
         following = -1
         tokens: list[str] = []
         if len(self._incomplete) > MAX_EVENT_BYTES:
+            self._incomplete.clear()
             return [EngineError("event exceeds the size limit")]
         for block in blocks:
             try:
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -17,6 +17,7 @@
 )
 from lagoonpost.http.responder import Responder
 from lagoonpost.http.server import Server
+from lagoonpost_standins.endless import ENDLESS_ANSWERS, send_endless
 
 RunnerFault = Literal[
     "none",
@@ -32,6 +33,8 @@
     "silent_midway",
     "pause_first",
     "pause_midway",
+    "endless",
+    "trickle",
     "crash",
 ]
 """Faults of a runner:
@@ -46,6 +49,8 @@
 - silent_midway: stops sending in the middle of a stream
 - pause_first, pause_midway: is silent for a second or so before the answer or
   in the middle of a stream, and goes on
+- endless, trickle: sends bytes without end that are no answer, as fast as they
+  are read or a byte at a time
 - crash: closes the connection of each request that it starts to run
 """
 
@@ -122,6 +127,7 @@
         falls: How often it has fallen over.
         framed: Whether answers have a length or come in chunks; otherwise they
             end with their connection.
+        endless_shape: Name of the endless answer to send; empty for any.
         crash_midway: Whether to crash in the middle of each answer.
         crash_part: Part of a prompt, not its last one, that crashes the runner
             when it begins to answer; empty for none.
@@ -158,6 +164,7 @@
         self.cancelled: list[str] = []
         self.address = Address("127.0.0.1", 0)
         self.framed = True
+        self.endless_shape = ""
         self.crash_midway = False
         self.crash_part = ""
         self.crash_path = ""
@@ -318,6 +325,9 @@
         if self.fault == "rude":
             responder._writer.write(b"these bytes are no answer\r\n\r\n")
             return
+        if self.fault in ("endless", "trickle"):
+            await self._send_without_end(request, responder)
+            return
         if self._is_crashed_by(request):
             self.crash()
             return
@@ -334,6 +344,18 @@
         else:
             await self._answer(request, responder, headers)
 
+    async def _send_without_end(
+        self, request: Request, responder: Responder
+    ) -> None:
+        shape = self.endless_shape or self._rng.choice(list(ENDLESS_ANSWERS))
+        attempt = request.header("attempt-id") or ""
+        await send_endless(
+            responder._writer,
+            ENDLESS_ANSWERS[shape],
+            f"attempt-id: {attempt}\r\n".encode("latin-1"),
+            slow=self.fault == "trickle",
+        )
+
     async def _answer(
         self,
         request: Request,
