check-config: checks a configuration before it is sent

Cause: a configuration with entries that never match or limits that contradict each other is taken as it is, and callers notice first. A value that can't be decoded was told without its place.

Change: `lagoonpost check-config FILE [--against FILE] [--settings FILE] [--json]`.

--- a/lagoonpost/cli/main.py
+++ b/lagoonpost/cli/main.py
@@ -3,6 +3,7 @@
 import click
 
 from lagoonpost.cli.ask import ask, book, check
+from lagoonpost.cli.check_config import check_config
 from lagoonpost.cli.daemon import controller, gateway, settings
 from lagoonpost.cli.entries import entries, status
 from lagoonpost.cli.explain import explain
@@ -25,6 +26,7 @@
     margins,
     settings,
     ticket,
+    check_config,
 )
 
 
