Answers of runners and of the store have separate room in memory

Cause: a gateway's answers of runners, the store and the cloud shared one total of 128 MiB, on hosts with 160 MB and more, and endless answers of runners could take the room of the store's. A body that arrives too slowly was told as silence, which makes a gateway doubt its path to the runner.

Change: 32 MiB for runners' answers, 32 MiB for the store's and the cloud's, 4 MiB for calls that move runs; a slow body is a broken answer.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -285,7 +285,13 @@
     if is_event_stream(stream.headers) and stream.status == 200:
         first = await call.read(first_byte_timeout)
         return first if not isinstance(first, bytes) else Began(call, first)
-    response = await stream.read(MAX_BODY_BYTES, first_byte_timeout)
+    try:
+        response = await stream.read(MAX_BODY_BYTES, first_byte_timeout)
+    except TimeoutError:
+        # Bytes arrive, so that the path to the runner works.
+        if stream.content:
+            return Broken("the body does not end", endless=True)
+        raise
     return Whole(response, stream.ends_with_connection)
 
 
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -57,6 +57,9 @@
 the gateways' addresses again after two seconds."""
 EXIT_RESERVE_SECONDS = 0.7
 """Part of the grace period that is reserved for the process to exit."""
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+"""Bytes kept of runners' unfinished answers, and as many of the store and
+the cloud: four times the largest answer, on hosts with 160 MB or more."""
 MAINTENANCE_INTERVAL_SECONDS = 0.25
 """Pause between rounds of periodic housekeeping."""
 SHIFT_INTERVAL_SECONDS = 0.5
@@ -96,7 +99,7 @@
         settings = self._settings = self._settings_watcher.settings
         # Seeded, so that simulated days are reproducible.
         rng = random.Random(settings.name)
-        self._client = Client()
+        self._client = Client(max_buffered=MAX_BUFFERED_BYTES)
         traffic = ControlTraffic()
         self._metrics = ForwardingMetrics(traffic, self._update_gauges)
         self.view = ClusterState(
@@ -111,7 +114,8 @@
         crashes = self._crashes = CrashWatch(wall_clock)
         self._forwarder = Forwarder(
             self.view,
-            self._client,
+            # What runners send must not take room from the store's answers.
+            Client(max_buffered=MAX_BUFFERED_BYTES),
             usage,
             settings.bounds,
             rng,
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -46,6 +46,9 @@
 PEERS_CACHE_SECONDS = 0.25
 """How long the list of peers is kept: a tenth of the time in which the loss of
 a gateway is noticed."""
+MAX_CONTROL_BYTES = 4 * 1024 * 1024
+"""Bytes kept of all unfinished answers to calls that move runs: each has a few
+hundred."""
 _UNABLE = frozenset((DENIED, GATEWAY_UNABLE))
 """Answers of a peer that can't open connections to any runner."""
 
@@ -363,7 +366,7 @@
         paths: RunnerPaths,
         on_head: Callable[[Address, int, Headers], None],
     ) -> None:
-        super().__init__()
+        super().__init__(max_buffered=MAX_CONTROL_BYTES)
         self.on_head = on_head
         self._paths = paths
 
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -130,6 +130,7 @@
         complete: Whether the body was read to its end. Only then can the
             connection be reused.
         received: Bytes received, those of the framing included.
+        content: Bytes of the body read, without its framing.
     """
 
     def __init__(
@@ -149,7 +150,7 @@
         self.headers: Headers = ()
         self.complete = False
         self.received = 0
-        self._content = 0
+        self.content = 0
         self._body_start = 0
         self._held = 0
         self._events = 0
@@ -202,7 +203,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                self._content += len(event.data)
+                self.content += len(event.data)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.complete = True
@@ -320,10 +321,10 @@
     def _check_framing(self) -> None:
         if not self._body_start:
             return
-        framing = self.received - self._body_start - self._content
-        if framing > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._content:
+        framing = self.received - self._body_start - self.content
+        if framing > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self.content:
             raise EndlessAnswerError(
-                f"{framing} bytes of framing for {self._content} of content"
+                f"{framing} bytes of framing for {self.content} of content"
             )
 
 
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -300,6 +300,7 @@
         play_server(lambda w: send_endless(w, answer), use)
 
     def test_an_endless_event_is_told_once(self):
+        """Guards against an error for each read that follows it."""
         reader = EventReader()
         events = [e for _ in range(1500) for e in reader.feed(b"a" * 1000)]
         assert [type(event) for event in events] == [EngineError]
