A stream is not stalled while its caller doesn't read

Cause: the time without an event ran on while events waited for a slow caller, so that a caller that left after 5.4 s counted against the runner.

Change: StreamProgress stops its clock while events are passed on.

--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -94,8 +94,9 @@
     while isinstance(data, bytes) and data:
         size += len(data)
         events = cutter.feed(data)
-        await _write_events(exchange, call, events, responder)
         if events:
+            progress.suspend()
+            await _write_events(exchange, call, events, responder)
             progress.note_event(exchange.now())
         if exchange.idempotent and progress.is_stalled(exchange.now()):
             return Silent(progress.limit)
--- a/lagoonpost/systems/stream_progress.py
+++ b/lagoonpost/systems/stream_progress.py
@@ -5,9 +5,11 @@
 and its caller waits in vain although another runner could go on. Only complete
 events count here. They may be further apart than bytes, as an event takes time
 to arrive, so the limit is several pauses; callers of streams leave after a
-pause or two.
+pause or two. Time in which the caller doesn't read does not count.
 """
 
+import math
+
 PAUSES_WITHOUT_EVENT = 3
 """Pauses without a complete event after which a stream is given up."""
 
@@ -27,8 +29,12 @@
         self._last = now
         self.limit = PAUSES_WITHOUT_EVENT * pause
 
+    def suspend(self) -> None:
+        """Stop the clock until the next `note_event`."""
+        self._last = math.inf
+
     def note_event(self, now: float) -> None:
-        """Record a complete event."""
+        """Record that a complete event was passed on."""
         self._last = now
 
     def is_stalled(self, now: float) -> bool:
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -17,6 +17,7 @@
 from lagoonpost.runners.engine import open_answer
 from lagoonpost.runners.sse import EngineError, EventReader
 from lagoonpost.systems.relay_event import AttemptFailed
+from lagoonpost.systems.stream_progress import StreamProgress
 from lagoonpost_standins.endless import (
     ENDLESS_ANSWERS,
     ENDLESS_BODIES,
@@ -276,6 +277,18 @@
         assert play(scenario, gateways=2) == 502
 
 
+class TestStreamProgress:
+    def test_only_events_count_and_only_while_the_caller_reads(self):
+        """Guards against a runner that is blamed for its slow caller."""
+        progress = StreamProgress(10.0, 2.0)
+        assert not progress.is_stalled(15.9)
+        assert progress.is_stalled(16.0)
+        progress.suspend()
+        assert not progress.is_stalled(1000.0)
+        progress.note_event(1000.0)
+        assert progress.is_stalled(1006.0)
+
+
 class TestEngineAnswers:
     @pytest.mark.parametrize("shape", ["event", "event_in_chunks"])
     def test_an_answer_moves_on(self, shape):
