Splitting of events without its added cost

Cause: the search for the end of an event beside what is kept took 0.7 to 0.9 us more an event (splitter 3.8 to 4.6, parser of engines 3.1 to 4.1 us).

Change: the parser keeps nothing in the common case; the splitter looks for data only in blocks without an id.

--- a/lagoonpost/http/events.py
+++ b/lagoonpost/http/events.py
@@ -80,7 +80,7 @@
 
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
-_EVENT_FIELD = re.compile(rb"(?m)^(?:data|id):")
+_EVENT_DATA = re.compile(rb"(?m)^data:")
 _EVENT_ID = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
 
 
@@ -128,16 +128,13 @@
         start = 0
         while (end := _EVENT_END.search(pending, searched)) is not None:
             searched = end.end()
-            if _EVENT_FIELD.search(pending, self._block, searched):
-                events.append(self._cut(start, searched))
+            found = _EVENT_ID.search(pending, self._block, searched)
+            if found or _EVENT_DATA.search(pending, self._block, searched):
+                id_ = found.group(1).decode("latin-1").strip() if found else ""
+                event = bytes(pending[start:searched])
+                events.append(RawEvent(id_, event, self._block - start))
                 start = searched
             self._block = searched
         del pending[:start]
         self._block -= start
         return events
-
-    def _cut(self, start: int, end: int) -> RawEvent:
-        pending = self._pending
-        found = _EVENT_ID.search(pending, self._block, end)
-        id_ = found.group(1).decode("latin-1").strip() if found else ""
-        return RawEvent(id_, bytes(pending[start:end]), self._block - start)
--- a/lagoonpost/runners/sse.py
+++ b/lagoonpost/runners/sse.py
@@ -75,14 +75,7 @@
         Args:
             data: Next bytes of the response.
         """
-        # Only the new bytes are searched: an event without an end would
-        # otherwise be searched again with each read.
-        searched = max(0, len(self._incomplete) - 1)
-        self._incomplete += data
-        blocks: list[bytes] = []
-        if self._incomplete.find(b"\n\n", searched) >= 0:
-            *blocks, rest = bytes(self._incomplete).split(b"\n\n")
-            self._incomplete = bytearray(rest)
+        blocks = self._split(data)
         events: list[StreamEvent] = []
         following = -1
         tokens: list[str] = []
@@ -110,6 +103,23 @@
             following = number + 1
         return events
 
+    def _split(self, data: bytes) -> list[bytes]:
+        """Append ``data`` and return the blocks that it completes."""
+        incomplete = self._incomplete
+        if incomplete:
+            # Only the new bytes are searched: an event without an end would
+            # otherwise be searched again with each read.
+            searched = len(incomplete) - 1
+            incomplete += data
+            if incomplete.find(b"\n\n", searched) < 0:
+                return []
+            data = bytes(incomplete)
+            incomplete.clear()
+        *blocks, rest = data.split(b"\n\n")
+        if rest:
+            incomplete += rest
+        return blocks
+
 
 def _read_block(block: bytes) -> tuple[int, _Chunk | None]:
     number = 0
