Let refused callers return soon where other gateways have room

Cause: a gateway that may not send to brittle runners told callers to wait for its own room, while others could have served them, which the refusal without the order considers. Test of where late requests find memory.

--- a/lagoonpost/forwarding/runner_choice.py
+++ b/lagoonpost/forwarding/runner_choice.py
@@ -234,6 +234,15 @@
             exchange, soon, choose, usable, longest > 0
         )
         if retry_after is not None:
+            if not all(
+                self._limits.has_room(
+                    runner, self._count_open(runner), read_clock()
+                )
+                for runner in waits
+            ):
+                # Another gateway may send to the runners that are limited.
+                soonest = find_return_delay(0.0, self._rng)
+                retry_after = min(retry_after, soonest)
             return choice, exchange.make_overload(retry_after)
         # A late request could take memory from a stream that has begun.
         waits_for_memory = (
--- a/test/test_request_order.py
+++ b/test/test_request_order.py
@@ -1,6 +1,7 @@
 """The order of requests while a service is short."""
 
 from random import Random
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -12,6 +13,7 @@
 
 from bench.order_play import DESKS, ENGINES, Overload, find_share
 from lagoonpost.cli.explain import _describe_step
+from lagoonpost.forwarding.request_ordering import RequestOrdering
 from lagoonpost.systems.placement import Placement
 from lagoonpost.systems.request_order import (
     RETRY_AFTER_SHARE,
@@ -26,10 +28,12 @@
     StatedTimes,
     find_slot_wait,
 )
+from lagoonpost.tables.configuration import Service
 from lagoonpost.tables.gateway_report import (
     RunnerWork,
     subtract_work,
 )
+from lagoonpost.tables.metadata import TokenCount
 from lagoonpost.tables.scheduling import Scheduling
 from lagoonpost.tables.urgency import RequestClass, find_urgency, is_later
 
@@ -228,6 +232,32 @@
         assert not any(placement.state(runner.id).by_urgency)
 
 
+class TestRequestOrdering:
+    def test_a_late_request_goes_where_memory_is_left(self):
+        """Guards against filling one runner's memory beside an empty one."""
+        placement, runners = Placement(), make_runners(2)
+        service = Service("chat", engine=True, kv_tokens=100_000)
+        configuration = SimpleNamespace(services={"chat": service})
+        view = SimpleNamespace(
+            routes=SimpleNamespace(configuration=configuration)
+        )
+        ordering = RequestOrdering(view, placement, lambda: 1, Random(1))
+        tokens = SimpleNamespace(tokens=TokenCount(9000, 100), parts=())
+        draft = make_draft("s")
+        ordering.note_sent(
+            SimpleNamespace(arrival=tokens, requirements=draft),
+            placement.choose(runners, draft, 0.0, Random(1)),
+        )
+        work = {
+            runners[0].id: RunnerWork(20, 100),
+            runners[1].id: RunnerWork(1, 300_000),
+        }
+        placement.update_from_peers(work)
+        assert [ordering.has_memory(each) for each in runners] == [False, True]
+        assert ordering._list_fitting(runners) == runners[1:]
+        assert ordering._list_fitting(runners[:1]) == runners[:1]
+
+
 class TestOverload:
     @pytest.mark.parametrize("load", [1.2, 2.0, 5.0])
     def test_more_are_in_time_and_all_groups_are_served(self, load):
