Several homes for prompts that more ask for than one runner serves

A session that a quarter of all prompts ask for had one home. All gateways sent there until they heard of each other's prompts, and the rest was read whole elsewhere. With the part 'draws', a session has as many homes as its share of the work needs, the first of the ranking on which all gateways agree; slow runners are the homes of fewer sessions, full and lost ones are replaced.

--- a/bench/draws.py
+++ b/bench/draws.py
@@ -21,6 +21,7 @@
     PlacementRequest,
     RunnerState,
 )
+from lagoonpost.systems.prompt_homes import find_homes
 from lagoonpost.systems.runner_speeds import RunnerSpeeds
 from lagoonpost.systems.session_affinity import rank_by_session
 from lagoonpost.tables.address import Address
@@ -65,7 +66,8 @@
         hot: Sessions that have ``hot_share`` of the requests.
         hot_share: Their share.
         hot_seconds: Time after which other sessions are the hot ones.
-        lost: Runners that are lost at half of the time.
+        lost: Runners that are lost at half of the time: the first ones that
+            the first session prefers.
         seconds: Length of the play.
     """
 
@@ -184,8 +186,17 @@
                 placement.states[id_] = _State(speeds, id_)
         for number in range(case.sessions):
             parts_ = self._make_parts(number, 1)
-            home = rank_by_session(self._endpoints, parts_)[0].id
-            self._runners[home].cached |= {each.id for each in parts_[:-1]}
+            order = rank_by_session(self._endpoints, parts_)
+            homes = find_homes(
+                order,
+                parts_[-2].id,
+                1,
+                lambda runner: self._runners[runner.id].slowness,
+                lambda runner: True,
+            )
+            for home in (order[0], homes[0]):
+                cached = self._runners[home.id].cached
+                cached |= {each.id for each in parts_[:-1]}
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._scheduled = 0
         self._waits: list[float] = []
@@ -243,7 +254,9 @@
         self._at(now + NOISE_SECONDS, self._change_noise)
 
     def _lose(self, now: float) -> None:
-        for endpoint in self._endpoints[: self._case.lost]:
+        parts = self._make_parts(0, 1)
+        ranked = rank_by_session(self._endpoints, parts)
+        for endpoint in ranked[: self._case.lost]:
             self._runners[endpoint.id].lost = True
 
     def _make_parts(self, session: int, own: int) -> tuple[PromptPart, ...]:
@@ -343,6 +356,7 @@
     return _Player(case, parts, seed).play()
 
 
+HOMES = Play(72, 36, 0.6, sessions=1500)
 PLAIN = Play(82, 3, 0.6, engine=False)
 CASES = {
     **{
@@ -354,7 +368,14 @@
         for load in (0.6, 0.85)
     },
     "36 runners, noise unknown": Play(72, 36, 0.85, noise_known=False),
-    "36 runners, homes": Play(72, 36, 0.85, sessions=1500),
+    "homes": HOMES,
+    "homes, load 0.85": HOMES._replace(load=0.85),
+    "homes, 1 hot": HOMES._replace(hot=1),
+    "homes, 1 hot that moves": HOMES._replace(hot=1, hot_seconds=2.0),
+    "homes, 10 hot": HOMES._replace(hot=10),
+    "homes, 1 hot, its first 4 runners are lost": HOMES._replace(
+        hot=1, lost=4
+    ),
     "36 runners, 4 are lost": Play(72, 36, 0.6, lost=4),
     "3 plain runners": PLAIN,
     "3 plain runners, load 0.8": PLAIN._replace(load=0.8),
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -12,6 +12,7 @@
 from lagoonpost.tables.address import Address
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.metadata import PromptPart
+from lagoonpost.tables.scheduling import NO_PARTS, Scheduling
 
 COUNTS = (9, 70, 2800)
 CHOICES = 20_000
@@ -24,13 +25,14 @@
 )
 
 
-def measure(count: int) -> float:
+def measure(count: int, parts: Scheduling = NO_PARTS) -> float:
     """Return the seconds per choice among ``count`` runners."""
     runners = [
         Endpoint(f"i-{n}", "chat", Address("10.0.0.1", 80), "a", "v1", 16)
         for n in range(count)
     ]
     placement, rng = Placement(), Random(1)
+    placement.scheduling = parts
     rounds = max(3, CHOICES // count)
     started = time.perf_counter()
     for number in range(rounds):
@@ -43,8 +45,10 @@
     base = measure(COUNTS[0])
     for count in COUNTS:
         seconds = measure(count)
+        drawn = measure(count, Scheduling(draws=True))
         click.echo(
-            f"{count} runners: {seconds * 1e6:.0f} us, {seconds / base:.1f} x"
+            f"{count} runners: {seconds * 1e6:.0f} us, {seconds / base:.1f} x,"
+            f" with draws {drawn / seconds:.2f} of it"
         )
 
 
--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -76,6 +76,9 @@
 ORDER_TYPE = "lagoonpost:duties:order"
 COMPARED_PREFIX = "compared "
 """Beginning of the step that names the runners that were drawn."""
+HOMES_PREFIX = "homes "
+"""Beginning of the step that tells how many runners are to cache the shared
+parts of a prompt, if there are several."""
 MOVED_TYPE = "lagoonpost:forwarding:moved"
 
 
@@ -154,6 +157,9 @@
     if step.startswith(COMPARED_PREFIX):
         waits = step.removeprefix(COMPARED_PREFIX).replace(" ", ", ")
         return f"drawn and compared, by predicted seconds: {waits}"
+    if step.startswith(HOMES_PREFIX):
+        count = step.removeprefix(HOMES_PREFIX)
+        return f"{count} runners were to cache its shared parts, as many asked"
     if outcome not in _OFFERS:
         return _STEPS.get(step, step)
     predicted = f"predicted to begin in {seconds} s"
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -187,6 +187,8 @@
         if choice.compared:
             waits = (f"{id_}={wait:.3f}" for id_, wait in choice.compared)
             self.note(" ".join(("compared", *waits)))
+        if choice.homes > 1:
+            self.note(f"homes {choice.homes}")
 
     def note_outcome(self, choice: Choice, outcome: Outcome) -> None:
         """Record the outcome of an offer and what it implies for retries."""
--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -9,17 +9,20 @@
 report, and the parts of this prompt that the runner has not cached.
 
 A session's prompts go to the runner chosen by a hash of its last shared part,
-on which all gateways agree without communicating. Another runner gets such a
+on which all gateways agree without communicating (with draws in effect, to one
+of the runners that `prompt_homes` chooses). Another runner gets such a
 prompt only if it is predicted to be faster although it prefills the whole
 prompt. The pace of each runner is learned from its answers and decays to the
 mean of its service, so that a runner that was slow is tried again.
 """
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from random import Random
 from typing import NamedTuple
 
+from lagoonpost.systems.prompt_homes import PromptDemand, find_homes
 from lagoonpost.systems.reach import DIRECT_RANK, LOST_RANK, Path, Reach
 from lagoonpost.systems.runner_draw import (
     PLAIN_DRAWS,
@@ -107,6 +110,7 @@
         indirect: Whether the request goes through another gateway.
         compared: The runners that were drawn and compared, with their
             predicted waits in seconds; empty if all were compared.
+        homes: Number of runners that are to cache the prompt's shared parts.
     """
 
     endpoint: Endpoint
@@ -119,6 +123,7 @@
     backlog: float = 0.0
     indirect: bool = False
     compared: tuple[tuple[str, float], ...] = ()
+    homes: int = 1
 
 
 class RunnerState:
@@ -215,6 +220,9 @@
         self.unloaded_paces: dict[str, float] = {}
         self._overheads: dict[str, float] = {}
         self._rankings = RankingCache()
+        self._demands: defaultdict[str, PromptDemand] = defaultdict(
+            PromptDemand
+        )
 
     def state(self, runner: str) -> RunnerState:
         """Return the state of a runner, created on first use."""
@@ -302,12 +310,19 @@
         best_rank: tuple[int, float, float] | None = None
         best = endpoints[0], _Predicted(0.0, 0, False)
         draws = self.scheduling.draws
+        candidates = endpoints
+        homes: list[Endpoint] = []
         compared: list[tuple[str, float]] = []
-        for candidate in (
-            self._draw(endpoints, wanted, home, paths, delays, now, rng)
-            if draws
-            else endpoints
-        ):
+        if draws:
+            find_room = self._make_room_finder(paths, delays, now)
+            ranked = (runner for runner in order if runner.id in usable)
+            homes = self._find_homes(
+                ranked, wanted, find_room, len(usable), now
+            )
+            candidates = _draw(endpoints, homes, wanted.engine, find_room, rng)
+        for candidate in candidates:
+            if candidate in homes:
+                home = candidate.id
             state = self.state(candidate.id)
             predicted = predict(state, candidate, wanted, home, pace, now)
             wait = (
@@ -328,7 +343,7 @@
         ahead = state.tokens + state.peer_work.tokens
         reachable = (
             runner
-            for runner in order
+            for runner in (*homes, *order)
             if not self.reach.is_lost(runner.id, now)
         )
         return Choice(
@@ -344,33 +359,47 @@
             ahead * self.unloaded_paces.get(wanted.service, 0.0),
             paths[endpoint.id].indirect,
             tuple(compared),
+            max(1, len(homes)),
         )
 
-    def _draw(
+    def _make_room_finder(
         self,
-        endpoints: Sequence[Endpoint],
-        wanted: PlacementRequest,
-        home: str,
         paths: Mapping[str, Path],
         delays: Mapping[str, float],
         now: float,
-        rng: Random,
-    ) -> list[Endpoint]:
-        """Return the runners to compare: a few, and the prompt's home."""
-
-        def find_room(runner: Endpoint) -> Room:
-            return Room(
-                paths[runner.id].rank,
-                1 / self.speeds.slowness(runner.id, now),
-                not delays.get(runner.id)
-                and self.count_open(runner.id) < runner.slots,
-            )
+    ) -> Callable[[Endpoint], Room]:
+        """Return a function that returns the room of a runner."""
+        return lambda runner: Room(
+            paths[runner.id].rank,
+            1 / self.speeds.slowness(runner.id, now),
+            not delays.get(runner.id)
+            and self.count_open(runner.id) < runner.slots,
+        )
 
-        count = PROMPT_DRAWS if wanted.engine else PLAIN_DRAWS
-        drawn = draw_runners(endpoints, count, find_room, DIRECT_RANK, rng)
-        if home and all(runner.id != home for runner in drawn):
-            drawn += [runner for runner in endpoints if runner.id == home]
-        return drawn
+    def _find_homes(
+        self,
+        order: Iterable[Endpoint],
+        wanted: PlacementRequest,
+        find_room: Callable[[Endpoint], Room],
+        runners: int,
+        now: float,
+    ) -> list[Endpoint]:
+        """Return the homes of a prompt; empty if it has no shared part."""
+        if not wanted.engine or len(wanted.parts) < 2:
+            return []
+
+        def has_room(runner: Endpoint) -> bool:
+            room = find_room(runner)
+            return room.free and room.rank == DIRECT_RANK
+
+        demand = self._demands[wanted.service]
+        return find_homes(
+            order,
+            wanted.parts[-2].id,
+            demand.count_homes(wanted.parts, runners, now),
+            lambda runner: self.speeds.slowness(runner.id, now),
+            has_room,
+        )
 
     def note_sent(
         self, choice: Choice, wanted: PlacementRequest, now: float
@@ -380,6 +409,8 @@
         state.requests += 1
         state.tokens += choice.uncached_tokens
         state.note_parts(wanted.parts, now)
+        if self.scheduling.draws and wanted.engine:
+            self._demands[wanted.service].note(wanted.parts, now)
 
     def note_first_byte(
         self, choice: Choice, wanted: PlacementRequest, took: float, now: float
@@ -462,6 +493,22 @@
     unloaded: bool
 
 
+def _draw(
+    endpoints: Sequence[Endpoint],
+    homes: Sequence[Endpoint],
+    engine: bool,
+    find_room: Callable[[Endpoint], Room],
+    rng: Random,
+) -> list[Endpoint]:
+    """Return the runners to compare: a few of all, and a few of the homes."""
+    count = PROMPT_DRAWS if engine else PLAIN_DRAWS
+    drawn = draw_runners(endpoints, count, find_room, DIRECT_RANK, rng)
+    if not homes:
+        return drawn
+    near = draw_runners(homes, PROMPT_DRAWS, find_room, DIRECT_RANK, rng)
+    return near + [runner for runner in drawn if runner not in near]
+
+
 def _predict_plain(
     state: RunnerState,
     endpoint: Endpoint,
--- a/test/test_draws.py
+++ b/test/test_draws.py
@@ -93,6 +93,9 @@
     def test_explain_tells_what_was_compared(self):
         fields = dict.fromkeys(("route", "workspace", "version"), "")
         fields |= {"request": "r", "outcome": "answered", "status": 200}
-        fields |= {"took": 0.1, "steps": ["compared i-1=0.120 i-2=0.340"]}
+        fields |= {
+            "took": 0.1,
+            "steps": ["compared i-1=0.120 i-2=0.340", "homes 3"],
+        }
         lines = [LogLine("a.log", 1.0, REQUEST_TYPE, fields)]
         assert "i-1=0.120, i-2=0.340" in "\n".join(explain_request("r", lines))
