--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -1,16 +1,14 @@
 """Gateways' load reports, and the summaries that hubs make of them.
 
 Gateways send reports to the hubs by datagram. A hub sums them up and sends a
-summary to the gateways of its failure domain. In a full mesh, where nobody
-needs sums, a gateway that has just started gets them from one that ran on:
-reports don't tell what gateways that were killed had admitted.
+summary to the gateways of its failure domain.
 """
 
 import asyncio
 import math
 import random
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from lagoonpost.http.message import Address, parse_address
@@ -56,9 +54,6 @@
 REACHABLE_SHARE_CACHE_SECONDS = 0.1
 """How long the computed share of reachable gateways is cached: a tenth of the
 time in which the loss of a gateway is noticed."""
-NEWCOMER_SECONDS = 4.0
-"""Time after its start in which a gateway of a full mesh gets sums. All know
-of it a second or so after its start."""
 MIN_KNOWN_SHARE = 0.5
 """Share of all gateways below which their demand counts as unknown."""
 MAX_SENT_REPORTS = 64
@@ -162,7 +157,6 @@
         self._sent: dict[int, _Sent] = {}
         self._summary: tuple[float, HubSummary] | None = None
         self._summary_numbers: dict[str, int] = {}
-        self._has_usage = False
         self._peer_work: dict[str, RunnerWork] = {}
         self._peer_demand: Demand | None = None
         self._reachable_share_cache = (-math.inf, 1.0)
@@ -231,8 +225,20 @@
 
     def _send_summaries(self) -> None:
         """Send a summary to each gateway that this hub serves."""
-        receivers = self._find_summary_receivers()
-        if not receivers:
+        roles = self._find_roles()
+        if roles.mesh or self._name not in roles.hubs:
+            return
+        members = self._find_members()
+        domains = {member.name: member.failure_domain for member in members}
+        here = domains.get(self._name)
+        receivers = [
+            member
+            for member in members
+            if member.failure_domain == here and member.name not in roles.hubs
+        ]
+        # Of several hubs in a domain, only the first sends summaries.
+        first = next(n for n in roles.hubs if domains.get(n) == here)
+        if not receivers or first != self._name:
             return
         fresh = self.list_fresh_reports(with_own=True)
         # The newest run of each name comes last.
@@ -261,34 +267,6 @@
             target = parse_address(member.address)
             self._post.send(own, [target])
 
-    def _find_summary_receivers(self) -> list[Member]:
-        """Return the gateways that get this gateway's summaries."""
-        roles = self._find_roles()
-        members = self._find_members()
-        if self._name not in roles.hubs:
-            return []
-        if roles.mesh:
-            new = [member for member in members if self._is_new(member)]
-            is_first = self._name == roles.hubs[0]
-            return (
-                [] if not is_first or self._name in _list_names(new) else new
-            )
-        domains = {member.name: member.failure_domain for member in members}
-        here = domains.get(self._name)
-        # Of several hubs in a domain, only the first sends summaries.
-        first = next(n for n in roles.hubs if domains.get(n) == here)
-        if first != self._name:
-            return []
-        return [
-            member
-            for member in members
-            if member.failure_domain == here and member.name not in roles.hubs
-        ]
-
-    def _is_new(self, member: Member) -> bool:
-        started = member.incarnation / 1000
-        return abs(self._clock() - started) < NEWCOMER_SECONDS
-
     # Receiving
 
     def _handle_report(self, report: GatewayReport, sender: Address) -> None:
@@ -318,10 +296,7 @@
     def _handle_summary(self, summary: HubSummary, sender: Address) -> None:
         """Handle a hub's summary, and subtract this gateway's own work."""
         before = self._summary_numbers.get(summary.hub, 0)
-        if self.is_hub():
-            self._take_usage(summary)
-            return
-        if before >= summary.number:
+        if self.is_hub() or before >= summary.number:
             return
         # A summary that names another run has nothing of this run.
         mine = summary.run == self.run_id
@@ -342,25 +317,6 @@
         if self.speeds is not None:
             self.speeds.handle_summary(summary.speeds)
 
-    def _take_usage(self, summary: HubSummary) -> None:
-        """Take the quota use from before this start, once after it.
-
-        A sender that has just resumed from a suspension hears few gateways,
-        and its sums lack what the others admitted meanwhile.
-        """
-        sent = self._sent.get(summary.sequence)
-        if (
-            self._has_usage
-            or not self._find_roles().mesh
-            or self._now() - self._started > NEWCOMER_SECONDS
-            or 2 * summary.gateways < len(self._find_members())
-            or summary.run != self.run_id
-            or sent is None
-        ):
-            return
-        self._has_usage = True
-        self._delegate.apply_taken(summary.recent_usage, sent.at)
-
     # Views
 
     def list_fresh_reports(
@@ -463,7 +419,3 @@
     def _now(self) -> float:
         # This clock runs on in a suspension, after which no report is fresh.
         return read_clock()
-
-
-def _list_names(members: Iterable[Member]) -> set[str]:
-    return {member.name for member in members}
