Read and check the configuration by one table of its fields

Walking, checking and locating move to declarations/document.py, which knows no names, and the decoder uses the same table.

--- a/lagoonpost/cli/check_config.py
+++ b/lagoonpost/cli/check_config.py
@@ -7,18 +7,20 @@
 import click
 
 from lagoonpost.cli.option import ExitCode, fail
-from lagoonpost.declarations.plan import Change, list_changes
-from lagoonpost.platform.configuration import (
-    InvalidRowError,
-    decode_configuration,
-)
-from lagoonpost.platform.configuration_document import (
+from lagoonpost.declarations.document import (
     DocumentFault,
+    Place,
     find_document_faults,
     list_objects,
     locate,
     read_document,
 )
+from lagoonpost.declarations.plan import Change, list_changes
+from lagoonpost.platform.configuration import (
+    DOCUMENT,
+    InvalidRowError,
+    decode_configuration,
+)
 from lagoonpost.platform.settings import SettingsError, read_host_settings
 from lagoonpost.systems.configuration_check import (
     Deployment,
@@ -96,7 +98,7 @@
     if isinstance(document, DocumentFault):
         lines = [_Line("error", *document)]
     else:
-        faults = find_document_faults(document)
+        faults = find_document_faults(document, DOCUMENT)
         lines = [_Line("error", *fault) for fault in faults]
         if not faults:
             lines = _check(body, document, _describe(settings, old))
@@ -126,7 +128,7 @@
     return [
         _Line(
             finding.severity,
-            *locate(document, *finding.place),
+            *locate(document, DOCUMENT, Place(*finding.place)),
             finding.message,
         )
         for finding in check_configuration(configuration, deployment)
@@ -154,7 +156,7 @@
     faults = (
         [document]
         if isinstance(document, DocumentFault)
-        else find_document_faults(document)
+        else find_document_faults(document, DOCUMENT)
     )
     if faults:
         line = _Line("error", *faults[0])
@@ -164,7 +166,7 @@
 
 
 def _compare(old: dict[str, Any], new: dict[str, Any]) -> list[_Difference]:
-    before, after = list_objects(old), list_objects(new)
+    before, after = (list_objects(each, DOCUMENT) for each in (old, new))
     removed = {key: ABSENT for key in before if key not in after}
     by_entry: dict[str, list[Change]] = {}
     for change in list_changes(before, after | removed):
--- a/lagoonpost/platform/configuration.py
+++ b/lagoonpost/platform/configuration.py
@@ -4,23 +4,89 @@
 
 import msgspec
 
+from lagoonpost.declarations.document import Field, Kinds, Schema, read_fields
 from lagoonpost.tables.configuration import (
     CallerLimits,
     Configuration,
     Route,
-    RouteKind,
     Scaling,
     Service,
     TrafficShare,
     Workspace,
 )
 
-_KINDS: dict[str, RouteKind] = {
-    "safe": "safe",
-    "unsafe": "unsafe",
-    "streaming": "stream",
-}
 MS_PER_SECOND = 1000.0
+_KINDS = {"safe": "safe", "unsafe": "unsafe", "streaming": "stream"}
+_SPLIT = Kinds.list_of({"service": Kinds.TEXT, "weight": Kinds.NUMBER})
+_UNIT = Kinds.TEXT._replace(convert=lambda value: value == "tokens")
+_NAME = Field("name", Kinds.TEXT, required=True)
+_REGIONS = Field("allowed_regions", Kinds.TEXTS, ())
+_ROUTE = {
+    "name": _NAME,
+    "host": Field("host", Kinds.TEXT, required=True),
+    "prefix": Field("prefix", Kinds.TEXT, required=True),
+    "kind": Field("kind", Kinds.choose_of(_KINDS), required=True),
+    "shares": Field("traffic_split", _SPLIT),
+    "service": Field("service", Kinds.TEXT._replace(convert=None)),
+    "timeout": Field("timeout_ms", Kinds.NUMBER, 60.0, MS_PER_SECOND),
+    "target": Field("target_latency_ms", Kinds.NUMBER, 0.0, MS_PER_SECOND),
+    "gap": Field("gap_target_ms", Kinds.NUMBER, 0.0, MS_PER_SECOND),
+    "max_attempts": Field("max_attempts", Kinds.WHOLE, 1),
+    "priority": Field("priority", Kinds.WHOLE, 0),
+    "public": Field("public", Kinds.FLAG, False),
+    "resumable": Field("stream_resume", Kinds.FLAG, False),
+    "regions": _REGIONS,
+}
+_SERVICE = {
+    "name": _NAME,
+    "health_path": Field("health_path", Kinds.TEXT, "/health"),
+    "slots": Field("engine.slots", Kinds.WHOLE, 0),
+    "kv_tokens": Field("engine.kv_capacity", Kinds.WHOLE, 0),
+    "cold_seconds": Field("cold_start_s", Kinds.NUMBER, 0.0),
+    "cold_rate": Field("cold_per_s", Kinds.NUMBER, 0.0),
+}
+_SCALING = {
+    "min_runners": Field("scaling.min", Kinds.WHOLE, 0),
+    "max_runners": Field("scaling.max", Kinds.WHOLE, 0),
+    "boot_seconds": Field("scaling.boot_s", Kinds.NUMBER, 0.0),
+    # No price means that reclaimable runners are not available.
+    "spot_price": Field("scaling.spot_price", Kinds.NUMBER, 0.0),
+    "prices": Field("scaling.zone_prices", Kinds.NUMBERS, {}),
+}
+_WORKSPACE = {
+    "name": _NAME,
+    "keys": Field("api_keys", Kinds.TEXTS, ()),
+    "priority": Field("priority", Kinds.WHOLE),
+    "rate": Field("rate_per_s", Kinds.NUMBER, 0.0),
+    "burst": Field("burst", Kinds.NUMBER, 0.0),
+    "by_tokens": Field("unit", _UNIT, False),
+    "default_tokens": Field("plain_tokens", Kinds.NUMBER, 1.0),
+    "regions": _REGIONS,
+}
+_LIMITS = {
+    "head": Field("max_header_bytes", Kinds.WHOLE, CallerLimits().head),
+    "body": Field("max_body_bytes", Kinds.WHOLE, CallerLimits().body),
+    "head_seconds": Field(
+        "header_timeout_ms", Kinds.NUMBER, 3.0, MS_PER_SECOND
+    ),
+    "idle_seconds": Field(
+        "idle_timeout_ms", Kinds.NUMBER, 15.0, MS_PER_SECOND
+    ),
+}
+DOCUMENT = Schema(
+    root={
+        "version": Field("version", Kinds.WHOLE, required=True),
+        "routes": Field("routes", Kinds.ANY, required=True),
+    },
+    sections={"routes": "routes", "services": "services"}
+    | {"workspaces": "tenants"},
+    objects={"limits": "limits"},
+    fields={"routes": _ROUTE, "services": {**_SERVICE, **_SCALING}}
+    | {"workspaces": _WORKSPACE, "limits": _LIMITS},
+    hidden="api_keys",
+    alternatives={"routes": ("traffic_split", "service")},
+)
+"""Fields of the operators' document."""
 
 
 class InvalidRowError(ValueError):
@@ -33,15 +99,10 @@
     Raises:
         InvalidRowError: If decoding fails; the active one stays in force.
     """
+    faults = KeyError, TypeError, ValueError, AttributeError
     try:
         return _decode(msgspec.json.decode(body))
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as error:
+    except (msgspec.DecodeError, *faults) as error:
         raise InvalidRowError(f"configuration: {error!r}") from error
 
 
@@ -52,87 +113,29 @@
         routes=tuple(_decode_route(item) for item in value["routes"]),
         services={service.name: service for service in services},
         workspaces=tuple(
-            _decode_workspace(item) for item in value.get("tenants") or []
+            Workspace(**read_fields(item, _WORKSPACE))
+            for item in value.get("tenants") or []
         ),
-        limits=_decode_limits(value.get("limits") or {}),
+        limits=CallerLimits(**read_fields(value.get("limits") or {}, _LIMITS)),
     )
 
 
 def _decode_route(value: dict[str, Any]) -> Route:
+    fields = read_fields(value, _ROUTE)
+    fields["target"] = fields["target"] or fields["timeout"]
     split = value.get("traffic_split") or [
         {"service": value["service"], "weight": 1}
     ]
-    timeout = float(value.get("timeout_ms") or 60_000)
-    return Route(
-        name=str(value["name"]),
-        host=str(value["host"]),
-        prefix=str(value["prefix"]),
-        kind=_KINDS[value["kind"]],
-        shares=tuple(
-            TrafficShare(str(item["service"]), float(item["weight"]))
-            for item in split
-        ),
-        timeout=timeout / MS_PER_SECOND,
-        target=float(value.get("target_latency_ms") or timeout)
-        / MS_PER_SECOND,
-        max_attempts=int(value.get("max_attempts") or 1),
-        priority=int(value.get("priority") or 0),
-        public=bool(value.get("public")),
-        resumable=bool(value.get("stream_resume")),
-        gap=float(value.get("gap_target_ms") or 0) / MS_PER_SECOND,
-        regions=tuple(map(str, value.get("allowed_regions") or ())),
+    shares = tuple(
+        TrafficShare(str(item["service"]), float(item["weight"]))
+        for item in split
     )
+    return Route(**fields, shares=shares)
 
 
 def _decode_service(value: dict[str, Any]) -> Service:
-    engine = value.get("engine") or {}
-    return Service(
-        name=str(value["name"]),
-        health_path=str(value.get("health_path") or "/health"),
-        engine=bool(engine),
-        slots=int(engine.get("slots") or 0),
-        kv_tokens=int(engine.get("kv_capacity") or 0),
-        scaling=_decode_scaling(value.get("scaling")),
-        cold_seconds=float(value.get("cold_start_s") or 0.0),
-        cold_rate=float(value.get("cold_per_s") or 0.0),
-    )
-
-
-def _decode_scaling(value: dict[str, Any] | None) -> Scaling | None:
-    if not value:
-        return None
-    prices = value.get("zone_prices") or {}
-    return Scaling(
-        min_runners=int(value.get("min") or 0),
-        max_runners=int(value.get("max") or 0),
-        boot_seconds=float(value.get("boot_s") or 0.0),
-        # No price means that reclaimable runners are not available.
-        spot_price=float(value.get("spot_price") or 0.0),
-        prices={str(zone): float(price) for zone, price in prices.items()},
-    )
-
-
-def _decode_workspace(value: dict[str, Any]) -> Workspace:
-    priority = value.get("priority")
-    return Workspace(
-        name=str(value["name"]),
-        keys=tuple(str(key) for key in value.get("api_keys") or []),
-        priority=None if priority is None else int(priority),
-        rate=float(value.get("rate_per_s") or 0.0),
-        burst=float(value.get("burst") or 0.0),
-        by_tokens=value.get("unit") == "tokens",
-        default_tokens=float(value.get("plain_tokens") or 1.0),
-        regions=tuple(map(str, value.get("allowed_regions") or ())),
-    )
-
-
-def _decode_limits(value: dict[str, Any]) -> CallerLimits:
-    default = CallerLimits()
-    return CallerLimits(
-        head=int(value.get("max_header_bytes") or default.head),
-        body=int(value.get("max_body_bytes") or default.body),
-        head_seconds=float(value.get("header_timeout_ms") or 3000)
-        / MS_PER_SECOND,
-        idle_seconds=float(value.get("idle_timeout_ms") or 15000)
-        / MS_PER_SECOND,
-    )
+    scaling = None
+    if value.get("scaling"):
+        scaling = Scaling(**read_fields(value, _SCALING))
+    fields = read_fields(value, _SERVICE)
+    return Service(**fields, engine=bool(value.get("engine")), scaling=scaling)
--- a/test/test_configuration_check.py
+++ b/test/test_configuration_check.py
@@ -9,11 +9,11 @@
 
 from lagoonpost.cli.main import main
 from lagoonpost.cli.option import ExitCode
+from lagoonpost.declarations.document import find_document_faults
 from lagoonpost.http.message import Address
-from lagoonpost.platform.configuration import decode_configuration
-from lagoonpost.platform.configuration_document import (
-    FIELDS,
-    find_document_faults,
+from lagoonpost.platform.configuration import (
+    DOCUMENT,
+    decode_configuration,
 )
 from lagoonpost.systems.configuration_check import (
     Deployment,
@@ -208,7 +208,9 @@
     def test_what_has_no_faults_can_be_decoded(self, data):
         """Guards against an error without a place, from the decoder."""
         section = data.draw(st.sampled_from(["routes", "services", "tenants"]))
-        fields = FIELDS["workspaces" if section == "tenants" else section]
+        fields = DOCUMENT.fields[
+            "workspaces" if section == "tenants" else section
+        ]
         wire = data.draw(st.sampled_from([f.wire for f in fields.values()]))
         value = data.draw(
             st.none()
@@ -218,7 +220,7 @@
             | st.sampled_from(["", "safe", "1", [], ["a"], {}, [{}], [1]])
         )
         document = change(f"{section}.0.{wire.partition('.')[0]}", value)
-        if not find_document_faults(document):
+        if not find_document_faults(document, DOCUMENT):
             decode_configuration(json.dumps(document).encode())
 
 
