--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -374,68 +374,89 @@
             }
         order = self._rankings.rank((*endpoints, *leaving), wanted.parts)
         usable = {endpoint.id for endpoint in endpoints}
-        home = next((runner.id for runner in order if runner.id in usable), "")
-        pace = self.pace(wanted)
-        predict = _predict_prompt if wanted.engine else _predict_plain
-        best_rank: tuple[int, float, float] | None = None
-        best = endpoints[0], _Predicted(0.0, 0, False)
+        ranked = [runner for runner in order if runner.id in usable]
         draws = self.scheduling.draws
         candidates = endpoints
-        homes: list[Endpoint] = []
-        compared: list[tuple[str, float]] = []
+        homes = ranked[:1]
         if draws:
             find_room = self._make_room_finder(paths, delays, now)
-            ranked = (runner for runner in order if runner.id in usable)
             homes = self._find_homes(
                 ranked, wanted, find_room, len(usable), now
             )
             candidates = _draw(endpoints, homes, wanted.engine, find_room, rng)
-        for candidate in candidates:
-            if candidate in homes:
-                home = candidate.id
-            state = self.state(candidate.id)
-            own_pace = pace * self._find_slowness(candidate.id, now)
-            predicted = predict(state, candidate, wanted, home, own_pace, now)
-            wait = (
-                predicted.seconds
-                + state.failure_rate * FAILURE_PENALTY_SECONDS
-                + delays.get(candidate.id, 0.0)
-                + paths[candidate.id].indirect * PEER_HOP_SECONDS
-            )
-            if draws:
-                compared.append((candidate.id, wait))
-            if draws and not wanted.engine:
-                wait = draw_wait(wait, rng)
-            rank = paths[candidate.id].rank, wait, rng.random()
-            if best_rank is None or rank < best_rank:
-                best_rank, best = rank, (candidate, predicted)
-        endpoint, (seconds, uncached_tokens, unloaded) = best
+        compared = [
+            self._predict(runner, wanted, runner in homes, delays, paths, now)
+            for runner in candidates
+        ]
+        draws_waits = draws and not wanted.engine
+        best = min(
+            compared,
+            key=lambda each: (
+                paths[each.endpoint.id].rank,
+                draw_wait(each.wait, rng) if draws_waits else each.wait,
+                rng.random(),
+            ),
+        )
+        endpoint, seconds = best.endpoint, best.seconds
         state = self.state(endpoint.id)
         ahead = state.count_ahead(wanted.urgency)
         reachable = (
             runner
-            for runner in (*homes, *order)
+            for runner in ((*homes, *order) if draws else order)
             if not self.reach.is_lost(runner.id, now)
         )
         return Choice(
             endpoint,
             seconds,
-            uncached_tokens,
+            best.uncached_tokens,
             paths[endpoint.id].rank == LOST_RANK,
-            unloaded,
+            best.unloaded,
             find_copy_source(reachable, endpoint, wanted.parts)
             if wanted.engine
             else None,
             delays.get(endpoint.id, 0.0),
             ahead * self.unloaded_paces.get(wanted.service, 0.0),
             paths[endpoint.id].indirect,
-            tuple(compared),
+            tuple((each.endpoint.id, each.wait) for each in compared)
+            if draws
+            else (),
             max(1, len(homes)),
             wanted.urgency,
             ahead,
-            seconds - self._find_own_seconds(endpoint, wanted, best[1], now),
+            seconds - self._find_own_seconds(best, wanted, now),
         )
 
+    def _predict(
+        self,
+        runner: Endpoint,
+        wanted: PlacementRequest,
+        is_home: bool,
+        delays: Mapping[str, float],
+        paths: Mapping[str, Path],
+        now: float,
+    ) -> "_Predicted":
+        """Predict when a runner would answer a request.
+
+        Args:
+            runner: The runner.
+            wanted: The request.
+            is_home: Whether the runner is to cache the prompt's shared parts.
+            delays: Seconds until a request may be sent, by runner.
+            paths: Path to each runner.
+            now: Time in seconds.
+        """
+        state = self.state(runner.id)
+        pace = self.pace(wanted) * self._find_slowness(runner.id, now)
+        predict = _predict_prompt if wanted.engine else _predict_plain
+        predicted = predict(state, runner, wanted, is_home, pace, now)
+        wait = (
+            predicted.seconds
+            + state.failure_rate * FAILURE_PENALTY_SECONDS
+            + delays.get(runner.id, 0.0)
+            + paths[runner.id].indirect * PEER_HOP_SECONDS
+        )
+        return predicted._replace(wait=wait)
+
     def _make_room_finder(
         self,
         paths: Mapping[str, Path],
@@ -476,16 +497,12 @@
         )
 
     def _find_own_seconds(
-        self,
-        endpoint: Endpoint,
-        wanted: PlacementRequest,
-        predicted: "_Predicted",
-        now: float,
+        self, predicted: "_Predicted", wanted: PlacementRequest, now: float
     ) -> float:
         """Return the part of a prediction that is the request's own work."""
         units = predicted.uncached_tokens if wanted.engine else 1
-        pace = self.pace(wanted) * self._find_slowness(endpoint.id, now)
-        return units * pace
+        slowness = self._find_slowness(predicted.endpoint.id, now)
+        return units * self.pace(wanted) * slowness
 
     def note_sent(
         self, choice: Choice, wanted: PlacementRequest, now: float
@@ -583,14 +600,19 @@
     """Prediction for one runner.
 
     Attributes:
+        endpoint: The runner.
         seconds: Time to first byte.
         uncached_tokens: Prompt tokens to prefill.
         unloaded: Whether no other prompt is in prefill.
+        wait: Time by which runners are compared: to first byte, on the path
+            there, with its failures and the time until it may be sent.
     """
 
+    endpoint: Endpoint
     seconds: float
     uncached_tokens: int
     unloaded: bool
+    wait: float = 0.0
 
 
 def _draw(
@@ -613,7 +635,7 @@
     state: RunnerState,
     endpoint: Endpoint,
     wanted: PlacementRequest,
-    home: str,
+    is_home: bool,
     pace: float,
     now: float,
 ) -> _Predicted:
@@ -621,20 +643,20 @@
     turns = max(1.0, (running + 1) / max(1, endpoint.slots))
     # Spreads requests over runners that are otherwise equal.
     seconds = pace * turns + running * STEP_OVERHEAD_SECONDS
-    return _Predicted(seconds, 0, False)
+    return _Predicted(endpoint, seconds, 0, False)
 
 
 def _predict_prompt(
     state: RunnerState,
     endpoint: Endpoint,
     wanted: PlacementRequest,
-    home: str,
+    is_home: bool,
     pace: float,
     now: float,
 ) -> _Predicted:
     running = state.requests + state.peer_work.requests
     cached = state.count_cached_tokens(wanted.parts, now)
-    if endpoint.id == home and len(wanted.parts) > 1:
+    if is_home and len(wanted.parts) > 1:
         shared = sum(part.tokens for part in wanted.parts[:-1])
         cached = max(cached, shared)
     uncached_tokens = max(1, wanted.prompt - cached)
@@ -646,4 +668,5 @@
         seconds += pace * ahead / max(1, running)
     behind = state.count_ahead(None) - ahead
     seconds += OVERTAKEN_SHARE * pace * min(behind, uncached_tokens)
-    return _Predicted(seconds, uncached_tokens, state.count_ahead(None) == 0)
+    unloaded = state.count_ahead(None) == 0
+    return _Predicted(endpoint, seconds, uncached_tokens, unloaded)
