Count a runner's capacity as its places in placement

Gateways learn up to how many requests a runner keeps its pace, and nothing asked for it. Requests beyond that now count as waiting, as those beyond the slots do, and draws and homes hold such a runner for full. In effect with the part 'speeds' only.

--- a/lagoonpost/systems/placement.py
+++ b/lagoonpost/systems/placement.py
@@ -448,7 +448,8 @@
         state = self.state(runner.id)
         pace = self.pace(wanted) * self._find_slowness(runner.id, now)
         predict = _predict_prompt if wanted.engine else _predict_plain
-        predicted = predict(state, runner, wanted, is_home, pace, now)
+        places = max(1, self._count_places(runner, now))
+        predicted = predict(state, runner, wanted, is_home, pace, places, now)
         wait = (
             predicted.seconds
             + state.failure_rate * FAILURE_PENALTY_SECONDS
@@ -468,9 +469,15 @@
             paths[runner.id].rank,
             1 / self.speeds.slowness(runner.id, now),
             not delays.get(runner.id)
-            and self.count_open(runner.id) < runner.slots,
+            and self.count_open(runner.id) < self._count_places(runner, now),
         )
 
+    def _count_places(self, runner: Endpoint, now: float) -> int:
+        """Return the requests at once that a runner takes well."""
+        if self.scheduling.speeds:
+            return self.speeds.capacity(runner.id, runner.slots, now)
+        return runner.slots
+
     def _find_homes(
         self,
         order: Iterable[Endpoint],
@@ -637,10 +644,11 @@
     wanted: PlacementRequest,
     is_home: bool,
     pace: float,
+    places: int,
     now: float,
 ) -> _Predicted:
     running = state.requests + state.peer_work.requests
-    turns = max(1.0, (running + 1) / max(1, endpoint.slots))
+    turns = max(1.0, (running + 1) / places)
     # Spreads requests over runners that are otherwise equal.
     seconds = pace * turns + running * STEP_OVERHEAD_SECONDS
     return _Predicted(endpoint, seconds, 0, False)
@@ -652,6 +660,7 @@
     wanted: PlacementRequest,
     is_home: bool,
     pace: float,
+    places: int,
     now: float,
 ) -> _Predicted:
     running = state.requests + state.peer_work.requests
@@ -664,7 +673,7 @@
     seconds = (
         ahead + uncached_tokens
     ) * pace + running * STEP_OVERHEAD_SECONDS
-    if running >= endpoint.slots:
+    if running >= places:
         seconds += pace * ahead / max(1, running)
     behind = state.count_ahead(None) - ahead
     seconds += OVERTAKEN_SHARE * pace * min(behind, uncached_tokens)
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -18,6 +18,7 @@
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.gateway_report import RunnerWork
 from lagoonpost.tables.metadata import PromptPart
+from lagoonpost.tables.scheduling import Scheduling
 
 
 def make_runners(count: int, service: str = "chat", slots: int = 8):
@@ -116,6 +117,24 @@
 
 
 class TestPlacement:
+    def test_a_runner_that_slows_down_early_is_full_early(self):
+        """Guards against sending on to runners that have slots left only."""
+        early, other = make_runners(2, "desk", slots=24)
+        placement = Placement()
+        work = {early.id: RunnerWork(8, 0), other.id: RunnerWork(12, 0)}
+        placement.update_from_peers(work)
+        placement.speeds.capacity = (  # type: ignore[method-assign]
+            lambda runner, slots, now: 4 if runner == early.id else slots
+        )
+
+        def choose():
+            choice = placement.choose([early, other], CHECK, 0.0, Random(1))
+            return choice.endpoint
+
+        assert choose() == early
+        placement.scheduling = Scheduling(speeds=True)
+        assert choose() == other
+
     @pytest.mark.parametrize("gateways", [1, 9])
     def test_drafts_go_where_their_session_is(self, gateways):
         """Guards against repeated prefills of the sessions' shared parts.
