Log each decision on a retry; failing test of a budget over restarts

The logs had neither the inputs of a decision nor the retries taken, so a restart that renews the budget, a wrong count of gateways and repeats that nobody counts looked alike.

Each decision now has a line with the requests and retries within the window, the number of gateways and what was allowed.

--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -4,6 +4,7 @@
 
 from lagoonpost.forwarding.attempt import Outcome
 from lagoonpost.forwarding.exchange import Exchange
+from lagoonpost.systems.budget import BudgetCheck
 from lagoonpost.systems.placement import Choice
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.scheduling import Scheduling
@@ -95,6 +96,23 @@
     )
 
 
+def log_retry(service: str, granted: bool, check: BudgetCheck | None) -> None:
+    """Write the log line of a decision on a retry.
+
+    Args:
+        service: Name of the service.
+        granted: Whether the request may be offered once more.
+        check: Inputs of the decision.
+    """
+    inputs = check._asdict() if check is not None else {}
+    eliot.log_message(
+        message_type="lagoonpost:forwarding:retry",
+        service=service,
+        granted=granted,
+        **inputs,
+    )
+
+
 def log_trial(exchange: Exchange) -> None:
     """Write the log line of a request that may crash its runner.
 
--- a/lagoonpost/forwarding/retry_budgets.py
+++ b/lagoonpost/forwarding/retry_budgets.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from lagoonpost.forwarding.request_log import log_retry
 from lagoonpost.systems.budget import RetryBudget
 from lagoonpost.tables.bounds import Bounds
 
@@ -33,7 +34,10 @@
 
     def take(self, service: str) -> bool:
         """Take one retry from a service's budget if one is left."""
-        return self._find(service).take(self._count_gateways(), _read_time())
+        budget = self._find(service)
+        granted = budget.take(self._count_gateways(), _read_time())
+        log_retry(service, granted, budget.last_check)
+        return granted
 
     def _find(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/test/test_budget.py
+++ b/test/test_budget.py
@@ -1,5 +1,8 @@
 """The retry budget that all gateways share."""
 
+from random import Random
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -47,3 +50,31 @@
         assert budget.take(1, 0.0)
         assert not budget.take(1, 5.0)
         assert budget.take(1, 10.5)
+
+
+class TestRestarts:
+    @pytest.mark.parametrize("gateways", [3, 9])
+    def test_what_was_spent_before_a_kill_still_counts(self, gateways):
+        """Guards against a budget that each restart of a gateway renews."""
+        rng = Random(1)
+        kills = [5.0, 8.0, 11.0]
+        requests: list[float] = []
+        retries: list[float] = []
+        budgets = [RetryBudget(0.2, 58, 10.0) for _ in range(gateways)]
+        now = 0.0
+        while now < 20.0:
+            now += rng.expovariate(40.0)
+            if kills and now > kills[0]:
+                del kills[0]
+                budgets = [RetryBudget(0.2, 58, 10.0) for _ in range(gateways)]
+            budget = rng.choice(budgets)
+            budget.note_request(now)
+            requests.append(now)
+            retries += [now for _ in range(2) if budget.take(gateways, now)]
+        for start in retries:
+            spent = sum(start <= at < start + 10.0 for at in retries)
+            sent = max(
+                sum(begin <= at < begin + 10.0 for at in requests)
+                for begin in (start, start - 5.0, start - 10.0)
+            )
+            assert spent <= 0.2 * sent + 58
