Make the retry budget outlast restarts and cuts of gateways

Cause: each process kept its window in memory and started with a whole part of the floor, divided by the gateways that it happened to see.

Now a request earns a credit that one gateway at a time holds and that is lost with its process, and the floor is reserved in the store before it is granted, so neither a restart nor a wrong view renews anything. A gateway without a whole credit asks another one, which pools the small credits of many.

The soak counts arrivals at its runners, lagoonpost margins has a row.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -140,6 +140,8 @@
                 crashes.note_down,
                 rng,
             ),
+            self._store,
+            lambda: self._follower.lost,
         )
         self._cluster = PeerSync(
             settings,
@@ -240,6 +242,7 @@
             self._forwarder.admission.quotas.forget_records,
             self._peer_key.refresh,
             self._crash_recorder.handle_new_era,
+            self._forwarder.retries.handle_new_era,
         ]
         self._leaving = False
         self._stop = asyncio.Event()
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 from lagoonpost.forwarding.offers import Offers, send_response
 from lagoonpost.forwarding.peer_sync import PeerSync
 from lagoonpost.forwarding.permits import Permits
+from lagoonpost.forwarding.quota_recorder import ClockedStore
 from lagoonpost.forwarding.refusal import (
     ANSWER_LOST,
     NO_RUNNER,
@@ -71,6 +72,8 @@
         admission: Accepts or refuses requests before they are forwarded.
         crashes: Tells which requests crash runners.
         make_paths: Returns the paths to runners, given what is known of them.
+        store: Store that holds reserved retries.
+        is_store_lost: Returns whether the store doesn't answer this gateway.
 
     Attributes:
         admission: Accepts or refuses requests before they are forwarded.
@@ -78,6 +81,7 @@
         placement: Chooses runners by their load.
         paths: Opens connections to runners.
         permits: Gets permits for runners that bear less than usual.
+        retries: Grants retries within the budgets of the services.
         trials: Gets permits for trials of requests that may crash runners.
         notices: Reads what runners say of themselves in answers.
         offers: Offers requests to runners.
@@ -95,6 +99,8 @@
         admission: Admission,
         crashes: CrashWatch,
         make_paths: Callable[[Reach], RunnerPaths],
+        store: ClockedStore,
+        is_store_lost: Callable[[], bool],
     ) -> None:
         self._view = view
         self._bounds = bounds
@@ -109,8 +115,15 @@
         self.trials = Trials(
             view.limits.group, lambda: self.cluster.find_others()
         )
-        self._budgets = RetryBudgets(
-            bounds, lambda: self.cluster.count_gateways()
+        self.retries = RetryBudgets(
+            view.limits.group.name,
+            bounds,
+            store,
+            is_store_lost,
+            lambda: self.cluster.find_roles().eligible_holders,
+            lambda: self.cluster.find_others(),
+            view.limits.group.count,
+            rng,
         )
         self.notices = NoticeReader(
             view, self.permits, self.placement.count_open
@@ -124,7 +137,7 @@
             KvCacheClient(RunnerClient(self.paths, self.notices.note_call)),
             self._chooser.find_waits,
             self.permits,
-            self._budgets.take,
+            self.retries.acquire,
             crashes.may_send,
             lambda: self._bounds.drain_seconds,
             rng,
@@ -156,6 +169,7 @@
         self.offers.shifts = self._chooser.shifts = shifts
         self.permits.listen(cluster.messenger)
         self.trials.listen(cluster.messenger)
+        self.retries.listen(cluster.messenger)
         self.notices.publish = cluster.publish_news
 
     def note_peer_work(self, work: Mapping[str, RunnerWork]) -> None:
@@ -186,11 +200,11 @@
         self._chooser.scheduling = scheduling
 
     def set_bounds(self, bounds: Bounds) -> None:
-        """Apply new bounds and start with fresh retry budgets."""
+        """Apply new bounds."""
         if bounds == self._bounds:
             return
         self._bounds = bounds
-        self._budgets.set_bounds(bounds)
+        self.retries.set_bounds(bounds)
         self.admission.set_bounds(bounds)
 
     async def handle(self, request: Request, responder: Responder) -> None:
@@ -233,7 +247,7 @@
         self, exchange: Exchange, responder: Responder
     ) -> Refusal | None:
         """Offer the request to runners until one of them answers it."""
-        self._budgets.note_request(exchange.requirements.service)
+        self.retries.note_request(exchange.requirements.service)
         try:
             async with asyncio.timeout_at(exchange.deadline):
                 return await self._try_runners(exchange, responder)
@@ -301,7 +315,7 @@
         choice = await self._chooser.choose(exchange, responder.started)
         if choice is None or not exchange.reached_count:
             return choice
-        if self._budgets.take(exchange.requirements.service):
+        if await self.retries.acquire(exchange.requirements.service):
             return choice
         exchange.note("no_budget")
         return None
--- a/lagoonpost/forwarding/migration.py
+++ b/lagoonpost/forwarding/migration.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import eliot
 
@@ -80,7 +80,7 @@
         find_waits: Returns the seconds until a request may be sent to the
             runners of its service, given the longest wait.
         permits: Gets permits for runners that bear less than usual.
-        take_retry: Takes one retry from a service's budget and returns
+        acquire_retry: Takes one retry from a service's budget and returns
             whether one was left.
         may_send: Tells whether a request may be sent to a runner.
         get_drain_seconds: Returns the least time for which a departing
@@ -95,7 +95,7 @@
         memory: KvCacheClient,
         find_waits: Callable[[Exchange, float], dict[Endpoint, float | None]],
         permits: Permits,
-        take_retry: Callable[[str], bool],
+        acquire_retry: Callable[[str], Awaitable[bool]],
         may_send: Callable[[Exchange], bool],
         get_drain_seconds: Callable[[], float],
         rng: random.Random,
@@ -105,7 +105,7 @@
         self._memory = memory
         self._find_waits = find_waits
         self._permits = permits
-        self._take_retry = take_retry
+        self._acquire_retry = acquire_retry
         self._may_send = may_send
         self._get_drain_seconds = get_drain_seconds
         self._rng = rng
@@ -277,14 +277,14 @@
             await self._memory.free(first.saved)
             return "no_permit"
         await asyncio.sleep(permit.wait)
+        if not await self._acquire_retry(run.exchange.requirements.service):
+            return "no_budget"
         if not self._may_send(run.exchange):
             return "barred"
         if not self._view.may_send(target):
             await self._memory.free(first.saved)
             run.saved = None
             return "withheld"
-        if not self._take_retry(run.exchange.requirements.service):
-            return "no_budget"
         run.stopping = True
         last = await self._memory.copy(
             source, request_id, target.address, stop=True
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -4,9 +4,9 @@
 
 from lagoonpost.forwarding.attempt import Outcome
 from lagoonpost.forwarding.exchange import Exchange
-from lagoonpost.systems.budget import BudgetCheck
 from lagoonpost.systems.placement import Choice
 from lagoonpost.tables.endpoint import Endpoint
+from lagoonpost.tables.retry import BudgetState
 from lagoonpost.tables.scheduling import Scheduling
 from lagoonpost.tables.stated_limits import StatedLimits
 
@@ -21,6 +21,7 @@
         message_type="lagoonpost:forwarding:request",
         request=exchange.arrival.id,
         route=route.name if route else "",
+        service=exchange.requirements.service,
         workspace=exchange.workspace.name if exchange.workspace else "",
         version=exchange.version,
         prompt=exchange.requirements.prompt,
@@ -96,20 +97,20 @@
     )
 
 
-def log_retry(service: str, granted: bool, check: BudgetCheck | None) -> None:
+def log_retry(service: str, source: str, budget: BudgetState) -> None:
     """Write the log line of a decision on a retry.
 
     Args:
         service: Name of the service.
-        granted: Whether the request may be offered once more.
-        check: Inputs of the decision.
+        source: What the retry was taken from; empty if it isn't granted.
+        budget: What this gateway knows of the budget after the decision.
     """
-    inputs = check._asdict() if check is not None else {}
     eliot.log_message(
         message_type="lagoonpost:forwarding:retry",
         service=service,
-        granted=granted,
-        **inputs,
+        granted=bool(source),
+        source=source,
+        **budget._asdict(),
     )
 
 
--- a/lagoonpost/forwarding/retry_budgets.py
+++ b/lagoonpost/forwarding/retry_budgets.py
@@ -1,54 +1,235 @@
-"""The retry budgets of all services."""
+"""The retry budgets of all services, shared with the other gateways.
+
+A gateway without enough credit asks another one, which collects the credits
+of all and reserves retries in the store. It is chosen by hash, so that most
+reservations are made by one gateway; any other one may do the same.
+"""
 
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Collection, Sequence
 
+from lagoonpost.forwarding.quota_recorder import ClockedStore
 from lagoonpost.forwarding.request_log import log_retry
-from lagoonpost.systems.budget import RetryBudget
+from lagoonpost.forwarding.retry_recorder import RetryRecorder
+from lagoonpost.http.message import Address, parse_address
+from lagoonpost.peers.messenger import DatagramMessenger
+from lagoonpost.peers.pending_replies import PendingReplies
+from lagoonpost.store.clock import read_clock
+from lagoonpost.systems.budget import (
+    HOLD_SECONDS,
+    TRAVEL_SECONDS,
+    RetryBudget,
+)
+from lagoonpost.systems.subset import rendezvous_score
 from lagoonpost.tables.bounds import Bounds
+from lagoonpost.tables.peer import Member
+from lagoonpost.tables.retry import RetryReply, RetryRequest
+
+ISSUE_SECONDS = 0.25
+"""Longest wait for a reservation. One that comes later serves later requests;
+a request must not use up its time waiting for a slow store."""
+REPLY_TIMEOUT_SECONDS = ISSUE_SECONDS + 0.15
+"""Timeout of a reply: the issuer's wait and some round trips."""
+SILENT_SECONDS = 2.5
+"""How long a gateway that did not reply is passed over: the time until its
+loss is noticed."""
+ISSUERS_ASKED = 2
+"""Gateways that are asked for one retry, one after the other."""
+ASKED_PER_SECOND = 250.0
+"""Requests for retries of one service that a gateway handles per second, 1%
+of a core at 40 us each. After a denial, gateways ask no more often."""
+
+
+class _Service:
+    """Retries of one service.
+
+    Attributes:
+        budget: This gateway's view of the budget.
+        waiting: Number of requests that wait for a reservation.
+        ask_after: Time in seconds before which no other gateway is asked.
+        reserving: Task that reserves retries; None if there was none.
+    """
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.budget = RetryBudget(
+            bounds.budget_ratio, bounds.budget_floor, bounds.budget_window
+        )
+        self.waiting = 0
+        self.ask_after = 0.0
+        self.reserving: asyncio.Task[None] | None = None
 
 
 class RetryBudgets:
-    """This gateway's part of each service's retry budget.
+    """Grants retries within the budgets of all services.
 
     Args:
+        name: Name of this gateway.
         bounds: Ratio, floor and window of the budgets.
-        count_gateways: Returns the number of gateways that share them.
+        store: Store that holds the reservations.
+        is_store_lost: Returns whether the store doesn't answer this gateway.
+        find_issuers: Returns the names of the gateways that may be asked.
+        find_peers: Returns the other gateways.
+        count_gateways: Returns the number of gateways that may serve callers.
+        rng: Source of random pauses.
+        clock: Returns the time in seconds, suspensions included.
     """
 
     def __init__(
-        self, bounds: Bounds, count_gateways: Callable[[], int]
+        self,
+        name: str,
+        bounds: Bounds,
+        store: ClockedStore,
+        is_store_lost: Callable[[], bool],
+        find_issuers: Callable[[], Collection[str]],
+        find_peers: Callable[[], Sequence[Member]],
+        count_gateways: Callable[[], int],
+        rng: random.Random,
+        clock: Callable[[], float] = read_clock,
     ) -> None:
+        self._name = name
         self._bounds = bounds
+        self._recorder = RetryRecorder(store, is_store_lost, rng, clock)
+        self._find_issuers = find_issuers
+        self._find_peers = find_peers
         self._count_gateways = count_gateways
-        self._budgets: dict[str, RetryBudget] = {}
+        self._clock = clock
+        self._services: dict[str, _Service] = {}
+        self._silent_until: dict[str, float] = {}
+        self._post: DatagramMessenger | None = None
+        self._pending = PendingReplies[RetryReply](REPLY_TIMEOUT_SECONDS)
+        self._last_number = 0
+        self._answering: set[asyncio.Task[None]] = set()
+
+    def listen(self, post: DatagramMessenger) -> None:
+        """Exchange messages with other gateways through a messenger."""
+        self._post = post
+        post.set_handler(RetryRequest, self._handle_request)
+        post.set_handler(RetryReply, self._handle_reply)
 
     def set_bounds(self, bounds: Bounds) -> None:
-        """Apply new bounds and start with fresh budgets."""
+        """Apply new bounds; credits that were earned are lost."""
         self._bounds = bounds
-        self._budgets.clear()
+        self._services.clear()
+
+    def handle_new_era(self) -> None:
+        """Reserve nothing while lost reservations may still count."""
+        counted = self._bounds.budget_window + HOLD_SECONDS + TRAVEL_SECONDS
+        self._recorder.close_until(self._clock() + counted)
 
     def note_request(self, service: str) -> None:
         """Count the first offer of a request."""
-        self._find(service).note_request(_read_time())
-
-    def take(self, service: str) -> bool:
-        """Take one retry from a service's budget if one is left."""
-        budget = self._find(service)
-        granted = budget.take(self._count_gateways(), _read_time())
-        log_retry(service, granted, budget.last_check)
-        return granted
-
-    def _find(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = RetryBudget(
-                self._bounds.budget_ratio,
-                self._bounds.budget_floor,
-                self._bounds.budget_window,
+        budget = self._find(service).budget
+        budget.note_request(self._count_gateways(), self._clock())
+
+    async def acquire(self, service: str) -> bool:
+        """Return whether a request may be offered once more, and count it."""
+        state = self._find(service)
+        source = state.budget.take(self._count_gateways(), self._clock())
+        if not source:
+            source = await self._ask(service, state)
+        budget = state.budget.describe(self._count_gateways(), self._clock())
+        log_retry(service, source, budget)
+        return bool(source)
+
+    async def _ask(self, service: str, state: _Service) -> str:
+        """Return what a retry is taken from; empty if it isn't granted."""
+        for _ in range(ISSUERS_ASKED):
+            issuer = self._choose_issuer(service)
+            if issuer is None:
+                break
+            if self._clock() < state.ask_after:
+                return ""
+            reply = await self._send_request(issuer, service, state)
+            if reply is not None:
+                if reply.granted:
+                    return "issuer"
+                pause = self._count_gateways() / ASKED_PER_SECOND
+                state.ask_after = self._clock() + pause
+                return ""
+            self._silent_until[issuer.name] = self._clock() + SILENT_SECONDS
+        return await self._issue(service, state)
+
+    def _choose_issuer(self, service: str) -> Member | None:
+        """Return the gateway to ask; None if this one issues retries."""
+        now = self._clock()
+        peers = {peer.name: peer for peer in self._find_peers()}
+        names = [
+            name
+            for name in self._find_issuers()
+            if name == self._name
+            or (name in peers and self._silent_until.get(name, now) <= now)
+        ]
+        best = max(
+            names,
+            key=lambda name: (rendezvous_score(service, name), name),
+            default=self._name,
+        )
+        return peers.get(best)
+
+    async def _send_request(
+        self, issuer: Member, service: str, state: _Service
+    ) -> RetryReply | None:
+        """Hand over the credit that there is, and return the reply."""
+        post = self._post
+        if post is None:
+            return None
+        credit = state.budget.hand_over(self._count_gateways(), self._clock())
+        self._last_number += 1
+        request = RetryRequest(self._last_number, service, credit)
+        targets = [parse_address(issuer.address)]
+        return await self._pending.wait(
+            request.number, lambda: post.send(request, targets)
+        )
+
+    # Issuing
+
+    async def _issue(self, service: str, state: _Service) -> str:
+        """Return what this gateway takes a retry from; empty for nothing."""
+        state.waiting += 1
+        try:
+            async with asyncio.timeout(ISSUE_SECONDS):
+                while True:
+                    source = state.budget.take(
+                        self._count_gateways(), self._clock()
+                    )
+                    if source or not self._recorder.may_reserve(service):
+                        return source
+                    await asyncio.shield(self._reserve(service, state))
+        except TimeoutError:
+            return ""
+        finally:
+            state.waiting -= 1
+
+    def _reserve(self, service: str, state: _Service) -> asyncio.Task[None]:
+        """Return the task that reserves retries for all that wait."""
+        task = state.reserving
+        if task is None or task.done():
+            task = state.reserving = asyncio.create_task(
+                self._recorder.reserve(
+                    service, state.budget, lambda: state.waiting
+                )
             )
-        return budget
+        return task
+
+    def _handle_request(self, request: RetryRequest, sender: Address) -> None:
+        task = asyncio.create_task(self._answer(request, sender))
+        self._answering.add(task)
+        task.add_done_callback(self._answering.discard)
+
+    async def _answer(self, request: RetryRequest, sender: Address) -> None:
+        state = self._find(request.service)
+        gateways, now = self._count_gateways(), self._clock()
+        state.budget.add_credit(request.credit, gateways, now)
+        granted = bool(await self._issue(request.service, state))
+        if self._post is not None:
+            self._post.send(RetryReply(request.number, granted), [sender])
 
+    def _handle_reply(self, reply: RetryReply, sender: Address) -> None:
+        self._pending.resolve(reply.number, reply)
 
-def _read_time() -> float:
-    return asyncio.get_running_loop().time()
+    def _find(self, service: str) -> _Service:
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _Service(self._bounds)
+        return state
--- a/lagoonpost/margins/line.py
+++ b/lagoonpost/margins/line.py
@@ -124,6 +124,7 @@
         workspace: Workspace that sent the request.
         units: Units taken from the quota.
         quota: Inputs of the quota decision.
+        service: Service of the request; empty in logs without it.
     """
 
     request: str
@@ -133,6 +134,7 @@
     workspace: str = ""
     units: float = 0.0
     quota: tuple[float, ...] = ()
+    service: str = ""
 
 
 class PartitionChange(Message, kw_only=True, gc=False):
@@ -224,6 +226,18 @@
     stream: bool
 
 
+class Retry(Message, kw_only=True, gc=False):
+    """A gateway decided whether a request is offered once more.
+
+    Attributes:
+        service: Service of the request.
+        granted: Whether it is offered.
+    """
+
+    service: str
+    granted: bool
+
+
 class Dropped(Message, kw_only=True, gc=False):
     """Log lines were dropped because the consumer was too slow.
 
@@ -249,6 +263,7 @@
     "lagoonpost:forwarding:runner_crash": RunnerCrash,
     "lagoonpost:forwarding:convicted": Conviction,
     "lagoonpost:forwarding:silent": SilentRunner,
+    "lagoonpost:forwarding:retry": Retry,
     "lagoonpost:log:dropped": Dropped,
 }
 """Message classes by log message type; other types are ignored."""
--- a/lagoonpost/margins/rules.py
+++ b/lagoonpost/margins/rules.py
@@ -22,6 +22,7 @@
     Notice,
     PartitionChange,
     RequestEnd,
+    Retry,
     RunnerCrash,
     RunnerUpdate,
     SilentRunner,
@@ -40,6 +41,7 @@
     find_shortest_silence,
 )
 from lagoonpost.margins.quota import find_quota_use
+from lagoonpost.margins.retry import find_retry_use
 from lagoonpost.margins.staleness import (
     find_late_offer,
     find_slowest_propagation,
@@ -51,8 +53,6 @@
 UNLOGGED_RULES: dict[str, str] = {
     "requests that run more than once": "no line says whether a request may "
     "be repeated",
-    "repeats of requests within their budget": "no line says when a request "
-    "was offered again",
     "requests to a version that was taken back": "no line says which version "
     "a runner has",
 }
@@ -111,6 +111,13 @@
     return [find_quota_use(logs.find(RequestEnd), window, overage, slack)]
 
 
+def _find_retry_use(logs: Logs) -> list[Margin]:
+    names = ("budget_window", "budget_ratio", "budget_floor")
+    window, ratio, floor = map(logs.find_bound, names)
+    retries, requests = logs.find(Retry), logs.find(RequestEnd)
+    return [find_retry_use(retries, requests, window, ratio, floor)]
+
+
 def _find_runner_care(logs: Logs) -> list[Margin]:
     contact = logs.find_bound("contact_seconds")
     changes = logs.find(PartitionChange)
@@ -133,5 +140,6 @@
     _find_staleness,
     _find_notices,
     _find_quota_use,
+    _find_retry_use,
     _find_runner_care,
 )
--- a/lagoonpost/peers/messenger.py
+++ b/lagoonpost/peers/messenger.py
@@ -25,6 +25,7 @@
     PermitReply,
     PermitRequest,
 )
+from lagoonpost.tables.retry import RetryReply, RetryRequest
 from lagoonpost.tables.trial import TrialReply, TrialRequest
 
 DatagramMessage = (
@@ -38,6 +39,8 @@
     | PermitClaim
     | TrialRequest
     | TrialReply
+    | RetryRequest
+    | RetryReply
 )
 Kind = Literal[
     "report",
@@ -50,6 +53,8 @@
     "permit_claim",
     "trial_request",
     "trial_reply",
+    "retry_request",
+    "retry_reply",
 ]
 
 
@@ -71,6 +76,8 @@
     "permit_claim": PermitClaim,
     "trial_request": TrialRequest,
     "trial_reply": TrialReply,
+    "retry_request": RetryRequest,
+    "retry_reply": RetryReply,
 }
 _KINDS: dict[type, Kind] = {type_: kind for kind, type_ in _TYPES.items()}
 _decode_envelope = msgspec.msgpack.Decoder(_Envelope).decode
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,7 @@
     check_rests,
 )
 from soak.record import Finding
+from soak.retry_promises import check_retries
 from soak.system import SoakSystem
 
 SETTLE_SECONDS = 6.0
@@ -92,6 +93,7 @@
         findings += check_rests(system, callers.attempts)
         findings += check_crashing_parts(system)
         findings += check_crashing_requests(system)
+        findings += check_retries(system, callers.attempts)
         findings += check_partitions(system, callers.attempts)
         findings += await check_recovery(system, callers)
         if findings:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -102,6 +102,9 @@
 ) -> list[PlannedFault]:
     """Draw the faults of one soak run.
 
+    Beside the drawn kinds, most requests to a service are rejected for some
+    time, so that repeats are wanted while other faults happen.
+
     Args:
         rng: Seeded generator.
         seconds: Time within which the faults begin and end.
@@ -115,6 +118,9 @@
         lasts = rng.uniform(0.2, MAX_FAULT_SECONDS)
         steps.append(PlannedFault(at, what, lasts, rng.randrange(1 << 30)))
         at += rng.expovariate(1 / pause)
+    latest = seconds - MAX_FAULT_SECONDS
+    at, lasts = rng.uniform(QUIET_START_SECONDS, latest), MAX_FAULT_SECONDS
+    steps.append(PlannedFault(at, "reject", lasts, rng.randrange(1 << 30)))
     return steps
 
 
@@ -131,7 +137,7 @@
 ) -> None:
     await asyncio.sleep(max(0.0, started + step.at - time.monotonic()))
     begin = time.monotonic()
-    target = await FAULT_ACTIONS[step.what](system, step, Random(step.seed))
+    target = await _ACTIONS[step.what](system, step, Random(step.seed))
     system.spans.append(Span(step.what, target, begin, time.monotonic()))
 
 
@@ -533,6 +539,23 @@
     return " ".join(runner.id for runner in runners)
 
 
+async def _reject_most(
+    system: SoakSystem, step: PlannedFault, rng: Random
+) -> str:
+    """Let all runners of a service reject most requests."""
+    service = rng.choice(system.runners).service
+    runners = [
+        slot.runner for slot in system.runners if slot.service == service
+    ]
+    share = rng.choice([0.6, 0.8, 0.95])
+    for runner in runners:
+        runner.turned_away = share
+    await asyncio.sleep(NOTICE_DURATION_FACTOR * step.seconds)
+    for runner in runners:
+        runner.turned_away = 0.0
+    return " ".join(runner.id for runner in runners)
+
+
 def _choose_ready(system: SoakSystem, rng: Random) -> RunnerSlot | None:
     """Return a slot whose runner may stop, or None.
 
@@ -572,3 +595,6 @@
     "stop": _stop_gateway,
     "turn_away": _turn_away,
 }
+"""Kinds of faults that are drawn."""
+
+_ACTIONS = {**FAULT_ACTIONS, "reject": _reject_most}
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -45,6 +45,7 @@
         "harm_runner",
         "brittle",
         "limit",
+        "reject",
         "turn_away",
     )
 )
--- a/soak/system.py
+++ b/soak/system.py
@@ -46,6 +46,9 @@
 """Longest time until a draining runner gets no new work."""
 APPLY_SECONDS = 2.0
 """Longest time until a new configuration is in force."""
+RETRY_RATIO, RETRY_FLOOR, RETRY_WINDOW_SECONDS = 0.2, 12, 10.0
+"""Repeats of a service in a window that are allowed, as a part of its
+requests, and further ones: few enough for some faults to use them up."""
 HEARTBEAT_SECONDS = 1.0
 """Interval at which a runner's entry is renewed; runners take turns in it."""
 ENTRY_TTL_SECONDS = 2.0
@@ -223,7 +226,13 @@
                 store,
                 cloud,
                 seeds=peers[:3],
-                bounds={"drain_ms": int(DRAIN_SECONDS * 1000), "grace_s": 8},
+                bounds={
+                    "drain_ms": int(DRAIN_SECONDS * 1000),
+                    "grace_s": 8,
+                    "retry_budget_ratio": RETRY_RATIO,
+                    "budget_min_retries": RETRY_FLOOR,
+                    "budget_window_s": RETRY_WINDOW_SECONDS,
+                },
                 duties=("usage_report",),
             )
         )
@@ -358,6 +367,16 @@
             if received.ran
         )
 
+    def list_offers(self, service: str) -> list[tuple[str, float]]:
+        """Return id and time of each request that reached a service."""
+        return [
+            (received.request.header("attempt-id") or "", received.at)
+            for slot in self.runners
+            if slot.service == service
+            for runner in slot.all_runners()
+            for received in runner.received
+        ]
+
     def list_arrivals_with(self, part: str) -> list[float]:
         """Return the times at which requests with a part reached runners."""
         return self._list_arrivals(
--- a/test/test_guarantees.py
+++ b/test/test_guarantees.py
@@ -23,7 +23,8 @@
 
     def test_names_only_promises_of_the_soak_that_there_are(self):
         """A renamed soak promise must not leave a rule without its check."""
-        promises = (ROOT / "soak" / "promises.py").read_text()
+        paths = sorted((ROOT / "soak").glob("*promises.py"))
+        promises = "".join(path.read_text() for path in paths)
         named = re.findall(r"soak promise `([^`]+)`", TABLE)
         assert len(named) > 8
         for promise in named:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -37,6 +37,7 @@
     Probe,
     Span,
 )
+from soak.retry_promises import check_retries
 from soak.system import ENTRY_TTL_SECONDS, HEARTBEAT_SECONDS, SoakSystem
 
 SMALL = Options(gateways=3, runners=2, callers=6, seconds=8.0, pause=0.7)
@@ -77,6 +78,25 @@
         assert [f.promise for f in found] == ["served while partitioned"]
         assert check_partitions(system, [*there[:5], served]) == []
 
+    def test_repeats_beyond_their_budget(self, system):
+        """Guards against repeats that no single gateway sees to be many."""
+        runner = next(s for s in system.runners if s.service == "desk").runner
+        headers = (("attempt-id", "a"),)
+        request = Request("GET", "/check/1", "", headers, b"", "host", "/")
+        runner.received = [
+            ReceivedRequest(request, False, 20.0 + step / 2)
+            for step in range(13)
+        ]
+        attempts = [GOOD, GOOD._replace(id="b", kind="draft")]
+        assert check_retries(system, attempts) == []
+        runner.received.append(ReceivedRequest(request, False, 27.0))
+        found = check_retries(system, attempts)
+        assert [f.promise for f in found] == [
+            "repeats stay within their budget"
+        ]
+        others = [GOOD._replace(id=f"c{n}", sent=19.0) for n in range(9)]
+        assert check_retries(system, others) == []
+
     def test_brittle_runners_that_fall_over(self, system):
         system.falls.append(Falls("desk", 1.0, 2.0, 2))
         assert check_brittle_runners(system) == []
