Give no slack for a new version to gateways that started during its order

A gateway has a part of the slack only if it had run for four seconds at the order, or if the whole system is new; the others keep to the share. Gateways that were lost count among those that share it.

test_kills_do_not_renew_what_a_new_version_may_get failed before.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -160,6 +160,7 @@
             rng,
             self._cluster.peers.publish,
             wall_clock,
+            None if settings.first_start else read_clock(),
         )
         self._forwarder.connect(self._cluster, self._shifts)
         self._speeds = SpeedExchange(
--- a/lagoonpost/forwarding/runner_choice.py
+++ b/lagoonpost/forwarding/runner_choice.py
@@ -180,7 +180,7 @@
         }
         leaving = self._view.find_copy_sources(service)
         group = self.shifts.choose_candidates(
-            service, list(usable), self.cluster.count_gateways()
+            service, list(usable), self._view.limits.group.count()
         )
         choice = self._placement.choose(
             group,
--- a/lagoonpost/forwarding/version_shifts.py
+++ b/lagoonpost/forwarding/version_shifts.py
@@ -23,6 +23,7 @@
 from lagoonpost.platform.store import FeedRow, PlatformStore
 from lagoonpost.store.clock import read_clock
 from lagoonpost.store.store import Committed, Unavailable
+from lagoonpost.systems.permit_group import INTRODUCTION_SECONDS
 from lagoonpost.systems.shift import (
     MAX_TRIAL_SHARE,
     Exposure,
@@ -100,6 +101,8 @@
         rng: Source of random choices.
         publish: Gossips a fact to the other gateways.
         clock: Returns seconds since the epoch; never goes back.
+        started: Time in seconds at which this process started; None if the
+            whole system is new.
     """
 
     def __init__(
@@ -108,8 +111,10 @@
         rng: Random,
         publish: Callable[[Fact], None],
         clock: Callable[[], float],
+        started: float | None = None,
     ) -> None:
         self._bounds = bounds
+        self._started = started
         self._rng = rng
         self._publish = publish
         self._clock = clock
@@ -222,11 +227,25 @@
         if (
             new
             and tries
-            and shift.exposure.allows_trial(self._bounds, gateways)
+            and shift.exposure.allows_trial(self._find_bounds(shift), gateways)
         ):
             return new
         return old
 
+    def _find_bounds(self, shift: _Shift) -> ExposureBounds:
+        """Return the bounds on trial requests of one order.
+
+        A gateway that had not yet run for long at the order has no part of
+        the slack: the process before it may have used it up, and the gateways
+        that share it may not be known.
+        """
+        if self._started is None:
+            return self._bounds
+        settled = self._started + INTRODUCTION_SECONDS
+        if settled <= shift.evaluator.started:
+            return self._bounds
+        return self._bounds._replace(slack=0.0)
+
     def is_rolled_back(self, endpoint: Endpoint) -> bool:
         """Tell whether a runner has a version that was rolled back."""
         shift = self._shifts.get(endpoint.service)
--- a/test/test_shift_start.py
+++ b/test/test_shift_start.py
@@ -9,9 +9,60 @@
 from lagoonpost.forwarding.version_shifts import VersionShifts
 from lagoonpost.platform.store import FeedRow
 from lagoonpost.store.clock import read_clock
+from lagoonpost.tables.address import Address
+from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.fact import Fact, merge_facts
 from lagoonpost.tables.version_shift import ShiftOrder
 
+RUNNERS = [
+    Endpoint(f"chat-{name}", "chat", Address("10.0.0.1", 80), "a", name, 8)
+    for name in ("v1", "v2")
+]
+
+
+class TestRestarts:
+    """Gateways that are all killed while a version is tried."""
+
+    def start(self, settled: float | None) -> VersionShifts:
+        """Return a gateway that takes an order some seconds after its start.
+
+        Args:
+            settled: The seconds; None if the whole system is new.
+        """
+        shifts = VersionShifts(
+            BOUNDS,
+            Random(1),
+            lambda fact: None,
+            lambda: EPOCH,
+            None if settled is None else read_clock() - settled,
+        )
+        value = msgspec.json.encode(
+            {"service": "chat", "to": "v2", "duration_s": 16}
+        )
+        shifts.handle_row(FeedRow("rollout/chat", 1, value))
+        return shifts
+
+    def try_new(self, shifts: VersionShifts, requests: int) -> int:
+        """Return how many of some requests go to the new version."""
+        tried = 0
+        for _ in range(requests):
+            (runner,) = shifts.choose_candidates("chat", RUNNERS, 9)
+            shifts.note_sent(runner)
+            tried += runner.version == "v2"
+        return tried
+
+    def test_kills_do_not_renew_what_a_new_version_may_get(self) -> None:
+        """Guards against a slack that each restart of a gateway renews."""
+        tried = 0
+        for run in range(4):
+            settled = 60.0 if run == 0 else 0.5
+            gateways = [self.start(settled) for _ in range(9)]
+            tried += sum(self.try_new(each, 10) for each in gateways)
+        assert tried <= BOUNDS.share * 4 * 9 * 10 + BOUNDS.slack
+
+    def test_a_system_that_is_new_has_the_slack(self) -> None:
+        assert self.try_new(self.start(None), 20) > 0
+
 
 class TestStart:
     """Gateways that receive an order at different times."""
