--- a/lagoonpost/systems/prior_usage.py
+++ b/lagoonpost/systems/prior_usage.py
@@ -13,6 +13,8 @@
 import math
 from collections.abc import Iterable
 
+from lagoonpost.systems.hub import MAX_MESH_GATEWAYS
+from lagoonpost.systems.permit_group import SETTLING_SECONDS
 from lagoonpost.systems.quota_limit import (
     compute_burst,
     compute_limit,
@@ -23,6 +25,10 @@
 from lagoonpost.tables.gateway_report import UsageByAge
 from lagoonpost.tables.quota import QuotaBounds
 
+START_SHARE = 1.0 / MAX_MESH_GATEWAYS
+"""Largest part of a quota that a gateway admits until it knows others or what
+was used: that of one in the largest full mesh."""
+
 
 class PriorUsage:
     """Usage by workspace from before this gateway's start or role as a hub.
@@ -54,6 +60,27 @@
             return False
         return now - self._started < self._bounds.window
 
+    def limit_share(self, connected_share: float, now: float) -> float:
+        """Return the part of the gateways that a quota is admitted for.
+
+        A gateway that has just started, has no records yet and has heard no
+        other gateway doesn't know how many start with it, and each of them
+        would admit what is meant for all.
+
+        Args:
+            connected_share: Connected gateways as a share of all that this
+                one knows.
+            now: Time in seconds.
+        """
+        started = self._started
+        if (
+            started is None
+            or self._records is not None
+            or now >= started + SETTLING_SECONDS
+        ):
+            return connected_share
+        return min(connected_share, START_SHARE)
+
     def load_records(self, records: UsageByAge, now: float) -> None:
         """Set the store's records of the usage before this start.
 
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -115,6 +115,10 @@
         if workspace.rate <= 0:
             self.decision_inputs = None
             return None
+        if not self._peer_report_times:
+            connected_share = self.prior_usage.limit_share(
+                connected_share, now
+            )
         inputs = self.decision_inputs = self._collect_inputs(
             workspace, connected_share, now, gateways, margin_share
         )
--- a/test/test_quota_faults.py
+++ b/test/test_quota_faults.py
@@ -185,6 +185,24 @@
         assert find_most(admitted) <= TOLERATED
         assert count(admitted, 4.0, 12.5) >= 0.75 * HOT.rate * BOUNDS.window
 
+    @pytest.mark.parametrize("gateways", [GATEWAYS, 40])
+    def test_a_rush_right_after_the_start_is_not_let_through_everywhere(
+        self, gateways: int
+    ):
+        """Guards against gateways that each admit what all may at a start.
+
+        Callers come back at once, before the gateways know each other and
+        what the store has recorded.
+        """
+        before = QUOTA + 0.3 * (TOLERATED - QUOTA)
+        admitted = 0.0
+        for _ in range(gateways):
+            quota = Quotas(BOUNDS, started=10.0)
+            for cost in 20 * [2_000.0]:
+                if quota.take(HOT, cost, 1.0, 10.05) is None:
+                    admitted += cost
+        assert before + admitted <= TOLERATED
+
     @pytest.mark.parametrize("seed", range(4))
     def test_usual_use_is_served_after_all_were_killed(self, seed: int):
         """Guards against refusals for usage that is only assumed."""
