Keep the scheduling in effect while a few gateways are missing

At 16 and 17 gateways, the limit, each suspicion switched all parts of the scheduling off and on, and with them the urgencies that requests state. Parts in effect now stay down to eight gateways.

test_parts_stay_while_a_gateway_comes_and_goes failed before.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -461,7 +461,11 @@
         while True:
             await sleep_aligned(MAINTENANCE_INTERVAL_SECONDS)
             self._forwarder.set_scheduling(
-                choose_parts(self._scheduling, self._cluster.count_gateways())
+                choose_parts(
+                    self._scheduling,
+                    self._cluster.count_gateways(),
+                    self._forwarder.scheduling,
+                )
             )
             peer_work = self._cluster.reports.sum_peer_work()
             self._forwarder.note_peer_work(peer_work)
--- a/lagoonpost/systems/scheduling.py
+++ b/lagoonpost/systems/scheduling.py
@@ -13,6 +13,8 @@
 
 AUTOMATIC = "auto"
 OFF = "off"
+STAY_GATEWAYS = MAX_MESH_GATEWAYS // 2
+"""Number of gateways down to which parts that are in effect stay so."""
 
 
 class SchedulingSetting(NamedTuple):
@@ -44,13 +46,19 @@
     return SchedulingSetting(parts, automatic=False)
 
 
-def choose_parts(setting: SchedulingSetting, gateways: int) -> Scheduling:
+def choose_parts(
+    setting: SchedulingSetting, gateways: int, current: Scheduling = NO_PARTS
+) -> Scheduling:
     """Return the parts that are in effect.
 
     Args:
         setting: The operator's setting.
         gateways: Number of gateways that are considered alive.
+        current: Parts that were in effect until now.
     """
-    if setting.automatic and gateways <= MAX_MESH_GATEWAYS:
-        return NO_PARTS
-    return setting.parts
+    if not setting.automatic or gateways > MAX_MESH_GATEWAYS:
+        return setting.parts
+    # Suspicions come and go, and each change alters the urgencies of requests.
+    if gateways > STAY_GATEWAYS:
+        return current
+    return NO_PARTS
--- a/test/test_scheduling.py
+++ b/test/test_scheduling.py
@@ -29,6 +29,21 @@
         setting = parse_scheduling("auto")
         assert choose_parts(setting, MAX_MESH_GATEWAYS + 1) == ALL_PARTS
 
+    def test_parts_stay_while_a_gateway_comes_and_goes(self):
+        """Guards against parts that go in and out of effect at the limit.
+
+        Suspicions of gateways come and go, and each one changed the urgencies
+        that requests state.
+        """
+        setting = parse_scheduling("auto")
+        parts = NO_PARTS
+        seen = []
+        for gateways in (16, 17, 16, 17, 12, 16):
+            parts = choose_parts(setting, gateways, parts)
+            seen.append(parts == ALL_PARTS)
+        assert seen == [False, True, True, True, True, True]
+        assert choose_parts(setting, 8, parts) == NO_PARTS
+
     @pytest.mark.parametrize("gateways", [1, 300])
     def test_off_holds_at_any_size(self, gateways):
         setting = parse_scheduling("off")
