--- a/test/test_quota.py
+++ b/test/test_quota.py
@@ -216,11 +216,21 @@
 class TestHub:
     """Quotas of many gateways that receive a hub's summaries."""
 
-    def play(self, gateways: int, rate: float, seed: int) -> float:
-        """Return the most units of one window, with delayed reports."""
+    def play(
+        self,
+        gateways: int,
+        rate: float,
+        seed: int,
+        changes: tuple[float, ...] = (),
+    ) -> float:
+        """Return the most units of one window, with delayed reports.
+
+        At each time of ``changes`` the next gateway becomes the hub.
+        """
         rng = Random(seed)
         quotas = [Quotas(BOUNDS) for _ in range(gateways)]
-        hub = quotas[0]
+        hub, heard = 0, set(range(gateways))
+        shares = [1.0] * gateways
         reported_at = [0.0] * gateways
         published_at = 0.0
         admitted: list[tuple[float, float]] = []
@@ -228,26 +238,36 @@
         while now < 15.0:
             cost = rng.choice([1000.0, 3000.0, 9000.0, 20000.0])
             now += rng.expovariate(rate / cost)
+            if hub < sum(at <= now for at in changes):
+                hub += 1
+                heard = {hub}
+            shares[hub] = len(heard) / gateways
             number = rng.randrange(gateways)
-            if quotas[number].take(HUGE, cost, 1.0, now, gateways) is None:
+            share = shares[number]
+            if quotas[number].take(HUGE, cost, share, now, gateways) is None:
                 admitted.append((now, cost))
-            for other, quota in enumerate(quotas[1:], 1):
+            for other, quota in enumerate(quotas):
                 pause = 0.1 if quota.needs_publishing(HUGE, gateways) else 0.4
-                if now >= reported_at[other] + pause:
+                if other != hub and now >= reported_at[other] + pause:
                     reported_at[other] = now
+                    heard.add(other)
                     quota.mark_published()
-                    hub.update_from_peers(
+                    quotas[hub].update_from_peers(
                         str(other),
                         dict(quota.used),
                         quota.list_own_usage(now),
                         now,
                     )
-            pause = 0.1 if hub.is_near_limit([HUGE], now) else 0.4
+            pause = 0.1 if quotas[hub].is_near_limit([HUGE], now) else 0.4
             if now >= published_at + pause:
                 published_at = now
-                taken = hub.list_taken(now)
-                for other, quota in enumerate(quotas[1:], 1):
-                    quota.replace_with_summary(taken, reported_at[other], now)
+                taken = quotas[hub].list_taken(now)
+                for other, quota in enumerate(quotas):
+                    if other == hub:
+                        continue
+                    shares[other] = shares[hub]
+                    since = reported_at[other] if other in heard else 0.0
+                    quota.replace_with_summary(taken, since, now)
         window = BOUNDS.window
         return max(
             sum(cost for at, cost in admitted if start <= at < start + window)
@@ -266,6 +286,16 @@
         most = quota * (1 + BOUNDS.overage) + BOUNDS.slack
         assert self.play(gateways, 4 * HUGE.rate, 1) <= most
 
+    @pytest.mark.parametrize("seed", range(3))
+    @pytest.mark.parametrize("changes", [(5.0,), (4.0, 4.5, 5.0, 5.5, 6.0)])
+    def test_a_hot_workspace_stays_within_it_while_hubs_change(
+        self, changes, seed
+    ):
+        """Guards against usage that is lost with the role of a hub."""
+        quota = HUGE.rate * BOUNDS.window + HUGE.burst
+        most = quota * (1 + BOUNDS.overage) + BOUNDS.slack
+        assert self.play(20, 4 * HUGE.rate, seed, changes) <= most
+
     @pytest.mark.parametrize("seed", range(2))
     def test_what_is_within_the_quota_is_let_through(self, seed):
         """Guards against refusals below the quota by delayed reports."""
