Take an unreadable answer of the store for none

What callers saw: a gateway ended by itself, after its grace period, and its callers lost their connections. Cause: an answer whose body isn't the expected JSON raised in the task that follows the store, and a failed task stops the process.

Such an answer is now unavailability, as a lost one.

--- a/lagoonpost/platform/store.py
+++ b/lagoonpost/platform/store.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lagoonpost.http.client import CallFailedError, Client
-from lagoonpost.http.message import Address
+from lagoonpost.http.message import Address, Response
 from lagoonpost.store.clock import RemoteClock
 from lagoonpost.store.era import EraTracker
 from lagoonpost.store.store import (
@@ -59,14 +59,6 @@
     """The feed no longer contains the changes since the given version."""
 
 
-class StoreReply(NamedTuple):
-    """Response of the store and the era in which it was sent."""
-
-    status: int
-    body: bytes
-    era: int
-
-
 class _WireRow(msgspec.Struct):
     key: str
     ver: int
@@ -82,6 +74,23 @@
     has_more: bool = False
 
 
+class StoreReply(NamedTuple):
+    """Response of the store and the era in which it was sent.
+
+    Attributes:
+        status: HTTP status.
+        page: Contents of the body; empty unless rows are expected.
+        era: The store's era.
+    """
+
+    status: int
+    page: _WireRows
+    era: int
+
+
+ROW_STATUSES = (200, 412)
+"""Statuses of responses about rows."""
+
 _decode_rows = msgspec.json.Decoder(_WireRows).decode
 
 
@@ -106,8 +115,14 @@
         self.clock = RemoteClock()
         self.eras = EraTracker()
 
-    def _decode(self, reply: StoreReply) -> _WireRows:
-        page = _decode_rows(reply.body)
+    def _decode(self, response: Response) -> _WireRows | None:
+        """Return the contents of a response; None if it is unreadable."""
+        if response.status not in ROW_STATUSES:
+            return _WireRows()
+        try:
+            page = _decode_rows(response.body)
+        except msgspec.DecodeError:
+            return None
         if page.now_ms is not None:
             self.clock.note(page.now_ms / 1000)
         return page
@@ -164,13 +179,13 @@
         if isinstance(reply, Unavailable):
             return reply
         if reply.status == 412:
-            rows = self._decode(reply).rows
+            rows = reply.page.rows
             return Conflict(tuple(_make_row(row, reply.era) for row in rows))
         if reply.status != 200:
             return Unavailable(f"status {reply.status}", applied=False)
         if any(era < reply.era for era in eras):
             return Unavailable("conditions of an earlier era", applied=None)
-        version = stamp.make_stamp(reply.era, self._decode(reply).ver)
+        version = stamp.make_stamp(reply.era, reply.page.ver)
         return Committed((Row("", version),))
 
     async def read(self, keys: Sequence[str]) -> tuple[Row, ...] | Unavailable:
@@ -234,7 +249,7 @@
                 return reply
             if reply.status != 200:
                 return Unavailable(f"status {reply.status}", applied=False)
-            page = self._decode(reply)
+            page = reply.page
             if rows and stamp.find_era(rows[0].version) != reply.era:
                 return Unavailable("era changed mid-scan", applied=False)
             rows.extend(_parse_feed_row(row, reply.era) for row in page.rows)
@@ -278,7 +293,7 @@
         if reply.era != era:
             # Changes up to this version in the other era are missing.
             return HistoryLost()
-        page = self._decode(reply)
+        page = reply.page
         return Page(
             tuple(_parse_feed_row(row, era) for row in page.rows),
             stamp.make_stamp(era, page.ver),
@@ -311,7 +326,10 @@
         era = self.eras.check_reply(response.header(ERA_HEADER), known)
         if era is None:
             return Unavailable("stale response from an earlier era")
-        return StoreReply(response.status, response.body, era)
+        page = self._decode(response)
+        if page is None:
+            return Unavailable("the response is unreadable")
+        return StoreReply(response.status, page, era)
 
 
 _TABLE_NAMES = {
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -103,7 +103,8 @@
     """Draw the faults of one soak run.
 
     Beside the drawn kinds, most requests to a service are rejected for some
-    time, so that repeats are wanted while other faults happen.
+    time, so that repeats are wanted while other faults happen, and the store
+    sends bytes without end to a gateway.
 
     Args:
         rng: Seeded generator.
@@ -121,6 +122,8 @@
     latest = seconds - MAX_FAULT_SECONDS
     at, lasts = rng.uniform(QUIET_START_SECONDS, latest), MAX_FAULT_SECONDS
     steps.append(PlannedFault(at, "reject", lasts, rng.randrange(1 << 30)))
+    at, lasts = rng.uniform(QUIET_START_SECONDS, latest), rng.uniform(0.2, 3.0)
+    steps.append(PlannedFault(at, "flood", lasts, rng.randrange(1 << 30)))
     return steps
 
 
@@ -286,6 +289,17 @@
     return system.gateways[number].name
 
 
+async def _flood_from_store(
+    system: SoakSystem, step: PlannedFault, rng: Random
+) -> str:
+    """Let bytes without end follow the store's answers to one gateway."""
+    number = rng.randrange(len(system.store_proxies))
+    system.store_proxies[number].set_fault("endless")
+    await asyncio.sleep(step.seconds)
+    system.store_proxies[number].set_fault("none")
+    return system.gateways[number].name
+
+
 async def _change_configuration(
     system: SoakSystem, step: PlannedFault, rng: Random
 ) -> str:
@@ -597,4 +611,8 @@
 }
 """Kinds of faults that are drawn."""
 
-_ACTIONS = {**FAULT_ACTIONS, "reject": _reject_most}
+_ACTIONS = {
+    **FAULT_ACTIONS,
+    "flood": _flood_from_store,
+    "reject": _reject_most,
+}
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -34,6 +34,7 @@
     "cut_store",
     "compact",
     "drill",
+    "flood",
 }
 """Faults that may delay updates from the store to the gateways."""
 RUNNER_FAULTS = frozenset(
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,7 +5,9 @@
 
 from lagoonpost.http.message import Address
 
-LinkFault = Literal["none", "delay", "reset", "one_way", "silent", "forgotten"]
+LinkFault = Literal[
+    "none", "delay", "reset", "one_way", "silent", "forgotten", "endless"
+]
 """Faults of the proxied connections:
 
 - delay: bytes arrive late
@@ -13,10 +15,14 @@
 - one_way: bytes from the target are held back
 - silent: bytes in both directions are held back
 - forgotten: connections open now stay silent for good, new ones work
+- endless: bytes without end follow what the target sends
 """
 DELAY_SECONDS = 0.3
 """Added delay: 100 times the latency between failure domains."""
 READ_BYTES = 65536
+FILLER = b" " * READ_BYTES
+FILLER_PAUSE_SECONDS = 0.01
+"""Pause between filling bytes: 6.5 MB a second for each connection."""
 
 
 class _Link:
@@ -116,12 +122,21 @@
                 await self._wait_until_passable(link, outward)
                 writer.write(data)
                 await writer.drain()
+                if not outward:
+                    await self._send_filler(writer)
             if writer.can_write_eof():
                 writer.write_eof()
         except OSError:
             # One side has closed its connection: close the other as well.
             link.abort()
 
+    async def _send_filler(self, writer: asyncio.StreamWriter) -> None:
+        """Send bytes without end while the fault lasts."""
+        while self._fault == "endless" and not self._closed:
+            writer.write(FILLER)
+            await writer.drain()
+            await asyncio.sleep(FILLER_PAUSE_SECONDS)
+
     async def _wait_until_passable(self, link: _Link, outward: bool) -> None:
         """Wait while the fault delays or blocks this direction."""
         if self._fault == "delay":
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -321,6 +321,28 @@
 
         asyncio.run(run_proxy())
 
+    def test_bytes_without_end_follow_an_answer(self):
+        async def run_proxy() -> None:
+            async def echo(reader, writer):
+                writer.write(await reader.read(10))
+
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            proxy = Proxy(Address("127.0.0.1", port))
+            entry = await proxy.start()
+            reader, writer = await asyncio.open_connection(
+                entry.host, entry.port
+            )
+            proxy.set_fault("endless")
+            writer.write(b"bytes")
+            assert (await reader.readexactly(200_000)).startswith(b"bytes  ")
+            proxy.set_fault("none")
+            writer.close()
+            proxy.close()
+            server.close()
+
+        asyncio.run(run_proxy())
+
 
 class TestSeeds:
     """Runs fixed seeds; seeds that revealed a fault are added here."""
