--- a/soak/system.py
+++ b/soak/system.py
@@ -46,7 +46,7 @@
 """Longest time until a draining runner gets no new work."""
 APPLY_SECONDS = 2.0
 """Longest time until a new configuration is in force."""
-RETRY_RATIO, RETRY_FLOOR, RETRY_WINDOW_SECONDS = 0.2, 12, 10.0
+RETRY_RATIO, RETRY_FLOOR, RETRY_WINDOW_SECONDS = 0.05, 12, 10.0
 """Repeats of a service in a window that are allowed, as a part of its
 requests, and further ones: few enough for some faults to use them up."""
 HEARTBEAT_SECONDS = 1.0
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -94,7 +94,7 @@
         assert [f.promise for f in found] == [
             "repeats stay within their budget"
         ]
-        others = [GOOD._replace(id=f"c{n}", sent=19.0) for n in range(9)]
+        others = [GOOD._replace(id=f"c{n}", sent=19.0) for n in range(20)]
         assert check_retries(system, others) == []
 
     def test_brittle_runners_that_fall_over(self, system):
