Keep the floor open when those that waited for a reservation have given up

A gateway whose reservation met another one's wanted none at its second try, as its requests had waited for 0.25 s, and took that for a floor that is used up: no reservations for a window. Found by reading. It reserves one now, for a later request. test_a_slow_store_leaves_the_floor_open failed before.

--- a/lagoonpost/forwarding/retry_recorder.py
+++ b/lagoonpost/forwarding/retry_recorder.py
@@ -115,7 +115,8 @@
         store_now = self._store.clock.estimate_now()
         if store_now is None:
             return self._note_failure(service, "the store's clock is unknown")
-        units = budget.plan_reservation(wanted, store_now)
+        # One is for a later request if those that waited have given up.
+        units = budget.plan_reservation(max(1, wanted), store_now)
         if not units:
             self._close(service, budget.find_release(store_now))
             return True
--- a/test/test_retry_budgets.py
+++ b/test/test_retry_budgets.py
@@ -139,6 +139,11 @@
     def __init__(self) -> None:
         super().__init__()
         self.clock = self
+        self.seconds = 0.0
+
+    async def _inject_fault(self, call: str) -> str:
+        await asyncio.sleep(self.seconds)
+        return await super()._inject_fault(call)
 
     def estimate_now(self) -> float:
         return 1000.0 + asyncio.get_running_loop().time()
@@ -198,6 +203,23 @@
         assert first == at_once == 0
         assert later == (14 if fault == "down" else 0)
 
+    def test_a_slow_store_leaves_the_floor_open(self):
+        """Guards against a floor closed as those that waited had given up.
+
+        Two gateways reserve at once, and one has to try again.
+        """
+
+        async def play() -> list[bool]:
+            store = _ClockedStore()
+            store.seconds = 0.3
+            both = [make_budgets(store) for _ in range(2)]
+            await asyncio.gather(*(each.acquire(SERVICE) for each in both))
+            await asyncio.sleep(2.5)
+            store.seconds = 0.0
+            return [await each.acquire(SERVICE) for each in both]
+
+        assert play_time(play()) == [True, True]
+
     def test_a_lost_store_is_not_called(self):
         """Guards against waits for a store that is known not to answer."""
 
