--- a/lagoonpost/platform/store.py
+++ b/lagoonpost/platform/store.py
@@ -75,22 +75,13 @@
 
 
 class StoreReply(NamedTuple):
-    """Response of the store and the era in which it was sent.
-
-    Attributes:
-        status: HTTP status.
-        page: Contents of the body; empty unless rows are expected.
-        era: The store's era.
-    """
+    """Response of the store with its rows, if any, and its era."""
 
     status: int
     page: _WireRows
     era: int
 
 
-ROW_STATUSES = (200, 412)
-"""Statuses of responses about rows."""
-
 _decode_rows = msgspec.json.Decoder(_WireRows).decode
 
 
@@ -115,14 +106,10 @@
         self.clock = RemoteClock()
         self.eras = EraTracker()
 
-    def _decode(self, response: Response) -> _WireRows | None:
-        """Return the contents of a response; None if it is unreadable."""
-        if response.status not in ROW_STATUSES:
+    def _decode(self, response: Response) -> _WireRows:
+        if response.status not in (200, 412):
             return _WireRows()
-        try:
-            page = _decode_rows(response.body)
-        except msgspec.DecodeError:
-            return None
+        page = _decode_rows(response.body)
         if page.now_ms is not None:
             self.clock.note(page.now_ms / 1000)
         return page
@@ -179,14 +166,15 @@
         if isinstance(reply, Unavailable):
             return reply
         if reply.status == 412:
-            rows = reply.page.rows
-            return Conflict(tuple(_make_row(row, reply.era) for row in rows))
+            rows = (_parse_feed_row(row, reply.era) for row in reply.page.rows)
+            return Conflict(tuple(map(_parse_row, rows)))
         if reply.status != 200:
             return Unavailable(f"status {reply.status}", applied=False)
         if any(era < reply.era for era in eras):
             return Unavailable("conditions of an earlier era", applied=None)
-        version = stamp.make_stamp(reply.era, reply.page.ver)
-        return Committed((Row("", version),))
+        return Committed(
+            (Row("", stamp.make_stamp(reply.era, reply.page.ver)),)
+        )
 
     async def read(self, keys: Sequence[str]) -> tuple[Row, ...] | Unavailable:
         """Return one row per key, in the order of ``keys``."""
@@ -293,11 +281,8 @@
         if reply.era != era:
             # Changes up to this version in the other era are missing.
             return HistoryLost()
-        page = reply.page
-        return Page(
-            tuple(_parse_feed_row(row, era) for row in page.rows),
-            stamp.make_stamp(era, page.ver),
-        )
+        rows = tuple(_parse_feed_row(row, era) for row in reply.page.rows)
+        return Page(rows, stamp.make_stamp(era, reply.page.ver))
 
     async def _call(
         self,
@@ -326,10 +311,10 @@
         era = self.eras.check_reply(response.header(ERA_HEADER), known)
         if era is None:
             return Unavailable("stale response from an earlier era")
-        page = self._decode(response)
-        if page is None:
-            return Unavailable("the response is unreadable")
-        return StoreReply(response.status, page, era)
+        try:
+            return StoreReply(response.status, self._decode(response), era)
+        except msgspec.DecodeError as error:
+            return Unavailable(f"unreadable response: {error}")
 
 
 _TABLE_NAMES = {
@@ -376,14 +361,9 @@
     return FeedRow(row.key, version, value)
 
 
-def _make_row(row: _WireRow, era: int) -> Row:
-    return _parse_row(_parse_feed_row(row, era))
-
-
 def _parse_row(row: FeedRow) -> Row:
-    if row.value is None:
-        return Row(row.key, row.version)
-    return Row(row.key, row.version, msgspec.json.decode(row.value))
+    value = None if row.value is None else msgspec.json.decode(row.value)
+    return Row(row.key, row.version, value)
 
 
 def _sort_rows(
--- a/lagoonpost/systems/budget.py
+++ b/lagoonpost/systems/budget.py
@@ -10,8 +10,8 @@
 Each request earns a credit, the ratio. A credit belongs to one gateway at a
 time: to the one that read the request, or to the one that it was handed over
 to. It is lost with its process, and a process starts without any. Credits are
-spent while they are fresh; those that are saved up are limited to a part of
-the floor, divided by the number of gateways.
+spent while they are fresh, no more of them than are usual; those that are
+saved up are limited to a part of the floor, divided by the number of gateways.
 
 The rest of the floor is reserved in the store before it is granted. The store
 accepts a reservation only if it follows all earlier ones, so reservations need
@@ -73,7 +73,15 @@
         """
         self._requests.append(now)
         _drop_until(self._requests, now - self._window)
-        self.add_credit(self._credit_per_request, gateways, now)
+        self._age(gateways, now)
+        credit = self._credit_per_request
+        # What a burst earns beyond the usual would be spent in the next one.
+        usual = len(self._requests) * CREDIT_SECONDS / self._window
+        room = credit * max(1.0, usual) - self._sum_fresh()
+        fresh = min(credit, max(0.0, room))
+        if fresh:
+            self._fresh.append((now, fresh))
+        self._save(credit - fresh, gateways)
 
     def add_credit(self, credit: float, gateways: int, now: float) -> None:
         """Add credit that was earned now or handed over.
@@ -101,11 +109,18 @@
 
     def _age(self, gateways: int, now: float) -> None:
         while self._fresh and self._fresh[0][0] <= now - CREDIT_SECONDS:
-            self._saved += self._fresh.popleft()[1]
-        self._saved = min(self._saved, self._saveable / max(1, gateways))
+            self._save(self._fresh.popleft()[1], gateways)
+        self._save(0.0, gateways)
+
+    def _save(self, credit: float, gateways: int) -> None:
+        most = self._saveable / max(1, gateways)
+        self._saved = min(most, self._saved + credit)
+
+    def _sum_fresh(self) -> float:
+        return sum(credit for _, credit in self._fresh)
 
     def _sum_credit(self) -> float:
-        return self._saved + sum(credit for _, credit in self._fresh)
+        return self._saved + self._sum_fresh()
 
     def _spend(self, credit: float) -> None:
         saved = min(self._saved, credit)
--- a/test/test_budget.py
+++ b/test/test_budget.py
@@ -87,8 +87,9 @@
 
     def test_requests_pay_for_retries(self):
         budget = RetryBudget(0.2, 0, 10.0)
-        self.earn(budget, 20, 0.0)
-        taken = [budget.take(9, 0.5) for _ in range(5)]
+        for step in range(100):
+            self.earn(budget, 2, step / 10)
+        taken = [budget.take(9, 9.95) for _ in range(5)]
         assert taken == ["credit"] * 3 + [""] * 2
 
     def test_a_start_has_none(self):
--- a/test/test_retry_budgets.py
+++ b/test/test_retry_budgets.py
@@ -77,6 +77,20 @@
         most, allowed = fleet.find_worst()
         assert most <= allowed
 
+    @pytest.mark.parametrize("seed", range(3))
+    def test_bursts_before_and_in_a_window_stay_within_the_budget(self, seed):
+        """Guards against credits of a burst that are spent in the next one."""
+        shifts = (
+            Shift(0.0, 12, 0.0),
+            Shift(11.8, 1600, 0.0),
+            Shift(13.0, 120, 0.95),
+            Shift(18.2, 840, 0.95),
+        )
+        fleet = Fleet(Day(3, shifts, seconds=23.0), seed)
+        play_time(fleet.play())
+        most, allowed = fleet.find_worst()
+        assert most <= allowed
+
     @pytest.mark.parametrize("seed", range(12))
     def test_drawn_days_stay_within_the_budget(self, seed):
         """Guards against the same on days of drawn load and faults."""
