Take back a version of which too little is known at the end of its order

Cause, by a play with all logs: the scaling ordered the new version's runners away after four answers, a trial needs ten, and nothing ended it.

That scaling takes the runners away is listed, not mended.

--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -148,10 +148,13 @@
             totals = {**counts, ALL_ROUTES: _sum_counts(counts)}
             if self._is_worse(totals, phase == "trial"):
                 return "taken_back"
+        due = self._started + self.order.seconds - WRITE_MARGIN_SECONDS
         if phase == "trial":
-            return "all" if self._may_take_all(counts, now) else phase
+            if self._may_take_all(counts, now):
+                return "all"
+            # A version of which too little is known is not trusted.
+            return "taken_back" if now >= due else phase
         ended = now >= self.mark_all_new(now) + MIN_DRAIN_SECONDS
-        due = self._started + self.order.seconds - WRITE_MARGIN_SECONDS
         return "complete" if ended and now >= due else phase
 
     @property
