Judge a version on trial by requests that wait, and by all that is known

A request counts as slow as soon as it has waited for its target, and the evidence is brought up to date before each step. Both tests of TestOverloaded failed before.

--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -1,5 +1,7 @@
 """Sends a request to one runner, and records what comes of it."""
 
+import asyncio
+
 from lagoonpost.forwarding.attempt import (
     Barred,
     Began,
@@ -118,6 +120,10 @@
         """
         exchange.note_sent(choice)
         self.shifts.note_sent(choice.endpoint)
+        # An overloaded version answers too late to be judged by its answers.
+        late = asyncio.get_running_loop().call_later(
+            exchange.target, self._note_late, exchange, choice
+        )
         placement = self._placement
         requirements = exchange.requirements
         placement.note_sent(choice, requirements, exchange.now())
@@ -149,6 +155,8 @@
                 outcome = await self._confirm_end(choice, outcome)
             took = exchange.now() - sent_at
             sampler.note_answer(outcome, took)
+            if took <= exchange.target:
+                late.cancel()
             self._record_outcome(exchange, choice, outcome, took)
             began = isinstance(outcome, Began | Whole)
             began_at = exchange.now()
@@ -169,6 +177,8 @@
                 await _answer_or_retry(exchange, outcome, responder)
             return outcome
         finally:
+            if exchange.now() - sent_at <= exchange.target:
+                late.cancel()
             sampler.end()
             watched.end(ended)
             placement.note_ended(choice, began)
@@ -242,13 +252,11 @@
             case Began():
                 reach.note_answered(choice.endpoint.id)
                 state.note_outcome(False)
-        if not isinstance(outcome, Unreachable | Barred | Withheld | NotRun):
-            self.shifts.note_answer(
-                choice.endpoint,
-                exchange.route.name if exchange.route else "",
-                failed=_has_failed(outcome),
-                slow=took > exchange.target,
-            )
+        # One that was late has been counted.
+        if took <= exchange.target and not isinstance(
+            outcome, Unreachable | Barred | Withheld | NotRun
+        ):
+            self._note_answer(exchange, choice, _has_failed(outcome), False)
         if isinstance(outcome, Whole | Began):
             self._placement.note_first_byte(
                 choice, exchange.requirements, took, now
@@ -259,6 +267,18 @@
             if isinstance(outcome, Began):
                 self._count_prompt(exchange, choice)
 
+    def _note_late(self, exchange: Exchange, choice: Choice) -> None:
+        self._note_answer(exchange, choice, failed=False, slow=True)
+
+    def _note_answer(
+        self, exchange: Exchange, choice: Choice, failed: bool, slow: bool
+    ) -> None:
+        """Count an answer, or a wait beyond the target, for its version."""
+        route = exchange.route.name if exchange.route else ""
+        self.shifts.note_answer(
+            choice.endpoint, route, failed=failed, slow=slow
+        )
+
     def _note_unfinished(self, exchange: Exchange, choice: Choice) -> None:
         """Record an answer that had begun and was given up.
 
--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -143,11 +143,23 @@
         """
         if phase in ("complete", "taken_back"):
             return phase
-        if now - self._evaluated >= INTERVAL_SECONDS:
+        next_phase = self._find_next(phase, counts, now)
+        # All that is known is tested before a version gets more requests.
+        is_due = now - self._evaluated >= INTERVAL_SECONDS
+        if is_due or next_phase != phase:
             self._evaluated = now
             totals = {**counts, ALL_ROUTES: _sum_counts(counts)}
             if self._is_worse(totals, phase == "trial"):
                 return "taken_back"
+        return next_phase
+
+    def _find_next(
+        self,
+        phase: ShiftPhase,
+        counts: Mapping[str, VersionCounts],
+        now: float,
+    ) -> ShiftPhase:
+        """Return the next phase of a version with nothing against it."""
         due = self._started + self.order.seconds - WRITE_MARGIN_SECONDS
         if phase == "trial":
             if self._may_take_all(counts, now):
--- a/test/test_shift.py
+++ b/test/test_shift.py
@@ -131,6 +131,46 @@
         assert phases[-1] == "taken_back"
 
 
+class TestOverloaded:
+    """A version that answers several times slower."""
+
+    def test_the_last_answers_of_a_trial_are_tested(self):
+        """Guards against slow answers that come right before all requests."""
+        order = ShiftOrder("chat", "v2", 15.0, 1)
+        evaluator = ShiftEvaluator(order, 0.0)
+        sound = {"draft": VersionCounts(18, 0, 0, 100, 0, 0)}
+        slow = {"draft": VersionCounts(30, 0, 12, 150, 0, 0)}
+        evaluator.advance("trial", sound, 10.0)
+        assert evaluator.advance("trial", slow, 11.5) == "taken_back"
+
+    def test_a_request_counts_as_slow_before_it_is_answered(self):
+        """Guards against a version that is complete as it answers nothing."""
+
+        async def story(stack: Stack) -> VersionCounts:
+            for id_ in NEW:
+                stack.runners[id_].fault = "hang"
+                await stack.register(id_, version="v2")
+            order = {"service": "desk", "to": "v2", "duration_s": 30}
+            await stack.store.put("op", "rollout/desk", order)
+            shifts = stack.gateways[0]._shifts
+            await wait_until(lambda: "desk" in shifts._shifts)
+            calls = [
+                asyncio.create_task(
+                    stack.call(f"/book/{number}", "POST", b"{}")
+                )
+                for number in range(80)
+            ]
+            counts = shifts._shifts["desk"].counts
+            await wait_until(
+                lambda: any(each.new_slow for each in counts.values())
+            )
+            for call in calls:
+                call.cancel()
+            return next(each for each in counts.values() if each.new)
+
+        assert play(story, desk=4).new_failed == 0
+
+
 class TestJudge:
     @pytest.mark.parametrize("seed", range(20))
     @pytest.mark.parametrize(("gateways", "rate"), [(9, 25.0), (82, 240.0)])
