--- a/test/retry_play.py
+++ b/test/retry_play.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from bisect import bisect_left
-from collections import Counter
 from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any, NamedTuple
@@ -343,10 +342,5 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def count_calls(fleet: Fleet) -> Counter[str]:
-    """Return the number of calls to the store by operation."""
-    return Counter(fleet.store.calls)
-
-
 def _read_time() -> float:
     return asyncio.get_running_loop().time()
