--- a/lagoonpost/forwarding/peer_sync.py
+++ b/lagoonpost/forwarding/peer_sync.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+import eliot
 import msgspec
 
 from lagoonpost.forwarding.cluster_state import ClusterState
@@ -118,6 +119,7 @@
         self._store_losses: dict[str, _StoreLoss] = {}
         self._roles: Roles | None = None
         self._wanted_version = 0
+        self._wanted_since = 0.0
         self._wanted = asyncio.Event()
         peer_settings = PeerSettings(
             name=settings.name,
@@ -311,9 +313,19 @@
         self._forget_roles()
 
     def _handle_version(self, fact: Fact) -> None:
-        if fact.rank > self._cluster.version:
-            self._wanted_version = max(self._wanted_version, fact.rank)
-            self._wanted.set()
+        if fact.rank <= self._cluster.version:
+            return
+        origin = self.peers.find_origin(fact)
+        eliot.log_message(
+            message_type="lagoonpost:configuration:heard",
+            version=fact.rank,
+            member=origin.member,
+            message=origin.message,
+        )
+        if not self._wanted.is_set():
+            self._wanted_since = asyncio.get_running_loop().time()
+        self._wanted_version = max(self._wanted_version, fact.rank)
+        self._wanted.set()
 
     async def _fetch_configurations(self) -> None:
         while True:
@@ -325,16 +337,34 @@
             peer = self._choose_fetch_peer()
             if peer is None:
                 continue
+            started = asyncio.get_running_loop().time()
             documents = await self.peers.fetch(
                 peer,
                 CONFIGURATION_DOCUMENT,
                 self._cluster.version,
                 FETCH_TIMEOUT_SECONDS,
             )
+            self._log_fetch(peer.name, documents, started)
             for document in documents or ():
                 if self._cluster.apply_configuration(document.body, peer.name):
                     self.publish_configuration()
 
+    def _log_fetch(
+        self, peer: str, documents: Sequence[Document] | None, started: float
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        outcome = "failed" if documents is None else "has none newer"
+        if documents:
+            outcome = f"version {documents[-1].number}"
+        eliot.log_message(
+            message_type="lagoonpost:configuration:fetch",
+            peer=peer,
+            outcome=outcome,
+            seconds=round(now - started, 3),
+            wanted=self._wanted_version,
+            wanted_seconds=round(now - self._wanted_since, 3),
+        )
+
     def _choose_fetch_peer(self) -> Member | None:
         """Return the peer to fetch a configuration from, mostly a near one.
 
--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -52,6 +52,7 @@
     Reply,
     Tick,
 )
+from lagoonpost.systems.view import FactOrigin
 from lagoonpost.tables.control_traffic import ControlTraffic
 from lagoonpost.tables.fact import Fact, FactKind
 from lagoonpost.tables.peer import Member, PeerRole
@@ -224,6 +225,10 @@
         """Return all valid facts of a kind."""
         return self._gossip.view.facts.of_kind(kind)
 
+    def find_origin(self, fact: Fact) -> FactOrigin:
+        """Return how a current fact was received."""
+        return self._gossip.view.fact_origins[fact.id]
+
     def current(self) -> bool:
         """Return whether the facts are as recent as those of the peers.
 
--- a/lagoonpost/systems/view.py
+++ b/lagoonpost/systems/view.py
@@ -1,6 +1,7 @@
 """One member's gossip state: its tables, pending updates and neighbours."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from lagoonpost.systems.detection import FailureDetector
 from lagoonpost.systems.membership import (
@@ -15,6 +16,19 @@
 from lagoonpost.tables.peer import Member, MemberTable
 
 
+class FactOrigin(NamedTuple):
+    """How the current version of a fact was first received.
+
+    Attributes:
+        member: Name of the sending member, or of this one if it published
+            the fact.
+        message: "packet" for a request, "reply" for a reply.
+    """
+
+    member: str
+    message: str
+
+
 class View:
     """One member's view of the membership and of the shared facts.
 
@@ -22,6 +36,7 @@
         me: This member's own row, as last published.
         members: All known members, including the own row and tombstones.
         facts: All current facts.
+        fact_origins: How each current fact was received, by its id.
         detector: Failure detector: unresponsive and suspect members.
         settled: Whether an exchange has succeeded since the start or the
             last freeze.
@@ -31,6 +46,7 @@
         self.me = me
         self.members = MemberTable()
         self.facts = FactTable()
+        self.fact_origins: dict[str, FactOrigin] = {}
         self.detector = FailureDetector()
         self.settled = settled
         self._topology: Topology | None = None
@@ -68,14 +84,18 @@
         """Merge all rows of a message received from ``source``."""
         for member in rows.members:
             self.merge_member(member, source, now)
+        message = "packet" if isinstance(rows, Packet) else "reply"
         for fact in rows.facts:
-            self.merge_fact(fact, source, now)
+            self.merge_fact(fact, source, now, message)
 
-    def merge_fact(self, fact: Fact, source: str, now: float) -> None:
+    def merge_fact(
+        self, fact: Fact, source: str, now: float, message: str = ""
+    ) -> None:
         """Merge a fact received from ``source``."""
         changed = self.facts.merge(fact, now)
         if changed is None:
             return
+        self.fact_origins[changed.id] = FactOrigin(source, message)
         self._learned_facts.append(changed)
         if self._should_forward(source):
             self._fact_updates[changed.id] = source
@@ -111,6 +131,8 @@
     def drop_expired(self, now: float) -> None:
         """Drop expired facts and member rows."""
         self.facts.drop_expired(now)
+        for key in self.fact_origins.keys() - self.facts.rows.keys():
+            del self.fact_origins[key]
         self.members.drop_expired(now)
 
     def find_others(self) -> list[Member]:
