--- a/bench/gossip_member.py
+++ b/bench/gossip_member.py
@@ -12,7 +12,9 @@
 
 from lagoonpost.http.message import Address, parse_address
 from lagoonpost.peers import pool
+from lagoonpost.peers.codec import MessagePackCodec
 from lagoonpost.peers.node import Peers, PeerSettings
+from lagoonpost.peers.transport import GrpcTransport
 from lagoonpost.systems import membership
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.peer import Member
@@ -77,8 +79,11 @@
         self.published: dict[str, float] = {}
         self.meter = Meter()
         self.meter.install()
-        self.peers = Peers(settings, self._record_facts, self._ignore)
-        self.peers._pool = pool.ChannelPool(channels)
+        transport = GrpcTransport(MessagePackCodec())
+        transport.pool = pool.ChannelPool(channels)
+        self.peers = Peers(
+            settings, self._record_facts, self._ignore, transport=transport
+        )
 
     def _record_facts(self, facts: Sequence[Fact]) -> None:
         for fact in facts:
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -19,7 +19,7 @@
 from lagoonpost.forwarding.forwarder import Forwarder
 from lagoonpost.forwarding.metrics import ForwardingMetrics
 from lagoonpost.forwarding.peer_key import PeerKey
-from lagoonpost.forwarding.peer_sync import PeerSync
+from lagoonpost.forwarding.peer_sync import PeerSync, make_links
 from lagoonpost.forwarding.quota_recorder import QuotaRecorder
 from lagoonpost.forwarding.request_log import log_exchange
 from lagoonpost.forwarding.runner_paths import RunnerPaths
@@ -153,7 +153,7 @@
             self._note_recorded_quota,
             self._store.eras.note,
             rng,
-            traffic,
+            make_links(traffic),
         )
         self._shifts = VersionShifts(
             ExposureBounds(bounds.exposure_share, bounds.exposure_slack),
--- a/lagoonpost/forwarding/peer_sync.py
+++ b/lagoonpost/forwarding/peer_sync.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
@@ -14,9 +13,11 @@
 from lagoonpost.forwarding.reports import ReportDelegate, ReportExchange
 from lagoonpost.forwarding.usage_gossip import UsageGossip
 from lagoonpost.http.message import Address, parse_address
-from lagoonpost.peers.message import Document
+from lagoonpost.peers.codec import MessagePackCodec
+from lagoonpost.peers.message import Document, FetchRequest
 from lagoonpost.peers.messenger import DatagramMessenger
 from lagoonpost.peers.node import Peers, PeerSettings, make_clock
+from lagoonpost.peers.transport import GrpcTransport, Transport
 from lagoonpost.platform.settings import HostSettings
 from lagoonpost.store.store import Store, Unavailable, Write
 from lagoonpost.systems.crash_causes import News as CrashNews
@@ -69,6 +70,33 @@
 SEED_PREFIX = "member/"
 
 
+class PeerLinks(NamedTuple):
+    """What carries messages between this gateway and its peers.
+
+    Attributes:
+        messenger: Exchanges datagrams.
+        transport: Carries gRPC calls.
+        clock: Monotonic clock in seconds since the epoch.
+    """
+
+    messenger: DatagramMessenger
+    transport: Transport
+    clock: Callable[[], float]
+
+
+def make_links(traffic: ControlTraffic) -> PeerLinks:
+    """Return links over the network.
+
+    Args:
+        traffic: Counts sent and received messages and bytes.
+    """
+    return PeerLinks(
+        DatagramMessenger(traffic),
+        GrpcTransport(MessagePackCodec(traffic)),
+        make_clock(),
+    )
+
+
 class PeerSync:
     """Gossip, reports and fetches between this gateway and its peers.
 
@@ -84,7 +112,7 @@
             recorded, and the age of that use in seconds.
         on_era: Called with the store's era that a peer knows.
         rng: Source of random choices.
-        traffic: Counts sent and received messages and bytes.
+        links: What carries messages to and from the other gateways.
 
     Attributes:
         peers: Membership, gossip and document fetches.
@@ -104,7 +132,7 @@
         on_recorded: Callable[[str, float], None],
         on_era: Callable[[int], None],
         rng: random.Random,
-        traffic: ControlTraffic,
+        links: PeerLinks,
     ) -> None:
         self._settings = settings
         self._bounds = settings.bounds
@@ -115,7 +143,7 @@
         self._on_era = on_era
         self._seed_written = False
         self._rng = rng
-        self._started = time.time() - time.monotonic()
+        self._clock = links.clock
         self._store_losses: dict[str, _StoreLoss] = {}
         self._roles: Roles | None = None
         self._wanted_version = 0
@@ -131,15 +159,16 @@
             entry=settings.entry,
             seniority_delay=find_seniority_delay(settings.link_mbps),
         )
-        post = self.messenger = DatagramMessenger(traffic)
+        post = self.messenger = links.messenger
         self.peers = Peers(
             peer_settings,
             self._handle_facts,
             lambda members: self._forget_roles(),
             self._list_documents,
+            clock=links.clock,
             rng=rng,
-            traffic=traffic,
             messenger=post,
+            transport=links.transport,
         )
         self.usage_gossip = UsageGossip(
             settings.name, self.peers.publish, self._find_end, on_recorded
@@ -151,7 +180,7 @@
             self.peers.members,
             self.peers.all_members,
             self.find_roles,
-            make_clock(),
+            links.clock,
             post,
             rng,
         )
@@ -269,8 +298,7 @@
         )
 
     def _find_end(self, seconds: float) -> float:
-        # Uses the monotonic clock, as the wall clock may jump.
-        return self._started + time.monotonic() + seconds
+        return self._clock() + seconds
 
     # Receiving
 
@@ -338,11 +366,11 @@
             if peer is None:
                 continue
             started = asyncio.get_running_loop().time()
+            request = FetchRequest(
+                CONFIGURATION_DOCUMENT, self._cluster.version
+            )
             documents = await self.peers.fetch(
-                peer,
-                CONFIGURATION_DOCUMENT,
-                self._cluster.version,
-                FETCH_TIMEOUT_SECONDS,
+                peer, request, FETCH_TIMEOUT_SECONDS
             )
             self._log_fetch(peer.name, documents, started)
             for document in documents or ():
--- a/lagoonpost/gateway/peering.py
+++ b/lagoonpost/gateway/peering.py
@@ -11,7 +11,7 @@
 from lagoonpost.gateway.reclaim import mark_runner_leaving
 from lagoonpost.gateway.state import EntryMember, Gateway
 from lagoonpost.http.message import Address
-from lagoonpost.peers.message import Document, HandOver
+from lagoonpost.peers.message import Document, FetchRequest, HandOver
 from lagoonpost.peers.node import Peers, PeerSettings
 from lagoonpost.settings import GatewaySettings
 from lagoonpost.store.watch import PEER_TIMEOUT_SECONDS, DeclarationWatch
@@ -159,7 +159,9 @@
     async def _fetch_snapshot(self, member: Member) -> Snapshot | None:
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_SECONDS):
-                found = await self.peers.fetch(member, SNAPSHOT, -1)
+                found = await self.peers.fetch(
+                    member, FetchRequest(SNAPSHOT, -1)
+                )
         except TimeoutError:
             return None
         if not found:
--- a/lagoonpost/peers/message.py
+++ b/lagoonpost/peers/message.py
@@ -20,10 +20,19 @@
 
 
 class FetchRequest(NamedTuple):
-    """Asks for documents of a kind with numbers above ``after``."""
+    """Asks for documents of a kind with numbers above ``after``.
+
+    Attributes:
+        kind: Kind of the documents.
+        after: Highest number that the sender has.
+        least: Number for which the receiver waits if it lacks it.
+        wait: Seconds for which it waits at most.
+    """
 
     kind: str
     after: int
+    least: int = 0
+    wait: float = 0.0
 
 
 class Document(NamedTuple):
--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import random
-import socket
 import time
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from typing import NamedTuple
 
 from eliot import log_message
-from grpclib.server import Server
 
 from lagoonpost.http.message import Address, parse_address
 from lagoonpost.peers.codec import MessagePackCodec
@@ -24,17 +22,19 @@
     HandOver,
 )
 from lagoonpost.peers.messenger import DatagramMessenger
-from lagoonpost.peers.pool import ChannelPool, call_once
 from lagoonpost.peers.service import (
     FETCH,
     GOSSIP,
     HAND_OVER,
     OnFetch,
     OnHandOver,
+    OnWait,
     PeerService,
     refuse_fetch,
     refuse_hand_over,
+    skip_wait,
 )
+from lagoonpost.peers.transport import GrpcTransport, Transport
 from lagoonpost.systems.gossip import TICK_SECONDS, Gossip
 from lagoonpost.systems.membership import PROBE_SECONDS, first_incarnation
 from lagoonpost.systems.packet import (
@@ -115,6 +115,8 @@
         rng: random.Random | None = None,
         traffic: ControlTraffic | None = None,
         messenger: DatagramMessenger | None = None,
+        transport: Transport | None = None,
+        on_wait: OnWait = skip_wait,
     ) -> None:
         """Initialize without network access; call ``start`` to join.
 
@@ -133,39 +135,38 @@
             traffic: Counts messages and bytes sent and received.
             messenger: Sends gossip requests in datagrams. Without one, or
                 if the peer has none, gossip uses gRPC.
+            transport: Carries the gRPC calls.
+            on_wait: Waits for the documents that a request to fetch wants.
         """
         self._settings = settings
         self._on_facts = on_facts
         self._on_members = on_members
         self._clock = clock or make_clock()
         self._rng = rng or random.Random()
-        self._service = PeerService(self._receive, on_fetch, on_hand_over)
-        self._codec = MessagePackCodec(traffic)
+        self._service = PeerService(
+            self._receive, on_fetch, on_hand_over, on_wait
+        )
         self._datagram_requests = (
             DatagramRequests(messenger, self._answer_datagram)
             if messenger
             else None
         )
-        self._pool = ChannelPool(codec=self._codec)
+        self._transport = transport or GrpcTransport(MessagePackCodec(traffic))
         self._tasks: set[asyncio.Task[None]] = set()
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._current = asyncio.Event()
         self._closed = False
         self._serving: tuple[Member, ...] | None = None
-        self._server: Server
         self._gossip: Gossip
 
     async def start(self) -> Address:
         """Listen, start joining the other members, and return the address."""
-        listener = socket.create_server(self._settings.address)
-        host, port = listener.getsockname()[:2]
-        address = Address(host, port)
+        address = await self._transport.start(
+            self._service, self._settings.address
+        )
         now = self._clock()
         seeds = [str(seed) for seed in self._settings.seeds]
         self._gossip = Gossip(self._make_own_row(address, now), seeds, now)
-        # grpclib binds a server to the loop in which it is constructed.
-        self._server = Server([self._service], codec=self._codec)
-        await self._server.start(sock=listener)
         self._tick()
         return address
 
@@ -199,9 +200,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        self._pool.close()
-        self._server.close()
-        await self._server.wait_closed()
+        self._transport.close_calls()
+        await self._transport.close()
 
     # Views
 
@@ -265,16 +265,14 @@
     async def fetch(
         self,
         peer: Member,
-        kind: str,
-        after: int,
+        request: FetchRequest,
         timeout: float = FETCH_TIMEOUT_SECONDS,
     ) -> tuple[Document, ...] | None:
-        """Return a peer's documents with numbers above ``after``.
+        """Return a peer's documents.
 
         Args:
             peer: Peer to fetch from.
-            kind: Kind of the documents.
-            after: Highest number already known.
+            request: Which documents to fetch.
             timeout: Timeout in seconds of each page.
 
         Returns:
@@ -283,16 +281,15 @@
         address = parse_address(peer.address)
         documents: list[Document] = []
         while True:
-            request = FetchRequest(kind, after)
-            reply: FetchReply | None = await call_once(
-                address, FETCH, request, timeout, self._codec
+            reply: FetchReply | None = await self._transport.call_apart(
+                address, FETCH, request, timeout
             )
             if reply is None:
                 return None
             documents.extend(reply.documents)
             if not reply.more:
                 return tuple(documents)
-            after = reply.documents[-1].number
+            request = request._replace(after=reply.documents[-1].number)
 
     async def hand_over(self, member: Member, request: HandOver) -> bool:
         """Transfer an accepted request to a peer.
@@ -305,12 +302,8 @@
         """
         address = parse_address(member.address)
         for _ in range(HAND_OVER_ATTEMPTS):
-            reply = await call_once(
-                address,
-                HAND_OVER,
-                request,
-                HAND_OVER_TIMEOUT_SECONDS,
-                self._codec,
+            reply = await self._transport.call_apart(
+                address, HAND_OVER, request, HAND_OVER_TIMEOUT_SECONDS
             )
             if reply is not None:
                 accepted: bool = reply.accepted
@@ -382,7 +375,7 @@
             reply = await self._datagram_requests.request(address, call.packet)
             seconds -= REPLY_TIMEOUT_SECONDS
         if reply is None:
-            reply = await self._pool.call(
+            reply = await self._transport.call(
                 address, GOSSIP, call.packet, seconds
             )
         if reply is None:
--- a/lagoonpost/peers/service.py
+++ b/lagoonpost/peers/service.py
@@ -31,6 +31,7 @@
 
 OnGossip = Callable[[Packet], Reply]
 OnFetch = Callable[[str, int], Sequence[Document]]
+OnWait = Callable[[FetchRequest], Awaitable[None]]
 OnHandOver = Callable[[HandOver], Awaitable[bool]]
 
 
@@ -39,6 +40,10 @@
     return ()
 
 
+async def skip_wait(request: FetchRequest) -> None:
+    """Return at once."""
+
+
 async def refuse_hand_over(request: HandOver) -> bool:
     """Refuse every hand-over, as a controller does."""
     return False
@@ -52,6 +57,7 @@
         on_fetch: Returns the documents of a kind with numbers above a
             given one.
         on_hand_over: Returns whether it accepts a handed-over request.
+        on_wait: Waits for the documents that a request to fetch wants.
     """
 
     def __init__(
@@ -59,10 +65,12 @@
         on_gossip: OnGossip,
         on_fetch: OnFetch,
         on_hand_over: OnHandOver,
+        on_wait: OnWait = skip_wait,
     ) -> None:
         self._on_gossip = on_gossip
         self._on_fetch = on_fetch
         self._on_hand_over = on_hand_over
+        self._on_wait = on_wait
         self._decisions: OrderedDict[str, asyncio.Task[bool]] = OrderedDict()
 
     def __mapping__(self) -> dict[str, Handler]:
@@ -89,6 +97,7 @@
     async def _fetch(self, stream: Stream[Any, Any]) -> None:
         request = await stream.recv_message()
         if request is not None:
+            await self._on_wait(request)
             documents = self._on_fetch(request.kind, request.after)
             await stream.send_message(_paginate(documents))
 
--- a/test/test_news.py
+++ b/test/test_news.py
@@ -190,7 +190,7 @@
         async def story(stack: Stack):
             shared = stack.gateways[0]._cluster
 
-            async def ask_silent(peer, kind, after, timeout):
+            async def ask_silent(peer, request, timeout):
                 waits.append(timeout)
                 await stack.store.put("op", "config", make_configuration(2))
 
--- a/test/test_node.py
+++ b/test/test_node.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from lagoonpost.http.message import Address, parse_address
-from lagoonpost.peers.message import Document, HandOver
+from lagoonpost.peers.message import Document, FetchRequest, HandOver
 from lagoonpost.peers.node import Peers, PeerSettings
 from lagoonpost.tables.fact import Fact
 
@@ -136,7 +136,9 @@
 
         async def run():
             members = await start_all(2, on_fetch=find)
-            fetched = await members[0].fetch(members[1].me, "ticket", 2)
+            fetched = await members[0].fetch(
+                members[1].me, FetchRequest("ticket", 2)
+            )
             assert [row.number for row in fetched] == [3, 4, 5, 6, 7, 8, 9]
             await close_all(members)
 
@@ -147,7 +149,9 @@
             members = await start_all(2)
             lost = members[1].me
             await members[1].close()
-            assert await members[0].fetch(lost, "ticket", 0) is None
+            assert (
+                await members[0].fetch(lost, FetchRequest("ticket", 0)) is None
+            )
             await members[0].close()
 
         asyncio.run(run())
