Fetch a configuration from who announced it, several at a time, then from the store

Callers saw 404 for seconds for routes of an acknowledged version. Copies of news that were sent to gateways that are gone were sent again only if they were the first that failed there.

Now a gateway asks the member that told it, which waits until it has the version; asks another after 0.25 s without giving up the first; and reads the store after 0.5 s. Reports and summaries name the newest version and recent facts, so each gateway's news is compared with a hub's within a second. A push that has no answer after 0.3 s goes to the next in the ring as well. Gateways read the store themselves shortly before the bound if no reader's or backup's answer is known of.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -154,6 +154,7 @@
             self._store.eras.note,
             rng,
             make_links(traffic),
+            self._store.read_configuration,
         )
         self._shifts = VersionShifts(
             ExposureBounds(bounds.exposure_share, bounds.exposure_slack),
--- a/lagoonpost/forwarding/peer_sync.py
+++ b/lagoonpost/forwarding/peer_sync.py
@@ -2,19 +2,23 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
-import eliot
 import msgspec
 
 from lagoonpost.forwarding.cluster_state import ClusterState
+from lagoonpost.forwarding.configuration_fetcher import (
+    CONFIGURATION_DOCUMENT,
+    ConfigurationFetcher,
+    ReadConfiguration,
+)
 from lagoonpost.forwarding.news_fact import News, make_fact, read_news
 from lagoonpost.forwarding.reports import ReportDelegate, ReportExchange
 from lagoonpost.forwarding.usage_gossip import UsageGossip
 from lagoonpost.http.message import Address, parse_address
 from lagoonpost.peers.codec import MessagePackCodec
-from lagoonpost.peers.message import Document, FetchRequest
+from lagoonpost.peers.message import Document
 from lagoonpost.peers.messenger import DatagramMessenger
 from lagoonpost.peers.node import Peers, PeerSettings, make_clock
 from lagoonpost.peers.transport import GrpcTransport, Transport
@@ -24,28 +28,20 @@
 from lagoonpost.systems.hub import (
     Roles,
     choose_roles,
+    find_reading_reason,
     find_seniority_delay,
-    should_read_store,
 )
 from lagoonpost.tables.bounds import Bounds
 from lagoonpost.tables.control_traffic import ControlTraffic
-from lagoonpost.tables.fact import Fact
+from lagoonpost.tables.fact import Fact, RecentFact
 from lagoonpost.tables.peer import Member
 from lagoonpost.tables.runner_notice import Departure
 from lagoonpost.tables.stamp import find_era
 
-CONFIGURATION_DOCUMENT = "configuration"
 ENTRY_TTL_SECONDS = 3600.0
 """How long a fact about a runner's entry is kept."""
 LOCAL_FETCH_SHARE = 0.8
 """Share of configuration fetches that go to the own failure domain."""
-FETCH_DELAY_SECONDS = 0.15
-"""Wait for the store's feed before a configuration is fetched from a peer."""
-FETCH_TIMEOUT_SECONDS = 0.6
-"""Timeout of a configuration fetch. A host that has just disappeared does not
-answer, but counts as alive for some seconds. Two such peers in a row leave
-time for a third within the two seconds in which a configuration has to come
-into force. A configuration of 100 KB takes 0.2 s on the slowest links."""
 STORE_LOSS_MEMORY_SECONDS = 4.0
 """How long a gateway's loss of the store is remembered after its recovery:
 lapsed entries are judged for about two seconds after it, and gateways notice
@@ -113,6 +109,7 @@
         on_era: Called with the store's era that a peer knows.
         rng: Source of random choices.
         links: What carries messages to and from the other gateways.
+        read_configuration: Reads the configuration from the store.
 
     Attributes:
         peers: Membership, gossip and document fetches.
@@ -133,6 +130,7 @@
         on_era: Callable[[int], None],
         rng: random.Random,
         links: PeerLinks,
+        read_configuration: ReadConfiguration,
     ) -> None:
         self._settings = settings
         self._bounds = settings.bounds
@@ -146,9 +144,7 @@
         self._clock = links.clock
         self._store_losses: dict[str, _StoreLoss] = {}
         self._roles: Roles | None = None
-        self._wanted_version = 0
-        self._wanted_since = 0.0
-        self._wanted = asyncio.Event()
+        self._names: dict[str, str] = {}
         peer_settings = PeerSettings(
             name=settings.name,
             role="gateway",
@@ -163,12 +159,22 @@
         self.peers = Peers(
             peer_settings,
             self._handle_facts,
-            lambda members: self._forget_roles(),
+            lambda members: self._forget_members(),
             self._list_documents,
             clock=links.clock,
             rng=rng,
             messenger=post,
             transport=links.transport,
+            on_wait=lambda request: self._fetcher.wait_for(request),
+        )
+        self._fetcher = ConfigurationFetcher(
+            cluster,
+            self.peers,
+            self._find_member,
+            self._choose_fetch_peer,
+            lambda: self.find_read_pause() is not None,
+            read_configuration,
+            self.publish_configuration,
         )
         self.usage_gossip = UsageGossip(
             settings.name, self.peers.publish, self._find_end, on_recorded
@@ -183,6 +189,7 @@
             links.clock,
             post,
             rng,
+            self,
         )
 
     def set_bounds(self, bounds: Bounds) -> None:
@@ -203,7 +210,7 @@
         """Publish reports and fetch configurations until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self.reports.run())
-            group.create_task(self._fetch_configurations())
+            group.create_task(self._fetcher.run())
 
     async def discover_gateways(self, store: Store) -> None:
         """Write the own peer address to the store and read those of others.
@@ -341,77 +348,69 @@
         self._forget_roles()
 
     def _handle_version(self, fact: Fact) -> None:
-        if fact.rank <= self._cluster.version:
-            return
         origin = self.peers.find_origin(fact)
-        eliot.log_message(
-            message_type="lagoonpost:configuration:heard",
-            version=fact.rank,
-            member=origin.member,
-            message=origin.message,
+        self._fetcher.note_version(
+            fact.rank, origin.senders[0], origin.message
         )
-        if not self._wanted.is_set():
-            self._wanted_since = asyncio.get_running_loop().time()
-        self._wanted_version = max(self._wanted_version, fact.rank)
-        self._wanted.set()
 
-    async def _fetch_configurations(self) -> None:
-        while True:
-            await self._wanted.wait()
-            await asyncio.sleep(FETCH_DELAY_SECONDS)
-            if self._cluster.version >= self._wanted_version:
-                self._wanted.clear()
-                continue
-            peer = self._choose_fetch_peer()
-            if peer is None:
-                continue
-            started = asyncio.get_running_loop().time()
-            request = FetchRequest(
-                CONFIGURATION_DOCUMENT, self._cluster.version
-            )
-            documents = await self.peers.fetch(
-                peer, request, FETCH_TIMEOUT_SECONDS
-            )
-            self._log_fetch(peer.name, documents, started)
-            for document in documents or ():
-                if self._cluster.apply_configuration(document.body, peer.name):
-                    self.publish_configuration()
+    # News in reports and summaries
+
+    def list_recent_facts(self) -> tuple[RecentFact, ...]:
+        """Return the facts that this gateway received recently."""
+        return self.peers.list_recent_facts()
 
-    def _log_fetch(
-        self, peer: str, documents: Sequence[Document] | None, started: float
+    def handle_news(
+        self, sender: Address, version: int, recent: tuple[RecentFact, ...]
     ) -> None:
-        now = asyncio.get_running_loop().time()
-        outcome = "failed" if documents is None else "has none newer"
-        if documents:
-            outcome = f"version {documents[-1].number}"
-        eliot.log_message(
-            message_type="lagoonpost:configuration:fetch",
-            peer=peer,
-            outcome=outcome,
-            seconds=round(now - started, 3),
-            wanted=self._wanted_version,
-            wanted_seconds=round(now - self._wanted_since, 3),
-        )
+        """Handle what another gateway knows.
 
-    def _choose_fetch_peer(self) -> Member | None:
-        """Return the peer to fetch a configuration from, mostly a near one.
+        Copies of a fact may all be lost with gateways that are gone but count
+        as alive, so each gateway also compares its news with a hub.
+        """
+        name = self._find_names().get(str(sender))
+        if name is not None:
+            self._fetcher.note_version(version, name, "report")
+            self.peers.compare(name, recent)
+
+    def _find_names(self) -> dict[str, str]:
+        if not self._names:
+            self._names = {
+                row.address: row.name for row in self.peers.members()
+            }
+        return self._names
+
+    # Fetches of configurations
+
+    def _find_member(self, name: str) -> Member | None:
+        found = [each for each in self.find_others() if each.name == name]
+        return found[0] if found else None
 
-        Traffic between failure domains is billed, and each domain has
-        gateways that read the store themselves. Other domains are tried as
-        well, in case all of these are cut off.
+    def _choose_fetch_peer(self, excluded: Collection[str]) -> str | None:
+        """Return the peer to fetch a configuration from.
+
+        Those that sent the news are near to its source. Others are mostly
+        chosen in the own failure domain, as traffic between domains is
+        billed.
         """
-        others = self.find_others()
+        others = [
+            peer for peer in self.find_others() if peer.name not in excluded
+        ]
+        if not others:
+            return None
+        senders = self.peers.find_senders(_CONFIGURATION_FACT)
+        for name in senders:
+            if any(peer.name == name for peer in others):
+                return name
         here = self._settings.failure_domain
         near = [peer for peer in others if peer.failure_domain == here]
         if near and self._rng.random() < LOCAL_FETCH_SHARE:
-            return self._rng.choice(near)
-        return self._rng.choice(others) if others else None
+            return self._rng.choice(near).name
+        return self._rng.choice(others).name
 
     def _list_documents(self, kind: str, after: int) -> Sequence[Document]:
-        version = self._cluster.version
-        if kind != CONFIGURATION_DOCUMENT or version <= after:
+        if kind != CONFIGURATION_DOCUMENT:
             return ()
-        return (Document(version, self._cluster.raw_configuration),)
+        return self._fetcher.list_documents(after)
 
     # Views
 
@@ -426,6 +425,10 @@
             self._roles = choose_roles(self.peers.members(), lost)
         return self._roles
 
+    def _forget_members(self) -> None:
+        self._names = {}
+        self._forget_roles()
+
     def _forget_roles(self) -> None:
         self._roles = None
 
@@ -438,7 +441,13 @@
         roles = self.find_roles()
         heard = self.reports.find_contact_ages()
         bound = self._bounds.propagation_seconds
-        if not should_read_store(self._settings.name, roles, heard, bound):
+        name = self._settings.name
+        reason = find_reading_reason(name, roles, heard, bound)
+        if reason is None:
+            return None
+        own = self._store_losses.get(name)
+        if reason == "last_resort" and own is not None and own.lost:
+            # The store is probably down for all, which probe it now and then.
             return None
         return MESH_READ_PAUSE_SECONDS if roles.mesh else READER_PAUSE_SECONDS
 
@@ -502,6 +511,7 @@
     at: float
 
 
+_CONFIGURATION_FACT = Fact("configuration", "", 0)
 _STORE_STATES = {True: b"lost", False: b"answers"}
 
 
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -20,6 +20,7 @@
     find_unreachable,
 )
 from lagoonpost.systems.service_shares import subtract_demand, sum_demand
+from lagoonpost.tables.fact import RecentFact
 from lagoonpost.tables.gateway_report import (
     GatewayReport,
     HubSummary,
@@ -94,6 +95,24 @@
         """Apply what a hub knows."""
 
 
+class NewsDelegate(Protocol):
+    """Names the own news in reports and summaries, and handles others'."""
+
+    def list_recent_facts(self) -> tuple[RecentFact, ...]:
+        """Return the facts that this gateway received recently."""
+
+    def handle_news(
+        self, sender: Address, version: int, recent: tuple[RecentFact, ...]
+    ) -> None:
+        """Handle what another gateway knows.
+
+        Args:
+            sender: Address of the other gateway.
+            version: Newest version of the configuration that it knows.
+            recent: Facts that it received recently.
+        """
+
+
 class _Sent(NamedTuple):
     """An own report's time in seconds, its open work and its demand."""
 
@@ -116,6 +135,7 @@
         clock: Returns seconds since the epoch, as in the members' rows.
         post: Sends and receives the datagrams.
         rng: Source of random orders.
+        news: Names and handles news.
 
     Attributes:
         run_id: Identifies this run of the process.
@@ -136,8 +156,10 @@
         clock: Callable[[], float],
         post: DatagramMessenger,
         rng: random.Random,
+        news: NewsDelegate,
     ) -> None:
         self._rng = rng
+        self._news = news
         self._name = name
         self._address = address
         self._delegate = delegate
@@ -210,7 +232,9 @@
     def _send_report(self) -> None:
         report = self._delegate.make_report(self._name, self.run_id)
         self._rank += 1
-        report = report._replace(sequence=self._rank)
+        report = report._replace(
+            sequence=self._rank, recent_facts=self._news.list_recent_facts()
+        )
         self._drop_old()
         self._keep_report(report)
         self._sent[self._rank] = _Sent(self._now(), report.work, report.demand)
@@ -257,6 +281,8 @@
             read_age=self._find_read_age(),
             speeds=self.speeds.make_summary() if self.speeds else None,
             demand=sum_demand(report.demand for report in fresh),
+            version=max((report.version for report in fresh), default=0),
+            recent_facts=self._news.list_recent_facts(),
         )
         # A full link drops the last datagrams of a burst; in a fixed order,
         # the same gateways would never get a summary.
@@ -272,6 +298,7 @@
     def _handle_report(self, report: GatewayReport, sender: Address) -> None:
         if report.run == self.run_id or not self._keep_report(report):
             return
+        self._news.handle_news(sender, report.version, report.recent_facts)
         # The summaries that other gateways get have the same usage.
         if self.is_hub():
             self._delegate.handle_report(report)
@@ -295,6 +322,7 @@
 
     def _handle_summary(self, summary: HubSummary, sender: Address) -> None:
         """Handle a hub's summary, and subtract this gateway's own work."""
+        self._news.handle_news(sender, summary.version, summary.recent_facts)
         before = self._summary_numbers.get(summary.hub, 0)
         if self.is_hub() or before >= summary.number:
             return
--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -42,6 +42,7 @@
     Answered,
     Call,
     ChangedRows,
+    Compared,
     Event,
     Failed,
     Flush,
@@ -51,10 +52,11 @@
     Received,
     Reply,
     Tick,
+    Unanswered,
 )
 from lagoonpost.systems.view import FactOrigin
 from lagoonpost.tables.control_traffic import ControlTraffic
-from lagoonpost.tables.fact import Fact, FactKind
+from lagoonpost.tables.fact import Fact, FactKind, RecentFact
 from lagoonpost.tables.peer import Member, PeerRole
 
 # Batches a burst of changes into one packet; ten hops still take only 0.2 s.
@@ -252,8 +254,27 @@
                 await self._current.wait()
         return self.current()
 
+    def find_senders(self, fact: Fact) -> tuple[str, ...]:
+        """Return the members that sent the current version of a fact."""
+        origin = self._gossip.view.fact_origins.get(fact.id)
+        return origin.senders if origin else ()
+
+    def list_recent_facts(self) -> tuple[RecentFact, ...]:
+        """Return the facts that this process received recently."""
+        return self._gossip.view.list_recent_facts(self._clock())
+
     # Operations
 
+    def compare(self, member: str, recent: tuple[RecentFact, ...]) -> None:
+        """Compare all facts with a member if it has one that is lacking here.
+
+        Args:
+            member: Name of the member.
+            recent: Facts that it received recently.
+        """
+        if recent:
+            self._step(Compared(member, recent))
+
     def add_seeds(self, addresses: Sequence[Address]) -> None:
         """Add addresses used to discover members."""
         self._gossip.add_seeds(str(address) for address in addresses)
@@ -371,15 +392,19 @@
         address = parse_address(call.address)
         seconds = PROBE_SECONDS
         reply = None
+        delayed = False
         if self._datagram_requests is not None and not call.packet.buckets:
             reply = await self._datagram_requests.request(address, call.packet)
             seconds -= REPLY_TIMEOUT_SECONDS
+            delayed = reply is None
+        if delayed:
+            self._step(Unanswered(call))
         if reply is None:
             reply = await self._transport.call(
                 address, GOSSIP, call.packet, seconds
             )
         if reply is None:
-            self._step(Failed(call))
+            self._step(Failed(call, delayed))
         else:
             self._step(Answered(call, reply))
 
--- a/lagoonpost/systems/gossip.py
+++ b/lagoonpost/systems/gossip.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Callable, Iterable, Sequence
+from math import inf
 from random import Random
 from typing import Any
 
@@ -19,6 +20,7 @@
     Action,
     Answered,
     Call,
+    Compared,
     Event,
     Failed,
     Flush,
@@ -29,6 +31,7 @@
     Received,
     Reply,
     Tick,
+    Unanswered,
 )
 from lagoonpost.systems.view import View
 from lagoonpost.tables.peer import Member
@@ -59,6 +62,9 @@
 # Rows in flight make digests differ for about 100 ms. Only a second
 # consecutive difference at a neighbour indicates a lost push.
 DIFFERENCES_BEFORE_SYNC = 2
+# A comparison of all tables takes some round trips. Meanwhile the missing fact
+# may be named again, by several members.
+SYNC_PAUSE_SECONDS = 0.3
 
 
 class Gossip:
@@ -86,6 +92,7 @@
         self._busy_until = started
         self._resumed_at = started
         self._answers: set[str] = set()
+        self._synced_at = -inf
 
     def current(self, now: float) -> bool:
         """Return whether the facts are up to date with other members.
@@ -351,17 +358,46 @@
         row = view.members.rows.get(call.target)
         if row is None or call.purpose not in _PROBE_ON_FAILURE:
             return []
-        before = view.neighbours(now)
+        actions = [] if event.delayed else self._send_past(call, now)
         view.detector.avoid(row.name, now)
-        actions: list[Action] = []
-        if call.packet.members or call.packet.facts:
-            # Send the rows to the member that replaces the failed neighbour.
-            for name in view.neighbours(now):
-                if name not in before:
-                    packet = call.packet
-                    actions.append(view.send(name, packet, "push", now))
         return actions + self._probe_indirectly(row, now, rng)
 
+    def _handle_delay(
+        self, event: Unanswered, now: float, rng: Random
+    ) -> list[Action]:
+        return self._send_past(event.call, now)
+
+    def _send_past(self, call: Call, now: float) -> list[Action]:
+        """Send the rows of a call to the member that replaces its target.
+
+        Pushes that follow each other fail one by one. Each is sent on, also
+        if the target is no neighbour any more since the first one failed.
+        """
+        view = self.view
+        packet = call.packet
+        if not packet.members and not packet.facts:
+            return []
+        if call.target not in view.members.rows:
+            return []
+        return [
+            view.send(name, packet, "push", now)
+            for name in view.find_replacements(call.target, now)
+            if name != packet.sender
+        ]
+
+    def _compare_recent(
+        self, event: Compared, now: float, rng: Random
+    ) -> list[Action]:
+        view = self.view
+        if event.member not in view.members.rows:
+            return []
+        if now < self._synced_at + SYNC_PAUSE_SECONDS:
+            return []
+        if not view.lacks(event.recent):
+            return []
+        self._synced_at = now
+        return self._call_each((event.member,), "sync", now)
+
     def _probe_indirectly(
         self, row: Member, now: float, rng: Random
     ) -> list[Action]:
@@ -406,5 +442,7 @@
     Leave: Gossip._leave,
     Received: Gossip._receive,
     Answered: Gossip._handle_answer,
+    Unanswered: Gossip._handle_delay,
     Failed: Gossip._fail,
+    Compared: Gossip._compare_recent,
 }
--- a/lagoonpost/systems/hub.py
+++ b/lagoonpost/systems/hub.py
@@ -24,12 +24,14 @@
 The failure of a reader shows only after seconds, so hubs report the age of
 the readers' data. If it is too old, a few backups read as well; if the hub
 itself is silent, all gateways of its domain read. In the first case not all
-gateways read, as the store itself may be down and would receive the calls of
-all gateways when it recovers.
+gateways read at once, as the store itself may be down and would receive the
+calls of all gateways when it recovers. Only shortly before the bound, when
+not even a backup's answer has come, the others try as well, each at the slow
+pace of a gateway that has lost the store.
 """
 
 from collections.abc import Collection, Sequence
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 from lagoonpost.tables.peer import Member
 
@@ -57,7 +59,9 @@
 """Time a gateway needs to become current when it starts reading: the check
 whether it has to read, the whole tables and, on slow links, a large
 configuration."""
-
+LAST_RESORT_SECONDS = 0.5
+"""Time before the bound at which gateways that are no backups start reading:
+the check whether they have to read and a read on a usual link."""
 
 SENIORITY_SECONDS_MBPS = 20.0
 """Product of a link's speed in Mbit/s and the seconds by which a gateway ranks
@@ -183,10 +187,13 @@
     store: float
 
 
-def should_read_store(
+ReadingReason = Literal["reader", "silent_hub", "backup", "last_resort"]
+
+
+def find_reading_reason(
     name: str, roles: Roles, age: ReportAge, bound: float
-) -> bool:
-    """Return whether a gateway should read the store itself.
+) -> ReadingReason | None:
+    """Return why a gateway should read the store itself, or None.
 
     Args:
         name: Name of the gateway.
@@ -194,7 +201,11 @@
         age: Age of the data that the gateway last received.
         bound: Seconds within which a change in the store must be known.
     """
-    if name in roles.readers:
-        return True
     oldest = bound - READER_TAKEOVER_SECONDS
-    return age.hub > oldest or (age.store > oldest and name in roles.backups)
+    reasons: tuple[tuple[ReadingReason, bool], ...] = (
+        ("reader", name in roles.readers),
+        ("silent_hub", age.hub > oldest),
+        ("backup", age.store > oldest and name in roles.backups),
+        ("last_resort", age.store > bound - LAST_RESORT_SECONDS),
+    )
+    return next((reason for reason, applies in reasons if applies), None)
--- a/lagoonpost/systems/packet.py
+++ b/lagoonpost/systems/packet.py
@@ -2,7 +2,7 @@
 
 from typing import Literal, NamedTuple
 
-from lagoonpost.tables.fact import Fact
+from lagoonpost.tables.fact import Fact, RecentFact
 from lagoonpost.tables.peer import Member
 
 
@@ -112,11 +112,45 @@
     reply: Reply
 
 
+class Unanswered(NamedTuple):
+    """A call has no answer yet, later than usual."""
+
+    call: Call
+
+
 class Failed(NamedTuple):
-    """A call was refused, was interrupted or timed out."""
+    """A call was refused, was interrupted or timed out.
+
+    Attributes:
+        call: The call.
+        delayed: Whether ``Unanswered`` was reported for it before.
+    """
 
     call: Call
+    delayed: bool = False
+
+
+class Compared(NamedTuple):
+    """Another member named facts that it received recently.
 
+    Attributes:
+        member: Name of the other member.
+        recent: The facts that it named.
+    """
 
-Event = Tick | Flush | Publish | Leave | Received | Answered | Failed
+    member: str
+    recent: tuple[RecentFact, ...]
+
+
+Event = (
+    Tick
+    | Flush
+    | Publish
+    | Leave
+    | Received
+    | Answered
+    | Unanswered
+    | Failed
+    | Compared
+)
 Action = Call | Reply | ChangedRows
--- a/lagoonpost/systems/view.py
+++ b/lagoonpost/systems/view.py
@@ -1,5 +1,6 @@
 """One member's gossip state: its tables, pending updates and neighbours."""
 
+from collections import deque
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -12,21 +13,40 @@
     refute,
 )
 from lagoonpost.systems.packet import Call, ChangedRows, Packet, Purpose, Reply
-from lagoonpost.tables.fact import Fact, FactTable
+from lagoonpost.tables.digest import hash_text
+from lagoonpost.tables.fact import Fact, FactTable, RecentFact
 from lagoonpost.tables.peer import Member, MemberTable
 
+MAX_SENDERS = 4
+"""Senders of a fact that are kept; a member has about three predecessors in
+the rings."""
+
+
+SPREAD_SECONDS = 0.4
+"""Time in which a fact normally reaches all members of a region."""
+RECENT_SECONDS = 4.0
+"""Time for which a fact counts as recent: some reports and summaries long."""
+MAX_RECENT_FACTS = 32
+"""Recent facts in one message, 20 bytes each. A member that lacks one compares
+all facts."""
+MIN_LIFETIME_SECONDS = 3.0
+"""Remaining lifetime of a fact that is named; another member may have dropped
+it a little earlier."""
+
 
 class FactOrigin(NamedTuple):
-    """How the current version of a fact was first received.
+    """How the current version of a fact was received.
 
     Attributes:
-        member: Name of the sending member, or of this one if it published
-            the fact.
-        message: "packet" for a request, "reply" for a reply.
+        message: "packet" for a request, "reply" for a reply, "" if this
+            member published the fact.
+        senders: Members that sent this version, the first one first.
+        at: When it was first received, in seconds since the epoch.
     """
 
-    member: str
     message: str
+    senders: tuple[str, ...]
+    at: float
 
 
 class View:
@@ -47,6 +67,9 @@
         self.members = MemberTable()
         self.facts = FactTable()
         self.fact_origins: dict[str, FactOrigin] = {}
+        self._recent_facts: deque[tuple[float, str]] = deque()
+        # Highest rank of each fact, by the hash of its id.
+        self._ranks: dict[int, int] = {}
         self.detector = FailureDetector()
         self.settled = settled
         self._topology: Topology | None = None
@@ -94,12 +117,51 @@
         """Merge a fact received from ``source``."""
         changed = self.facts.merge(fact, now)
         if changed is None:
+            self._note_sender(fact, source)
             return
-        self.fact_origins[changed.id] = FactOrigin(source, message)
+        self.fact_origins[changed.id] = FactOrigin(message, (source,), now)
+        self._recent_facts.append((now, changed.id))
+        self._ranks[hash_text(changed.id)] = changed.rank
         self._learned_facts.append(changed)
         if self._should_forward(source):
             self._fact_updates[changed.id] = source
 
+    def _note_sender(self, fact: Fact, source: str) -> None:
+        current = self.facts.rows.get(fact.id)
+        if current is None or current.rank != fact.rank:
+            return
+        origin = self.fact_origins[fact.id]
+        if source not in origin.senders and len(origin.senders) < MAX_SENDERS:
+            senders = (*origin.senders, source)
+            self.fact_origins[fact.id] = origin._replace(senders=senders)
+
+    def list_recent_facts(self, now: float) -> tuple[RecentFact, ...]:
+        """Return facts that came recently, for comparison by other members.
+
+        Left out are the newest ones, which others are about to receive, and
+        those that expire.
+        """
+        while self._recent_facts and (
+            self._recent_facts[0][0] < now - RECENT_SECONDS
+        ):
+            self._recent_facts.popleft()
+        newest = now - SPREAD_SECONDS
+        found = {id_: None for at, id_ in self._recent_facts if at <= newest}
+        rows = self.facts.rows
+        recent = [
+            RecentFact(hash_text(id_), rows[id_].rank)
+            for id_ in found
+            if id_ in rows
+            and self.fact_origins[id_].at <= newest
+            and rows[id_].expires_after > now + MIN_LIFETIME_SECONDS
+        ]
+        return tuple(recent[-MAX_RECENT_FACTS:])
+
+    def lacks(self, recent: Iterable[RecentFact]) -> bool:
+        """Return whether this member lacks one of another's recent facts."""
+        ranks = self._ranks
+        return any(ranks.get(fact.id_hash, -1) < fact.rank for fact in recent)
+
     def merge_member(self, row: Member, source: str, now: float) -> None:
         """Merge a member's row received from ``source``.
 
@@ -133,6 +195,7 @@
         self.facts.drop_expired(now)
         for key in self.fact_origins.keys() - self.facts.rows.keys():
             del self.fact_origins[key]
+            self._ranks.pop(hash_text(key), None)
         self.members.drop_expired(now)
 
     def find_others(self) -> list[Member]:
@@ -142,13 +205,25 @@
 
     def neighbours(self, now: float) -> tuple[str, ...]:
         """Return the names of the members that this member calls."""
+        return self._choose(self.detector.avoided(now))
+
+    def _choose(self, avoid: frozenset[str]) -> tuple[str, ...]:
         if self._topology is None:
             rows = self.members.rows.values()
             self._topology = build_topology(rows, self.me.region)
-        avoid = self.detector.avoided(now)
         near = choose_neighbours(self._topology, self.me.name, avoid)
         return near + choose_bridge_links(self._topology, self.me, avoid)
 
+    def find_replacements(self, name: str, now: float) -> tuple[str, ...]:
+        """Return the neighbours that take the place of a silent one."""
+        avoid = self.detector.avoided(now)
+        present = self._choose(avoid - {name})
+        return tuple(
+            other
+            for other in self._choose(avoid | {name})
+            if other not in present
+        )
+
     def buckets(self) -> tuple[int, ...]:
         """Return the combined digest of both tables for each bucket."""
         pairs = zip(
--- a/lagoonpost/tables/fact.py
+++ b/lagoonpost/tables/fact.py
@@ -53,6 +53,18 @@
         return f"{self.kind}/{self.key}"
 
 
+class RecentFact(NamedTuple):
+    """Names one version of a fact without its contents.
+
+    Attributes:
+        id_hash: Hash of the fact's id.
+        rank: Version of the fact.
+    """
+
+    id_hash: int
+    rank: int
+
+
 def merge_facts(one: Fact, other: Fact) -> Fact:
     """Merge two facts of the same kind and key.
 
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -4,6 +4,7 @@
 from itertools import zip_longest
 from typing import NamedTuple
 
+from lagoonpost.tables.fact import RecentFact
 from lagoonpost.tables.runner_speed import SpeedEvidence, SpeedSamples
 from lagoonpost.tables.urgency import trim
 from lagoonpost.tables.version_shift import VersionCounts
@@ -53,6 +54,7 @@
             a lost report are lost.
         demand: Units a second that callers ask for, by service, then by
             workspace; only of services that are nearly short.
+        recent_facts: Facts that the gateway received recently.
     """
 
     name: str
@@ -70,6 +72,7 @@
     read_age: float | None = None
     speeds: dict[str, SpeedSamples] | None = None
     demand: dict[str, dict[str, float]] | None = None
+    recent_facts: tuple[RecentFact, ...] = ()
 
 
 UsageByAge = dict[str, list[tuple[float, float]]]
@@ -97,6 +100,8 @@
         demand: Units a second that callers ask for at all gateways, by
             service, then by workspace; only of services that are nearly
             short.
+        version: Newest version of the configuration in force at any gateway.
+        recent_facts: Facts that the hub received recently.
     """
 
     hub: str
@@ -109,6 +114,8 @@
     read_age: float | None = None
     speeds: dict[str, SpeedEvidence] | None = None
     demand: dict[str, dict[str, float]] | None = None
+    version: int = 0
+    recent_facts: tuple[RecentFact, ...] = ()
 
 
 def add_work(reports: Iterable[GatewayReport]) -> dict[str, RunnerWork]:
--- a/test/test_reports.py
+++ b/test/test_reports.py
@@ -19,6 +19,7 @@
 )
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.hub import Roles, choose_roles
+from lagoonpost.tables.fact import RecentFact
 from lagoonpost.tables.gateway_report import (
     GatewayReport,
     HubSummary,
@@ -66,6 +67,18 @@
         self.taken = taken
 
 
+class NoNews:
+    """Has no news and expects none."""
+
+    def list_recent_facts(self) -> tuple[RecentFact, ...]:
+        return ()
+
+    def handle_news(
+        self, sender: Address, version: int, recent: tuple[RecentFact, ...]
+    ) -> None:
+        pass
+
+
 class Crowd:
     """Twenty gateways in two failure domains."""
 
@@ -95,6 +108,7 @@
                 lambda: 0.0,
                 self.posts[number],
                 Random(number),
+                NoNews(),
             )
             for number, member in enumerate(self.members)
         ]
@@ -266,6 +280,7 @@
             lambda: 0.0,
             DatagramMessenger(),
             Random(1),
+            NoNews(),
         )
         for hub, number, requests in [("a", 4, 1), ("b", 1, 2), ("a", 3, 9)]:
             work = {"runner": RunnerWork(requests)}
