Soak: cut a fifth of the gateways off and change the configuration meanwhile

Each run has it once. Datagrams and calls between the two sides are lost; both sides keep their paths to the store, so the promise that a configuration is in force in time holds for both without an excuse.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 from lagoonpost_standins.deployment import make_caller_headers
 from lagoonpost_standins.rows import Outage
 from lagoonpost_standins.runner import RunnerFault
-from soak.gateway import write_cut
+from soak.gateway import name_peer_cut, write_cut
 from soak.proxy import LinkFault, Proxy
 from soak.record import (
     CrashTime,
@@ -35,6 +35,8 @@
 PARTITION_DURATION_FACTOR = 2.0
 """Factor on the duration of partitions, so that direct paths are probed
 several times."""
+CUT_SHARE = 0.2
+"""Share of gateways that are cut off from the others."""
 BRITTLE_WAITING, BRITTLE_REFUSALS = 2, 4
 """Requests that may wait at a brittle runner, and refusals a second beyond
 which it falls over."""
@@ -103,8 +105,9 @@
     """Draw the faults of one soak run.
 
     Beside the drawn kinds, most requests to a service are rejected for some
-    time, so that repeats are wanted while other faults happen, and the store
-    sends bytes without end to a gateway.
+    time, so that repeats are wanted while other faults happen, the store
+    sends bytes without end to a gateway, and the configuration changes while a
+    fifth of the gateways is cut off from the others.
 
     Args:
         rng: Seeded generator.
@@ -124,6 +127,8 @@
     steps.append(PlannedFault(at, "reject", lasts, rng.randrange(1 << 30)))
     at, lasts = rng.uniform(QUIET_START_SECONDS, latest), rng.uniform(0.2, 3.0)
     steps.append(PlannedFault(at, "flood", lasts, rng.randrange(1 << 30)))
+    at, lasts = rng.uniform(QUIET_START_SECONDS, latest), rng.uniform(1.0, 3.0)
+    steps.append(PlannedFault(at, "cut_peers", lasts, rng.randrange(1 << 30)))
     return steps
 
 
@@ -350,6 +355,30 @@
     return " ".join(system.gateways[number].name for number in numbers)
 
 
+async def _cut_peers(
+    system: SoakSystem, step: PlannedFault, rng: Random
+) -> str:
+    """Cut a fifth of the gateways off from all others, and from no store.
+
+    The configuration changes while the others still take them for alive.
+    """
+    numbers = range(len(system.gateways))
+    apart = rng.sample(numbers, max(1, round(CUT_SHARE * len(numbers))))
+    for number in numbers:
+        others = [
+            str(system.peers[other])
+            for other in numbers
+            if other != number and (number in apart or other in apart)
+        ]
+        write_cut(name_peer_cut(system.cuts[number]), "lose", others)
+    await asyncio.sleep(rng.uniform(0.0, 0.5))
+    await system.configure(system.version + 1)
+    await asyncio.sleep(PARTITION_DURATION_FACTOR * step.seconds)
+    for number in numbers:
+        name_peer_cut(system.cuts[number]).unlink(missing_ok=True)
+    return " ".join(system.gateways[number].name for number in apart)
+
+
 async def _make_brittle(
     system: SoakSystem, step: PlannedFault, rng: Random
 ) -> str:
@@ -613,6 +642,7 @@
 
 _ACTIONS = {
     **FAULT_ACTIONS,
+    "cut_peers": _cut_peers,
     "flood": _flood_from_store,
     "reject": _reject_most,
 }
--- a/soak/system.py
+++ b/soak/system.py
@@ -123,6 +123,7 @@
         metrics_addresses: Address of each gateway's metrics, if enabled.
         settings: Settings file of each gateway.
         cuts: File by which each gateway's paths to runners are cut.
+        peers: Address of each gateway for the others.
         store_proxies: Proxy between each gateway and the store.
         runners: Slots of runners.
         drains: Drains of runners, in order.
@@ -159,6 +160,7 @@
         self.metrics_addresses: list[Address] = []
         self.settings: list[Path] = []
         self.cuts: list[Path] = []
+        self.peers: list[Address] = []
         self.drains: list[Drain] = []
         self.changes: list[Change] = []
         self.spans: list[Span] = []
@@ -187,7 +189,7 @@
             self._exit.callback(slot.proxy.close)
             await self.register(slot)
         await self.configure(1)
-        peers: list[Address] = []
+        peers = self.peers
         for number in range(1, self._count + 1):
             link = Proxy(store_address)
             await link.start()
