Complete a version only on answers since the step before

Six of six slow answers on a route where 4 of 57 were slow did not hold back the step to all requests, as only the sum of all routes had a least number; then three seconds with all requests and no answer counted as three good seconds, and a version that is complete can't be taken back.

Each step now needs answers since the step before, and no route or criterion on which the new version looks worse by an exact binomial test; otherwise the version stays in its trial and is taken back at the end. Both tests of the two points failed before.

--- a/lagoonpost/systems/evidence.py
+++ b/lagoonpost/systems/evidence.py
@@ -26,7 +26,7 @@
 """
 
 from collections.abc import Iterable
-from math import exp, inf, log
+from math import comb, exp, inf, log
 from typing import NamedTuple
 
 FALSE_ROLLBACK_PROBABILITY = 0.005
@@ -43,6 +43,8 @@
 The mean of both sums is tested, at a cost of ln 2 against the sum of the
 better fitting ratio.
 """
+MAX_EXACT_REQUESTS = 64
+"""Number of bad requests up to which probabilities are computed exactly."""
 INTERVAL_SECONDS = 2.0
 """Time between two tests, in which gossip reaches all gateways."""
 
@@ -114,6 +116,33 @@
     return total - log(len(WORSE_RISK_RATIOS))
 
 
+def compute_chance(counts: Counts) -> float:
+    """Return how probable so many bad requests of a tolerable version are.
+
+    Given the number of bad requests of both versions, the new one's have a
+    binomial distribution. For many the result is Chernoff's upper bound.
+    """
+    bad = counts.new_bad + counts.old_bad
+    if not bad or not 0 < counts.share < 1:
+        return 1.0
+    new = TOLERABLE_RISK_RATIO * counts.share
+    expected = new / (new + 1 - counts.share)
+    found = counts.new_bad / bad
+    if found <= expected:
+        return 1.0
+    if bad <= MAX_EXACT_REQUESTS:
+        return sum(
+            comb(bad, count)
+            * expected**count
+            * (1 - expected) ** (bad - count)
+            for count in range(counts.new_bad, bad + 1)
+        )
+    divergence = found * log(found / expected)
+    if found < 1:
+        divergence += (1 - found) * log((1 - found) / (1 - expected))
+    return exp(-bad * divergence)
+
+
 def compute_log_ratios(counts: Counts) -> tuple[float, ...]:
     """Return the log likelihood ratio for each of ``WORSE_RISK_RATIOS``."""
     if not 0 < counts.share < 1:
--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -16,6 +16,12 @@
 version, all requests then go to it, and the shift is complete only after the
 old runners had time to finish their requests. A version that is rolled back
 gets no further requests.
+
+A few bad answers on one route don't suffice for a rollback, and a version that
+answers nothing has no bad answers. A step can't be undone after the last one,
+so each step has its own, stricter condition: answers since the step before,
+and no route or criterion on which the new version looks worse. A version for
+which that does not hold by the deadline is rolled back.
 """
 
 from collections.abc import Mapping
@@ -26,6 +32,7 @@
     Counts,
     Evidence,
     add_interval,
+    compute_chance,
     compute_log_ratios,
     is_worse,
 )
@@ -68,6 +75,12 @@
 """
 MIN_ANSWERS = 10
 """Answers of the new version below which it is not trusted."""
+EXPECTED_ANSWER_SHARE = 0.25
+"""Share of the answers of the time before that a version must give once all
+requests go to it, if that is less than ``MIN_ANSWERS``."""
+DOUBT_PROBABILITY = 0.05
+"""Probability, over all routes and criteria, with which chance alone keeps a
+tolerable version from its next step."""
 ALL_ROUTES = ""
 """Key of the sum over all routes.
 
@@ -125,6 +138,8 @@
         self._started = now
         self._evaluated = now
         self._all_since: float | None = None
+        # Answers at the first evaluation after all requests went to it.
+        self._at_all: tuple[float, dict[str, VersionCounts]] | None = None
         self._evidence: dict[tuple[str, str], Evidence] = {}
         self._counted: dict[str, VersionCounts] = {}
 
@@ -143,10 +158,13 @@
         """
         if phase in ("complete", "taken_back"):
             return phase
+        if phase == "all" and self._at_all is None:
+            self._at_all = now, dict(counts)
         next_phase = self._find_next(phase, counts, now)
         # All that is known is tested before a version gets more requests.
         is_due = now - self._evaluated >= INTERVAL_SECONDS
-        if is_due or next_phase != phase:
+        is_step = phase == "trial" and self._is_trial_over(now)
+        if is_due or is_step or next_phase != phase:
             self._evaluated = now
             totals = {**counts, ALL_ROUTES: _sum_counts(counts)}
             if self._is_worse(totals, phase == "trial"):
@@ -167,7 +185,9 @@
             # A version of which too little is known is not trusted.
             return "taken_back" if now >= due else phase
         ended = now >= self.mark_all_new(now) + MIN_DRAIN_SECONDS
-        return "complete" if ended and now >= due else phase
+        if not ended or now < due:
+            return phase
+        return "complete" if self._may_complete(counts, now) else "taken_back"
 
     @property
     def started(self) -> float:
@@ -194,17 +214,49 @@
             self._all_since = now
         return self._all_since
 
-    def _may_take_all(
-        self, counts: Mapping[str, VersionCounts], now: float
-    ) -> bool:
+    def _is_trial_over(self, now: float) -> bool:
+        """Return whether the time of the trial is over."""
         seconds = self.order.seconds
-        left = self._started + seconds - now
-        if left > max(
+        drain_seconds = max(
             DRAIN_TIME_SHARE * seconds,
             MIN_DRAIN_SECONDS + WRITE_MARGIN_SECONDS,
-        ):
+        )
+        return now >= self._started + seconds - drain_seconds
+
+    def _may_take_all(
+        self, counts: Mapping[str, VersionCounts], now: float
+    ) -> bool:
+        if not self._is_trial_over(now):
+            return False
+        if _sum_counts(counts).new < MIN_ANSWERS:
             return False
-        return sum(total.new for total in counts.values()) >= MIN_ANSWERS
+        return not _looks_worse(counts)
+
+    def _may_complete(
+        self, counts: Mapping[str, VersionCounts], now: float
+    ) -> bool:
+        """Return whether the answers since the last step suffice.
+
+        The old version's answers from before are what they are compared with.
+        """
+        at, before = self._at_all or (now, dict(counts))
+        since = {
+            route: subtract_counts(
+                total, before.get(route, VersionCounts())
+            )._replace(
+                old=total.old,
+                old_failed=total.old_failed,
+                old_slow=total.old_slow,
+            )
+            for route, total in counts.items()
+        }
+        earlier = _sum_counts(before)
+        trial_seconds = max(INTERVAL_SECONDS, at - self._started)
+        expected = (earlier.new + earlier.old) * (now - at) / trial_seconds
+        needed = min(MIN_ANSWERS, EXPECTED_ANSWER_SHARE * expected)
+        if _sum_counts(since).new < needed:
+            return False
+        return not _looks_worse(since) and not _looks_worse(counts)
 
     def _is_worse(
         self, counts: Mapping[str, VersionCounts], has_old: bool
@@ -244,6 +296,20 @@
     return total
 
 
+def _looks_worse(counts: Mapping[str, VersionCounts]) -> bool:
+    """Return whether a version has too many bad answers on some route.
+
+    Weaker than the evidence for a rollback: it only holds back a step.
+    """
+    totals = [*counts.values(), _sum_counts(counts)]
+    limit = DOUBT_PROBABILITY / (CRITERIA_PER_ROUTE * len(totals))
+    return any(
+        compute_chance(bad) < limit
+        for total in totals
+        for bad in _split_by_criterion(total).values()
+    )
+
+
 def _split_by_criterion(recent: VersionCounts) -> dict[str, Counts]:
     answers = recent.new + recent.old
     share = recent.new / answers if answers else 0.0
--- a/test/test_shift.py
+++ b/test/test_shift.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any, NamedTuple
@@ -48,12 +49,30 @@
 ]
 
 
-class Version(NamedTuple):
-    """How a version answers: shares of failed and of slow answers."""
+ROUTES = ("draft", "reply")
+SOUND_FAILED, SOUND_SLOW = 0.02, 0.05
+
 
-    failed: float = 0.02
-    slow: float = 0.05
+class Version(NamedTuple):
+    """How a version answers.
+
+    Attributes:
+        failed: Share of failed answers.
+        slow: Share of slow answers.
+        bad_from: Time in seconds from which it is so; sound before.
+        route: The only route on which it is so; empty for all.
+        under_load: Whether it is so only once all requests go to it.
+        silent: Whether it then answers nothing.
+        answer_seconds: Time after which a request counts as answered.
+    """
+
+    failed: float = SOUND_FAILED
+    slow: float = SOUND_SLOW
     bad_from: float = 0.0
+    route: str = ""
+    under_load: bool = False
+    silent: bool = False
+    answer_seconds: float = 0.0
 
 
 class Result(NamedTuple):
@@ -81,6 +100,7 @@
     heard: dict[str, VersionCounts] = {}
     phase, now, next_look = "trial", 0.0, 0.0
     bad_at: list[float] = []
+    pending: deque[tuple[float, str, VersionCounts]] = deque()
     last_new = 0.0
     while now < 2 * seconds and phase in ("trial", "all"):
         now += rng.expovariate(rate)
@@ -91,7 +111,12 @@
             tries = rng.random() < 0.5
             is_new = tries and exposure.allows_trial(BOUNDS, gateways)
         exposure.record_sent(is_new)
-        kind = version if is_new and now >= version.bad_from else Version()
+        route = rng.choice(ROUTES)
+        is_bad = is_new and now >= version.bad_from
+        is_bad = is_bad and version.route in ("", route)
+        if version.under_load and phase != "all":
+            is_bad = False
+        kind = version if is_bad else Version()
         if outage and 4 < now < 7:
             kind = Version(0.6, 0.9)
         failed, slow = rng.random() < kind.failed, rng.random() < kind.slow
@@ -103,8 +128,12 @@
         one = VersionCounts(
             *(seen if is_new else (0, 0, 0)), *((0, 0, 0) if is_new else seen)
         )
-        route = rng.choice(["draft", "reply"])
-        counts[route] = add_counts(counts.get(route, VersionCounts()), one)
+        if not (is_bad and kind.silent):
+            pending.append((now + version.answer_seconds, route, one))
+        while pending and pending[0][0] <= now:
+            _, answered, one = pending.popleft()
+            total = counts.get(answered, VersionCounts())
+            counts[answered] = add_counts(total, one)
         if now >= next_look:
             next_look = now + 0.5
             phase = evaluator.advance(phase, heard, now)
@@ -214,6 +243,64 @@
         assert evaluator.advance("trial", {}, 60.0) == "taken_back"
 
 
+BAD_VERSIONS = {
+    "slow": Version(slow=0.5),
+    "slower-answers": Version(slow=0.9, answer_seconds=4.0),
+    "errors": Version(failed=0.5),
+    "slow-on-one-route": Version(slow=0.8, route="draft"),
+    "slow-under-load": Version(slow=0.9, under_load=True),
+    "silent-under-load": Version(under_load=True, silent=True),
+}
+REFUSED_GOOD_SHARE = 0.05
+"""Largest share of sound versions that may be rolled back."""
+LOADS = [(3, 12.0), (9, 25.0), (82, 240.0)]
+
+
+class TestDrawnVersions:
+    """A version that is bad in one way or another is completed and kept."""
+
+    @pytest.mark.parametrize("name", BAD_VERSIONS)
+    @pytest.mark.parametrize(("gateways", "rate"), LOADS)
+    def test_no_bad_version_is_complete(self, gateways, rate, name):
+        ends = [
+            play_shift(
+                BAD_VERSIONS[name], gateways=gateways, rate=rate, seed=seed
+            ).phase
+            for seed in range(30)
+        ]
+        assert set(ends) == {"taken_back"}
+
+    @pytest.mark.parametrize(("gateways", "rate"), LOADS)
+    def test_few_good_versions_are_refused(self, gateways, rate):
+        """Guards against steps that hardly any sound version may take."""
+        ends = [
+            play_shift(
+                Version(), gateways=gateways, rate=rate, seed=seed
+            ).phase
+            for seed in range(200)
+        ]
+        assert ends.count("taken_back") <= REFUSED_GOOD_SHARE * len(ends)
+
+    def test_slow_answers_on_one_route_hold_a_version_back(self):
+        """Guards against a step on six of six slow answers of one route."""
+        evaluator = ShiftEvaluator(ShiftOrder("chat", "v2", 15.0, 1), 0.0)
+        counts = {
+            "r-1": VersionCounts(9, 0, 0, 44, 0, 0),
+            "r-2": VersionCounts(6, 0, 6, 57, 0, 4),
+            "r-3": VersionCounts(9, 0, 0, 56, 0, 0),
+        }
+        assert evaluator.advance("trial", counts, 11.5) != "all"
+
+    def test_silence_is_no_evidence_for_a_version(self):
+        """Guards against a version that answers nothing before it is kept."""
+        evaluator = ShiftEvaluator(ShiftOrder("chat", "v2", 15.0, 1), 0.0)
+        before = {"draft": VersionCounts(24, 0, 0, 157, 0, 4)}
+        after = {"draft": VersionCounts(24, 0, 0, 229, 0, 4)}
+        assert evaluator.advance("trial", before, 11.5) == "all"
+        assert evaluator.advance("all", before, 11.6) == "all"
+        assert evaluator.advance("all", after, 14.2) == "taken_back"
+
+
 class TestShift:
     async def send(self, stack: Stack, answers: list[int]) -> None:
         """Send more requests at once than one runner has slots for."""
