--- a/lagoonpost/forwarding/configuration_fetcher.py
+++ b/lagoonpost/forwarding/configuration_fetcher.py
@@ -143,24 +143,25 @@
             pass
 
     async def _take(self, step: AskPeer | AskStore) -> None:
-        started = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        started, wanted_before = loop.time(), self.find_wanted_seconds()
         if isinstance(step, AskPeer):
             source = step.peer
             outcome = await self._ask_peer(source)
-            now = asyncio.get_running_loop().time()
-            self._fetch.note_peer_ended(source, now)
+            self._fetch.note_peer_ended(source, loop.time())
         else:
             source = "store"
             outcome = await self._ask_store()
             self._fetch.note_store_ended()
-        now = asyncio.get_running_loop().time()
+        seconds = loop.time() - started
         eliot.log_message(
             message_type="lagoonpost:configuration:fetch",
             peer=source,
             outcome=outcome,
-            seconds=round(now - started, 3),
+            seconds=round(seconds, 3),
             wanted=self._fetch.wanted,
-            wanted_seconds=round(self.find_wanted_seconds(), 3),
+            in_force=self._cluster.version,
+            wanted_seconds=round(wanted_before + seconds, 3),
         )
         self._changed.set()
 
--- a/lagoonpost/margins/line.py
+++ b/lagoonpost/margins/line.py
@@ -112,6 +112,22 @@
     version: int
 
 
+class ConfigurationFetch(Message, kw_only=True, gc=False):
+    """A gateway asked a peer or the store for a configuration.
+
+    Attributes:
+        peer: Name of the peer, or "store".
+        outcome: What it answered.
+        wanted: Newest version that the gateway had heard of.
+        wanted_seconds: Seconds since it first lacked a version.
+    """
+
+    peer: str
+    outcome: str
+    wanted: int
+    wanted_seconds: float
+
+
 class RequestEnd(Message, kw_only=True, gc=False):
     """A request ended.
 
@@ -255,6 +271,7 @@
     "lagoonpost:controller:lease": LeaseChange,
     "lagoonpost:belief:runner": RunnerUpdate,
     "lagoonpost:belief:configuration": ConfigurationUpdate,
+    "lagoonpost:configuration:fetch": ConfigurationFetch,
     "lagoonpost:forwarding:request": RequestEnd,
     "lagoonpost:forwarding:partitioned": PartitionChange,
     "lagoonpost:forwarding:brittle_refusal": BrittleRefusal,
--- a/lagoonpost/margins/rules.py
+++ b/lagoonpost/margins/rules.py
@@ -14,6 +14,7 @@
 from lagoonpost.margins.limit import find_limited_requests
 from lagoonpost.margins.line import (
     BrittleRefusal,
+    ConfigurationFetch,
     ConfigurationUpdate,
     Conviction,
     DutyCall,
@@ -44,6 +45,7 @@
 from lagoonpost.margins.retry import find_retry_use
 from lagoonpost.margins.staleness import (
     find_late_offer,
+    find_longest_want,
     find_slowest_propagation,
     find_stalest_request,
 )
@@ -90,6 +92,7 @@
     return [
         find_late_offer(logs.find(RunnerUpdate), requests, drain),
         find_slowest_propagation(updates, logs.find(Started), apply),
+        find_longest_want(logs.find(ConfigurationFetch), apply),
         find_stalest_request(updates, requests, apply),
     ]
 
--- a/lagoonpost/margins/staleness.py
+++ b/lagoonpost/margins/staleness.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from lagoonpost.margins.line import (
+    ConfigurationFetch,
     ConfigurationUpdate,
     Line,
     RequestEnd,
@@ -20,6 +21,9 @@
 
 LEAVING_RUNNER_RULE = "offer to a leaving runner"
 PROPAGATION_RULE = "configuration from the first gateway to the last"
+WANT_RULE = "configuration that a gateway knew of and lacked"
+FETCHED_OUTCOME = "version "
+"""Start of the outcome of a question that brought a newer configuration."""
 STALE_CONFIGURATION_RULE = "request judged by an older configuration"
 
 
@@ -178,6 +182,36 @@
     return margin
 
 
+def find_longest_want(
+    fetches: Iterable[Line[ConfigurationFetch]], bound: float | None
+) -> Margin:
+    """Find the longest time for which a gateway lacked a version it knew of.
+
+    A question that ends after another one was answered counts only if that
+    one brought the version.
+
+    Args:
+        fetches: Ended questions in chronological order.
+        bound: Seconds within which all gateways must apply a version.
+    """
+    margin = Margin(WANT_RULE, bound=bound)
+    for line in fetches:
+        message = line.message
+        if not message.outcome.startswith(FETCHED_OUTCOME):
+            continue
+        if _is_worse(message.wanted_seconds, margin):
+            margin = margin._replace(
+                subject=f"version {message.wanted}",
+                value=message.wanted_seconds,
+                at=line.at,
+                what=f"{message.outcome} came from {message.peer}",
+                gateways=(line.gateway,),
+            )
+    if margin.value is None:
+        return margin._replace(what="no configuration was fetched")
+    return margin
+
+
 def find_stalest_request(
     updates: Iterable[Line[ConfigurationUpdate]],
     requests: Iterable[Line[RequestEnd]],
--- a/test/test_margins_staleness.py
+++ b/test/test_margins_staleness.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lagoonpost.margins.line import (
+    ConfigurationFetch,
     ConfigurationUpdate,
     Line,
     RequestEnd,
@@ -15,6 +16,7 @@
 from lagoonpost.margins.quota import compute_allowance, find_quota_use
 from lagoonpost.margins.staleness import (
     find_late_offer,
+    find_longest_want,
     find_slowest_propagation,
     find_stalest_request,
 )
@@ -218,3 +220,26 @@
     def test_without_bounds_it_is_not_told(self):
         """The length of the window has no default."""
         assert find_quota_use([self.make(0.0, 1)], None, None, None).untold
+
+
+class TestLongestWant:
+    def make(self, at: float, outcome: str, seconds: float):
+        fetch = ConfigurationFetch(
+            at, peer="b", outcome=outcome, wanted=7, wanted_seconds=seconds
+        )
+        return Line(at, "a", fetch)
+
+    def test_the_longest_time_without_a_version_is_named(self):
+        """Guards against a slow fetch that no margin shows."""
+        lines = [
+            self.make(1.0, "version 7", 0.2),
+            self.make(2.0, "failed", 9.0),
+            self.make(3.0, "version 7", 1.5),
+        ]
+        found = find_longest_want(lines, 2.0)
+        assert (found.value, found.at, found.gateways) == (1.5, 3.0, ("a",))
+
+    def test_logs_without_fetches_say_so(self):
+        found = find_longest_want([], 2.0)
+        assert found.value is None
+        assert found.what
