--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -24,7 +24,11 @@
 from lagoonpost.forwarding.request_log import log_exchange
 from lagoonpost.forwarding.runner_paths import RunnerPaths
 from lagoonpost.forwarding.speed_exchange import SpeedExchange
-from lagoonpost.forwarding.store_follower import StoreFollower, find_feed_wait
+from lagoonpost.forwarding.store_follower import (
+    StoreFollower,
+    find_feed_wait,
+    read_configuration,
+)
 from lagoonpost.forwarding.timers import sleep_aligned
 from lagoonpost.forwarding.tunnel_server import TunnelServer
 from lagoonpost.forwarding.usage_counter import UsageCounter
@@ -154,7 +158,7 @@
             self._store.eras.note,
             rng,
             make_links(traffic),
-            self._store.read_configuration,
+            lambda: read_configuration(self._store),
         )
         self._shifts = VersionShifts(
             ExposureBounds(bounds.exposure_share, bounds.exposure_slack),
--- a/lagoonpost/forwarding/store_follower.py
+++ b/lagoonpost/forwarding/store_follower.py
@@ -59,6 +59,18 @@
     return min(MAX_WAIT_SECONDS, max(MIN_WAIT_SECONDS, wait))
 
 
+async def read_configuration(
+    store: PlatformStore,
+) -> bytes | Unavailable | None:
+    """Return the encoded configuration, or None if there is none."""
+    page = await store.read_table(
+        CONFIGURATION_TABLE, CONFIGURATION_KEY, CONFIGURATION_KEY + "\0"
+    )
+    if isinstance(page, Unavailable):
+        return page
+    return page.rows[0].value if page.rows else None
+
+
 _FAILURE_KINDS = {
     1: "lagoonpost:store:unanswered",
     2: "lagoonpost:store:lost",
--- a/lagoonpost/platform/store.py
+++ b/lagoonpost/platform/store.py
@@ -245,15 +245,6 @@
                 return Page(tuple(rows), stamp.make_stamp(reply.era, page.ver))
             first = page.rows[-1].key + "\0"
 
-    async def read_configuration(self) -> bytes | Unavailable | None:
-        """Return the encoded configuration, or None if there is none."""
-        page = await self.read_table(
-            CONFIGURATION_TABLE, CONFIGURATION_KEY, CONFIGURATION_KEY + "\0"
-        )
-        if isinstance(page, Unavailable):
-            return page
-        return page.rows[0].value if page.rows else None
-
     async def follow_table(
         self, table: str, after: int, wait: float
     ) -> Page | HistoryLost | Unavailable:
--- a/test/played_gateways.py
+++ b/test/played_gateways.py
@@ -17,7 +17,11 @@
 from lagoonpost.forwarding import reports
 from lagoonpost.forwarding.cluster_state import ClusterState
 from lagoonpost.forwarding.peer_sync import PeerLinks, PeerSync
-from lagoonpost.forwarding.store_follower import StoreFollower, find_feed_wait
+from lagoonpost.forwarding.store_follower import (
+    StoreFollower,
+    find_feed_wait,
+    read_configuration,
+)
 from lagoonpost.http.client import CallFailedError
 from lagoonpost.http.message import Address, Headers, Response
 from lagoonpost.peers.messenger import DatagramMessenger, encode_message
@@ -263,7 +267,7 @@
                 self.transport,
                 loop.time,
             ),
-            self.store.read_configuration,
+            lambda: read_configuration(self.store),
         )
         self.follower = StoreFollower(
             self.store,
