Order no runners away while their service moves to another version

An order names no version, and the count of runners took both as one. While a move lasts no order is for fewer runners than are present.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -238,6 +238,7 @@
                 self._cluster,
                 wall_clock,
                 base_runners,
+                self._shifts.is_shifting,
             )
             self._store.eras.era_listeners.append(self._duties.handle_new_era)
         self._store.eras.era_listeners += [
--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -41,6 +41,7 @@
     RunnerOrder,
     count_runners,
     exclude_domains,
+    keep_present,
     plan_orders,
 )
 from lagoonpost.systems.usage import find_due_windows, sum_begun_requests
@@ -72,6 +73,7 @@
         peer_sync: State exchanged with the other gateways.
         wall_clock: Returns seconds since the epoch.
         base: Number of on-demand runners that each service keeps.
+        is_shifting: Tells whether a service moves to another version now.
     """
 
     def __init__(
@@ -83,7 +85,9 @@
         peer_sync: PeerSync,
         wall_clock: Callable[[], float],
         base: int,
+        is_shifting: Callable[[str], bool] = lambda service: False,
     ) -> None:
+        self._is_shifting = is_shifting
         self._settings = settings
         self._store = store
         self._cloud = cloud
@@ -346,6 +350,8 @@
             if name == service.name
         }
         orders = plan_orders(scaling, demand, running, sold_out, now)
+        if self._is_shifting(service.name):
+            orders = keep_present(orders, running)
         placed = self._placed[service.name]
         placed.note_present(running)
         for order in orders:
--- a/lagoonpost/forwarding/version_shifts.py
+++ b/lagoonpost/forwarding/version_shifts.py
@@ -246,6 +246,11 @@
             return self._bounds
         return self._bounds._replace(slack=0.0)
 
+    def is_shifting(self, service: str) -> bool:
+        """Tell whether a service moves to another version now."""
+        shift = self._shifts.get(service)
+        return shift is not None and shift.phase not in FINAL_PHASES
+
     def is_rolled_back(self, endpoint: Endpoint) -> bool:
         """Tell whether a runner has a version that was rolled back."""
         shift = self._shifts.get(endpoint.service)
--- a/lagoonpost/systems/scaling.py
+++ b/lagoonpost/systems/scaling.py
@@ -172,6 +172,27 @@
     ]
 
 
+def keep_present(
+    orders: Iterable[RunnerOrder], current: Mapping[CapacityPool, int]
+) -> list[RunnerOrder]:
+    """Return the orders, none for fewer runners than are present.
+
+    An order names no version. While a service moves to another one, an order
+    for fewer runners may stop all of the new version, which then can't be
+    tried, or those of the old one, which still serve most requests.
+
+    Args:
+        orders: The orders.
+        current: Number of running runners that stay, by capacity pool.
+    """
+    return [
+        order._replace(
+            runners=max(order.runners, current.get(order.capacity_pool, 0))
+        )
+        for order in orders
+    ]
+
+
 def _find_spots(there: Mapping[CapacityPool, int]) -> dict[str, int]:
     return {pool.domain: count for pool, count in there.items() if pool.spot}
 
--- a/test/test_scaling.py
+++ b/test/test_scaling.py
@@ -9,7 +9,9 @@
     MAX_BUSY_SHARE_AFTER_LOSS,
     CapacityPool,
     Demand,
+    RunnerOrder,
     count_runners,
+    keep_present,
     plan_orders,
 )
 from lagoonpost.tables.configuration import Scaling
@@ -43,6 +45,23 @@
 }
 
 
+class TestMoves:
+    def test_no_runner_is_ordered_away_while_a_service_moves(self):
+        """Guards against orders that stop all runners of a new version."""
+        present = {pool: 2 * count for pool, count in SETTLED.items()}
+        orders = [RunnerOrder(pool, n) for pool, n in plan().items()]
+        kept = {
+            order.capacity_pool: order.runners
+            for order in keep_present(orders, present)
+        }
+        assert all(kept[pool] >= present.get(pool, 0) for pool in kept)
+        assert kept.keys() == plan().keys()
+
+    def test_missing_runners_are_ordered_all_the_same(self):
+        orders = [RunnerOrder(CapacityPool("a", True), 3)]
+        assert keep_present(orders, {CapacityPool("a", True): 1}) == orders
+
+
 class TestPlanOrders:
     def test_reclaimable_runners_carry_the_load(self):
         orders = plan(there=SETTLED)
