--- a/test/configuration_play.py
+++ b/test/configuration_play.py
@@ -22,6 +22,7 @@
     Attributes:
         cut: Share of gateways that are cut off from all others, but not from
             the store; they stay alive in the others' view.
+        pairs: Share of pairs of gateways that can't reach each other.
         killed: Share that is killed and stays alive in the others' view.
         restarted: Share that is killed and starts again.
         silent: Share that the store does not answer.
@@ -32,6 +33,7 @@
     """
 
     cut: float = 0.0
+    pairs: float = 0.0
     killed: float = 0.0
     restarted: float = 0.0
     silent: float = 0.0
@@ -117,6 +119,8 @@
     if trouble.cut:
         cut = set(hit)
         deployment.cut_off(hit)
+    if trouble.pairs:
+        deployment.cut_pairs(trouble.pairs)
     if trouble.killed or trouble.restarted:
         await deployment.kill([name for name in hit if name not in cut])
     if trouble.restarted:
--- a/test/played_gateways.py
+++ b/test/played_gateways.py
@@ -498,6 +498,16 @@
         """End all cuts."""
         self.network.cut = lambda one, other: False
 
+    def cut_pairs(self, share: float) -> None:
+        """Cut a share of the pairs of gateways off from each other."""
+        hosts = [address.host for address in self.addresses.values()]
+        lost = {
+            frozenset(pair)
+            for pair in itertools.combinations(hosts, 2)
+            if self.rng.random() < share
+        }
+        self.network.cut = lambda one, other: frozenset((one, other)) in lost
+
     async def kill(self, names: Sequence[str]) -> None:
         """Kill gateways; the others take them for alive for seconds."""
         for name in names:
--- a/test/test_configurations.py
+++ b/test/test_configurations.py
@@ -12,6 +12,8 @@
     "none": Trouble(),
     "a-fifth-cut-off": Trouble(cut=0.2),
     "a-third-cut-off": Trouble(cut=0.33),
+    "a-third-of-pairs-cut": Trouble(pairs=0.33),
+    "most-pairs-cut": Trouble(pairs=0.7, versions=4),
     "a-fifth-killed": Trouble(killed=0.2),
     "a-third-killed": Trouble(killed=0.33),
     "readers-cut-off": Trouble(cut=0.33, readers=True),
