Ask for a version that nobody has ever more rarely; compare facts only when lacking twice

Found on reading: a version that was lost with its only gateway, as after a return of the store from an older copy, would have been read from the store by all gateways every 0.7 s for ever; peers that refuse at once would have been asked without a pause. After 2 s questions become rarer, down to a store read in 28 s.

A burst of facts that is still on its way would have made all gateways of a domain compare their tables with one hub. A fact now has to be lacking in two comparisons in a row, and a gateway makes one a second at most, as after probes that differ.

--- a/lagoonpost/forwarding/configuration_fetcher.py
+++ b/lagoonpost/forwarding/configuration_fetcher.py
@@ -111,6 +111,8 @@
 
     async def wait_for(self, request: FetchRequest) -> None:
         """Wait until this gateway has the version that a peer asks for."""
+        if request.kind != CONFIGURATION_DOCUMENT:
+            return
         try:
             async with asyncio.timeout(min(request.wait, HELD_SECONDS)):
                 while self._cluster.version < request.least:
--- a/lagoonpost/systems/gossip.py
+++ b/lagoonpost/systems/gossip.py
@@ -62,9 +62,9 @@
 # Rows in flight make digests differ for about 100 ms. Only a second
 # consecutive difference at a neighbour indicates a lost push.
 DIFFERENCES_BEFORE_SYNC = 2
-# A comparison of all tables takes some round trips. Meanwhile the missing fact
-# may be named again, by several members.
-SYNC_PAUSE_SECONDS = 0.3
+# Comparisons of all tables that follow from facts that others name are no more
+# frequent than those that follow from probes.
+SYNC_PAUSE_SECONDS = 1.0
 
 
 class Gossip:
@@ -391,10 +391,10 @@
         view = self.view
         if event.member not in view.members.rows:
             return []
-        if now < self._synced_at + SYNC_PAUSE_SECONDS:
-            return []
         if not view.lacks(event.recent):
             return []
+        if now < self._synced_at + SYNC_PAUSE_SECONDS:
+            return []
         self._synced_at = now
         return self._call_each((event.member,), "sync", now)
 
--- a/lagoonpost/systems/version_fetch.py
+++ b/lagoonpost/systems/version_fetch.py
@@ -29,6 +29,14 @@
 """Time between two reads of the store."""
 MAX_QUESTIONS = 4
 """Largest number of peers that are asked at the same time."""
+QUESTION_PAUSE_SECONDS = 0.05
+"""Shortest time between two questions to peers that fail at once."""
+PATIENCE_SECONDS = 2.0
+"""Time after which questions become rarer, in proportion to the time since
+then: a version may be lost with its only gateway and the store's copy."""
+MAX_SLOWDOWN = 40.0
+"""Largest factor by which they become rarer: a read of the store in half a
+minute."""
 UNHELPFUL_SECONDS = 0.5
 """Time for which a peer that did not have the version is not asked again."""
 
@@ -70,6 +78,7 @@
         self._unhelpful: dict[str, float] = {}
         self._asks_store = False
         self._store_asked = -math.inf
+        self._peer_asked = -math.inf
 
     # Events
 
@@ -132,20 +141,22 @@
         if not self._heard:
             return None
         since = min(self._heard.values())
-        times = [self._find_peer_time(now, since, reads_store)]
+        slowdown = max(1.0, (now - since) / PATIENCE_SECONDS)
+        slowdown = min(slowdown, MAX_SLOWDOWN)
+        times = [self._find_peer_time(since, slowdown, reads_store)]
         if times[0] <= now:
             peer = self._find_announcer(now) or choose_peer(
                 self._list_unasked(now)
             )
             if peer is not None:
-                self._questions[peer] = now
+                self._questions[peer] = self._peer_asked = now
                 return AskPeer(peer)
             times = [now + HEDGE_SECONDS]
         if not self._asks_store:
             times.append(
                 max(
                     since + SOURCE_SECONDS,
-                    self._store_asked + SOURCE_PAUSE_SECONDS,
+                    self._store_asked + slowdown * SOURCE_PAUSE_SECONDS,
                 )
             )
             if times[-1] <= now:
@@ -155,15 +166,14 @@
         return Wait(min(times))
 
     def _find_peer_time(
-        self, now: float, since: float, reads_store: bool
+        self, since: float, slowdown: float, reads_store: bool
     ) -> float:
         """Return when a peer is to be asked."""
-        first = since + FEED_SECONDS if reads_store else since
-        if not self._questions:
-            return first
         if len(self._questions) >= MAX_QUESTIONS:
             return math.inf
-        return max(first, max(self._questions.values()) + HEDGE_SECONDS)
+        first = since + FEED_SECONDS if reads_store else since
+        pause = HEDGE_SECONDS if self._questions else QUESTION_PAUSE_SECONDS
+        return max(first, self._peer_asked + slowdown * pause)
 
     def _list_unasked(self, now: float) -> set[str]:
         """Return the peers that are not to be asked now."""
--- a/lagoonpost/systems/view.py
+++ b/lagoonpost/systems/view.py
@@ -20,8 +20,6 @@
 MAX_SENDERS = 4
 """Senders of a fact that are kept; a member has about three predecessors in
 the rings."""
-
-
 SPREAD_SECONDS = 0.4
 """Time in which a fact normally reaches all members of a region."""
 RECENT_SECONDS = 4.0
@@ -70,6 +68,7 @@
         self._recent_facts: deque[tuple[float, str]] = deque()
         # Highest rank of each fact, by the hash of its id.
         self._ranks: dict[int, int] = {}
+        self._lacking: frozenset[RecentFact] = frozenset()
         self.detector = FailureDetector()
         self.settled = settled
         self._topology: Topology | None = None
@@ -158,9 +157,19 @@
         return tuple(recent[-MAX_RECENT_FACTS:])
 
     def lacks(self, recent: Iterable[RecentFact]) -> bool:
-        """Return whether this member lacks one of another's recent facts."""
-        ranks = self._ranks
-        return any(ranks.get(fact.id_hash, -1) < fact.rank for fact in recent)
+        """Return whether this member lacks one of another's recent facts.
+
+        A fact counts only if it was lacking in the comparison before, too.
+        Else a burst that is still on its way would make all members compare
+        their tables with the same few hubs.
+        """
+        lacking = frozenset(
+            fact
+            for fact in recent
+            if self._ranks.get(fact.id_hash, -1) < fact.rank
+        )
+        before, self._lacking = self._lacking, lacking
+        return not before.isdisjoint(lacking)
 
     def merge_member(self, row: Member, source: str, now: float) -> None:
         """Merge a member's row received from ``source``.
--- a/test/test_lost_push.py
+++ b/test/test_lost_push.py
@@ -138,6 +138,9 @@
         recent = network.nodes["north-0"].view.list_recent_facts(network.now)
         network.step(VICTIM, Compared("north-0", recent))
         network.run(0.2)
+        assert "endpoint/r" not in network.facts(VICTIM)
+        network.step(VICTIM, Compared("north-0", recent))
+        network.run(0.2)
         assert "endpoint/r" in network.facts(VICTIM)
 
     def test_facts_that_are_on_their_way_cause_no_comparison(self):
--- a/test/test_version_fetch.py
+++ b/test/test_version_fetch.py
@@ -85,6 +85,25 @@
         ]
         assert len(asked) == MAX_QUESTIONS
 
+    def test_a_version_that_nobody_has_is_asked_for_ever_less(self):
+        """Guards against calls for ever for a version that is lost."""
+        fetch = VersionFetch()
+        fetch.note_version(7, "f", 0.0)
+        asked = []
+        for number in range(6000):
+            now = number / 100
+            for step in take(fetch, now):
+                asked.append((now, type(step)))
+                if isinstance(step, AskPeer):
+                    fetch.note_peer_ended(step.peer, now)
+                else:
+                    fetch.note_store_ended()
+        late = [step for at, step in asked if at > 50.0]
+        assert late.count(AskStore) <= 1
+        assert late.count(AskPeer) <= 10
+        first = [step for at, step in asked if at <= 2.0]
+        assert first.count(AskStore) >= 2
+
     def test_nothing_is_asked_once_it_is_in_force(self):
         fetch = VersionFetch()
         fetch.note_version(7, "f", 10.0)
