--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 	$(BIN)/lint-imports
-	$(BIN)/python -m pytest --numprocesses $(JOBS)
+	$(BIN)/python -m pytest --numprocesses $(JOBS) --dist worksteal
 	ls features/*.feature | xargs -P $(JOBS) -n 1 \
 		$(BIN)/behave --format progress3 --no-capture
 
--- a/test/test_messenger.py
+++ b/test/test_messenger.py
@@ -81,7 +81,7 @@
             members, traffics = await start_with_messengers(3)
             await wait_for(lambda: all(len(p.members()) == 3 for p in members))
             for peers in members:
-                peers._pool.call = refuse
+                peers._transport.call = refuse
             members[0].publish(LEAVING)
             await wait_known(members)
             assert sum(count(traffic, "ask") for traffic in traffics) >= 2
