--- a/lagoonpost/systems/version_fetch.py
+++ b/lagoonpost/systems/version_fetch.py
@@ -136,7 +136,8 @@
         Args:
             now: Current time in seconds.
             reads_store: Whether this gateway follows the store itself.
-            choose_peer: Chooses a peer that announced nothing.
+            choose_peer: Chooses a peer if none is left that announced the
+                version.
         """
         if not self._heard:
             return None
@@ -146,7 +147,7 @@
         times = [self._find_peer_time(since, slowdown, reads_store)]
         if times[0] <= now:
             peer = self._find_announcer(now) or choose_peer(
-                self._list_unasked(now)
+                self._list_excluded(now)
             )
             if peer is not None:
                 self._questions[peer] = self._peer_asked = now
@@ -175,14 +176,14 @@
         pause = HEDGE_SECONDS if self._questions else QUESTION_PAUSE_SECONDS
         return max(first, self._peer_asked + slowdown * pause)
 
-    def _list_unasked(self, now: float) -> set[str]:
-        """Return the peers that are not to be asked now."""
+    def _list_excluded(self, now: float) -> set[str]:
+        """Return the peers that are asked, or were in vain a moment ago."""
         unhelpful = {n for n, end in self._unhelpful.items() if end > now}
         return unhelpful | self._questions.keys()
 
     def _find_announcer(self, now: float) -> str | None:
         """Return the first that announced the newest version."""
-        excluded = self._list_unasked(now)
+        excluded = self._list_excluded(now)
         for name, version in self._announcers.items():
             if version == self.wanted and name not in excluded:
                 return name
