Review: an answer with a byte above 127 in a header is never passed on

Header values are decoded as latin-1 and given to h11 as text, which it encodes as ASCII. The error ends the handler, and the client's connection is closed without an answer after its booking has run.

--- a/review/harness.py
+++ b/review/harness.py
@@ -301,6 +301,58 @@
             self._process.send_signal(signal.SIGKILL)
 
 
+class Connection:
+    """A client's connection, which may carry several requests."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, host: str, port: int) -> "Connection":
+        """Open a connection.
+
+        Raises:
+            OSError: If there is none within a second.
+        """
+        try:
+            async with asyncio.timeout(1.0):
+                return cls(*await asyncio.open_connection(host, port))
+        except TimeoutError as error:
+            raise OSError("no connection within a second") from error
+
+    async def call(
+        self, method: str, target: str, headers: dict[str, str], seconds: float
+    ) -> Answer:
+        """Send a request and read its answer."""
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        length = ["Content-Length: 0"] if method != "GET" else []
+        head = "\r\n".join([f"{method} {target} HTTP/1.1", *lines, *length])
+        received = bytearray()
+        detail = "the connection was closed"
+        try:
+            self._writer.write(f"{head}\r\n\r\n".encode())
+            async with asyncio.timeout(seconds + 0.5):
+                while not _parse(bytes(received), "").complete:
+                    data = await self._reader.read(65536)
+                    if not data:
+                        break
+                    received += data
+        except TimeoutError:
+            detail = "the deadline passed"
+        except OSError as error:
+            detail = f"the connection failed: {error}"
+        return _parse(bytes(received), detail)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
+
+
 class Deployment:
     """Store, runners and gateways of one case.
 
@@ -452,9 +504,20 @@
         method: str,
         target: str,
         seconds: float,
+        connection: Connection | None = None,
         **more: str,
     ) -> Answer:
-        """Send a client's request over a new connection and note all."""
+        """Send a client's request and note all.
+
+        Args:
+            gateway: Where to send it.
+            attempt: Id of the client's attempt.
+            method: HTTP method.
+            target: Path.
+            seconds: Time that the client waits.
+            connection: A kept connection; None to open a new one.
+            **more: Further headers, with underscores in place of hyphens.
+        """
         headers = {
             "Host": HOST,
             "Attempt-Id": attempt,
@@ -463,9 +526,19 @@
         } | {name.replace("_", "-"): value for name, value in more.items()}
         self.record.note(f"client sends {attempt} {target} to {gateway.name}")
         try:
-            answer = await call(
-                gateway.ip, PORTS["front"], method, target, headers, seconds
-            )
+            if connection is not None:
+                answer = await connection.call(
+                    method, target, headers, seconds
+                )
+            else:
+                answer = await call(
+                    gateway.ip,
+                    PORTS["front"],
+                    method,
+                    target,
+                    headers,
+                    seconds,
+                )
         except OSError as error:
             answer = Answer(0, {}, b"", False, f"no connection: {error}")
         self.record.note(
@@ -488,37 +561,11 @@
     Raises:
         OSError: If there is no connection within a second.
     """
+    connection = await Connection.open(host, port)
     try:
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(host, port)
-    except TimeoutError as error:
-        raise OSError("no connection within a second") from error
-    lines = [f"{name}: {value}" for name, value in headers.items()]
-    length = ["Content-Length: 0"] if method != "GET" else []
-    head = "\r\n".join([f"{method} {target} HTTP/1.1", *lines, *length])
-    received = bytearray()
-    detail = "the connection was closed"
-    try:
-        writer.write(f"{head}\r\n\r\n".encode())
-        async with asyncio.timeout(seconds + 0.5):
-            while not _is_complete(bytes(received)):
-                data = await reader.read(65536)
-                if not data:
-                    break
-                received += data
-    except TimeoutError:
-        detail = "the deadline passed"
-    except OSError as error:
-        detail = f"the connection failed: {error}"
+        return await connection.call(method, target, headers, seconds)
     finally:
-        writer.close()
-        with contextlib.suppress(OSError):
-            await writer.wait_closed()
-    return _parse(bytes(received), detail)
-
-
-def _is_complete(data: bytes) -> bool:
-    return _parse(data, "").complete
+        await connection.close()
 
 
 def _parse(data: bytes, detail: str) -> Answer:
--- a/review/runner.py
+++ b/review/runner.py
@@ -65,6 +65,7 @@
         pause_after: Number of the event after which a stream pauses once, as
             that of a preempted request does; 0 for none.
         pause_seconds: Length of the pause.
+        more_headers: Further headers of plain answers, each with its end.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self.framed = framed
         self.pause_after = 0
         self.pause_seconds = 0.0
+        self.more_headers = ""
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -130,6 +132,7 @@
         if "model" in call.headers:
             await self._stream(call, writer, head)
             return
+        head += self.more_headers
         body = make_body(call)
         if self.framed:
             await asyncio.sleep(self.work)
