Soak a workspace beyond its quota, counted by the runs at the runners

No soak had a quota, so none could see more runs than it allows. Three callers now press a workspace at several times its rate through all gateways, beside every drawn fault.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,7 @@
     check_recovery,
     check_rests,
 )
+from soak.quota_promises import check_quota
 from soak.record import Finding
 from soak.retry_promises import check_retries
 from soak.system import SoakSystem
@@ -94,6 +95,7 @@
         findings += check_crashing_parts(system)
         findings += check_crashing_requests(system)
         findings += check_retries(system, callers.attempts)
+        findings += check_quota(system)
         findings += check_partitions(system, callers.attempts)
         findings += await check_recovery(system, callers)
         if findings:
@@ -102,6 +104,9 @@
         f"{attempt.kind} {attempt.status if attempt.whole else 'cut'}"
         for attempt in callers.attempts
     )
+    outcomes.update(
+        {f"pressed {status}": n for status, n in callers.pressed.items()}
+    )
     return Result(seed, steps, outcomes, findings)
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from random import Random
 
 from lagoonpost.http.client import CallFailedError, Client, Stream
@@ -9,13 +10,15 @@
 from lagoonpost_standins.deployment import make_caller_headers
 from lagoonpost_standins.runner import make_event
 from soak.record import CALL_KINDS, Attempt, CallKind, Probe
-from soak.system import STREAM_EVENTS, SoakSystem
+from soak.system import QUOTA_KEY, STREAM_EVENTS, SoakSystem
 
 DEADLINE_SECONDS = {"book": 2.0, "check": 2.0, "draft": 4.0, "reply": 3.0}
 EXTRA_WAIT_SECONDS = 2.0
 """Time that callers wait beyond their deadline, to observe late answers."""
 PAUSE_SECONDS = 0.15
 """Mean pause of each caller between two attempts."""
+PRESSING_CALLERS, PRESS_SECONDS = 3, 0.06
+"""Callers of a workspace beyond its quota, and their mean pause."""
 PROBE_INTERVAL_SECONDS = 0.25
 """Pause between probes of the configuration in force."""
 _METHODS: dict[CallKind, str] = {
@@ -32,6 +35,8 @@
     Attributes:
         attempts: Attempts, in the order in which they ended.
         probes: Probes of recent configurations, in order.
+        pressed: Statuses of the answers to a workspace beyond its quota; 0
+            for none.
     """
 
     def __init__(self, system: SoakSystem, rng: Random) -> None:
@@ -41,6 +46,7 @@
         self._stopping = False
         self.attempts: list[Attempt] = []
         self.probes: list[Probe] = []
+        self.pressed: Counter[int] = Counter()
 
     async def run(self, callers: int) -> None:
         """Run this number of concurrent callers until `stop`."""
@@ -48,6 +54,8 @@
             for _ in range(callers):
                 group.create_task(self._call_repeatedly())
             group.create_task(self._probe_repeatedly())
+            for _ in range(PRESSING_CALLERS):
+                group.create_task(self._press_repeatedly())
 
     def stop(self) -> None:
         """Send no more attempts; `run` still waits for the open ones."""
@@ -63,6 +71,29 @@
             await asyncio.sleep(self._rng.expovariate(1 / PAUSE_SECONDS))
         client.close()
 
+    async def _press_repeatedly(self) -> None:
+        """Send checks of a workspace far beyond its quota."""
+        client = Client()
+        while not self._stopping:
+            gateway = self._rng.randrange(len(self._system.gateways))
+            self._number += 1
+            headers = make_caller_headers(
+                f"attempt-{self._number}", DEADLINE_SECONDS["check"], QUOTA_KEY
+            )
+            try:
+                answer = await client.call(
+                    self._system.entries[gateway],
+                    "GET",
+                    f"/check/{self._number}",
+                    headers=headers,
+                    timeout=DEADLINE_SECONDS["check"] + EXTRA_WAIT_SECONDS,
+                )
+                self.pressed[answer.status] += 1
+            except (CallFailedError, TimeoutError):
+                self.pressed[0] += 1
+            await asyncio.sleep(self._rng.expovariate(1 / PRESS_SECONDS))
+        client.close()
+
     async def call(
         self, client: Client, kind: CallKind, gateway: int
     ) -> Attempt:
--- a/soak/system.py
+++ b/soak/system.py
@@ -49,6 +49,11 @@
 RETRY_RATIO, RETRY_FLOOR, RETRY_WINDOW_SECONDS = 0.05, 12, 10.0
 """Repeats of a service in a window that are allowed, as a part of its
 requests, and further ones: few enough for some faults to use them up."""
+QUOTA_RATE, QUOTA_BURST, QUOTA_SLACK = 8.0, 8.0, 20.0
+"""Quota of the workspace that asks for more, in requests a second, requests
+and further ones that may run in a window."""
+QUOTA_WINDOW_SECONDS, QUOTA_OVERAGE = 8.0, 0.1
+QUOTA_WORKSPACE, QUOTA_KEY = "market", "key-of-market"
 HEARTBEAT_SECONDS = 1.0
 """Interval at which a runner's entry is renewed; runners take turns in it."""
 ENTRY_TTL_SECONDS = 2.0
@@ -234,6 +239,9 @@
                     "retry_budget_ratio": RETRY_RATIO,
                     "budget_min_retries": RETRY_FLOOR,
                     "budget_window_s": RETRY_WINDOW_SECONDS,
+                    "quota_window_s": QUOTA_WINDOW_SECONDS,
+                    "quota_overage": QUOTA_OVERAGE,
+                    "quota_slack": QUOTA_SLACK,
                 },
                 duties=("usage_report",),
             )
@@ -294,9 +302,15 @@
         """Write the newest configuration."""
         routes = make_configuration()["routes"]
         routes.append(make_route(f"added-{self.version}", "safe", "desk"))
-        await self.store.put(
-            "op", "config", make_configuration(self.version, routes=routes)
-        )
+        limited = {
+            "name": QUOTA_WORKSPACE,
+            "api_keys": [QUOTA_KEY],
+            "rate_per_s": QUOTA_RATE,
+            "burst": QUOTA_BURST,
+        }
+        configuration = make_configuration(self.version, routes=routes)
+        configuration["tenants"].append(limited)
+        await self.store.put("op", "config", configuration)
 
     async def _expire_entries(self) -> None:
         """Delete entries of ended runners that a store restore revived."""
@@ -391,6 +405,16 @@
         """Return the times at which requests for a path reached runners."""
         return self._list_arrivals(lambda request: request.path == path)
 
+    def list_runs_of(self, workspace: str) -> list[float]:
+        """Return the times at which requests of a workspace were run."""
+        return sorted(
+            received.at
+            for slot in self.runners
+            for runner in slot.all_runners()
+            for received in runner.received
+            if received.ran and received.request.header("tenant") == workspace
+        )
+
     def _list_arrivals(self, counts: Callable[[Request], bool]) -> list[float]:
         return sorted(
             received.at
