Take what is nested too deep for unreadable, as any other bytes from outside

Cause: decoders raise RecursionError there, which no caller of them expected. Each site listed its own exceptions. One tuple now names all that a decoder or a conversion raises for bytes from outside, and all sites use it.

--- a/lagoonpost/caller/client.py
+++ b/lagoonpost/caller/client.py
@@ -19,6 +19,7 @@
     Response,
     parse_address,
 )
+from lagoonpost.tables.decoding import UNREADABLE
 
 CALL_TIMEOUT_SECONDS = 40.0
 ENTRIES_TIMEOUT_SECONDS = 2.0
@@ -144,7 +145,7 @@
                     timeout=ENTRIES_TIMEOUT_SECONDS,
                 )
                 entry_list = msgspec.json.decode(response.body, type=_Entries)
-            except (CallFailedError, msgspec.DecodeError):
+            except (CallFailedError, *UNREADABLE):
                 continue
             if entry_list.entries:
                 self._entries = [
@@ -357,7 +358,7 @@
 def _read_problem(body: bytes) -> Problem:
     try:
         problem = msgspec.json.decode(body, type=_Problem)
-    except msgspec.DecodeError:
+    except UNREADABLE:
         problem = _Problem()
     return Problem(
         problem.status,
--- a/lagoonpost/http/problem.py
+++ b/lagoonpost/http/problem.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lagoonpost.http.message import Headers, Response, find_header
+from lagoonpost.tables.decoding import UNREADABLE
 
 Execution = Literal["not_run", "unknown", "ran"]
 
@@ -65,7 +66,7 @@
         return None
     try:
         value = msgspec.json.decode(body, type=dict[str, object])
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return None
     execution = value.get("execution")
     return execution if isinstance(execution, str) else None
--- a/lagoonpost/peers/messenger.py
+++ b/lagoonpost/peers/messenger.py
@@ -18,6 +18,7 @@
 from lagoonpost.peers.datagram_socket import DatagramSocket
 from lagoonpost.peers.message import GossipReply, GossipRequest
 from lagoonpost.tables.control_traffic import ControlTraffic
+from lagoonpost.tables.decoding import UNREADABLE
 from lagoonpost.tables.gateway_report import GatewayReport, HubSummary
 from lagoonpost.tables.permit import (
     LimitNews,
@@ -159,7 +160,7 @@
     def _dispatch(self, data: bytes, sender: Address) -> None:
         try:
             message = decode_message(data)
-        except msgspec.DecodeError as error:
+        except UNREADABLE as error:
             eliot.log_message(
                 message_type="lagoonpost:peers:unreadable", detail=str(error)
             )
--- a/lagoonpost/platform/configuration.py
+++ b/lagoonpost/platform/configuration.py
@@ -14,6 +14,7 @@
     TrafficShare,
     Workspace,
 )
+from lagoonpost.tables.decoding import UNREADABLE
 
 MS_PER_SECOND = 1000.0
 _KINDS = {"safe": "safe", "unsafe": "unsafe", "streaming": "stream"}
@@ -99,10 +100,10 @@
     Raises:
         InvalidRowError: If decoding fails; the active one stays in force.
     """
-    faults = KeyError, TypeError, ValueError, AttributeError
+    faults = KeyError, TypeError, AttributeError
     try:
         return _decode(msgspec.json.decode(body))
-    except (msgspec.DecodeError, *faults) as error:
+    except (*UNREADABLE, *faults) as error:
         raise InvalidRowError(f"configuration: {error!r}") from error
 
 
--- a/lagoonpost/platform/endpoint.py
+++ b/lagoonpost/platform/endpoint.py
@@ -4,6 +4,7 @@
 
 from lagoonpost.http.message import parse_address
 from lagoonpost.platform.configuration import MS_PER_SECOND, InvalidRowError
+from lagoonpost.tables.decoding import UNREADABLE
 from lagoonpost.tables.endpoint import Endpoint
 
 _STATES = {"ready": False, "draining": True}
@@ -40,7 +41,7 @@
     """Return a runner's start and write count, which order its entries."""
     try:
         order = msgspec.json.decode(body, type=_Sequence)
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return None
     return (order.born, order.seq) if order.born and order.seq else None
 
@@ -68,5 +69,5 @@
             born=entry.born,
             cold_seconds=max(0.0, entry.cold_remaining_ms / MS_PER_SECOND),
         )
-    except (msgspec.DecodeError, ValueError, KeyError) as error:
+    except (*UNREADABLE, KeyError) as error:
         raise InvalidRowError(f"runner {key}: {error!r}") from error
--- a/lagoonpost/platform/kv_cache.py
+++ b/lagoonpost/platform/kv_cache.py
@@ -4,6 +4,7 @@
 
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address, Response
+from lagoonpost.tables.decoding import UNREADABLE
 from lagoonpost.tables.kv_copy import (
     Copied,
     CopyOutcome,
@@ -88,7 +89,7 @@
         return Unanswered(f"status {response.status}")
     try:
         decoded = msgspec.json.decode(response.body, type=_Answer)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         return Unanswered(str(error))
     if not decoded.handle:
         return Unanswered("response has no handle")
--- a/lagoonpost/platform/rollout.py
+++ b/lagoonpost/platform/rollout.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from lagoonpost.platform.configuration import InvalidRowError
+from lagoonpost.tables.decoding import UNREADABLE
 from lagoonpost.tables.version_shift import ShiftOrder, ShiftPhase
 
 ORDER_PREFIX = "rollout/"
@@ -37,7 +38,7 @@
     """
     try:
         order = msgspec.json.decode(body, type=_Order)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         raise InvalidRowError(f"rollout: {error}") from error
     return ShiftOrder(order.service, order.to, order.duration_s, number)
 
@@ -55,7 +56,7 @@
     """
     try:
         status = msgspec.json.decode(body, type=_Status)
-    except msgspec.DecodeError:
+    except UNREADABLE:
         # Only gateways write status rows; an invalid row is overwritten.
         return None
     return _ENDS.get(status.state) if status.to == order.to else None
--- a/lagoonpost/platform/store.py
+++ b/lagoonpost/platform/store.py
@@ -21,6 +21,7 @@
 )
 from lagoonpost.tables import stamp
 from lagoonpost.tables.control_traffic import ControlTraffic
+from lagoonpost.tables.decoding import UNREADABLE
 
 # All rows of lagoonpost are in one table; the key prefix names their kind.
 OWN_TABLE = "lagoonpost"
@@ -313,7 +314,7 @@
             return Unavailable("stale response from an earlier era")
         try:
             return StoreReply(response.status, self._decode(response), era)
-        except msgspec.DecodeError as error:
+        except UNREADABLE as error:
             return Unavailable(f"unreadable response: {error}")
 
 
--- a/lagoonpost/tables/crash.py
+++ b/lagoonpost/tables/crash.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from lagoonpost.tables.decoding import UNREADABLE
+
 
 class Crash(NamedTuple):
     """Evidence of a crash: a run that it cut off near its start.
@@ -68,5 +70,5 @@
     """Return the verdict in a row of the store; None if it is unreadable."""
     try:
         return msgspec.convert(value, Verdict)
-    except msgspec.ValidationError:
+    except UNREADABLE:
         return None
