Send header values on byte by byte

Cause: values are decoded as latin-1 and were encoded as ASCII. They are encoded as they were decoded; a name of the configuration with other characters goes out as UTF-8. The same in requests and tunnels.

--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -20,6 +20,7 @@
     Address,
     Headers,
     Response,
+    encode_headers,
     find_header,
 )
 
@@ -476,11 +477,13 @@
         head = h11.Request(
             method=method,
             target=target,
-            headers=[
-                ("host", host),
-                ("content-length", str(len(body))),
-                *(field for field in headers if field[0] != "host"),
-            ],
+            headers=encode_headers(
+                (
+                    ("host", host),
+                    ("content-length", str(len(body))),
+                    *(field for field in headers if field[0] != "host"),
+                )
+            ),
         )
         data = connection.send(head) or b""
         data += connection.send(h11.Data(data=body)) or b""
--- a/lagoonpost/http/message.py
+++ b/lagoonpost/http/message.py
@@ -62,6 +62,25 @@
         return find_header(self.headers, name)
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the bytes of headers, as they were received.
+
+    Received values are decoded byte by byte. Own values may have other
+    characters, such as a name from the configuration.
+    """
+    return [
+        (name.encode("latin-1"), _encode_value(value))
+        for name, value in headers
+    ]
+
+
+def _encode_value(value: str) -> bytes:
+    try:
+        return value.encode("latin-1")
+    except UnicodeEncodeError:
+        return value.encode()
+
+
 def make_json_response(
     status: int, value: object, headers: Headers = ()
 ) -> Response:
--- a/lagoonpost/http/responder.py
+++ b/lagoonpost/http/responder.py
@@ -6,7 +6,11 @@
 
 import h11
 
-from lagoonpost.http.message import Headers, Response
+from lagoonpost.http.message import (
+    Headers,
+    Response,
+    encode_headers,
+)
 
 
 class Limits(NamedTuple):
@@ -105,7 +109,9 @@
             headers = (*headers, ("connection", "close"))
         self._writer.write(
             self._encode(
-                h11.Response(status_code=status, headers=list(headers))
+                h11.Response(
+                    status_code=status, headers=encode_headers(headers)
+                )
             )
         )
 
--- a/lagoonpost/http/tunnel.py
+++ b/lagoonpost/http/tunnel.py
@@ -21,7 +21,11 @@
     Client,
     Socket,
 )
-from lagoonpost.http.message import Address, Headers
+from lagoonpost.http.message import (
+    Address,
+    Headers,
+    encode_headers,
+)
 
 READ_BYTES = 16 * 1024
 """Bytes read at once, and limit of each buffer of a tunnel. A tunnel holds
@@ -157,7 +161,7 @@
         head = h11.Request(
             method="CONNECT",
             target=request.target,
-            headers=[("host", str(address)), *request.headers],
+            headers=encode_headers((("host", str(address)), *request.headers)),
         )
         data = connection.send(head) or b""
         data += connection.send(h11.EndOfMessage()) or b""
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -120,6 +120,7 @@
         limit: Requests a second that it takes from all gateways together,
             which it says in all its answers; None to say nothing.
         leaving: Whether it says in all its answers that it leaves.
+        more_headers: Further headers of all its answers.
         rest: Value of ``Retry-After`` in its refusals when it is full or
             turns requests away; empty to ask for no rest.
         turned_away: Share of the requests that it turns away, from 0 to 1.
@@ -149,6 +150,7 @@
         self.brittle = 0
         self.limit: float | None = None
         self.leaving = False
+        self.more_headers: Headers = ()
         self.rest = ""
         self.turned_away = 0.0
         self._rng = Random(id)
@@ -261,7 +263,7 @@
 
     def _tell(self) -> Headers:
         """Return the headers by which the runner speaks of itself."""
-        headers: list[tuple[str, str]] = []
+        headers = list(self.more_headers)
         if self.leaving:
             headers.append(("server-leaving", "1"))
         if self.brittle:
