Take no reclaimed host's end for the end of an answer

Cause: an answer that ends with its connection was taken for whole from any runner that leaves. One that leaves as planned may take no more connections while it ends its answers; one whose entry names the time of its end must still accept one. A runner that names no time and is cut off is still believed.

--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -36,6 +36,8 @@
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.peer import Member
 
+END_OF_PROCESS_SECONDS = 0.1
+"""Time in which the kernel has closed all connections of a killed process."""
 ANSWER_TIMEOUT_SECONDS = CONNECT_TIMEOUT_SECONDS + 0.2
 """Longest wait for a peer's answer: it may need the whole connect timeout."""
 MAX_SEARCH_SECONDS = 0.8
@@ -248,10 +250,13 @@
         """Return whether a runner accepts connections, or leaves as planned.
 
         Takes a round trip, for answers whose end does not show whether it is
-        their runner's end as well.
+        their runner's end as well. A runner that leaves may take no more
+        connections while it ends its answers, but one whose host is
+        reclaimed is cut off at the time that its entry names.
         """
         entry = self._view.entries.get(choice.endpoint.id)
-        if entry is not None and entry.endpoint and entry.endpoint.leaving:
+        known = entry.endpoint if entry is not None else None
+        if known and known.leaving and known.leaves_in_seconds is None:
             return True
         try:
             socket = await self.connect(
@@ -259,8 +264,10 @@
             )
         except CallFailedError:
             return False
-        socket.writer.close()
-        return True
+        try:
+            return not (known and known.leaving) or await _stays_open(socket)
+        finally:
+            socket.writer.close()
 
     # Background checks of paths
 
@@ -377,3 +384,18 @@
             CallFailedError: If it cannot be opened; nothing was sent.
         """
         return await self._paths.connect_address(address, seconds)
+
+
+async def _stays_open(socket: Socket) -> bool:
+    """Return whether a new connection outlives the end of a process.
+
+    The kernel closes the connections of a killed process one after the other
+    and may accept new ones until it has closed the last.
+    """
+    try:
+        async with asyncio.timeout(END_OF_PROCESS_SECONDS):
+            return bool(await socket.reader.read(1))
+    except TimeoutError:
+        return True
+    except OSError:
+        return False
--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -201,6 +201,32 @@
         for number, answer in enumerate(answers):
             assert answer.body == make_stream(f"/draft/{number}")
 
+    @FRAMING
+    def test_a_stream_cut_off_by_a_reclaim_goes_on_elsewhere(self, framed):
+        """Guards against the end of a reclaimed host taken for a stream's."""
+
+        async def story(stack: Stack):
+            set_endings(stack, framed, "chat-1")
+            for runner in stack.runners.values():
+                runner.pause = 0.2
+            calls = [
+                asyncio.create_task(
+                    stack.call(f"/draft/{n}", "POST", headers=make_parts("a"))
+                )
+                for n in range(8)
+            ]
+            await asyncio.sleep(0.1)
+            await stack.register(
+                "chat-1", state="draining", leaves_ms=500, seq=2
+            )
+            answers = await asyncio.gather(*calls)
+            return answers, len(stack.runners["chat-1"].crashes)
+
+        answers, crashes = play(story)
+        assert crashes
+        for number, answer in enumerate(answers):
+            assert answer.body == make_stream(f"/draft/{number}")
+
     @FRAMING
     def test_a_stream_that_runs_once_is_broken_off(self, framed):
         """Guards against a cut-off stream that is passed on as complete."""
