Wait for a silent runner as long as no other could go on with its stream

Cause: a stream counts as lost after 1.8 s of silence, whether or not another runner could go on with it. Without one, giving it up only ends it sooner than its caller or its deadline would. The gateway now reads on; a read that timed out is continued, as its part may be half read.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -145,6 +145,7 @@
     def __init__(self, stream: Stream) -> None:
         self._stream = stream
         self._parts: AsyncIterator[bytes] = stream.parts()
+        self._next: asyncio.Future[bytes] | None = None
 
     @property
     def status(self) -> int:
@@ -166,6 +167,8 @@
     ) -> bytes | Broken | Silent:
         """Read the next part of the body.
 
+        After a timeout, the next call waits for the same part.
+
         Args:
             idle_timeout: Seconds without a byte after which the runner is
                 considered lost; None for no timeout.
@@ -174,17 +177,21 @@
             The next bytes, empty at the end of the body, or how the call
             failed.
         """
+        part = self._next or asyncio.ensure_future(anext(self._parts))
+        self._next = part
         try:
-            if idle_timeout is None:
-                return await anext(self._parts)
-            async with asyncio.timeout(idle_timeout):
-                return await anext(self._parts)
+            done, _ = await asyncio.wait({part}, timeout=idle_timeout)
+            if not done:
+                return Silent(idle_timeout or 0.0)
+            self._next = None
+            return part.result()
         except StopAsyncIteration:
             return b""
-        except TimeoutError:
-            return Silent(idle_timeout or 0.0)
         except CallFailedError as error:
             return _read_failure(error)
+        except asyncio.CancelledError:
+            part.cancel()
+            raise
 
     def hold(self, size: int) -> Broken | None:
         """Account for bytes of the answer that are kept.
@@ -203,6 +210,8 @@
 
     def close(self) -> None:
         """End the call."""
+        if self._next is not None:
+            self._next.cancel()
         self._stream.close()
 
 
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -186,6 +186,7 @@
                     lambda: self._paths.is_up(choice),
                     sampler,
                     lambda: self._note_failure(choice),
+                    lambda: self._has_other(exchange, choice),
                 )
             ended = outcome
             if isinstance(outcome, Whole):
@@ -354,6 +355,19 @@
             return None
         return Withheld()
 
+    def _has_other(self, exchange: Exchange, choice: Choice) -> bool:
+        """Return whether a stream may go on at a runner not tried yet."""
+        route = exchange.route
+        if route is None or exchange.run_count + 1 >= route.max_attempts:
+            return False
+        tried = exchange.tried_runners | {choice.endpoint.id}
+        return any(
+            runner.id not in tried
+            for runner in self._view.find_runners(
+                exchange.requirements.service, exchange.regions
+            )
+        )
+
     def _count_prompt(self, exchange: Exchange, choice: Choice) -> None:
         service = exchange.requirements.service
         before = self.prompt_tokens.get(service, 0)
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -37,6 +37,7 @@
     confirm_end: Callable[[], Awaitable[bool]],
     sampler: SpeedSampler,
     note_failure: Callable[[], None],
+    has_other: Callable[[], bool],
 ) -> Outcome:
     """Pass on each complete event of a stream as it arrives.
 
@@ -50,6 +51,8 @@
             a stream that ends with its connection.
         sampler: Measures the runner's pace.
         note_failure: Called if the runner sends bytes without events.
+        has_other: Tells whether the stream could go on at another runner; a
+            silent runner is not given up without one.
 
     Returns:
         ``began`` if the stream was passed on to its end, otherwise the
@@ -60,7 +63,7 @@
     progress = StreamProgress(exchange.now(), STREAM_IDLE_TIMEOUT_SECONDS)
     try:
         outcome = await _relay_events(
-            exchange, began, responder, sampler, progress
+            exchange, began, responder, sampler, progress, has_other
         )
         if progress.is_stalled(exchange.now()) or (
             isinstance(outcome, Broken) and outcome.endless
@@ -91,6 +94,7 @@
     responder: Responder,
     sampler: SpeedSampler,
     progress: StreamProgress,
+    has_other: Callable[[], bool],
 ) -> Began | Broken | Silent:
     call = began.call
     cutter = EventSplitter()
@@ -111,6 +115,8 @@
         data = _find_excess(call, cutter, size) or await call.read(
             idle_timeout
         )
+        while isinstance(data, Silent) and not has_other():
+            data = await call.read(idle_timeout)
     if not isinstance(data, bytes):
         return data
     if cutter.remainder:
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -14,6 +14,7 @@
     wait_until,
 )
 
+from lagoonpost.forwarding import relay
 from lagoonpost.http.client import CallFailedError
 from lagoonpost.http.message import Response
 from lagoonpost_standins.runner import make_event
@@ -430,6 +431,19 @@
         signatures = {a.header("response-signature") for a in answers}
         assert len(signatures) == len(answers)
 
+    def test_a_silent_runner_without_another_is_waited_for(self, monkeypatch):
+        """Guards against ending a stream that nobody else could go on with."""
+        monkeypatch.setattr(relay, "STREAM_IDLE_TIMEOUT_SECONDS", 0.3)
+
+        async def story(stack: Stack):
+            stack.set_fault("pause_midway")
+            return await stack.call(
+                "/draft/1", "POST", headers=make_prompt(), deadline=10.0
+            )
+
+        answer = play(story, chat=1)
+        assert answer.body == make_stream("/draft/1")
+
     @pytest.mark.parametrize("fault", ["pause_first", "pause_midway"])
     def test_a_sound_runner_may_be_silent_for_a_second(self, fault):
         """Guards against a second run beside one that goes on.
