Write the log again after its reader stood still

Once 2,000 lines were buffered, new ones were dropped before a flush was scheduled, so nothing was written any more, also when the reader read again. A dropped line schedules a flush too. Found by reading; the test was red before.

--- a/lagoonpost/forwarding/log.py
+++ b/lagoonpost/forwarding/log.py
@@ -37,10 +37,11 @@
         """Buffer one message and schedule a flush."""
         if len(self._lines) >= MAX_BUFFERED_LINES:
             self._dropped += 1
-            return
-        for unused in ("task_uuid", "task_level"):
-            message.pop(unused, None)
-        self._lines.append(_encode(message))
+        else:
+            for unused in ("task_uuid", "task_level"):
+                message.pop(unused, None)
+            self._lines.append(_encode(message))
+        # A full buffer is flushed too, or nothing would be written any more.
         if not self._flush_scheduled:
             self._flush_scheduled = True
             try:
