--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -75,8 +75,9 @@
         if isinstance(outcome, Began):
             if call.ends_with_connection and not await confirm_end():
                 return Broken("the runner that ended the stream is down")
-            if responder.started:
-                await responder.finish()
+            # A resumed stream may lack nothing but its end.
+            await _start(exchange, call, responder)
+            await responder.finish()
             exchange.note_answered(call.status)
         return outcome
     except asyncio.CancelledError:
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -478,6 +478,16 @@
         whole = make_stream("/draft/1")
         assert play(scenario).body == whole[whole.index(b"id: 4") :]
 
+    def test_a_stream_that_lacks_only_its_end_is_answered(self):
+        """Guards against a connection that is closed without an answer."""
+
+        async def scenario(stack: Stack):
+            headers = make_prompt(**{"last-event-id": "5"})
+            return await stack.call("/draft/1", "POST", headers=headers)
+
+        answer = play(scenario)
+        assert (answer.status, answer.body) == (200, b"")
+
     def test_a_caller_that_leaves_ends_the_work(self):
         """Guards against work for callers that have disconnected.
 
