Count no usage window again that no running gateway remembers

Cause: gateways that all started since a window's end had neither its counts nor what was told of it; if the store had lost the row, they reported what they knew, which is nothing. Such a window is now told only as a row of the store has it. It costs nothing right: the counts of gateways that ended are lost.

--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -24,6 +24,7 @@
     Committed,
     Condition,
     Conflict,
+    Unavailable,
     Write,
 )
 from lagoonpost.systems.demand import (
@@ -31,7 +32,7 @@
     Sample,
     estimate_initial_busy,
 )
-from lagoonpost.systems.hub import Roles
+from lagoonpost.systems.hub import MS_PER_SECOND, Roles
 from lagoonpost.systems.lease import LeasePolicy
 from lagoonpost.systems.placed_orders import PlacedOrders
 from lagoonpost.systems.placement import DEFAULT_SECONDS_PER_TOKEN
@@ -44,7 +45,11 @@
     keep_present,
     plan_orders,
 )
-from lagoonpost.systems.usage import find_due_windows, sum_begun_requests
+from lagoonpost.systems.usage import (
+    find_due_windows,
+    is_remembered,
+    sum_begun_requests,
+)
 from lagoonpost.tables.configuration import Service
 from lagoonpost.tables.gateway_report import GatewayReport
 
@@ -118,6 +123,7 @@
         self._sent: Counter[str] = Counter()
         self._measures_from_start = settings.first_start
         self._leaving = False
+        self._started = 0.0 if settings.first_start else wall_clock()
         self._ready_at = read_clock()
         if not settings.first_start:
             self._ready_at += REPORT_WAIT_SECONDS
@@ -238,6 +244,8 @@
 
     async def _persist_counts(self, window: int) -> dict[str, int] | None:
         counts = self._peer_sync.usage_gossip.usage.get(window)
+        if counts is None and not self._is_remembered(window):
+            return await self._read_counts(window)
         if counts is None:
             # Peers keep the published counts even if the store loses the row.
             reports = self._peer_sync.reports.list_reports()
@@ -256,6 +264,32 @@
         self._peer_sync.usage_gossip.publish_usage(window, counts)
         return counts
 
+    def _is_remembered(self, window: int) -> bool:
+        starts = [
+            member.incarnation / MS_PER_SECOND
+            for member in self._peer_sync.find_others()
+        ]
+        seconds = self._settings.bounds.usage_window
+        return is_remembered(window, seconds, [self._started, *starts])
+
+    async def _read_counts(self, window: int) -> dict[str, int] | None:
+        """Return the counts of a window that no running gateway remembers.
+
+        A store that came back from an older copy may have lost a row whose
+        counts were told. So the window is not counted again; the counts of
+        gateways that ended are lost in any case.
+        """
+        rows = await self._store.read([f"{USAGE_PREFIX}{window}"])
+        if isinstance(rows, Unavailable):
+            return None
+        if rows[0].version:
+            return {str(k): int(v) for k, v in dict(rows[0].value).items()}
+        self._reported[window] = True
+        eliot.log_message(
+            message_type="lagoonpost:duties:not_counted", window=window
+        )
+        return None
+
     # Orders
 
     async def _order_runners(self) -> None:
--- a/lagoonpost/systems/usage.py
+++ b/lagoonpost/systems/usage.py
@@ -46,3 +46,20 @@
     return [
         window for window in range(first, last + 1) if window not in finished
     ]
+
+
+def is_remembered(
+    window: int, seconds: float, starts: Iterable[float]
+) -> bool:
+    """Return whether a running gateway could know what was told of a window.
+
+    A window is told after its end. What is told reaches all that run then; if
+    all have started since, only the store can know.
+
+    Args:
+        window: Number of the usage window.
+        seconds: Length of a window in seconds.
+        starts: Starts of the running gateways, in seconds since the epoch.
+    """
+    end = (window + 1) * seconds
+    return any(start <= end for start in starts)
--- a/test/test_duties.py
+++ b/test/test_duties.py
@@ -104,6 +104,27 @@
         holders = {(holder, fence) for _, holder, fence, _ in cloud.calls}
         assert len({fence for _, fence in holders}) == len(holders)
 
+    def test_a_window_that_nobody_remembers_is_not_counted_again(self):
+        """Guards against two counts after a kill of all and an older copy."""
+
+        async def story(stack: Stack):
+            await wait_until(lambda: bool(find_holders(stack)))
+            await stack.call("/check/1")
+            window = int(time.time())
+            await wait_until(lambda: window in stack.cloud.usage)
+            for daemon in stack.gateways:
+                await daemon.abort()
+            await stack.store.roll_back(60.0)
+            daemon = await stack.add_gateway()
+            await wait_until(daemon._duties.is_held)
+            await wait_until(lambda: window in daemon._duties._reported)
+            return stack.cloud
+
+        cloud = play(
+            story, gateways=2, bounds=BOUNDS, duties=("usage_report",)
+        )
+        assert cloud.conflicts == []
+
     def test_a_holder_that_loses_the_store_stops(self):
         async def story(stack: Stack):
             await wait_until(lambda: bool(find_holders(stack)))
