Data of charges as a NamedTuple; build the charges apart

What charges know of the other gateways is data, and the forwarder's connect had grown beyond one step.

--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -177,29 +177,31 @@
         self.permits.listen(cluster.messenger)
         self.trials.listen(cluster.messenger)
         self.retries.listen(cluster.messenger)
-        admission = self.admission
-        admission.cluster = cluster
-        admission.charges = QuotaCharges(
-            admission.quotas,
+        self.admission.cluster = cluster
+        self.admission.charges = self._make_charges(cluster)
+        self.admission.charges.listen(cluster.messenger)
+        self.notices.publish = cluster.publish_news
+
+    def _make_charges(self, cluster: PeerSync) -> QuotaCharges:
+        issuers = Issuers(
+            self._view.limits.group.name,
+            lambda: cluster.find_quota_issuers(self._bounds.quota_window),
+            cluster.find_others,
+            read_clock,
+        )
+        reports = cluster.reports
+        return QuotaCharges(
+            self.admission.quotas,
             self._view.list_workspaces,
             QuotaCluster(
-                Issuers(
-                    self._view.limits.group.name,
-                    lambda: cluster.find_quota_issuers(
-                        self._bounds.quota_window
-                    ),
-                    cluster.find_others,
-                    read_clock,
-                ),
-                cluster.reports.find_sender,
-                cluster.reports.reachable_share,
-                cluster.reports.find_heard_share,
+                issuers,
+                reports.find_sender,
+                reports.reachable_share,
+                reports.find_heard_share,
                 cluster.count_gateways,
             ),
-            admission.note_charged,
+            self.admission.note_charged,
         )
-        admission.charges.listen(cluster.messenger)
-        self.notices.publish = cluster.publish_news
 
     def note_peer_work(self, work: Mapping[str, RunnerWork]) -> None:
         """Apply the newest reports of the other gateways.
--- a/lagoonpost/forwarding/quota_charges.py
+++ b/lagoonpost/forwarding/quota_charges.py
@@ -1,6 +1,7 @@
 """Charges runs to the quotas of workspaces, some by an issuer's grant."""
 
 from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 from lagoonpost.forwarding.issuers import (
     ASKED_PER_SECOND,
@@ -21,10 +22,10 @@
 trips between regions."""
 
 
-class QuotaCluster:
+class QuotaCluster(NamedTuple):
     """What charges need to know of the other gateways.
 
-    Args:
+    Attributes:
         issuers: Finds the issuer of a workspace's quota.
         find_sender: Returns this gateway's "NAME/RUN", as in its reports.
         find_share: Returns the connected gateways as a share of all.
@@ -32,19 +33,11 @@
         count_gateways: Returns the number of gateways.
     """
 
-    def __init__(
-        self,
-        issuers: Issuers,
-        find_sender: Callable[[], str],
-        find_share: Callable[[], float],
-        find_heard_share: Callable[[], float],
-        count_gateways: Callable[[], int],
-    ) -> None:
-        self.issuers = issuers
-        self.find_sender = find_sender
-        self.find_share = find_share
-        self.find_heard_share = find_heard_share
-        self.count_gateways = count_gateways
+    issuers: Issuers
+    find_sender: Callable[[], str]
+    find_share: Callable[[], float]
+    find_heard_share: Callable[[], float]
+    count_gateways: Callable[[], int]
 
 
 class QuotaCharges:
