A gateway that starts cut off from the others admits a part, not all

One whose settings name others, and that has heard none since its start, now admits a sixteenth of what is left until a window has passed. The test was red before.

--- a/lagoonpost/forwarding/admission.py
+++ b/lagoonpost/forwarding/admission.py
@@ -43,6 +43,7 @@
         rng: Source of random choices.
         started: Time at which this process started, in seconds; None at the
             first start of the system.
+        expects_peers: Whether there are other gateways to be heard of.
 
     Attributes:
         cluster: State exchanged with the other gateways.
@@ -64,12 +65,15 @@
         bounds: Bounds,
         rng: random.Random,
         started: float | None,
+        expects_peers: bool,
     ) -> None:
         self._view = view
         self._rng = rng
         self._crashes = crashes
         self.scheduling = NO_PARTS
-        self.quotas = Quotas(_find_quota_bounds(bounds), started)
+        self.quotas = Quotas(
+            _find_quota_bounds(bounds), started, expects_peers
+        )
         self.shares = ServiceShares()
 
     def set_bounds(self, bounds: Bounds) -> None:
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -132,6 +132,7 @@
                 settings.bounds,
                 rng,
                 None if settings.first_start else read_clock(),
+                any(seed != settings.peer for seed in settings.seeds),
             ),
             crashes,
             lambda reach: RunnerPaths(
--- a/lagoonpost/platform/configuration.py
+++ b/lagoonpost/platform/configuration.py
@@ -100,10 +100,9 @@
     Raises:
         InvalidRowError: If decoding fails; the active one stays in force.
     """
-    faults = KeyError, TypeError, AttributeError
     try:
         return _decode(msgspec.json.decode(body))
-    except (*UNREADABLE, *faults) as error:
+    except (*UNREADABLE, KeyError, TypeError, AttributeError) as error:
         raise InvalidRowError(f"configuration: {error!r}") from error
 
 
--- a/lagoonpost/platform/endpoint.py
+++ b/lagoonpost/platform/endpoint.py
@@ -4,7 +4,7 @@
 
 from lagoonpost.http.message import parse_address
 from lagoonpost.platform.configuration import MS_PER_SECOND, InvalidRowError
-from lagoonpost.tables.decoding import UNREADABLE
+from lagoonpost.tables.decoding import UNREADABLE, read_json
 from lagoonpost.tables.endpoint import Endpoint
 
 _STATES = {"ready": False, "draining": True}
@@ -39,11 +39,10 @@
 
 def decode_sequence(body: bytes) -> tuple[int, int] | None:
     """Return a runner's start and write count, which order its entries."""
-    try:
-        order = msgspec.json.decode(body, type=_Sequence)
-    except UNREADABLE:
-        return None
-    return (order.born, order.seq) if order.born and order.seq else None
+    order = read_json(body, _Sequence)
+    return (
+        (order.born, order.seq) if order and order.born and order.seq else None
+    )
 
 
 def decode_endpoint(key: str, body: bytes) -> Endpoint:
--- a/lagoonpost/platform/rollout.py
+++ b/lagoonpost/platform/rollout.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from lagoonpost.platform.configuration import InvalidRowError
-from lagoonpost.tables.decoding import UNREADABLE
+from lagoonpost.tables.decoding import UNREADABLE, read_json
 from lagoonpost.tables.version_shift import ShiftOrder, ShiftPhase
 
 ORDER_PREFIX = "rollout/"
@@ -54,9 +54,8 @@
     Returns:
         None if the order has not ended or the status is of another order.
     """
-    try:
-        status = msgspec.json.decode(body, type=_Status)
-    except UNREADABLE:
-        # Only gateways write status rows; an invalid row is overwritten.
+    # Only gateways write status rows; an invalid row is overwritten.
+    status = read_json(body, _Status)
+    if status is None or status.to != order.to:
         return None
-    return _ENDS.get(status.state) if status.to == order.to else None
+    return _ENDS.get(status.state)
--- a/lagoonpost/systems/prior_usage.py
+++ b/lagoonpost/systems/prior_usage.py
@@ -37,10 +37,17 @@
         bounds: Window and tolerance of the quotas.
         started: Time of this start in seconds; None if there can be no prior
             usage.
+        expects_peers: Whether there are other gateways to be heard of.
     """
 
-    def __init__(self, bounds: QuotaBounds, started: float | None) -> None:
+    def __init__(
+        self,
+        bounds: QuotaBounds,
+        started: float | None,
+        expects_peers: bool = False,
+    ) -> None:
         self._bounds = bounds
+        self._expects_peers = expects_peers
         self._started = started
         self._records: dict[str, list[Charge]] | None = None
         self._assumed: dict[str, SlidingWindow] = {}
@@ -65,7 +72,9 @@
 
         A gateway that has just started, has no records yet and has heard no
         other gateway doesn't know how many start with it, and each of them
-        would admit what is meant for all.
+        would admit what is meant for all. One that expects others and hears
+        none is probably cut off from them: what they use is not in its
+        records, which may be old as well.
 
         Args:
             connected_share: Connected gateways as a share of all that this
@@ -73,11 +82,15 @@
             now: Time in seconds.
         """
         started = self._started
-        if (
-            started is None
-            or self._records is not None
-            or now >= started + SETTLING_SECONDS
-        ):
+        if started is None:
+            return connected_share
+        is_settled = (
+            self._records is not None or now >= started + SETTLING_SECONDS
+        )
+        is_cut_off = (
+            self._expects_peers and now < started + self._bounds.window
+        )
+        if is_settled and not is_cut_off:
             return connected_share
         return min(connected_share, START_SHARE)
 
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -101,6 +101,7 @@
         bounds: Window and tolerance of the quotas.
         started: Time of this gateway's start, from which it counts usage; None
             if there can be no prior usage, as the whole system is new.
+        expects_peers: Whether there are other gateways to be heard of.
 
     Attributes:
         used: Units admitted by this gateway since its start, by workspace.
@@ -110,11 +111,14 @@
     """
 
     def __init__(
-        self, bounds: QuotaBounds, started: float | None = None
+        self,
+        bounds: QuotaBounds,
+        started: float | None = None,
+        expects_peers: bool = False,
     ) -> None:
         self.used: dict[str, float] = {}
         self.decision_inputs: QuotaCheck | None = None
-        self.prior_usage = PriorUsage(bounds, started)
+        self.prior_usage = PriorUsage(bounds, started, expects_peers)
         self._bounds = bounds
         self._windows: dict[str, SlidingWindow] = {}
         self._peer_totals: dict[tuple[str, str], float] = {}
--- a/lagoonpost/tables/decoding.py
+++ b/lagoonpost/tables/decoding.py
@@ -1,4 +1,6 @@
-"""What decoders raise for bytes from outside that can't be read."""
+"""Decoding of bytes from outside that may be unreadable."""
+
+from typing import TypeVar
 
 import msgspec
 
@@ -8,5 +10,14 @@
     ValueError,
     OverflowError,
 )
-"""A decoder raises ``RecursionError`` for values that are nested too deep, and
-a conversion ``ValueError`` or ``OverflowError`` for numbers of odd size."""
+"""What decoders raise. Values that are nested too deep raise
+``RecursionError``, numbers of odd size ``ValueError`` or ``OverflowError``."""
+_T = TypeVar("_T")
+
+
+def read_json(body: bytes, type_: type[_T]) -> _T | None:
+    """Return the value in a JSON document; None if it can't be read."""
+    try:
+        return msgspec.json.decode(body, type=type_)
+    except UNREADABLE:
+        return None
--- a/test/test_quota_faults.py
+++ b/test/test_quota_faults.py
@@ -230,6 +230,20 @@
         taken = [quota.take(HOT, cost, 1 / 9, 0.1, 9) for cost in costs]
         assert taken == [None, None]
 
+    def test_a_gateway_that_starts_cut_off_does_not_take_itself_for_all(self):
+        """Guards against a restart while the others can't be heard.
+
+        The store came back from an older copy, so that its record has a part
+        of what was used only.
+        """
+        quota = Quotas(BOUNDS, started=0.0, expects_peers=True)
+        quota.prior_usage.load_records({"hot": [(3.0, QUOTA / 3)]}, 0.0)
+        used = QUOTA + 0.3 * (TOLERATED - QUOTA)
+        for step in range(4000):
+            if quota.take(HOT, 1_000.0, 1.0, step * 0.002) is None:
+                used += 1_000.0
+        assert used <= TOLERATED
+
     def test_what_others_tell_is_not_added_to_what_was_recorded(self):
         """Guards against usage that counts twice after a planned restart."""
         quota = Quotas(BOUNDS, started=8.0)
--- a/test/test_retry_forwarding.py
+++ b/test/test_retry_forwarding.py
@@ -51,6 +51,23 @@
         before, after = play(story, desk=3, bounds=BOUNDS)
         assert 0 < before <= after <= FLOOR
 
+    def test_changed_bounds_do_not_renew_the_budget(self):
+        """Guards against a floor that a reload of the settings gives again."""
+
+        async def story(stack: Stack) -> tuple[int, int]:
+            stack.set_fault("full", "desk")
+            await send(stack, [0])
+            before = count_repeats(stack)
+            retries = stack.gateways[0]._forwarder.retries
+            for seconds in (61.0, 62.0):
+                bounds = retries._bounds._replace(budget_window=seconds)
+                retries.set_bounds(bounds)
+                await send(stack, [0])
+            return before, count_repeats(stack)
+
+        before, after = play(story, desk=3, bounds=BOUNDS)
+        assert 0 < before <= after <= FLOOR
+
     @pytest.mark.parametrize("gateways", [1, 3])
     def test_a_silent_store_grants_none_beyond_the_requests(self, gateways):
         """Guards against a floor that is spent unrecorded in an outage."""
