--- a/test/test_handover.py
+++ b/test/test_handover.py
@@ -270,11 +270,12 @@
     shared = SimpleNamespace(
         reports=SimpleNamespace(run_id="r", list_reports=lambda: [report]),
         usage_gossip=written,
+        find_others=tuple,
     )
     settings = SimpleNamespace(
         name="g",
-        bounds=SimpleNamespace(lease_seconds=3.0),
+        bounds=SimpleNamespace(lease_seconds=3.0, usage_window=5.0),
         first_start=False,
     )
-    parts: list[Any] = [settings, store, None, None, shared, None, 1]
+    parts: list[Any] = [settings, store, None, None, shared, lambda: 0.0, 1]
     return LeaderDuties(*parts)
--- a/test/test_holder.py
+++ b/test/test_holder.py
@@ -66,6 +66,7 @@
         )
         shared = SimpleNamespace(
             find_roles=self._find_roles,
+            find_others=tuple,
             reports=SimpleNamespace(run_id="run", list_reports=list),
             usage_gossip=SimpleNamespace(
                 usage={}, publish_usage=lambda window, counts: None
