A gateway that stood still takes no sound peer or runner for lost

Cause in the logs: all connections to runners and answers of tunnels time out at the same moment, as timers are due at once after a pause and what came meanwhile takes some turns of the loop to be read. Each gateway then counts as cut off, no gateway opens tunnels, and requests are refused as not run.

The class: a timeout that is used up by a pause of one's own says nothing of the other side. Connections, answers of tunnels, replies to datagrams (permits, grants of quotas, retries) and first bytes now have timeouts of four parts by timers of their own, of which a pause uses up one at the most. Deadlines of callers stay plain.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -13,6 +13,7 @@
     Stream,
 )
 from lagoonpost.http.message import Headers, Request, Response
+from lagoonpost.http.running_time import limit_running_time
 from lagoonpost.platform.headers import (
     AddedHeaders,
     is_answer_to,
@@ -280,7 +281,7 @@
     )
     keep_open = False
     try:
-        async with asyncio.timeout(first_byte_timeout):
+        async with limit_running_time(first_byte_timeout):
             await stream.receive_head()
         if is_answer_to(stream.headers, request_id):
             on_head(stream.status, stream.headers)
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -23,6 +23,7 @@
     encode_headers,
     find_header,
 )
+from lagoonpost.http.running_time import limit_running_time
 
 READ_BYTES = 65536
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -502,7 +503,7 @@
             CallFailedError: If the connection cannot be opened.
         """
         try:
-            async with asyncio.timeout(seconds):
+            async with limit_running_time(seconds):
                 reader = _ConnectionReader()
                 (
                     transport,
--- a/lagoonpost/http/tunnel.py
+++ b/lagoonpost/http/tunnel.py
@@ -26,6 +26,7 @@
     Headers,
     encode_headers,
 )
+from lagoonpost.http.running_time import limit_running_time
 
 READ_BYTES = 16 * 1024
 """Bytes read at once, and limit of each buffer of a tunnel. A tunnel holds
@@ -166,7 +167,7 @@
         data = connection.send(head) or b""
         data += connection.send(h11.EndOfMessage()) or b""
         outer.writer.write(data)
-        async with asyncio.timeout(answer_seconds):
+        async with limit_running_time(answer_seconds):
             status = await _read_status(connection, outer.reader)
     except _NO_HEAD as error:
         outer.writer.transport.abort()
@@ -196,7 +197,7 @@
 ) -> TunnelRequest | None:
     """Read a request for a tunnel; None if it is something else."""
     try:
-        async with asyncio.timeout(HEAD_TIMEOUT_SECONDS):
+        async with limit_running_time(HEAD_TIMEOUT_SECONDS):
             connection.receive_data(await reader.readuntil(_HEAD_END))
         event = connection.next_event()
         connection.next_event()
--- a/lagoonpost/peers/pending_replies.py
+++ b/lagoonpost/peers/pending_replies.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
+from lagoonpost.http.running_time import limit_running_time
+
 Reply = TypeVar("Reply")
 
 
@@ -34,7 +36,7 @@
         self._waiting[number] = reply
         try:
             send()
-            async with asyncio.timeout(self._seconds):
+            async with limit_running_time(self._seconds):
                 return await reply
         except TimeoutError:
             return None
