Count each run once at a quota's issuer, in whichever order messages arrive

Requests that wait for the same runner are sent at the same moment, and the requests of one gateway to the issuer overtake each other, or a report that was made before a grant arrives after it. Now reports and requests are numbered together, each tells the first request that was open then, and the issuer adds its own grants from there on to a total. An older message changes no total. Gateways decided alone up to half of a limit, and the issuer granted the whole of it until their reports came: within the promise only as long as a burst is small beside its rate.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -402,6 +402,7 @@
                 name: round(units)
                 for name, units in quotas.list_own_usage(now).items()
             },
+            quota_order=quotas.note_report(),
             begun=self._usage.begun,
             prompt_tokens=forwarder.offers.prompt_tokens,
             unread_prompt_tokens=self._sum_waiting(),
@@ -421,7 +422,9 @@
         self._speeds.handle_report(report.speeds)
         sender = f"{report.name}/{report.run}"
         quotas = self._forwarder.admission.quotas
-        quotas.update_from_peers(sender, report.used, report.recent, now)
+        quotas.update_from_peers(
+            sender, report.used, report.recent, now, report.quota_order
+        )
         self._bursts.check_usage()
         if self._cluster.find_roles().mesh:
             return
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -198,6 +198,7 @@
                 reports.find_sender,
                 reports.reachable_share,
                 reports.find_heard_share,
+                reports.find_pause,
                 cluster.count_gateways,
             ),
             self.admission.note_charged,
--- a/lagoonpost/forwarding/issuers.py
+++ b/lagoonpost/forwarding/issuers.py
@@ -41,6 +41,7 @@
         self._find_peers = find_peers
         self._clock = clock
         self._silent_until: dict[str, float] = {}
+        self._replied_at: dict[str, float] = {}
 
     def choose(self, matter: str) -> Member | None:
         """Return the gateway to ask; None if there is none but this one."""
@@ -63,6 +64,14 @@
         """Return whether this gateway may decide."""
         return self._name in self._find_issuers()
 
+    def note_replied(self, name: str) -> None:
+        """Record that a gateway replied."""
+        self._replied_at[name] = self._clock()
+
+    def has_replied(self, name: str, since: float) -> bool:
+        """Return whether a gateway replied to any request since a time."""
+        return self._replied_at.get(name, since) > since
+
     def note_silent(self, name: str) -> None:
         """Pass over a gateway that did not reply, for some time."""
         self._silent_until[name] = self._clock() + SILENT_SECONDS
--- a/lagoonpost/forwarding/quota_charges.py
+++ b/lagoonpost/forwarding/quota_charges.py
@@ -15,11 +15,14 @@
 from lagoonpost.systems.quota import Quotas
 from lagoonpost.tables.configuration import Workspace
 from lagoonpost.tables.peer import Member
-from lagoonpost.tables.quota import QuotaReply, QuotaRequest
+from lagoonpost.tables.quota import QuotaOrder, QuotaReply, QuotaRequest
 
 REPLY_TIMEOUT_SECONDS = 0.15
 """Timeout of an issuer's reply, which needs no call to the store: some round
 trips between regions."""
+MIN_REQUESTS, MAX_REQUESTS = 2, 5
+"""Requests on one run to an issuer that does not reply, and to one that
+replies to others meanwhile: a tenth of the datagrams may be lost."""
 
 
 class QuotaCluster(NamedTuple):
@@ -30,6 +33,8 @@
         find_sender: Returns this gateway's "NAME/RUN", as in its reports.
         find_share: Returns the connected gateways as a share of all.
         find_heard_share: Returns the part of them heard a moment ago.
+        find_report_pause: Returns the longest pause between their reports in
+            seconds.
         count_gateways: Returns the number of gateways.
     """
 
@@ -37,6 +42,7 @@
     find_sender: Callable[[], str]
     find_share: Callable[[], float]
     find_heard_share: Callable[[], float]
+    find_report_pause: Callable[[], float]
     count_gateways: Callable[[], int]
 
 
@@ -66,7 +72,6 @@
         self._clock = clock
         self._post: DatagramMessenger | None = None
         self._pending = PendingReplies[QuotaReply](REPLY_TIMEOUT_SECONDS)
-        self._last_number = 0
 
     def listen(self, post: DatagramMessenger) -> None:
         """Exchange messages with other gateways through a messenger."""
@@ -89,6 +94,7 @@
             None if the run is charged, else the seconds until it could be.
         """
         cluster, now = self._cluster, self._clock()
+        self._quotas.set_report_pause(cluster.find_report_pause())
         share, gateways = cluster.find_share(), cluster.count_gateways()
         wait: float | None = None
         if self._quotas.may_decide_alone(
@@ -113,7 +119,7 @@
             issuer = issuers.choose(name)
             if issuer is None:
                 break
-            reply = await self._send_request(
+            reply = await self._ask_issuer(
                 issuer, workspace, units, margin_share
             )
             now = self._clock()
@@ -141,6 +147,33 @@
             workspace, units, share, now, gateways, margin_share
         )
 
+    async def _ask_issuer(
+        self,
+        issuer: Member,
+        workspace: Workspace,
+        units: float,
+        margin_share: float,
+    ) -> QuotaReply | None:
+        """Return an issuer's reply; None if it seems to be silent.
+
+        A datagram may be lost. If another gateway were asked for that, two of
+        them would grant the same units until they hear of each other.
+        """
+        issuers = self._cluster.issuers
+        for number in range(1, MAX_REQUESTS + 1):
+            asked = self._clock()
+            reply = await self._send_request(
+                issuer, workspace, units, margin_share
+            )
+            if reply is not None:
+                issuers.note_replied(issuer.name)
+                return reply
+            if number >= MIN_REQUESTS and not issuers.has_replied(
+                issuer.name, asked
+            ):
+                break
+        return None
+
     async def _send_request(
         self,
         issuer: Member,
@@ -151,23 +184,21 @@
         post, name = self._post, workspace.name
         if post is None:
             return None
-        self._last_number += 1
         request = QuotaRequest(
-            self._last_number,
+            *self._quotas.note_asking(),
             self._cluster.find_sender(),
             name,
             units,
-            self._quotas.sum_asked(name),
+            self._quotas.used.get(name, 0.0),
             margin_share,
         )
         targets = [parse_address(issuer.address)]
-        self._quotas.note_asking(name, units)
         try:
             return await self._pending.wait(
                 request.number, lambda: post.send(request, targets)
             )
         finally:
-            self._quotas.note_asking(name, -units)
+            self._quotas.note_answered(request.number)
 
     def _handle_request(self, request: QuotaRequest, sender: Address) -> None:
         """Grant or deny a run; without an answer another gateway is asked."""
@@ -190,6 +221,7 @@
             request.used,
             request.margin_share,
             self._cluster.find_heard_share(),
+            QuotaOrder(request.number, request.first_open),
         )
         if self._post is not None:
             self._post.send(QuotaReply(request.number, wait), [sender])
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -409,6 +409,10 @@
             self._reachable_share_cache = self._now(), part
         return part
 
+    def find_pause(self) -> float:
+        """Return the longest pause between a gateway's reports in seconds."""
+        return REPORT_SECONDS * self._find_slowdown()
+
     def find_heard_share(self) -> float:
         """Return the part of the fresh reports that is hardly a moment old.
 
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -13,16 +13,15 @@
 then.
 
 The usage that peers admitted but have not yet reported is unknown. As long as
-much of a quota is left, each gateway decides alone. Near the limit, the
-gateways would admit the same units several times, so all of them ask one, the
-issuer of the workspace's quota, which is a gateway that receives all reports.
-A request to it has the asking gateway's total, so that a grant and its report
-are counted once. A gateway that reaches no issuer admits its part of what is
-left.
- A gateway that is connected to
-only some of its peers admits only the part of the quota of the connected
-gateways, itself included: when 1 of 9 is cut off, it enforces a ninth, and
-the other eight the rest.
+much of a quota is left, each gateway decides alone, within its equal part of
+what is tolerated beyond the limit: so much may be unknown to the others at any
+moment. For more, and near the limit, the gateways ask one of them, the issuer
+of the workspace's quota, which receives all reports. A request to it has the
+asking gateway's total, so that a grant and its report are counted once. A
+gateway that reaches no issuer admits its part of what is left. A gateway that
+is connected to only some of its peers admits only the part of the quota of
+the connected gateways, itself included: when 1 of 9 is cut off, it enforces a
+ninth, and the other eight the rest.
 
 With a limit on the window alone, all of it could be admitted at one moment,
 and a gateway that starts after all gateways were killed cannot know how
@@ -38,7 +37,11 @@
 from typing import NamedTuple
 
 from lagoonpost.systems.prior_usage import PriorUsage
-from lagoonpost.systems.quota_limit import compute_burst, compute_limit
+from lagoonpost.systems.quota_limit import (
+    compute_alone_allowance,
+    compute_burst,
+    compute_limit,
+)
 from lagoonpost.systems.sliding_window import (
     PUBLISHED_BUCKETS,
     Charge,
@@ -47,7 +50,12 @@
 )
 from lagoonpost.tables.configuration import Workspace
 from lagoonpost.tables.gateway_report import UsageByAge
-from lagoonpost.tables.quota import QuotaBounds, QuotaCharge, QuotaCheck
+from lagoonpost.tables.quota import (
+    QuotaBounds,
+    QuotaCharge,
+    QuotaCheck,
+    QuotaOrder,
+)
 
 MIN_RETRY_SECONDS = 0.2
 """Shortest retry delay for a refused caller; reports are about as old."""
@@ -69,10 +77,9 @@
 """Longest pause between a peer's reports."""
 SILENCE_SECONDS = 2.0
 """Time after which a gateway that reports nothing counts as not connected."""
-ALONE_SHARE = 0.5
-"""Part of a limit up to which gateways decide alone. At ten times its rate, a
-workspace uses the other half within the half second in which reports and
-summaries reach all gateways; the usual usage is below."""
+ALONE_SHARE = 0.7
+"""Part of a limit up to which gateways decide alone. The usual usage is about
+half."""
 WAIT_WEIGHT = 0.1
 """Weight of one request's wait in their mean."""
 MAX_REFUND_SECONDS = 1.0
@@ -123,6 +130,8 @@
         self._windows: dict[str, SlidingWindow] = {}
         self._peer_totals: dict[tuple[str, str], float] = {}
         self._peer_report_times: dict[str, float] = {}
+        self._peer_orders: dict[str, QuotaOrder] = {}
+        self._peer_grants: dict[tuple[str, str], dict[int, float]] = {}
         self._unpublished: dict[str, float] = {}
         self._own: dict[str, deque[Charge]] = {}
         self._recorded_at: dict[str, float] = {}
@@ -132,9 +141,15 @@
         self._summarized_at = -math.inf
         self._reserved: dict[str, float] = {}
         self._mean_wait = 0.0
-        self._asked: dict[str, float] = {}
+        self._last_number = 0
+        self._open_requests: dict[int, None] = {}
         self._denied: dict[str, _Denial] = {}
         self._granting: dict[str, tuple[float, float]] = {}
+        self._report_pause = REPORTED_SECONDS
+
+    def set_report_pause(self, seconds: float) -> None:
+        """Set the longest pause between a gateway's reports."""
+        self._report_pause = seconds
 
     def set_bounds(self, bounds: QuotaBounds) -> None:
         """Replace the window and tolerance of the quotas."""
@@ -217,8 +232,9 @@
         """Return whether a run needs no issuer's grant.
 
         It needs none as long as all gateways together remain below
-        `ALONE_SHARE` of the limits, if each has admitted as much as this one
-        since the last news, and if some are to admit the same run.
+        `ALONE_SHARE` of the limits and within the allowance for what is not
+        reported yet, if each has admitted as much as this one since the last
+        news and is about to admit the same run.
 
         Args:
             workspace: Workspace of the request.
@@ -232,13 +248,19 @@
         own = self._sum_unreported(workspace.name, now)
         share = self._limit_share(connected_share, now)
         others = max(0.0, gateways * share - 1)
-        unknown = own * others + cost * min(others, PUBLISH_SHARE_GATEWAYS - 1)
+        oldest = 2 * self._report_pause + PROPAGATION_SECONDS
+        if self._informed_at < now - oldest:
+            return False
         inputs = self._collect_inputs(workspace, share, now, 1.0)
-        half = inputs._replace(
-            limit=ALONE_SHARE * inputs.limit, burst=ALONE_SHARE * inputs.burst
-        )
-        return max(0.0, half.used) + unknown + cost <= half.limit and (
-            half.excess + unknown + cost <= half.burst
+        unknown = own * others + cost * (1 + others)
+        if unknown > share * compute_alone_allowance(self._bounds, workspace):
+            return False
+        # A burst is a limit for restarts only, at which few runs coincide.
+        coinciding = min(others, PUBLISH_SHARE_GATEWAYS - 1)
+        excess = inputs.excess + own * others + cost * (1 + coinciding)
+        return (
+            max(0.0, inputs.used) + unknown <= ALONE_SHARE * inputs.limit
+            and excess <= ALONE_SHARE * inputs.burst
         )
 
     def find_denial(self, name: str, cost: float, now: float) -> float | None:
@@ -275,18 +297,24 @@
             cost = min(cost, before.units)
         self._denied[name] = _Denial(cost, now + pause, now + wait)
 
-    def sum_asked(self, name: str) -> float:
-        """Return the units used since the start or being asked for."""
-        return self.used.get(name, 0.0) + self._asked.get(name, 0.0)
+    def note_asking(self) -> QuotaOrder:
+        """Record that an issuer is asked for a run; return the order of it."""
+        self._last_number += 1
+        self._open_requests[self._last_number] = None
+        return self._find_order()
 
-    def note_asking(self, name: str, cost: float) -> None:
-        """Record that the issuer is asked for a run; negative once it isn't.
+    def note_answered(self, number: int) -> None:
+        """Record that an issuer is no longer asked for a run."""
+        del self._open_requests[number]
 
-        Args:
-            name: Name of the workspace.
-            cost: Units of the run.
-        """
-        self._asked[name] = self._asked.get(name, 0.0) + cost
+    def note_report(self) -> QuotaOrder:
+        """Record that a report is made; return the order of it."""
+        self._last_number += 1
+        return self._find_order()
+
+    def _find_order(self) -> QuotaOrder:
+        first = next(iter(self._open_requests), self._last_number + 1)
+        return QuotaOrder(self._last_number, first)
 
     def charge(self, workspace: Workspace, cost: float, now: float) -> None:
         """Count a run that was granted."""
@@ -306,6 +334,7 @@
         used: float = 0.0,
         margin_share: float = 1.0,
         heard_share: float = 1.0,
+        order: QuotaOrder | None = None,
     ) -> float | None:
         """Admit a run of any gateway, as the issuer, and count its units.
 
@@ -320,19 +349,24 @@
             now: Time in seconds.
             sender: Identifies the run of the peer that asks; empty for this
                 gateway.
-            used: Units that the peer has admitted since its start or is
-                asking for, without this run.
+            used: Units that the peer has admitted since its start.
             margin_share: As for `take`.
             heard_share: Part of the connected gateways that was heard a
                 moment ago, above 0 to 1.
+            order: Order of the peer's request; None if messages arrive in
+                the order in which they were sent.
 
         Returns:
             None if the run is granted, else the seconds until it would be.
         """
         name = workspace.name
-        if sender in self._peer_report_times:
+        if order is not None and self._is_given_up(sender, order):
+            return MIN_RETRY_SECONDS
+        is_known = sender in self._peer_report_times
+        if is_known and self._is_newest(sender, order):
             since = self._peer_report_times[sender]
-            self._count_peer(sender, name, used, since, now)
+            total = used + self._sum_untold(sender, name)
+            self._count_peer(sender, name, total, since, now)
         share = self._limit_share(connected_share, now)
         inputs = self._collect_inputs(workspace, share, now, margin_share)
         recent = self._find_window(name).sum_since(now - SILENCE_SECONDS)
@@ -347,8 +381,12 @@
             return None
         # What a peer that is not known yet has used comes with its first
         # report, which has this run once more.
-        if sender in self._peer_report_times:
-            self._peer_totals[sender, name] = used + cost
+        if is_known:
+            before = self._peer_totals.get((sender, name), 0.0)
+            self._peer_totals[sender, name] = before + cost
+        if order is not None:
+            grants = self._peer_grants.setdefault((sender, name), {})
+            grants[order.number] = cost
         self._find_window(name).add(cost, now)
         self._changed.add(name)
         first, last = self._granting.get(name, (now, now))
@@ -357,6 +395,38 @@
         self._granting[name] = first, now
         return None
 
+    def _is_newest(self, sender: str, order: QuotaOrder | None) -> bool:
+        """Return whether a peer's message is newer than those before.
+
+        Datagrams may overtake each other, and the total of an older one would
+        count as a refund.
+        """
+        if order is None:
+            return True
+        last = self._peer_orders.get(sender)
+        if last is not None and order.number <= last.number:
+            return False
+        self._peer_orders[sender] = order
+        return True
+
+    def _is_given_up(self, sender: str, order: QuotaOrder) -> bool:
+        """Return whether a peer no longer waits for a reply to a request."""
+        last = self._peer_orders.get(sender)
+        return last is not None and order.number < last.first_open
+
+    def _sum_untold(self, sender: str, name: str) -> float:
+        """Return the units granted to a peer that its totals may not have.
+
+        They have each grant that it has received.
+        """
+        grants = self._peer_grants.get((sender, name))
+        order = self._peer_orders.get(sender)
+        if not grants or order is None:
+            return 0.0
+        for number in [n for n in grants if n < order.first_open]:
+            del grants[number]
+        return sum(grants.values())
+
     def _limit_share(self, connected_share: float, now: float) -> float:
         if self._peer_report_times:
             return connected_share
@@ -606,6 +676,7 @@
         used: Mapping[str, float],
         recent: Mapping[str, float],
         now: float,
+        order: QuotaOrder | None = None,
     ) -> None:
         """Count the usage in a peer's report.
 
@@ -615,18 +686,23 @@
             recent: The units of them within the window. In a peer's first
                 report only these count, as the others left the window.
             now: Time in seconds.
+            order: Order of the report; None if messages arrive in the order
+                in which they were sent.
         """
         self._keep_summary(now)
         is_known = sender in self._peer_report_times
         since = self._peer_report_times.get(sender, now - self._bounds.window)
         self._peer_report_times[sender] = now
-        self._informed_at = now - REPORTED_SECONDS
+        self._informed_at = now - self._report_pause
+        if not self._is_newest(sender, order):
+            return
         for name, units in used.items():
+            total = units + self._sum_untold(sender, name)
             if is_known:
-                self._count_peer(sender, name, units, since, now)
+                self._count_peer(sender, name, total, since, now)
                 continue
             within = recent.get(name, 0.0)
-            self._peer_totals[sender, name] = units
+            self._peer_totals[sender, name] = total
             if not within:
                 continue
             self._changed.add(name)
@@ -733,6 +809,8 @@
         self.prior_usage.discard()
         self._peer_totals.clear()
         self._peer_report_times.clear()
+        self._peer_orders.clear()
+        self._peer_grants.clear()
         self._is_summarized = True
         for name in self._windows.keys() | taken.keys():
             rows = [
--- a/lagoonpost/systems/quota_limit.py
+++ b/lagoonpost/systems/quota_limit.py
@@ -83,6 +83,18 @@
     return STARTUP_TOLERANCE_SHARE * (1 - TOLERANCE_SHARE) * tolerance
 
 
+def compute_alone_allowance(
+    bounds: QuotaBounds, workspace: Workspace
+) -> float:
+    """Return the units that may be admitted without being reported yet.
+
+    It is what the runs with the largest margin leave of the tolerance, so that
+    both together stay within it.
+    """
+    admitted = TOLERANCE_SHARE * CONTINUED_MARGIN_SHARE
+    return (1 - admitted) * _find_tolerance(bounds, workspace)
+
+
 def _find_quota(bounds: QuotaBounds, workspace: Workspace) -> float:
     return workspace.rate * bounds.window + workspace.burst
 
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from lagoonpost.tables.fact import RecentFact
+from lagoonpost.tables.quota import QuotaOrder
 from lagoonpost.tables.runner_speed import SpeedEvidence, SpeedSamples
 from lagoonpost.tables.urgency import trim
 from lagoonpost.tables.version_shift import VersionCounts
@@ -55,6 +56,8 @@
         demand: Units a second that callers ask for, by service, then by
             workspace; only of services that are nearly short.
         recent_facts: Facts that the gateway received recently.
+        quota_order: Order of the report among the requests to issuers of
+            quotas.
     """
 
     name: str
@@ -73,6 +76,7 @@
     speeds: dict[str, SpeedSamples] | None = None
     demand: dict[str, dict[str, float]] | None = None
     recent_facts: tuple[RecentFact, ...] = ()
+    quota_order: QuotaOrder = QuotaOrder(0, 0)
 
 
 UsageByAge = dict[str, list[tuple[float, float]]]
--- a/lagoonpost/tables/quota.py
+++ b/lagoonpost/tables/quota.py
@@ -65,21 +65,35 @@
     units: float
 
 
+class QuotaOrder(NamedTuple):
+    """Place of a report or a request among the messages of one gateway.
+
+    Attributes:
+        number: Number of the message since the start.
+        first_open: Number of the first request that waited for its reply
+            then, or of the next message.
+    """
+
+    number: int
+    first_open: int
+
+
 class QuotaRequest(NamedTuple):
     """Asks the issuer of a workspace's quota to grant a run.
 
     Attributes:
-        number: Assigned by the asking gateway.
+        number: Number of the message since the asking gateway's start.
+        first_open: As in `QuotaOrder`.
         sender: The asking gateway's "NAME/RUN", as in its reports.
         workspace: Name of the workspace.
         units: Units of the run.
-        used: Units that the asking gateway has admitted since its start or
-            is asking for, without this run.
+        used: Units that the asking gateway has admitted since its start.
         margin_share: Part that the run may use of what is admitted beyond
             the quota.
     """
 
     number: int
+    first_open: int
     sender: str
     workspace: str
     units: float
--- a/test/quota_play.py
+++ b/test/quota_play.py
@@ -33,7 +33,7 @@
 from lagoonpost.tables.configuration import Workspace
 from lagoonpost.tables.gateway_report import UsageByAge
 from lagoonpost.tables.peer import Member
-from lagoonpost.tables.quota import QuotaBounds, QuotaCharge
+from lagoonpost.tables.quota import QuotaBounds, QuotaCharge, QuotaOrder
 
 DELAY_SECONDS = (0.0005, 0.004)
 """Least and largest delay of a message."""
@@ -202,6 +202,7 @@
                 self.find_sender,
                 self.find_share,
                 self.find_heard_share,
+                lambda: REPORT_SECONDS * fleet.find_slowdown(),
                 lambda: len(fleet.members()),
             ),
             lambda workspace: None,
@@ -268,6 +269,7 @@
         self.sent[self.rank] = now
         quotas.mark_published()
         used, recent = dict(quotas.used), quotas.list_own_usage(now)
+        order = quotas.note_report()
         sender, rank = self.find_sender(), self.rank
         self.heard[sender] = now
         for name in hubs:
@@ -277,7 +279,7 @@
                     self,
                     receiver,
                     lambda to=receiver: to.note_report(
-                        sender, rank, used, recent
+                        sender, rank, used, recent, order
                     ),
                 )
         if self.name not in hubs or is_mesh:
@@ -310,6 +312,7 @@
         rank: int,
         used: dict[str, float],
         recent: dict[str, float],
+        order: QuotaOrder,
     ) -> None:
         if self.ranks.get(sender, 0) >= rank:
             return
@@ -317,7 +320,7 @@
         now = self.fleet.now()
         self.heard[sender] = now
         if self.is_hub():
-            self.quotas.update_from_peers(sender, used, recent, now)
+            self.quotas.update_from_peers(sender, used, recent, now, order)
 
     def note_summary(
         self, taken: UsageByAge, ranks: dict[str, int], gateways: int
@@ -590,7 +593,7 @@
         return issuer.grant(
             workspace, cost, share, now, margin_share=margin_share
         )
-    used = asking.sum_asked(workspace.name)
+    used = asking.used.get(workspace.name, 0.0)
     wait = issuer.grant(
         workspace, cost, share, now, sender, used, margin_share
     )
--- a/test/test_quota_runs.py
+++ b/test/test_quota_runs.py
@@ -7,7 +7,7 @@
 
 from lagoonpost.systems.quota import MAX_REFUND_SECONDS, Quotas
 from lagoonpost.tables.configuration import Workspace
-from lagoonpost.tables.quota import QuotaBounds, QuotaCharge
+from lagoonpost.tables.quota import QuotaBounds, QuotaCharge, QuotaOrder
 
 BOUNDS = QuotaBounds(window=8.0, overage=0.1, slack=110_000)
 RETRY_BUDGET = 0.2
@@ -141,6 +141,54 @@
         assert most <= 1.0
 
 
+SMALL_BOUNDS = QuotaBounds(window=8.0, overage=0.1, slack=5.0)
+SMALL_LOADS = ((10.0, 1.5), (10.0, 4.0), (60.0, 10.0))
+
+
+def play_small(
+    gateways: int, load: tuple[float, float], seed: int = 1, **faults: object
+) -> tuple[Outcome, float]:
+    """Return what a play of a quota of requests shows, as `play` does."""
+    rate, times = load
+    workspace = Workspace("hot", ("k",), rate=rate, burst=rate)
+    story = Story(gateways, workspace, times, costs=(1.0,), **faults)  # type: ignore[arg-type]
+    outcome = play_runs(story, SMALL_BOUNDS, seed)
+    promise = find_promise(workspace, SMALL_BOUNDS)
+    return outcome, outcome.find_most(SMALL_BOUNDS.window) / promise
+
+
+@pytest.mark.parametrize("load", SMALL_LOADS)
+@pytest.mark.parametrize("gateways", GATEWAYS)
+class TestSmallQuotas:
+    """A quota of few requests, of which many gateways send some at once."""
+
+    def test_it_is_used_and_not_passed(
+        self, gateways: int, load: tuple[float, float]
+    ):
+        """Guards against parts of a quota that nobody may use."""
+        outcome, most = play_small(gateways, load)
+        assert most <= 1.0
+        served = outcome.sum_between(4.0, 20.0) / (16.0 * load[0])
+        assert served >= 0.95
+
+    def test_requests_that_waited_for_the_same_runner_stay_within_it(
+        self, gateways: int, load: tuple[float, float]
+    ):
+        """Guards against requests to an issuer that overtake each other."""
+        _, most = play_small(
+            gateways, load, wait=wait_for_room, repeats=RETRY_BUDGET
+        )
+        assert most <= 1.0
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_lost_datagrams_make_no_second_issuer(
+        self, gateways: int, load: tuple[float, float], seed: int
+    ):
+        """Guards against two issuers that grant the same units."""
+        _, most = play_small(gateways, load, seed, lost=0.1)
+        assert most <= 1.0
+
+
 class TestManyGateways:
     @pytest.mark.parametrize("load", LOADS)
     def test_a_quota_holds_at_the_largest_deployment(
@@ -158,6 +206,104 @@
         assert most <= 1.0
 
 
+class TestAlone:
+    @pytest.mark.parametrize("gateways", [3, 9, 20, 72, 232])
+    @pytest.mark.parametrize("cost", [300.0, 2_000.0, 9_000.0])
+    def test_what_is_not_reported_yet_fits_into_the_tolerance(
+        self, gateways: int, cost: float
+    ):
+        """Guards against a quota that is granted beside what nobody reported.
+
+        All gateways admit what they may alone, then one takes the rest.
+        """
+        workspace = Workspace(
+            "hot", ("k",), rate=35_000.0, burst=3_500_000.0, by_tokens=True
+        )
+        run = 0.0
+        fleet = [Quotas(BOUNDS) for _ in range(gateways)]
+        for quotas in fleet:
+            for number in range(gateways):
+                quotas.update_from_peers(f"g{number}", {"hot": 0.0}, {}, 10.0)
+        for quotas in fleet[1:]:
+            while quotas.may_decide_alone(
+                workspace, cost, 1.0, 10.01, gateways
+            ):
+                quotas.charge(workspace, cost, 10.01)
+                run += cost
+        part = 10_000.0
+        while fleet[0].grant(workspace, part, 1.0, 10.02) is None:
+            run += part
+        assert run <= find_promise(workspace, BOUNDS)
+
+
+class TestOvertaking:
+    """Messages to an issuer that do not arrive in the order of their sending.
+
+    A gateway has asked for two runs, numbers 1 and 2, of which none is
+    answered yet.
+    """
+
+    def make_issuer(self) -> Quotas:
+        issuer = Quotas(BOUNDS)
+        issuer.update_from_peers("peer", {"hot": 0.0}, {}, 1.0)
+        return issuer
+
+    def ask(self, issuer: Quotas, number: int, first_open: int = 1) -> None:
+        order = QuotaOrder(number, first_open)
+        wait = issuer.grant(
+            make_workspace(35_000.0), 1_000.0, 1.0, 1.1, "peer", order=order
+        )
+        assert wait is None
+
+    def sum(self, issuer: Quotas) -> float:
+        return sum(units for _, units in issuer.list_taken(1.3)["hot"])
+
+    @pytest.mark.parametrize("numbers", [(1, 2), (2, 1)])
+    def test_an_older_request_is_no_refund(self, numbers: tuple[int, int]):
+        """Guards against a grant that is forgotten by the next one."""
+        issuer = self.make_issuer()
+        for number in numbers:
+            self.ask(issuer, number)
+        assert self.sum(issuer) == 2_000.0
+
+    def test_a_report_from_before_the_reply_is_no_refund(self):
+        """Guards against a grant that a report does not have yet."""
+        issuer = self.make_issuer()
+        self.ask(issuer, 1)
+        self.ask(issuer, 2)
+        order = QuotaOrder(3, 2)
+        issuer.update_from_peers("peer", {"hot": 1_000.0}, {}, 1.2, order)
+        assert self.sum(issuer) == 2_000.0
+
+    def test_an_older_report_is_no_refund(self):
+        """Guards against a report that requests have overtaken."""
+        issuer = self.make_issuer()
+        self.ask(issuer, 2, first_open=2)
+        issuer.update_from_peers(
+            "peer", {"hot": 0.0}, {}, 1.2, QuotaOrder(1, 1)
+        )
+        assert self.sum(issuer) == 1_000.0
+
+    def test_what_was_not_received_is_given_back(self):
+        """Guards against units of which the reply was lost."""
+        issuer = self.make_issuer()
+        self.ask(issuer, 1)
+        issuer.update_from_peers(
+            "peer", {"hot": 0.0}, {}, 1.2, QuotaOrder(2, 2)
+        )
+        assert issuer.list_taken(1.3) == {}
+
+    def test_a_request_that_was_given_up_is_not_granted(self):
+        """Guards against units that nobody will use."""
+        issuer = self.make_issuer()
+        self.ask(issuer, 2, first_open=2)
+        workspace = make_workspace(35_000.0)
+        order = QuotaOrder(1, 1)
+        wait = issuer.grant(workspace, 1_000.0, 1.0, 1.1, "peer", order=order)
+        assert wait is not None
+        assert self.sum(issuer) == 1_000.0
+
+
 class TestRefunds:
     def test_a_late_refund_frees_nothing_once_its_charge_has_left(self):
         """Guards against a sum below what has run."""
