Take no old record of a quota for the last one after a return of the store

What callers would see: a workspace beyond its quota after all gateways were killed while the store came back from an older copy.

Cause: gateways that start take a record for all use but the last burst. A copy has an older record, and the use of the seconds between is in none. A record now names the era of the store in which it was written; one of another era counts as none: the whole limit as used. A workspace of which the copy has no record at all is still given a burst.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -197,6 +197,7 @@
             self._forwarder.admission.quotas,
             self._cluster,
             self.view.list_workspaces,
+            lambda: self._store.eras.era,
         )
         self._forwarder.admission.on_quota_charged = self._bursts.check_usage
         self._follower = StoreFollower(
--- a/lagoonpost/forwarding/quota_recorder.py
+++ b/lagoonpost/forwarding/quota_recorder.py
@@ -56,11 +56,13 @@
         workspace: Name of the workspace.
         at: Time of the record in seconds, by the store's clock.
         use: Pairs of an age in seconds at that time and a number of units.
+        era: Era of the store in which it was written.
     """
 
     workspace: str
     at: float
     use: list[tuple[float, float]]
+    era: int = 0
 
 
 class QuotaRecorder:
@@ -72,6 +74,7 @@
         quotas: Admitted use by workspace.
         peer_sync: State exchanged with the other gateways.
         find_workspaces: Returns all workspaces.
+        find_era: Returns the store's era.
     """
 
     def __init__(
@@ -81,7 +84,9 @@
         quotas: Quotas,
         peer_sync: PeerSync,
         find_workspaces: Callable[[], tuple[Workspace, ...]],
+        find_era: Callable[[], int],
     ) -> None:
+        self._find_era = find_era
         self._store = store
         self._name = name
         self._quotas = quotas
@@ -116,7 +121,8 @@
     def _make_record(self, name: str, alone: bool, now: float) -> _Record:
         gateways = 0 if alone else self._peer_sync.count_gateways()
         use = self._quotas.make_record(name, gateways, now)
-        return _Record(name, self._store.clock.estimate_now() or 0.0, use)
+        written_at = self._store.clock.estimate_now() or 0.0
+        return _Record(name, written_at, use, self._find_era())
 
     async def _read(self) -> None:
         """Read the records, unless a hub's summary already has the use."""
@@ -136,6 +142,7 @@
 
     def _apply_rows(self, rows: Sequence[Row], now: float) -> None:
         records: UsageByAge = {}
+        outdated = set()
         for row in rows:
             record = _read_record(row)
             if record is None:
@@ -143,7 +150,10 @@
             elapsed = max(0.0, now - record.at)
             used = [(age + elapsed, units) for age, units in record.use]
             records.setdefault(record.workspace, []).extend(used)
-        self._quotas.prior_usage.load_records(records, read_clock())
+            if record.era != self._find_era():
+                outdated.add(record.workspace)
+        prior = self._quotas.prior_usage
+        prior.load_records(records, read_clock(), outdated)
 
     async def _record(self) -> None:
         names, self._pending = sorted(self._pending), set()
--- a/lagoonpost/systems/prior_usage.py
+++ b/lagoonpost/systems/prior_usage.py
@@ -11,7 +11,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from lagoonpost.systems.hub import MAX_MESH_GATEWAYS
 from lagoonpost.systems.permit_group import SETTLING_SECONDS
@@ -50,6 +50,7 @@
         self._expects_peers = expects_peers
         self._started = started
         self._records: dict[str, list[Charge]] | None = None
+        self._outdated: frozenset[str] = frozenset()
         self._assumed: dict[str, SlidingWindow] = {}
         self._reported: dict[str, SlidingWindow] = {}
         self._summarized: dict[str, SlidingWindow] = {}
@@ -94,13 +95,21 @@
             return connected_share
         return min(connected_share, START_SHARE)
 
-    def load_records(self, records: UsageByAge, now: float) -> None:
+    def load_records(
+        self,
+        records: UsageByAge,
+        now: float,
+        outdated: Collection[str] = (),
+    ) -> None:
         """Set the store's records of the usage before this start.
 
         Args:
             records: Usage by workspace; ages in seconds.
             now: Time in seconds to which the ages refer.
+            outdated: Workspaces of which later records were lost, as the store
+                has come back from an older copy.
         """
+        self._outdated = frozenset(outdated)
         self._records = {
             name: [Charge(now - age, units) for age, units in charges]
             for name, charges in records.items()
@@ -111,14 +120,15 @@
         """Count the usage that may have preceded this start.
 
         Without records, this is the whole limit. With records, it is the
-        recorded usage and a burst that may not have been recorded. In both
+        recorded usage and a burst that may not have been recorded. A record
+        that was followed by others, now lost, counts as none. In all these
         cases it is reduced by the units that a starting gateway admits.
         """
         started, name = self._started, workspace.name
         if started is None or name in self._assumed:
             return
         burst = compute_burst(self._bounds, workspace)
-        if self._records is None:
+        if self._records is None or name in self._outdated:
             limit = compute_limit(self._bounds, workspace)
             known = [Charge(started, limit - burst)]
         else:
--- a/test/quota_play.py
+++ b/test/quota_play.py
@@ -39,6 +39,8 @@
 """Least and largest delay of a message."""
 DETECTION_SECONDS = 2.5
 """Time after which the others take a killed gateway for dead."""
+LATE_SECONDS = (0.05, 1.0)
+"""Least and largest delay of a late message."""
 RESTART_SECONDS = (0.5, 0.8)
 WRITE_SECONDS = 0.03
 """Duration of a call to the store."""
@@ -64,10 +66,16 @@
             after up to two seconds.
         moved: Share of the runs that go on at another runner.
         lost: Share of the datagrams that are lost.
+        late: Share of the datagrams that are late by up to
+            `LATE_SECONDS`.
         kills: Times at which a share of the gateways is killed, the hubs
             first.
         cuts: Times from and to which a share of the gateways reaches none
             of the others.
+        freezes: Times from and to which a share of the gateways stands still,
+            the hubs first. What is sent to them meanwhile arrives then.
+        record_age: Age in seconds of what restarted gateways find in the
+            store, which has come back from an older copy.
         has_store: Whether usage is recorded.
         first: Number of gateways that callers use; None for all.
     """
@@ -83,8 +91,11 @@
     turned_away: float = 0.0
     moved: float = 0.0
     lost: float = 0.0
+    late: float = 0.0
     kills: tuple[tuple[float, float], ...] = ()
     cuts: tuple[tuple[float, float, float], ...] = ()
+    freezes: tuple[tuple[float, float, float], ...] = ()
+    record_age: float = 0.0
     has_store: bool = True
     first: int | None = None
 
@@ -175,6 +186,7 @@
             incarnation=0,
         )
         self.up_from = 0.0
+        self.frozen_until = 0.0
         self.run = 0
         self.start(None)
 
@@ -216,6 +228,9 @@
     def is_up(self) -> bool:
         return self.fleet.now() >= self.up_from
 
+    def is_frozen(self) -> bool:
+        return self.fleet.now() < self.frozen_until
+
     def is_hub(self) -> bool:
         return self.name in self.fleet.find_hubs()
 
@@ -345,7 +360,7 @@
         self.dead: set[str] = set()
         self.cut: set[str] = set()
         self._hubs: tuple[str, ...] | None = None
-        self.record: tuple[float, list[tuple[float, float]]] | None = None
+        self.recorded: list[tuple[float, list[tuple[float, float]]]] = []
         self.gateways = {
             each.name: each
             for each in (_Gateway(self, n) for n in range(story.gateways))
@@ -382,33 +397,59 @@
         is_cut = (one.name in self.cut) != (other.name in self.cut)
         if is_cut or self.rng.random() < self.story.lost:
             return
-        run = other.run
+        run, loop = other.run, asyncio.get_running_loop()
 
         def arrive() -> None:
-            if other.is_up() and other.run == run:
+            if other.is_frozen():
+                loop.call_at(other.frozen_until, arrive)
+            elif other.is_up() and other.run == run:
                 deliver()
 
-        delay = self.rng.uniform(*DELAY_SECONDS)
-        asyncio.get_running_loop().call_later(delay, arrive)
+        is_late = self.rng.random() < self.story.late
+        delay = self.rng.uniform(*(LATE_SECONDS if is_late else DELAY_SECONDS))
+        loop.call_later(delay, arrive)
 
     # Faults
 
-    async def kill(self, share: float) -> None:
-        """Kill the hubs and others, and start them anew."""
+    def freeze(self, until: float, share: float) -> None:
+        """Stop the hubs and others, and let them go on later.
+
+        The others take those that stand still for long for dead until then.
+        """
+        for gateway in self._choose(share):
+            gateway.frozen_until = until
+        frozen = [g.name for g in self.gateways.values() if g.is_frozen()]
+
+        def suspect() -> None:
+            self.dead.update(frozen)
+            self._hubs = None
+
+        def forgive() -> None:
+            self.dead.difference_update(frozen)
+            self._hubs = None
+
+        loop = asyncio.get_running_loop()
+        if until > self.now() + DETECTION_SECONDS:
+            loop.call_later(DETECTION_SECONDS, suspect)
+            loop.call_at(until, forgive)
+
+    def _choose(self, share: float) -> "list[_Gateway]":
+        """Return a share of the gateways, the hubs first."""
         hubs = list(self.find_hubs())
         others = [name for name in self.gateways if name not in hubs]
         self.rng.shuffle(others)
         count = max(1, round(share * len(self.gateways)))
-        names = (hubs + others)[:count]
-        for name in names:
-            gateway = self.gateways[name]
+        return [self.gateways[name] for name in (hubs + others)[:count]]
+
+    async def kill(self, share: float) -> None:
+        """Kill the hubs and others, and start them anew."""
+        killed = self._choose(share)
+        for gateway in killed:
             gateway.up_from = self.now() + self.rng.uniform(*RESTART_SECONDS)
             gateway.run += 1
             gateway.start(gateway.up_from)
             gateway.reported_at = gateway.up_from
-        await asyncio.gather(
-            *(self._restart(self.gateways[name]) for name in names)
-        )
+        await asyncio.gather(*(self._restart(each) for each in killed))
 
     async def _restart(self, gateway: _Gateway) -> None:
         await asyncio.sleep(max(0.0, gateway.up_from - self.now()))
@@ -420,15 +461,23 @@
         if self.story.has_store:
             await asyncio.sleep(FIRST_PAUSE_SECONDS + WRITE_SECONDS)
             records: UsageByAge = {}
-            if self.record is not None:
-                at, use = self.record
+            oldest = self.now() - self.story.record_age
+            kept = [each for each in self.recorded if each[0] <= oldest]
+            if kept:
+                at, use = kept[-1]
                 elapsed = self.now() - at
                 records = {
                     self.story.workspace.name: [
                         (age + elapsed, units) for age, units in use
                     ]
                 }
-            gateway.quotas.prior_usage.load_records(records, self.now())
+            is_copy = self.story.record_age > 0
+            gateway.quotas.prior_usage.load_records(
+                records, self.now(), list(records) if is_copy else ()
+            )
+
+    def _runs(self, gateway: _Gateway) -> bool:
+        return gateway.is_up() and not gateway.is_frozen()
 
     async def record_usage(self) -> None:
         """Record bursts in the store as `QuotaRecorder` does."""
@@ -438,7 +487,7 @@
             for rank, name in enumerate(self.find_hubs()[:3]):
                 gateway = self.gateways[name]
                 now = self.now()
-                if not gateway.is_up() or not gateway.quotas.list_bursting(
+                if not self._runs(gateway) or not gateway.quotas.list_bursting(
                     [workspace], RECORD_SHARES[rank], 1.0, now
                 ):
                     continue
@@ -446,7 +495,7 @@
                     workspace.name, len(self.members()), now
                 )
                 await asyncio.sleep(WRITE_SECONDS)
-                self.record = now, use
+                self.recorded.append((now, use))
                 for each in self.gateways.values():
                     each.quotas.note_recorded(workspace.name, now)
 
@@ -506,7 +555,7 @@
             rate = times * story.workspace.rate / mean
             await asyncio.sleep(rng.expovariate(rate))
             gateway = self.gateways[rng.choice(names)]
-            if gateway.is_up():
+            if self._runs(gateway):
                 task = asyncio.create_task(self.handle(gateway, cost))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
@@ -516,7 +565,7 @@
         while True:
             await asyncio.sleep(0.01)
             for gateway in self.gateways.values():
-                if gateway.is_up():
+                if self._runs(gateway):
                     gateway.report()
 
     async def play(self) -> Outcome:
@@ -531,6 +580,8 @@
                 at,
                 lambda s=share: loops.append(loop.create_task(self.kill(s))),
             )
+        for start, end, share in self.story.freezes:
+            loop.call_at(start, self.freeze, end, share)
         for start, end, share in self.story.cuts:
             names = list(self.gateways)
             cut = self.rng.sample(names, max(1, round(share * len(names))))
--- a/test/test_bursts.py
+++ b/test/test_bursts.py
@@ -40,6 +40,7 @@
         started: float | None = None,
         has_summary: bool = False,
         share: float = 1.0,
+        era: int = 0,
     ) -> None:
         self.quotas = Quotas(BOUNDS, started)
         self.published: list[str] = []
@@ -55,7 +56,7 @@
             ),
         )
         self.recorder = QuotaRecorder(
-            store, name, self.quotas, shared, lambda: (HOT,)
+            store, name, self.quotas, shared, lambda: (HOT,), lambda: era
         )
 
     def use(self, units: float) -> float:
@@ -97,6 +98,26 @@
 
         asyncio.run(scenario())
 
+    def test_a_start_after_a_return_of_the_store_knows_less(self):
+        """Guards against a quota that is admitted again by an old record."""
+
+        async def scenario() -> None:
+            store = ClockedMemoryStore()
+            before = Gateway(store)
+            admitted = before.use(0.6 * HOT.burst)
+            await before.run()
+            # Records of this are lost with the older copy.
+            for _ in range(3):
+                before.quotas.note_recorded("hot", read_clock())
+                admitted += before.use(1e9)
+            after = Gateway(store, started=read_clock(), era=1)
+            await after.run()
+            admitted += after.use(1e9)
+            known = after.quotas.list_taken(read_clock())["hot"]
+            assert sum(units for _, units in known) >= admitted
+
+        asyncio.run(scenario())
+
     def test_a_recorded_burst_may_go_on(self):
         async def scenario() -> None:
             gateway = Gateway(ClockedMemoryStore())
--- a/test/test_quota_runs.py
+++ b/test/test_quota_runs.py
@@ -116,6 +116,29 @@
         _, most = play(gateways, load, kills=((6.0, share), (10.0, share)))
         assert most <= 1.0
 
+    def test_an_older_copy_of_the_store_renews_no_quota(
+        self, gateways: int, load: tuple[float, float]
+    ):
+        """Guards against records of use that are older than the last ones."""
+        _, most = play(gateways, load, kills=((6.0, 1.0),), record_age=1.5)
+        assert most <= 1.0
+
+    def test_late_messages_let_through_nothing_more(
+        self, gateways: int, load: tuple[float, float]
+    ):
+        """Guards against news that is overtaken by newer ones."""
+        _, most = play(gateways, load, late=0.2, wait=wait_for_room)
+        assert most <= 1.0
+
+    @pytest.mark.parametrize("share", [0.04, 0.4])
+    def test_a_pause_of_hubs_admits_nothing_twice(
+        self, gateways: int, load: tuple[float, float], share: float
+    ):
+        """Guards against issuers that go on by what they knew before."""
+        freezes = ((5.0, 5.5, share), (7.0, 11.0, share))
+        _, most = play(gateways, load, freezes=freezes)
+        assert most <= 1.0
+
     def test_a_cut_admits_no_quota_on_both_sides(
         self, gateways: int, load: tuple[float, float]
     ):
@@ -189,6 +212,17 @@
         assert most <= 1.0
 
 
+class TestCutsInSeries:
+    @pytest.mark.parametrize("gateways", [3, 9, 20])
+    def test_sides_that_part_again_and_again_admit_nothing_twice(
+        self, gateways: int
+    ):
+        """Guards against two issuers until each notices that it is alone."""
+        cuts = tuple((4.5 + 1.5 * n, 5.2 + 1.5 * n, 0.33) for n in range(8))
+        _, most = play_small(gateways, (60.0, 10.0), seed=2, cuts=cuts)
+        assert most <= 1.0
+
+
 class TestManyGateways:
     @pytest.mark.parametrize("load", LOADS)
     def test_a_quota_holds_at_the_largest_deployment(
