Allow for an issuer on the other side of a cut before its silence shows

Cause: for 0.6 s, until reports are missed, each side of a cut takes the other for connected, and its issuer grants all that leaves the window. An issuer now assumes that another one has admitted as much as itself since it heard the peer that was silent for longest, by reports or requests.

A record of another era is passed over as lost only for 60 s, so that a return of the store long ago refuses nobody at a start (red without it).

--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -68,7 +68,11 @@
         ) -> None:
             quotas.may_decide_alone(HOT, COST, 1.0, now + 40.0, gateways)
 
-        granted, arrived, alone = map(measure, (grant, arrive, decide))
+        granted, arrived = measure(grant), measure(arrive)
+        # Without news of the others, no gateway decides alone.
+        news_at = 40.0 + DECISIONS * PAUSE_SECONDS
+        quotas.update_from_peers("g0/0", {}, {}, news_at)
+        alone = measure(decide)
         click.echo(
             f"{gateways} gateways: grant {granted:.1f} us, arrival "
             f"{arrived / granted:.2f} and alone {alone / granted:.2f} of it"
--- a/lagoonpost/forwarding/quota_recorder.py
+++ b/lagoonpost/forwarding/quota_recorder.py
@@ -43,6 +43,12 @@
 readers add it to the common record."""
 
 
+LOST_RECORDS_SECONDS = 60.0
+"""Age of a record up to which later ones may have been lost as the store came
+back from an older copy. Copies are some seconds old; a workspace that has not
+used a burst for longer must not be refused after each start."""
+
+
 class ClockedStore(Store, Protocol):
     """A store that also exposes its clock."""
 
@@ -150,7 +156,8 @@
             elapsed = max(0.0, now - record.at)
             used = [(age + elapsed, units) for age, units in record.use]
             records.setdefault(record.workspace, []).extend(used)
-            if record.era != self._find_era():
+            is_copied = record.era != self._find_era()
+            if is_copied and elapsed < LOST_RECORDS_SECONDS:
                 outdated.add(record.workspace)
         prior = self._quotas.prior_usage
         prior.load_records(records, read_clock(), outdated)
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -130,6 +130,7 @@
         self._windows: dict[str, SlidingWindow] = {}
         self._peer_totals: dict[tuple[str, str], float] = {}
         self._peer_report_times: dict[str, float] = {}
+        self._peers_heard_at: dict[str, float] = {}
         self._peer_orders: dict[str, QuotaOrder] = {}
         self._peer_grants: dict[tuple[str, str], dict[int, float]] = {}
         self._unpublished: dict[str, float] = {}
@@ -363,6 +364,8 @@
         if order is not None and self._is_given_up(sender, order):
             return MIN_RETRY_SECONDS
         is_known = sender in self._peer_report_times
+        if is_known:
+            self._peers_heard_at[sender] = now
         if is_known and self._is_newest(sender, order):
             since = self._peer_report_times[sender]
             total = used + self._sum_untold(sender, name)
@@ -371,7 +374,11 @@
         inputs = self._collect_inputs(workspace, share, now, margin_share)
         recent = self._find_window(name).sum_since(now - SILENCE_SECONDS)
         silent = max(0.0, recent) * (1 / heard_share - 1)
-        inputs = inputs._replace(unreported=silent)
+        unheard = max(0.0, recent) * self._find_unheard_share(now)
+        # Their burst is a limit for restarts, at which nobody is unheard.
+        inputs = inputs._replace(
+            used=inputs.used + max(0.0, unheard - silent), unreported=silent
+        )
         if not sender:
             self.decision_inputs = inputs
         if workspace.rate > 0 and not inputs.fits(cost):
@@ -395,6 +402,18 @@
         self._granting[name] = first, now
         return None
 
+    def _find_unheard_share(self, now: float) -> float:
+        """Return the share of `SILENCE_SECONDS` in which a peer was not heard.
+
+        That of the peer that was heard longest ago is returned: it may be cut
+        off together with an issuer of its own, which admits as much.
+        """
+        oldest = now - SILENCE_SECONDS
+        ages = [
+            now - at for at in self._peers_heard_at.values() if at > oldest
+        ]
+        return max(ages, default=0.0) / SILENCE_SECONDS
+
     def _is_newest(self, sender: str, order: QuotaOrder | None) -> bool:
         """Return whether a peer's message is newer than those before.
 
@@ -692,7 +711,7 @@
         self._keep_summary(now)
         is_known = sender in self._peer_report_times
         since = self._peer_report_times.get(sender, now - self._bounds.window)
-        self._peer_report_times[sender] = now
+        self._peer_report_times[sender] = self._peers_heard_at[sender] = now
         self._informed_at = now - self._report_pause
         if not self._is_newest(sender, order):
             return
@@ -809,6 +828,7 @@
         self.prior_usage.discard()
         self._peer_totals.clear()
         self._peer_report_times.clear()
+        self._peers_heard_at.clear()
         self._peer_orders.clear()
         self._peer_grants.clear()
         self._is_summarized = True
--- a/test/test_bursts.py
+++ b/test/test_bursts.py
@@ -8,10 +8,12 @@
 
 from lagoonpost.forwarding.quota_recorder import (
     FIRST_PAUSE_SECONDS,
+    LOST_RECORDS_SECONDS,
     QuotaRecorder,
 )
 from lagoonpost.store.clock import RemoteClock, read_clock
 from lagoonpost.systems.quota import Quotas
+from lagoonpost.systems.quota_limit import compute_burst
 from lagoonpost.tables.configuration import Workspace
 from lagoonpost.tables.quota import QuotaBounds
 
@@ -118,6 +120,24 @@
 
         asyncio.run(scenario())
 
+    def test_an_old_record_of_another_era_refuses_nobody(self):
+        """Guards against refusals because of a return long ago."""
+
+        async def scenario() -> None:
+            store = ClockedMemoryStore()
+            before = Gateway(store)
+            before.use(0.6 * HOT.burst)
+            await before.run()
+            store.clock.note(10_000.0 + 2 * LOST_RECORDS_SECONDS)
+            after = Gateway(store, started=read_clock(), era=1)
+            await after.run()
+            taken = after.quotas.list_taken(read_clock(), (HOT,))
+            assert sum(units for _, units in taken["hot"]) <= compute_burst(
+                BOUNDS, HOT
+            )
+
+        asyncio.run(scenario())
+
     def test_a_recorded_burst_may_go_on(self):
         async def scenario() -> None:
             gateway = Gateway(ClockedMemoryStore())
