--- a/lagoonpost/forwarding/issuers.py
+++ b/lagoonpost/forwarding/issuers.py
@@ -60,6 +60,11 @@
         )
         return peers.get(best)
 
+    def list_others(self) -> frozenset[str]:
+        """Return the names of the other gateways that may decide."""
+        peers = {peer.name for peer in self._find_peers()}
+        return frozenset(peers.intersection(self._find_issuers()))
+
     def is_issuer(self) -> bool:
         """Return whether this gateway may decide."""
         return self._name in self._find_issuers()
--- a/lagoonpost/forwarding/quota_charges.py
+++ b/lagoonpost/forwarding/quota_charges.py
@@ -141,6 +141,7 @@
                 now,
                 margin_share=margin_share,
                 heard_share=self._cluster.find_heard_share(),
+                issuers=issuers.list_others(),
             )
         gateways = self._cluster.count_gateways()
         return quotas.take(
@@ -222,6 +223,7 @@
             request.margin_share,
             self._cluster.find_heard_share(),
             QuotaOrder(request.number, request.first_open),
+            self._cluster.issuers.list_others(),
         )
         if self._post is not None:
             self._post.send(QuotaReply(request.number, wait), [sender])
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -33,7 +33,7 @@
 import math
 from bisect import bisect_right
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from lagoonpost.systems.prior_usage import PriorUsage
@@ -336,6 +336,7 @@
         margin_share: float = 1.0,
         heard_share: float = 1.0,
         order: QuotaOrder | None = None,
+        issuers: Collection[str] | None = None,
     ) -> float | None:
         """Admit a run of any gateway, as the issuer, and count its units.
 
@@ -356,6 +357,8 @@
                 moment ago, above 0 to 1.
             order: Order of the peer's request; None if messages arrive in
                 the order in which they were sent.
+            issuers: Names of the other gateways that may be issuers; None for
+                all.
 
         Returns:
             None if the run is granted, else the seconds until it would be.
@@ -374,7 +377,7 @@
         inputs = self._collect_inputs(workspace, share, now, margin_share)
         recent = self._find_window(name).sum_since(now - SILENCE_SECONDS)
         silent = max(0.0, recent) * (1 / heard_share - 1)
-        unheard = max(0.0, recent) * self._find_unheard_share(now)
+        unheard = max(0.0, recent) * self._find_unheard_share(issuers, now)
         # Their burst is a limit for restarts, at which nobody is unheard.
         inputs = inputs._replace(
             used=inputs.used + max(0.0, unheard - silent), unreported=silent
@@ -402,16 +405,21 @@
         self._granting[name] = first, now
         return None
 
-    def _find_unheard_share(self, now: float) -> float:
+    def _find_unheard_share(
+        self, issuers: Collection[str] | None, now: float
+    ) -> float:
         """Return the share of `SILENCE_SECONDS` in which a peer was not heard.
 
-        That of the peer that was heard longest ago is returned: it may be cut
-        off together with an issuer of its own, which admits as much.
+        That of the issuer that was heard longest ago is returned: it may be
+        cut off with other gateways, to which it grants as much.
         """
         oldest = now - SILENCE_SECONDS
-        ages = [
-            now - at for at in self._peers_heard_at.values() if at > oldest
-        ]
+        ages = (
+            now - at
+            for sender, at in self._peers_heard_at.items()
+            if at > oldest
+            and (issuers is None or sender.partition("/")[0] in issuers)
+        )
         return max(ages, default=0.0) / SILENCE_SECONDS
 
     def _is_newest(self, sender: str, order: QuotaOrder | None) -> bool:
