--- a/test/test_quota_runs.py
+++ b/test/test_quota_runs.py
@@ -223,6 +223,16 @@
         assert most <= 1.0
 
 
+class TestKillsInSeries:
+    def test_hubs_that_are_killed_again_and_again_let_through_nothing_twice(
+        self,
+    ):
+        """Guards against use that each next hub has to assume."""
+        kills = tuple((5.0 + 1.5 * n, 0.04) for n in range(9))
+        _, most = play_small(20, (10.0, 4.0), kills=kills)
+        assert most <= 1.0
+
+
 class TestManyGateways:
     @pytest.mark.parametrize("load", LOADS)
     def test_a_quota_holds_at_the_largest_deployment(
