Count reports of gateways whose build numbers no reports for quotas

Found on reading the change: a report without an order was taken for the first message of its gateway, so that all later ones counted as overtaken, and the use of gateways of an older build was never counted during an upgrade. Such a report has no order now and counts as it arrives. Red before, green after.

--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -378,7 +378,7 @@
         recent = self._find_window(name).sum_since(now - SILENCE_SECONDS)
         silent = max(0.0, recent) * (1 / heard_share - 1)
         unheard = max(0.0, recent) * self._find_unheard_share(issuers, now)
-        # Their burst is a limit for restarts, at which nobody is unheard.
+        # The burst is a limit for restarts, not for cuts.
         inputs = inputs._replace(
             used=inputs.used + max(0.0, unheard - silent), unreported=silent
         )
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -57,7 +57,7 @@
             workspace; only of services that are nearly short.
         recent_facts: Facts that the gateway received recently.
         quota_order: Order of the report among the requests to issuers of
-            quotas.
+            quotas; None from builds that send none.
     """
 
     name: str
@@ -76,7 +76,7 @@
     speeds: dict[str, SpeedSamples] | None = None
     demand: dict[str, dict[str, float]] | None = None
     recent_facts: tuple[RecentFact, ...] = ()
-    quota_order: QuotaOrder = QuotaOrder(0, 0)
+    quota_order: QuotaOrder | None = None
 
 
 UsageByAge = dict[str, list[tuple[float, float]]]
--- a/test/test_quota_runs.py
+++ b/test/test_quota_runs.py
@@ -7,6 +7,7 @@
 
 from lagoonpost.systems.quota import MAX_REFUND_SECONDS, Quotas
 from lagoonpost.tables.configuration import Workspace
+from lagoonpost.tables.gateway_report import GatewayReport
 from lagoonpost.tables.quota import QuotaBounds, QuotaCharge, QuotaOrder
 
 BOUNDS = QuotaBounds(window=8.0, overage=0.1, slack=110_000)
@@ -328,6 +329,18 @@
         )
         assert self.sum(issuer) == 1_000.0
 
+    def test_reports_without_an_order_count(self):
+        """Guards against usage of gateways that run an older build."""
+        issuer = self.make_issuer()
+        for used in (1_000.0, 2_000.0):
+            report = GatewayReport(
+                "peer", "", {}, {"hot": used}, {}, {}, {}, {}, {}, 1, {}
+            )
+            issuer.update_from_peers(
+                "peer", report.used, {}, 1.2, report.quota_order
+            )
+        assert self.sum(issuer) == 2_000.0
+
     def test_what_was_not_received_is_given_back(self):
         """Guards against units of which the reply was lost."""
         issuer = self.make_issuer()
