--- a/lagoonpost/forwarding/cluster_state.py
+++ b/lagoonpost/forwarding/cluster_state.py
@@ -27,6 +27,7 @@
 from lagoonpost.tables.configuration import Workspace
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.stamp import Stamp, find_era
+from lagoonpost.unreadable import log_unreadable
 
 LAPSE_GRACE_SECONDS = 2.2
 """How long a missing entry is kept after the store recovers. Live runners
@@ -138,11 +139,7 @@
         try:
             configuration = decode_configuration(raw)
         except InvalidRowError as error:
-            eliot.log_message(
-                message_type="lagoonpost:belief:unreadable",
-                source=source,
-                detail=str(error),
-            )
+            log_unreadable("configuration", source, error)
             return False
         if configuration.version <= self.version:
             return False
@@ -186,11 +183,7 @@
                 registered = decoded._replace(cold_seconds=0.0)
                 cold_seconds = decoded.cold_seconds
             except InvalidRowError as error:
-                eliot.log_message(
-                    message_type="lagoonpost:belief:unreadable",
-                    source=source,
-                    detail=str(error),
-                )
+                log_unreadable("entry", f"{key} from {source}", error)
         endpoint = self._hear_notices(registered)
         last = raw or (current.last_raw if current is not None else None)
         self.entries[key] = RunnerEntry(
--- a/lagoonpost/forwarding/crash_recorder.py
+++ b/lagoonpost/forwarding/crash_recorder.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import eliot
-import msgspec
 
 from lagoonpost.forwarding.crash_watch import CrashWatch
 from lagoonpost.forwarding.quota_recorder import MAJORITY_SHARE
@@ -22,7 +21,9 @@
     Write,
     pause_after_failure,
 )
-from lagoonpost.tables.crash import Crash, Verdict, decode_verdict
+from lagoonpost.tables.crash import Crash, Verdict
+from lagoonpost.tables.decoding import Unreadable
+from lagoonpost.unreadable import read_row
 
 PREFIX = "crash/"
 VERDICT_PREFIX = "crash/verdict/"
@@ -76,7 +77,7 @@
             has_records: Whether the store may have records of an earlier run.
         """
         if has_records:
-            await self._read()
+            await self._read_first()
         while True:
             await self._wait_for_change()
             share = self._find_reachable_share()
@@ -94,7 +95,7 @@
         self._rows.clear()
         self._wake.set()
 
-    async def _read(self) -> None:
+    async def _read_first(self) -> None:
         pause = WRITE_PAUSE_SECONDS
         while not await self._read_once():
             await asyncio.sleep(pause)
@@ -120,9 +121,36 @@
             if self._rows.get(row.key) == row:
                 continue
             self._rows[row.key] = row
-            for record in _decode(row):
+            for record in self._read(row):
                 self._watch.merge(record)
 
+    def _read(self, row: Row) -> Sequence[Crash | Verdict]:
+        """Return the records in a row; none if it is deleted."""
+        if not row.version or row.value is None:
+            return ()
+        if row.key.startswith(VERDICT_PREFIX):
+            verdict = read_row(row.key, row.value, Verdict)
+            return (
+                self._assume_verdict(row.key)
+                if isinstance(verdict, Unreadable)
+                else (verdict,)
+            )
+        crashes = read_row(row.key, row.value, list[Crash])
+        # Evidence counts until there is a verdict. Without it, a cause needs
+        # as many crashes as a new one, of which the last convicts it.
+        return () if isinstance(crashes, Unreadable) else crashes
+
+    def _assume_verdict(self, key: str) -> Sequence[Verdict]:
+        """Return the verdict that an unreadable row is taken for.
+
+        Its key names the cause, and a row is only written for a verdict. It
+        counts as a first one of now, unless one is known.
+        """
+        cause = key.removeprefix(VERDICT_PREFIX)
+        known = {each.cause for each in self._watch.causes.list_verdicts()}
+        now = self._watch.clock()
+        return () if cause in known else (Verdict(cause, now, now),)
+
     def _make_records(self) -> dict[str, Any]:
         """Return the values that the store should have, by key."""
         causes = self._watch.causes
@@ -188,21 +216,3 @@
         crash.sent,
         crash.born,
     ]
-
-
-def _decode(row: Row) -> Sequence[Crash | Verdict]:
-    """Return the records in a row; none if it is deleted or unreadable."""
-    if row.value is None:
-        return ()
-    if row.key.startswith(VERDICT_PREFIX):
-        verdict = decode_verdict(row.value)
-        return () if verdict is None else (verdict,)
-    try:
-        return msgspec.convert(row.value, list[Crash])
-    except msgspec.ValidationError as error:
-        eliot.log_message(
-            message_type="lagoonpost:forwarding:crash_unreadable",
-            row=row.key,
-            detail=str(error),
-        )
-        return ()
--- a/lagoonpost/forwarding/duties.py
+++ b/lagoonpost/forwarding/duties.py
@@ -24,6 +24,7 @@
     Committed,
     Condition,
     Conflict,
+    Row,
     Unavailable,
     Write,
 )
@@ -51,7 +52,9 @@
     sum_begun_requests,
 )
 from lagoonpost.tables.configuration import Service
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.gateway_report import GatewayReport
+from lagoonpost.unreadable import read_row
 
 LEASE_NAME = "duties"
 USAGE_PREFIX = "usage/"
@@ -258,9 +261,11 @@
             case Committed():
                 pass
             case Conflict((row, *_)):
-                counts = {str(k): int(v) for k, v in dict(row.value).items()}
+                counts = self._read_row(window, row)
             case _:
                 return None
+        if counts is None:
+            return None
         self._peer_sync.usage_gossip.publish_usage(window, counts)
         return counts
 
@@ -283,13 +288,28 @@
         if isinstance(rows, Unavailable):
             return None
         if rows[0].version:
-            return {str(k): int(v) for k, v in dict(rows[0].value).items()}
+            return self._read_row(window, rows[0])
         self._reported[window] = True
         eliot.log_message(
             message_type="lagoonpost:duties:not_counted", window=window
         )
         return None
 
+    def _read_row(self, window: int, row: Row) -> dict[str, int] | None:
+        """Return the counts in the row of a window.
+
+        If it can't be read, the counts in it may have been reported. Those
+        that its writer told to the gateways are the same. Without them, the
+        window counts as reported, as another report could have other counts.
+        """
+        counts = read_row(row.key, row.value, dict[str, int])
+        if not isinstance(counts, Unreadable):
+            return dict(counts)
+        told = self._peer_sync.usage_gossip.usage.get(window)
+        if told is None:
+            self._reported[window] = True
+        return told
+
     # Orders
 
     async def _order_runners(self) -> None:
--- a/lagoonpost/forwarding/news_fact.py
+++ b/lagoonpost/forwarding/news_fact.py
@@ -12,8 +12,10 @@
 )
 from lagoonpost.systems.runner_notices import DEPARTURE_MEMORY_SECONDS
 from lagoonpost.tables.crash import Crash, Soundness, Verdict
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.runner_notice import Departure
+from lagoonpost.unreadable import read_fact
 
 News = Crash | Soundness | Verdict | Departure
 MS_PER_SECOND = 1000
@@ -52,8 +54,9 @@
 
 
 def read_news(fact: Fact) -> News | None:
-    """Return the news in a fact; None if it is of no known type."""
+    """Return the news in a fact; None if it is unknown or unreadable."""
     type_ = _TYPES.get(fact.key.partition("/")[0])
     if type_ is None:
         return None
-    return msgspec.msgpack.decode(fact.body, type=type_)
+    news: News | Unreadable = read_fact(fact, type_)
+    return None if isinstance(news, Unreadable) else news
--- a/lagoonpost/forwarding/peer_key.py
+++ b/lagoonpost/forwarding/peer_key.py
@@ -9,21 +9,28 @@
 import hmac
 import random
 import secrets
+from typing import Annotated
 
 import eliot
+from msgspec import Meta
 
 from lagoonpost.store.store import (
     Committed,
     Condition,
     Conflict,
+    Row,
     Store,
     Unavailable,
     Write,
     pause_after_failure,
 )
+from lagoonpost.tables.decoding import Unreadable
+from lagoonpost.unreadable import read_row
 
 KEY_ROW = "peer/key"
 KEY_BYTES = 32
+_Key = Annotated[str, Meta(min_length=2 * KEY_BYTES)]
+"""A key in hexadecimal. A shorter one could be guessed."""
 MAX_KEYS = 2
 """Keys that are accepted: a store that comes back from an older copy may have
 lost the key, and gateways learn the new one at different times."""
@@ -90,12 +97,22 @@
         rows = await self._store.read([KEY_ROW])
         if isinstance(rows, Unavailable):
             return None
-        if rows[0].version:
-            return str(rows[0].value)
+        key = _read_key(rows[0])
+        if key is not None:
+            return key
+        # In place of a row that can't be read, the key in use is kept.
         outcome = await self._store.transact(
-            [Condition(KEY_ROW, 0)],
-            [Write(KEY_ROW, secrets.token_hex(KEY_BYTES))],
+            [Condition(KEY_ROW, rows[0].version)],
+            [Write(KEY_ROW, self.current or secrets.token_hex(KEY_BYTES))],
         )
         if isinstance(outcome, Committed | Conflict) and outcome.rows:
-            return str(outcome.rows[0].value)
+            return _read_key(outcome.rows[0])
         return None
+
+
+def _read_key(row: Row) -> str | None:
+    """Return the key in a row; None if it is absent or unreadable."""
+    if not row.version:
+        return None
+    key = read_row(row.key, row.value, _Key)
+    return None if isinstance(key, Unreadable) else key
--- a/lagoonpost/forwarding/peer_sync.py
+++ b/lagoonpost/forwarding/peer_sync.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -23,7 +23,7 @@
 from lagoonpost.peers.node import Peers, PeerSettings, make_clock
 from lagoonpost.peers.transport import GrpcTransport, Transport
 from lagoonpost.platform.settings import HostSettings
-from lagoonpost.store.store import Store, Unavailable, Write
+from lagoonpost.store.store import Row, Store, Unavailable, Write
 from lagoonpost.systems.crash_causes import News as CrashNews
 from lagoonpost.systems.hub import (
     Roles,
@@ -34,10 +34,12 @@
 )
 from lagoonpost.tables.bounds import Bounds
 from lagoonpost.tables.control_traffic import ControlTraffic
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.fact import Fact, RecentFact
 from lagoonpost.tables.peer import Member
 from lagoonpost.tables.runner_notice import Departure
 from lagoonpost.tables.stamp import find_era
+from lagoonpost.unreadable import log_unreadable, read_fact, read_row
 
 ENTRY_TTL_SECONDS = 3600.0
 """How long a fact about a runner's entry is kept."""
@@ -235,8 +237,7 @@
                 self._seed_written = await self._write_seed(store)
             rows = await store.scan(SEED_PREFIX)
             if not isinstance(rows, Unavailable):
-                seeds = [parse_address(row.value) for row in rows]
-                self.peers.add_seeds(seeds)
+                self.peers.add_seeds(_read_seeds(rows))
             await asyncio.sleep(pause)
             if self._seed_written:
                 pause = min(2 * pause, MAX_SEED_PAUSE_SECONDS)
@@ -318,12 +319,16 @@
 
     def _handle_entry(self, fact: Fact) -> None:
         self._on_era(find_era(fact.rank))
-        raw = msgspec.msgpack.decode(fact.body, type=bytes | None)
+        raw = read_fact(fact, bytes | None)
+        if isinstance(raw, Unreadable):
+            return
         self._cluster.apply_entry(fact.key, fact.rank, raw, "peer")
 
     def _handle_evacuation(self, fact: Fact) -> None:
         self._on_era(find_era(fact.rank))
-        active = msgspec.msgpack.decode(fact.body, type=bool)
+        active = read_fact(fact, bool)
+        if isinstance(active, Unreadable):
+            return
         self._cluster.apply_evacuation(fact.key, fact.rank, active, "peer")
 
     def _handle_news(self, fact: Fact) -> None:
@@ -509,6 +514,20 @@
         return max(1, len(self.peers.members()))
 
 
+def _read_seeds(rows: Iterable[Row]) -> list[Address]:
+    """Return the addresses in rows, without those that can't be read."""
+    seeds = []
+    for row in rows:
+        text = read_row(row.key, row.value, str)
+        if isinstance(text, Unreadable):
+            continue
+        try:
+            seeds.append(parse_address(text))
+        except ValueError as error:
+            log_unreadable("row", row.key, error)
+    return seeds
+
+
 class _StoreLoss(NamedTuple):
     """The last published state of a gateway's access to the store.
 
--- a/lagoonpost/forwarding/quota_recorder.py
+++ b/lagoonpost/forwarding/quota_recorder.py
@@ -6,10 +6,10 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, Protocol
+from typing import Annotated, NamedTuple, Protocol
 
 import eliot
-import msgspec
+from msgspec import Meta
 
 from lagoonpost.forwarding.peer_sync import PeerSync
 from lagoonpost.store.clock import RemoteClock, read_clock
@@ -24,7 +24,9 @@
 )
 from lagoonpost.systems.quota import Quotas
 from lagoonpost.tables.configuration import Workspace
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.gateway_report import UsageByAge
+from lagoonpost.unreadable import read_row
 
 BURST_PREFIX = "burst/"
 RECORD_SHARES = (0.3, 0.45, 0.6)
@@ -67,7 +69,7 @@
 
     workspace: str
     at: float
-    use: list[tuple[float, float]]
+    use: list[tuple[float, Annotated[float, Meta(ge=0)]]]
     era: int = 0
 
 
@@ -150,8 +152,10 @@
         records: UsageByAge = {}
         outdated = set()
         for row in rows:
-            record = _read_record(row)
-            if record is None:
+            record = read_row(row.key, row.value, _Record)
+            if isinstance(record, Unreadable):
+                # It may have held any use, so the whole limit counts as used.
+                outdated.update(_find_recorded(row.key))
                 continue
             elapsed = max(0.0, now - record.at)
             used = [(age + elapsed, units) for age, units in record.use]
@@ -210,13 +214,7 @@
         self._versions.update({row.key: row.version for row in rows})
 
 
-def _read_record(row: Row) -> _Record | None:
-    try:
-        return msgspec.convert(row.value, _Record)
-    except msgspec.ValidationError as error:
-        eliot.log_message(
-            message_type="lagoonpost:quota:unreadable",
-            row=row.key,
-            detail=str(error),
-        )
-        return None
+def _find_recorded(key: str) -> set[str]:
+    """Return the workspaces whose use a record's key may stand for."""
+    name = key.removeprefix(BURST_PREFIX)
+    return {name, name.rpartition("/")[0]}
--- a/lagoonpost/forwarding/retry_recorder.py
+++ b/lagoonpost/forwarding/retry_recorder.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 import eliot
-import msgspec
 
 from lagoonpost.forwarding.quota_recorder import ClockedStore
 from lagoonpost.store.store import (
@@ -18,7 +17,9 @@
     Write,
 )
 from lagoonpost.systems.budget import HOLD_SECONDS, RetryBudget
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.retry import Reservation
+from lagoonpost.unreadable import log_unreadable, read_row
 
 RETRIES_PREFIX = "retries/"
 STORE_PAUSE_SECONDS = 1.0
@@ -27,6 +28,9 @@
 """Calls for one reservation while other gateways reserve."""
 CONFLICT_PAUSE_SECONDS = 0.02
 """Longest random pause after a conflict: a few calls to the store."""
+MAX_CLOCK_ERROR_SECONDS = 60.0
+"""Largest difference between two gateways' estimates of the store's clock,
+which are as old as the latest answer of a slow store."""
 
 
 @dataclass
@@ -110,8 +114,7 @@
             rows = await self._store.read([key])
             if isinstance(rows, Unavailable):
                 return self._note_failure(service, rows.detail)
-            if not self._note_row(rows[0], record, budget):
-                return self._note_failure(service, "the row is unreadable")
+            self._note_row(rows[0], record, budget)
         store_now = self._store.clock.estimate_now()
         if store_now is None:
             return self._note_failure(service, "the store's clock is unknown")
@@ -130,8 +133,7 @@
             case Unavailable(detail):
                 return self._note_failure(service, detail)
             case Conflict(rows):
-                if not self._note_row(rows[0], record, budget):
-                    return self._note_failure(service, "the row is unreadable")
+                self._note_row(rows[0], record, budget)
                 return False
             case Committed(rows):
                 record.version = rows[0].version
@@ -147,14 +149,21 @@
 
     def _note_row(
         self, row: Row, record: _Record, budget: RetryBudget
-    ) -> bool:
-        """Record what a row holds; return whether it could be read."""
-        reservations = _decode(row)
-        if reservations is None:
-            return False
+    ) -> None:
+        """Record what a row holds.
+
+        One that can't be read is overwritten once all that it may hold has
+        left the window.
+        """
+        store_now = self._store.clock.estimate_now()
+        if store_now is None:
+            return
         record.version = row.version
-        budget.set_reservations(reservations)
-        return True
+        reservations = _read_reservations(row, store_now)
+        if reservations is None:
+            budget.assume_reserved(store_now)
+        else:
+            budget.set_reservations(reservations)
 
     def _note_failure(self, service: str, detail: str) -> bool:
         # The write may have taken effect, or may do so later.
@@ -174,9 +183,16 @@
         return self._records.setdefault(service, _Record())
 
 
-def _decode(row: Row) -> list[Reservation] | None:
+def _read_reservations(row: Row, store_now: float) -> list[Reservation] | None:
     """Return the reservations in a row; None if it is unreadable."""
-    try:
-        return msgspec.convert(row.value or [], list[Reservation])
-    except msgspec.ValidationError:
+    if not row.version:
+        return []
+    found = read_row(row.key, row.value, list[Reservation])
+    if isinstance(found, Unreadable):
+        return None
+    latest = store_now + MAX_CLOCK_ERROR_SECONDS
+    if any(each.at > latest for each in found):
+        # It would never leave the window.
+        log_unreadable("row", row.key, "a reservation of a later time")
         return None
+    return list(found)
--- a/lagoonpost/forwarding/usage_gossip.py
+++ b/lagoonpost/forwarding/usage_gossip.py
@@ -9,7 +9,9 @@
 
 import msgspec
 
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.fact import Fact
+from lagoonpost.unreadable import log_unreadable, read_fact
 
 FACT_TTL_SECONDS = 60.0
 """How long a fact about a written row is kept."""
@@ -56,8 +58,15 @@
 
     def handle_usage(self, fact: Fact) -> None:
         """Handle the counts that another gateway reports for a window."""
-        counts = msgspec.msgpack.decode(fact.body, type=dict[str, int])
-        self._keep_usage(int(fact.key), counts)
+        counts = read_fact(fact, dict[str, int])
+        if isinstance(counts, Unreadable):
+            return
+        try:
+            window = int(fact.key)
+        except ValueError as error:
+            log_unreadable("fact", fact.id, error)
+            return
+        self._keep_usage(window, counts)
 
     def _keep_usage(self, window: int, counts: dict[str, int]) -> None:
         self.usage[window] = counts
@@ -79,5 +88,7 @@
 
     def handle_recorded(self, fact: Fact) -> None:
         """Handle that the store has recorded a workspace's quota use."""
-        age = msgspec.msgpack.decode(fact.body, type=float)
+        age = read_fact(fact, float)
+        if isinstance(age, Unreadable):
+            return
         self._on_recorded(fact.key.rpartition("/")[0], age)
--- a/lagoonpost/forwarding/version_shifts.py
+++ b/lagoonpost/forwarding/version_shifts.py
@@ -30,6 +30,7 @@
     ExposureBounds,
     ShiftEvaluator,
 )
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.gateway_report import GatewayReport
@@ -41,6 +42,7 @@
     VersionCounts,
     add_counts,
 )
+from lagoonpost.unreadable import log_unreadable, read_fact
 
 Counts = dict[str, VersionCounts]
 FINAL_PHASES: tuple[ShiftPhase, ...] = ("complete", "taken_back")
@@ -130,16 +132,16 @@
         try:
             order = decode_order(row.value, row.version)
         except InvalidRowError as error:
-            eliot.log_message(
-                message_type="lagoonpost:shift:unreadable", detail=str(error)
-            )
+            log_unreadable("order", row.key, error)
             return
         if self._apply(order, "trial", "store"):
             self._publish_shift(self._shifts[order.service])
 
     def handle_fact(self, fact: Fact) -> None:
         """Handle a fact about an order from another gateway."""
-        body = msgspec.msgpack.decode(fact.body, type=_ShiftFact)
+        body = read_fact(fact, _ShiftFact)
+        if isinstance(body, Unreadable):
+            return
         self._apply(body.order, body.phase, "peer")
         known = self._shifts[body.order.service]
         if body.start_offset and known.order == body.order:
@@ -376,7 +378,12 @@
         if isinstance(row, Unavailable) or not may_go_on():
             return
         end = decode_final_phase(row.value, shift.order) if row.value else None
-        if end is not None:
+        if isinstance(end, Unreadable):
+            # Only gateways write it, so it is overwritten. If nobody knows the
+            # order's end, the order is tried again, but a gateway that has
+            # started since has only a share of the requests for it, no slack.
+            log_unreadable("status", key, end.reason)
+        elif end is not None:
             # Only the end of this order counts. A repeated order to the same
             # version can't be told apart and counts as ended as well.
             if self._apply(shift.order, end, "status"):
--- a/lagoonpost/gateway/moves.py
+++ b/lagoonpost/gateway/moves.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 import eliot
 import msgspec
@@ -19,9 +19,11 @@
     finish_move,
 )
 from lagoonpost.systems.rollout import Outcome, Report, Rollout
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.entity import Declaration, Runner, VersionMove
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.request import RequestRow
+from lagoonpost.unreadable import read_fact, read_row
 
 TICK_SECONDS = 0.25
 # Evidence is of no use after its interval has been evaluated.
@@ -184,7 +186,7 @@
     async def _begin(self, key: str, move: VersionMove, now: float) -> None:
         row = self._pending_rows.get(key)
         if row is None:
-            row = await self._read_row(key)
+            row = await self._read_row(key, move, now)
         if row is None:
             row = self._make_row(move, now)
             body = msgspec.msgpack.encode(row)
@@ -239,7 +241,9 @@
         )
 
     def _handle_row(self, fact: Fact) -> None:
-        row = msgspec.msgpack.decode(fact.body, type=MoveRow)
+        row = read_fact(fact, MoveRow)
+        if isinstance(row, Unreadable):
+            return
         rollout = self._rollouts.get(fact.key)
         if rollout is None:
             known = self._pending_rows.get(fact.key)
@@ -255,8 +259,10 @@
         self._update_shares(time.time())
 
     def _handle_report(self, fact: Fact) -> None:
-        report = msgspec.msgpack.decode(fact.body, type=Report)
-        service, ticket, _ = fact.key.split("/", 2)
+        report = read_fact(fact, Report)
+        if isinstance(report, Unreadable):
+            return
+        service, ticket, *_ = (*fact.key.split("/", 2), "")
         key = f"{service}/{ticket}"
         if key in self._rollouts:
             self._rollouts[key].add_report(report)
@@ -300,11 +306,22 @@
         current_at = self._facts_current_at if len(names) > 1 else now
         return compute_share(row, me, names or [me], now, current_at)
 
-    async def _read_row(self, key: str) -> MoveRow | None:
+    async def _read_row(
+        self, key: str, move: VersionMove, now: float
+    ) -> MoveRow | None:
+        """Return the stored row of a move; None if there is none.
+
+        A row that can't be read may have recorded that the new version is bad,
+        so the move counts as taken back; operators may declare it once more.
+        """
         found = await self._store.read([STORE_PREFIX + key])
-        if isinstance(found, Unavailable) or found[0].value is None:
+        if isinstance(found, Unavailable) or not found[0].version:
             return None
-        return msgspec.convert(found[0].value, type=MoveRow)
+        row = read_row(found[0].key, found[0].value, MoveRow)
+        if isinstance(row, Unreadable):
+            reason = f"row {found[0].key!r} can't be read: {row.reason}"
+            return MoveRow(move, now, now, "taken_back", reason, now)
+        return cast(MoveRow, row)
 
     async def _record(self, key: str) -> None:
         """Write the row of a move to the store if its outcome has changed."""
@@ -314,9 +331,10 @@
         found = await self._store.read([STORE_PREFIX + key])
         if isinstance(found, Unavailable):
             return
-        if found[0].value is not None:
-            stored = msgspec.convert(found[0].value, type=MoveRow)
-            if stored.outcome == row.outcome:
+        if found[0].version:
+            stored = read_row(found[0].key, found[0].value, MoveRow)
+            readable = not isinstance(stored, Unreadable)
+            if readable and stored.outcome == row.outcome:
                 self._recorded_outcomes[key] = row.outcome
                 return
         condition = Condition(STORE_PREFIX + key, found[0].version)
--- a/lagoonpost/gateway/peering.py
+++ b/lagoonpost/gateway/peering.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Mapping, Sequence
+from typing import cast
 
 import msgspec
 
@@ -16,9 +17,11 @@
 from lagoonpost.settings import GatewaySettings
 from lagoonpost.store.watch import PEER_TIMEOUT_SECONDS, DeclarationWatch
 from lagoonpost.systems.event import GatewaysChanged
+from lagoonpost.tables.decoding import Unreadable, decode_json, decode_msgpack
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.peer import Member
 from lagoonpost.tables.ticket import Snapshot, TicketRecord
+from lagoonpost.unreadable import log_unreadable, read_fact
 
 SNAPSHOT = "snapshot"
 # With one peer dead and another one behind, a third still has the current
@@ -166,7 +169,11 @@
             return None
         if not found:
             return None
-        return msgspec.msgpack.decode(found[-1].body, type=Snapshot)
+        snapshot = decode_msgpack(found[-1].body, Snapshot)
+        if isinstance(snapshot, Unreadable):
+            log_unreadable("document", member.name, snapshot.reason)
+            return None
+        return cast(Snapshot, snapshot)
 
     def _list_documents(self, kind: str, after: int) -> Sequence[Document]:
         snapshot = self._watch.get_current_snapshot() if self._watch else None
@@ -180,6 +187,11 @@
     async def _accept_hand_over(self, request: HandOver) -> bool:
         if self._gateway.phase != "serving":
             return False
+        body = decode_json(request.body)
+        if not isinstance(body, dict):
+            reason = getattr(body, "reason", "the body is no object")
+            log_unreadable("hand-over", request.request_id, reason)
+            return False
         now = asyncio.get_running_loop().time()
         requests = self._gateway.handed_over
         for request_id in [
@@ -189,7 +201,7 @@
         requests[request.request_id] = HandedOverRequest(
             request.service,
             request.workspace,
-            msgspec.json.decode(request.body),
+            body,
             request.tokens,
             now + HANDED_OVER_TTL_SECONDS,
         )
@@ -202,12 +214,14 @@
                 handler(fact)
 
     def _handle_revision(self, fact: Fact) -> None:
-        self._accepted_by = fact.body.decode()
+        self._accepted_by = fact.body.decode(errors="replace")
         if self._watch is not None:
             self._watch.observe_revision(fact.rank)
 
     def _handle_runner_leaving(self, fact: Fact) -> None:
-        deadline = msgspec.msgpack.decode(fact.body, type=float)
+        deadline = read_fact(fact, float)
+        if isinstance(deadline, Unreadable):
+            return
         mark_runner_leaving(self._gateway, fact.key, deadline - time.time())
 
     def _handle_members(self, members: Sequence[Member]) -> None:
--- a/lagoonpost/gateway/prompt.py
+++ b/lagoonpost/gateway/prompt.py
@@ -5,6 +5,8 @@
 import msgspec
 import xxhash
 
+from lagoonpost.tables.decoding import UNREADABLE
+
 # Engines do not publish their tokenizers. Four bytes per token is the usual
 # estimate for Latin scripts; admission needs proportions, not exact counts.
 BYTES_PER_TOKEN = 4
@@ -58,7 +60,7 @@
     try:
         shape = msgspec.json.decode(body, type=_ChatRequest)
         whole = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         return InvalidCall(str(error))
     if not shape.messages:
         return InvalidCall("`messages` is empty")
--- a/lagoonpost/gateway/quarantine.py
+++ b/lagoonpost/gateway/quarantine.py
@@ -10,9 +10,11 @@
 from lagoonpost.gateway.state import Gateway
 from lagoonpost.systems.event import Quarantined
 from lagoonpost.systems.quarantine import Loss, Quarantine
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.entity import Runner
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.request import RequestRow
+from lagoonpost.unreadable import read_fact
 
 # Longer than any caller keeps retrying a request; also bounds the memory used
 # for evidence.
@@ -88,10 +90,13 @@
 
     def handle_fact(self, fact: Fact) -> None:
         """Apply a loss, completion or conviction from another gateway."""
-        service, fingerprint, *_ = fact.key.split("/")
+        service, fingerprint, *_ = (*fact.key.split("/"), "")
         quarantine = self._get_quarantine(service)
         if fact.kind == "crash_seen":
-            quarantine.add(msgspec.msgpack.decode(fact.body, type=Loss))
+            loss = read_fact(fact, Loss)
+            if isinstance(loss, Unreadable):
+                return
+            quarantine.add(loss)
         elif fact.rank == _CONVICTION_RANK:
             quarantine.record_conviction(fingerprint)
         else:
--- a/lagoonpost/gateway/tickets.py
+++ b/lagoonpost/gateway/tickets.py
@@ -19,6 +19,7 @@
 from lagoonpost.store.ticket import TicketStore
 from lagoonpost.store.watch import DeclarationWatch
 from lagoonpost.systems.ticket import find_unreachable_deadlines
+from lagoonpost.tables.decoding import UNREADABLE
 from lagoonpost.tables.ticket import (
     Accepted,
     FieldError,
@@ -82,7 +83,7 @@
         """POST /v1/tickets: submit a ticket."""
         try:
             content = msgspec.json.decode(request.body)
-        except msgspec.DecodeError as error:
+        except UNREADABLE as error:
             return _make_problem(400, "not_json", str(error), "not_run")
         ticket = parse_ticket(content)
         if isinstance(ticket, InvalidTicket):
--- a/lagoonpost/peers/codec.py
+++ b/lagoonpost/peers/codec.py
@@ -4,9 +4,13 @@
 from typing import Any
 
 import msgspec
+from grpclib.const import Status
 from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError
 
 from lagoonpost.tables.control_traffic import ControlTraffic
+from lagoonpost.tables.decoding import UNREADABLE
+from lagoonpost.unreadable import log_unreadable
 
 
 @cache
@@ -36,10 +40,17 @@
         """Decode a message of the given type.
 
         Raises:
-            msgspec.ValidationError: If ``data`` does not match the type.
+            GRPCError: If ``data`` does not match the type. The call fails as
+                any other: a server answers with this error, and a caller
+                gets no reply.
         """
-        self._traffic.note(_name_flow(message_type), "received", len(data))
-        return _make_decoder(message_type).decode(data)
+        flow = _name_flow(message_type)
+        self._traffic.note(flow, "received", len(data))
+        try:
+            return _make_decoder(message_type).decode(data)
+        except UNREADABLE as error:
+            log_unreadable("call", flow, error)
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
 
 
 def _name_flow(message_type: Any) -> str:
--- a/lagoonpost/peers/messenger.py
+++ b/lagoonpost/peers/messenger.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Literal, NamedTuple
 
-import eliot
 import msgspec
 
 from lagoonpost.http.message import Address
@@ -29,6 +28,7 @@
 from lagoonpost.tables.quota import QuotaReply, QuotaRequest
 from lagoonpost.tables.retry import RetryReply, RetryRequest
 from lagoonpost.tables.trial import TrialReply, TrialRequest
+from lagoonpost.unreadable import log_unreadable
 
 DatagramMessage = (
     GatewayReport
@@ -161,9 +161,7 @@
         try:
             message = decode_message(data)
         except UNREADABLE as error:
-            eliot.log_message(
-                message_type="lagoonpost:peers:unreadable", detail=str(error)
-            )
+            log_unreadable("datagram", str(sender), error)
             return
         if message is None:
             return
--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Sequence
 from contextlib import suppress
+from functools import lru_cache
 from typing import NamedTuple
 
 from eliot import log_message
@@ -58,12 +59,16 @@
 from lagoonpost.tables.control_traffic import ControlTraffic
 from lagoonpost.tables.fact import Fact, FactKind, RecentFact
 from lagoonpost.tables.peer import Member, PeerRole
+from lagoonpost.unreadable import log_unreadable
 
 # Batches a burst of changes into one packet; ten hops still take only 0.2 s.
 FLUSH_SECONDS = 0.02
 FETCH_TIMEOUT_SECONDS = 5.0
 HAND_OVER_TIMEOUT_SECONDS = 2.0
 HAND_OVER_ATTEMPTS = 2
+MAX_CHECKED_ROWS = 1024
+"""Member rows whose addresses are remembered as checked, more than a large
+system has gateways."""
 
 
 class PeerSettings(NamedTuple):
@@ -103,6 +108,26 @@
     return lambda: offset + time.clock_gettime(kind)
 
 
+def _drop_unreadable(rows: tuple[Member, ...]) -> tuple[Member, ...]:
+    """Return the rows without those whose addresses can't be read.
+
+    Messages are sent to all members, and one address that can't be read would
+    end all of them.
+    """
+    return tuple(row for row in rows if _is_readable(row))
+
+
+@lru_cache(maxsize=MAX_CHECKED_ROWS)
+def _is_readable(row: Member) -> bool:
+    try:
+        for address in filter(None, (row.address, row.entry)):
+            parse_address(address)
+    except ValueError as error:
+        log_unreadable("member", row.name, error)
+        return False
+    return bool(row.address)
+
+
 class Peers:
     """This process's view of and connection to the other members."""
 
@@ -308,7 +333,8 @@
             if reply is None:
                 return None
             documents.extend(reply.documents)
-            if not reply.more:
+            # A page that adds nothing would be asked for again and again.
+            if not reply.more or not reply.documents:
                 return tuple(documents)
             request = request._replace(after=reply.documents[-1].number)
 
@@ -361,6 +387,7 @@
         return None if self._closed else self._receive(packet)
 
     def _receive(self, packet: Packet) -> Reply:
+        packet = packet._replace(members=_drop_unreadable(packet.members))
         for action in self._step(Received(packet)):
             if isinstance(action, Reply):
                 return action
@@ -406,7 +433,8 @@
         if reply is None:
             self._step(Failed(call, delayed))
         else:
-            self._step(Answered(call, reply))
+            members = _drop_unreadable(reply.members)
+            self._step(Answered(call, reply._replace(members=members)))
 
     def _notify(self, changes: ChangedRows) -> None:
         for row in changes.members:
--- a/lagoonpost/platform/rollout.py
+++ b/lagoonpost/platform/rollout.py
@@ -3,7 +3,12 @@
 import msgspec
 
 from lagoonpost.platform.configuration import InvalidRowError
-from lagoonpost.tables.decoding import UNREADABLE, read_json
+from lagoonpost.tables.decoding import (
+    UNREADABLE,
+    Unreadable,
+    convert_value,
+    decode_json,
+)
 from lagoonpost.tables.version_shift import ShiftOrder, ShiftPhase
 
 ORDER_PREFIX = "rollout/"
@@ -48,14 +53,15 @@
     return {"state": _STATES[phase], "to": order.to}
 
 
-def decode_final_phase(body: bytes, order: ShiftOrder) -> ShiftPhase | None:
+def decode_final_phase(
+    body: bytes, order: ShiftOrder
+) -> ShiftPhase | Unreadable | None:
     """Return the final phase of an order from its last written status.
 
     Returns:
         None if the order has not ended or the status is of another order.
     """
-    # Only gateways write status rows; an invalid row is overwritten.
-    status = read_json(body, _Status)
-    if status is None or status.to != order.to:
-        return None
-    return _ENDS.get(status.state)
+    status = convert_value(decode_json(body), _Status)
+    if isinstance(status, Unreadable):
+        return status
+    return _ENDS.get(status.state) if status.to == order.to else None
--- a/lagoonpost/platform/store.py
+++ b/lagoonpost/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 from collections.abc import Sequence
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
@@ -18,10 +18,13 @@
     Row,
     Unavailable,
     Write,
+    make_row,
+    sort_rows,
 )
 from lagoonpost.tables import stamp
 from lagoonpost.tables.control_traffic import ControlTraffic
 from lagoonpost.tables.decoding import UNREADABLE
+from lagoonpost.unreadable import log_unreadable
 
 # All rows of lagoonpost are in one table; the key prefix names their kind.
 OWN_TABLE = "lagoonpost"
@@ -60,9 +63,12 @@
     """The feed no longer contains the changes since the given version."""
 
 
+_Version = Annotated[int, msgspec.Meta(ge=0, lt=1 << stamp.VERSION_BITS)]
+
+
 class _WireRow(msgspec.Struct):
     key: str
-    ver: int
+    ver: _Version
     value: str | None = None
     deleted: bool = False
     part: str = ""
@@ -70,7 +76,7 @@
 
 class _WireRows(msgspec.Struct):
     rows: list[_WireRow] = []
-    ver: int = 0
+    ver: _Version = 0
     now_ms: int | None = None
     has_more: bool = False
 
@@ -132,7 +138,7 @@
         )
         match outcome:
             case Conflict(rows):
-                return Conflict(_sort_rows(conditions, rows))
+                return Conflict(sort_rows(conditions, rows))
             case Committed((row, *_)):
                 return Committed(
                     tuple(
@@ -168,7 +174,7 @@
             return reply
         if reply.status == 412:
             rows = (_parse_feed_row(row, reply.era) for row in reply.page.rows)
-            return Conflict(tuple(map(_parse_row, rows)))
+            return Conflict(tuple(make_row(*row) for row in rows))
         if reply.status != 200:
             return Unavailable(f"status {reply.status}", applied=False)
         if any(era < reply.era for era in eras):
@@ -184,7 +190,7 @@
             page = await self.read_table(OWN_TABLE, key, key + "\0")
             if isinstance(page, Unavailable):
                 return page
-            found = [_parse_row(row) for row in page.rows]
+            found = [make_row(*row) for row in page.rows]
             rows.append(found[0] if found else Row(key, 0))
         return tuple(rows)
 
@@ -197,7 +203,7 @@
         page = await self.read_table(OWN_TABLE, first, last)
         if isinstance(page, Unavailable):
             return page
-        return tuple(_parse_row(row) for row in page.rows)[:limit]
+        return tuple(make_row(*row) for row in page.rows)[:limit]
 
     # Status rows for operators
 
@@ -315,6 +321,7 @@
         try:
             return StoreReply(response.status, self._decode(response), era)
         except UNREADABLE as error:
+            log_unreadable("store", purpose, error)
             return Unavailable(f"unreadable response: {error}")
 
 
@@ -356,19 +363,6 @@
     try:
         value = base64.b64decode(row.value, validate=True)
     except ValueError:
-        # Other writers may store arbitrary text; the decoder of the table
-        # reports it as invalid.
+        # Other writers may store any text; the table's decoder reports it.
         value = row.value.encode()
     return FeedRow(row.key, version, value)
-
-
-def _parse_row(row: FeedRow) -> Row:
-    value = None if row.value is None else msgspec.json.decode(row.value)
-    return Row(row.key, row.version, value)
-
-
-def _sort_rows(
-    conditions: Sequence[Condition], rows: Sequence[Row]
-) -> tuple[Row, ...]:
-    found = {row.key: row for row in rows}
-    return tuple(found.get(each.key, Row(each.key, 0)) for each in conditions)
--- a/lagoonpost/runners/engine.py
+++ b/lagoonpost/runners/engine.py
@@ -7,7 +7,9 @@
 
 from lagoonpost.http.client import CallFailedError, Client, Stream
 from lagoonpost.http.message import Address, Headers, Response
+from lagoonpost.tables.decoding import UNREADABLE, read_json
 from lagoonpost.tables.load_report import LoadReport
+from lagoonpost.unreadable import log_unreadable
 
 _T = TypeVar("_T")
 
@@ -267,7 +269,7 @@
 def _decode_problem(body: bytes) -> _Problem:
     try:
         return msgspec.json.decode(body, type=_Problem)
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return _Problem(detail=body[:200].decode("utf-8", "replace"))
 
 
@@ -278,8 +280,11 @@
         answer = await client.call(
             address, "GET", target, timeout=CALL_TIMEOUT_SECONDS
         )
-        if answer.status != 200:
-            return None
-        return msgspec.json.decode(answer.body, type=kind)
-    except (CallFailedError, msgspec.DecodeError):
+    except CallFailedError:
+        return None
+    if answer.status != 200:
         return None
+    found = read_json(answer.body, kind)
+    if found is None:
+        log_unreadable("runner", str(address), f"answer to GET {target}")
+    return found
--- a/lagoonpost/runners/kv.py
+++ b/lagoonpost/runners/kv.py
@@ -12,7 +12,9 @@
     PendingTransfer,
     choose_next,
 )
+from lagoonpost.tables.decoding import read_json
 from lagoonpost.tables.entity import Runner
+from lagoonpost.unreadable import log_unreadable
 
 # Weight of the newest export in the moving average of a link's rate.
 NEWEST_EXPORT_WEIGHT = 0.3
@@ -116,11 +118,14 @@
             return False
         if imported.status != 200:
             return False
-        tokens = msgspec.json.decode(imported.body, type=_Imported).tokens
+        answer = read_json(imported.body, _Imported)
+        if answer is None:
+            log_unreadable("runner", job.target.name, "answer to an import")
+            return False
         seconds = loop.time() - started
         link = self._links.get(source.name, LinkEstimate())
         self._links[source.name] = link.add_sample(
-            len(exported.body), tokens, seconds, NEWEST_EXPORT_WEIGHT
+            len(exported.body), answer.tokens, seconds, NEWEST_EXPORT_WEIGHT
         )
         return True
 
--- a/lagoonpost/runners/sse.py
+++ b/lagoonpost/runners/sse.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from lagoonpost.http.events import MAX_EVENT_BYTES
+from lagoonpost.tables.decoding import UNREADABLE
 from lagoonpost.tables.token_usage import TokenUsage
 
 _DATA = b"data:"
@@ -85,7 +86,7 @@
         for block in blocks:
             try:
                 number, chunk = _read_block(block)
-            except (msgspec.DecodeError, ValueError) as error:
+            except UNREADABLE as error:
                 events.append(EngineError(str(error)))
                 break
             if chunk is None:
@@ -136,7 +137,7 @@
 
 def _read_final_event(chunk: _Chunk) -> StreamEvent:
     if chunk.error is not None:
-        return EngineError(bytes(chunk.error).decode())
+        return EngineError(bytes(chunk.error).decode(errors="replace"))
     for choice in chunk.choices:
         if choice.finish_reason and chunk.usage is not None:
             return Closing(choice.finish_reason, chunk.usage)
--- a/lagoonpost/store/declaration.py
+++ b/lagoonpost/store/declaration.py
@@ -1,14 +1,16 @@
 """Row format of the tickets and declared objects, and functions to read it."""
 
 from collections.abc import Sequence
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypedDict
 
 from lagoonpost.store.store import Row, Store, Unavailable
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.ticket import (
     ObjectRecord,
     Snapshot,
     TicketRecord,
 )
+from lagoonpost.unreadable import read_row
 
 REVISION_KEY = "revision"
 OBJECT_PREFIX = "object/"
@@ -49,12 +51,35 @@
         snapshot: All declared objects.
         versions: Row versions by object key.
         ticket: The requested ticket, or None if it is not stored.
+        unreadable: Keys of objects that are missing in the snapshot, as their
+            rows can't be read.
     """
 
     head: Head
     snapshot: Snapshot
     versions: dict[str, int]
     ticket: TicketRecord | None
+    unreadable: tuple[str, ...] = ()
+
+
+class _HeadValue(TypedDict):
+    revision: int
+    recent: list[int]
+
+
+class _ObjectValue(TypedDict):
+    ticket: int
+    state: dict[str, Any]
+
+
+class _TicketValue(TypedDict):
+    number: int
+    revision: int
+    digest: str
+    reason: str
+    operator: str
+    accepted: float
+    objects: dict[str, dict[str, Any]]
 
 
 def make_ticket_key(number: int) -> str:
@@ -62,12 +87,23 @@
     return f"{TICKET_PREFIX}{number:08d}"
 
 
-def parse_head(row: Row) -> Head:
-    """Parse the revision row; an absent row means revision 0."""
+def parse_head(row: Row) -> Head | Unavailable:
+    """Parse the revision row; an absent row means revision 0.
+
+    Without the row nothing tells whether what is read is consistent or new, so
+    the store counts as unavailable if it can't be read.
+    """
     if row.version == 0:
         return Head(0, (), 0)
-    recent = tuple(row.value["recent"])
-    return Head(row.value["revision"], recent, row.version)
+    value = read_row(row.key, row.value, _HeadValue)
+    if isinstance(value, Unreadable):
+        return _refuse(row, value)
+    return Head(value["revision"], tuple(value["recent"]), row.version)
+
+
+def _refuse(row: Row, value: Unreadable) -> Unavailable:
+    detail = f"row {row.key!r} can't be read: {value.reason}"
+    return Unavailable(detail, applied=False)
 
 
 def format_next_head(head: Head, number: int) -> dict[str, Any]:
@@ -76,9 +112,19 @@
     return {"revision": head.revision + 1, "recent": recent}
 
 
-def parse_ticket_row(row: Row) -> TicketRecord | None:
-    """Parse a ticket row; return None if it is absent."""
-    return None if row.version == 0 else parse_record(row.value)
+def parse_ticket_row(row: Row) -> TicketRecord | Unavailable | None:
+    """Parse a ticket row.
+
+    Returns:
+        The ticket; None if the row is absent; `Unavailable` if it can't be
+        read, as the ticket may be any that was accepted.
+    """
+    if row.version == 0:
+        return None
+    value = read_row(row.key, row.value, _TicketValue)
+    if isinstance(value, Unreadable):
+        return _refuse(row, value)
+    return parse_record(value)
 
 
 def parse_record(value: Any) -> TicketRecord:
@@ -123,7 +169,13 @@
     rows = await store.read([make_ticket_key(number) for number in numbers])
     if isinstance(rows, Unavailable):
         return rows
-    return [parse_ticket_row(row) for row in rows]
+    tickets: list[TicketRecord | None] = []
+    for row in rows:
+        ticket = parse_ticket_row(row)
+        if isinstance(ticket, Unavailable):
+            return ticket
+        tickets.append(ticket)
+    return tickets
 
 
 async def read_declaration(
@@ -156,15 +208,23 @@
         return final_rows
     if final_rows[0].version != head.version:
         return ReadConflict()
-    objects, versions = {}, {}
+    ticket = parse_ticket_row(final_rows[1])
+    if isinstance(ticket, Unavailable):
+        return ticket
+    objects: dict[str, ObjectRecord] = {}
+    unreadable = []
     for row in rows:
         key = row.key.removeprefix(OBJECT_PREFIX)
-        objects[key] = ObjectRecord(row.value["ticket"], row.value["state"])
-        versions[key] = row.version
+        value = read_row(row.key, row.value, _ObjectValue)
+        if isinstance(value, Unreadable):
+            unreadable.append(key)
+        else:
+            objects[key] = ObjectRecord(value["ticket"], value["state"])
+    versions = {
+        row.key.removeprefix(OBJECT_PREFIX): row.version for row in rows
+    }
     snapshot = Snapshot(head.revision, objects)
-    return ConsistentRead(
-        head, snapshot, versions, parse_ticket_row(final_rows[1])
-    )
+    return ConsistentRead(head, snapshot, versions, ticket, tuple(unreadable))
 
 
 async def _scan_objects(store: Store) -> list[Row] | Unavailable:
--- a/lagoonpost/store/era.py
+++ b/lagoonpost/store/era.py
@@ -6,6 +6,9 @@
 
 from lagoonpost.tables.stamp import MAX_ERA
 
+MAX_DIGITS = 20
+"""Longest era that is converted: ``int`` refuses thousands of digits."""
+
 
 class EraTracker:
     """Tracks the highest known era of the store.
@@ -21,8 +24,12 @@
         self._logged_texts: set[str] = set()
 
     def note(self, era: int) -> None:
-        """Advance to an era from a response or a peer; ignore older eras."""
-        if era <= self.era:
+        """Advance to an era from a response or a peer.
+
+        Older eras are ignored, and those above the highest, of which no stamp
+        can be made.
+        """
+        if not self.era < era <= MAX_ERA:
             return
         eliot.log_message(
             message_type="lagoonpost:store:era", era=era, before=self.era
@@ -66,7 +73,7 @@
 
 def _parse(text: str) -> int | None:
     text = text.strip()
-    if not text.isascii() or not text.isdigit():
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
         return None
     era = int(text)
     return era if era <= MAX_ERA else None
--- a/lagoonpost/store/lease.py
+++ b/lagoonpost/store/lease.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import Any
 
 import eliot
 import msgspec
@@ -29,6 +28,7 @@
     Reply,
     Stored,
     apply_reply,
+    assume_unknown_holder,
     begin_call,
     choose_action,
     classify_gain,
@@ -39,7 +39,9 @@
     may_order,
     may_work,
 )
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.lease import LeaseRow
+from lagoonpost.unreadable import read_row
 
 LEASE_PREFIX = "lease/"
 RELEASE_POLL_SECONDS = 0.01
@@ -187,7 +189,7 @@
             return (
                 NoReply()
                 if isinstance(rows, Unavailable)
-                else _make_seen(rows[0])
+                else self._make_seen(rows[0])
             )
         outcome = await self._store.transact(
             [Condition(self._key, action.version)],
@@ -197,10 +199,18 @@
             case Committed(rows):
                 return Stored(rows[0].version)
             case Conflict(rows):
-                return _make_seen(rows[0])
+                return self._make_seen(rows[0])
             case Unavailable():
                 return NoReply()
 
+    def _make_seen(self, row: Row) -> CurrentRow:
+        if not row.version:
+            return CurrentRow(0, None)
+        found = read_row(row.key, row.value, LeaseRow)
+        if isinstance(found, Unreadable):
+            found = assume_unknown_holder(self.lease, row.version)
+        return CurrentRow(row.version, found)
+
     async def _pause(self, seconds: float) -> None:
         self._changed.clear()
         try:
@@ -224,11 +234,3 @@
             before=previous.row._asdict() if previous.row else None,
             seconds=None if held else round(now - previous.acquired, 3),
         )
-
-
-def _make_seen(row: Row) -> CurrentRow:
-    return CurrentRow(row.version, _decode(row.value))
-
-
-def _decode(value: Any) -> LeaseRow | None:
-    return None if value is None else msgspec.convert(value, LeaseRow)
--- a/lagoonpost/store/ledger.py
+++ b/lagoonpost/store/ledger.py
@@ -1,10 +1,11 @@
 """Runs bookings at most once, recording each in the ledger in the store."""
 
 import asyncio
+import math
 import secrets
 import time
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol, cast
 
 import msgspec
 
@@ -45,7 +46,9 @@
     may_dispatch,
     step,
 )
-from lagoonpost.tables.ledger import LedgerEntry
+from lagoonpost.tables.decoding import Unreadable
+from lagoonpost.tables.ledger import ANY_DIGEST, LedgerEntry
+from lagoonpost.unreadable import read_row
 
 LEDGER_PREFIX = "ledger/"
 NONCE_BYTES = 16
@@ -177,9 +180,7 @@
             case Row() as row:
                 return Stored(row.version)
             case Conflict(rows):
-                return RowConflict(
-                    rows[0].version, decode_entry(rows[0].value)
-                )
+                return RowConflict(rows[0].version, _read_entry(rows[0]))
             case Unavailable(_, applied):
                 return NoReply(applied)
 
@@ -198,11 +199,18 @@
         )
 
 
-def decode_entry(value: Any) -> LedgerEntry | None:
-    """Decode the entry in a row's value; return None for an absent row."""
-    if value is None:
+def _read_entry(row: Row) -> LedgerEntry | None:
+    """Return the entry in a row; None for an absent row.
+
+    One that can't be read may be that of a booking that ran, so it counts as
+    lost: it matches every request, and the booking does not run again.
+    """
+    if not row.version:
         return None
-    return msgspec.convert(value, LedgerEntry)
+    entry = read_row(row.key, row.value, LedgerEntry)
+    if isinstance(entry, Unreadable):
+        return LedgerEntry("lost", "", ANY_DIGEST, "", 0.0, 0.0, math.inf)
+    return cast(LedgerEntry, entry)
 
 
 async def delete_expired(
@@ -226,7 +234,7 @@
     entries = {
         row.key: entry
         for row in rows
-        if (entry := decode_entry(row.value)) is not None
+        if (entry := _read_entry(row)) is not None
     }
     expired = find_expired(entries, time.time())
     if expired:
--- a/lagoonpost/store/reclaim_notices.py
+++ b/lagoonpost/store/reclaim_notices.py
@@ -7,6 +7,8 @@
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address
 from lagoonpost.store.store import Unavailable
+from lagoonpost.tables.decoding import UNREADABLE
+from lagoonpost.unreadable import log_unreadable
 
 CALL_TIMEOUT_SECONDS = 1.0
 
@@ -51,7 +53,8 @@
         return Unavailable(f"status {response.status}")
     try:
         found = msgspec.json.decode(response.body, type=_NoticesObject).notices
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
+        log_unreadable("cloud", "reclaim notices", error)
         return Unavailable(str(error))
     return tuple(
         ReclaimNotice(notice.host, notice.deadline) for notice in found
--- a/lagoonpost/store/store.py
+++ b/lagoonpost/store/store.py
@@ -4,9 +4,14 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple, Protocol
 
+from lagoonpost.tables.decoding import Unreadable, decode_json
+
 
 class Row(NamedTuple):
-    """A row; ``version`` is 0 if it is absent and grows with each write."""
+    """A row; ``version`` is 0 if it is absent and grows with each write.
+
+    The value is `Unreadable` if it can't be decoded.
+    """
 
     key: str
     version: int
@@ -27,6 +32,20 @@
     value: Any
 
 
+def make_row(key: str, version: int, body: bytes | None) -> Row:
+    """Return a row from its JSON body; None stands for a deleted row.
+
+    No gateway writes null, and a row without a value would count as absent, so
+    null can't be read either.
+    """
+    if body is None:
+        return Row(key, version)
+    value = decode_json(body)
+    if value is None:
+        value = Unreadable("the value is null")
+    return Row(key, version, value)
+
+
 class Committed(NamedTuple):
     """The transaction was applied; ``rows`` holds the written rows."""
 
@@ -56,6 +75,14 @@
     applied: bool | None = None
 
 
+def sort_rows(
+    conditions: Sequence[Condition], rows: Sequence[Row]
+) -> tuple[Row, ...]:
+    """Return one row per condition, in their order."""
+    found = {row.key: row for row in rows}
+    return tuple(found.get(each.key, Row(each.key, 0)) for each in conditions)
+
+
 class Store(Protocol):
     """Transactional key-value store; failures are returned, not raised."""
 
--- a/lagoonpost/store/table.py
+++ b/lagoonpost/store/table.py
@@ -15,6 +15,8 @@
     Unavailable,
     Write,
 )
+from lagoonpost.tables.decoding import UNREADABLE
+from lagoonpost.unreadable import log_unreadable
 
 STORE_TIMEOUT_SECONDS = 2.0
 
@@ -119,7 +121,8 @@
 def _decode_rows(response: Response) -> tuple[Row, ...] | Unavailable:
     try:
         decoded = msgspec.json.decode(response.body, type=RowsObject)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
+        log_unreadable("store", "answer", error)
         return Unavailable(f"unreadable reply: {error}")
     return tuple(
         Row(row["key"], row["version"], row["value"])
--- a/lagoonpost/store/ticket.py
+++ b/lagoonpost/store/ticket.py
@@ -117,7 +117,7 @@
         if isinstance(rows, Unavailable):
             return rows
         records = map(parse_ticket_row, rows)
-        return [record for record in records if record is not None]
+        return [each for each in records if isinstance(each, TicketRecord)]
 
     async def _settle(self, ticket: Ticket, operator: str) -> TicketOutcome:
         digest = compute_digest(ticket)
--- a/lagoonpost/store/watch.py
+++ b/lagoonpost/store/watch.py
@@ -8,6 +8,7 @@
 
 from lagoonpost.declarations.state import build_declaration, merge_objects
 from lagoonpost.store.declaration import (
+    ConsistentRead,
     Head,
     ReadConflict,
     read_declaration,
@@ -164,9 +165,8 @@
         missing = head.revision - self._snapshot.revision
         if missing <= len(head.recent):
             found = await read_tickets(self._store, head.recent[:missing])
-            if isinstance(found, Unavailable):
-                return False
-            for record in found:
+            # Without one of the tickets, all objects are read instead.
+            for record in () if isinstance(found, Unavailable) else found:
                 if record is not None:
                     self._pending[record.revision] = record
             self._apply_pending("store")
@@ -174,9 +174,17 @@
             reading = await read_declaration(self._store)
             if isinstance(reading, ReadConflict | Unavailable):
                 return False
-            self._accept_snapshot(reading.snapshot, "store")
+            snapshot = self._keep_unreadable(reading)
+            self._accept_snapshot(snapshot, "store")
         return True
 
+    def _keep_unreadable(self, reading: ConsistentRead) -> Snapshot:
+        """Return the snapshot with the known state of unreadable objects."""
+        known = self._snapshot.objects
+        kept = {key: known[key] for key in reading.unreadable if key in known}
+        objects = {**reading.snapshot.objects, **kept}
+        return reading.snapshot._replace(objects=objects)
+
     async def _poll_peers(self) -> None:
         try:
             async with asyncio.timeout(PEER_TIMEOUT_SECONDS):
--- a/lagoonpost/systems/budget.py
+++ b/lagoonpost/systems/budget.py
@@ -18,6 +18,7 @@
 no agreement on who makes them.
 """
 
+import math
 from collections import deque
 from collections.abc import Iterable
 
@@ -185,6 +186,18 @@
         """Replace the known reservations by those in the store."""
         self._reservations = list(reservations)
 
+    def assume_reserved(self, store_now: float) -> None:
+        """Count all that can be reserved as reserved now.
+
+        For a record that can't be read: whatever it holds was reserved before,
+        so it leaves the window sooner.
+
+        Args:
+            store_now: Time in seconds by the store's clock.
+        """
+        units = math.ceil(self._reservable)
+        self._reservations = [Reservation(store_now, units)]
+
     def hold(self, units: int, called_at: float) -> None:
         """Keep retries that are reserved until they are granted.
 
--- a/lagoonpost/systems/gossip.py
+++ b/lagoonpost/systems/gossip.py
@@ -275,7 +275,8 @@
     def _answer(self, packet: Packet, now: float) -> Reply:
         view = self.view
         wanted: tuple[int, ...] = ()
-        if packet.buckets:
+        # A build with another number of buckets can't be compared with.
+        if len(packet.buckets) == len(view.buckets()):
             pairs = zip(view.buckets(), packet.buckets, strict=True)
             wanted = tuple(
                 number
--- a/lagoonpost/systems/lease.py
+++ b/lagoonpost/systems/lease.py
@@ -18,6 +18,9 @@
 from lagoonpost.tables.lease import LeaseRow
 from lagoonpost.tables.stamp import make_stamp
 
+UNKNOWN_HOLDER = "?"
+"""Holder that an unreadable row is taken to name; no host has this name."""
+
 
 class LeasePolicy(NamedTuple):
     """Lease timing, in seconds.
@@ -203,6 +206,28 @@
     return waited and may_work(lease, now + lease.policy.order)
 
 
+def assume_unknown_holder(lease: Lease, version: int) -> LeaseRow:
+    """Return what the row is taken for if it can't be read.
+
+    Anyone may hold the lease, so it is free only after it has not been renewed
+    for a whole lease. Work of this host may have come before that holder's.
+    No fencing number up to the row's version is used again. Larger ones have
+    not been issued: a number grows by one with each acquisition, and an
+    acquisition is a write, which raises the row's version by one or more.
+
+    Args:
+        lease: The last known lease state.
+        version: Version of the row.
+    """
+    return LeaseRow(
+        holder=UNKNOWN_HOLDER,
+        nonce="",
+        fence=max(version, get_fence(lease)),
+        duration=lease.policy.duration,
+        before=(lease.holder,),
+    )
+
+
 def classify_gain(before: Lease) -> GainReason:
     """Return why a lease that was just acquired had been free.
 
--- a/lagoonpost/systems/ledger.py
+++ b/lagoonpost/systems/ledger.py
@@ -30,7 +30,11 @@
     Stored,
     Unknown,
 )
-from lagoonpost.tables.ledger import LedgerEntry, RecordedAnswer
+from lagoonpost.tables.ledger import (
+    ANY_DIGEST,
+    LedgerEntry,
+    RecordedAnswer,
+)
 
 MAX_CLAIM_WRITES = 3
 RETRY_BASE_SECONDS = 0.1
@@ -188,7 +192,7 @@
 
 
 def _make_key_outcome(attempt: Attempt, entry: LedgerEntry) -> Outcome:
-    if entry.digest != attempt.claim.digest:
+    if entry.digest not in (attempt.claim.digest, ANY_DIGEST):
         return Mismatch()
     return Earlier(entry)
 
--- a/lagoonpost/tables/crash.py
+++ b/lagoonpost/tables/crash.py
@@ -1,10 +1,11 @@
 """Evidence on what crashes runners, and the verdicts that follow from it."""
 
-from typing import Any, NamedTuple
+from typing import Annotated, NamedTuple
 
-import msgspec
+from msgspec import Meta
 
-from lagoonpost.tables.decoding import UNREADABLE
+MAX_VERDICTS = 100
+"""Most verdicts on one cause that count; each lasts longer than the last."""
 
 
 class Crash(NamedTuple):
@@ -63,12 +64,4 @@
     cause: str
     since: float
     met: float
-    number: int = 1
-
-
-def decode_verdict(value: Any) -> Verdict | None:
-    """Return the verdict in a row of the store; None if it is unreadable."""
-    try:
-        return msgspec.convert(value, Verdict)
-    except UNREADABLE:
-        return None
+    number: Annotated[int, Meta(ge=1, le=MAX_VERDICTS)] = 1
--- a/lagoonpost/tables/fact.py
+++ b/lagoonpost/tables/fact.py
@@ -31,7 +31,8 @@
     in the key and rank 1.
 
     Attributes:
-        kind: Subject of the fact.
+        kind: Subject of the fact. A kind that only newer builds know is kept
+            for other gateways.
         key: Key within the kind, such as a runner's name.
         rank: Version of the fact. For a copy of a store row it is the row's
             stamp.
@@ -41,7 +42,7 @@
             earlier.
     """
 
-    kind: FactKind
+    kind: str
     key: str
     rank: int
     body: bytes = b""
--- a/lagoonpost/tables/lease.py
+++ b/lagoonpost/tables/lease.py
@@ -1,6 +1,13 @@
 """Stored rows of leases on shards of the controllers' work."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
+
+MAX_FENCE = 1 << 62
+"""Largest fencing number; the next one still fits 64 bits."""
+MAX_LEASE_SECONDS = 3600.0
+"""Longest lease: a contender would wait for ever for a longer one."""
 
 
 class LeaseRow(NamedTuple):
@@ -20,6 +27,6 @@
 
     holder: str
     nonce: str
-    fence: int
-    duration: float
+    fence: Annotated[int, Meta(ge=0, le=MAX_FENCE)]
+    duration: Annotated[float, Meta(ge=0, le=MAX_LEASE_SECONDS)]
     before: tuple[str, ...] = ()
--- a/lagoonpost/tables/ledger.py
+++ b/lagoonpost/tables/ledger.py
@@ -5,6 +5,8 @@
 Headers = tuple[tuple[str, str], ...]
 
 EntryState = Literal["claimed", "void", "recorded", "lost"]
+ANY_DIGEST = ""
+"""Digest of an entry whose request isn't known."""
 
 
 class RecordedAnswer(NamedTuple):
--- a/lagoonpost/tables/retry.py
+++ b/lagoonpost/tables/retry.py
@@ -1,6 +1,11 @@
 """Retries: messages between gateways, records in the store, decisions."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
+
+MAX_UNITS = 1_000_000
+"""Most retries of one reservation: far more than any floor."""
 
 
 class RetryRequest(NamedTuple):
@@ -38,7 +43,7 @@
     """
 
     at: float
-    units: int
+    units: Annotated[int, Meta(ge=0, le=MAX_UNITS)]
 
 
 class BudgetState(NamedTuple):
--- a/test/test_bursts.py
+++ b/test/test_bursts.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
 from memory_store import MemoryStore
 from played_loop import play_time
 
@@ -15,7 +16,9 @@
 from lagoonpost.systems.quota import Quotas
 from lagoonpost.systems.quota_limit import compute_burst
 from lagoonpost.tables.configuration import Workspace
+from lagoonpost.tables.decoding import Unreadable
 from lagoonpost.tables.quota import QuotaBounds
+from lagoonpost.unreadable import read_row
 
 BOUNDS = QuotaBounds(window=8.0, overage=0.1, slack=140_000)
 HOT = Workspace("hot", ("k",), rate=90_000, burst=90_000, by_tokens=True)
@@ -193,10 +196,50 @@
 
         asyncio.run(scenario())
 
-    def test_an_unreadable_record_is_passed_over(self):
+    @pytest.mark.parametrize("key", ["burst/hot", "burst/hot/cut"])
+    @pytest.mark.parametrize(
+        "value",
+        [
+            Unreadable("malformed"),
+            {"at": "x"},
+            ["hot", 1.0, [[1.0, -1e9]]],
+            ["hot", 10**400, []],
+        ],
+    )
+    def test_an_unreadable_record_stands_for_the_whole_limit(self, key, value):
+        """Guards against a quota admitted again by a record that is spoilt.
+
+        The record may have held any use. Another gateway's next one replaces
+        it.
+        """
+
+        async def scenario() -> None:
+            store = ClockedMemoryStore()
+            before = Gateway(store)
+            admitted = before.use(1e9)
+            store._write(SimpleNamespace(key=key, value=value))
+            gateway = Gateway(store, started=read_clock())
+            await gateway.run()
+            admitted += gateway.use(UNITS)
+            assert admitted > before.use(1e9)
+            admitted += gateway.use(1e9)
+            quota = HOT.rate * BOUNDS.window + HOT.burst
+            assert admitted <= quota * (1 + BOUNDS.overage) + BOUNDS.slack
+            recorder = before.recorder
+            recorder._note_versions([store.rows[key]])
+            recorder._pending.add("hot")
+            await recorder._record()
+            assert read_row(key, store.rows["burst/hot"].value, list)
+
+        asyncio.run(scenario())
+
+    def test_an_unreadable_record_of_another_touches_no_quota(self):
+        """Guards against workspaces that are refused for another's record."""
+
         async def scenario() -> None:
             store = ClockedMemoryStore()
-            store._write(SimpleNamespace(key="burst/hot", value={"at": "x"}))
+            value = Unreadable("malformed")
+            store._write(SimpleNamespace(key="burst/cold", value=value))
             gateway = Gateway(store, started=read_clock())
             await gateway.run()
             assert gateway.use(UNITS) == UNITS
--- a/test/test_retry_budgets.py
+++ b/test/test_retry_budgets.py
@@ -19,6 +19,7 @@
 from lagoonpost.forwarding.retry_budgets import RetryBudgets
 from lagoonpost.store.store import Row
 from lagoonpost.tables.bounds import Bounds
+from lagoonpost.tables.decoding import Unreadable
 
 RATES = {3: 30, 9: 30, 82: 90, 195: 120}
 """Requests a second by the number of gateways."""
@@ -244,16 +245,29 @@
 
         assert play_time(play()) == (0, 0)
 
-    def test_an_unreadable_row_grants_nothing(self):
-        """Guards against a floor that is renewed as its record is spoilt."""
+    @pytest.mark.parametrize(
+        "value",
+        [
+            Unreadable("malformed"),
+            {"other": "writer"},
+            [[1000.0, -5]],
+            [[1e300, 1]],
+            [[1000.0, 10**400]],
+        ],
+    )
+    def test_an_unreadable_row_grants_nothing_for_a_window(self, value):
+        """Guards against a floor that is renewed, or lost, with its record."""
 
-        async def play() -> int:
+        async def play() -> tuple[int, int]:
             store = _ClockedStore()
             key = f"retries/{SERVICE}"
-            store.rows[key] = Row(key, 3, {"other": "writer"})
-            return await count_granted(make_budgets(store), 5)
+            store.rows[key] = Row(key, 3, value)
+            budgets = make_budgets(store)
+            soon = await count_granted(budgets, 5)
+            await asyncio.sleep(12.0)
+            return soon, await count_granted(budgets, 20)
 
-        assert play_time(play()) == 0
+        assert play_time(play()) == (0, 14)
 
     def test_a_restored_store_grants_nothing_for_a_window(self):
         """Guards against a floor that is renewed by an older copy."""
