Read the records of retries again when the settings change

Cause: RetryBudgets.set_bounds makes new budgets, which know no reservations, while RetryRecorder kept the version of the row that it had read. Its next reservation replaced those of all gateways.

The recorder now reads the row again.

--- a/lagoonpost/forwarding/retry_budgets.py
+++ b/lagoonpost/forwarding/retry_budgets.py
@@ -105,6 +105,7 @@
         """Apply new bounds; credits that were earned are lost."""
         self._bounds = bounds
         self._services.clear()
+        self._recorder.forget()
 
     def handle_new_era(self) -> None:
         """Reserve nothing while lost reservations may still count."""
--- a/lagoonpost/forwarding/retry_recorder.py
+++ b/lagoonpost/forwarding/retry_recorder.py
@@ -73,6 +73,10 @@
     def close_until(self, until: float) -> None:
         """Reserve nothing before a time, as the store has lost some rows."""
         self._closed_until = until
+        self.forget()
+
+    def forget(self) -> None:
+        """Read all records again, as the budgets have lost what they hold."""
         self._records.clear()
 
     def may_reserve(self, service: str) -> bool:
--- a/test/test_retry_budgets.py
+++ b/test/test_retry_budgets.py
@@ -269,6 +269,17 @@
 
         assert play_time(play()) == (0, 14)
 
+    def test_changed_settings_grant_no_floor_again(self):
+        """Guards against reservations that are forgotten with old bounds."""
+
+        async def play() -> tuple[int, int]:
+            budgets = make_budgets(_ClockedStore())
+            before = await count_granted(budgets, 10)
+            budgets.set_bounds(Bounds(budget_ratio=0.0, budget_floor=16.0))
+            return before, await count_granted(budgets, 20)
+
+        assert play_time(play()) == (10, 4)
+
     def test_a_restored_store_grants_nothing_for_a_window(self):
         """Guards against a floor that is renewed by an older copy."""
 
