Resume a caller's draft after an event that can't be read

What callers of the library saw: one event of odd content ended their draft with an error of the decoder, though it could be resumed; an entry list with one odd address ended every call.

An event that can't be read counts as a break of its stream now, and such a list as no answer. The tests were red before.

--- a/lagoonpost/caller/client.py
+++ b/lagoonpost/caller/client.py
@@ -100,6 +100,10 @@
     ttl: float
 
 
+class _Moved(msgspec.Struct):
+    entry: str
+
+
 class _Problem(msgspec.Struct):
     status: int = 502
     execution: str = "unknown"
@@ -145,13 +149,14 @@
                     timeout=ENTRIES_TIMEOUT_SECONDS,
                 )
                 entry_list = msgspec.json.decode(response.body, type=_Entries)
-            except (CallFailedError, *UNREADABLE):
-                continue
-            if entry_list.entries:
-                self._entries = [
+                entries = [
                     parse_address(entry.address)
                     for entry in entry_list.entries
                 ]
+            except (CallFailedError, *UNREADABLE):
+                continue
+            if entries:
+                self._entries = entries
                 self._entries_expire_at = now + entry_list.ttl
                 return self._entries
         return self._seed_entries
@@ -328,9 +333,20 @@
 
     def handle_event(
         self, event: ServerEvent
+    ) -> Token | Finished | Problem | Address | None:
+        try:
+            return self._read_event(event)
+        except (*UNREADABLE, LookupError, TypeError) as error:
+            # The draft is resumed, as after any other break.
+            detail = f"event {event.id!r} can't be read: {error!r}"
+            raise CallFailedError(detail, sent=True) from error
+
+    def _read_event(
+        self, event: ServerEvent
     ) -> Token | Finished | Problem | Address | None:
         if event.kind == "moved":
-            return parse_address(msgspec.json.decode(event.data)["entry"])
+            moved = msgspec.json.decode(event.data, type=_Moved)
+            return parse_address(moved.entry)
         if event.kind == "error":
             return _read_problem(event.data)
         if event.data == b"[DONE]":
--- a/test/test_unreadable_messages.py
+++ b/test/test_unreadable_messages.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 from test_node import make_peers
 
+from lagoonpost.caller.client import Caller, _Draft
 from lagoonpost.forwarding.news_fact import read_news
 from lagoonpost.forwarding.peer_sync import PeerSync
 from lagoonpost.forwarding.usage_gossip import UsageGossip
@@ -21,6 +22,8 @@
 from lagoonpost.gateway.prompt import InvalidCall, read_chat_call
 from lagoonpost.gateway.quarantine import QuarantineTracker
 from lagoonpost.gateway.tickets import TicketHandlers
+from lagoonpost.http.client import CallFailedError
+from lagoonpost.http.events import ServerEvent
 from lagoonpost.http.message import Address, Response
 from lagoonpost.peers.codec import MessagePackCodec
 from lagoonpost.peers.message import (
@@ -277,6 +280,42 @@
         assert isinstance(asyncio.run(store.read(["k"])), Unavailable)
 
 
+class TestCallerLibrary:
+    @pytest.mark.parametrize("kind", ["message", "moved"])
+    @pytest.mark.parametrize(
+        "data",
+        (
+            *BODIES,
+            b"[]",
+            b'{"choices": []}',
+            b'{"entry": ""}',
+            b'{"entry": 1}',
+        ),
+    )
+    def test_an_event_that_cannot_be_read_breaks_the_stream(self, kind, data):
+        """Guards against a draft that is not resumed for one event."""
+        event = ServerEvent("7", kind, data)
+        with pytest.raises(CallFailedError):
+            _Draft({}).handle_event(event)
+
+    def test_entries_that_cannot_be_read_are_asked_for_elsewhere(self):
+        """Guards against a caller that ends for one gateway's list."""
+
+        async def play() -> list[Address]:
+            caller = Caller([ADDRESS, ADDRESS], "key")
+            entry = {"name": "a", "region": "r", "failure_domain": "d"}
+            bad, good = (
+                msgspec.json.encode(
+                    {"entries": [entry | {"address": text}], "ttl": 1.0}
+                )
+                for text in ("host:1", "127.0.0.1:80")
+            )
+            caller._client = answer_with(bad, good)
+            return await caller.list_entries()
+
+        assert asyncio.run(play()) == [Address("127.0.0.1", 80)]
+
+
 class TestCallers:
     @pytest.mark.parametrize("body", BODIES)
     def test_a_body_that_cannot_be_read_is_refused(self, body: bytes):
