--- a/lagoonpost/forwarding/crash_recorder.py
+++ b/lagoonpost/forwarding/crash_recorder.py
@@ -77,7 +77,7 @@
             has_records: Whether the store may have records of an earlier run.
         """
         if has_records:
-            await self._read_first()
+            await self._read()
         while True:
             await self._wait_for_change()
             share = self._find_reachable_share()
@@ -95,7 +95,7 @@
         self._rows.clear()
         self._wake.set()
 
-    async def _read_first(self) -> None:
+    async def _read(self) -> None:
         pause = WRITE_PAUSE_SECONDS
         while not await self._read_once():
             await asyncio.sleep(pause)
@@ -121,10 +121,10 @@
             if self._rows.get(row.key) == row:
                 continue
             self._rows[row.key] = row
-            for record in self._read(row):
+            for record in self._list_records(row):
                 self._watch.merge(record)
 
-    def _read(self, row: Row) -> Sequence[Crash | Verdict]:
+    def _list_records(self, row: Row) -> Sequence[Crash | Verdict]:
         """Return the records in a row; none if it is deleted."""
         if not row.version or row.value is None:
             return ()
