Let a test of slow versions wait until the version is known

The test waited for the order only. With the entries told a second after it, all 80 requests go out before any runner is known as one of the new version, and the counts stay at new=0, each time.

The test now waits for the entries first; what it asks is the same. The product does right: a runner whose version isn't known gets no trial.

--- a/test/test_shift.py
+++ b/test/test_shift.py
@@ -179,6 +179,14 @@
             for id_ in NEW:
                 stack.runners[id_].fault = "hang"
                 await stack.register(id_, version="v2")
+            # Entries and orders are followed apart; a version that is not
+            # known yet gets requests as the old one does.
+            entries = stack.gateways[0].view.entries
+            await wait_until(
+                lambda: all(
+                    entries[id_].endpoint.version == "v2" for id_ in NEW
+                )
+            )
             order = {"service": "desk", "to": "v2", "duration_s": 30}
             await stack.store.put("op", "rollout/desk", order)
             shifts = stack.gateways[0]._shifts
