Test rows and facts of moves, and statuses, that can't be read

Three had none: rows of moves, facts about moves, and the status of an order. The product handled them already.

--- a/test/test_unreadable_messages.py
+++ b/test/test_unreadable_messages.py
@@ -18,6 +18,7 @@
 from lagoonpost.forwarding.peer_sync import PeerSync
 from lagoonpost.forwarding.usage_gossip import UsageGossip
 from lagoonpost.forwarding.version_shifts import VersionShifts
+from lagoonpost.gateway.moves import VersionMoves
 from lagoonpost.gateway.peering import Peering
 from lagoonpost.gateway.prompt import InvalidCall, read_chat_call
 from lagoonpost.gateway.quarantine import QuarantineTracker
@@ -340,6 +341,18 @@
         tracker.handle_fact(Fact("crash_seen", key, 1, body))
         tracker.handle_fact(Fact("poison_verdict", key, 1, body))
 
+    @pytest.mark.parametrize("body", BODIES)
+    def test_facts_of_moves_that_cannot_be_read_are_dropped(self, body):
+        """Guards against a move that no gateway goes on with."""
+        gateway: Any = SimpleNamespace(
+            _rollouts={}, _pending_rows={}, _pending_reports={}
+        )
+        VersionMoves._handle_row(gateway, Fact("move_begun", "s/1", 1, body))
+        evidence = Fact("move_evidence", "s/1/2/gateway-1", 1, body)
+        VersionMoves._handle_report(gateway, evidence)
+        assert not gateway._pending_rows
+        assert not gateway._pending_reports
+
     @pytest.mark.parametrize("body", BODIES)
     def test_a_hand_over_that_cannot_be_read_is_refused(self, body: bytes):
         """Guards against a request accepted that nobody can go on with."""
--- a/test/test_unreadable_rows.py
+++ b/test/test_unreadable_rows.py
@@ -25,8 +25,10 @@
 from lagoonpost.forwarding.duties import USAGE_PREFIX
 from lagoonpost.forwarding.peer_key import KEY_ROW, PeerKey
 from lagoonpost.forwarding.peer_sync import _read_seeds
+from lagoonpost.forwarding.version_shifts import VersionShifts
+from lagoonpost.gateway.moves import STORE_PREFIX, VersionMoves
 from lagoonpost.http.message import Address, Response
-from lagoonpost.platform.store import OWN_TABLE, PlatformStore
+from lagoonpost.platform.store import OWN_TABLE, FeedRow, PlatformStore
 from lagoonpost.store.clock import read_clock
 from lagoonpost.store.declaration import (
     OBJECT_PREFIX,
@@ -35,7 +37,14 @@
 )
 from lagoonpost.store.lease import LEASE_PREFIX, LeaseManager
 from lagoonpost.store.ledger import LEDGER_PREFIX, Ledger, delete_expired
-from lagoonpost.store.store import Condition, Conflict, Row, Unavailable, Write
+from lagoonpost.store.store import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    Unavailable,
+    Write,
+)
 from lagoonpost.store.ticket import TicketStore
 from lagoonpost.systems.booking import Earlier
 from lagoonpost.systems.lease import (
@@ -51,8 +60,10 @@
     get_fence,
     is_held,
 )
+from lagoonpost.systems.shift import ExposureBounds
 from lagoonpost.tables.crash import Crash, Verdict
 from lagoonpost.tables.decoding import Unreadable
+from lagoonpost.tables.entity import VersionMove
 from lagoonpost.tables.lease import MAX_FENCE, LeaseRow
 
 LEASE_KEY = f"{LEASE_PREFIX}duties"
@@ -455,6 +466,58 @@
         assert [each.number for each in listed] == [2]
 
 
+class TestMoves:
+    @pytest.mark.parametrize("value", ODD_VALUES)
+    def test_a_move_of_an_unknown_outcome_was_taken_back(self, value: Any):
+        """Guards against more requests to a version that was found bad."""
+        store = MemoryStore()
+        put_row(store, f"{STORE_PREFIX}desk/1", value, 4)
+        move = VersionMove("desk", "v1", "v2", 9.0, 1)
+        gateway: Any = SimpleNamespace(_store=store)
+        read = VersionMoves._read_row(gateway, "desk/1", move, 1.0)
+        row = asyncio.run(read)
+        assert row is not None
+        assert row.outcome == "taken_back"
+        assert "desk/1" in row.reason
+
+
+class TestStatus:
+    @pytest.mark.parametrize("body", [b"{", b"null", b"[]", b'{"a":' * 5_000])
+    def test_a_status_that_cannot_be_read_is_logged_and_replaced(
+        self, body: bytes, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against an order whose end operators are never told of."""
+        written: list[tuple[int, dict[str, str]]] = []
+        dropped: list[str] = []
+        monkeypatch.setattr(
+            "lagoonpost.forwarding.version_shifts.log_unreadable",
+            lambda source, key, reason: dropped.append(key),
+        )
+
+        async def read_status(key: str) -> FeedRow:
+            return FeedRow(key, 3, body)
+
+        async def write_status(key: str, version: int, value: Any):
+            written.append((version, value))
+            return Committed(())
+
+        store: Any = SimpleNamespace(
+            read_status=read_status, write_status=write_status
+        )
+        shifts = VersionShifts(
+            ExposureBounds(share=0.1, slack=5),
+            Random(1),
+            lambda fact: None,
+            lambda: 1.8e9,
+        )
+        order = {"service": "desk", "to": "v2", "duration_s": 30}
+        key = "rollout/desk"
+        shifts.handle_row(FeedRow(key, 1, msgspec.json.encode(order)))
+        asyncio.run(shifts.advance([], store))
+        assert written == [(3, {"state": "active", "to": "v2"})]
+        assert dropped == [key]
+
+
 class TestGateways:
     """Rows of every kind, written over beside real gateways."""
 
