--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,11 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 	$(BIN)/lint-imports
-	$(BIN)/python -m pytest --numprocesses $(JOBS) --dist worksteal
+	$(BIN)/python -m pytest --numprocesses $(JOBS) --dist worksteal \
+		-m "not crowd"
 	ls features/*.feature | xargs -P $(JOBS) -n 1 \
 		$(BIN)/behave --format progress3 --no-capture
+	$(BIN)/python -m pytest -m crowd
 
 # Fifty seeds of the soak, some minutes; `python -m soak --help` has the rest.
 soak: install
--- a/bench/system.py
+++ b/bench/system.py
@@ -185,6 +185,7 @@
         engine_options: Additional arguments of the engine stand-ins.
         slots: Declared number of concurrent requests of each runner.
         controllers: Number of controllers.
+        environment: Further environment variables of the gateways.
     """
 
     def __init__(
@@ -195,8 +196,10 @@
         engine_options: tuple[str, ...] = (),
         slots: int = 8,
         controllers: int = 0,
+        environment: dict[str, str] | None = None,
     ) -> None:
         self._slots = slots
+        self._environment = environment
         self._folder = tempfile.TemporaryDirectory(prefix="lagoonpost-")
         self.processes: dict[str, Process] = {}
         self.addresses: dict[str, Address] = {}
@@ -283,7 +286,7 @@
         for other in self.gateways[:3]:
             if other != name:
                 arguments += ["--seed-peer", str(self._peers[other])]
-        self._add_process(name, arguments)
+        self._add_process(name, arguments, self._environment)
 
     def _add_controller(self, name: str, domain: str) -> None:
         arguments = ["lagoonpost", "controller", "--name", name]
@@ -293,9 +296,14 @@
             arguments += ["--seed-peer", str(seed)]
         self._add_process(name, arguments)
 
-    def _add_process(self, name: str, arguments: list[str]) -> None:
+    def _add_process(
+        self,
+        name: str,
+        arguments: list[str],
+        environment: dict[str, str] | None = None,
+    ) -> None:
         log = Path(self._folder.name) / f"{name}.log"
-        self.processes[name] = Process(name, arguments, log)
+        self.processes[name] = Process(name, arguments, log, environment)
 
     def _apply_ticket(self) -> None:
         path = self.write_file("1.yaml", self.write_ticket(1))
--- a/lagoonpost_standins/deployment.py
+++ b/lagoonpost_standins/deployment.py
@@ -89,6 +89,7 @@
     seeds: Sequence[Address] = (),
     bounds: Mapping[str, Any] | None = None,
     duties: Sequence[str] = (),
+    limits: Mapping[str, Any] | None = None,
 ) -> str:
     """Return the text of a gateway's settings file.
 
@@ -100,8 +101,10 @@
         seeds: Peers with which it starts to gossip.
         bounds: Settings of the ``[bounds]`` section.
         duties: Duties for which it competes.
+        limits: Settings of the ``[limits]`` section.
     """
     bound_lines = "\n".join(f"{k} = {v}" for k, v in (bounds or {}).items())
+    limit_lines = "\n".join(f"{k} = {v}" for k, v in (limits or {}).items())
     duty_words = ", ".join(f'"{duty}"' for duty in duties)
     seed_words = ", ".join(f'"{seed}"' for seed in seeds)
     return f"""
@@ -122,6 +125,8 @@
 directory = "{addresses.directory}"
 [bounds]
 {bound_lines}
+[limits]
+{limit_lines}
 [platform]
 address = "{store}"
 [cloud]
