Send a large body in pieces as the server reads it

Callers saw nothing of it, but a gateway held each body that it sent on twice more: joined with the head, and in the connection's buffer until the runner had read it.

Cause: the request was written in one piece, which asyncio copies.

Change: a body above 64 KiB is written by a task of its own, a piece whenever the runner has taken the one before. A connection whose response came before the body was sent is aborted and not used again. Smaller requests are written as before.

Evidence: TestLargeBodies failed before with 8 MiB in the buffer of a connection whose server doesn't read; at most 256 KiB are allowed.

--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextlib import suppress
 from types import TracebackType
 from typing import Any, NamedTuple
 
@@ -26,8 +27,13 @@
 from lagoonpost.http.running_time import limit_running_time
 
 READ_BYTES = 65536
+PIECE_BYTES = 64 * 1024
+"""Bytes of a request's body that are copied to a connection's buffer at
+once."""
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_TIMEOUT_SECONDS = 5.0
+SENDING_BYTES = 2 * PIECE_BYTES
+"""Most bytes of a request's body in the buffer of a connection."""
 MAX_IDLE_PER_ADDRESS = 32
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_BUFFERED_BYTES = 2 * MAX_BODY_BYTES
@@ -142,8 +148,10 @@
         socket: Socket,
         connection: h11.Connection,
         reusable: bool = True,
+        sending: "asyncio.Task[None] | None" = None,
     ) -> None:
         self._reusable = reusable
+        self._sending = sending
         self._client = client
         self._address = address
         self._socket = socket
@@ -266,6 +274,10 @@
         """Return a reusable connection to the pool and abort any other."""
         self._client.budget.resize(self._held, 0)
         self._held = 0
+        if self._sending is not None and not self._sending.done():
+            self._sending.cancel()
+            self._socket.writer.transport.abort()
+            return
         # A connection with an unfinished response is never reused: the rest
         # of that response would be read as the response to another request.
         # Nor is one with bytes after the response, for the same reason.
@@ -487,10 +499,16 @@
             ),
         )
         data = connection.send(head) or b""
-        data += connection.send(h11.Data(data=body)) or b""
-        data += connection.send(h11.EndOfMessage()) or b""
+        # The body is passed on without copies, which would take as much
+        # memory again until the server has read them.
+        connection.send_with_data_passthrough(h11.Data(data=body))
+        connection.send(h11.EndOfMessage())
+        if len(body) <= PIECE_BYTES:
+            socket.writer.write(data + body)
+            return Stream(self, address, socket, connection, reusable)
         socket.writer.write(data)
-        return Stream(self, address, socket, connection, reusable)
+        sending = asyncio.create_task(_send_pieces(socket.writer, body))
+        return Stream(self, address, socket, connection, reusable, sending)
 
     async def connect(self, address: Address, seconds: float) -> Socket:
         """Open a connection.
@@ -564,6 +582,17 @@
             socket.reader.on_unasked = socket.writer.transport.abort
 
 
+async def _send_pieces(writer: asyncio.StreamWriter, body: bytes) -> None:
+    """Send a large body as fast as the server reads it.
+
+    A server that ends the connection shows that in the response.
+    """
+    with memoryview(body) as view, suppress(OSError):
+        for start in range(0, len(body), PIECE_BYTES):
+            writer.write(bytes(view[start : start + PIECE_BYTES]))
+            await writer.drain()
+
+
 def _expect_bytes(socket: Socket) -> None:
     if isinstance(socket.reader, _ConnectionReader):
         socket.reader.on_unasked = None
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -1,12 +1,13 @@
 """Tests of lagoonpost.http."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from contextlib import suppress
 
 import pytest
 
-from lagoonpost.http.client import CallFailedError, Client
+from lagoonpost.http.client import PIECE_BYTES, CallFailedError, Client
 from lagoonpost.http.message import (
     Address,
     Request,
@@ -240,6 +241,55 @@
         assert asyncio.run(scenario()) == b""
 
 
+class TestLargeBodies:
+    """Requests whose body is larger than a connection takes at once."""
+
+    BODY = b"a" * (8 * 1024 * 1024)
+
+    def test_are_not_copied_for_a_server_that_does_not_read(self):
+        """Guards against holding each body once more while it is sent."""
+
+        async def scenario() -> int:
+            server = socket.create_server(LOOPBACK)
+            client = Client()
+            stream = await client.open(
+                Address(*server.getsockname()), "POST", "/", self.BODY
+            )
+            await asyncio.sleep(0.2)
+            transport = stream._socket.writer.transport
+            size = transport.get_write_buffer_size()
+            stream.close()
+            server.close()
+            return size
+
+        assert asyncio.run(scenario()) <= 4 * PIECE_BYTES
+
+    def test_an_answer_may_come_before_they_are_read(self):
+        """Guards against a connection that is used again within a body."""
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(EMPTY_RESPONSE)
+            with suppress(ConnectionError):
+                await writer.drain()
+
+        async def scenario() -> tuple[int, int]:
+            server = await asyncio.start_server(answer, *LOOPBACK, limit=1000)
+            address = Address(*server.sockets[0].getsockname()[:2])
+            client = Client()
+            response = await client.call(
+                address, "POST", "/", self.BODY, timeout=20
+            )
+            idle = sum(map(len, client._idle.values()))
+            client.close()
+            server.close()
+            return response.status, idle
+
+        assert asyncio.run(scenario()) == (200, 0)
+
+
 _DISCONNECT: dict[str, Callable[[asyncio.StreamWriter], None]] = {
     "close": lambda writer: writer.close(),
     "reset": lambda writer: writer.transport.abort(),
