Bound what all callers together make a gateway hold

Callers saw a gateway end for lack of memory while many clients sent large bodies, stopped short of their end, sent ahead or didn't read; with enough silent connections it could not open any itself.

Cause: limits stood for each connection and none for all of them. The settings' memory and descriptors were not read, the last request stayed in a local name while its connection idled, kernel buffers grew to megabytes.

Change: one account (systems/holdings.py, http/account.py) of connections, unread bytes, bodies, copies that are sent on and answers that aren't taken, bounded by the settings' limits. Who makes no progress is closed first, ordinary callers last, and large contents leave room for small ones. What has no room is refused with 503 as not run; nothing was sent on then. Descriptors are kept for store, peers and runners. header_timeout_ms applies to heads. Directory, readiness and metrics take 4 KiB, the last two from an account of their own. Each part, its default and the ways weighed: docs/design/clients.md.

TestWhatIsHeld and test_a_head_that_takes_too_long fail without the change; test_holdings plays the decisions without a network.

Ruled out: refusing whoever comes last shuts out ordinary callers; reserving announced lengths lets a crowd take all room by announcing.

--- a/lagoonpost/cli/daemon.py
+++ b/lagoonpost/cli/daemon.py
@@ -42,6 +42,8 @@
     ),
     ("--grace", "grace", "Seconds for requests to finish at a planned stop."),
     ("--statsd", "statsd", "HOST:PORT that receives metrics."),
+    ("--memory-mb", "memory_mb", "Memory of the process in MB."),
+    ("--max-fds", "max_fds", "Descriptors of the process."),
     ("--seed", "seed", "Seed of the decisions, for repeatable runs."),
 )
 _REPEATED = frozenset({"seeds", "operator_digests"})
--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -40,10 +40,11 @@
     SettingsWatcher,
     watch_for_suspension,
 )
+from lagoonpost.http.account import ClientAccount, read_descriptor_limit
 from lagoonpost.http.client import Client
 from lagoonpost.http.message import Address
 from lagoonpost.http.responder import Limits
-from lagoonpost.http.server import Server
+from lagoonpost.http.server import Handler, Server
 from lagoonpost.http.tunnel import describe_keepalive
 from lagoonpost.peers.node import make_clock
 from lagoonpost.platform.cloud import CloudClient
@@ -51,6 +52,7 @@
 from lagoonpost.platform.store import PlatformStore
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.hub import READER_LONG_POLL_SECONDS
+from lagoonpost.systems.process_budget import divide
 from lagoonpost.systems.route import RouteTable
 from lagoonpost.systems.scheduling import SchedulingSetting, choose_parts
 from lagoonpost.systems.shift import ExposureBounds
@@ -63,9 +65,10 @@
 the gateways' addresses again after two seconds."""
 EXIT_RESERVE_SECONDS = 0.7
 """Part of the grace period that is reserved for the process to exit."""
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-"""Bytes kept of runners' unfinished answers, and as many of the store and
-the cloud: four times the largest answer, on hosts with 160 MB or more."""
+BODYLESS_LIMITS = Limits(
+    body=4096, head=16384, read_seconds=3.0, idle_seconds=15.0
+)
+"""Limits of the directory, readiness and metrics, which need no body."""
 MAINTENANCE_INTERVAL_SECONDS = 0.25
 """Pause between rounds of periodic housekeeping."""
 SHIFT_INTERVAL_SECONDS = 0.5
@@ -105,7 +108,10 @@
         settings = self._settings = self._settings_watcher.settings
         # Seeded, so that simulated days are reproducible.
         rng = random.Random(settings.name)
-        self._client = Client(max_buffered=MAX_BUFFERED_BYTES)
+        budget = divide(
+            settings.memory_mb, settings.max_fds or read_descriptor_limit()
+        )
+        self._client = Client(max_buffered=budget.answer_bytes)
         traffic = ControlTraffic()
         self._metrics = ForwardingMetrics(traffic, self._update_gauges)
         self.view = ClusterState(
@@ -121,7 +127,7 @@
         self._forwarder = Forwarder(
             self.view,
             # What runners send must not take room from the store's answers.
-            Client(max_buffered=MAX_BUFFERED_BYTES),
+            Client(max_buffered=budget.answer_bytes),
             usage,
             settings.bounds,
             rng,
@@ -210,8 +216,12 @@
             self._find_feed_timeout,
             self._shifts.handle_row,
         )
+        self._clients = ClientAccount(budget.clients)
         self._server = Server(
-            self._forwarder.handle, Limits(), cancel_on_disconnect=True
+            self._forwarder.handle,
+            Limits(),
+            cancel_on_disconnect=True,
+            account=self._clients,
         )
         self.view.on_configuration.append(self._apply_limits)
         directory = Directory(
@@ -220,15 +230,21 @@
             settings.bounds.ttl_most,
             rng,
         )
-        self._auxiliary_servers = [
-            (address, Server(directory.handle))
-            for address in (settings.ready, settings.directory)
-            if address is not None
+        # Callers reach the directory; the other two must answer whatever
+        # callers take.
+        auxiliary = ClientAccount(budget.auxiliary)
+        doors: list[tuple[Address | None, Handler, ClientAccount]] = [
+            (settings.ready, directory.handle, auxiliary),
+            (settings.directory, directory.handle, self._clients),
         ]
         if metrics_port:
             address = Address(settings.entry.host, metrics_port)
-            server = Server(self._metrics.handle)
-            self._auxiliary_servers.append((address, server))
+            doors.append((address, self._metrics.handle, auxiliary))
+        self._auxiliary_servers = [
+            (address, Server(handler, BODYLESS_LIMITS, account=account))
+            for address, handler, account in doors
+            if address is not None
+        ]
         self._duties = None
         if settings.cloud is not None:
             self._duties = LeaderDuties(
@@ -378,6 +394,7 @@
         self._server.limits = self._server.limits._replace(
             body=limits.body,
             head=limits.head,
+            head_seconds=limits.head_seconds,
             idle_seconds=limits.idle_seconds,
         )
 
@@ -505,6 +522,11 @@
         for table, age in self._follower.list_ages():
             metrics.store_age.labels(table).set(age)
         metrics.gateways.set(self._cluster.count_gateways())
+        clients = self._clients
+        metrics.client_bytes.set(clients.memory)
+        metrics.client_descriptors.set(clients.descriptors)
+        metrics.clients_bounded.labels("closed").set(clients.closed)
+        metrics.clients_bounded.labels("refused").set(clients.refused)
         is_leader = self._duties is not None and self._duties.is_held()
         metrics.duties_held.set(is_leader)
         metrics.set_slowness(self._speeds.list_exported())
--- a/lagoonpost/forwarding/metrics.py
+++ b/lagoonpost/forwarding/metrics.py
@@ -75,6 +75,9 @@
         store_age: Seconds since the store last answered, by table.
         duties_held: Whether this gateway performs the control duties.
         gateways: Number of gateways considered running, including this one.
+        client_bytes: Bytes that callers' connections hold.
+        client_descriptors: Descriptors of callers' connections.
+        clients_bounded: Connections closed for others, and what was refused.
     """
 
     def __init__(
@@ -147,6 +150,23 @@
             "Gateways that are held to run, this one included.",
             registry=registry,
         )
+        self.client_bytes = Gauge(
+            "lagoonpost_client_bytes",
+            "Bytes that the callers' connections make this process hold.",
+            registry=registry,
+        )
+        self.client_descriptors = Gauge(
+            "lagoonpost_client_descriptors",
+            "Descriptors of the callers' connections.",
+            registry=registry,
+        )
+        self.clients_bounded = Gauge(
+            "lagoonpost_clients_bounded",
+            "Connections closed, and connections and requests refused, "
+            "because callers held too much.",
+            ("action",),
+            registry=registry,
+        )
         self._slowness = Gauge(
             "lagoonpost_runner_slowness",
             "Time of a runner relative to its service's mean.",
--- a/lagoonpost/gateway/daemon.py
+++ b/lagoonpost/gateway/daemon.py
@@ -18,6 +18,7 @@
 from lagoonpost.gateway.shutdown import move_answers
 from lagoonpost.gateway.state import Gateway
 from lagoonpost.gateway.tickets import TicketHandlers
+from lagoonpost.http.account import ClientAccount
 from lagoonpost.http.message import Request
 from lagoonpost.http.responder import Responder
 from lagoonpost.http.server import Server
@@ -79,7 +80,9 @@
         )
         gateway.moves = self._moves
         self._peering.add_fact_handlers(self._moves.fact_handlers)
-        self._server = Server(self._handle)
+        self._server = Server(
+            self._handle, account=ClientAccount(gateway.budget.clients)
+        )
         self.address = settings.listen
         self.peer_address = settings.peer_listen
         self._facts_stale_since: float | None = None
--- a/lagoonpost/gateway/state.py
+++ b/lagoonpost/gateway/state.py
@@ -11,9 +11,11 @@
 from lagoonpost.gateway.dispatcher import Dispatcher
 from lagoonpost.gateway.metrics import Metrics
 from lagoonpost.gateway.tickets import TicketHandlers
+from lagoonpost.http.account import read_descriptor_limit
 from lagoonpost.http.client import Client
 from lagoonpost.runners.kv import KvMover
 from lagoonpost.settings import GatewaySettings
+from lagoonpost.systems.process_budget import divide
 from lagoonpost.tables.entity import (
     Declaration,
     Route,
@@ -68,7 +70,10 @@
         rng = Random(secrets.randbits(64) if seed is None else seed)
         self.rng = rng
         self.dispatcher = Dispatcher(settings.name, rng, self.metrics)
-        self.client = Client()
+        self.budget = divide(
+            settings.memory_mb, settings.max_fds or read_descriptor_limit()
+        )
+        self.client = Client(max_buffered=2 * self.budget.answer_bytes)
         self.declaration = Declaration()
         self.phase: Phase = "starting"
         self.signing_key = settings.signing_key.encode()
--- a/lagoonpost/http/listener.py
+++ b/lagoonpost/http/listener.py
@@ -14,6 +14,12 @@
 BACKLOG = 512
 """Connections that may wait to be accepted. It covers one second at 500 new
 connections per second, which is more than one gateway is meant to receive."""
+ACCEPTED_AT_ONCE = 32
+"""Connections accepted before any of them is checked: each takes a descriptor
+until then."""
+RECEIVE_BUFFER_BYTES = 32 * 1024
+"""Bytes that the kernel keeps of a connection that is not read; a buffer that
+grows by itself would take megabytes. Linux doubles the value for itself."""
 
 
 def open_listener(address: Address) -> socket.socket:
@@ -26,6 +32,10 @@
     listener = socket.socket(family, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it.
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2
+        )
         listener.setblocking(False)
         listener.bind(address)
         listener.listen(BACKLOG)
--- a/lagoonpost/http/responder.py
+++ b/lagoonpost/http/responder.py
@@ -12,6 +12,9 @@
     encode_headers,
 )
 
+PIECE_BYTES = 64 * 1024
+"""Bytes of a response that are copied to the connection's buffer at once."""
+
 
 class Limits(NamedTuple):
     """Limits on the memory and time that one client may occupy.
@@ -19,6 +22,7 @@
     Attributes:
         body: Largest request body in bytes.
         head: Largest request line and headers in bytes.
+        head_seconds: Longest time to receive its request line and headers.
         read_seconds: Longest time to receive one complete request.
         idle_seconds: Longest wait for the next request on a connection.
         write_seconds: Longest wait until the client reads what was sent.
@@ -27,6 +31,7 @@
 
     body: int = 4 * 1024 * 1024
     head: int = 32 * 1024
+    head_seconds: float = 20.0
     read_seconds: float = 20.0
     idle_seconds: float = 75.0
     write_seconds: float = 20.0
@@ -40,6 +45,14 @@
 class Responder:
     """Writes one response, at once or in chunks.
 
+    Args:
+        connection: State of the request and its response.
+        writer: Writes to the client.
+        limits: Limits of the connection.
+        is_closing: Returns whether the connection closes after the response.
+        note_unsent: Called with the bytes that the client hasn't taken;
+            returns whether there is memory for them.
+
     Attributes:
         started: Whether the head was sent.
         finished: Whether the end of the response was sent.
@@ -51,7 +64,10 @@
         writer: asyncio.StreamWriter,
         limits: Limits,
         is_closing: Callable[[], bool] = lambda: False,
+        note_unsent: Callable[[int], bool] = lambda size: True,
     ) -> None:
+        self._note_unsent = note_unsent
+        self._unsent = 0
         self._connection = connection
         self._writer = writer
         self._limits = limits
@@ -67,9 +83,19 @@
             PeerGoneError: If the client has disconnected or reads
                 too slowly.
         """
-        length = ("content-length", str(len(response.body)))
+        body = response.body
+        length = ("content-length", str(len(body)))
         self._send_head(response.status, (*response.headers, length))
-        parts = self._encode(h11.Data(data=response.body))
+        with memoryview(body) as view:
+            for start in range(0, len(body) - PIECE_BYTES, PIECE_BYTES):
+                piece = bytes(view[start : start + PIECE_BYTES])
+                await self._write(
+                    self._encode(h11.Data(data=piece)),
+                    len(body) - start - PIECE_BYTES,
+                )
+            rest = len(body) % PIECE_BYTES or min(len(body), PIECE_BYTES)
+            last = bytes(view[len(body) - rest :])
+        parts = self._encode(h11.Data(data=last))
         parts += self._encode(h11.EndOfMessage())
         self.finished = True
         await self._write(parts)
@@ -97,6 +123,10 @@
         self.finished = True
         await self._write(end)
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
     def is_disconnected(self) -> bool:
         """Return whether the connection is known to be closed."""
         return self._writer.is_closing()
@@ -118,10 +148,17 @@
     def _encode(self, event: h11.Event) -> bytes:
         return self._connection.send(event) or b""
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes, kept: int = 0) -> None:
+        """Write bytes, and wait until few enough are unsent.
+
+        Args:
+            data: The bytes.
+            kept: Bytes of the response that follow.
+        """
         if self._writer.is_closing():
             raise ClientDisconnectedError("connection closed")
         self._writer.write(data)
+        self._account(kept)
         if self._writer.transport.get_write_buffer_size() == 0:
             return
         try:
@@ -130,5 +167,15 @@
             async with asyncio.timeout(self._limits.write_seconds):
                 await self._writer.drain()
         except (TimeoutError, OSError) as error:
-            self._writer.transport.abort()
+            self.abort()
             raise ClientDisconnectedError("client stopped reading") from error
+        self._account(kept)
+
+    def _account(self, kept: int) -> None:
+        unsent = self._writer.transport.get_write_buffer_size() + kept
+        if unsent == self._unsent:
+            return
+        self._unsent = unsent
+        if not self._note_unsent(unsent):
+            self.abort()
+            raise ClientDisconnectedError("no memory for unsent bytes")
--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -3,67 +3,65 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
-from urllib.parse import urlsplit
 
 import h11
 
-from lagoonpost.http.listener import BACKLOG, open_listener
+from lagoonpost.http.account import ClientAccount
+from lagoonpost.http.listener import (
+    ACCEPTED_AT_ONCE,
+    BACKLOG,
+    open_listener,
+)
 from lagoonpost.http.message import (
     Address,
+    Headers,
     Request,
     Response,
     make_json_response,
 )
+from lagoonpost.http.request_reader import (
+    ClientReader,
+    Rejected,
+    RequestReader,
+)
 from lagoonpost.http.responder import (
     ClientDisconnectedError,
     Limits,
     Responder,
 )
+from lagoonpost.tables.holding import Holding
 
-READ_BYTES = 65536
+_MAY_RESPOND = (h11.IDLE, h11.SEND_RESPONSE)
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
 
-class BadRequestError(Exception):
-    """A request could not be read.
-
-    Attributes:
-        status: HTTP status of the error response.
-        detail: What is wrong with the request.
-    """
-
-    def __init__(self, status: int, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-        self.detail = detail
-
-
-class _ClientReader(asyncio.StreamReader):
-    """A stream reader that reports a disconnect as soon as it happens.
+class _ClientProtocol(asyncio.StreamReaderProtocol):
+    """The protocol of a connection that has to find room in an account.
 
-    Attributes:
-        disconnected: Whether the client closed its side or the connection
-            failed.
-        on_disconnect: Called at the disconnect; set while a request is
-            handled.
+    Args:
+        account: Accounts for what connections hold.
+        serve: Serves the connection.
+        loop: The event loop.
     """
 
-    disconnected = False
-    on_disconnect: Callable[[], None] | None = None
-
-    def feed_eof(self) -> None:
-        super().feed_eof()
-        self._notify_disconnect()
-
-    def set_exception(self, exc: Exception) -> None:
-        super().set_exception(exc)
-        self._notify_disconnect()
+    def __init__(
+        self,
+        account: ClientAccount,
+        serve: Callable[
+            [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+        ],
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._account = account
+        super().__init__(ClientReader(loop), serve, loop=loop)
 
-    def _notify_disconnect(self) -> None:
-        self.disconnected = True
-        if self.on_disconnect is not None:
-            self.on_disconnect()
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        if self._account.open(transport) is None:
+            transport.abort()
+        else:
+            super().connection_made(transport)
 
 
 class Server:
@@ -74,6 +72,7 @@
         limits: Limits per connection and request.
         cancel_on_disconnect: Whether to cancel a handler when its client
             closes the connection.
+        account: Accounts for what connections hold; servers may share it.
 
     Attributes:
         limits: Limits per connection and request. They may be replaced while
@@ -85,8 +84,10 @@
         handler: Handler,
         limits: Limits | None = None,
         cancel_on_disconnect: bool = False,
+        account: ClientAccount | None = None,
     ) -> None:
         self._handler = handler
+        self._account = account or ClientAccount()
         self.limits = limits or Limits()
         self._cancel_on_disconnect = cancel_on_disconnect
         self._server: asyncio.Server | None = None
@@ -105,16 +106,14 @@
             listener: Socket that already listens on that address.
         """
         loop = asyncio.get_running_loop()
-
-        def make_protocol() -> asyncio.StreamReaderProtocol:
-            reader = _ClientReader(limit=READ_BYTES, loop=loop)
-            return asyncio.StreamReaderProtocol(reader, self._serve, loop=loop)
-
+        listener = listener or open_listener(address)
         self._server = await loop.create_server(
-            make_protocol,
-            sock=listener or open_listener(address),
-            backlog=BACKLOG,
+            lambda: _ClientProtocol(self._account, self._serve, loop),
+            sock=listener,
+            backlog=ACCEPTED_AT_ONCE,
         )
+        # The server has set the backlog to what it accepts at once.
+        listener.listen(BACKLOG)
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
@@ -150,11 +149,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         task = asyncio.current_task()
-        assert task is not None
+        holding = self._account.find(writer.transport)
+        assert task is not None and isinstance(reader, ClientReader)
         self._connections.add(task)
         writer.transport.set_write_buffer_limits(high=self.limits.buffer)
         try:
-            await self._handle_connection(reader, writer)
+            await self._handle_connection(reader, writer, holding)
+            await self._flush(writer)
         except (ClientDisconnectedError, OSError, h11.LocalProtocolError):
             pass
         except asyncio.CancelledError:
@@ -165,48 +166,85 @@
         finally:
             self._connections.discard(task)
             self._idle.discard(writer)
+            self._account.close(holding)
+            # A cycle would keep what the connection holds for a while.
+            reader.forget_callbacks()
             writer.close()
 
     async def _handle_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: ClientReader,
+        writer: asyncio.StreamWriter,
+        holding: Holding,
     ) -> None:
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.head
+        requests = RequestReader(
+            reader, writer, self._account, holding, self._idle
         )
-        peer = str(writer.get_extra_info("peername"))
         while not self._closing:
+            requests.begin(self.limits)
             responder = Responder(
-                connection, writer, self.limits, self.is_closing
+                requests.connection,
+                writer,
+                self.limits,
+                self.is_closing,
+                lambda size: self._account.resize(holding, "unsent", size),
             )
-            try:
-                request = await self._read_request(
-                    connection, reader, writer, peer
-                )
-            except BadRequestError as error:
-                await _send_bad_request(responder, connection, error)
-                return
-            if request is None:
-                return
-            if self._cancel_on_disconnect:
-                await self._handle_until_disconnect(request, responder, reader)
-            else:
-                await self._handler(request, responder)
-            if not responder.finished:
-                # The handler stopped within the response. Closing without
-                # the final chunk shows the client that it is incomplete.
-                writer.transport.abort()
+            if not await self._handle_request(requests, responder, reader):
                 return
-            if connection.our_state is not h11.DONE:
+            if not requests.may_continue():
                 return
-            if connection.their_state is not h11.DONE:
-                return
-            connection.start_next_cycle()
+            self._account.resize(holding, "body", 0)
+            self._account.enter(holding, "idle")
+            if requests.has_more():
+                # A client that sends ahead must not keep others waiting.
+                await asyncio.sleep(0)
+
+    async def _flush(self, writer: asyncio.StreamWriter) -> None:
+        """Close a connection once its client has taken all, in limited time.
+
+        Until then it stays in the account.
+        """
+        if not writer.transport.get_write_buffer_size():
+            return
+        writer.close()
+        try:
+            async with asyncio.timeout(self.limits.write_seconds):
+                await writer.wait_closed()
+        except TimeoutError:
+            writer.transport.abort()
+
+    async def _handle_request(
+        self,
+        requests: RequestReader,
+        responder: Responder,
+        reader: ClientReader,
+    ) -> bool:
+        """Answer the next request, and return whether others may follow.
+
+        The request must not outlive this call, as the connection may idle.
+        """
+        request = await requests.read()
+        if request is None:
+            return False
+        if isinstance(request, Rejected):
+            if requests.connection.our_state in _MAY_RESPOND:
+                await responder.send(_make_rejection(request))
+            return False
+        if self._cancel_on_disconnect:
+            await self._handle_until_disconnect(request, responder, reader)
+        else:
+            await self._handler(request, responder)
+        if not responder.finished:
+            # The handler stopped within the response. Closing without the
+            # final chunk shows the client that it is incomplete.
+            responder.abort()
+        return responder.finished
 
     async def _handle_until_disconnect(
         self,
         request: Request,
         responder: Responder,
-        reader: asyncio.StreamReader,
+        reader: ClientReader,
     ) -> None:
         """Run the handler and cancel it when its client disconnects.
 
@@ -216,7 +254,7 @@
         then paused until the response is sent.
         """
         task = asyncio.current_task()
-        assert task is not None and isinstance(reader, _ClientReader)
+        assert task is not None
         if reader.disconnected:
             raise ClientDisconnectedError("the caller closed the connection")
         cancelled = False
@@ -240,113 +278,18 @@
         finally:
             reader.on_disconnect = None
 
-    async def _read_request(
-        self,
-        connection: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        peer: str,
-    ) -> Request | None:
-        head: h11.Request | None = None
-        body = bytearray()
-        idle = self.limits.idle_seconds
-        deadline = asyncio.get_running_loop().time() + idle
-        self._idle.add(writer)
-        while True:
-            try:
-                event = connection.next_event()
-            except h11.RemoteProtocolError as error:
-                status = error.error_status_hint
-                raise BadRequestError(status, str(error)) from error
-            if event is h11.NEED_DATA:
-                started = writer not in self._idle
-                data = await _receive(reader, deadline, started)
-                if writer in self._idle:
-                    self._idle.discard(writer)
-                    # The read timeout runs from the first byte of a request
-                    # and is not extended by later ones, so that a client
-                    # which sends one byte a minute is cut off.
-                    loop = asyncio.get_running_loop()
-                    deadline = loop.time() + self.limits.read_seconds
-                connection.receive_data(data)
-            elif isinstance(event, h11.Request):
-                self._idle.discard(writer)
-                head = event
-                _check_length(event, self.limits.body)
-                if connection.they_are_waiting_for_100_continue:
-                    interim = h11.InformationalResponse(
-                        status_code=100, headers=[]
-                    )
-                    writer.write(connection.send(interim) or b"")
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self.limits.body:
-                    raise BadRequestError(413, "the request body is too large")
-            elif isinstance(event, h11.EndOfMessage):
-                assert head is not None
-                return _make_request(head, bytes(body), peer)
-            else:
-                return None
-
-
-async def _receive(
-    reader: asyncio.StreamReader, deadline: float, started: bool
-) -> bytes:
-    try:
-        async with asyncio.timeout_at(deadline):
-            return await reader.read(READ_BYTES)
-    except TimeoutError as error:
-        if not started:
-            raise ClientDisconnectedError("no request arrived") from error
-        raise BadRequestError(408, "the request arrived too slowly") from error
-
-
-def _check_length(head: h11.Request, limit: int) -> None:
-    for name, value in head.headers:
-        if name == b"content-length" and int(value) > limit:
-            raise BadRequestError(413, "the request body is too large")
-
-
-def _make_request(head: h11.Request, body: bytes, peer: str) -> Request:
-    headers = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in head.headers
-    )
-    try:
-        url = urlsplit(head.target.decode("ascii"))
-    except ValueError as error:
-        raise BadRequestError(
-            400, "the request target is not a URL"
-        ) from error
-    return Request(
-        head.method.decode("ascii"),
-        url.path,
-        url.query,
-        headers,
-        body,
-        peer,
-        head.target.decode("ascii"),
-    )
-
-
-async def _send_bad_request(
-    responder: Responder, connection: h11.Connection, error: BadRequestError
-) -> None:
-    if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-        return
+
+def _make_rejection(reason: Rejected) -> Response:
     problem = {
         "type": "about:blank",
         "title": "Request not readable",
-        "status": error.status,
-        "detail": error.detail,
+        "status": reason.status,
+        "detail": reason.detail,
         "execution": "not_run",
     }
-    response = make_json_response(
-        error.status, problem, (("connection", "close"),)
-    )
-    headers = (("content-type", "application/problem+json"),)
-    await responder.send(
-        Response(
-            response.status, headers + response.headers[1:], response.body
-        )
-    )
+    headers: Headers = (("connection", "close"),)
+    if reason.retry_after is not None:
+        headers += (("retry-after", f"{reason.retry_after:g}"),)
+    response = make_json_response(reason.status, problem, headers)
+    content_type = (("content-type", "application/problem+json"),)
+    return response._replace(headers=content_type + response.headers[1:])
--- a/lagoonpost/platform/settings.py
+++ b/lagoonpost/platform/settings.py
@@ -32,6 +32,10 @@
         first_start: Whether this is the first start of the whole system.
         bounds: Guaranteed times and ratios.
         link_mbps: Speed of the host's link in Mbit/s; 0 if unknown.
+        memory_mb: Memory of the process in units of 1,000,000 bytes; 0 if
+            unknown.
+        max_fds: Descriptors of the process, those for files included; 0 if
+            unknown.
     """
 
     name: str
@@ -51,6 +55,8 @@
     first_start: bool
     bounds: Bounds
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class SettingsError(Exception):
@@ -85,6 +91,7 @@
 
 def _decode(document: dict[str, Any]) -> HostSettings:
     listen = document["listen"]
+    limits = document.get("limits") or {}
     cloud = document.get("cloud") or {}
     duties = cloud.get("duties") or []
     host = str(document["ip"])
@@ -109,7 +116,9 @@
         orders_runners="autoscale" in duties,
         first_start=bool(document.get("bootstrap")),
         bounds=_decode_bounds(document.get("bounds") or {}),
-        link_mbps=float((document.get("limits") or {}).get("link_mbps") or 0),
+        link_mbps=float(limits.get("link_mbps") or 0),
+        memory_mb=float(limits.get("memory_mb") or 0),
+        max_fds=int(limits.get("max_fds") or 0),
     )
 
 
--- a/lagoonpost/settings.py
+++ b/lagoonpost/settings.py
@@ -2,12 +2,16 @@
 
 import re
 from collections.abc import Callable, Mapping
+from math import inf
 from typing import Any, NamedTuple, TypeVar
 
 from lagoonpost.http.message import Address, parse_address
+from lagoonpost.systems.process_budget import DEFAULT_MEMORY_MB
 
 MIN_KEY_LENGTH = 16
 MAX_GRACE_SECONDS = 3600.0
+MIN_MEMORY_MB = 64.0
+MIN_DESCRIPTORS = 300
 SECRET_SETTINGS = frozenset({"signing_key"})
 _DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}\Z")
 _NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}\Z")
@@ -30,6 +34,9 @@
         operator_digests: SHA-256 digests of the operators' keys, in hex.
         grace: Seconds for in-flight requests to finish at a planned stop.
         statsd: Address that receives metrics; None disables them.
+        memory_mb: Memory of the process in units of 1,000,000 bytes.
+        max_fds: Descriptors of the process, 200 for files included; 0 for
+            the limit of the operating system.
         seed: Seed of the random generator behind routing and similar
             decisions; None draws a random seed.
     """
@@ -47,6 +54,8 @@
     operator_digests: tuple[str, ...] = ()
     grace: float = 25.0
     statsd: Address | None = None
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = 0
     seed: int | None = None
 
 
@@ -113,6 +122,20 @@
     return grace
 
 
+def _parse_memory(text: str) -> float:
+    memory = float(text)
+    if not MIN_MEMORY_MB <= memory < inf:
+        raise ValueError(text)
+    return memory
+
+
+def _parse_descriptors(text: str) -> int:
+    descriptors = int(text)
+    if descriptors < MIN_DESCRIPTORS:
+        raise ValueError(text)
+    return descriptors
+
+
 _ADDRESS_RULE = _Rule(parse_address, "HOST:PORT with a port from 1 to 65535")
 _NAME_RULE = _Rule(_parse_name, "a name of a-z, 0-9, '.' and '-'")
 _RULES: dict[str, _Rule] = {
@@ -131,6 +154,12 @@
     "operator_digests": _Rule(_parse_digest, "a SHA-256 in 64 hex digits"),
     "grace": _Rule(_parse_grace, f"a number from 0 to {MAX_GRACE_SECONDS:g}"),
     "statsd": _ADDRESS_RULE,
+    "memory_mb": _Rule(
+        _parse_memory, f"a number from {MIN_MEMORY_MB:g} upwards"
+    ),
+    "max_fds": _Rule(
+        _parse_descriptors, f"a whole number from {MIN_DESCRIPTORS} upwards"
+    ),
     "seed": _Rule(int, "a whole number"),
 }
 Settings = TypeVar("Settings", GatewaySettings, ControllerSettings)
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -1,12 +1,14 @@
 """Tests of lagoonpost.http."""
 
 import asyncio
+import gc
 import socket
 from collections.abc import Callable
 from contextlib import suppress
 
 import pytest
 
+from lagoonpost.http.account import ClientAccount
 from lagoonpost.http.client import PIECE_BYTES, CallFailedError, Client
 from lagoonpost.http.message import (
     Address,
@@ -20,6 +22,7 @@
     Responder,
 )
 from lagoonpost.http.server import Server
+from lagoonpost.systems.holdings import CONNECTION_BYTES, HoldingBounds
 
 LOOPBACK = Address("127.0.0.1", 0)
 EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
@@ -241,6 +244,131 @@
         assert asyncio.run(scenario()) == b""
 
 
+class TestRefusedRequests:
+    @staticmethod
+    async def send(address: Address, head: bytes, size: int = 0) -> bytes:
+        """Send a request, and read what comes only after ``size`` bytes."""
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"POST / HTTP/1.1\r\nhost: x\r\n" + head + b"\r\n\r\n")
+        async with asyncio.timeout(20):
+            for _ in range(0, size, 65536):
+                writer.write(b"a" * 65536)
+                await writer.drain()
+            answer = await reader.read()
+        writer.transport.abort()
+        return answer
+
+    def test_a_body_is_not_asked_for_in_vain(self):
+        """Guards against an interim response to a request that is refused."""
+
+        async def scenario() -> tuple[bytes, bytes]:
+            account = ClientAccount(HoldingBounds(CONNECTION_BYTES * 40, 10))
+            server = Server(_echo, Limits(body=1000000), account=account)
+            address = await server.start(LOOPBACK)
+            expects = b"expect: 100-continue\r\ncontent-length: "
+            too_large = await self.send(address, expects + b"1000001")
+            # One that is larger than the account is handled already.
+            holding = account.open(asyncio.Transport())
+            assert holding is not None
+            assert account.resize(holding, "body", 1000000)
+            account.enter(holding, "handled")
+            no_room = await self.send(address, expects + b"1000000")
+            await server.close(0.0)
+            return too_large, no_room
+
+        too_large, no_room = asyncio.run(scenario())
+        assert too_large.startswith(b"HTTP/1.1 413")
+        assert no_room.startswith(b"HTTP/1.1 503")
+        assert b"retry-after: 1\r\n" in no_room
+        assert b'"execution":"not_run"' in no_room
+
+    def test_a_head_that_takes_too_long_is_refused(self):
+        """Guards against heads that may take as long as whole bodies."""
+
+        async def scenario() -> bytes:
+            server = Server(_echo, Limits(head_seconds=0.2))
+            address = await server.start(LOOPBACK)
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"POST / HTTP/1.1\r\nhost")
+            async with asyncio.timeout(15):
+                answer = await reader.read()
+            writer.close()
+            await server.close(0.0)
+            return answer
+
+        assert asyncio.run(scenario()).startswith(b"HTTP/1.1 408")
+
+
+class TestWhatIsHeld:
+    def test_an_idle_connection_keeps_no_request(self):
+        """Guards against the last body staying while its connection idles."""
+
+        async def scenario() -> tuple[int, int]:
+            account = ClientAccount()
+            server = Server(_echo, account=account)
+            address = await server.start(LOOPBACK)
+            client = Client()
+            await client.call(address, "POST", "/", b"a" * 9000, timeout=5)
+            await asyncio.sleep(0.05)
+            kept = sum(isinstance(o, Request) for o in gc.get_objects())
+            memory = account.memory
+            client.close()
+            await server.close(1.0)
+            return kept, memory
+
+        gc.collect()
+        assert asyncio.run(scenario()) == (0, CONNECTION_BYTES)
+
+    @pytest.mark.parametrize("chunked", [False, True])
+    def test_requests_sent_ahead_are_answered_in_turn(self, chunked):
+        """Guards against bytes that are lost between two requests."""
+        framing = (
+            b"transfer-encoding: chunked\r\n\r\n2\r\n%b\r\n0\r\n\r\n"
+            if chunked
+            else b"content-length: 2\r\n\r\n%b"
+        )
+        request = b"POST / HTTP/1.1\r\nhost: x\r\n" + framing
+
+        async def scenario() -> bytes:
+            server = Server(_echo)
+            address = await server.start(LOOPBACK)
+            reader, writer = await asyncio.open_connection(*address)
+            bodies = [b"%02d" % number for number in range(50)]
+            writer.write(b"".join(request % body for body in bodies))
+            async with asyncio.timeout(20):
+                await reader.readuntil(b"\r\n\r\n49")
+            writer.write(request % b"50")
+            async with asyncio.timeout(20):
+                last = await reader.readuntil(b"\r\n\r\n50")
+            writer.close()
+            await server.close(0.0)
+            return last
+
+        assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
+
+    def test_a_large_answer_is_whole(self):
+        """Guards against pieces of an answer that are lost or doubled."""
+        sizes = [0, 1, 65535, 65536, 65537, 131072, 1000000]
+
+        async def scenario() -> list[bool]:
+            account = ClientAccount()
+            server = Server(_echo, account=account)
+            address = await server.start(LOOPBACK)
+            client = Client()
+            whole = []
+            for size in sizes:
+                body = bytes(i % 251 for i in range(size))
+                answer = await client.call(
+                    address, "POST", "/", body, timeout=20
+                )
+                whole.append(answer.body == body)
+            client.close()
+            await server.close(1.0)
+            return whole
+
+        assert asyncio.run(scenario()) == [True] * len(sizes)
+
+
 class TestLargeBodies:
     """Requests whose body is larger than a connection takes at once."""
 
