Bound connections and unfinished messages of peers, and tunnels not asked for

Callers saw a gateway's process grow by any amount while someone sent one gRPC message without end to the port of its peers, and fail to open connections while many were open at the ports of peers or tunnels.

Cause: grpclib has no largest message and acknowledges each part at once; no port had a bound on its connections. What an ended connection had received stayed in cycles with the errors that ended it.

Connections to the tunnels' port that have not asked for one are bounded as open tunnels are, the oldest is closed.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -164,7 +164,7 @@
             self._note_recorded_quota,
             self._store.eras.note,
             rng,
-            make_links(traffic),
+            make_links(traffic, ClientAccount(budget.peers)),
             lambda: read_configuration(self._store),
         )
         self._shifts = VersionShifts(
@@ -187,6 +187,7 @@
             self._peer_key,
             self._shifts.is_rolled_back,
             self._forwarder.notices,
+            budget.tunnels,
         )
         crashes.publish = self._cluster.publish_news
         self._crash_recorder = CrashRecorder(
--- a/lagoonpost/forwarding/peer_sync.py
+++ b/lagoonpost/forwarding/peer_sync.py
@@ -16,6 +16,7 @@
 from lagoonpost.forwarding.news_fact import News, make_fact, read_news
 from lagoonpost.forwarding.reports import ReportDelegate, ReportExchange
 from lagoonpost.forwarding.usage_gossip import UsageGossip
+from lagoonpost.http.account import ClientAccount
 from lagoonpost.http.message import Address, parse_address
 from lagoonpost.peers.codec import MessagePackCodec
 from lagoonpost.peers.message import Document
@@ -83,15 +84,16 @@
     clock: Callable[[], float]
 
 
-def make_links(traffic: ControlTraffic) -> PeerLinks:
+def make_links(traffic: ControlTraffic, account: ClientAccount) -> PeerLinks:
     """Return links over the network.
 
     Args:
         traffic: Counts sent and received messages and bytes.
+        account: Accounts for what connections from peers hold.
     """
     return PeerLinks(
         DatagramMessenger(traffic),
-        GrpcTransport(MessagePackCodec(traffic)),
+        GrpcTransport(MessagePackCodec(traffic), account),
         make_clock(),
     )
 
--- a/lagoonpost/forwarding/tunnel_server.py
+++ b/lagoonpost/forwarding/tunnel_server.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Literal, NamedTuple
 
@@ -16,7 +17,11 @@
 from lagoonpost.forwarding.notice_reader import NoticeReader
 from lagoonpost.forwarding.peer_key import PeerKey
 from lagoonpost.http.client import CallFailedError, Client, Socket
-from lagoonpost.http.listener import open_listener
+from lagoonpost.http.listener import (
+    ACCEPTED_AT_ONCE,
+    BACKLOG,
+    open_listener,
+)
 from lagoonpost.http.message import Address, find_header
 from lagoonpost.http.tunnel import (
     READ_BYTES,
@@ -39,7 +44,8 @@
 """Connect timeout: 50 round trips between the failure domains of one region.
 A runner that disappears without a reset delays the request by as much."""
 MAX_TUNNELS = 256
-"""Limit for open tunnels: 512 descriptors, and 25 MB if no receiver reads."""
+"""Most open tunnels on any host: 512 descriptors, and 25 MB if no receiver
+reads."""
 
 OPENED = 200
 DENIED = 403
@@ -65,6 +71,8 @@
         key: Key that other gateways have to show.
         is_rolled_back: Whether a runner has a version that was rolled back.
         notices: Reads what runners say of themselves in answers.
+        max_tunnels: Limit for open tunnels of this process, and for
+            connections that have not asked for one yet.
     """
 
     def __init__(
@@ -75,7 +83,9 @@
         key: PeerKey,
         is_rolled_back: Callable[[Endpoint], bool],
         notices: NoticeReader,
+        max_tunnels: int = MAX_TUNNELS,
     ) -> None:
+        self._limit = min(max_tunnels, MAX_TUNNELS)
         self._client = client
         self._view = view
         self._reach = reach
@@ -84,14 +94,21 @@
         self._notices = notices
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.Task[None]] = set()
+        self._asking: OrderedDict[asyncio.StreamWriter, None] = OrderedDict()
         self._accepted: set[asyncio.Task[None]] = set()
         self._leaving = False
 
     async def start(self, address: Address) -> None:
         """Listen on an address."""
+        listener = open_listener(address)
         self._server = await asyncio.start_server(
-            self._serve, sock=open_listener(address), limit=READ_BYTES
+            self._serve,
+            sock=listener,
+            limit=READ_BYTES,
+            backlog=ACCEPTED_AT_ONCE,
         )
+        # The server has set the backlog to what it accepts at once.
+        listener.listen(BACKLOG)
 
     def leave(self) -> None:
         """Open no more tunnels."""
@@ -130,7 +147,15 @@
     async def _handle(self, near: Socket) -> None:
         set_keepalive(near.writer)
         connection = h11.Connection(h11.SERVER)
-        request = await read_tunnel_request(connection, near.reader)
+        # Anyone can connect and ask for nothing; a gateway asks at once.
+        self._asking[near.writer] = None
+        if len(self._asking) > self._limit:
+            oldest, _ = self._asking.popitem(last=False)
+            oldest.transport.abort()
+        try:
+            request = await read_tunnel_request(connection, near.reader)
+        finally:
+            self._asking.pop(near.writer, None)
         if request is None:
             near.writer.transport.abort()
             return
@@ -159,7 +184,7 @@
         ):
             return DENIED
         # Only what has shown the key counts: anyone can open connections.
-        if self._leaving or len(self._accepted) >= MAX_TUNNELS:
+        if self._leaving or len(self._accepted) >= self._limit:
             return GATEWAY_UNABLE
         if self._reach.partitioned:
             return GATEWAY_UNABLE
--- a/lagoonpost/gateway/peering.py
+++ b/lagoonpost/gateway/peering.py
@@ -11,6 +11,7 @@
 from lagoonpost.gateway.quarantine import QuarantineTracker
 from lagoonpost.gateway.reclaim import mark_runner_leaving
 from lagoonpost.gateway.state import EntryMember, Gateway
+from lagoonpost.http.account import ClientAccount
 from lagoonpost.http.message import Address
 from lagoonpost.peers.message import Document, FetchRequest, HandOver
 from lagoonpost.peers.node import Peers, PeerSettings
@@ -87,6 +88,7 @@
             self._handle_members,
             self._list_documents,
             self._accept_hand_over,
+            account=ClientAccount(self._gateway.budget.peers),
         )
         address = await self.peers.start()
         self._gateway.members = self.list_entries
--- a/lagoonpost/peers/node.py
+++ b/lagoonpost/peers/node.py
@@ -10,6 +10,7 @@
 
 from eliot import log_message
 
+from lagoonpost.http.account import ClientAccount
 from lagoonpost.http.message import Address, parse_address
 from lagoonpost.peers.codec import MessagePackCodec
 from lagoonpost.peers.datagram_request import (
@@ -144,6 +145,7 @@
         messenger: DatagramMessenger | None = None,
         transport: Transport | None = None,
         on_wait: OnWait = skip_wait,
+        account: ClientAccount | None = None,
     ) -> None:
         """Initialize without network access; call ``start`` to join.
 
@@ -163,6 +165,8 @@
             messenger: Sends gossip requests in datagrams. Without one, or
                 if the peer has none, gossip uses gRPC.
             transport: Carries the gRPC calls.
+            account: Accounts for what connections from peers hold, if there
+                is no ``transport``.
             on_wait: Waits for the documents that a request to fetch wants.
         """
         self._settings = settings
@@ -178,7 +182,9 @@
             if messenger
             else None
         )
-        self._transport = transport or GrpcTransport(MessagePackCodec(traffic))
+        self._transport = transport or GrpcTransport(
+            MessagePackCodec(traffic), account
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._current = asyncio.Event()
--- a/lagoonpost/peers/transport.py
+++ b/lagoonpost/peers/transport.py
@@ -1,11 +1,15 @@
 """How gRPC calls between peers are carried."""
 
-import socket
 from typing import Any, Protocol
 
-from grpclib.server import Server
-
+from lagoonpost.http.account import ClientAccount
+from lagoonpost.http.listener import (
+    ACCEPTED_AT_ONCE,
+    BACKLOG,
+    open_listener,
+)
 from lagoonpost.http.message import Address
+from lagoonpost.peers.bounded_server import BoundedServer
 from lagoonpost.peers.codec import MessagePackCodec
 from lagoonpost.peers.pool import ChannelPool, Method, call_once
 from lagoonpost.peers.service import PeerService
@@ -43,23 +47,31 @@
 
     Args:
         codec: Codec of requests and replies.
+        account: Accounts for what connections from peers hold.
 
     Attributes:
         pool: Connections for small calls.
     """
 
-    def __init__(self, codec: MessagePackCodec) -> None:
+    def __init__(
+        self, codec: MessagePackCodec, account: ClientAccount | None = None
+    ) -> None:
         self._codec = codec
+        self._account = account or ClientAccount()
         self.pool = ChannelPool(codec=codec)
-        self._server: Server
+        self._server: BoundedServer
 
     async def start(self, service: PeerService, address: Address) -> Address:
         """Listen at an address; port 0 selects a free port."""
-        listener = socket.create_server(address)
+        listener = open_listener(address)
         host, port = listener.getsockname()[:2]
         # grpclib binds a server to the loop in which it is constructed.
-        self._server = Server([service], codec=self._codec)
-        await self._server.start(sock=listener)
+        self._server = BoundedServer(
+            self._account, [service], codec=self._codec
+        )
+        await self._server.start(sock=listener, backlog=ACCEPTED_AT_ONCE)
+        # The server has set the backlog to what it accepts at once.
+        listener.listen(BACKLOG)
         return Address(host, port)
 
     async def call(
