Let a response reach a client that still sends

Callers who sent a body that was refused got a reset instead of the 413, and could not tell it from a gateway that had ended.

Cause: a connection that is closed with unread bytes is reset (RFC 9112, 9.6).

Evidence: test_one_that_still_sends_learns_why failed before with ConnectionResetError, for an announced length and for a chunk.

--- a/lagoonpost/http/responder.py
+++ b/lagoonpost/http/responder.py
@@ -123,6 +123,11 @@
         self.finished = True
         await self._write(end)
 
+    def end(self) -> None:
+        """Tell the client that nothing follows the response."""
+        if self._writer.can_write_eof() and not self._writer.is_closing():
+            self._writer.write_eof()
+
     def abort(self) -> None:
         """Close the connection at once."""
         self._writer.transport.abort()
--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import h11
 
@@ -21,6 +22,7 @@
     make_json_response,
 )
 from lagoonpost.http.request_reader import (
+    READ_BYTES,
     ClientReader,
     Rejected,
     RequestReader,
@@ -32,6 +34,9 @@
 )
 from lagoonpost.tables.holding import Holding
 
+DISCARD_SECONDS = 2.0
+DISCARD_BYTES = 4 * 1024 * 1024
+"""Bounds for discarding what a client sends after its request was rejected."""
 _MAY_RESPOND = (h11.IDLE, h11.SEND_RESPONSE)
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
@@ -231,6 +236,7 @@
         if isinstance(request, Rejected):
             if requests.connection.our_state in _MAY_RESPOND:
                 await responder.send(_make_rejection(request))
+                await _discard(reader, responder)
             return False
         if self._cancel_on_disconnect:
             await self._handle_until_disconnect(request, responder, reader)
@@ -281,6 +287,25 @@
             reader.on_disconnect = None
 
 
+async def _discard(reader: ClientReader, responder: Responder) -> None:
+    """Discard what a client still sends after a response, for some time.
+
+    A connection that is closed with unread bytes is reset, and the client may
+    lose the response (RFC 9112, section 9.6).
+    """
+    responder.end()
+    discarded = 0
+    with suppress(TimeoutError):
+        async with asyncio.timeout(DISCARD_SECONDS):
+            while discarded < DISCARD_BYTES:
+                data = await reader.read(READ_BYTES)
+                if not data:
+                    return
+                discarded += len(data)
+            # It may still read the response while it can't send any more.
+            await asyncio.sleep(DISCARD_SECONDS)
+
+
 def _make_rejection(reason: Rejected) -> Response:
     problem = {
         "type": "about:blank",
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -258,6 +258,39 @@
         writer.transport.abort()
         return answer
 
+    @pytest.mark.parametrize(
+        "head", [b"content-length: 1000000000", b"transfer-encoding: chunked"]
+    )
+    def test_one_that_still_sends_learns_why(self, head):
+        """Guards against a reset that takes the response with it."""
+        if head.startswith(b"transfer"):
+            head += b"\r\n\r\n3b9aca00"
+
+        async def scenario() -> bytes:
+            server = Server(_echo, Limits(body=1000))
+            address = await server.start(LOOPBACK)
+            answer = await self.send(address, head, 3 * 1024 * 1024)
+            await server.close(0.0)
+            return answer
+
+        answer = asyncio.run(scenario())
+        assert answer.startswith(b"HTTP/1.1 413")
+        assert b'"execution":"not_run"' in answer
+
+    def test_one_that_sends_on_for_ever_is_closed(self):
+        """Guards against discarding bytes without end."""
+
+        async def scenario() -> None:
+            server = Server(_echo, Limits(body=1000))
+            address = await server.start(LOOPBACK)
+            with suppress(ConnectionError):
+                await self.send(
+                    address, b"content-length: 1000000000", 1_000_000_000
+                )
+            await server.close(0.0)
+
+        asyncio.run(scenario())
+
     def test_a_body_is_not_asked_for_in_vain(self):
         """Guards against an interim response to a request that is refused."""
 
