Measure again what callers have taken of their answers before closing any

Cause: the account kept the size of an answer's unsent part as it was at the last write. A caller that had taken all of it since then, on a kept connection or in a stream that pauses, counted as one that doesn't read, and might have been closed first when memory was short.

Change: the buffers of such connections are measured before any is closed and before room is denied.

Evidence: test_an_answer_that_was_taken_meanwhile_is_none, red without the measurement (the first of three connections was closed).

--- a/lagoonpost/http/account.py
+++ b/lagoonpost/http/account.py
@@ -45,7 +45,7 @@
         bounds: HoldingBounds = UNBOUNDED,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._holdings = Holdings(bounds)
+        self._holdings = Holdings(bounds, self._measure)
         self._clock = clock
         self._transports: dict[Holding, asyncio.WriteTransport] = {}
         self._by_transport: dict[asyncio.WriteTransport, Holding] = {}
@@ -105,6 +105,23 @@
             self._holdings.resize(holding, part, size, self._clock())
         )
 
+    def note_unsent(self, holding: Holding, buffered: int, kept: int) -> bool:
+        """Change the size of an answer that the client hasn't taken.
+
+        Args:
+            holding: The connection.
+            buffered: Bytes in the connection's buffer.
+            kept: Bytes of the answer that are to be written yet.
+
+        Returns:
+            Whether there is room.
+        """
+        holding.kept = kept
+        return self.resize(holding, "unsent", buffered + kept)
+
+    def _measure(self, holding: Holding) -> int:
+        return self._transports[holding].get_write_buffer_size()
+
     def has_room(self, size: int) -> bool:
         """Return whether a request of ``size`` bytes could be held now."""
         fits = self._holdings.has_room(size, self._clock())
--- a/lagoonpost/http/responder.py
+++ b/lagoonpost/http/responder.py
@@ -50,8 +50,9 @@
         writer: Writes to the client.
         limits: Limits of the connection.
         is_closing: Returns whether the connection closes after the response.
-        note_unsent: Called with the bytes that the client hasn't taken;
-            returns whether there is memory for them.
+        note_unsent: Called with the bytes of the response in the connection's
+            buffer and those to be written yet; returns whether there is
+            memory for them.
 
     Attributes:
         started: Whether the head was sent.
@@ -64,10 +65,10 @@
         writer: asyncio.StreamWriter,
         limits: Limits,
         is_closing: Callable[[], bool] = lambda: False,
-        note_unsent: Callable[[int], bool] = lambda size: True,
+        note_unsent: Callable[[int, int], bool] = lambda buffered, kept: True,
     ) -> None:
         self._note_unsent = note_unsent
-        self._unsent = 0
+        self._unsent: tuple[int, int] | None = None
         self._connection = connection
         self._writer = writer
         self._limits = limits
@@ -177,10 +178,10 @@
         self._account(kept)
 
     def _account(self, kept: int) -> None:
-        unsent = self._writer.transport.get_write_buffer_size() + kept
+        unsent = (self._writer.transport.get_write_buffer_size(), kept)
         if unsent == self._unsent:
             return
         self._unsent = unsent
-        if not self._note_unsent(unsent):
+        if not self._note_unsent(*unsent):
             self.abort()
             raise ClientDisconnectedError("no memory for unsent bytes")
--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from functools import partial
 
 import h11
 
@@ -194,7 +195,7 @@
                 writer,
                 self.limits,
                 self.is_closing,
-                lambda size: self._account.resize(holding, "unsent", size),
+                partial(self._account.note_unsent, holding),
             )
             if not await self._handle_request(requests, responder, reader):
                 return
--- a/lagoonpost/systems/holdings.py
+++ b/lagoonpost/systems/holdings.py
@@ -13,7 +13,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Literal, NamedTuple
 
 from lagoonpost.tables.holding import Holding, Stage
@@ -77,6 +77,8 @@
 
     Args:
         bounds: Bounds over all connections.
+        measure: Returns the bytes in a connection's buffer, which shrink
+            without notice as its client takes them.
 
     Attributes:
         bounds: Bounds over all connections.
@@ -85,8 +87,13 @@
         descriptors: Descriptors that all connections take.
     """
 
-    def __init__(self, bounds: HoldingBounds = UNBOUNDED) -> None:
+    def __init__(
+        self,
+        bounds: HoldingBounds = UNBOUNDED,
+        measure: Callable[[Holding], int] = lambda holding: holding.unsent,
+    ) -> None:
         self.bounds = bounds
+        self._measure = measure
         self.memory = 0
         self.large = 0
         self.descriptors = 0
@@ -194,6 +201,7 @@
         """
         if size <= SMALL_BYTES:
             return True
+        self._measure_unsent(now)
         stalled = sum(
             each.size for each in self._list_stalled(now) if _is_large(each)
         )
@@ -213,6 +221,15 @@
         setattr(holding, part, size)
         self.large += (holding.size if _is_large(holding) else 0) - large
 
+    def _measure_unsent(self, now: float) -> None:
+        """Note what clients have taken since their answers were written."""
+        for holding in tuple(self._unsent):
+            before = holding.unsent
+            size = min(before, self._measure(holding) + holding.kept)
+            if size < before:
+                self._change(holding, "unsent", size)
+                self._note_unsent(holding, before, now)
+
     def _note_unsent(self, holding: Holding, before: int, now: float) -> None:
         if not before or holding.unsent < before:
             holding.unsent_since = now
@@ -230,6 +247,8 @@
 
     def _make_room(self, newest: Holding, now: float) -> Room:
         """Remove other connections until all bounds hold, or none is left."""
+        if self._exceeds_large(newest) or self._exceeds():
+            self._measure_unsent(now)
         closed: list[Holding] = []
         while True:
             if self._exceeds_large(newest):
--- a/lagoonpost/tables/holding.py
+++ b/lagoonpost/tables/holding.py
@@ -22,7 +22,9 @@
         arrived: Bytes that have arrived since then.
         body: Bytes kept of the request.
         ahead: Bytes received beyond the request.
-        unsent: Bytes of the response that the client hasn't taken.
+        unsent: Bytes of the response that the client hasn't taken, as last
+            measured.
+        kept: Those among them that aren't in the connection's buffer yet.
         unsent_since: Time at which the client last took some of them.
     """
 
@@ -30,6 +32,7 @@
         "ahead",
         "arrived",
         "body",
+        "kept",
         "since",
         "stage",
         "unsent",
@@ -43,6 +46,7 @@
         self.body = 0
         self.ahead = 0
         self.unsent = 0
+        self.kept = 0
         self.unsent_since = now
 
     @property
--- a/test/test_holdings.py
+++ b/test/test_holdings.py
@@ -111,6 +111,23 @@
         room = holdings.resize(newest, "unsent", LARGE, STALLED)
         assert room == ((unread[1],), True)
 
+    def test_an_answer_that_was_taken_meanwhile_is_none(self):
+        """Guards against closing a client by what it held a while ago."""
+        buffered: dict[Holding, int] = {}
+        bounds = HoldingBounds(MEMORY, 10)
+        holdings = Holdings(bounds, lambda holding: buffered[holding])
+        answers = [add(holdings, "handled") for _ in range(3)]
+        for each in answers:
+            buffered[each] = LARGE
+            assert holdings.resize(each, "unsent", LARGE, 0.0).fits
+        buffered[answers[0]] = 0
+        newest = add(holdings, "handled", STALLED)
+        assert holdings.has_room(LARGE, STALLED)
+        buffered[newest] = LARGE
+        room = holdings.resize(newest, "unsent", LARGE, STALLED)
+        assert room == ((), True)
+        assert holdings.large == 3 * LARGE
+
     def test_requests_sent_ahead_make_room(self):
         """Guards against clients that send without waiting for answers."""
         holdings = make_holdings(memory=8 * CONNECTION_BYTES)
