Let a body that waits for its client lose its place in the decoding lane

Cause: four clients that send some small chunks and then nothing kept all places until their read timeout of 20 s; a legal body in small chunks got 503 meanwhile.

Change: a body that has waited 0.5 s for its client loses its place to one whose bytes have arrived, and joins again when its own arrive.

Evidence: test_a_body_that_waits_for_its_client_loses_its_place; the lane had no such rule before, every further body was refused.

--- a/lagoonpost/http/lane.py
+++ b/lagoonpost/http/lane.py
@@ -16,23 +16,49 @@
 their clients wait."""
 
 
+STALL_SECONDS = 0.5
+"""Time for which a body may wait for its client before another takes its
+place."""
+
+
 class DecodingLane:
     """Lets a few bodies take turns, with pauses between the turns."""
 
     def __init__(self) -> None:
-        self._members = 0
+        # Each body with the time since which it waits for its client, if so.
+        self._bodies: dict[object, float | None] = {}
         self._lock = asyncio.Lock()
 
-    def join(self) -> bool:
-        """Take a place; return False if there is none."""
-        if self._members >= MAX_MEMBERS:
-            return False
-        self._members += 1
+    def join(self, body: object, now: float) -> bool:
+        """Take a place, or keep it, for bytes that have arrived.
+
+        Args:
+            body: Identifies the body.
+            now: Current time in seconds.
+
+        Returns:
+            False if there is no place.
+        """
+        if body not in self._bodies and len(self._bodies) >= MAX_MEMBERS:
+            stalled = [
+                each
+                for each, since in self._bodies.items()
+                if since is not None and since < now - STALL_SECONDS
+            ]
+            if not stalled:
+                return False
+            self.leave(stalled[0])
+        self._bodies[body] = None
         return True
 
-    def leave(self) -> None:
-        """Give up a place."""
-        self._members -= 1
+    def wait(self, body: object, now: float) -> None:
+        """Record that a body waits for its client."""
+        if body in self._bodies:
+            self._bodies[body] = now
+
+    def leave(self, body: object) -> None:
+        """Give up a place, if there is one."""
+        self._bodies.pop(body, None)
 
     async def run(self, decode: Callable[[], None]) -> None:
         """Run one turn and the pause after it."""
--- a/lagoonpost/http/request_reader.py
+++ b/lagoonpost/http/request_reader.py
@@ -268,35 +268,35 @@
     async def _read_chunks(self) -> bytes:
         decoder = self._decoder = ChunkDecoder(self._limits.head)
         data, _ = self.connection.trailing_data
-        in_lane = False
+        now = asyncio.get_running_loop().time
         try:
             while True:
-                try:
-                    if in_lane:
-                        await self._lane.run(partial(self._decode, data))
-                    else:
-                        self._decode(data)
-                except ChunkError as error:
-                    status = _TOO_LONG if error.too_long else 400
-                    raise _reject(status, str(error)) from None
+                await self._decode(decoder, data, now())
                 if decoder.finished:
                     return bytes(decoder.body)
-                if not in_lane and self._is_dense(decoder):
-                    in_lane = self._lane.join()
-                    if not in_lane:
-                        raise _RejectedError(NO_PLACE)
+                self._lane.wait(decoder, now())
                 data = await self._receive()
                 if not data:
                     raise _reject(400, "the client ended within a body")
         finally:
-            if in_lane:
-                self._lane.leave()
+            self._lane.leave(decoder)
             decoder.body = bytearray()
 
-    def _decode(self, data: bytes) -> None:
-        assert self._decoder is not None
-        self._decoder.feed(data, self._limits.body)
-        self._hold(len(self._decoder.body))
+    async def _decode(
+        self, decoder: ChunkDecoder, data: bytes, now: float
+    ) -> None:
+        feed = partial(decoder.feed, data, self._limits.body)
+        try:
+            if not self._is_dense(decoder):
+                feed()
+            elif self._lane.join(decoder, now):
+                await self._lane.run(feed)
+            else:
+                raise _RejectedError(NO_PLACE)
+        except ChunkError as error:
+            status = _TOO_LONG if error.too_long else 400
+            raise _reject(status, str(error)) from None
+        self._hold(len(decoder.body))
 
     @staticmethod
     def _is_dense(decoder: ChunkDecoder) -> bool:
--- a/test/test_chunks.py
+++ b/test/test_chunks.py
@@ -1,5 +1,6 @@
 """Tests of the decoder of chunked bodies."""
 
+import asyncio
 from itertools import pairwise
 
 import h11
@@ -8,6 +9,7 @@
 from hypothesis import strategies as st
 
 from lagoonpost.http.chunks import ChunkDecoder, ChunkError
+from lagoonpost.http.lane import MAX_MEMBERS, STALL_SECONDS, DecodingLane
 
 MAX_LINE = 100
 LIMIT = 10_000
@@ -123,3 +125,32 @@
         decoder = ChunkDecoder(MAX_LINE)
         decoder.feed(b"1\r\na\r\n" * 1000, 10)
         assert len(decoder.body) == 11
+
+
+class TestLane:
+    def test_a_body_that_waits_for_its_client_loses_its_place(self):
+        """Guards against stalled bodies that keep all others out."""
+        lane = DecodingLane()
+        for number in range(MAX_MEMBERS):
+            assert lane.join(number, 0.0)
+        assert not lane.join("next", 2 * STALL_SECONDS)
+        lane.wait(1, 0.0)
+        lane.wait(2, 2 * STALL_SECONDS)
+        assert lane.join("next", 2 * STALL_SECONDS)
+        assert not lane.join(1, 2 * STALL_SECONDS)
+        assert lane.join(2, 9 * STALL_SECONDS)
+
+    def test_bodies_take_turns(self):
+        """Guards against one body that is decoded without a pause."""
+        turns: list[str] = []
+
+        async def decode(lane: DecodingLane, name: str) -> None:
+            for _ in range(3):
+                await lane.run(lambda: turns.append(name))
+
+        async def scenario() -> None:
+            lane = DecodingLane()
+            await asyncio.gather(decode(lane, "a"), decode(lane, "b"))
+
+        asyncio.run(scenario())
+        assert turns == ["a", "b"] * 3
