Bound the peers' port of controllers; test the settings of the bounds

Cause: a controller serves the same port as a gateway and kept unfinished messages of any size. That the settings' memory and descriptors are read, and wrong ones refused, had no test.

The names of wrong settings are checked together with the others, the platform's file with and without its limits.

Evidence: the gateways' crowds of messages (test_messages_of_peers) play the same server; a controller's process was not played.

--- a/lagoonpost/controller/daemon.py
+++ b/lagoonpost/controller/daemon.py
@@ -11,6 +11,7 @@
 from lagoonpost.controller.order import OrderSender
 from lagoonpost.controller.sweep import SHARD as SWEEP_SHARD
 from lagoonpost.controller.sweep import sweep_ledger
+from lagoonpost.http.account import ClientAccount, read_descriptor_limit
 from lagoonpost.http.client import Client
 from lagoonpost.peers.node import Peers, PeerSettings
 from lagoonpost.settings import ControllerSettings
@@ -18,6 +19,7 @@
 from lagoonpost.store.table import TableStore
 from lagoonpost.store.watch import DeclarationWatch
 from lagoonpost.systems.order import DesiredState
+from lagoonpost.systems.process_budget import DEFAULT_MEMORY_MB, divide
 from lagoonpost.tables.entity import Declaration, Runner
 from lagoonpost.tables.fact import Fact
 from lagoonpost.tables.peer import Member
@@ -49,6 +51,9 @@
             ),
             self._handle_facts,
             self._handle_members,
+            account=ClientAccount(
+                divide(DEFAULT_MEMORY_MB, read_descriptor_limit()).peers
+            ),
         )
         shards = [f"{RUNNER_PREFIX}{n}" for n in range(RUNNER_SHARDS)]
         self._controller = Controller(
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -32,6 +32,8 @@
                 "listen": "127.0.0.1",
                 "signing_key": "short-secret",
                 "grace": "-1",
+                "memory_mb": "nan",
+                "max_fds": "250",
                 "operator_digests": ("abc",),
             },
         )
@@ -42,12 +44,34 @@
             "platform",
             "signing_key",
             "grace",
+            "memory_mb",
+            "max_fds",
             "operator_digests",
         }
         assert not any("short-secret" in str(fault) for fault in faults)
 
 
 class TestHostBounds:
+    def test_the_hosts_memory_and_descriptors_are_read(self, tmp_path) -> None:
+        """Guards against bounds of another host than the process has."""
+        address = Address("127.0.0.1", 1)
+        path = tmp_path / "boot.toml"
+        for limits, expected in (
+            ({"memory_mb": 160, "max_fds": 4100}, (160.0, 4100)),
+            ({}, (0.0, 0)),
+        ):
+            path.write_text(
+                make_settings(
+                    1,
+                    GatewayAddresses(*[address] * 4),
+                    address,
+                    address,
+                    limits=limits,
+                )
+            )
+            settings = read_host_settings(str(path))
+            assert (settings.memory_mb, settings.max_fds) == expected
+
     def test_all_bounds_of_the_platforms_file_hold(self, tmp_path) -> None:
         """Guards against bounds in the settings file that are ignored.
 
