Let ordinary requests find a place among many that send a part

Cause: such connections were closed for others only after 0.5 s without progress, and all new ones refused meanwhile. New connections that came in one turn of the loop closed each other before they were read.

Change: for descriptors and small contents a connection may be closed after 0.05 s without progress, those without a head first, those with a part of a body last. An ordinary request arrives as a whole right after its connection was opened.

A crowd of this kind is added to test_crowds: 618 descriptors on.

--- a/lagoonpost/systems/holdings.py
+++ b/lagoonpost/systems/holdings.py
@@ -29,6 +29,10 @@
 """Time without progress after which a connection that has sent a part of its
 request, or has not taken a part of its answer, may be closed for others. Round
 trips and lost packets take less."""
+YOUNG_SECONDS = 0.05
+"""Time without progress after which a connection may be closed where many
+others come: an ordinary request arrives as a whole right after its connection
+was opened. Those of one turn of the loop must not close each other unread."""
 REFUSED_SHARE = 0.125
 """Share of the connections on which bytes are discarded after a response."""
 PROGRESS_BYTES = 4 * 1024
@@ -299,24 +303,29 @@
     def _list_closable(self, now: float) -> Iterator[Holding]:
         """Yield the connections that may be closed, in order."""
         yield from self._list_stalled(now)
-        yield from self._stages["opening"]
+        yield from self._list_older("opening", now - YOUNG_SECONDS)
         yield from self._stages["idle"]
         for each in self._ahead:
             if each.stage == "handled":
                 yield each
+        yield from self._list_older("reading", now - YOUNG_SECONDS)
 
     def _list_stalled(self, now: float) -> Iterator[Holding]:
         """Yield the connections that keep others waiting, oldest first."""
         yield from self._stages["refused"]
-        for each in self._stages["reading"]:
-            if each.since > now - STALL_SECONDS:
-                break
-            yield each
+        yield from self._list_older("reading", now - STALL_SECONDS)
         for each in self._unsent:
             if each.unsent_since > now - STALL_SECONDS:
                 break
             yield each
 
+    def _list_older(self, stage: Stage, since: float) -> Iterator[Holding]:
+        """Yield the connections of a stage without progress since a time."""
+        for each in self._stages[stage]:
+            if each.since > since:
+                break
+            yield each
+
 
 def _is_large(holding: Holding) -> bool:
     return holding.size > SMALL_BYTES
--- a/test/crowd_play.py
+++ b/test/crowd_play.py
@@ -253,6 +253,7 @@
             head(_make_length(LEGAL_BYTES) + "\r\nexpect: 100-continue"),
             send_once(body[:-1]),
         ),
+        "body begun": Member(announced, send_once(b"a")),
         "silent": Member(),
     }
 
--- a/test/test_crowds.py
+++ b/test/test_crowds.py
@@ -43,7 +43,7 @@
     "unread",
     "expects",
 )
-CONNECTIONS = ("silent", "head", "head by bytes")
+CONNECTIONS = ("silent", "head", "head by bytes", "body begun")
 
 
 def play(run: Gateway, folder: Path, door: str, crowd: Crowd) -> Play:
--- a/test/test_holdings.py
+++ b/test/test_holdings.py
@@ -10,6 +10,7 @@
     REFUSED_SHARE,
     SMALL_BYTES,
     STALL_SECONDS,
+    YOUNG_SECONDS,
     HoldingBounds,
     Holdings,
 )
@@ -158,6 +159,27 @@
         _, room = holdings.add(2.0)
         assert room == ((idle[1],), True)
 
+    def test_parts_of_requests_make_room_in_the_end(self):
+        """Guards against a crowd that fills all places faster than it stalls.
+
+        The connection with the oldest progress goes long before it counts as
+        stalled.
+        """
+        holdings = make_holdings()
+        reading = [add(holdings, "reading") for _ in range(10)]
+        holdings.note_arrived(reading[0], LARGE, YOUNG_SECONDS)
+        _, room = holdings.add(YOUNG_SECONDS)
+        assert room == ((reading[1],), True)
+
+    @pytest.mark.parametrize("stage", ["opening", "reading"])
+    def test_those_that_come_together_do_not_close_each_other(self, stage):
+        """Guards against requests that are closed before they are read."""
+        holdings = make_holdings()
+        for _ in range(10):
+            add(holdings, stage)
+        _, room = holdings.add(0.0)
+        assert room == ((), False)
+
     def test_a_request_takes_one_more_for_its_runner(self):
         """Guards against descriptors that lack when a request is sent on."""
         holdings = make_holdings()
