Test that what is left of a dropped body is never handled

Cause: the account releases the body of a connection that it closes, and the connection's task still finds what was in its buffer.

Change: tests of that, at the reader and over a server, with a length and in chunks.

--- a/test/test_http.py
+++ b/test/test_http.py
@@ -10,19 +10,25 @@
 
 from lagoonpost.http.account import ClientAccount
 from lagoonpost.http.client import PIECE_BYTES, CallFailedError, Client
+from lagoonpost.http.lane import DecodingLane
 from lagoonpost.http.message import (
     Address,
     Request,
     Response,
     parse_address,
 )
+from lagoonpost.http.request_reader import ClientReader, RequestReader
 from lagoonpost.http.responder import (
     ClientDisconnectedError,
     Limits,
     Responder,
 )
 from lagoonpost.http.server import Server
-from lagoonpost.systems.holdings import CONNECTION_BYTES, HoldingBounds
+from lagoonpost.systems.holdings import (
+    CONNECTION_BYTES,
+    STALL_SECONDS,
+    HoldingBounds,
+)
 
 LOOPBACK = Address("127.0.0.1", 0)
 EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
@@ -379,6 +385,84 @@
 
         assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
 
+    @pytest.mark.parametrize("chunked", [False, True])
+    def test_a_request_closed_for_another_is_never_handled(self, chunked):
+        """Guards against what is left of a body passing for all of it."""
+        size = 200_000
+        body = b"a" * size
+        head = b"POST / HTTP/1.1\r\nhost: x\r\n"
+        if chunked:
+            whole = head + b"transfer-encoding: chunked\r\n\r\n"
+            whole += b"%x\r\n%b\r\n0\r\n\r\n" % (size, body)
+        else:
+            whole = head + b"content-length: %d\r\n\r\n%b" % (size, body)
+        handled: list[bytes] = []
+
+        async def record(request: Request, responder: Responder) -> None:
+            handled.append(request.body)
+            await responder.send(Response(200))
+
+        async def scenario() -> bytes:
+            account = ClientAccount(HoldingBounds(400_000, 10))
+            server = Server(record, account=account)
+            address = await server.start(LOOPBACK)
+            _, stalled = await asyncio.open_connection(*address)
+            stalled.write(whole[: size - 1000])
+            await asyncio.sleep(1.5 * STALL_SECONDS)
+            reader, other = await asyncio.open_connection(*address)
+            other.write(whole)
+            async with asyncio.timeout(20):
+                line = await reader.readline()
+            with suppress(ConnectionError):
+                stalled.write(whole[size - 1000 :])
+                await stalled.drain()
+            await asyncio.sleep(0.1)
+            stalled.transport.abort()
+            other.close()
+            await server.close(0.0)
+            return line
+
+        assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
+        assert handled == [body]
+
+    @pytest.mark.parametrize("chunked", [False, True])
+    def test_bytes_that_follow_a_dropped_body_are_no_request(self, chunked):
+        """Guards against bytes in the buffer of a connection that was closed.
+
+        Its task still finds them when it runs the next time.
+        """
+        framing = (
+            (b"transfer-encoding: chunked\r\n\r\n4\r\n", b"\r\n0\r\n\r\n")
+            if chunked
+            else (b"content-length: 4\r\n\r\n", b"")
+        )
+
+        async def scenario() -> object:
+            account = ClientAccount()
+            transport = asyncio.Transport()
+            holding = account.open(transport)
+            assert holding is not None
+            loop = asyncio.get_running_loop()
+            reader = ClientReader(loop)
+            writer = asyncio.StreamWriter(
+                transport, asyncio.StreamReaderProtocol(reader), reader, loop
+            )
+            requests = RequestReader(
+                reader, writer, account, holding, DecodingLane(), set()
+            )
+            requests.begin(Limits())
+            reading = asyncio.create_task(requests.read())
+            head = b"POST / HTTP/1.1\r\nhost: x\r\n" + framing[0]
+            reader.feed_data(head + b"aa")
+            await asyncio.sleep(0.05)
+            requests._drop()
+            reader.feed_data(b"bb" + framing[1])
+            async with asyncio.timeout(5):
+                return await reading
+
+        with pytest.raises(ClientDisconnectedError):
+            asyncio.run(scenario())
+
     def test_a_large_answer_is_whole(self):
         """Guards against pieces of an answer that are lost or doubled."""
         sizes = [0, 1, 65535, 65536, 65537, 131072, 1000000]
