Use a transport that can be finalized in a test

Cause: asyncio's abstract transport raises in the finalizer of a stream writer, which pytest reports as a warning.

Change: the test's transport says that it is closing. Result: no warning of it.

--- a/test/test_http.py
+++ b/test/test_http.py
@@ -338,6 +338,13 @@
         assert asyncio.run(scenario()).startswith(b"HTTP/1.1 408")
 
 
+class ClosedTransport(asyncio.Transport):
+    """The transport of a connection that was closed."""
+
+    def is_closing(self) -> bool:
+        return True
+
+
 class TestWhatIsHeld:
     def test_an_idle_connection_keeps_no_request(self):
         """Guards against the last body staying while its connection idles."""
@@ -439,7 +446,7 @@
 
         async def scenario() -> object:
             account = ClientAccount()
-            transport = asyncio.Transport()
+            transport = ClosedTransport()
             holding = account.open(transport)
             assert holding is not None
             loop = asyncio.get_running_loop()
