End connections whose last answer is never taken

Cause: a connection that idled out, or ended by another error, was closed with what its client had not taken still in its buffer. asyncio keeps such a connection until the client reads or closes: each kept up to 256 KiB and a descriptor that the account no longer counted.

Change: every connection is given write_seconds for what is unsent, stays in the account meanwhile, and is aborted then.

--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -162,10 +162,11 @@
         self._connections.add(task)
         writer.transport.set_write_buffer_limits(high=self.limits.buffer)
         try:
-            await self._handle_connection(reader, writer, holding)
+            with suppress(
+                ClientDisconnectedError, OSError, h11.LocalProtocolError
+            ):
+                await self._handle_connection(reader, writer, holding)
             await self._flush(writer)
-        except (ClientDisconnectedError, OSError, h11.LocalProtocolError):
-            pass
         except asyncio.CancelledError:
             # `close` cancelled this task. If the exception went on, asyncio
             # would log it as a connection error.
@@ -218,7 +219,7 @@
         try:
             async with asyncio.timeout(self.limits.write_seconds):
                 await writer.wait_closed()
-        except TimeoutError:
+        except (TimeoutError, OSError):
             writer.transport.abort()
 
     async def _handle_request(
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -249,6 +249,39 @@
 
         assert asyncio.run(scenario()) == b""
 
+    def test_an_answer_that_is_never_taken_does_not_stay(self) -> None:
+        """Guards against connections that close only once they are read.
+
+        The response fits the connection's buffer, so that its handler has
+        ended, and the client neither reads nor closes.
+        """
+        body = b"a" * (16 * 1024 * 1024)
+        limits = Limits(
+            buffer=2 * len(body), idle_seconds=0.2, write_seconds=0.3
+        )
+        transports: list[asyncio.WriteTransport] = []
+
+        async def answer(request: Request, responder: Responder) -> None:
+            transports.append(responder._writer.transport)
+            await responder.send(Response(200, (), body))
+
+        async def scenario() -> int:
+            account = ClientAccount()
+            server = Server(answer, limits, account=account)
+            address = await server.start(LOOPBACK)
+            with socket.socket() as client:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                client.connect(address)
+                client.sendall(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+                async with asyncio.timeout(20):
+                    while not transports or account.descriptors:  # noqa: ASYNC110
+                        await asyncio.sleep(0.01)
+                unsent = transports[0].get_write_buffer_size()
+            await server.close(0.0)
+            return unsent
+
+        assert asyncio.run(scenario()) == 0
+
 
 class TestRefusedRequests:
     @staticmethod
