--- a/lagoonpost/forwarding/watchers.py
+++ b/lagoonpost/forwarding/watchers.py
@@ -1,5 +1,6 @@
 """Watches the settings file for changes and the host for suspensions."""
 
+import os
 import time
 from collections.abc import Callable
 
@@ -10,7 +11,6 @@
     HostSettings,
     SettingsError,
     read_host_settings,
-    read_modification_time,
 )
 from lagoonpost.store.clock import read_clock
 
@@ -24,6 +24,14 @@
 """Pause between comparisons of the clocks."""
 
 
+def read_modification_time(path: str) -> float:
+    """Return the file's modification time, or 0 if it is not accessible."""
+    try:
+        return os.stat(path).st_mtime
+    except OSError:
+        return 0.0
+
+
 class SettingsWatcher:
     """Reloads the settings file when it changes.
 
--- a/lagoonpost/platform/settings.py
+++ b/lagoonpost/platform/settings.py
@@ -1,6 +1,5 @@
 """Reads the settings file that the platform writes for each process."""
 
-import os
 import tomllib
 from typing import Any, NamedTuple
 
@@ -32,10 +31,8 @@
         first_start: Whether this is the first start of the whole system.
         bounds: Guaranteed times and ratios.
         link_mbps: Speed of the host's link in Mbit/s; 0 if unknown.
-        memory_mb: Memory of the process in units of 1,000,000 bytes; 0 if
-            unknown.
-        max_fds: Descriptors of the process, those for files included; 0 if
-            unknown.
+        memory_mb: Memory of the process in MB of 1,000,000 bytes, or 0.
+        max_fds: Descriptors of the process, those for files included, or 0.
     """
 
     name: str
@@ -63,14 +60,6 @@
     """The settings file is invalid; the message names file and field."""
 
 
-def read_modification_time(path: str) -> float:
-    """Return the file's modification time, or 0 if it is not accessible."""
-    try:
-        return os.stat(path).st_mtime
-    except OSError:
-        return 0.0
-
-
 def read_host_settings(path: str) -> HostSettings:
     """Read and check the settings file.
 
