Log how answers ended and what became of an order to stop a run

Nothing names a stream's framing, what proved its end, what became of an order to stop its run or why a move failed. Change: request lines have `ends`, lines of moves `reason` and `stop`. Decisions are unchanged.

--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -1,6 +1,7 @@
 """State of one request: routing, attempts at runners and its outcome."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from lagoonpost.forwarding.attempt import (
     Barred,
@@ -24,6 +25,7 @@
 from lagoonpost.http.message import Request, Response
 from lagoonpost.systems.placement import Choice, PlacementRequest
 from lagoonpost.systems.request_order import Decision
+from lagoonpost.tables.answer_end import EndEvidence
 from lagoonpost.tables.configuration import Route, Service, Workspace
 from lagoonpost.tables.metadata import RequestMetadata
 from lagoonpost.tables.quota import QuotaCharge, QuotaCheck
@@ -38,6 +40,20 @@
 after which a runner is likely to have a free slot."""
 
 
+class AnswerEnd(NamedTuple):
+    """How the answer of one runner ended.
+
+    Attributes:
+        runner: Id of the runner.
+        evidence: Evidence of the end.
+        verdict: What the answer was taken for.
+    """
+
+    runner: str
+    evidence: EndEvidence
+    verdict: str
+
+
 class Exchange:
     """State of one request.
 
@@ -71,6 +87,7 @@
         status: HTTP status of the answer; 0 before there is one.
         steps: Steps taken, for the log.
         outcomes: Outcome of each offer to a runner.
+        ends: How the answers ended that began, in order, for the log.
         may_have_run: Whether a runner may have started to run the request.
         causes: What may make the request crash its runner, from the most to
             the least widely shared.
@@ -118,6 +135,7 @@
         self.status = 0
         self.steps: list[str] = []
         self.outcomes: list[str] = []
+        self.ends: list[AnswerEnd] = []
         self.may_have_run = False
         self._in_flight = False
         self.causes: tuple[str, ...] = ()
@@ -252,6 +270,12 @@
                 self.run_count += 1
                 self.may_have_run = True
 
+    def note_end(
+        self, choice: Choice, evidence: EndEvidence, verdict: str
+    ) -> None:
+        """Record how an answer ended and what it was taken for."""
+        self.ends.append(AnswerEnd(choice.endpoint.id, evidence, verdict))
+
     def note_barred(self, refusal: Refusal) -> None:
         """Record that the request is sent to no runner, as it crashes them."""
         self.last_refusal = ANSWER_LOST if self.may_have_run else refusal
--- a/lagoonpost/forwarding/migration.py
+++ b/lagoonpost/forwarding/migration.py
@@ -25,8 +25,15 @@
 )
 from lagoonpost.systems.permit_issuer import Denied
 from lagoonpost.systems.placement import Choice, Placement
+from lagoonpost.tables.answer_end import StopState
 from lagoonpost.tables.endpoint import Endpoint
-from lagoonpost.tables.kv_copy import Copied, KvCopy, NoRoom
+from lagoonpost.tables.kv_copy import (
+    Copied,
+    KvCopy,
+    NoRoom,
+    NoRun,
+    Unanswered,
+)
 
 DEPARTURE_RETENTION_SECONDS = 30.0
 """How long a runner's departure is remembered."""
@@ -54,7 +61,8 @@
         close: Closes the stream.
         target: Runner at which the run is resumed; None unless it was moved.
         saved: Saved state of the run, once a copy was made.
-        stopping: Whether the runner may have been asked to stop the run.
+        stop: What became of the order to stop the run, if there was one.
+        reason: Why the move failed, as far as is known.
         task: Task that moves the run, if it has to be moved.
     """
 
@@ -66,7 +74,8 @@
         self.close = close
         self.target: Endpoint | None = None
         self.saved: KvCopy | None = None
-        self.stopping = False
+        self.stop = StopState.NONE
+        self.reason = ""
         self.task: asyncio.Task[None] | None = None
 
 
@@ -146,7 +155,7 @@
         The end of the stream may arrive before the answer to the call that
         stops the run, so a move in progress is awaited first.
         """
-        if run.task is not None and run.stopping:
+        if run.task is not None and run.stop is not StopState.NONE:
             await asyncio.wait({run.task})
         return run.target is not None
 
@@ -227,6 +236,8 @@
             target=run.target.id if run.target else "",
             left=round(departure - loop.time(), 3),
             outcome=outcome,
+            reason=run.reason,
+            stop=run.stop.value,
         )
 
     async def _wait_for_departure(self, runner: str) -> float:
@@ -276,7 +287,7 @@
             source, request_id, target.address, stop=False
         )
         if not isinstance(first, Copied):
-            return type(first).__name__.lower()
+            return _note_failure(run, first)
         run.saved = first.saved
         permit = await self._permits.acquire(target, PERMIT_WAIT_SECONDS)
         if isinstance(permit, Denied):
@@ -295,19 +306,27 @@
             await self._memory.free(first.saved)
             run.saved = None
             return "withheld"
-        run.stopping = True
+        run.stop = StopState.UNKNOWN
         last = await self._memory.copy(
             source, request_id, target.address, stop=True
         )
         if not isinstance(last, Copied):
             self._refund(run.exchange)
-            return type(last).__name__.lower()
+            return _note_failure(run, last)
+        run.stop = StopState.STOPPED
         run.saved = last.saved
         run.target = target
         asyncio.get_running_loop().call_later(CLOSE_DELAY_SECONDS, run.close)
         return "moved"
 
 
+def _note_failure(run: StreamRun, answer: NoRun | NoRoom | Unanswered) -> str:
+    """Keep why a copy failed; return the outcome for the log."""
+    if isinstance(answer, Unanswered):
+        run.reason = answer.detail
+    return type(answer).__name__.lower()
+
+
 _WORTH_ANOTHER_TARGET = frozenset(
     (NoRoom.__name__.lower(), "no_permit", "withheld")
 )
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -42,6 +42,7 @@
 )
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.placement import Choice, Placement
+from lagoonpost.tables.answer_end import EndEvidence, RunnerState
 from lagoonpost.tables.kv_copy import KvCopy
 
 MIN_FIRST_BYTE_TIMEOUT_SECONDS = STREAM_IDLE_TIMEOUT_SECONDS
@@ -163,7 +164,7 @@
                 lambda: self._note_unfinished(exchange, choice),
             )
             if isinstance(outcome, Whole):
-                outcome = await self._confirm_end(choice, outcome)
+                outcome = await self._confirm_end(exchange, choice, outcome)
             if saved is not None and isinstance(
                 outcome, Unreachable | Barred | Withheld
             ):
@@ -183,7 +184,7 @@
                     outcome,
                     responder,
                     self._migrations,
-                    lambda: self._paths.is_up(choice),
+                    lambda: self._paths.find_state(choice),
                     sampler,
                     lambda: self._note_failure(choice),
                     lambda: self._has_other(exchange, choice),
@@ -202,12 +203,16 @@
                 self._ordering.note_ended(exchange, exchange.now() - began_at)
 
     async def _confirm_end(
-        self, choice: Choice, outcome: Whole
+        self, exchange: Exchange, choice: Choice, outcome: Whole
     ) -> Whole | Broken:
         """Return an answer, or that its runner's crash may have cut it off."""
-        if outcome.ends_with_connection and not await self._paths.is_up(
-            choice
-        ):
+        evidence = EndEvidence(True, not outcome.ends_with_connection)
+        if not evidence.framed:
+            state = await self._paths.find_state(choice)
+            evidence = evidence._replace(runner=state)
+        is_cut = evidence.runner is RunnerState.DOWN
+        exchange.note_end(choice, evidence, "cut" if is_cut else "whole")
+        if is_cut:
             return Broken("the runner that ended the answer is down")
         return outcome
 
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -19,6 +19,7 @@
 from lagoonpost.platform.headers import make_response_headers
 from lagoonpost.systems.placement import Choice
 from lagoonpost.systems.stream_progress import StreamProgress
+from lagoonpost.tables.answer_end import EndEvidence, RunnerState
 
 STREAM_IDLE_TIMEOUT_SECONDS = 1.8
 """Pause in a stream after which its runner is considered lost. A sound runner
@@ -34,7 +35,7 @@
     began: Began,
     responder: Responder,
     migrations: Migrations,
-    confirm_end: Callable[[], Awaitable[bool]],
+    find_state: Callable[[], Awaitable[RunnerState]],
     sampler: SpeedSampler,
     note_failure: Callable[[], None],
     has_other: Callable[[], bool],
@@ -47,8 +48,8 @@
         began: The stream.
         responder: Sends the answer to the caller.
         migrations: Moves streams away from departing runners.
-        confirm_end: Tells whether the runner, and not its crash, has ended
-            a stream that ends with its connection.
+        find_state: Finds out whether the runner, and not its crash, has
+            ended a stream that ends with its connection.
         sampler: Measures the runner's pace.
         note_failure: Called if the runner sends bytes without events.
         has_other: Tells whether the stream could go on at another runner; a
@@ -69,11 +70,20 @@
             isinstance(outcome, Broken) and outcome.endless
         ):
             note_failure()
-        if await migrations.wait_for_move(run):
+        is_moved = await migrations.wait_for_move(run)
+        evidence = EndEvidence(
+            isinstance(outcome, Began), not call.ends_with_connection, run.stop
+        )
+        if is_moved:
             assert run.target is not None and run.saved is not None
+            exchange.note_end(choice, evidence, "moved")
             return Moved(run.target, run.saved)
         if isinstance(outcome, Began):
-            if call.ends_with_connection and not await confirm_end():
+            if not evidence.framed:
+                evidence = evidence._replace(runner=await find_state())
+            is_cut = evidence.runner is RunnerState.DOWN
+            exchange.note_end(choice, evidence, "cut" if is_cut else "whole")
+            if is_cut:
                 return Broken("the runner that ended the stream is down")
             # A resumed stream may lack nothing but its end.
             await _start(exchange, call, responder)
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -3,7 +3,7 @@
 import eliot
 
 from lagoonpost.forwarding.attempt import Outcome
-from lagoonpost.forwarding.exchange import Exchange
+from lagoonpost.forwarding.exchange import AnswerEnd, Exchange
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.placement import Choice
 from lagoonpost.tables.endpoint import Endpoint
@@ -38,6 +38,7 @@
         outcome=exchange.outcome,
         status=exchange.status,
         steps=exchange.steps,
+        ends=[_describe_end(end) for end in exchange.ends],
         first_byte=_round(exchange.first_byte),
         took=_round(took),
     )
@@ -195,5 +196,15 @@
     )
 
 
+def _describe_end(end: AnswerEnd) -> str:
+    evidence = end.evidence
+    framing = "framed" if evidence.framed else "bare"
+    arrived = "ended" if evidence.ended else "cut"
+    return (
+        f"{end.runner}:{framing}:{arrived}:stop_{evidence.stop.value}"
+        f":runner_{evidence.runner.value}:{end.verdict}"
+    )
+
+
 def _round(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 4)
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -33,6 +33,7 @@
     PeerChoice,
     Reach,
 )
+from lagoonpost.tables.answer_end import RunnerState
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.peer import Member
 
@@ -246,7 +247,7 @@
         self._peer_choice.note(peer.name, result not in _UNABLE, self._now())
         return result
 
-    async def is_up(self, choice: Choice) -> bool:
+    async def find_state(self, choice: Choice) -> RunnerState:
         """Return whether a runner accepts connections, or leaves as planned.
 
         Takes a round trip, for answers whose end does not show whether it is
@@ -257,15 +258,17 @@
         entry = self._view.entries.get(choice.endpoint.id)
         known = entry.endpoint if entry is not None else None
         if known and known.leaving and known.leaves_in_seconds is None:
-            return True
+            return RunnerState.LEAVING
         try:
             socket = await self.connect(
                 choice.endpoint, choice.indirect, "control"
             )
         except CallFailedError:
-            return False
+            return RunnerState.DOWN
         try:
-            return not (known and known.leaving) or await _stays_open(socket)
+            if known and known.leaving and not await _stays_open(socket):
+                return RunnerState.DOWN
+            return RunnerState.UP
         finally:
             socket.writer.close()
 
--- /dev/null
+++ b/lagoonpost/tables/answer_end.py
@@ -0,0 +1,54 @@
+"""What is known of how a runner's answer ended."""
+
+from enum import Enum
+from typing import NamedTuple
+
+
+class StopState(Enum):
+    """What is known of an order to stop a run for its move.
+
+    Attributes:
+        NONE: No order has reached the runner.
+        DECLINED: The runner goes on with the run, or had ended it before.
+        UNKNOWN: The runner may have stopped the run.
+        STOPPED: The runner has stopped the run.
+    """
+
+    NONE = "none"
+    DECLINED = "declined"
+    UNKNOWN = "unknown"
+    STOPPED = "stopped"
+
+
+class RunnerState(Enum):
+    """What is known of a runner after one of its answers ended.
+
+    Attributes:
+        UNKNOWN: Nothing; it was not asked.
+        UP: It accepts connections.
+        LEAVING: It accepts none, and has announced that it leaves.
+        DOWN: It accepts none.
+    """
+
+    UNKNOWN = "unknown"
+    UP = "up"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+class EndEvidence(NamedTuple):
+    """Evidence of how an answer ended.
+
+    Attributes:
+        ended: Whether an end arrived; otherwise the connection was reset or
+            silent, or what arrived is no answer.
+        framed: Whether a length or chunks mark the end, so that it is not the
+            end of the connection.
+        stop: What became of an order to stop the run.
+        runner: State of the runner after the end.
+    """
+
+    ended: bool
+    framed: bool
+    stop: StopState = StopState.NONE
+    runner: RunnerState = RunnerState.UNKNOWN
