--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -55,10 +55,37 @@
 """
 
 
-MoveFault = Literal["none", "no_run", "busy", "no_room", "stop_unanswered"]
+MoveFault = Literal[
+    "none",
+    "no_run",
+    "busy",
+    "no_room",
+    "stop_unanswered",
+    "stop_silent",
+    "stop_late",
+    "stop_fails",
+    "stop_without_handle",
+    "stop_garbled",
+    "stop_without_copy",
+    "stopped_late",
+    "stop_declined",
+]
 """Faults when a run is to be moved: the runner answers that it has no such
 run (no_run), that another move is in progress (busy) or that the target has no
-capacity (no_room), or it stops the run and never answers (stop_unanswered)."""
+capacity (no_room). At the order to stop a run, it stops the run and
+
+- stop_unanswered: closes the connection of the order
+- stop_silent: never answers
+- stop_late: answers when nobody waits any more
+- stop_fails: answers 500
+- stop_without_handle: answers 200 without the handle of the copy
+- stop_garbled: sends bytes that are no answer
+- stop_without_copy: answers 503 with the handle, as the target has no room for
+  what is new
+
+or it never answers and stops the run only later (stopped_late), or answers
+that another move is in progress and goes on (stop_declined)."""
+LATE_STOP_SECONDS = 1.5
 _MOVE_REFUSALS: dict[MoveFault, int] = {
     "no_run": 404,
     "busy": 409,
@@ -114,6 +141,8 @@
         events: Number of events of each stream.
         move_fault: Injected fault for moves from this runner.
         copies: Unused KV copies of all runners, by handle.
+        move_faults: How many orders to stop a run have the fault that begins
+            with ``stop``; None for all.
         freed_handles: Handles of copies that this runner was told to free.
         brittle: Refusals a second beyond which the runner falls over, which
             it says in all its answers; 0 if it stands any number.
@@ -145,8 +174,11 @@
         self.id = id
         self.fault: RunnerFault = "none"
         self.move_fault: MoveFault = "none"
+        self.move_faults: int | None = None
         self.freed_handles: list[str] = []
         self._stopped: dict[str, bool] = {}
+        self._kept: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self.brittle = 0
         self.limit: float | None = None
         self.leaving = False
@@ -184,6 +216,8 @@
 
     async def close(self) -> None:
         """Stop and cut all connections."""
+        for task in self._tasks:
+            task.cancel()
         if self._crashing is not None:
             self._crashing.cancel()
         await self._server.close(0.0)
@@ -300,19 +334,69 @@
         call = json.loads(request.body)
         attempt = call["id"]
         refusal = _MOVE_REFUSALS.get(self.move_fault)
-        if refusal is None and attempt not in self._stopped:
+        known = attempt in self._stopped or attempt in self._kept
+        if refusal is None and not known:
             refusal = 404
         if refusal is not None:
             await responder.send(Response(refusal, self._tell()))
             return
         handle = f"{self.id}-{attempt}"
-        self.copies[handle] = KvCopy(attempt, call["to"])
-        if call.get("last"):
+        fault = self._draw_stop_fault() if call.get("last") else "none"
+        if fault not in ("stop_without_copy", "stopped_late", "stop_declined"):
+            self.copies[handle] = KvCopy(attempt, call["to"])
+        if fault == "stopped_late":
+            task = asyncio.create_task(self._stop_late(attempt))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        elif call.get("last") and fault != "stop_declined":
+            self._stop(attempt)
+        if fault == "none":
+            await self._send_move_answer(responder, 200, handle)
+        else:
+            await self._answer_stop(fault, responder, handle)
+
+    def _draw_stop_fault(self) -> MoveFault:
+        """Return the fault of an order to stop a run, and count it."""
+        if not self.move_fault.startswith("stop") or self.move_faults == 0:
+            return "none"
+        if self.move_faults is not None:
+            self.move_faults -= 1
+        return self.move_fault
+
+    def _stop(self, attempt: str) -> None:
+        """Stop a run; its KV cache is kept."""
+        self._kept.add(attempt)
+        if attempt in self._stopped:
             self._stopped[attempt] = True
-            if self.move_fault == "stop_unanswered":
-                return
+
+    async def _stop_late(self, attempt: str) -> None:
+        await asyncio.sleep(LATE_STOP_SECONDS)
+        self._stop(attempt)
+
+    async def _answer_stop(
+        self, fault: MoveFault, responder: Responder, handle: str
+    ) -> None:
+        """Answer an order to stop a run with a fault, or not at all."""
+        if fault == "stop_unanswered":
+            return
+        if fault in ("stop_silent", "stopped_late"):
+            await asyncio.sleep(3600)
+        if fault == "stop_late":
+            await asyncio.sleep(LATE_STOP_SECONDS)
+            await self._send_move_answer(responder, 200, handle)
+        if fault == "stop_garbled":
+            responder._writer.write(b"these bytes are no answer\r\n\r\n")
+        elif fault == "stop_without_copy":
+            await self._send_move_answer(responder, 503, handle)
+        elif fault != "stop_late":
+            status = {"stop_fails": 500, "stop_declined": 409}.get(fault, 200)
+            await responder.send(Response(status, self._tell()))
+
+    async def _send_move_answer(
+        self, responder: Responder, status: int, handle: str
+    ) -> None:
         body = {"handle": handle, "create_revision": 1}
-        answer = make_json_response(200, body)
+        answer = make_json_response(status, body)
         headers = (*answer.headers, *self._tell())
         await responder.send(answer._replace(headers=headers))
 
