Let no end of a connection pass for the end of a stopped stream

Cause: the order to stop counted only if its answer said that the run was copied. Without that answer the gateway took the end of the connection for the stream's, as the runner lives: it merely leaves. The copy was freed as well, and with it the state from which a run that may run only once goes on. Class: an end without framing was believed for want of evidence against it. Change: what is known of an end is one record (end seen, framing, stop, upload, runner), and one table in systems/ judges it. An order whose answer is lost or says nothing is given again, within 1.5 s in all. A 503 with a handle counts as stopped. What may have been stopped goes on from the copy, which is kept until the stream has ended; without one it ends visibly cut or goes elsewhere. An order answered 404 or 409 leaves a true end whole, unless an order before it was lost. test_a_stop_without_an_answer_aborts_the_stream: now the target refuses as well, as the stream is whole otherwise, which test_answer_ends asserts. No load is involved.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -20,6 +20,7 @@
     is_not_run,
     make_request_headers,
 )
+from lagoonpost.tables.answer_end import UploadState
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.kv_copy import KvCopy
 
@@ -93,10 +94,12 @@
         response: The answer.
         ends_with_connection: Whether nothing but the end of its connection
             shows that it is complete.
+        upload: What is known of the request after the end.
     """
 
     response: Response
     ends_with_connection: bool = False
+    upload: UploadState = UploadState.READ
 
 
 class Began(NamedTuple):
@@ -194,6 +197,10 @@
             part.cancel()
             raise
 
+    async def find_upload(self) -> UploadState:
+        """Return whether the runner has read the request it answered."""
+        return UploadState.READ
+
     def hold(self, size: int) -> Broken | None:
         """Account for bytes of the answer that are kept.
 
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -23,6 +23,7 @@
 )
 from lagoonpost.http.events import RawEvent
 from lagoonpost.http.message import Request, Response
+from lagoonpost.systems.answer_end import EndVerdict
 from lagoonpost.systems.placement import Choice, PlacementRequest
 from lagoonpost.systems.request_order import Decision
 from lagoonpost.tables.answer_end import EndEvidence
@@ -51,7 +52,7 @@
 
     runner: str
     evidence: EndEvidence
-    verdict: str
+    verdict: EndVerdict
 
 
 class Exchange:
@@ -271,7 +272,7 @@
                 self.may_have_run = True
 
     def note_end(
-        self, choice: Choice, evidence: EndEvidence, verdict: str
+        self, choice: Choice, evidence: EndEvidence, verdict: EndVerdict
     ) -> None:
         """Record how an answer ended and what it was taken for."""
         self.ends.append(AnswerEnd(choice.endpoint.id, evidence, verdict))
--- a/lagoonpost/forwarding/migration.py
+++ b/lagoonpost/forwarding/migration.py
@@ -12,10 +12,14 @@
 
 import eliot
 
+from lagoonpost.forwarding.attempt import Broken, Moved
 from lagoonpost.forwarding.cluster_state import ClusterState
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.forwarding.permits import Permits
-from lagoonpost.platform.kv_cache import KvCacheClient
+from lagoonpost.platform.kv_cache import (
+    COPY_TIMEOUT_SECONDS,
+    KvCacheClient,
+)
 from lagoonpost.systems.migration import (
     MIGRATION_LEAD_SECONDS,
     Candidate,
@@ -25,14 +29,17 @@
 )
 from lagoonpost.systems.permit_issuer import Denied
 from lagoonpost.systems.placement import Choice, Placement
+from lagoonpost.systems.stop_order import read_stop_answer
 from lagoonpost.tables.answer_end import StopState
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.kv_copy import (
     Copied,
+    CopyOutcome,
     KvCopy,
     NoRoom,
-    NoRun,
+    PartlyCopied,
     Unanswered,
+    Unreached,
 )
 
 DEPARTURE_RETENTION_SECONDS = 30.0
@@ -46,6 +53,11 @@
 MAX_TARGETS = 2
 """Limit for the targets tried for one run. The time between the notice and
 the shutdown does not suffice for more."""
+STOP_TIMEOUT_SECONDS = 1.5
+"""Longest wait for an answer to the order to stop a run, repetitions included:
+callers leave a stream after a pause of two seconds or more."""
+STOP_PAUSE_SECONDS = 0.1
+"""Pause before a run's stop is ordered again."""
 CLOSE_DELAY_SECONDS = 0.2
 """Time in which the runner closes the stream of a stopped run by itself. By
 then the last events in flight have arrived, and the gateway closes the stream:
@@ -59,8 +71,10 @@
         exchange: The request.
         choice: The runner.
         close: Closes the stream.
-        target: Runner at which the run is resumed; None unless it was moved.
+        target: Runner that holds the copy of the run's state.
         saved: Saved state of the run, once a copy was made.
+        charged: Whether the resumption of the run was charged.
+        resumed: Whether the run goes on from its saved state.
         stop: What became of the order to stop the run, if there was one.
         reason: Why the move failed, as far as is known.
         task: Task that moves the run, if it has to be moved.
@@ -74,6 +88,8 @@
         self.close = close
         self.target: Endpoint | None = None
         self.saved: KvCopy | None = None
+        self.charged = False
+        self.resumed = False
         self.stop = StopState.NONE
         self.reason = ""
         self.task: asyncio.Task[None] | None = None
@@ -149,15 +165,21 @@
             self._schedule(run)
         return run
 
-    async def wait_for_move(self, run: StreamRun) -> bool:
-        """Return whether a stream that ended was moved to another runner.
+    async def wait_for_stop(self, run: StreamRun) -> None:
+        """Wait until it is known whether a stream that ended was stopped.
 
         The end of the stream may arrive before the answer to the call that
-        stops the run, so a move in progress is awaited first.
+        stops the run.
         """
         if run.task is not None and run.stop is not StopState.NONE:
             await asyncio.wait({run.task})
-        return run.target is not None
+
+    def resume(self, run: StreamRun) -> Moved | Broken:
+        """Return where a run goes on that was stopped, or may have been."""
+        if run.target is None or run.saved is None:
+            return Broken("the run was ordered to stop")
+        run.resumed = True
+        return Moved(run.target, run.saved)
 
     def end_run(self, run: StreamRun) -> None:
         """Stop tracking a stream and free a copy that will not be resumed."""
@@ -168,7 +190,11 @@
             self._runs.pop(runner, None)
         if run.task is not None:
             run.task.cancel()
-        if run.saved is not None and run.target is None:
+        if run.resumed:
+            return
+        if run.charged:
+            self._refund(run.exchange)
+        if run.saved is not None:
             task = asyncio.create_task(self._memory.free(run.saved))
             self._cleanup_tasks.add(task)
             task.add_done_callback(self._cleanup_tasks.discard)
@@ -217,7 +243,7 @@
     async def _move(self, run: StreamRun) -> None:
         loop = asyncio.get_running_loop()
         departure = await self._wait_for_departure(run.choice.endpoint.id)
-        outcome = "no_target"
+        outcome, target = "no_target", None
         for _ in range(MAX_TARGETS):
             target = self._choose_target(run)
             if target is None:
@@ -233,7 +259,7 @@
             message_type="lagoonpost:forwarding:moved",
             request=run.exchange.arrival.id,
             source=run.choice.endpoint.id,
-            target=run.target.id if run.target else "",
+            target=target.id if target else "",
             left=round(departure - loop.time(), 3),
             outcome=outcome,
             reason=run.reason,
@@ -278,6 +304,9 @@
         second one transfers only what was added since, which keeps the pause
         in the caller's stream short.
 
+        Without an answer it is unknown whether the run was stopped. Its end
+        shows that, and it then goes on from the first copy.
+
         Returns:
             The outcome for the log; "moved" on success.
         """
@@ -288,7 +317,7 @@
         )
         if not isinstance(first, Copied):
             return _note_failure(run, first)
-        run.saved = first.saved
+        run.saved, run.target = first.saved, target
         permit = await self._permits.acquire(target, PERMIT_WAIT_SECONDS)
         if isinstance(permit, Denied):
             run.saved = None
@@ -301,28 +330,50 @@
             return "barred"
         if await self._charge(run.exchange) is not None:
             return "over_quota"
+        run.charged = True
         if not self._view.may_send(target):
-            self._refund(run.exchange)
+            self._drop_charge(run)
             await self._memory.free(first.saved)
             run.saved = None
             return "withheld"
-        run.stop = StopState.UNKNOWN
-        last = await self._memory.copy(
-            source, request_id, target.address, stop=True
-        )
-        if not isinstance(last, Copied):
-            self._refund(run.exchange)
-            return _note_failure(run, last)
-        run.stop = StopState.STOPPED
-        run.saved = last.saved
-        run.target = target
-        asyncio.get_running_loop().call_later(CLOSE_DELAY_SECONDS, run.close)
-        return "moved"
-
-
-def _note_failure(run: StreamRun, answer: NoRun | NoRoom | Unanswered) -> str:
+        last = await self._stop(run, target)
+        if isinstance(last, Copied | PartlyCopied):
+            run.saved = last.saved
+            loop = asyncio.get_running_loop()
+            loop.call_later(CLOSE_DELAY_SECONDS, run.close)
+            return "moved"
+        if run.stop is not StopState.UNKNOWN:
+            self._drop_charge(run)
+        return _note_failure(run, last)
+
+    async def _stop(self, run: StreamRun, target: Endpoint) -> CopyOutcome:
+        """Order a run's stop until an answer tells what became of it."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + STOP_TIMEOUT_SECONDS
+        known = run.stop
+        while True:
+            run.stop = StopState.UNKNOWN
+            answer = await self._memory.copy(
+                run.choice.endpoint.address,
+                run.exchange.arrival.id,
+                target.address,
+                stop=True,
+                timeout=min(COPY_TIMEOUT_SECONDS, deadline - loop.time()),
+            )
+            known, again = read_stop_answer(known, answer)
+            run.stop = known
+            if not again or loop.time() + STOP_PAUSE_SECONDS >= deadline:
+                return answer
+            await asyncio.sleep(STOP_PAUSE_SECONDS)
+
+    def _drop_charge(self, run: StreamRun) -> None:
+        self._refund(run.exchange)
+        run.charged = False
+
+
+def _note_failure(run: StreamRun, answer: CopyOutcome) -> str:
     """Keep why a copy failed; return the outcome for the log."""
-    if isinstance(answer, Unanswered):
+    if isinstance(answer, Unanswered | Unreached):
         run.reason = answer.detail
     return type(answer).__name__.lower()
 
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -18,6 +18,7 @@
 )
 from lagoonpost.forwarding.cluster_state import ClusterState
 from lagoonpost.forwarding.crash_watch import CrashWatch
+from lagoonpost.forwarding.end_check import check_end
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.forwarding.migration import Migrations
 from lagoonpost.forwarding.notice_reader import NoticeReader
@@ -41,8 +42,9 @@
     make_response_headers,
 )
 from lagoonpost.store.clock import read_clock
+from lagoonpost.systems.answer_end import EndVerdict
 from lagoonpost.systems.placement import Choice, Placement
-from lagoonpost.tables.answer_end import EndEvidence, RunnerState
+from lagoonpost.tables.answer_end import EndEvidence, UploadState
 from lagoonpost.tables.kv_copy import KvCopy
 
 MIN_FIRST_BYTE_TIMEOUT_SECONDS = STREAM_IDLE_TIMEOUT_SECONDS
@@ -205,16 +207,25 @@
     async def _confirm_end(
         self, exchange: Exchange, choice: Choice, outcome: Whole
     ) -> Whole | Broken:
-        """Return an answer, or that its runner's crash may have cut it off."""
-        evidence = EndEvidence(True, not outcome.ends_with_connection)
-        if not evidence.framed:
-            state = await self._paths.find_state(choice)
-            evidence = evidence._replace(runner=state)
-        is_cut = evidence.runner is RunnerState.DOWN
-        exchange.note_end(choice, evidence, "cut" if is_cut else "whole")
-        if is_cut:
-            return Broken("the runner that ended the answer is down")
-        return outcome
+        """Return an answer, or that it may have been cut off."""
+
+        async def find_upload() -> UploadState:
+            return outcome.upload
+
+        verdict = await check_end(
+            exchange,
+            choice,
+            EndEvidence(
+                ended=True,
+                framed=not outcome.ends_with_connection,
+                repeatable=exchange.idempotent,
+            ),
+            find_upload,
+            lambda: self._paths.find_state(choice),
+        )
+        if verdict is EndVerdict.WHOLE:
+            return outcome
+        return Broken("the end of the answer is not proved")
 
     def _make_instructions(
         self, exchange: Exchange, choice: Choice, saved: KvCopy | None
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -6,17 +6,18 @@
 from lagoonpost.forwarding.attempt import (
     Began,
     Broken,
-    Moved,
     Outcome,
     RunnerCall,
     Silent,
 )
+from lagoonpost.forwarding.end_check import check_end
 from lagoonpost.forwarding.exchange import Exchange
 from lagoonpost.forwarding.migration import Migrations
 from lagoonpost.forwarding.speed_sampler import SpeedSampler
 from lagoonpost.http.events import EventSplitter, RawEvent
 from lagoonpost.http.responder import Responder
 from lagoonpost.platform.headers import make_response_headers
+from lagoonpost.systems.answer_end import EndVerdict
 from lagoonpost.systems.placement import Choice
 from lagoonpost.systems.stream_progress import StreamProgress
 from lagoonpost.tables.answer_end import EndEvidence, RunnerState
@@ -70,25 +71,29 @@
             isinstance(outcome, Broken) and outcome.endless
         ):
             note_failure()
-        is_moved = await migrations.wait_for_move(run)
-        evidence = EndEvidence(
-            isinstance(outcome, Began), not call.ends_with_connection, run.stop
+        await migrations.wait_for_stop(run)
+        verdict = await check_end(
+            exchange,
+            choice,
+            EndEvidence(
+                ended=isinstance(outcome, Began),
+                framed=not call.ends_with_connection,
+                repeatable=exchange.idempotent,
+                stop=run.stop,
+            ),
+            call.find_upload,
+            find_state,
         )
-        if is_moved:
-            assert run.target is not None and run.saved is not None
-            exchange.note_end(choice, evidence, "moved")
-            return Moved(run.target, run.saved)
-        if isinstance(outcome, Began):
-            if not evidence.framed:
-                evidence = evidence._replace(runner=await find_state())
-            is_cut = evidence.runner is RunnerState.DOWN
-            exchange.note_end(choice, evidence, "cut" if is_cut else "whole")
-            if is_cut:
-                return Broken("the runner that ended the stream is down")
-            # A resumed stream may lack nothing but its end.
-            await _start(exchange, call, responder)
-            await responder.finish()
-            exchange.note_answered(call.status)
+        if verdict is EndVerdict.STOPPED:
+            return migrations.resume(run)
+        if verdict is not EndVerdict.WHOLE:
+            if isinstance(outcome, Began):
+                return Broken("the end of the stream is not proved")
+            return outcome
+        # A resumed stream may lack nothing but its end.
+        await _start(exchange, call, responder)
+        await responder.finish()
+        exchange.note_answered(call.status)
         return outcome
     except asyncio.CancelledError:
         if progress.is_stalled(exchange.now()):
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -202,7 +202,8 @@
     arrived = "ended" if evidence.ended else "cut"
     return (
         f"{end.runner}:{framing}:{arrived}:stop_{evidence.stop.value}"
-        f":runner_{evidence.runner.value}:{end.verdict}"
+        f":upload_{evidence.upload.value}:runner_{evidence.runner.value}"
+        f":{end.verdict.value}"
     )
 
 
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -251,13 +251,12 @@
         """Return whether a runner accepts connections, or leaves as planned.
 
         Takes a round trip, for answers whose end does not show whether it is
-        their runner's end as well. A runner that leaves may take no more
-        connections while it ends its answers, but one whose host is
-        reclaimed is cut off at the time that its entry names.
+        their runner's end as well.
         """
         entry = self._view.entries.get(choice.endpoint.id)
         known = entry.endpoint if entry is not None else None
-        if known and known.leaving and known.leaves_in_seconds is None:
+        leaving = known is not None and known.leaving
+        if known and leaving and known.leaves_in_seconds is None:
             return RunnerState.LEAVING
         try:
             socket = await self.connect(
@@ -266,7 +265,7 @@
         except CallFailedError:
             return RunnerState.DOWN
         try:
-            if known and known.leaving and not await _stays_open(socket):
+            if leaving and not await _stays_open(socket):
                 return RunnerState.DOWN
             return RunnerState.UP
         finally:
--- a/lagoonpost/platform/kv_cache.py
+++ b/lagoonpost/platform/kv_cache.py
@@ -6,12 +6,15 @@
 from lagoonpost.http.message import Address, Response
 from lagoonpost.tables.decoding import UNREADABLE
 from lagoonpost.tables.kv_copy import (
+    Busy,
     Copied,
     CopyOutcome,
     KvCopy,
     NoRoom,
     NoRun,
+    PartlyCopied,
     Unanswered,
+    Unreached,
 )
 
 COPY_PATH = "/v1/kv-move"
@@ -21,6 +24,10 @@
 copies of all runs of a runner wait for each other."""
 
 
+_REFUSALS: dict[int, CopyOutcome] = {404: NoRun(), 409: Busy(), 503: NoRoom()}
+"""Outcomes by status of the answer."""
+
+
 class _Answer(msgspec.Struct):
     handle: str = ""
 
@@ -36,7 +43,12 @@
         self._client = client
 
     async def copy(
-        self, source: Address, request_id: str, target: Address, stop: bool
+        self,
+        source: Address,
+        request_id: str,
+        target: Address,
+        stop: bool,
+        timeout: float = COPY_TIMEOUT_SECONDS,
     ) -> CopyOutcome:
         """Copy a run's KV cache, or its growth since the previous copy.
 
@@ -45,6 +57,7 @@
             request_id: Id of the caller's attempt.
             target: Runner that receives the copy.
             stop: Whether to stop the run first, so that the copy is complete.
+            timeout: Longest wait for the answer, in seconds.
         """
         body: dict[str, object] = {"id": request_id, "to": str(target)}
         if stop:
@@ -56,12 +69,13 @@
                 COPY_PATH,
                 msgspec.json.encode(body),
                 (("content-type", "application/json"),),
-                timeout=COPY_TIMEOUT_SECONDS,
+                timeout=timeout,
                 fresh=True,
             )
         except CallFailedError as error:
-            return Unanswered(str(error))
-        return _read_outcome(response, source)
+            failure = Unanswered if error.sent else Unreached
+            return failure(str(error))
+        return _read_outcome(response, source, stop)
 
     async def free(self, saved: KvCopy) -> None:
         """Delete the copies of a run that is not going to be resumed.
@@ -80,17 +94,19 @@
             return
 
 
-def _read_outcome(response: Response, source: Address) -> CopyOutcome:
-    if response.status == 404:
-        return NoRun()
-    if response.status == 503:
-        return NoRoom()
-    if response.status != 200:
+def _read_outcome(
+    response: Response, source: Address, stop: bool
+) -> CopyOutcome:
+    refusal = _REFUSALS.get(response.status)
+    if refusal is None and response.status != 200:
         return Unanswered(f"status {response.status}")
+    handle, detail = "", "response has no handle"
     try:
-        decoded = msgspec.json.decode(response.body, type=_Answer)
+        handle = msgspec.json.decode(response.body, type=_Answer).handle
     except UNREADABLE as error:
-        return Unanswered(str(error))
-    if not decoded.handle:
-        return Unanswered("response has no handle")
-    return Copied(KvCopy(source, decoded.handle))
+        detail = str(error)
+    if isinstance(refusal, NoRoom) and stop and handle:
+        return PartlyCopied(KvCopy(source, handle))
+    if refusal is not None:
+        return refusal
+    return Copied(KvCopy(source, handle)) if handle else Unanswered(detail)
--- a/lagoonpost/tables/answer_end.py
+++ b/lagoonpost/tables/answer_end.py
@@ -20,6 +20,23 @@
     STOPPED = "stopped"
 
 
+class UploadState(Enum):
+    """What is known of a request after the answer to it ended.
+
+    Attributes:
+        UNKNOWN: Nothing; it was not asked for.
+        READ: The runner has read it, as far as its connection shows.
+        UNFINISHED: The runner stopped reading it, and did not end the
+            connection.
+        RESET: The runner ended the connection before it had read it.
+    """
+
+    UNKNOWN = "unknown"
+    READ = "read"
+    UNFINISHED = "unfinished"
+    RESET = "reset"
+
+
 class RunnerState(Enum):
     """What is known of a runner after one of its answers ended.
 
@@ -44,11 +61,15 @@
             silent, or what arrived is no answer.
         framed: Whether a length or chunks mark the end, so that it is not the
             end of the connection.
+        repeatable: Whether the request may run more than once.
         stop: What became of an order to stop the run.
+        upload: State of the request after the end.
         runner: State of the runner after the end.
     """
 
     ended: bool
     framed: bool
+    repeatable: bool = False
     stop: StopState = StopState.NONE
+    upload: UploadState = UploadState.UNKNOWN
     runner: RunnerState = RunnerState.UNKNOWN
--- a/lagoonpost/tables/kv_copy.py
+++ b/lagoonpost/tables/kv_copy.py
@@ -27,6 +27,20 @@
     saved: KvCopy
 
 
+class PartlyCopied(NamedTuple):
+    """The run was stopped, but the target lacks the end of its state.
+
+    Attributes:
+        saved: The copy.
+    """
+
+    saved: KvCopy
+
+
+class Busy(NamedTuple):
+    """Another call for the same run is in progress at the source."""
+
+
 class NoRun(NamedTuple):
     """The source does not run the request any more."""
 
@@ -35,6 +49,16 @@
     """The target has no capacity, or the source can't connect to it."""
 
 
+class Unreached(NamedTuple):
+    """The call was not sent.
+
+    Attributes:
+        detail: Description of the failure.
+    """
+
+    detail: str
+
+
 class Unanswered(NamedTuple):
     """The call failed, and the request may or may not have been stopped.
 
@@ -45,4 +69,6 @@
     detail: str
 
 
-CopyOutcome = Copied | NoRun | NoRoom | Unanswered
+CopyOutcome = (
+    Copied | PartlyCopied | NoRun | NoRoom | Busy | Unreached | Unanswered
+)
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -69,6 +69,7 @@
     "stop_without_copy",
     "stopped_late",
     "stop_declined",
+    "stop_ended",
 ]
 """Faults when a run is to be moved: the runner answers that it has no such
 run (no_run), that another move is in progress (busy) or that the target has no
@@ -83,8 +84,9 @@
 - stop_without_copy: answers 503 with the handle, as the target has no room for
   what is new
 
-or it never answers and stops the run only later (stopped_late), or answers
-that another move is in progress and goes on (stop_declined)."""
+or it never answers and stops the run only later (stopped_late), or goes on to
+the end of the run and answers that another move is in progress (stop_declined)
+or that it has no such run (stop_ended)."""
 LATE_STOP_SECONDS = 1.5
 _MOVE_REFUSALS: dict[MoveFault, int] = {
     "no_run": 404,
@@ -92,6 +94,12 @@
     "no_room": 503,
 }
 
+_STOP_STATUSES: dict[MoveFault, int] = {
+    "stop_fails": 500,
+    "stop_declined": 409,
+    "stop_ended": 404,
+}
+
 PAUSE_SECONDS = 1.5
 """Silence of a sound runner."""
 DEFAULT_ROOM = 10
@@ -342,13 +350,14 @@
             return
         handle = f"{self.id}-{attempt}"
         fault = self._draw_stop_fault() if call.get("last") else "none"
-        if fault not in ("stop_without_copy", "stopped_late", "stop_declined"):
+        goes_on = fault in ("stop_declined", "stop_ended")
+        if not goes_on and fault not in ("stop_without_copy", "stopped_late"):
             self.copies[handle] = KvCopy(attempt, call["to"])
         if fault == "stopped_late":
             task = asyncio.create_task(self._stop_late(attempt))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        elif call.get("last") and fault != "stop_declined":
+        elif call.get("last") and not goes_on:
             self._stop(attempt)
         if fault == "none":
             await self._send_move_answer(responder, 200, handle)
@@ -389,7 +398,7 @@
         elif fault == "stop_without_copy":
             await self._send_move_answer(responder, 503, handle)
         elif fault != "stop_late":
-            status = {"stop_fails": 500, "stop_declined": 409}.get(fault, 200)
+            status = _STOP_STATUSES.get(fault, 200)
             await responder.send(Response(status, self._tell()))
 
     async def _send_move_answer(
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -3,8 +3,12 @@
 import asyncio
 from typing import NamedTuple
 
+import pytest
 from forwarding_stack import Stack, make_prompt, play
+from hypothesis import given
+from hypothesis import strategies as st
 from test_migration import (
+    make_stream,
     reclaim,
     slow_down,
     wait_for_busy_runner,
@@ -12,10 +16,43 @@
 
 from lagoonpost.http.client import CallFailedError
 from lagoonpost.http.message import Response
+from lagoonpost.systems.answer_end import EndVerdict, judge_end
 from lagoonpost.systems.migration import MIN_PROMPT_TOKENS
+from lagoonpost.systems.stop_order import read_stop_answer
+from lagoonpost.tables.address import Address
+from lagoonpost.tables.answer_end import (
+    EndEvidence,
+    RunnerState,
+    StopState,
+    UploadState,
+)
+from lagoonpost.tables.kv_copy import (
+    Busy,
+    Copied,
+    CopyOutcome,
+    KvCopy,
+    NoRoom,
+    NoRun,
+    PartlyCopied,
+    Unanswered,
+    Unreached,
+)
 from lagoonpost_standins.runner import MoveFault
 
-ONCE = "/reply/1"
+ONCE, RESUMABLE = "/reply/1", "/draft/1"
+LOST_ANSWERS: tuple[MoveFault, ...] = (
+    "stop_unanswered",
+    "stop_silent",
+    "stop_late",
+    "stop_fails",
+    "stop_without_handle",
+    "stop_garbled",
+    "stop_without_copy",
+    "stopped_late",
+)
+FRAMING = pytest.mark.parametrize(
+    "framed", [True, False], ids=["framed", "unframed"]
+)
 
 
 class Played(NamedTuple):
@@ -36,6 +73,7 @@
     fault: MoveFault,
     faults: int | None = None,
     refused: bool = False,
+    outlives: bool = False,
 ) -> Played:
     """Reclaim the runner of a stream, which is ordered to stop it.
 
@@ -45,6 +83,7 @@
         fault: What the runner does with the order.
         faults: How many orders have the fault; None for all.
         refused: Whether the other runners refuse to go on.
+        outlives: Whether the runner serves beyond the time of its end.
     """
 
     async def scenario(stack: Stack) -> Played:
@@ -60,7 +99,12 @@
         busy = await wait_for_busy_runner(stack)
         if refused:
             stack.set_fault("full", "chat")
-        await reclaim(stack, busy)
+        if outlives:
+            await stack.register(
+                busy.id, spot=True, state="draining", leaves_ms=1300
+            )
+        else:
+            await reclaim(stack, busy)
         try:
             answer: Response | CallFailedError = await call
         except CallFailedError as error:
@@ -71,8 +115,153 @@
 
 
 class TestStops:
-    def test_a_stopped_stream_that_can_not_go_on_is_visibly_cut(self):
+    @FRAMING
+    @pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+    @pytest.mark.parametrize("fault", LOST_ANSWERS)
+    def test_a_stopped_stream_goes_on_when_the_answer_is_lost(
+        self, fault, path, framed
+    ):
         """Guards against a stopped stream that is passed on as complete."""
-        played = play_stop(ONCE, False, "stop_unanswered", refused=True)
+        played = play_stop(path, framed, fault)
+        assert isinstance(played.answer, Response)
+        assert played.answer.body == make_stream(path)
+        assert played.runs == 1
+
+    @FRAMING
+    @pytest.mark.parametrize("fault", LOST_ANSWERS)
+    def test_a_stopped_stream_that_can_not_go_on_is_visibly_cut(
+        self, fault, framed
+    ):
+        """Guards against a stopped stream that is passed on as complete."""
+        played = play_stop(ONCE, framed, fault, refused=True)
         assert isinstance(played.answer, CallFailedError)
         assert played.runs == 1
+
+    @FRAMING
+    def test_a_stop_whose_answer_is_lost_is_asked_again(self, framed):
+        """Guards against a lost run whose state is kept at its runner."""
+        played = play_stop(ONCE, framed, "stop_unanswered", faults=1)
+        assert isinstance(played.answer, Response)
+        assert played.answer.body == make_stream(ONCE)
+        assert played.runs == 1
+
+    @FRAMING
+    @pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+    def test_a_stream_that_is_stopped_late_goes_on(self, path, framed):
+        """Guards against a stop that is carried out after it was given up."""
+        played = play_stop(path, framed, "stopped_late", outlives=True)
+        assert isinstance(played.answer, Response)
+        assert played.answer.body == make_stream(path)
+        assert played.runs == 1
+
+    @FRAMING
+    @pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+    @pytest.mark.parametrize("fault", ["stop_declined", "stop_ended"])
+    def test_a_stream_that_is_not_stopped_stays_whole(
+        self, fault, path, framed
+    ):
+        """Guards against a true end that is taken for a stop."""
+        played = play_stop(path, framed, fault, refused=True, outlives=True)
+        assert isinstance(played.answer, Response)
+        assert played.answer.body == make_stream(path)
+        assert played.runs == 1
+
+
+EVIDENCE = st.builds(
+    EndEvidence,
+    ended=st.booleans(),
+    framed=st.booleans(),
+    repeatable=st.booleans(),
+    stop=st.sampled_from(StopState),
+    upload=st.sampled_from(UploadState),
+    runner=st.sampled_from(RunnerState),
+)
+SOUND = EndEvidence(
+    ended=True,
+    framed=False,
+    upload=UploadState.READ,
+    runner=RunnerState.UP,
+)
+
+
+class TestVerdicts:
+    @given(EVIDENCE)
+    def test_a_bare_end_alone_proves_nothing(self, evidence):
+        """Guards against any single sign that a part is taken for whole."""
+        verdict = judge_end(evidence)
+        if evidence.framed or verdict is not EndVerdict.WHOLE:
+            return
+        assert evidence.ended
+        assert evidence.stop in (StopState.NONE, StopState.DECLINED)
+        assert evidence.upload is UploadState.READ
+        assert evidence.runner in (RunnerState.UP, RunnerState.LEAVING)
+
+    @given(EVIDENCE)
+    def test_a_marked_end_is_whole(self, evidence):
+        """Guards against true ends that are taken for cuts."""
+        marked = evidence._replace(ended=True, framed=True)
+        stopped = evidence.stop is StopState.STOPPED
+        expected = EndVerdict.STOPPED if stopped else EndVerdict.WHOLE
+        assert judge_end(marked) is expected
+
+    @given(EVIDENCE)
+    def test_what_may_have_been_stopped_goes_on(self, evidence):
+        """Guards against stopped runs whose copied state is not used."""
+        maybe = evidence._replace(ended=False, stop=StopState.UNKNOWN)
+        assert judge_end(maybe) is EndVerdict.STOPPED
+
+    @given(EVIDENCE)
+    def test_nothing_is_whole_without_an_end(self, evidence):
+        """Guards against a reset that is taken for an end."""
+        cut = evidence._replace(ended=False)
+        assert judge_end(cut) in (EndVerdict.CUT, EndVerdict.STOPPED)
+
+    @pytest.mark.parametrize(
+        ("change", "verdict"),
+        [
+            ({}, EndVerdict.WHOLE),
+            ({"stop": StopState.DECLINED}, EndVerdict.WHOLE),
+            ({"stop": StopState.UNKNOWN}, EndVerdict.STOPPED),
+            ({"upload": UploadState.UNFINISHED}, EndVerdict.CUT),
+            ({"upload": UploadState.RESET}, EndVerdict.CUT),
+            ({"upload": UploadState.UNKNOWN}, EndVerdict.UNPROVEN),
+            ({"runner": RunnerState.UNKNOWN}, EndVerdict.UNPROVEN),
+            ({"runner": RunnerState.DOWN}, EndVerdict.CUT),
+            ({"runner": RunnerState.LEAVING}, EndVerdict.WHOLE),
+        ],
+    )
+    def test_each_sign_counts(self, change, verdict):
+        assert judge_end(SOUND._replace(**change)) is verdict
+
+
+COPY = KvCopy(Address("127.0.0.1", 1), "handle")
+
+
+class TestStopAnswers:
+    @pytest.mark.parametrize("before", StopState)
+    @pytest.mark.parametrize("answer", [Copied(COPY), PartlyCopied(COPY)])
+    def test_a_handle_shows_that_the_run_was_stopped(self, before, answer):
+        step = read_stop_answer(before, answer)
+        assert step == (StopState.STOPPED, False)
+
+    @pytest.mark.parametrize(
+        ("answer", "state"),
+        [
+            (NoRun(), StopState.DECLINED),
+            (Busy(), StopState.DECLINED),
+            (Unreached("refused"), StopState.NONE),
+            (Unanswered("reset"), StopState.UNKNOWN),
+            (NoRoom(), StopState.UNKNOWN),
+        ],
+    )
+    def test_the_first_answer(self, answer, state):
+        assert read_stop_answer(StopState.NONE, answer).state is state
+
+    @pytest.mark.parametrize(
+        "answer",
+        [NoRun(), Busy(), NoRoom(), Unreached("refused"), Unanswered("")],
+    )
+    def test_later_answers_do_not_undo_a_loss(self, answer: CopyOutcome):
+        """Guards against an order that was carried out and is forgotten."""
+        step = read_stop_answer(StopState.UNKNOWN, answer)
+        assert step.state is StopState.UNKNOWN
--- a/test/test_migration.py
+++ b/test/test_migration.py
@@ -197,17 +197,20 @@
     def test_a_stop_without_an_answer_aborts_the_stream(self):
         """Guards against an incomplete answer that appears complete.
 
-        The runner stops the run, but its answer to the stop is lost, so it
-        is unknown where to resume. The caller must detect that its answer is
-        incomplete, and the run must not start again.
+        The runner stops the run, but its answer to the stop is lost, and the
+        runner that holds the copy refuses it. The caller must detect that its
+        answer is incomplete, and the run must not start again.
         """
 
         async def scenario(stack: Stack):
             slow_down(stack)
             for runner in stack.runners.values():
                 runner.move_fault = "stop_unanswered"
-            answer = await play_reclaim(stack, "/reply/1")
-            return answer, stack.count_runs("a-1")
+            reclaimed = play_reclaim(stack, "/reply/1")
+            task = asyncio.create_task(reclaimed)
+            await wait_for_busy_runner(stack)
+            stack.set_fault("full", "chat")
+            return await task, stack.count_runs("a-1")
 
         answer, runs = play(scenario)
         assert isinstance(answer, CallFailedError)
--- a/test/test_unreadable.py
+++ b/test/test_unreadable.py
@@ -44,7 +44,9 @@
     DatagramMessenger()._dispatch(body, ADDRESS)
     decode_sequence(body)
     decode_final_phase(body, ShiftOrder("desk", "v2", 10.0, 1))
-    _read_outcome(Response(200, (), body), ADDRESS)
+    for status in (200, 404, 409, 503):
+        for stop in (False, True):
+            _read_outcome(Response(status, (), body), ADDRESS, stop)
     for decode in (
         lambda: decode_endpoint("desk-1", body),
         lambda: decode_configuration(body),
