Let no new process vouch for the end of a killed one's answer

Cause: after an answer without length or chunks the gateway asks whether its runner accepts connections. A process that was killed and listens again under the same id does, and half an answer passed for whole. Change: a runner whose entry names another start than when it was chosen counts as down. The news of the new start may still come too late. Result: TestRunnerStates fails without the change and passes with it.

--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -255,6 +255,8 @@
         """
         entry = self._view.entries.get(choice.endpoint.id)
         known = entry.endpoint if entry is not None else None
+        if known and _is_other_process(known, choice.endpoint):
+            return RunnerState.DOWN
         leaving = known is not None and known.leaving
         if known and leaving and known.leaves_in_seconds is None:
             return RunnerState.LEAVING
@@ -388,6 +390,11 @@
         return await self._paths.connect_address(address, seconds)
 
 
+def _is_other_process(known: Endpoint, before: Endpoint) -> bool:
+    """Return whether a runner was started again under its id."""
+    return bool(known.born and before.born and known.born != before.born)
+
+
 async def _stays_open(socket: Socket) -> bool:
     """Return whether a new connection outlives the end of a process.
 
--- a/lagoonpost/tables/answer_end.py
+++ b/lagoonpost/tables/answer_end.py
@@ -44,7 +44,7 @@
         UNKNOWN: Nothing; it was not asked.
         UP: It accepts connections.
         LEAVING: It accepts none, and has announced that it leaves.
-        DOWN: It accepts none.
+        DOWN: It accepts none, or was started again.
     """
 
     UNKNOWN = "unknown"
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 import pytest
-from forwarding_stack import Stack, make_prompt, play
+from forwarding_stack import Stack, make_prompt, play, wait_until
 from hypothesis import given
 from hypothesis import strategies as st
 from test_migration import (
@@ -18,6 +18,7 @@
 from lagoonpost.http.message import Response
 from lagoonpost.systems.answer_end import EndVerdict, judge_end
 from lagoonpost.systems.migration import MIN_PROMPT_TOKENS
+from lagoonpost.systems.placement import Choice
 from lagoonpost.systems.stop_order import read_stop_answer
 from lagoonpost.tables.address import Address
 from lagoonpost.tables.answer_end import (
@@ -265,3 +266,35 @@
         """Guards against an order that was carried out and is forgotten."""
         step = read_stop_answer(StopState.UNKNOWN, answer)
         assert step.state is StopState.UNKNOWN
+
+
+class TestRunnerStates:
+    @staticmethod
+    def find_state(**known) -> RunnerState:
+        """Return the state of a runner whose entry says something else now.
+
+        Args:
+            known: Fields of its entry that changed since it was chosen.
+        """
+
+        async def scenario(stack: Stack) -> RunnerState:
+            view = stack.gateways[0].view
+            before = view.entries["desk-1"].endpoint
+            assert before is not None
+            if known:
+                await stack.register("desk-1", seq=2, **known)
+                await wait_until(
+                    lambda: view.entries["desk-1"].endpoint != before
+                )
+            paths = stack.gateways[0]._forwarder.paths
+            return await paths.find_state(Choice(before, 0.0, 0, False, True))
+
+        return play(scenario)
+
+    def test_a_runner_that_was_started_again_is_down(self):
+        """Guards against a new process that vouches for a killed one."""
+        assert self.find_state(born=2000) is RunnerState.DOWN
+
+    def test_the_same_process_is_up(self):
+        assert self.find_state() is RunnerState.UP
+        assert self.find_state(slots=3) is RunnerState.UP
