Ask elsewhere for what a leaving runner may have cut off

Cause: the end of an answer without length or chunks was believed of any runner that leaves without naming a time, and no question asked. One that exits in the middle of its answers cut them off, and their callers got a part as the whole. Change: a runner that leaves is asked for a connection like any other, which has to stay open. One that refuses may be ending its answers as planned, or be gone: what may be repeated is asked for elsewhere. What may run only once is still taken for whole, as a planned end can't be told from an exit.

--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -258,13 +258,15 @@
         if known and _is_other_process(known, choice.endpoint):
             return RunnerState.DOWN
         leaving = known is not None and known.leaving
-        if known and leaving and known.leaves_in_seconds is None:
-            return RunnerState.LEAVING
         try:
             socket = await self.connect(
                 choice.endpoint, choice.indirect, "control"
             )
         except CallFailedError:
+            # One whose host is reclaimed is cut off at the time that its
+            # entry names; others may end their answers as planned.
+            if known and leaving and known.leaves_in_seconds is None:
+                return RunnerState.LEAVING
             return RunnerState.DOWN
         try:
             if leaving and not await _stays_open(socket):
--- a/lagoonpost/systems/answer_end.py
+++ b/lagoonpost/systems/answer_end.py
@@ -55,6 +55,9 @@
     _Rule(EndVerdict.CUT, upload=UploadState.RESET),
     _Rule(EndVerdict.CUT, upload=UploadState.UNFINISHED),
     _Rule(EndVerdict.CUT, runner=RunnerState.DOWN),
+    # A runner that leaves may accept no connections while it ends its answers.
+    # Only what may be repeated can be had again.
+    _Rule(EndVerdict.CUT, runner=RunnerState.LEAVING, repeatable=True),
     _Rule(
         EndVerdict.WHOLE, upload=UploadState.READ, runner=RunnerState.LEAVING
     ),
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -229,6 +229,10 @@
             ({"runner": RunnerState.UNKNOWN}, EndVerdict.UNPROVEN),
             ({"runner": RunnerState.DOWN}, EndVerdict.CUT),
             ({"runner": RunnerState.LEAVING}, EndVerdict.WHOLE),
+            (
+                {"runner": RunnerState.LEAVING, "repeatable": True},
+                EndVerdict.CUT,
+            ),
         ],
     )
     def test_each_sign_counts(self, change, verdict):
@@ -298,3 +302,33 @@
     def test_the_same_process_is_up(self):
         assert self.find_state() is RunnerState.UP
         assert self.find_state(slots=3) is RunnerState.UP
+
+    def test_one_that_leaves_and_accepts_connections_is_up(self):
+        assert self.find_state(state="draining") is RunnerState.UP
+
+
+class TestLeavingRunners:
+    @FRAMING
+    def test_a_check_that_a_leaving_runner_cuts_off_is_asked_elsewhere(
+        self, framed
+    ):
+        """Guards against a part of an answer that its runner's exit ended."""
+
+        async def scenario(stack: Stack) -> list[Response]:
+            leaving = stack.runners["desk-1"]
+            for runner in stack.runners.values():
+                runner.framed = framed
+                runner.pause = 0.3
+            leaving.crash_midway = True
+            leaving.down_seconds = 60.0
+            calls = [
+                asyncio.create_task(stack.call(f"/check/{n}"))
+                for n in range(4)
+            ]
+            await wait_until(lambda: bool(leaving.runs))
+            await stack.register("desk-1", state="draining")
+            return await asyncio.gather(*calls)
+
+        for number, answer in enumerate(play(scenario)):
+            assert answer.status == 200
+            assert answer.body == b"GET /check/%d " % number
