Ask the runner itself whether it outlived the end of its answer

Cause: the gateway asked whether the runner's address accepts connections. Another runner that listens there by then does, and so does the kernel of a process that is being killed. Change: the new connection has to answer a health check that names the runner. Another runner, or an end without an answer, counts as down; one that waits for a slot counts as up. A check is made only after answers without length or chunks. The soak reclaims runners three times a run, with streams of both kinds and lost answers to orders to stop; its other faults are drawn as before. No load is involved.

--- a/lagoonpost/forwarding/cluster_state.py
+++ b/lagoonpost/forwarding/cluster_state.py
@@ -24,7 +24,7 @@
 from lagoonpost.systems.runner_limits import RunnerLimits
 from lagoonpost.systems.runner_notices import RunnerNotices
 from lagoonpost.tables.address import Address
-from lagoonpost.tables.configuration import Workspace
+from lagoonpost.tables.configuration import Service, Workspace
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.stamp import Stamp, find_era
 from lagoonpost.unreadable import log_unreadable
@@ -430,6 +430,11 @@
         found = self.routes.configuration.services.get(service)
         return found.cold_rate if found is not None else 0.0
 
+    def find_health_path(self, service: str) -> str:
+        """Return the path of the health check of a service's runners."""
+        services = self.routes.configuration.services if self.routes else {}
+        return services.get(service, Service(service)).health_path
+
     def find_all_runners(self, service: str) -> list[Endpoint]:
         """Return all runners of a service, including leaving ones."""
         return list(self._services.get(service, {}).values())
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -21,11 +21,13 @@
 )
 from lagoonpost.http.client import CallFailedError, Client, Socket
 from lagoonpost.http.message import Address, Headers, parse_address
+from lagoonpost.http.running_time import limit_running_time
 from lagoonpost.http.tunnel import (
     TunnelRefusedError,
     TunnelRequest,
     open_tunnel,
 )
+from lagoonpost.platform.headers import is_other_runner, make_health_headers
 from lagoonpost.systems.placement import Choice
 from lagoonpost.systems.reach import (
     DIRECT_PATH,
@@ -37,8 +39,9 @@
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.peer import Member
 
-END_OF_PROCESS_SECONDS = 0.1
-"""Time in which the kernel has closed all connections of a killed process."""
+HEALTH_TIMEOUT_SECONDS = 0.3
+"""Longest wait for the answer to a health check. Within a third of it the
+kernel has closed all connections of a killed process."""
 ANSWER_TIMEOUT_SECONDS = CONNECT_TIMEOUT_SECONDS + 0.2
 """Longest wait for a peer's answer: it may need the whole connect timeout."""
 MAX_SEARCH_SECONDS = 0.8
@@ -248,10 +251,10 @@
         return result
 
     async def find_state(self, choice: Choice) -> RunnerState:
-        """Return whether a runner accepts connections, or leaves as planned.
+        """Return whether a runner answers, or leaves as planned.
 
-        Takes a round trip, for answers whose end does not show whether it is
-        their runner's end as well.
+        Takes two round trips, for answers whose end does not show whether it
+        is their runner's end as well.
         """
         entry = self._view.entries.get(choice.endpoint.id)
         known = entry.endpoint if entry is not None else None
@@ -268,12 +271,37 @@
             if known and leaving and known.leaves_in_seconds is None:
                 return RunnerState.LEAVING
             return RunnerState.DOWN
+        return await self._check_health(socket, choice.endpoint)
+
+    async def _check_health(
+        self, socket: Socket, endpoint: Endpoint
+    ) -> RunnerState:
+        """Return whether a runner answers on a new connection.
+
+        The kernel of a killed process accepts connections until it has closed
+        its last one, and another process may listen at the address by then.
+        """
+        stream = self._client.send(
+            socket,
+            endpoint.address,
+            "GET",
+            self._view.find_health_path(endpoint.service),
+            headers=make_health_headers(endpoint.id),
+            reusable=False,
+        )
         try:
-            if leaving and not await _stays_open(socket):
-                return RunnerState.DOWN
+            async with limit_running_time(HEALTH_TIMEOUT_SECONDS):
+                await stream.receive_head()
+        except TimeoutError:
+            # A check waits for a slot, like any other request.
             return RunnerState.UP
+        except CallFailedError:
+            return RunnerState.DOWN
         finally:
-            socket.writer.close()
+            stream.close()
+        if is_other_runner(stream.status, stream.headers, endpoint.id):
+            return RunnerState.DOWN
+        return RunnerState.UP
 
     # Background checks of paths
 
@@ -395,18 +423,3 @@
 def _is_other_process(known: Endpoint, before: Endpoint) -> bool:
     """Return whether a runner was started again under its id."""
     return bool(known.born and before.born and known.born != before.born)
-
-
-async def _stays_open(socket: Socket) -> bool:
-    """Return whether a new connection outlives the end of a process.
-
-    The kernel closes the connections of a killed process one after the other
-    and may accept new ones until it has closed the last.
-    """
-    try:
-        async with asyncio.timeout(END_OF_PROCESS_SECONDS):
-            return bool(await socket.reader.read(1))
-    except TimeoutError:
-        return True
-    except OSError:
-        return False
--- a/lagoonpost/platform/headers.py
+++ b/lagoonpost/platform/headers.py
@@ -15,6 +15,7 @@
 BEARER = "bearer "
 WORKSPACE = "tenant"
 EXPECTED_RUNNER = "target-instance"
+RUNNER_ID = "instance-id"
 NOT_EXECUTED = "not-executed"
 SIGNATURE = "response-signature"
 TOKEN_COUNT = "token-count"
@@ -159,6 +160,17 @@
     return find_header(headers, NOT_EXECUTED) is not None
 
 
+def make_health_headers(runner: str) -> Headers:
+    """Return the headers of a health check that only one runner answers."""
+    return ((EXPECTED_RUNNER, runner),)
+
+
+def is_other_runner(status: int, headers: Headers, runner: str) -> bool:
+    """Return whether a health check was answered by another runner."""
+    named = find_header(headers, RUNNER_ID)
+    return status == MISDIRECTED or named not in (None, runner)
+
+
 def read_notice(status: int, headers: Headers) -> RunnerNotice:
     """Return what a runner says of itself in the head of an answer."""
     rest = find_header(headers, RETRY_AFTER)
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -148,6 +148,7 @@
         cancelled: Attempts whose caller disconnected before the end.
         events: Number of events of each stream.
         move_fault: Injected fault for moves from this runner.
+        proxy: Address at which others reach it; None for its own.
         copies: Unused KV copies of all runners, by handle.
         move_faults: How many orders to stop a run have the fault that begins
             with ``stop``; None for all.
@@ -183,6 +184,7 @@
         self.fault: RunnerFault = "none"
         self.move_fault: MoveFault = "none"
         self.move_faults: int | None = None
+        self.proxy: Address | None = None
         self.freed_handles: list[str] = []
         self._stopped: dict[str, bool] = {}
         self._kept: set[str] = set()
@@ -263,6 +265,9 @@
             return
         if time.monotonic() < self._down_until:
             return
+        if request.path == "/health":
+            await responder.send(self._check_health(request))
+            return
         attempt = request.header("attempt-id") or ""
         refusal = self._refuse(request)
         self.received.append(
@@ -289,6 +294,12 @@
         finally:
             self._accepted -= 1
 
+    def _check_health(self, request: Request) -> Response:
+        headers = (("instance-id", self.id),)
+        if request.header("target-instance") not in (None, self.id):
+            return Response(421, headers)
+        return Response(503 if self.leaving else 200, headers)
+
     def _refuse(self, request: Request) -> Response | None:
         expected = request.header("target-instance")
         if expected not in (None, self.id):
@@ -335,7 +346,7 @@
         if saved is None:
             return True
         copy = self.copies.pop(saved.rpartition("/")[2], None)
-        here = (request.header("attempt-id"), str(self.address))
+        here = (request.header("attempt-id"), str(self.proxy or self.address))
         return copy is not None and copy == here
 
     async def _move(self, request: Request, responder: Responder) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,7 +12,7 @@
 from lagoonpost.http.message import Address
 from lagoonpost_standins.deployment import make_caller_headers
 from lagoonpost_standins.rows import Outage
-from lagoonpost_standins.runner import RunnerFault
+from lagoonpost_standins.runner import MoveFault, RunnerFault
 from soak.gateway import name_peer_cut, write_cut
 from soak.proxy import LinkFault, Proxy
 from soak.record import (
@@ -61,6 +61,11 @@
 NOTICE_DURATION_FACTOR = 2.5
 """Factor on the time for which runners leave by their answers only, or turn
 requests away, so that most of them outlast the bounds by seconds."""
+RECLAIMS, RECLAIM_SECONDS = 3, 1.6
+"""Reclaims of runners in one run, and the notice of each."""
+RECLAIMED_EVENT_SECONDS = 0.4
+"""Pause between the events of a runner's streams before it is reclaimed, so
+that they outlast the notice."""
 RESTS = ("0.7", "1.5", "3")
 """Seconds of rest that runners ask for."""
 STOP_TIMEOUT_SECONDS = 12.0
@@ -81,6 +86,10 @@
     fault for fault in get_args(RunnerFault) if fault not in ("none", "crash")
 )
 """Faults of runners; crashes have an action of their own."""
+_STOP_FAULTS: tuple[MoveFault, ...] = (
+    "none",
+    *(fault for fault in get_args(MoveFault) if fault.startswith("stop")),
+)
 
 
 class PlannedFault(NamedTuple):
@@ -107,7 +116,8 @@
     Beside the drawn kinds, most requests to a service are rejected for some
     time, so that repeats are wanted while other faults happen, the store
     sends bytes without end to a gateway, and the configuration changes while a
-    fifth of the gateways is cut off from the others.
+    fifth of the gateways is cut off from the others. Runners are reclaimed
+    and lose the answers to orders to stop their runs.
 
     Args:
         rng: Seeded generator.
@@ -129,7 +139,20 @@
     steps.append(PlannedFault(at, "flood", lasts, rng.randrange(1 << 30)))
     at, lasts = rng.uniform(QUIET_START_SECONDS, latest), rng.uniform(1.0, 3.0)
     steps.append(PlannedFault(at, "cut_peers", lasts, rng.randrange(1 << 30)))
-    return steps
+    return steps + _plan_reclaims(Random(steps[-1].seed), latest)
+
+
+def _plan_reclaims(rng: Random, latest: float) -> list[PlannedFault]:
+    """Draw reclaims of runners, apart from the other faults."""
+    return [
+        PlannedFault(
+            rng.uniform(QUIET_START_SECONDS, latest),
+            "reclaim",
+            RECLAIM_SECONDS,
+            rng.randrange(1 << 30),
+        )
+        for _ in range(RECLAIMS)
+    ]
 
 
 async def inject_faults(system: SoakSystem, steps: list[PlannedFault]) -> None:
@@ -543,6 +566,36 @@
     return id_
 
 
+async def _reclaim_runner(
+    system: SoakSystem, step: PlannedFault, rng: Random
+) -> str:
+    """Reclaim a model runner whose answers to orders to stop get lost."""
+    slot = next(
+        (
+            s
+            for s in system.runners
+            if s.service == "chat" and _may_stop(s, system)
+        ),
+        None,
+    )
+    if slot is None:
+        return ""
+    runner = slot.runner
+    runner.pause = RECLAIMED_EVENT_SECONDS
+    runner.framed = rng.random() < 0.3
+    runner.move_fault = rng.choice(_STOP_FAULTS)
+    runner.move_faults = rng.choice([1, None])
+    await asyncio.sleep(2 * RECLAIMED_EVENT_SECONDS)
+    await system.reclaim(slot, step.seconds)
+    await asyncio.sleep(step.seconds)
+    slot.state = "down"
+    await runner.close()
+    await system.delete_entry(runner.id)
+    await slot.replace()
+    await system.register(slot)
+    return f"{runner.id} {runner.move_fault}"
+
+
 async def _leave_unreported(
     system: SoakSystem, step: PlannedFault, rng: Random
 ) -> str:
@@ -605,12 +658,16 @@
     Another ready runner of the service must remain.
     """
     slot = rng.choice(system.runners)
+    return slot if _may_stop(slot, system) else None
+
+
+def _may_stop(slot: RunnerSlot, system: SoakSystem) -> bool:
     ready = [
         other
         for other in system.runners
         if other.service == slot.service and other.state == "ready"
     ]
-    return slot if slot in ready and len(ready) > 1 else None
+    return slot in ready and len(ready) > 1
 
 
 FAULT_ACTIONS: dict[
@@ -644,5 +701,6 @@
     **FAULT_ACTIONS,
     "cut_peers": _cut_peers,
     "flood": _flood_from_store,
+    "reclaim": _reclaim_runner,
     "reject": _reject_most,
 }
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -168,7 +168,8 @@
         and begin < span.begin < end
         for span in system.spans
     )
-    others = GATEWAY_FAULTS - {"stop"} | RUNNER_FAULTS | {"leave"}
+    drains = {"leave", "reclaim"}
+    others = GATEWAY_FAULTS - {"stop"} | RUNNER_FAULTS | drains
     return stopped and not _has_fault(system.spans, others, begin, end)
 
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -74,6 +74,8 @@
         proxy: Proxy in front of the current runner.
         state: State in the runner's entry, or ``down``.
         seq: Sequence number of the entry's last write.
+        leaves_ms: Time until the runner's host is reclaimed, in milliseconds;
+            None if it is not to be.
     """
 
     def __init__(self, service: str, number: int) -> None:
@@ -85,6 +87,7 @@
         self.proxy = Proxy(Address("127.0.0.1", 0))
         self.state = "ready"
         self.seq = 0
+        self.leaves_ms: int | None = None
 
     def _make(self, generation: int) -> RunnerStandin:
         id_ = f"{self.service}-{self.number}.{generation}"
@@ -95,14 +98,15 @@
     async def start(self) -> None:
         """Start the first runner and the proxy in front of it."""
         self.proxy.target = await self.runner.start()
-        await self.proxy.start()
+        self.runner.proxy = await self.proxy.start()
 
     async def replace(self) -> None:
         """Stop the current runner and start a new one."""
         await self.runner.close()
         self.previous.append(self.runner)
         self.runner = self._make(len(self.previous))
-        self.state = "ready"
+        self.runner.proxy = self.proxy.address
+        self.state, self.leaves_ms = "ready", None
         self.proxy.target = await self.runner.start()
 
     def all_runners(self) -> list[RunnerStandin]:
@@ -341,6 +345,8 @@
             born=len(slot.previous) + crashes + 1,
             slots=SLOTS,
         )
+        if slot.leaves_ms is not None:
+            entry |= {"spot": True, "leaves_ms": slot.leaves_ms}
         await self.store.put("servers", slot.runner.id, entry)
 
     async def drain(self, slot: RunnerSlot) -> None:
@@ -349,6 +355,16 @@
         await self.register(slot)
         self.drains.append(Drain(slot.runner.id, time.monotonic()))
 
+    async def reclaim(self, slot: RunnerSlot, seconds: float) -> None:
+        """Announce that the host of a slot's runner will be reclaimed.
+
+        Args:
+            slot: The slot.
+            seconds: Time until then.
+        """
+        slot.leaves_ms = int(seconds * 1000)
+        await self.drain(slot)
+
     async def delete_entry(self, id_: str) -> None:
         """Delete a runner's entry."""
         await self.store.delete("servers", id_)
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -1,7 +1,8 @@
 """Tests for answers that end before they are whole, and whole ones."""
 
 import asyncio
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 import pytest
 from forwarding_stack import (
@@ -22,7 +23,8 @@
 from test_partition import cut_path
 
 from lagoonpost.http.client import CallFailedError
-from lagoonpost.http.message import Response
+from lagoonpost.http.message import Request, Response
+from lagoonpost.http.responder import Responder
 from lagoonpost.systems.answer_end import EndVerdict, judge_end
 from lagoonpost.systems.migration import MIN_PROMPT_TOKENS
 from lagoonpost.systems.placement import Choice
@@ -45,7 +47,7 @@
     Unanswered,
     Unreached,
 )
-from lagoonpost_standins.runner import MoveFault
+from lagoonpost_standins.runner import MoveFault, RunnerStandin
 
 ONCE, RESUMABLE = "/reply/1", "/draft/1"
 LOST_ANSWERS: tuple[MoveFault, ...] = (
@@ -315,11 +317,14 @@
 
 class TestRunnerStates:
     @staticmethod
-    def find_state(**known) -> RunnerState:
-        """Return the state of a runner whose entry says something else now.
+    def find_state(
+        change: Callable[[RunnerStandin], None] | None = None, **known: Any
+    ) -> RunnerState:
+        """Return the state of a runner after it was chosen and changed.
 
         Args:
-            known: Fields of its entry that changed since it was chosen.
+            change: Changes the runner.
+            known: Fields of its entry that changed.
         """
 
         async def scenario(stack: Stack) -> RunnerState:
@@ -331,6 +336,8 @@
                 await wait_until(
                     lambda: view.entries["desk-1"].endpoint != before
                 )
+            if change is not None:
+                change(stack.runners["desk-1"])
             paths = stack.gateways[0]._forwarder.paths
             return await paths.find_state(Choice(before, 0.0, 0, False, True))
 
@@ -344,6 +351,36 @@
         assert self.find_state() is RunnerState.UP
         assert self.find_state(slots=3) is RunnerState.UP
 
+    def test_another_runner_at_the_address_is_no_sign_of_life(self):
+        """Guards against an address that is used again at once."""
+
+        def replace(runner: RunnerStandin) -> None:
+            runner.id = "desk-9"
+
+        assert self.find_state(replace) is RunnerState.DOWN
+
+    def test_a_kernel_that_still_accepts_is_no_sign_of_life(self):
+        """Guards against connections that a killed process's kernel takes."""
+
+        def reset(runner: RunnerStandin) -> None:
+            async def end(request: Request, responder: Responder) -> None:
+                """End the connection without an answer."""
+
+            runner._server._handler = end
+
+        assert self.find_state(reset) is RunnerState.DOWN
+
+    def test_a_check_that_waits_for_a_slot_is_no_sign_of_death(self):
+        """Guards against true ends of full runners that are taken for cuts."""
+
+        def fill(runner: RunnerStandin) -> None:
+            async def wait(request: Request, responder: Responder) -> None:
+                await asyncio.sleep(PATIENCE)
+
+            runner._server._handler = wait
+
+        assert self.find_state(fill) is RunnerState.UP
+
     def test_one_that_leaves_and_accepts_connections_is_up(self):
         assert self.find_state(state="draining") is RunnerState.UP
 
