--- a/lagoonpost/platform/headers.py
+++ b/lagoonpost/platform/headers.py
@@ -34,35 +34,7 @@
 RESOLVE_PATH = "/v1/resolve"
 MISDIRECTED, UNAVAILABLE = 421, 503
 
-# Set by the gateway or valid per connection; never forwarded from a caller.
-_DROPPED = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-        AUTHORIZATION,
-        DEADLINE,
-        WORKSPACE,
-        EXPECTED_RUNNER,
-        LAST_EVENT,
-        URGENCY,
-        "expect-version",
-        "pin-ms",
-        "kv-hold",
-        CACHE_HOLDER,
-        SAVED_RUN,
-        "kv-backup",
-    }
-)
-# Removed from a runner's response: framing is per connection.
+# Framing is per connection.
 _FRAMING = frozenset(
     {
         "connection",
@@ -73,6 +45,26 @@
         "upgrade",
     }
 )
+# Set by the gateway or valid per connection; never forwarded from a caller.
+_DROPPED = _FRAMING | {
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "expect",
+    AUTHORIZATION,
+    DEADLINE,
+    WORKSPACE,
+    EXPECTED_RUNNER,
+    LAST_EVENT,
+    URGENCY,
+    "expect-version",
+    "pin-ms",
+    "kv-hold",
+    CACHE_HOLDER,
+    SAVED_RUN,
+    "kv-backup",
+}
 
 
 class AddedHeaders(NamedTuple):
@@ -120,12 +112,6 @@
         headers: Headers of the caller's request.
         added: Values of the headers that the gateway adds.
     """
-    hop_headers = _list_hop_headers(headers)
-    kept = tuple(
-        (name, value)
-        for name, value in headers
-        if name not in _DROPPED and name not in hop_headers
-    )
     own = [(EXPECTED_RUNNER, added.runner)]
     if added.left is not None:
         own.append((DEADLINE, str(max(1, int(added.left * 1000)))))
@@ -140,17 +126,12 @@
         own.append((SAVED_RUN, location))
     elif added.holder is not None:
         own.append((CACHE_HOLDER, str(added.holder)))
-    return (*kept, *own)
+    return (*_drop(headers, _DROPPED), *own)
 
 
 def make_response_headers(headers: Headers) -> Headers:
     """Return the headers of the response to the caller."""
-    hop_headers = _list_hop_headers(headers)
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name not in _FRAMING and name not in hop_headers
-    )
+    return _drop(headers, _FRAMING)
 
 
 def is_not_run(status: int, headers: Headers) -> bool:
@@ -202,18 +183,16 @@
     return echoed is None or echoed == request_id
 
 
-def _list_hop_headers(headers: Headers) -> frozenset[str]:
-    named = [value for name, value in headers if name == "connection"]
-    return frozenset(
-        word.strip().lower() for value in named for word in value.split(",")
-    )
+def _drop(headers: Headers, names: frozenset[str]) -> Headers:
+    """Return the headers without these and those named by ``connection``."""
+    named = ",".join(value for name, value in headers if name == "connection")
+    dropped = names.union(word.strip().lower() for word in named.split(","))
+    return tuple(field for field in headers if field[0] not in dropped)
 
 
 def _read_milliseconds(text: str | None) -> float | None:
-    try:
-        return float(text) / 1000 if text else None
-    except ValueError:
-        return None
+    number = _read_number(text or "")
+    return None if math.isnan(number) else number / 1000
 
 
 def _read_tokens(text: str | None) -> TokenCount | None:
--- a/lagoonpost/platform/kv_cache.py
+++ b/lagoonpost/platform/kv_cache.py
@@ -1,31 +1,25 @@
 """Client for the runner calls that copy a run's KV cache to another runner."""
 
+from contextlib import suppress
+
 import msgspec
 
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address, Response
+from lagoonpost.tables import kv_copy
 from lagoonpost.tables.decoding import UNREADABLE
-from lagoonpost.tables.kv_copy import (
-    Busy,
-    Copied,
-    CopyOutcome,
-    KvCopy,
-    NoRoom,
-    NoRun,
-    PartlyCopied,
-    Unanswered,
-    Unreached,
-)
+from lagoonpost.tables.kv_copy import CopyOutcome, KvCopy
 
 COPY_PATH = "/v1/kv-move"
 FREE_PATH = "/v1/kv-handle/"
 COPY_TIMEOUT_SECONDS = 1.0
 """Timeout: copying a run of 12,000 tokens takes some ten milliseconds, and the
 copies of all runs of a runner wait for each other."""
-
-
-_REFUSALS: dict[int, CopyOutcome] = {404: NoRun(), 409: Busy(), 503: NoRoom()}
-"""Outcomes by status of the answer."""
+_REFUSALS: dict[int, CopyOutcome] = {
+    404: kv_copy.NoRun(),
+    409: kv_copy.Busy(),
+    503: kv_copy.NoRoom(),
+}
 
 
 class _Answer(msgspec.Struct):
@@ -59,9 +53,8 @@
             stop: Whether to stop the run first, so that the copy is complete.
             timeout: Longest wait for the answer, in seconds.
         """
-        body: dict[str, object] = {"id": request_id, "to": str(target)}
-        if stop:
-            body["last"] = True
+        call = {"id": request_id, "to": str(target)}
+        body = call | {"last": True} if stop else call
         try:
             response = await self._client.call(
                 source,
@@ -73,8 +66,9 @@
                 fresh=True,
             )
         except CallFailedError as error:
-            failure = Unanswered if error.sent else Unreached
-            return failure(str(error))
+            if error.sent:
+                return kv_copy.Unanswered(str(error))
+            return kv_copy.Unreached(str(error))
         return _read_outcome(response, source, stop)
 
     async def free(self, saved: KvCopy) -> None:
@@ -82,16 +76,15 @@
 
         A runner that cannot be reached deletes them itself after a while.
         """
-        try:
+        path = f"{FREE_PATH}{saved.handle}"
+        with suppress(CallFailedError):
             await self._client.call(
                 saved.source,
                 "DELETE",
-                f"{FREE_PATH}{saved.handle}",
+                path,
                 timeout=COPY_TIMEOUT_SECONDS,
                 fresh=True,
             )
-        except CallFailedError:
-            return
 
 
 def _read_outcome(
@@ -99,14 +92,15 @@
 ) -> CopyOutcome:
     refusal = _REFUSALS.get(response.status)
     if refusal is None and response.status != 200:
-        return Unanswered(f"status {response.status}")
-    handle, detail = "", "response has no handle"
+        return kv_copy.Unanswered(f"status {response.status}")
     try:
         handle = msgspec.json.decode(response.body, type=_Answer).handle
     except UNREADABLE as error:
-        detail = str(error)
-    if isinstance(refusal, NoRoom) and stop and handle:
-        return PartlyCopied(KvCopy(source, handle))
-    if refusal is not None:
-        return refusal
-    return Copied(KvCopy(source, handle)) if handle else Unanswered(detail)
+        return refusal or kv_copy.Unanswered(str(error))
+    if not handle:
+        return refusal or kv_copy.Unanswered("response has no handle")
+    if refusal is None:
+        return kv_copy.Copied(KvCopy(source, handle))
+    if stop and isinstance(refusal, kv_copy.NoRoom):
+        return kv_copy.PartlyCopied(KvCopy(source, handle))
+    return refusal
