Let no reset behind the end of an answer pass for its end

Callers got a part of an answer as complete: a runner answered a long upload at once with 200 without length or chunks, sent part of the body, shut its side down, and reset the connection 50 ms or 0.5 s later, as it read no more. The same if it stayed silent with an upload that it had not read.

Cause: the gateway took the end of input for the answer's end and dropped the rest of the upload. Only how the upload ends shows whether the runner vouched for the end: it is read to its end, or reset. A reset after the end of input shows in no read, as the event loop watches the connection no more, and what is written isn't read: an upload of 200 KiB lies in the kernel's buffers.

Change: after such an end the rest of the upload is still sent, and `Stream.find_upload` says READ, RESET or UNFINISHED. TIOCOUTQ tells what the peer's kernel has not taken, poll(2) without events tells of a reset. After the last byte was taken, a reset is waited for until 1 s after it was sent, which TCP_INFO tells, so that a longer stream waits for nothing. 2 s without progress are UNFINISHED, 60 s in all. Bodies of up to 4 KiB are READ without a look. No descriptor is needed; the connection is looked at each 50 ms.

Through a tunnel only the gateway between knows. The one that asked ends its direction once all is written, and a frame of one byte after the frame of length 0 answers. An older gateway between closes instead, which counts as UNFINISHED; an older one that asked closes without reading. A tunnel whose sender closes at the end of the answer ends at once after a short request, and with the reset that the next probe draws after a long one.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -94,12 +94,12 @@
         response: The answer.
         ends_with_connection: Whether nothing but the end of its connection
             shows that it is complete.
-        upload: What is known of the request after the end.
+        upload: What is known of the request after such an end.
     """
 
     response: Response
     ends_with_connection: bool = False
-    upload: UploadState = UploadState.READ
+    upload: UploadState = UploadState.UNKNOWN
 
 
 class Began(NamedTuple):
@@ -199,7 +199,7 @@
 
     async def find_upload(self) -> UploadState:
         """Return whether the runner has read the request it answered."""
-        return UploadState.READ
+        return await self._stream.find_upload()
 
     def hold(self, size: int) -> Broken | None:
         """Account for bytes of the answer that are kept.
@@ -326,7 +326,9 @@
         if stream.content:
             return Broken("the body does not end", endless=True)
         raise
-    return Whole(response, stream.ends_with_connection)
+    if not stream.ends_with_connection:
+        return Whole(response)
+    return Whole(response, True, await stream.find_upload())
 
 
 def _read_failure(error: CallFailedError) -> Broken:
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -10,7 +10,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import suppress
 from types import TracebackType
 from typing import Any, NamedTuple
 
@@ -25,6 +24,12 @@
     find_header,
 )
 from lagoonpost.http.running_time import limit_running_time
+from lagoonpost.http.upload import (
+    UNWATCHED_BYTES,
+    UploadReporter,
+    find_upload,
+)
+from lagoonpost.tables.answer_end import UploadState
 
 READ_BYTES = 65536
 PIECE_BYTES = 64 * 1024
@@ -116,10 +121,18 @@
 
 
 class Socket(NamedTuple):
-    """Both directions of one TCP connection."""
+    """Both directions of one TCP connection.
+
+    Attributes:
+        reader: Reads what arrives.
+        writer: Writes what is sent.
+        reporter: Tells what became of a request if another process passes it
+            on; None if the connection leads to the server itself.
+    """
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    reporter: UploadReporter | None = None
 
 
 class _IdleSocket(NamedTuple):
@@ -148,9 +161,11 @@
         socket: Socket,
         connection: h11.Connection,
         reusable: bool = True,
-        sending: "asyncio.Task[None] | None" = None,
+        size: int = 0,
+        sending: "asyncio.Task[bool] | None" = None,
     ) -> None:
         self._reusable = reusable
+        self._size = size
         self._sending = sending
         self._client = client
         self._address = address
@@ -255,6 +270,24 @@
                     timer.reschedule(asyncio.get_running_loop().time() + pause)
         return Response(self.status, self.headers, bytes(body))
 
+    async def find_upload(self) -> UploadState:
+        """Return whether the server has read the request it answered.
+
+        To be asked after the end of a response that ends with its connection.
+        Until then, and until the stream is closed, the rest of the request is
+        sent.
+        """
+        if self._size <= UNWATCHED_BYTES:
+            return UploadState.READ
+        written: asyncio.Future[bool]
+        if self._sending is not None:
+            written = self._sending
+        else:
+            written = asyncio.get_running_loop().create_future()
+            written.set_result(True)
+        find = self._socket.reporter or find_upload
+        return await find(self._socket.writer, written)
+
     def hold(self, size: int) -> None:
         """Account for the bytes of the answer that the caller keeps.
 
@@ -505,10 +538,14 @@
         connection.send(h11.EndOfMessage())
         if len(body) <= PIECE_BYTES:
             socket.writer.write(data + body)
-            return Stream(self, address, socket, connection, reusable)
+            return Stream(
+                self, address, socket, connection, reusable, len(body)
+            )
         socket.writer.write(data)
         sending = asyncio.create_task(_send_pieces(socket.writer, body))
-        return Stream(self, address, socket, connection, reusable, sending)
+        return Stream(
+            self, address, socket, connection, reusable, len(body), sending
+        )
 
     async def connect(self, address: Address, seconds: float) -> Socket:
         """Open a connection.
@@ -582,15 +619,21 @@
             socket.reader.on_unasked = socket.writer.transport.abort
 
 
-async def _send_pieces(writer: asyncio.StreamWriter, body: bytes) -> None:
+async def _send_pieces(writer: asyncio.StreamWriter, body: bytes) -> bool:
     """Send a large body as fast as the server reads it.
 
-    A server that ends the connection shows that in the response.
+    Returns:
+        Whether it was sent to its end. A server that ends the connection
+        shows that in the response, too, unless its side has ended before.
     """
-    with memoryview(body) as view, suppress(OSError):
+    with memoryview(body) as view:
         for start in range(0, len(body), PIECE_BYTES):
-            writer.write(bytes(view[start : start + PIECE_BYTES]))
-            await writer.drain()
+            try:
+                writer.write(bytes(view[start : start + PIECE_BYTES]))
+                await writer.drain()
+            except OSError:
+                return False
+    return True
 
 
 def _expect_bytes(socket: Socket) -> None:
--- a/lagoonpost/http/tunnel.py
+++ b/lagoonpost/http/tunnel.py
@@ -5,12 +5,20 @@
 process that ends in the middle of such a response would make it look complete.
 Each frame is a length of four bytes and as many bytes; length 0 says that the
 target has closed its connection after the bytes before.
+
+A target may close its side before it has read the request, whose rest still
+passes after that frame. A sender that ends its direction then asks what became
+of the request. The answer is one more frame: a byte that names the state, or
+several if the state isn't known yet. A sender that does not ask closes the
+connection. An older process closes it instead of answering, which proves
+nothing.
 """
 
 import asyncio
 import socket
 import struct
 from collections.abc import Callable
+from contextlib import suppress
 from typing import NamedTuple
 
 import h11
@@ -27,6 +35,13 @@
     encode_headers,
 )
 from lagoonpost.http.running_time import limit_running_time
+from lagoonpost.http.upload import (
+    MAX_UPLOAD_SECONDS,
+    UNWATCHED_BYTES,
+    find_upload,
+    is_reset,
+)
+from lagoonpost.tables.answer_end import UploadState
 
 READ_BYTES = 16 * 1024
 """Bytes read at once, and limit of each buffer of a tunnel. A tunnel holds
@@ -43,7 +58,19 @@
 )
 """Time without an acknowledgement after which the other end is gone. Linux
 ends keep-alive probing by this time, whatever the number of probes."""
+PROBE_SECONDS = 0.25
+"""Pause between frames that show whether a sender still waits for the state of
+its request."""
 _LENGTH = struct.Struct("!I")
+_STATE = struct.Struct("!IB")
+"""A frame of one byte, which names the state of a request."""
+_STATE_CODES = {
+    UploadState.UNKNOWN: 0,
+    UploadState.READ: 1,
+    UploadState.UNFINISHED: 2,
+    UploadState.RESET: 3,
+}
+_STATES = {code: state for state, code in _STATE_CODES.items()}
 _HEAD_END = b"\r\n\r\n"
 _NO_HEAD = (
     OSError,
@@ -133,6 +160,39 @@
         self._left -= len(data)
         return data
 
+    async def find_upload(
+        self, writer: asyncio.StreamWriter, written: asyncio.Future[bool]
+    ) -> UploadState:
+        """Ask what became of the request, after the target has closed."""
+        asking = asyncio.create_task(_end_direction(writer, written))
+        state = UploadState.UNKNOWN
+        try:
+            async with asyncio.timeout(MAX_UPLOAD_SECONDS):
+                while state is UploadState.UNKNOWN:
+                    state = await self._read_state()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return UploadState.UNFINISHED
+        finally:
+            asking.cancel()
+        return state
+
+    async def _read_state(self) -> UploadState:
+        length, code = _STATE.unpack(
+            await self._frames.readexactly(_STATE.size)
+        )
+        if length != 1:
+            return UploadState.UNFINISHED
+        return _STATES.get(code, UploadState.UNFINISHED)
+
+
+async def _end_direction(
+    writer: asyncio.StreamWriter, written: asyncio.Future[bool]
+) -> None:
+    """Close the direction to the other process once all was written."""
+    if await asyncio.shield(written):
+        with suppress(OSError):
+            writer.write_eof()
+
 
 async def open_tunnel(
     client: Client,
@@ -179,7 +239,8 @@
     if status != 200:
         outer.writer.close()
         raise TunnelRefusedError(status)
-    return Socket(_FrameReader(outer.reader), outer.writer)
+    reader = _FrameReader(outer.reader)
+    return Socket(reader, outer.writer, reader.find_upload)
 
 
 async def _read_status(
@@ -282,7 +343,8 @@
     """
     for end in (near, far):
         end.writer.transport.set_write_buffer_limits(high=READ_BYTES)
-    outward = asyncio.create_task(_copy_out(near.reader, far.writer))
+    copy = _OutwardCopy(near.reader, far.writer)
+    outward = asyncio.create_task(copy.run())
     head_reader = _HeadReader(on_head)
     inward = asyncio.create_task(
         _copy_frames(far.reader, near.writer, head_reader)
@@ -294,6 +356,8 @@
         # A target may answer and close before it has read everything.
         if outward.done() and not outward.result():
             await asyncio.wait((inward,))
+        if _has_ended(inward):
+            await _report_upload(near, far, copy, outward)
     except OSError:
         pass
     finally:
@@ -301,27 +365,108 @@
             task.cancel()
         await asyncio.gather(outward, inward, return_exceptions=True)
         far.writer.transport.abort()
-        if inward.cancelled() or inward.exception() is not None:
+        if not _has_ended(inward):
             near.writer.transport.abort()
         else:
             near.writer.close()
 
 
-async def _copy_out(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> bool:
-    """Pass bytes on to the target.
+async def _report_upload(
+    near: Socket,
+    far: Socket,
+    copy: "_OutwardCopy",
+    outward: asyncio.Task[bool],
+) -> None:
+    """Tell the sender what became of the request whose target has closed.
 
-    Returns:
-        True once the sender has closed, False if the target reads no more.
+    Args:
+        near: Connection of the sender.
+        far: Connection to the target.
+        copy: Passes the rest of the request on.
+        outward: Task of ``copy``.
     """
-    while data := await reader.read(READ_BYTES):
-        try:
-            writer.write(data)
-            await writer.drain()
-        except OSError:
-            return False
-    return True
+    finding = asyncio.create_task(find_upload(far.writer, outward))
+    leaving = asyncio.create_task(_wait_for_leave(near.writer, copy, outward))
+    try:
+        await asyncio.wait(
+            (finding, leaving), return_when=asyncio.FIRST_COMPLETED
+        )
+        if not leaving.done():
+            await _write_state(near.writer, finding.result())
+    finally:
+        finding.cancel()
+        leaving.cancel()
+        await asyncio.gather(finding, leaving, return_exceptions=True)
+
+
+async def _wait_for_leave(
+    writer: asyncio.StreamWriter,
+    copy: "_OutwardCopy",
+    outward: asyncio.Task[bool],
+) -> None:
+    """Wait until the sender has closed its connection instead of asking.
+
+    The two look the same until something is sent to it, but nobody asks about
+    a short request.
+    """
+    if not outward.done():
+        await asyncio.wait((outward,), timeout=PROBE_SECONDS)
+    while not is_reset(writer):
+        if outward.done() and copy.size <= UNWATCHED_BYTES:
+            return
+        await _write_state(writer, UploadState.UNKNOWN)
+        await asyncio.sleep(PROBE_SECONDS)
+
+
+async def _write_state(
+    writer: asyncio.StreamWriter, state: UploadState
+) -> None:
+    writer.write(_STATE.pack(1, _STATE_CODES[state]))
+    await writer.drain()
+
+
+def _has_ended(copying: asyncio.Task[None]) -> bool:
+    """Return whether all was copied to the end."""
+    return (
+        copying.done()
+        and not copying.cancelled()
+        and copying.exception() is None
+    )
+
+
+class _OutwardCopy:
+    """Passes bytes on to the target.
+
+    Args:
+        reader: Connection of the sender.
+        writer: Connection to the target.
+
+    Attributes:
+        size: Bytes passed on.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.size = 0
+        self._reader = reader
+        self._writer = writer
+
+    async def run(self) -> bool:
+        """Pass bytes on until one side ends.
+
+        Returns:
+            True once the sender has closed, False if the target reads no
+            more.
+        """
+        while data := await self._reader.read(READ_BYTES):
+            self.size += len(data)
+            try:
+                self._writer.write(data)
+                await self._writer.drain()
+            except OSError:
+                return False
+        return True
 
 
 async def _copy_frames(
--- a/test/test_tunnel.py
+++ b/test/test_tunnel.py
@@ -9,6 +9,7 @@
 import h11
 import pytest
 
+from lagoonpost.http import tunnel, upload
 from lagoonpost.http.client import CallFailedError, Client, Socket
 from lagoonpost.http.message import Address, Headers
 from lagoonpost.http.tunnel import (
@@ -23,11 +24,14 @@
     send_tunnel_answer,
     set_keepalive,
 )
+from lagoonpost.tables.answer_end import UploadState
 
 _T = TypeVar("_T")
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 UNFRAMED = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nthe answer"
 """A response that ends with its connection."""
+RESET = b"\0\0\0\1\3"
+"""The frame for a target that closed before it had read its request."""
 
 
 class Between:
@@ -273,6 +277,104 @@
         assert not caught.value.sent
 
 
+END = b"\0\0\0\0"
+"""The frame for a target that has closed."""
+LONG = 100_000
+"""Size of a request whose state is asked for, in bytes."""
+LARGE = 8_000_000
+"""Size of one that the kernel's buffers don't hold."""
+
+
+async def ask_upload(frames: bytes, size: int = LONG) -> UploadState:
+    """Return what a gateway takes an upload for.
+
+    Args:
+        frames: What the process between sends after the end of the answer,
+            before it closes.
+        size: Bytes of the upload.
+    """
+
+    async def serve(reader, writer):
+        connection = h11.Connection(h11.SERVER)
+        await read_tunnel_request(connection, reader)
+        await send_tunnel_answer(connection, writer, 200)
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(size)
+        length = struct.pack("!I", len(UNFRAMED))
+        writer.write(length + UNFRAMED + END + frames)
+        writer.close()
+
+    client, target = Client(), TunnelRequest("target", ())
+    address = await listen(serve)
+    outer = await open_tunnel(client, address, target, 1.0, 1.0)
+    async with client.send(
+        outer, address, "POST", "/", bytes(size), reusable=False
+    ) as stream:
+        await stream.receive_head()
+        await stream.read()
+        return await stream.find_upload()
+
+
+class TestUploads:
+    @pytest.mark.parametrize(
+        ("frames", "state"),
+        [
+            (b"\0\0\0\1\1", UploadState.READ),
+            (b"\0\0\0\1\0\0\0\0\1\1", UploadState.READ),
+            (b"\0\0\0\1\2", UploadState.UNFINISHED),
+            (RESET, UploadState.RESET),
+            (b"\0\0\0\1\0", UploadState.UNFINISHED),
+            (b"\0\0\0\1\4", UploadState.UNFINISHED),
+            (b"\0\0\0\2\1\1", UploadState.UNFINISHED),
+            (b"\0\0\0", UploadState.UNFINISHED),
+        ],
+    )
+    def test_the_state_is_read_from_the_frames(self, frames, state):
+        assert asyncio.run(ask_upload(frames)) is state
+
+    @pytest.mark.parametrize(
+        ("size", "state"),
+        [(LONG, UploadState.UNFINISHED), (100, UploadState.READ)],
+    )
+    def test_an_older_process_between_proves_nothing(self, size, state):
+        """Guards against a cut answer while builds are mixed."""
+        assert asyncio.run(ask_upload(b"", size)) is state
+
+    @pytest.mark.parametrize(
+        ("size", "probe_seconds"), [(0, 3600.0), (LONG, 0.05), (LARGE, 0.05)]
+    )
+    def test_a_tunnel_ends_when_its_sender_closes(
+        self, size, probe_seconds, monkeypatch
+    ):
+        """Guards against tunnels to targets that stopped to read."""
+        monkeypatch.setattr(tunnel, "PROBE_SECONDS", probe_seconds)
+        for name in ("STALL_SECONDS", "RESET_WATCH_SECONDS"):
+            monkeypatch.setattr(upload, name, 3600.0)
+
+        async def scenario() -> bytes:
+            async def close_at_once(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(UNFRAMED)
+                writer.write_eof()
+                await asyncio.sleep(3600)
+
+            between = Between(await listen(close_at_once))
+            address = await listen(between.serve)
+            target = TunnelRequest("target", ())
+            outer = await open_tunnel(Client(), address, target, 1.0, 1.0)
+            outer.writer.write(b"POST / HTTP/1.1\r\n\r\n" + bytes(size))
+            answer = b""
+            while data := await outer.reader.read():
+                answer += data
+            outer.writer.transport.abort()
+            assert between.task is not None
+            async with asyncio.timeout(20.0):
+                await asyncio.gather(between.task, return_exceptions=True)
+            return answer
+
+        assert asyncio.run(scenario()) == UNFRAMED
+
+
 class TestKeepalive:
     def test_the_user_timeout_lets_all_probes_be_sent(self):
         """Guards against a user timeout that ends probing early.
