Take what has no HTTP status for no answer

What callers saw: an answer with status 600 or 999 was passed on, and what its head said of limits and leaving was believed, by the gateway between as well. Cause: h11 checks that a status has three digits and isn't below 200, no more; nothing looked at it after that. Class: bytes of a runner in trouble that pass for an answer by their shape. Change: one function decodes the head of a response for the client and for both ends of a tunnel, and refuses statuses beyond 599. The call fails as sent, so what may be repeated goes elsewhere and the rest gets 502. Result: 000, 099, 101, 199, 20, 1000, 2000, -200 and 2e2 were no answers before either. With 600 and 999 the plays of plain answers and streams, direct and through a tunnel, and the client's own test failed before, and pass now; so do resumed streams, which went on elsewhere before too (as a failure).

--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -55,6 +55,9 @@
 """Bytes of a body that count as progress, where progress is required."""
 MAX_DETAIL_CHARS = 200
 """Longest description of an error: h11 quotes the line that is at fault."""
+MAX_STATUS = 599
+"""Highest status of HTTP (RFC 9110, section 15). Beyond it, a server in
+trouble has sent other bytes in its place."""
 _FRAMING = ("content-length", "transfer-encoding")
 _BODYLESS = (204, 304)
 _TOO_LONG = 431
@@ -185,11 +188,10 @@
             raise CallFailedError(
                 "connection closed before the response", sent=True
             )
-        self.status = event.status_code
-        self.headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in event.headers
-        )
+        try:
+            self.status, self.headers = decode_head(event)
+        except h11.RemoteProtocolError as error:
+            raise CallFailedError(str(error), sent=True) from error
         self._body_start = self.received
         self._client.on_head(self._address, self.status, self.headers)
 
@@ -582,6 +584,21 @@
             socket.reader.on_unasked = socket.writer.transport.abort
 
 
+def decode_head(event: h11.Response) -> tuple[int, Headers]:
+    """Return the status and headers of a response.
+
+    Raises:
+        h11.RemoteProtocolError: If its status is none of HTTP. h11 checks no
+            more than that it has three digits.
+    """
+    if event.status_code > MAX_STATUS:
+        raise h11.RemoteProtocolError(f"illegal status {event.status_code}")
+    return event.status_code, tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in event.headers
+    )
+
+
 async def _send_pieces(writer: asyncio.StreamWriter, body: bytes) -> None:
     """Send a large body as fast as the server reads it.
 
--- a/lagoonpost/http/tunnel.py
+++ b/lagoonpost/http/tunnel.py
@@ -20,6 +20,7 @@
     CallFailedError,
     Client,
     Socket,
+    decode_head,
 )
 from lagoonpost.http.message import (
     Address,
@@ -189,7 +190,7 @@
     event = connection.next_event()
     if not isinstance(event, h11.Response):
         raise ConnectionResetError("the answer is no response")
-    return event.status_code
+    return decode_head(event)[0]
 
 
 async def read_tunnel_request(
@@ -205,9 +206,11 @@
         return None
     if not isinstance(event, h11.Request) or event.method != b"CONNECT":
         return None
-    return TunnelRequest(
-        event.target.decode("latin-1"), _decode_headers(event)
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in event.headers
     )
+    return TunnelRequest(event.target.decode("latin-1"), headers)
 
 
 async def send_tunnel_answer(
@@ -252,21 +255,13 @@
                     self._connection = None
                     return
                 event = self._connection.next_event()
+            if event is h11.NEED_DATA:
+                return
+            self._connection = None
+            if isinstance(event, h11.Response):
+                self._on_head(*decode_head(event))
         except h11.RemoteProtocolError:
             self._connection = None
-            return
-        if event is h11.NEED_DATA:
-            return
-        self._connection = None
-        if isinstance(event, h11.Response):
-            self._on_head(event.status_code, _decode_headers(event))
-
-
-def _decode_headers(event: h11.Request | h11.Response) -> Headers:
-    return tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in event.headers
-    )
 
 
 async def relay_tunnel(
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -167,6 +167,8 @@
             end with their connection.
         endless_shape: Name of the endless answer to send; empty for any.
         crash_midway: Whether to crash in the middle of each answer.
+        make_raw_answer: Returns the bytes to send in place of an answer to a
+            request, before its connection ends; None to answer it.
         crash_part: Part of a prompt, not its last one, that crashes the runner
             when it begins to answer; empty for none.
         crash_path: Path of requests that crash it in the same way; empty for
@@ -208,6 +210,8 @@
         self.framed = True
         self.endless_shape = ""
         self.crash_midway = False
+        self.make_raw_answer: Callable[[Request], bytes | None]
+        self.make_raw_answer = lambda request: None
         self.crash_part = ""
         self.crash_path = ""
         self.down_seconds = 0.5
@@ -417,6 +421,10 @@
             await asyncio.sleep(PAUSE_SECONDS)
         if self.fault in ("reset_after", "crash"):
             return
+        raw = self.make_raw_answer(request)
+        if raw is not None:
+            responder._writer.write(raw)
+            return
         if self.fault == "rude":
             responder._writer.write(b"these bytes are no answer\r\n\r\n")
             return
