Go on elsewhere with a stream that its next runner doesn't

What callers saw: a stream that was broken off midway ended cut where its next runner answered 404, 302, 204, or 200 without events, though a third runner could have gone on with it. Cause: a whole answer was written to the caller, whose answer had begun already. The server's state machine raised, and the connection was aborted: no second head and no foreign bytes went out, but the request ended with an internal error in place of an outcome. The same on a 5xx at the last try. Change: a whole answer to a stream that has begun is a broken attempt. It is retried as others are, or the stream ends visibly cut.

--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -192,6 +192,8 @@
                     lambda: self._has_other(exchange, choice),
                 )
             ended = outcome
+            if isinstance(outcome, Whole) and responder.started:
+                return Broken("the answer doesn't go on with the stream")
             if isinstance(outcome, Whole):
                 await _answer_or_retry(exchange, outcome, responder)
             return outcome
--- a/test/test_statuses.py
+++ b/test/test_statuses.py
@@ -235,6 +235,48 @@
     return play(scenario, configuration=configuration, gateways=2, chat=3)
 
 
+FOREIGN = pytest.mark.parametrize(
+    "raw",
+    [
+        make_raw("500", "text/plain"),
+        make_raw("500", "text/event-stream"),
+        make_raw("404", "text/plain"),
+        make_raw("200", "text/plain"),
+        make_raw("200"),
+        make_raw("200", "text/plain", False),
+        make_raw("302", "text/event-stream"),
+        make_raw("204", "", False),
+    ],
+    ids=[
+        "500",
+        "500-events",
+        "404",
+        "200",
+        "bare-type",
+        "unframed",
+        "302",
+        "204",
+    ],
+)
+
+
+class TestForeignAnswers:
+    """Answers other than a stream to a request to go on with a stream."""
+
+    @FOREIGN
+    def test_the_stream_goes_on_elsewhere(self, raw):
+        """Guards against a stream that its second runner's answer ends."""
+        answer = resume_with(raw)
+        assert isinstance(answer, Response)
+        assert answer.status == 200
+        assert answer.body == make_stream("/draft/1")
+
+    @FOREIGN
+    def test_the_stream_is_visibly_cut(self, raw):
+        """Guards against a second head or foreign bytes in a stream."""
+        assert isinstance(resume_with(raw, others=9), CallFailedError)
+
+
 class TestClient:
     @pytest.mark.parametrize("status", NO_STATUSES)
     def test_it_returns_no_such_answer(self, status):
