Let no end of a connection pass for the end of a plain service's answer

What callers saw: where a plain service answered without length or chunks and was killed in the middle, its part passed for the whole answer. A check's caller got it as a success, the ledger kept it as the booking's answer, and a cut export of a KV cache was imported. Cause: the product's own interface asked nothing about an end that only the connection marks, unlike the forwarding gateway. Class: an end without framing is believed for want of evidence against it. Change: these three calls take such an answer only if judge_end says that it is whole, with the service's state from one connection to it; framed answers cost nothing more. Streams name their end, and the other calls read JSON, of which no part is valid, or nothing but the status. Ruled out: the check in Client.call for all users; an answered order to stop a run would be lost when its runner leaves, though its JSON is whole. A service that ends a whole answer while it stops as planned counts as cut off: nothing here tells its plans.

--- a/lagoonpost/gateway/plain.py
+++ b/lagoonpost/gateway/plain.py
@@ -19,6 +19,7 @@
     read_execution,
 )
 from lagoonpost.runners.plain import drop_connection_headers, is_refusal
+from lagoonpost.runners.whole_answer import call_whole
 from lagoonpost.systems.event import (
     AttemptFailed,
     Dispatch,
@@ -153,12 +154,14 @@
 ) -> str | None:
     """Call one runner; return the kind of its failure, or None."""
     try:
-        answer = await gateway.client.call(
+        answer = await call_whole(
+            gateway.client,
             parse_address(runner.endpoint),
             request.method,
             target,
             request.body,
             select_forwarded_headers(request, row.id),
+            repeatable=True,
             timeout=timeout,
         )
     except CallFailedError as error:
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -201,9 +201,7 @@
 
         A server that crashes may end the connection in the same way.
         """
-        if self.status in _BODYLESS:
-            return False
-        return not any(name in _FRAMING for name, _ in self.headers)
+        return ends_with_connection(self.status, self.headers)
 
     async def parts(self) -> AsyncIterator[bytes]:
         """Yield the chunks of the body as they arrive.
@@ -584,6 +582,13 @@
             socket.reader.on_unasked = socket.writer.transport.abort
 
 
+def ends_with_connection(status: int, headers: Headers) -> bool:
+    """Return whether only the end of the connection ends a response."""
+    if status in _BODYLESS:
+        return False
+    return not any(name in _FRAMING for name, _ in headers)
+
+
 def decode_head(event: h11.Response) -> tuple[int, Headers]:
     """Return the status and headers of a response.
 
--- a/lagoonpost/runners/kv.py
+++ b/lagoonpost/runners/kv.py
@@ -7,6 +7,7 @@
 
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import parse_address
+from lagoonpost.runners.whole_answer import call_whole
 from lagoonpost.systems.evacuation import (
     LinkEstimate,
     PendingTransfer,
@@ -99,10 +100,12 @@
         name = job.transfer.request_id
         try:
             async with asyncio.timeout_at(job.transfer.deadline):
-                exported = await self._client.call(
+                exported = await call_whole(
+                    self._client,
                     parse_address(source.endpoint),
                     "POST",
                     f"/v1/streams/{name}/export",
+                    repeatable=True,
                     timeout=job.transfer.deadline - started,
                 )
                 if exported.status != 200:
--- a/lagoonpost/runners/plain.py
+++ b/lagoonpost/runners/plain.py
@@ -5,6 +5,7 @@
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address, Headers, Response
 from lagoonpost.http.problem import read_execution
+from lagoonpost.runners.whole_answer import call_whole
 from lagoonpost.systems.booking import Answered, Lost, NotRun
 from lagoonpost.tables.ledger import RecordedAnswer
 
@@ -66,12 +67,14 @@
         # A failure on an idle connection leaves open whether the request
         # arrived. On a new connection, a failure to connect proves that it
         # did not.
-        answer = await client.call(
+        answer = await call_whole(
+            client,
             address,
             method,
             target,
             body,
             drop_connection_headers(headers),
+            repeatable=False,
             timeout=timeout,
             fresh=True,
             may_send=may_send,
