--- a/lagoonpost/platform/kv_cache.py
+++ b/lagoonpost/platform/kv_cache.py
@@ -7,7 +7,7 @@
 from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address, Response
 from lagoonpost.tables import kv_copy
-from lagoonpost.tables.decoding import UNREADABLE
+from lagoonpost.tables.decoding import read_json
 from lagoonpost.tables.kv_copy import CopyOutcome, KvCopy
 
 COPY_PATH = "/v1/kv-move"
@@ -90,17 +90,11 @@
 def _read_outcome(
     response: Response, source: Address, stop: bool
 ) -> CopyOutcome:
-    refusal = _REFUSALS.get(response.status)
-    if refusal is None and response.status != 200:
-        return kv_copy.Unanswered(f"status {response.status}")
-    try:
-        handle = msgspec.json.decode(response.body, type=_Answer).handle
-    except UNREADABLE as error:
-        return refusal or kv_copy.Unanswered(str(error))
-    if not handle:
-        return refusal or kv_copy.Unanswered("response has no handle")
-    if refusal is None:
-        return kv_copy.Copied(KvCopy(source, handle))
-    if stop and isinstance(refusal, kv_copy.NoRoom):
-        return kv_copy.PartlyCopied(KvCopy(source, handle))
-    return refusal
+    answer = read_json(response.body, _Answer)
+    saved = KvCopy(source, answer.handle) if answer and answer.handle else None
+    if saved and response.status == 200:
+        return kv_copy.Copied(saved)
+    if saved and response.status == 503 and stop:
+        return kv_copy.PartlyCopied(saved)
+    lost = kv_copy.Unanswered(f"status {response.status} without a handle")
+    return _REFUSALS.get(response.status, lost)
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -25,6 +25,7 @@
 from lagoonpost.http.client import CallFailedError
 from lagoonpost.http.message import Request, Response
 from lagoonpost.http.responder import Responder
+from lagoonpost.platform.kv_cache import _read_outcome
 from lagoonpost.systems.answer_end import EndVerdict, judge_end
 from lagoonpost.systems.migration import MIN_PROMPT_TOKENS
 from lagoonpost.systems.placement import Choice
@@ -410,3 +411,24 @@
         for number, answer in enumerate(play(scenario)):
             assert answer.status == 200
             assert answer.body == b"GET /check/%d " % number
+
+
+class TestCopyAnswers:
+    @pytest.mark.parametrize(
+        ("status", "body", "stop", "expected"),
+        [
+            (200, b'{"handle": "h"}', False, Copied),
+            (200, b"{}", True, Unanswered),
+            (200, b"", True, Unanswered),
+            (404, b"", True, NoRun),
+            (409, b"", True, Busy),
+            (503, b"", True, NoRoom),
+            (503, b'{"handle": "h"}', True, PartlyCopied),
+            (503, b'{"handle": "h"}', False, NoRoom),
+            (500, b'{"handle": "h"}', True, Unanswered),
+        ],
+    )
+    def test_each_status(self, status, body, stop, expected):
+        answer = Response(status, (), body)
+        outcome = _read_outcome(answer, Address("127.0.0.1", 1), stop)
+        assert type(outcome) is expected
