Let no stop at the deadline pass for the end of an answer

What callers saw: a stream without length or chunks that its runner stopped at its Deadline-Ms ended as complete where the runner was a little early. Cause: the runner is told whole milliseconds, rounded down, and its clock is another one. Between its stop and the gateway's own timer the end was judged like any other, and the runner accepts connections. Class: an end without framing is believed for want of evidence against it. Change: the evidence says whether an end came within 20 ms of the deadline; such a bare end is a cut. The log's `ends` say `ended_late`. A sound answer pays only if it ends within these 20 ms, and costs nothing else. TestDeadlines, both cases at 15 ms early, failed before, and the table's row is new.

--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -41,6 +41,11 @@
 after which a runner is likely to have a free slot."""
 
 
+RUNNER_CLOCK_SLACK_SECONDS = 0.02
+"""Time by which a runner may stop before the deadline: what it is told is in
+whole milliseconds, and its timers may count in ticks of 16 ms."""
+
+
 class AnswerEnd(NamedTuple):
     """How the answer of one runner ended.
 
@@ -177,6 +182,10 @@
         left = self.arrival.left
         return self.started + (timeout if left is None else min(left, timeout))
 
+    def is_deadline_near(self) -> bool:
+        """Return whether the deadline may be over by a runner's clock."""
+        return self.deadline - self.now() < RUNNER_CLOCK_SLACK_SECONDS
+
     @property
     def target(self) -> float:
         """Target time to the first byte, in seconds."""
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -221,6 +221,7 @@
                 ended=True,
                 framed=not outcome.ends_with_connection,
                 repeatable=exchange.idempotent,
+                late=exchange.is_deadline_near(),
             ),
             find_upload,
             lambda: self._paths.find_state(choice),
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -67,6 +67,7 @@
         outcome = await _relay_events(
             exchange, began, responder, sampler, progress, has_other
         )
+        late = exchange.is_deadline_near()
         if progress.is_stalled(exchange.now()) or (
             isinstance(outcome, Broken) and outcome.endless
         ):
@@ -79,6 +80,7 @@
                 ended=isinstance(outcome, Began),
                 framed=not call.ends_with_connection,
                 repeatable=exchange.idempotent,
+                late=late,
                 stop=run.stop,
             ),
             call.find_upload,
--- a/lagoonpost/forwarding/request_log.py
+++ b/lagoonpost/forwarding/request_log.py
@@ -200,6 +200,8 @@
     evidence = end.evidence
     framing = "framed" if evidence.framed else "bare"
     arrived = "ended" if evidence.ended else "cut"
+    if evidence.late:
+        arrived += "_late"
     return (
         f"{end.runner}:{framing}:{arrived}:stop_{evidence.stop.value}"
         f":upload_{evidence.upload.value}:runner_{evidence.runner.value}"
--- a/lagoonpost/systems/answer_end.py
+++ b/lagoonpost/systems/answer_end.py
@@ -1,9 +1,10 @@
 """Decides by what is known of an answer's end whether the answer is whole.
 
 An answer that has neither a length nor chunks ends with its connection, and a
-connection ends for other reasons as well: the run was stopped to be moved, the
-runner resets it as it reads no more of the request, or its process ends. Taken
-for the answer's end, each of them gives the caller a part as the whole.
+connection ends for other reasons as well: the run was stopped to be moved or
+at its deadline, the runner resets it as it reads no more of the request, or
+its process ends. Taken for the answer's end, each of them gives the caller a
+part as the whole.
 Therefore such an end proves nothing by itself.
 """
 
@@ -42,6 +43,7 @@
     ended: bool | None = None
     framed: bool | None = None
     repeatable: bool | None = None
+    late: bool | None = None
     stop: StopState | None = None
     upload: UploadState | None = None
     runner: RunnerState | None = None
@@ -52,6 +54,7 @@
     _Rule(EndVerdict.WHOLE, ended=True, framed=True),
     _Rule(EndVerdict.STOPPED, stop=StopState.UNKNOWN),
     _Rule(EndVerdict.CUT, ended=False),
+    _Rule(EndVerdict.CUT, late=True),
     _Rule(EndVerdict.CUT, upload=UploadState.RESET),
     _Rule(EndVerdict.CUT, upload=UploadState.UNFINISHED),
     _Rule(EndVerdict.CUT, runner=RunnerState.DOWN),
--- a/lagoonpost/tables/answer_end.py
+++ b/lagoonpost/tables/answer_end.py
@@ -62,6 +62,8 @@
         framed: Whether a length or chunks mark the end, so that it is not the
             end of the connection.
         repeatable: Whether the request may run more than once.
+        late: Whether it came when the runner stops work by itself, as the
+            deadline is over by its clock.
         stop: What became of an order to stop the run.
         upload: State of the request after the end.
         runner: State of the runner after the end.
@@ -70,6 +72,7 @@
     ended: bool
     framed: bool
     repeatable: bool = False
+    late: bool = False
     stop: StopState = StopState.NONE
     upload: UploadState = UploadState.UNKNOWN
     runner: RunnerState = RunnerState.UNKNOWN
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -169,6 +169,8 @@
         crash_midway: Whether to crash in the middle of each answer.
         make_raw_answer: Returns the bytes to send in place of an answer to a
             request, before its connection ends; None to answer it.
+        stop_early: Seconds before the deadline that a request names at which
+            its run is stopped; None to go on with it.
         crash_part: Part of a prompt, not its last one, that crashes the runner
             when it begins to answer; empty for none.
         crash_path: Path of requests that crash it in the same way; empty for
@@ -212,6 +214,7 @@
         self.crash_midway = False
         self.make_raw_answer: Callable[[Request], bytes | None]
         self.make_raw_answer = lambda request: None
+        self.stop_early: float | None = None
         self.crash_part = ""
         self.crash_path = ""
         self.down_seconds = 0.5
@@ -285,8 +288,15 @@
         # A request that resumes from a KV copy continues the same run.
         self.runs[attempt] += request.header("kv-from") is None
         self._accepted += 1
+        left = None
+        if self.stop_early is not None:
+            named = int(request.header("deadline-ms") or 0) / 1000
+            left = max(0.0, named - self.stop_early)
         try:
-            await self._run(request, responder)
+            async with asyncio.timeout(left):
+                await self._run(request, responder)
+        except TimeoutError:
+            pass
         except asyncio.CancelledError:
             self.cancelled.append(attempt)
             raise
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -173,6 +173,7 @@
     ended=st.booleans(),
     framed=st.booleans(),
     repeatable=st.booleans(),
+    late=st.booleans(),
     stop=st.sampled_from(StopState),
     upload=st.sampled_from(UploadState),
     runner=st.sampled_from(RunnerState),
@@ -193,6 +194,7 @@
         if evidence.framed or verdict is not EndVerdict.WHOLE:
             return
         assert evidence.ended
+        assert not evidence.late
         assert evidence.stop in (StopState.NONE, StopState.DECLINED)
         assert evidence.upload is UploadState.READ
         assert evidence.runner in (RunnerState.UP, RunnerState.LEAVING)
@@ -221,6 +223,7 @@
         ("change", "verdict"),
         [
             ({}, EndVerdict.WHOLE),
+            ({"late": True}, EndVerdict.CUT),
             ({"stop": StopState.DECLINED}, EndVerdict.WHOLE),
             ({"stop": StopState.UNKNOWN}, EndVerdict.STOPPED),
             ({"upload": UploadState.UNFINISHED}, EndVerdict.CUT),
@@ -332,3 +335,29 @@
         for number, answer in enumerate(play(scenario)):
             assert answer.status == 200
             assert answer.body == b"GET /check/%d " % number
+
+
+class TestDeadlines:
+    @pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+    def test_a_stream_that_its_runner_stops_in_time_is_visibly_cut(self, path):
+        """Guards against a runner's timer that fires before the gateway's."""
+
+        async def scenario(stack: Stack) -> list[Response | BaseException]:
+            for runner in stack.runners.values():
+                runner.framed = False
+                runner.events = 100
+                runner.pause = 0.05
+                runner.stop_early = 0.015
+            prompt = make_prompt()
+            return [
+                (
+                    await asyncio.gather(
+                        stack.call(path, "POST", headers=prompt, deadline=0.3),
+                        return_exceptions=True,
+                    )
+                )[0]
+                for _ in range(8)
+            ]
+
+        for answer in play(scenario):
+            assert isinstance(answer, CallFailedError)
