Name the limit on decoding small chunks by a usual term

lane.py is decoding_limiter.py, DecodingLane is DecodingLimiter; nothing else changes. test_chunks and test_http are changed in names only; test_chunks, ruff and mypy pass.

--- a/lagoonpost/http/lane.py
+++ b/lagoonpost/http/decoding_limiter.py
@@ -21,7 +21,7 @@
 place."""
 
 
-class DecodingLane:
+class DecodingLimiter:
     """Lets a few bodies take turns, with pauses between the turns."""
 
     def __init__(self) -> None:
--- a/lagoonpost/http/request_reader.py
+++ b/lagoonpost/http/request_reader.py
@@ -12,7 +12,7 @@
 from lagoonpost.http.body import BodyBuffer
 from lagoonpost.http.chunks import ChunkDecoder, ChunkError
 from lagoonpost.http.client import SENDING_BYTES
-from lagoonpost.http.lane import DecodingLane
+from lagoonpost.http.decoding_limiter import DecodingLimiter
 from lagoonpost.http.listener import RECEIVE_BUFFER_BYTES
 from lagoonpost.http.message import Request
 from lagoonpost.http.responder import ClientDisconnectedError, Limits
@@ -24,8 +24,8 @@
 """Content that is not accounted for, as a connection's own size covers it."""
 FREE_FRAMING_BYTES = 4 * 1024
 FREE_FRAMING_RATIO = 0.5
-"""Framing of a chunked body that takes no place in the decoding lane, in bytes
-and for each byte of content. Chunks of 16 bytes or more have less."""
+"""Framing of a chunked body that takes no place in the decoding limiter, in
+bytes and for each byte of content. Chunks of 16 bytes or more have less."""
 RETRY_SECONDS = 1.0
 """Time after which a client that was refused for lack of memory may return:
 some stalled connections can be closed by then."""
@@ -134,7 +134,7 @@
         writer: Sends interim responses.
         account: Accounts for what all connections hold.
         holding: This connection in the account.
-        lane: Decodes bodies in small chunks.
+        limiter: Decodes bodies in small chunks.
         idle: Connections on which no part of a request has arrived.
 
     Attributes:
@@ -147,14 +147,14 @@
         writer: asyncio.StreamWriter,
         account: ClientAccount,
         holding: Holding,
-        lane: DecodingLane,
+        limiter: DecodingLimiter,
         idle: set[asyncio.StreamWriter],
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._account = account
         self._holding = holding
-        self._lane = lane
+        self._limiter = limiter
         self._idle = idle
         self._peer = str(writer.get_extra_info("peername"))
         self._limits = Limits()
@@ -282,12 +282,12 @@
                 await self._decode(decoder, data, now())
                 if decoder.finished:
                     return decoder.body.join()
-                self._lane.wait(decoder, now())
+                self._limiter.wait(decoder, now())
                 data = await self._receive()
                 if not data:
                     raise _reject(400, "the client ended within a body")
         finally:
-            self._lane.leave(decoder)
+            self._limiter.leave(decoder)
             decoder.body.clear()
 
     async def _decode(
@@ -297,8 +297,8 @@
         try:
             if not self._is_dense(decoder):
                 feed()
-            elif self._lane.join(decoder, now):
-                await self._lane.run(feed)
+            elif self._limiter.join(decoder, now):
+                await self._limiter.run(feed)
                 self._check_closed()
             else:
                 raise _RejectedError(NO_PLACE)
--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -9,7 +9,7 @@
 import h11
 
 from lagoonpost.http.account import ClientAccount
-from lagoonpost.http.lane import DecodingLane
+from lagoonpost.http.decoding_limiter import DecodingLimiter
 from lagoonpost.http.listener import (
     ACCEPTED_AT_ONCE,
     BACKLOG,
@@ -95,7 +95,7 @@
     ) -> None:
         self._handler = handler
         self._account = account or ClientAccount()
-        self._lane = DecodingLane()
+        self._limiter = DecodingLimiter()
         self.limits = limits or Limits()
         self._cancel_on_disconnect = cancel_on_disconnect
         self._server: asyncio.Server | None = None
@@ -187,7 +187,7 @@
         holding: Holding,
     ) -> None:
         requests = RequestReader(
-            reader, writer, self._account, holding, self._lane, self._idle
+            reader, writer, self._account, holding, self._limiter, self._idle
         )
         while not self._closing:
             requests.begin(self.limits)
--- a/test/test_chunks.py
+++ b/test/test_chunks.py
@@ -9,7 +9,11 @@
 from hypothesis import strategies as st
 
 from lagoonpost.http.chunks import ChunkDecoder, ChunkError
-from lagoonpost.http.lane import MAX_MEMBERS, STALL_SECONDS, DecodingLane
+from lagoonpost.http.decoding_limiter import (
+    MAX_MEMBERS,
+    STALL_SECONDS,
+    DecodingLimiter,
+)
 
 MAX_LINE = 100
 LIMIT = 10_000
@@ -130,27 +134,27 @@
 class TestLane:
     def test_a_body_that_waits_for_its_client_loses_its_place(self):
         """Guards against stalled bodies that keep all others out."""
-        lane = DecodingLane()
+        limiter = DecodingLimiter()
         for number in range(MAX_MEMBERS):
-            assert lane.join(number, 0.0)
-        assert not lane.join("next", 2 * STALL_SECONDS)
-        lane.wait(1, 0.0)
-        lane.wait(2, 2 * STALL_SECONDS)
-        assert lane.join("next", 2 * STALL_SECONDS)
-        assert not lane.join(1, 2 * STALL_SECONDS)
-        assert lane.join(2, 9 * STALL_SECONDS)
+            assert limiter.join(number, 0.0)
+        assert not limiter.join("next", 2 * STALL_SECONDS)
+        limiter.wait(1, 0.0)
+        limiter.wait(2, 2 * STALL_SECONDS)
+        assert limiter.join("next", 2 * STALL_SECONDS)
+        assert not limiter.join(1, 2 * STALL_SECONDS)
+        assert limiter.join(2, 9 * STALL_SECONDS)
 
     def test_bodies_take_turns(self):
         """Guards against one body that is decoded without a pause."""
         turns: list[str] = []
 
-        async def decode(lane: DecodingLane, name: str) -> None:
+        async def decode(limiter: DecodingLimiter, name: str) -> None:
             for _ in range(3):
-                await lane.run(lambda: turns.append(name))
+                await limiter.run(lambda: turns.append(name))
 
         async def scenario() -> None:
-            lane = DecodingLane()
-            await asyncio.gather(decode(lane, "a"), decode(lane, "b"))
+            limiter = DecodingLimiter()
+            await asyncio.gather(decode(limiter, "a"), decode(limiter, "b"))
 
         asyncio.run(scenario())
         assert turns == ["a", "b"] * 3
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -10,7 +10,7 @@
 
 from lagoonpost.http.account import ClientAccount
 from lagoonpost.http.client import PIECE_BYTES, CallFailedError, Client
-from lagoonpost.http.lane import DecodingLane
+from lagoonpost.http.decoding_limiter import DecodingLimiter
 from lagoonpost.http.message import (
     Address,
     Request,
@@ -488,7 +488,7 @@
                 transport, asyncio.StreamReaderProtocol(reader), reader, loop
             )
             requests = RequestReader(
-                reader, writer, account, holding, DecodingLane(), set()
+                reader, writer, account, holding, DecodingLimiter(), set()
             )
             requests.begin(Limits())
             reading = asyncio.create_task(requests.read())
