Read the status of orders that may have ended before a gateway's start

After a kill of all gateways a version that was completed got no requests until a new holder of the duties had read its status: the order was taken for a new trial, a gateway that has just started has no slack, and the old runners are gone. A gateway that takes an order from the store and had not yet run for long then reads the status itself, once, and publishes the end. The same stops a second trial of a version that was rolled back.

--- a/lagoonpost/forwarding/version_shifts.py
+++ b/lagoonpost/forwarding/version_shifts.py
@@ -77,6 +77,8 @@
         evaluator: Decides on the next phase.
         written_phase: Phase last written or read in the status for
             operators; None if unknown.
+        may_have_ended: Whether the order may have ended before this gateway
+            started, as far as it knows.
     """
 
     def __init__(self, order: ShiftOrder) -> None:
@@ -86,6 +88,7 @@
         self.counts: Counts = {}
         self.evaluator = ShiftEvaluator(order, read_clock())
         self.written_phase: ShiftPhase | None = None
+        self.may_have_ended = False
 
     @property
     def rank(self) -> int:
@@ -136,6 +139,8 @@
             return
         if self._apply(order, "trial", "store"):
             self._publish_shift(self._shifts[order.service])
+        shift = self._shifts[order.service]
+        shift.may_have_ended = not self._was_settled_at(shift)
 
     def handle_fact(self, fact: Fact) -> None:
         """Handle a fact about an order from another gateway."""
@@ -241,13 +246,17 @@
         the slack: the process before it may have used it up, and the gateways
         that share it may not be known.
         """
-        if self._started is None:
-            return self._bounds
-        settled = self._started + INTRODUCTION_SECONDS
-        if settled <= shift.evaluator.started:
+        if self._was_settled_at(shift):
             return self._bounds
         return self._bounds._replace(slack=0.0)
 
+    def _was_settled_at(self, shift: _Shift) -> bool:
+        """Tell whether this gateway had run for long at an order."""
+        if self._started is None:
+            return True
+        settled = self._started + INTRODUCTION_SECONDS
+        return settled <= shift.evaluator.started
+
     def is_shifting(self, service: str) -> bool:
         """Tell whether a service moves to another version now."""
         shift = self._shifts.get(service)
@@ -329,6 +338,25 @@
             if shift.evaluator.may_roll_back(read_clock()):
                 self._evaluate(shift, all_reports, ROLLBACK_PHASES)
 
+    async def read_ends(self, store: PlatformStore) -> None:
+        """Read the status of orders that may have ended before the start.
+
+        After a kill of all gateways no other one knows the end, and there is
+        no leader until a lease has expired; the old runners of a complete
+        version are gone meanwhile.
+
+        Args:
+            store: Store that holds the status.
+        """
+        for shift in list(self._shifts.values()):
+            if not shift.may_have_ended or shift.phase in FINAL_PHASES:
+                continue
+            row = await store.read_status(_make_key(shift))
+            if isinstance(row, Unavailable):
+                return
+            shift.may_have_ended = False
+            self._take_end(shift, row)
+
     def hand_over(self) -> None:
         """Forget the written phases, as another gateway may write them now."""
         for shift in self._shifts.values():
@@ -366,7 +394,6 @@
         first. Operators stop the runners of one version at either end, so
         the first final status stands.
         """
-        key = f"{ORDER_PREFIX}{shift.order.service}"
         order, written = shift.order, shift.written_phase
         if written in FINAL_PHASES or (
             written is not None
@@ -374,20 +401,13 @@
             == format_status(order, shift.phase)
         ):
             return
+        key = _make_key(shift)
         row = await store.read_status(key)
         if isinstance(row, Unavailable) or not may_go_on():
             return
-        end = decode_final_phase(row.value, shift.order) if row.value else None
-        if isinstance(end, Unreadable):
-            # Only gateways write it, so it is overwritten. If nobody knows the
-            # order's end, the order is tried again, but a gateway that has
-            # started since has only a share of the requests for it, no slack.
-            log_unreadable("status", key, end.reason)
-        elif end is not None:
-            # Only the end of this order counts. A repeated order to the same
-            # version can't be told apart and counts as ended as well.
-            if self._apply(shift.order, end, "status"):
-                self._publish_shift(shift)
+        shift.may_have_ended = False
+        end = self._take_end(shift, row)
+        if end is not None:
             shift.written_phase = end
             return
         phase = shift.phase
@@ -396,6 +416,29 @@
         if isinstance(outcome, Committed):
             shift.written_phase = phase
 
+    def _take_end(self, shift: _Shift, row: FeedRow) -> ShiftPhase | None:
+        """Apply the end of an order that its status names, if any.
+
+        Returns:
+            The end; None if the status names none.
+        """
+        end = decode_final_phase(row.value, shift.order) if row.value else None
+        if isinstance(end, Unreadable):
+            # Only gateways write it, so it is overwritten. If nobody knows the
+            # order's end, the order is tried again, but a gateway that has
+            # started since has only a share of the requests for it, no slack.
+            log_unreadable("status", _make_key(shift), end.reason)
+            return None
+        # Only the end of this order counts. A repeated order to the same
+        # version can't be told apart and counts as ended as well.
+        if end is not None and self._apply(shift.order, end, "status"):
+            self._publish_shift(shift)
+        return end
+
+
+def _make_key(shift: _Shift) -> str:
+    return f"{ORDER_PREFIX}{shift.order.service}"
+
 
 def _strip_era(order: ShiftOrder) -> ShiftOrder:
     """Return an order without the era in its number."""
@@ -448,3 +491,4 @@
         shifts.hand_over()
         if may_watch():
             shifts.roll_back_bad_versions(find_reports())
+        await shifts.read_ends(store)
--- a/test/test_shift_start.py
+++ b/test/test_shift_start.py
@@ -1,18 +1,26 @@
 """The start of a version shift, as gateways gossip it."""
 
+import asyncio
 from random import Random
 
 import msgspec
 import pytest
+from played_loop import play_time
+from played_store import PlayedClient
 from test_shift import BOUNDS, EPOCH
 
-from lagoonpost.forwarding.version_shifts import VersionShifts
-from lagoonpost.platform.store import FeedRow
+from lagoonpost.forwarding.version_shifts import (
+    VersionShifts,
+    run_version_shifts,
+)
+from lagoonpost.http.message import Address as StoreAddress
+from lagoonpost.platform.store import FeedRow, PlatformStore
 from lagoonpost.store.clock import read_clock
 from lagoonpost.tables.address import Address
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.fact import Fact, merge_facts
 from lagoonpost.tables.version_shift import ShiftOrder
+from lagoonpost_standins.rows import RowStore
 
 RUNNERS = [
     Endpoint(f"chat-{name}", "chat", Address("10.0.0.1", 80), "a", name, 8)
@@ -64,6 +72,108 @@
         assert self.try_new(self.start(None), 20) > 0
 
 
+class TestEndedBefore:
+    """Gateways that start after an order has ended, and know nobody."""
+
+    @pytest.fixture(autouse=True)
+    def use_played_clock(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(
+            "lagoonpost.forwarding.version_shifts.read_clock",
+            lambda: asyncio.get_running_loop().time(),
+        )
+
+    def play(
+        self,
+        state: str | None,
+        seconds: float,
+        *,
+        age: float = 0.0,
+        holds: bool = False,
+        silent_seconds: float = 0.0,
+    ) -> tuple[VersionShifts, list[Fact], PlayedClient]:
+        """Play a gateway that takes an order from the store.
+
+        Args:
+            state: Status of the order; None if there is none.
+            seconds: Time to play.
+            age: Seconds since its start.
+            holds: Whether it is the leader.
+            silent_seconds: Time in which it can't read the status.
+        """
+        rows = RowStore()
+        client = PlayedClient(rows)
+        store = PlatformStore(client, StoreAddress("10.0.0.1", 80))
+        published: list[Fact] = []
+
+        async def run() -> VersionShifts:
+            if state is not None:
+                told = {"state": state, "to": "v2"}
+                await rows.put("status", "rollout/chat", told)
+            now = asyncio.get_running_loop().time
+            shifts = VersionShifts(
+                BOUNDS,
+                Random(1),
+                published.append,
+                lambda: EPOCH + now(),
+                now() - age,
+            )
+            order = {"service": "chat", "to": "v2", "duration_s": 16}
+            row = FeedRow("rollout/chat", 1, msgspec.json.encode(order))
+            shifts.handle_row(row)
+            if silent_seconds:
+                client.begin_silence()
+            task = asyncio.create_task(
+                run_version_shifts(
+                    shifts,
+                    store,
+                    lambda: holds,
+                    lambda: not holds,
+                    lambda: [],
+                    0.5,
+                )
+            )
+            await asyncio.sleep(silent_seconds)
+            client.end_silence()
+            await asyncio.sleep(seconds)
+            task.cancel()
+            return shifts
+
+        return play_time(run()), published, client
+
+    @pytest.mark.parametrize("silent_seconds", [0.0, 6.0])
+    def test_a_complete_version_gets_requests_before_there_is_a_leader(
+        self, silent_seconds: float
+    ) -> None:
+        """Guards against a service without runners after a kill of all.
+
+        The old runners are stopped once operators are told that the version
+        is complete; without a leader nobody read this.
+        """
+        shifts, published, _ = self.play(
+            "complete", 2.5, silent_seconds=silent_seconds
+        )
+        (new,) = RUNNERS[1:]
+        assert shifts.choose_candidates("chat", [new], 9) == [new]
+        assert published[-1].rank > published[0].rank
+
+    def test_a_version_taken_back_gets_none_before_there_is_a_leader(
+        self,
+    ) -> None:
+        """Guards against a second trial of it after a kill of all."""
+        shifts, _, _ = self.play("rolled_back", 2.5)
+        assert shifts.is_rolled_back(RUNNERS[1])
+
+    def test_a_status_is_read_once(self) -> None:
+        """Guards against reads of all gateways for as long as a trial is."""
+        _, _, client = self.play("active", 10.0)
+        assert client.calls == 1
+
+    def test_no_status_is_read_for_an_order_that_comes_later(self) -> None:
+        """Guards against a call of each gateway for each order."""
+        _, _, client = self.play("active", 10.0, age=60.0)
+        assert client.calls == 0
+
+
 class TestStart:
     """Gateways that receive an order at different times."""
 
