Let a leader end no order whose status it can't read

A leader that could not read the status for the time of an order, after a kill of all gateways, took back a version that was complete, for want of answers; taken_back outranks complete in gossip, so all gateways then sent the service's requests to old runners that are gone. Such a leader now only rolls back on evidence, as the others do.

TestEndedBefore.test_a_leader_that_reads_no_status_takes_nothing_back failed before (no candidate after the status was read).

--- a/lagoonpost/forwarding/version_shifts.py
+++ b/lagoonpost/forwarding/version_shifts.py
@@ -320,8 +320,11 @@
                 await self._write_status(shift, store, may_go_on)
             if not may_go_on():
                 return
-            self._evaluate(shift, all_reports, SHIFT_PHASES)
-            if shift.written_phase is not None:
+            if shift.written_phase is None:
+                # The status may name an end that must not be contradicted.
+                self._roll_back_if_bad(shift, all_reports)
+            else:
+                self._evaluate(shift, all_reports, SHIFT_PHASES)
                 await self._write_status(shift, store, may_go_on)
 
     def roll_back_bad_versions(self, reports: Iterable[GatewayReport]) -> None:
@@ -335,8 +338,13 @@
         """
         all_reports = list(reports)
         for shift in self._shifts.values():
-            if shift.evaluator.may_roll_back(read_clock()):
-                self._evaluate(shift, all_reports, ROLLBACK_PHASES)
+            self._roll_back_if_bad(shift, all_reports)
+
+    def _roll_back_if_bad(
+        self, shift: _Shift, reports: list[GatewayReport]
+    ) -> None:
+        if shift.evaluator.may_roll_back(read_clock()):
+            self._evaluate(shift, reports, ROLLBACK_PHASES)
 
     async def read_ends(self, store: PlatformStore) -> None:
         """Read the status of orders that may have ended before the start.
--- a/test/test_shift_start.py
+++ b/test/test_shift_start.py
@@ -163,6 +163,18 @@
         shifts, _, _ = self.play("rolled_back", 2.5)
         assert shifts.is_rolled_back(RUNNERS[1])
 
+    def test_a_leader_that_reads_no_status_takes_nothing_back(self) -> None:
+        """Guards against a complete version that loses all its requests.
+
+        A new leader that could not read the status for the time of the order
+        took the version back for want of answers.
+        """
+        shifts, _, _ = self.play(
+            "complete", 2.5, holds=True, silent_seconds=24.0
+        )
+        (new,) = RUNNERS[1:]
+        assert shifts.choose_candidates("chat", [new], 9) == [new]
+
     def test_a_status_is_read_once(self) -> None:
         """Guards against reads of all gateways for as long as a trial is."""
         _, _, client = self.play("active", 10.0)
