Complete no version on an instant's answers, or compared with nothing

A gateway that began to evaluate an order once all requests went to the new version counted its answers from its own first look. One that did so half a second before the deadline expected no answers, and completed a version that gave none; one whose peers had all been killed had no answers of the old version, and completed a version that failed each request. Completing now needs MIN_DRAIN_SECONDS of answers since the step was known, and some answers of the old version. Gateways that may become the leader go on counting in the last seconds, so that a turn that begins there still completes in time.

--- a/lagoonpost/forwarding/version_shifts.py
+++ b/lagoonpost/forwarding/version_shifts.py
@@ -343,8 +343,12 @@
     def _roll_back_if_bad(
         self, shift: _Shift, reports: list[GatewayReport]
     ) -> None:
-        if shift.evaluator.may_roll_back(read_clock()):
-            self._evaluate(shift, reports, ROLLBACK_PHASES)
+        may_roll_back = shift.evaluator.may_roll_back(read_clock())
+        # Evaluated also without effect: what was answered before a step must
+        # be known to a gateway that becomes the leader.
+        self._evaluate(
+            shift, reports, ROLLBACK_PHASES if may_roll_back else ()
+        )
 
     async def read_ends(self, store: PlatformStore) -> None:
         """Read the status of orders that may have ended before the start.
--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -184,8 +184,11 @@
                 return "all"
             # A version of which too little is known is not trusted.
             return "taken_back" if now >= due else phase
-        ended = now >= self.mark_all_new(now) + MIN_DRAIN_SECONDS
-        if not ended or now < due:
+        # Another gateway's step may be heard of late, its answers even later.
+        at = max(
+            self.mark_all_new(now), self._at_all[0] if self._at_all else 0
+        )
+        if now < max(due, at + MIN_DRAIN_SECONDS):
             return phase
         return "complete" if self._may_complete(counts, now) else "taken_back"
 
@@ -237,7 +240,9 @@
     ) -> bool:
         """Return whether the answers since the last step suffice.
 
-        The old version's answers from before are what they are compared with.
+        The old version's answers from before are what they are compared with;
+        if those who counted them were killed, nothing is known against a
+        version that fails each request.
         """
         at, before = self._at_all or (now, dict(counts))
         since = {
@@ -254,7 +259,7 @@
         trial_seconds = max(INTERVAL_SECONDS, at - self._started)
         expected = (earlier.new + earlier.old) * (now - at) / trial_seconds
         needed = min(MIN_ANSWERS, EXPECTED_ANSWER_SHARE * expected)
-        if _sum_counts(since).new < needed:
+        if not earlier.old or _sum_counts(since).new < needed:
             return False
         return not _looks_worse(since) and not _looks_worse(counts)
 
