Test a version more often once it gets all requests

A version that turned bad only under all requests was tested every 2 s, so that up to 2.5 s of all requests went to it after its first bad answers: more than is promised, whatever the trial had left. It is tested with each look now, every 0.5 s; the weight of each start of the evidence allows for as many intervals, so that a sound version is refused no more often.

--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -86,6 +86,9 @@
 
 A fault on all routes shows there first.
 """
+ALL_INTERVAL_SECONDS = 0.5
+"""Time between two tests once all requests go to the new version, as long as
+the news of the answers takes. Each request counts as exposure then."""
 CRITERIA_PER_ROUTE = 2
 """Tests on each route: more failures, and more slow requests."""
 
@@ -162,7 +165,10 @@
             self._at_all = now, dict(counts)
         next_phase = self._find_next(phase, counts, now)
         # All that is known is tested before a version gets more requests.
-        is_due = now - self._evaluated >= INTERVAL_SECONDS
+        interval = (
+            INTERVAL_SECONDS if phase == "trial" else ALL_INTERVAL_SECONDS
+        )
+        is_due = now - self._evaluated >= interval
         is_step = phase == "trial" and self._is_trial_over(now)
         if is_due or is_step or next_phase != phase:
             self._evaluated = now
@@ -273,7 +279,7 @@
         An outage of both versions then looks like a fault of the new one and
         causes an unnecessary rollback; the shift can be ordered again.
         """
-        intervals = max(1.0, self.order.seconds / INTERVAL_SECONDS)
+        intervals = max(1.0, self.order.seconds / ALL_INTERVAL_SECONDS)
         for route, total in counts.items():
             previous = self._counted.get(route, VersionCounts())
             recent = subtract_counts(total, previous)
--- a/test/test_shift.py
+++ b/test/test_shift.py
@@ -290,6 +290,27 @@
         ]
         assert ends.count("taken_back") <= REFUSED_GOOD_SHARE * len(ends)
 
+    @pytest.mark.parametrize("bad_share", [0.5, 0.9])
+    @pytest.mark.parametrize(
+        ("gateways", "rate", "seconds"), [(9, 60.0, 30.0), (82, 240.0, 16.0)]
+    )
+    def test_a_version_that_fails_under_all_requests_gets_few(
+        self, gateways: int, rate: float, seconds: float, bad_share: float
+    ) -> None:
+        """Guards against a test too rare for the requests it is to stop."""
+        version = Version(failed=bad_share, under_load=True)
+        allowed = BOUNDS.share * rate * seconds + BOUNDS.slack
+        for seed in range(10):
+            result = play_shift(
+                version,
+                gateways=gateways,
+                rate=rate,
+                seconds=seconds,
+                seed=seed,
+            )
+            assert result.phase == "taken_back"
+            assert result.new <= allowed
+
     def test_slow_answers_on_one_route_hold_a_version_back(self):
         """Guards against a step on six of six slow answers of one route."""
         evaluator = ShiftEvaluator(ShiftOrder("chat", "v2", 15.0, 1), 0.0)
