Leave half of the promised exposure for the step to all requests

The trial used 0.6 of what is promised, counted up to then, and the requests of a second or so after the step more than the rest. It uses half now.

--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -44,10 +44,12 @@
     subtract_counts,
 )
 
-EXPOSURE_SAFETY_SHARE = 0.6
+EXPOSURE_SAFETY_SHARE = 0.5
 """Share of the promised exposure that is used during the trial.
 
-The rest covers requests that are counted at other gateways and never arrive.
+The rest is left for a version that turns bad once all requests go to it, until
+that shows, and covers requests that are counted at other gateways and never
+arrive.
 """
 MAX_TRIAL_SHARE = 0.5
 """Largest share of requests for the new version during the trial.
