Let many gateways with little traffic try a new version

Each gateway counts its own part of the trial. Among 82 gateways with 30 requests a second that part is below one request at each of them, so a new version got none, and a sound one was rolled back at its deadline. A random fraction of a request is added at each gateway, which keeps the sum on average.

--- a/lagoonpost/forwarding/version_shifts.py
+++ b/lagoonpost/forwarding/version_shifts.py
@@ -81,10 +81,10 @@
             started, as far as it knows.
     """
 
-    def __init__(self, order: ShiftOrder) -> None:
+    def __init__(self, order: ShiftOrder, fraction: float) -> None:
         self.order = order
         self.phase: ShiftPhase = "trial"
-        self.exposure = Exposure()
+        self.exposure = Exposure(fraction)
         self.counts: Counts = {}
         self.evaluator = ShiftEvaluator(order, read_clock())
         self.written_phase: ShiftPhase | None = None
@@ -172,7 +172,9 @@
             known.order = order
             phase = max(known.phase, phase, key=SHIFT_PHASES.index)
         elif known is None or known.order.number < order.number:
-            known = self._shifts[order.service] = _Shift(order)
+            known = self._shifts[order.service] = _Shift(
+                order, self._rng.random()
+            )
         elif known.order.number > order.number or SHIFT_PHASES.index(
             known.phase
         ) >= SHIFT_PHASES.index(phase):
--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -110,19 +110,26 @@
 class Exposure:
     """One gateway's request counts of a service since a shift order.
 
+    Args:
+        fraction: Random number from 0 to 1. Among many gateways each may have
+            a part of less than one request; with the fraction added, the sum
+            over all of them is kept on average.
+
     Attributes:
         total: Requests sent to either version.
         new: Requests sent to the new version.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, fraction: float = 0.0) -> None:
+        self._fraction = fraction
         self.total = 0
         self.new = 0
 
     def allows_trial(self, bounds: ExposureBounds, gateways: int) -> bool:
         """Return whether another request may go to the new version."""
         allowed = bounds.share * self.total + bounds.slack / max(1, gateways)
-        return self.new + 1 <= EXPOSURE_SAFETY_SHARE * allowed
+        part = EXPOSURE_SAFETY_SHARE * allowed
+        return self.new + 1 <= part + self._fraction
 
     def record_sent(self, is_new: bool) -> None:
         """Count a request that was sent to either version."""
