--- a/lagoonpost/systems/shift.py
+++ b/lagoonpost/systems/shift.py
@@ -44,10 +44,12 @@
     subtract_counts,
 )
 
-EXPOSURE_SAFETY_SHARE = 0.6
+EXPOSURE_SAFETY_SHARE = 0.5
 """Share of the promised exposure that is used during the trial.
 
-The rest covers requests that are counted at other gateways and never arrive.
+The rest is left for a version that turns bad once all requests go to it, until
+that shows, and covers requests that are counted at other gateways and never
+arrive.
 """
 MAX_TRIAL_SHARE = 0.5
 """Largest share of requests for the new version during the trial.
@@ -86,6 +88,9 @@
 
 A fault on all routes shows there first.
 """
+ALL_INTERVAL_SECONDS = 0.5
+"""Time between two tests once all requests go to the new version, as long as
+the news of the answers takes. Each request counts as exposure then."""
 CRITERIA_PER_ROUTE = 2
 """Tests on each route: more failures, and more slow requests."""
 
@@ -105,19 +110,26 @@
 class Exposure:
     """One gateway's request counts of a service since a shift order.
 
+    Args:
+        fraction: Random number from 0 to 1. Among many gateways each may have
+            a part of less than one request; with the fraction added, the sum
+            over all of them is kept on average.
+
     Attributes:
         total: Requests sent to either version.
         new: Requests sent to the new version.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, fraction: float = 0.0) -> None:
+        self._fraction = fraction
         self.total = 0
         self.new = 0
 
     def allows_trial(self, bounds: ExposureBounds, gateways: int) -> bool:
         """Return whether another request may go to the new version."""
         allowed = bounds.share * self.total + bounds.slack / max(1, gateways)
-        return self.new + 1 <= EXPOSURE_SAFETY_SHARE * allowed
+        part = EXPOSURE_SAFETY_SHARE * allowed
+        return self.new + 1 <= part + self._fraction
 
     def record_sent(self, is_new: bool) -> None:
         """Count a request that was sent to either version."""
@@ -162,7 +174,10 @@
             self._at_all = now, dict(counts)
         next_phase = self._find_next(phase, counts, now)
         # All that is known is tested before a version gets more requests.
-        is_due = now - self._evaluated >= INTERVAL_SECONDS
+        interval = (
+            INTERVAL_SECONDS if phase == "trial" else ALL_INTERVAL_SECONDS
+        )
+        is_due = now - self._evaluated >= interval
         is_step = phase == "trial" and self._is_trial_over(now)
         if is_due or is_step or next_phase != phase:
             self._evaluated = now
@@ -184,8 +199,11 @@
                 return "all"
             # A version of which too little is known is not trusted.
             return "taken_back" if now >= due else phase
-        ended = now >= self.mark_all_new(now) + MIN_DRAIN_SECONDS
-        if not ended or now < due:
+        # Another gateway's step may be heard of late, its answers even later.
+        at = max(
+            self.mark_all_new(now), self._at_all[0] if self._at_all else 0
+        )
+        if now < max(due, at + MIN_DRAIN_SECONDS):
             return phase
         return "complete" if self._may_complete(counts, now) else "taken_back"
 
@@ -237,7 +255,9 @@
     ) -> bool:
         """Return whether the answers since the last step suffice.
 
-        The old version's answers from before are what they are compared with.
+        The old version's answers from before are what they are compared with;
+        if those who counted them were killed, nothing is known against a
+        version that fails each request.
         """
         at, before = self._at_all or (now, dict(counts))
         since = {
@@ -254,7 +274,7 @@
         trial_seconds = max(INTERVAL_SECONDS, at - self._started)
         expected = (earlier.new + earlier.old) * (now - at) / trial_seconds
         needed = min(MIN_ANSWERS, EXPECTED_ANSWER_SHARE * expected)
-        if _sum_counts(since).new < needed:
+        if not earlier.old or _sum_counts(since).new < needed:
             return False
         return not _looks_worse(since) and not _looks_worse(counts)
 
@@ -268,7 +288,7 @@
         An outage of both versions then looks like a fault of the new one and
         causes an unnecessary rollback; the shift can be ordered again.
         """
-        intervals = max(1.0, self.order.seconds / INTERVAL_SECONDS)
+        intervals = max(1.0, self.order.seconds / ALL_INTERVAL_SECONDS)
         for route, total in counts.items():
             previous = self._counted.get(route, VersionCounts())
             recent = subtract_counts(total, previous)
