Make the bounds for callers cheap where none is met

Cause: in calm each change of a connection built a result, looked at all bounds and changed sizes that stayed as they were; each write of an answer asked twice what was unsent; head and body were two writes, so on a kept connection the body also waited for the acknowledgement of the head. Change: where no bound is exceeded nothing more is looked at, sizes that stay are not changed, and a short answer is one write. What is bounded and who is closed stay as they were. TestShortAnswers failed before; test_crowds and the tests of http/ pass unchanged.

--- a/lagoonpost/http/account.py
+++ b/lagoonpost/http/account.py
@@ -8,6 +8,7 @@
 import eliot
 
 from lagoonpost.systems.holdings import (
+    NO_CHANGE,
     UNBOUNDED,
     HoldingBounds,
     Holdings,
@@ -103,7 +104,8 @@
 
     def enter(self, holding: Holding, stage: Stage) -> bool:
         """Move a connection to a stage, and return whether there is room."""
-        return self._apply(self._holdings.enter(holding, stage, self._clock()))
+        room = self._holdings.enter(holding, stage, self._clock())
+        return room is NO_CHANGE or self._apply(room)
 
     def note_arrived(self, holding: Holding, size: int) -> None:
         """Record that bytes of a request have arrived."""
@@ -111,9 +113,8 @@
 
     def resize(self, holding: Holding, part: Part, size: int) -> bool:
         """Change the size of a part, and return whether there is room."""
-        return self._apply(
-            self._holdings.resize(holding, part, size, self._clock())
-        )
+        room = self._holdings.resize(holding, part, size, self._clock())
+        return room is NO_CHANGE or self._apply(room)
 
     def note_unsent(self, holding: Holding, buffered: int, kept: int) -> bool:
         """Change the size of an answer that the client hasn't taken.
@@ -134,8 +135,9 @@
 
     def has_room(self, size: int) -> bool:
         """Return whether a request of ``size`` bytes could be held now."""
-        fits = self._holdings.has_room(size, self._clock())
-        return self._apply(Room(fits=fits))
+        if self._holdings.has_room(size, self._clock()):
+            return True
+        return self._apply(Room(fits=False))
 
     def _apply(self, room: Room) -> bool:
         for holding in room.closed:
--- a/lagoonpost/http/responder.py
+++ b/lagoonpost/http/responder.py
@@ -86,7 +86,20 @@
         """
         body = response.body
         length = ("content-length", str(len(body)))
-        self._send_head(response.status, (*response.headers, length))
+        # The head and a short body go together: each write is a system call
+        # here and an event at the client.
+        head = self._make_head(response.status, (*response.headers, length))
+        if len(body) > PIECE_BYTES:
+            self._writer.write(head)
+            head = b""
+            body = await self._send_pieces(body)
+        parts = head + self._encode(h11.Data(data=body))
+        parts += self._encode(h11.EndOfMessage())
+        self.finished = True
+        await self._write(parts)
+
+    async def _send_pieces(self, body: bytes) -> bytes:
+        """Send a large body but for its last piece, which is returned."""
         with memoryview(body) as view:
             for start in range(0, len(body) - PIECE_BYTES, PIECE_BYTES):
                 piece = bytes(view[start : start + PIECE_BYTES])
@@ -94,16 +107,13 @@
                     self._encode(h11.Data(data=piece)),
                     len(body) - start - PIECE_BYTES,
                 )
-            rest = len(body) % PIECE_BYTES or min(len(body), PIECE_BYTES)
-            last = bytes(view[len(body) - rest :])
-        parts = self._encode(h11.Data(data=last))
-        parts += self._encode(h11.EndOfMessage())
-        self.finished = True
-        await self._write(parts)
+            return bytes(
+                view[len(body) - (len(body) % PIECE_BYTES or PIECE_BYTES) :]
+            )
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body follows in chunks."""
-        self._send_head(status, headers)
+        self._writer.write(self._make_head(status, headers))
         self._chunked = self._connection.their_http_version != b"1.0"
         await self._write(b"")
 
@@ -137,18 +147,14 @@
         """Return whether the connection is known to be closed."""
         return self._writer.is_closing()
 
-    def _send_head(self, status: int, headers: Headers) -> None:
+    def _make_head(self, status: int, headers: Headers) -> bytes:
         self.started = True
         if self._is_closing():
             # The client must not send its next request on a connection that
             # the server closes after this response.
             headers = (*headers, ("connection", "close"))
-        self._writer.write(
-            self._encode(
-                h11.Response(
-                    status_code=status, headers=encode_headers(headers)
-                )
-            )
+        return self._encode(
+            h11.Response(status_code=status, headers=encode_headers(headers))
         )
 
     def _encode(self, event: h11.Event) -> bytes:
@@ -164,8 +170,11 @@
         if self._writer.is_closing():
             raise ClientDisconnectedError("connection closed")
         self._writer.write(data)
-        self._account(kept)
-        if self._writer.transport.get_write_buffer_size() == 0:
+        # Most writes leave nothing unsent, as the one before did.
+        buffered = self._writer.transport.get_write_buffer_size()
+        if (buffered, kept) != self._unsent:
+            self._account(buffered, kept)
+        if not buffered:
             return
         try:
             # Without a timeout, a client that never reads would keep its
@@ -175,13 +184,11 @@
         except (TimeoutError, OSError) as error:
             self.abort()
             raise ClientDisconnectedError("client stopped reading") from error
-        self._account(kept)
+        buffered = self._writer.transport.get_write_buffer_size()
+        self._account(buffered, kept)
 
-    def _account(self, kept: int) -> None:
-        unsent = (self._writer.transport.get_write_buffer_size(), kept)
-        if unsent == self._unsent:
-            return
-        self._unsent = unsent
-        if not self._note_unsent(*unsent):
+    def _account(self, buffered: int, kept: int) -> None:
+        self._unsent = (buffered, kept)
+        if not self._note_unsent(buffered, kept):
             self.abort()
             raise ClientDisconnectedError("no memory for unsent bytes")
--- a/lagoonpost/systems/holdings.py
+++ b/lagoonpost/systems/holdings.py
@@ -133,9 +133,10 @@
         stage = self._stages[holding.stage]
         if holding not in stage:
             return
-        self._change(holding, "body", 0)
-        self._change(holding, "ahead", 0)
-        self._change(holding, "unsent", 0)
+        if holding.size:
+            self._change(holding, "body", 0)
+            self._change(holding, "ahead", 0)
+            self._change(holding, "unsent", 0)
         del stage[holding]
         self._unsent.pop(holding, None)
         self._ahead.pop(holding, None)
@@ -150,16 +151,20 @@
             stage: Its stage from now on.
             now: Current time in seconds.
         """
-        if holding not in self._stages[holding.stage]:
+        left = self._stages[holding.stage]
+        if holding not in left:
             return NO_CHANGE
-        del self._stages[holding.stage][holding]
-        self.descriptors += self._count_descriptors(stage)
-        self.descriptors -= self._count_descriptors(holding.stage)
+        del left[holding]
+        if "handled" in (stage, holding.stage):
+            self.descriptors += self._count_descriptors(stage)
+            self.descriptors -= self._count_descriptors(holding.stage)
         holding.stage, holding.since = stage, now
         holding.arrived = 0
         self._stages[stage][holding] = None
         if stage == "handled":
             return self._make_room(holding, now)
+        if stage != "refused":
+            return NO_CHANGE
         refused = self._stages["refused"]
         if len(refused) <= REFUSED_SHARE * self.bounds.connections:
             return NO_CHANGE
@@ -186,9 +191,9 @@
             size: Bytes of that part from now on.
             now: Current time in seconds.
         """
-        if holding not in self._stages[holding.stage]:
-            return NO_CHANGE
         before: int = getattr(holding, part)
+        if size == before or holding not in self._stages[holding.stage]:
+            return NO_CHANGE
         self._change(holding, part, size)
         if part == "unsent":
             self._note_unsent(holding, before, now)
@@ -220,10 +225,14 @@
         return 1 + (stage == "handled") * self.bounds.for_request
 
     def _change(self, holding: Holding, part: Part, size: int) -> None:
-        large = holding.size if _is_large(holding) else 0
-        self.memory += size - getattr(holding, part)
+        growth = size - getattr(holding, part)
+        before = holding.size
         setattr(holding, part, size)
-        self.large += (holding.size if _is_large(holding) else 0) - large
+        self.memory += growth
+        if before > SMALL_BYTES:
+            self.large -= before
+        if before + growth > SMALL_BYTES:
+            self.large += before + growth
 
     def _measure_unsent(self, now: float) -> None:
         """Note what clients have taken since their answers were written."""
@@ -251,6 +260,13 @@
 
     def _make_room(self, newest: Holding, now: float) -> Room:
         """Remove other connections until all bounds hold, or none is left."""
+        bounds = self.bounds
+        if (
+            self.memory <= bounds.memory
+            and self.descriptors <= bounds.connections
+            and self.large <= self._large_limit
+        ):
+            return NO_CHANGE
         if self._exceeds_large(newest) or self._exceeds():
             self._measure_unsent(now)
         closed: list[Holding] = []
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -5,7 +5,9 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from typing import Any, cast
 
+import h11
 import pytest
 
 from lagoonpost.http.account import ClientAccount
@@ -526,6 +528,37 @@
         assert asyncio.run(scenario()) == [True] * len(sizes)
 
 
+class _RecordingWriter:
+    """Takes everything at once, as a connection whose client reads."""
+
+    def __init__(self) -> None:
+        self.writes: list[bytes] = []
+        self.transport = self
+
+    def write(self, data: bytes) -> None:
+        self.writes.append(data)
+
+    def is_closing(self) -> bool:
+        return False
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+
+class TestShortAnswers:
+    def test_head_and_body_are_written_at_once(self):
+        """Guards against a body that waits for the head's acknowledgement."""
+        connection = h11.Connection(h11.SERVER)
+        connection.receive_data(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        connection.next_event()
+        writer = _RecordingWriter()
+        responder = Responder(connection, cast(Any, writer), Limits())
+        asyncio.run(responder.send(Response(200, (), b"short")))
+        (written,) = writer.writes
+        assert written.startswith(b"HTTP/1.1 200")
+        assert written.endswith(b"\r\n\r\nshort")
+
+
 class TestLargeBodies:
     """Requests whose body is larger than a connection takes at once."""
 
