Count at a new hub what gateways report by age, and of a summary only the rest

Cause: a new hub got the use of the window as totals without times and had to date them. In the other direction, use that was in the summary was dated later by half a bucket at each change, and what might have been used after the summary was added to what the reports told, taken for known by the next hub, and assumed again by the rate of what was assumed: at 72 gateways with all three hubs killed, hubs counted up to 203 units when none had run for 8 s. The class: an estimate handed on as if it were counted.

Change: reports to a new hub have the gateway's use by age and the times of its earlier reports. They count as dated. Of the summary only what no gateway reports is left, until its bucket has left the window, and that part of the use is assumed to have gone on for two pauses. A report without ages, of an older build, adds what exceeds the summary, at its arrival.

--- a/lagoonpost/forwarding/daemon.py
+++ b/lagoonpost/forwarding/daemon.py
@@ -421,7 +421,8 @@
                 name: round(units)
                 for name, units in quotas.list_own_usage(now).items()
             },
-            quota_order=quotas.note_report(),
+            dated_usage=quotas.list_dated_usage(now),
+            quota_order=quotas.note_report(now),
             begun=self._usage.begun,
             prompt_tokens=forwarder.offers.prompt_tokens,
             unread_prompt_tokens=self._sum_waiting(),
@@ -442,7 +443,12 @@
         sender = f"{report.name}/{report.run}"
         quotas = self._forwarder.admission.quotas
         quotas.update_from_peers(
-            sender, report.used, report.recent, now, report.quota_order
+            sender,
+            report.used,
+            report.recent,
+            now,
+            report.quota_order,
+            report.dated_usage,
         )
         self._bursts.check_usage()
         if self._cluster.find_roles().mesh:
--- a/lagoonpost/forwarding/reports.py
+++ b/lagoonpost/forwarding/reports.py
@@ -178,6 +178,7 @@
         self.speeds: SpeedDelegate | None = None
         self._started = 0.0
         self._rank = 0
+        self._hubs_since: dict[tuple[str, int], float] = {}
         self._summaries_sent = 0
         self._sent: dict[int, _Sent] = {}
         self._summary: tuple[float, HubSummary] | None = None
@@ -249,12 +250,36 @@
         self._sent[self._rank] = _Sent(self._now(), report.work, report.demand)
         self._sent.pop(self._rank - MAX_SENT_REPORTS, None)
         receivers = self._find_roles().receivers
-        targets = [
-            parse_address(member.address)
+        new = self._find_new_hubs()
+        dated: list[Address] = []
+        others: list[Address] = []
+        for member in self._find_members():
+            if member.name in receivers and member.name != self._name:
+                targets = dated if member.name in new else others
+                targets.append(parse_address(member.address))
+        if dated:
+            self._post.send(report, dated)
+        self._post.send(report._replace(dated_usage=None), others)
+
+    def _find_new_hubs(self) -> set[str]:
+        """Return the names of the hubs that may not know this gateway yet.
+
+        They also need the usage from before their role. Each is told it for
+        as long as reports are fresh, as it may notice its role later.
+        """
+        hubs = self._find_roles().hubs
+        now = self._now()
+        self._hubs_since = {
+            (member.name, member.incarnation): self._hubs_since.get(
+                (member.name, member.incarnation), now
+            )
             for member in self._find_members()
-            if member.name in receivers and member.name != self._name
-        ]
-        self._post.send(report, targets)
+            if member.name in hubs
+        }
+        oldest = now - REPORT_MAX_AGE_SECONDS * self._find_slowdown()
+        return {
+            name for (name, _), at in self._hubs_since.items() if at > oldest
+        }
 
     def _send_summaries(self) -> None:
         """Send a summary to each gateway that this hub serves."""
--- a/lagoonpost/systems/prior_usage.py
+++ b/lagoonpost/systems/prior_usage.py
@@ -1,13 +1,10 @@
-"""Quota usage from before this gateway's start, or its role as a hub.
+"""Quota usage from before this gateway's start.
 
 Load pattern: all gateways are killed right after a workspace used up its
 quota. The restarted gateways have no counts and would admit the same usage
 again within the same window. The store has records of bursts; the usage after
 the last record is assumed to be a whole burst. Gateways that kept running
 report their own usage.
-
-A gateway that becomes a hub knows the usage of all gateways from its last
-summary, and gets the same usage again in the first report of each of them.
 """
 
 import math
@@ -31,7 +28,7 @@
 
 
 class PriorUsage:
-    """Usage by workspace from before this gateway's start or role as a hub.
+    """Usage by workspace from before this gateway's start.
 
     Args:
         bounds: Window and tolerance of the quotas.
@@ -53,12 +50,11 @@
         self._outdated: frozenset[str] = frozenset()
         self._assumed: dict[str, SlidingWindow] = {}
         self._reported: dict[str, SlidingWindow] = {}
-        self._summarized: dict[str, SlidingWindow] = {}
 
     def set_bounds(self, bounds: QuotaBounds) -> None:
         """Replace the window and tolerance of the quotas."""
         self._bounds = bounds
-        for windows in (self._assumed, self._reported, self._summarized):
+        for windows in (self._assumed, self._reported):
             for window in windows.values():
                 window.seconds = bounds.window
 
@@ -145,63 +141,48 @@
         self._assumed[name] = SlidingWindow(self._bounds.window)
         self._assumed[name].replace([*known, Charge(after, unknown)])
 
-    def add_peer_usage(self, name: str, units: float, now: float) -> None:
-        """Add the usage in the window from a peer's first report."""
-        window = self._reported.setdefault(
-            name, SlidingWindow(self._bounds.window)
-        )
-        window.add_spread(units, now - self._bounds.window, now)
-
-    def note_summarized(self, name: str, charges: Iterable[Charge]) -> None:
-        """Record usage that is counted already, from a hub's last summary.
+    def add_peer_usage(
+        self,
+        name: str,
+        dated: Iterable[Charge] | None,
+        units: float,
+        now: float,
+    ) -> None:
+        """Add the usage in the window from a peer's first report.
 
         Args:
             name: Name of the workspace.
-            charges: Usage that other gateways admitted.
+            dated: Usage of the peer; None if its times are not told.
+            units: Units of it within the window.
+            now: Time in seconds.
         """
-        window = self._summarized[name] = SlidingWindow(self._bounds.window)
-        window.replace(charges)
-
-    def has_summary(self, name: str) -> bool:
-        """Return whether a summary's usage of a workspace is counted."""
-        return name in self._summarized
+        window = self._reported.setdefault(
+            name, SlidingWindow(self._bounds.window)
+        )
+        if dated is None:
+            window.add_spread(units, now - self._bounds.window, now)
+        else:
+            window.insert(dated)
 
     def discard(self) -> None:
         """Drop all prior usage, as a hub's summary includes it."""
         self._started = None
         self._assumed.clear()
         self._reported.clear()
-        self._summarized.clear()
 
     def workspace_names(self) -> set[str]:
         """Return the names of the workspaces that have prior usage."""
         return {*self._assumed, *self._reported}
 
     def sum(self, name: str, now: float) -> float:
-        """Return the units of prior usage within the window.
-
-        Usage that is counted already, from a summary, is left out.
-        """
+        """Return the units of prior usage within the window."""
         larger = self._find_larger_window(name, now)
-        if larger is None:
-            return 0.0
-        return max(0.0, larger.sum(now) - self._sum_summarized(name, now))
+        return max(0.0, larger.sum(now)) if larger else 0.0
 
     def list_ages(self, name: str, now: float) -> list[tuple[float, float]]:
         """Return the prior usage as pairs of age in seconds and units."""
         larger = self._find_larger_window(name, now)
-        if larger is None or not larger.sum(now):
-            return []
-        part = self.sum(name, now) / larger.sum(now)
-        return [
-            (age, round(part * units))
-            for age, units in larger.list_ages(now)
-            if part > 0
-        ]
-
-    def _sum_summarized(self, name: str, now: float) -> float:
-        window = self._summarized.get(name)
-        return window.sum(now) if window else 0.0
+        return larger.list_ages(now) if larger else []
 
     def find_excess(
         self, workspace: Workspace, since: float, now: float
--- a/lagoonpost/systems/quota.py
+++ b/lagoonpost/systems/quota.py
@@ -48,8 +48,9 @@
     SlidingWindow,
     sum_recent,
 )
+from lagoonpost.systems.summarized_usage import SummarizedUsage
 from lagoonpost.tables.configuration import Workspace
-from lagoonpost.tables.gateway_report import UsageByAge
+from lagoonpost.tables.gateway_report import DatedUsage, UsageByAge
 from lagoonpost.tables.quota import (
     QuotaBounds,
     QuotaCharge,
@@ -80,6 +81,12 @@
 ALONE_SHARE = 0.7
 """Part of a limit up to which gateways decide alone. The usual usage is about
 half."""
+DELIVERY_SECONDS = 0.1
+"""Time within which a report has reached a hub, and a summary others."""
+REPORTED_BUCKETS = 32
+"""Parts of a window in which a gateway reports its own usage to a new hub."""
+MAX_REPORT_TIMES = 64
+"""Times of own reports that are kept: six seconds at the shortest pause."""
 WAIT_WEIGHT = 0.1
 """Weight of one request's wait in their mean."""
 MAX_REFUND_SECONDS = 1.0
@@ -138,11 +145,17 @@
         self._recorded_at: dict[str, float] = {}
         self._changed: set[str] = set()
         self._is_summarized = False
+        self._summary: dict[str, list[Charge]] = {}
+        self._is_from_summary = False
+        self._summarized: dict[str, SummarizedUsage] = {}
+        self._unreported: dict[str, list[Charge]] = {}
+        self._granted: dict[str, list[Charge]] = {}
         self._informed_at = -math.inf
         self._summarized_at = -math.inf
         self._reserved: dict[str, float] = {}
         self._mean_wait = 0.0
         self._last_number = 0
+        self._report_times: deque[float] = deque(maxlen=MAX_REPORT_TIMES)
         self._open_requests: dict[int, None] = {}
         self._denied: dict[str, _Denial] = {}
         self._granting: dict[str, tuple[float, float]] = {}
@@ -308,9 +321,10 @@
         """Record that an issuer is no longer asked for a run."""
         del self._open_requests[number]
 
-    def note_report(self) -> QuotaOrder:
+    def note_report(self, now: float) -> QuotaOrder:
         """Record that a report is made; return the order of it."""
         self._last_number += 1
+        self._report_times.append(now)
         return self._find_order()
 
     def _find_order(self) -> QuotaOrder:
@@ -397,6 +411,8 @@
         if order is not None:
             grants = self._peer_grants.setdefault((sender, name), {})
             grants[order.number] = cost
+        if self._is_summarized:
+            self._granted.setdefault(name, []).append(Charge(now, cost))
         self._find_window(name).add(cost, now)
         self._changed.add(name)
         first, last = self._granting.get(name, (now, now))
@@ -704,6 +720,7 @@
         recent: Mapping[str, float],
         now: float,
         order: QuotaOrder | None = None,
+        dated: DatedUsage | None = None,
     ) -> None:
         """Count the usage in a peer's report.
 
@@ -715,6 +732,8 @@
             now: Time in seconds.
             order: Order of the report; None if messages arrive in the order
                 in which they were sent.
+            dated: The recent units by age, as from `list_dated_usage`; None
+                if their ages are not told.
         """
         self._keep_summary(now)
         is_known = sender in self._peer_report_times
@@ -728,18 +747,12 @@
             if is_known:
                 self._count_peer(sender, name, total, since, now)
                 continue
-            within = recent.get(name, 0.0)
             self._peer_totals[sender, name] = total
-            if not within:
-                continue
-            self._changed.add(name)
-            # A peer whose whole usage is recent may have just started, like
-            # this gateway. Its usage does not overlap with prior usage, but
-            # a summary may have had it.
-            if units <= within and not self.prior_usage.has_summary(name):
-                self._find_window(name).add(within, now)
-            else:
-                self.prior_usage.add_peer_usage(name, within, now)
+            within = recent.get(name, 0.0)
+            if within or (dated is not None and name in dated.buckets):
+                self._changed.add(name)
+                is_whole = units <= within
+                self._add_first_report(name, dated, within, is_whole, now)
 
     def _count_peer(
         self, sender: str, name: str, units: float, since: float, now: float
@@ -769,40 +782,131 @@
         window.subtract(before - units, at)
 
     def _keep_summary(self, now: float) -> None:
-        """Note the other gateways' usage in the last summary, if any.
+        """Keep of the last summary, if any, what no gateway reports.
 
-        Their first reports after it tell the same usage again. What gateways
-        used after it that were killed with the hub is never told, so the
-        usage is assumed to have gone on for a report's and a summary's pause.
+        The gateways' first reports after it tell most of it again.
         """
         if not self._is_summarized:
             return
         self._is_summarized = False
-        bucket_seconds = self._bounds.window / PUBLISHED_BUCKETS
-        since = self._summarized_at - bucket_seconds
-        recent = self.list_own_usage(now)
+        self._is_from_summary = True
         for name, window in self._windows.items():
-            untold = window.sum_since(since) / bucket_seconds
-            window.shift_late(now)
-            total = window.sum(now)
-            own = min(max(0.0, recent.get(name, 0.0)), total)
-            part = (total - own) / total if total > 0 else 0.0
-            self.prior_usage.note_summarized(name, window.scale(part))
-            window.add(max(0.0, untold) * 2 * REPORTED_SECONDS, now)
+            own = self._own.get(name, ())
+            summarized = self._find_summarized(name)
+            summarized.note_reported(own, self._informed_at)
+            window.replace([*own, *self._granted.get(name, ())])
+            self._insert_unreported(name, now)
+        self._granted.clear()
+
+    def _add_first_report(
+        self,
+        name: str,
+        dated: DatedUsage | None,
+        recent: float,
+        is_whole: bool,
+        now: float,
+    ) -> None:
+        """Count the usage in a peer's first report.
+
+        Args:
+            name: Name of the workspace.
+            dated: Usage of the peer by age; None if its ages are not told.
+            recent: Units of it within the window.
+            is_whole: Whether it is all that the peer has admitted.
+            now: Time in seconds.
+        """
+        window = self._find_window(name)
+        seconds = self._bounds.window / REPORTED_BUCKETS
+        rows = None
+        if dated is not None:
+            rows = [
+                Charge(now - index * seconds, units)
+                for index, units in dated.buckets.get(name, ())
+            ]
+        if not self._is_from_summary:
+            # A peer whose whole usage is recent may have just started, like
+            # this gateway. Its usage does not overlap with prior usage.
+            if not is_whole:
+                self.prior_usage.add_peer_usage(name, rows, recent, now)
+            elif rows is None:
+                window.add(recent, now)
+            else:
+                window.insert(rows)
+            return
+        summarized = self._find_summarized(name)
+        if dated is None or rows is None:
+            summarized.note_undated(recent, now)
+        else:
+            # The summary has what an earlier report had told by then.
+            last = self._summarized_at - DELIVERY_SECONDS
+            times = (now - age for age in dated.earlier)
+            until = max((at for at in times if at <= last), default=-math.inf)
+            earliest = (Charge(at - seconds, units) for at, units in rows)
+            summarized.note_reported(earliest, until)
+            window.insert(rows)
+        self._insert_unreported(name, now)
+
+    def _find_summarized(self, name: str) -> SummarizedUsage:
+        """Return the usage of a workspace in the last summary."""
+        found = self._summarized.get(name)
+        if found is None:
+            found = self._summarized[name] = SummarizedUsage(
+                self._summary.get(name, ()),
+                self._summarized_at,
+                self._bounds.window,
+                2 * REPORTED_SECONDS,
+            )
+        return found
+
+    def _insert_unreported(self, name: str, now: float) -> None:
+        """Count the usage in the summary that is not reported yet."""
+        window = self._find_window(name)
+        window.remove(self._unreported.pop(name, []))
+        rows = self._find_summarized(name).list_unreported(now)
+        window.insert(rows)
+        self._unreported[name] = rows
 
     def list_own_usage(self, now: float) -> dict[str, float]:
         """Return the units by workspace that this gateway admitted recently.
 
         Only units within the window count.
         """
+        since = now - self._bounds.window
         recent = {}
         for name, own in self._own.items():
-            while own and own[0].at <= now - self._bounds.window:
-                own.popleft()
-            if own:
-                recent[name] = sum(charge.units for charge in own)
+            self._drop_old(own, now)
+            if own and own[-1].at > since:
+                recent[name] = sum_recent(reversed(own), since)
         return recent
 
+    def list_dated_usage(self, now: float) -> DatedUsage:
+        """Return the units that this gateway admitted recently, by age.
+
+        They include those of another published bucket before the window, as
+        a bucket leaves the window as a whole.
+        """
+        seconds = self._bounds.window / REPORTED_BUCKETS
+        listed: dict[str, list[tuple[int, float]]] = {}
+        for name, own in self._own.items():
+            self._drop_old(own, now)
+            buckets: dict[int, float] = {}
+            for at, units in own:
+                index = max(0, int((now - at) / seconds))
+                buckets[index] = buckets.get(index, 0.0) + units
+            if buckets:
+                listed[name] = [
+                    (index, round(units)) for index, units in buckets.items()
+                ]
+        earlier = tuple(round(now - at, 3) for at in self._report_times)
+        return DatedUsage(listed, earlier)
+
+    def _drop_old(self, own: deque[Charge], now: float) -> None:
+        """Drop charges that have left the window and its oldest bucket."""
+        window = self._bounds.window
+        oldest = now - window - window / PUBLISHED_BUCKETS
+        while own and own[0].at <= oldest:
+            own.popleft()
+
     def list_taken(
         self, now: float, workspaces: Iterable[Workspace] = ()
     ) -> UsageByAge:
@@ -840,15 +944,21 @@
         self._peer_orders.clear()
         self._peer_grants.clear()
         self._is_summarized = True
+        self._is_from_summary = False
+        self._summarized.clear()
+        self._unreported.clear()
+        self._granted.clear()
+        self._summary = {
+            name: [Charge(now - age, units) for age, units in ages]
+            for name, ages in taken.items()
+        }
         for name in self._windows.keys() | taken.keys():
-            rows = [
-                Charge(now - age, units) for age, units in taken.get(name, ())
-            ]
-            rows += [
+            later = [
                 charge
                 for charge in self._own.get(name, ())
                 if charge.at > since
             ]
+            rows = [*self._summary.get(name, ()), *later]
             self._find_window(name).replace(rows)
 
     def _list_ages(self, name: str, now: float) -> list[tuple[float, float]]:
@@ -872,5 +982,4 @@
         self.used[name] = self.used.get(name, 0.0) + units
         own = self._own.setdefault(name, deque())
         own.append(Charge(now, units))
-        while own[0].at <= now - self._bounds.window:
-            own.popleft()
+        self._drop_old(own, now)
--- a/lagoonpost/systems/sliding_window.py
+++ b/lagoonpost/systems/sliding_window.py
@@ -3,7 +3,7 @@
 import math
 from bisect import bisect_left
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 PUBLISHED_BUCKETS = 8
@@ -96,19 +96,17 @@
         self._sum = sum(charge.units for charge in self._rows)
         self.close_bucket()
 
-    def shift_late(self, now: float) -> None:
-        """Date published usage as late as it may have been.
-
-        It is published in the middle of its bucket.
-        """
-        seconds = self.seconds / PUBLISHED_BUCKETS / 2
-        self.replace(
-            Charge(min(now, at + seconds), units) for at, units in self._rows
-        )
-
-    def scale(self, factor: float) -> list[Charge]:
-        """Return all usage, multiplied by a factor."""
-        return [Charge(at, factor * units) for at, units in self._rows]
+    def remove(self, rows: Collection[Charge]) -> None:
+        """Take back rows that were inserted and have not left the window."""
+        left = dict.fromkeys((row.at for row in rows), 0.0)
+        for at, units in rows:
+            left[at] += units
+        kept = []
+        for row in self._rows:
+            units = left.pop(row.at, 0.0)
+            if row.units != units:
+                kept.append(row._replace(units=row.units - units))
+        self.replace(kept)
 
     def close_bucket(self) -> None:
         """Separate later usage from all that was added so far."""
--- a/lagoonpost/tables/gateway_report.py
+++ b/lagoonpost/tables/gateway_report.py
@@ -26,6 +26,23 @@
     by_urgency: tuple[int, ...] = ()
 
 
+UsageByAge = dict[str, list[tuple[float, float]]]
+"""Admitted quota units by workspace, as pairs of age in seconds and units."""
+
+
+class DatedUsage(NamedTuple):
+    """Quota units that a gateway admitted recently, by age.
+
+    Attributes:
+        buckets: Pairs of a bucket's index and units, by workspace. The
+            buckets are equal parts of a window, the latest first.
+        earlier: Ages of the gateway's earlier reports in seconds.
+    """
+
+    buckets: dict[str, list[tuple[int, float]]]
+    earlier: tuple[float, ...] = ()
+
+
 class GatewayReport(NamedTuple):
     """State of one gateway process.
 
@@ -58,6 +75,8 @@
         recent_facts: Facts that the gateway received recently.
         quota_order: Order of the report among the requests to issuers of
             quotas; None from builds that send none.
+        dated_usage: The units in ``recent`` by age, for a new hub; None for
+            others, and from builds that send none.
     """
 
     name: str
@@ -77,10 +96,7 @@
     demand: dict[str, dict[str, float]] | None = None
     recent_facts: tuple[RecentFact, ...] = ()
     quota_order: QuotaOrder | None = None
-
-
-UsageByAge = dict[str, list[tuple[float, float]]]
-"""Admitted quota units by workspace, as pairs of age in seconds and units."""
+    dated_usage: DatedUsage | None = None
 
 
 class HubSummary(NamedTuple):
--- a/test/quota_play.py
+++ b/test/quota_play.py
@@ -31,7 +31,7 @@
 from lagoonpost.systems.quota import Quotas
 from lagoonpost.systems.quota_limit import CONTINUED_MARGIN_SHARE
 from lagoonpost.tables.configuration import Workspace
-from lagoonpost.tables.gateway_report import UsageByAge
+from lagoonpost.tables.gateway_report import DatedUsage, UsageByAge
 from lagoonpost.tables.peer import Member
 from lagoonpost.tables.quota import QuotaBounds, QuotaCharge, QuotaOrder
 
@@ -198,6 +198,8 @@
         self.sent: dict[int, float] = {}
         self.rank = 0
         self.reported_at = -1.0
+        self.receivers: set[tuple[str, Member]] = set()
+        self.receivers_since = 0.0
         self.post = _Post(self.fleet, self)
         fleet = self.fleet
         self.issuers = Issuers(
@@ -284,7 +286,8 @@
         self.sent[self.rank] = now
         quotas.mark_published()
         used, recent = dict(quotas.used), quotas.list_own_usage(now)
-        order = quotas.note_report()
+        dated = self.list_dated(hubs)
+        order = quotas.note_report(now)
         sender, rank = self.find_sender(), self.rank
         self.heard[sender] = now
         for name in hubs:
@@ -294,7 +297,7 @@
                     self,
                     receiver,
                     lambda to=receiver: to.note_report(
-                        sender, rank, used, recent, order
+                        sender, rank, used, recent, order, dated
                     ),
                 )
         if self.name not in hubs or is_mesh:
@@ -317,6 +320,17 @@
                     lambda to=other: to.note_summary(taken, ranks, len(fresh)),
                 )
 
+    def list_dated(self, hubs: Sequence[str]) -> DatedUsage | None:
+        """Return the own usage by age while a hub may be new."""
+        fleet, now = self.fleet, self.fleet.now()
+        receivers = {(name, fleet.gateways[name].member) for name in hubs}
+        if receivers - self.receivers:
+            self.receivers_since = now
+        self.receivers = receivers
+        pause = REPORT_MAX_AGE_SECONDS * fleet.find_slowdown()
+        is_new = now < self.receivers_since + pause
+        return self.quotas.list_dated_usage(now) if is_new else None
+
     @property
     def ranks(self) -> dict[str, int]:
         return self.fleet.ranks.setdefault((self.name, self.run), {})
@@ -328,6 +342,7 @@
         used: dict[str, float],
         recent: dict[str, float],
         order: QuotaOrder,
+        dated: DatedUsage | None,
     ) -> None:
         if self.ranks.get(sender, 0) >= rank:
             return
@@ -335,7 +350,9 @@
         now = self.fleet.now()
         self.heard[sender] = now
         if self.is_hub():
-            self.quotas.update_from_peers(sender, used, recent, now, order)
+            self.quotas.update_from_peers(
+                sender, used, recent, now, order, dated
+            )
 
     def note_summary(
         self, taken: UsageByAge, ranks: dict[str, int], gateways: int
--- a/test/test_reports.py
+++ b/test/test_reports.py
@@ -21,6 +21,7 @@
 from lagoonpost.systems.hub import Roles, choose_roles
 from lagoonpost.tables.fact import RecentFact
 from lagoonpost.tables.gateway_report import (
+    DatedUsage,
     GatewayReport,
     HubSummary,
     RunnerWork,
@@ -29,6 +30,7 @@
 from lagoonpost.tables.peer import Member
 
 COUNT = 20
+DATED = DatedUsage({"pottery": [(3, 7.0)]}, (0.4,))
 BURST_DATAGRAMS = 3
 
 
@@ -55,6 +57,7 @@
             version=1,
             shift_counts={},
             read_age=self.read_age,
+            dated_usage=DATED,
         )
 
     def handle_report(self, report: GatewayReport) -> None:
@@ -199,6 +202,32 @@
 
         asyncio.run(story())
 
+    def test_only_a_new_hub_hears_the_ages_of_usage(self):
+        """Guards against a new hub that has to guess what it missed."""
+
+        async def story() -> None:
+            async with Crowd() as crowd:
+                hub = crowd.delegates[0]
+                await wait_until(lambda: len(hub.received) >= COUNT)
+                assert hub.received[0].dated_usage == DATED
+                await wait_until(
+                    lambda: (
+                        not any(
+                            each.dated_usage
+                            for each in hub.received[-2 * COUNT :]
+                        )
+                    )
+                )
+                hub.received.clear()
+                crowd.members.pop(1)
+                crowd.tasks[1].cancel()
+                new = crowd.delegates[3]
+                await wait_until(lambda: len(new.received) >= COUNT)
+                assert new.received[0].dated_usage == DATED
+                assert not any(each.dated_usage for each in hub.received)
+
+        asyncio.run(story())
+
     def test_a_full_link_loses_the_last_summaries(self):
         """Guards against gateways that never get a summary.
 
