--- a/test/test_quota_runs.py
+++ b/test/test_quota_runs.py
@@ -233,6 +233,26 @@
         _, most = play_small(20, (10.0, 4.0), kills=kills)
         assert most <= 1.0
 
+    @pytest.mark.parametrize(
+        ("gateways", "share"),
+        [
+            (1, 0.04),
+            (3, 0.04),
+            (9, 0.04),
+            (20, 0.15),
+            (72, 0.04),
+            (195, 0.005),
+            (195, 0.015),
+        ],
+    )
+    def test_a_series_stays_within_it_at_any_number(
+        self, gateways: int, share: float
+    ):
+        """Guards against use that is lost with all hubs at once."""
+        kills = tuple((5.0 + 1.5 * n, share) for n in range(9))
+        _, most = play_small(gateways, (60.0, 10.0), kills=kills)
+        assert most <= 1.0
+
 
 class TestManyGateways:
     @pytest.mark.parametrize("load", LOADS)
