Hold the uploads of plain services against the table of ends

Cause: answers without length or chunks of the product's own interface were judged as if the service had read the request. One that answers a long booking early, sends half, ends its side and resets the connection gave that half as the booking's answer, and the ledger would have kept it. Change: the state of the upload is taken before the connection is closed, for at most half of the time left.

--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from types import TracebackType
 from typing import Any, NamedTuple
 
@@ -417,6 +417,7 @@
         timeout: float,
         fresh: bool = False,
         may_send: Callable[[], bool] | None = None,
+        on_bare_end: Callable[["Stream"], Awaitable[None]] | None = None,
     ) -> Response:
         """Send a request and return its complete response.
 
@@ -434,6 +435,8 @@
                 connect proves that nothing was sent.
             may_send: Checked right before the first byte is sent. If it
                 returns False, the call fails with ``sent=False``.
+            on_bare_end: Called before the connection is closed if only its end
+                has ended the response.
 
         Raises:
             CallFailedError: If no complete response arrives in time.
@@ -453,7 +456,10 @@
                 sent = True
                 async with stream:
                     await stream.receive_head()
-                    return await stream.read()
+                    response = await stream.read()
+                    if on_bare_end is not None and stream.ends_with_connection:
+                        await on_bare_end(stream)
+                    return response
         except TimeoutError as error:
             self._drop_idle(address)
             detail = f"no answer within {timeout:g} s"
--- a/lagoonpost/runners/whole_answer.py
+++ b/lagoonpost/runners/whole_answer.py
@@ -11,6 +11,7 @@
     CONNECT_TIMEOUT_SECONDS,
     CallFailedError,
     Client,
+    Stream,
     ends_with_connection,
 )
 from lagoonpost.http.message import Address, Headers, Response
@@ -21,6 +22,10 @@
     UploadState,
 )
 
+PATIENCE_SHARE = 0.5
+"""Part of the time left in which a service may show that it cut an answer off
+before it had read the request."""
+
 
 async def call_whole(
     client: Client,
@@ -56,6 +61,13 @@
     """
     now = asyncio.get_running_loop().time
     deadline = now() + timeout
+    upload = UploadState.UNKNOWN
+
+    async def note_upload(stream: Stream) -> None:
+        nonlocal upload
+        patience = PATIENCE_SHARE * (deadline - now())
+        upload = await stream.find_upload(patience)
+
     response = await client.call(
         address,
         method,
@@ -65,6 +77,7 @@
         timeout=timeout,
         fresh=fresh,
         may_send=may_send,
+        on_bare_end=note_upload,
     )
     if method == "HEAD" or not ends_with_connection(
         response.status, response.headers
@@ -75,7 +88,7 @@
         ended=True,
         framed=False,
         repeatable=repeatable,
-        upload=UploadState.READ,
+        upload=upload,
         runner=await _find_state(client, address, seconds),
     )
     if judge_end(evidence) is not EndVerdict.WHOLE:
--- a/test/test_plain_ends.py
+++ b/test/test_plain_ends.py
@@ -9,9 +9,10 @@
 import pytest
 from stack import LOOPBACK, Stack
 
-from lagoonpost.http.client import Client
+from lagoonpost.http.client import CallFailedError, Client
 from lagoonpost.http.message import Address, Response, find_header
 from lagoonpost.runners.kv import KvMover
+from lagoonpost.runners.whole_answer import call_whole
 from lagoonpost.systems.evacuation import PendingTransfer
 from lagoonpost.tables.entity import Runner
 
@@ -225,3 +226,40 @@
             return done, len(imported)
 
         assert asyncio.run(run()) == (moved, int(moved))
+
+
+class TestUploads:
+    def test_a_part_that_is_reset_behind_its_end_is_no_answer(self):
+        """Guards against services that answer before they read a request."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            if not await reader.read(1000):
+                writer.close()
+                return
+            writer.write(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n")
+            writer.write(BODY[: len(BODY) // 2])
+            writer.write_eof()
+            await asyncio.sleep(0.1)
+            connection = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.close()
+
+        async def run() -> None:
+            server = await asyncio.start_server(serve, LOOPBACK.host, 0)
+            port = server.sockets[0].getsockname()[1]
+            with pytest.raises(CallFailedError):
+                await call_whole(
+                    Client(),
+                    Address(LOOPBACK.host, port),
+                    "POST",
+                    "/",
+                    bytes(200_000),
+                    repeatable=False,
+                    timeout=PATIENCE,
+                )
+            server.close()
+
+        asyncio.run(run())
