Let a check that never answers prove nothing

Cause: a health check whose connection ended without an answer was repeated once, and then counted as a sign of life, for runners at their limit of connections. A proxy in front of a runner that is gone accepts and resets too. Change: three checks, 0.1 s apart; without an answer to any of them the runner counts as down. A runner that is at its limit for a moment keeps its answers.

--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -41,6 +41,10 @@
 
 END_OF_PROCESS_SECONDS = 0.1
 """Time in which the kernel has closed all connections of a killed process."""
+HEALTH_CHECKS = 3
+"""Health checks of one runner, if its connections end without an answer. A
+process that is being killed ends them, and so does a runner that has too many
+of them for a moment; a proxy does so for a runner that is gone."""
 HEALTH_TIMEOUT_SECONDS = END_OF_PROCESS_SECONDS
 """Longest wait for the answer to a health check. The answer to a request waits
 meanwhile, and the check waits for a slot."""
@@ -263,33 +267,23 @@
         if known and _is_other_process(known, choice.endpoint):
             return RunnerState.DOWN
         leaving = known is not None and known.leaving
-        try:
-            socket = await self.connect(
-                choice.endpoint, choice.indirect, "control"
-            )
-        except CallFailedError:
-            # One whose host is reclaimed is cut off at the time that its
-            # entry names; others may end their answers as planned.
-            if known and leaving and known.leaves_in_seconds is None:
-                return RunnerState.LEAVING
-            return RunnerState.DOWN
-        state = await self._check_health(socket, choice.endpoint)
-        if state is not RunnerState.UNKNOWN:
-            return state
-        if leaving:
-            return RunnerState.DOWN
-        # The kernel of a process that is being killed resets a connection, and
-        # so does a runner that has too many of them; only the latter still
-        # accepts another one after a moment.
-        await asyncio.sleep(END_OF_PROCESS_SECONDS)
-        try:
-            socket = await self.connect(
-                choice.endpoint, choice.indirect, "control"
-            )
-        except CallFailedError:
-            return RunnerState.DOWN
-        again = await self._check_health(socket, choice.endpoint)
-        return RunnerState.UP if again is RunnerState.UNKNOWN else again
+        for check in range(HEALTH_CHECKS):
+            if check:
+                await asyncio.sleep(END_OF_PROCESS_SECONDS)
+            try:
+                socket = await self.connect(
+                    choice.endpoint, choice.indirect, "control"
+                )
+            except CallFailedError:
+                # One whose host is reclaimed is cut off at the time that its
+                # entry names; others may end their answers as planned.
+                if known and leaving and known.leaves_in_seconds is None:
+                    return RunnerState.LEAVING
+                return RunnerState.DOWN
+            state = await self._check_health(socket, choice.endpoint)
+            if state is not RunnerState.UNKNOWN:
+                return state
+        return RunnerState.DOWN
 
     async def _check_health(
         self, socket: Socket, endpoint: Endpoint
