Describe how ends of answers are judged; say what states of runners mean

Cause: the reasons of the table of ends stood only in commits, and comments still spoke of connections where a health check is meant (found by a review).

--- a/lagoonpost/forwarding/cluster_state.py
+++ b/lagoonpost/forwarding/cluster_state.py
@@ -431,7 +431,10 @@
         return found.cold_rate if found is not None else 0.0
 
     def find_health_path(self, service: str) -> str:
-        """Return the path of the health check of a service's runners."""
+        """Return the path of the health check of a service's runners.
+
+        For a service that is not configured any more, it is the usual one.
+        """
         services = self.routes.configuration.services if self.routes else {}
         return services.get(service, Service(service)).health_path
 
--- a/lagoonpost/forwarding/migration.py
+++ b/lagoonpost/forwarding/migration.py
@@ -74,8 +74,8 @@
         exchange: The request.
         choice: The runner.
         close: Closes the stream.
-        target: Runner that holds the copy of the run's state.
-        saved: Saved state of the run, once a copy was made.
+        target: Runner that the run's state was last copied to.
+        saved: Saved state of the run at ``target``, while a copy is kept.
         charged: Whether the resumption of the run was charged.
         resumed: Whether the run goes on from its saved state.
         stop: What became of the order to stop the run, if there was one.
@@ -311,8 +311,8 @@
         second one transfers only what was added since, which keeps the pause
         in the caller's stream short.
 
-        Without an answer it is unknown whether the run was stopped. Its end
-        shows that, and it then goes on from the first copy.
+        Without an answer it is unknown whether the run was stopped. It goes on
+        from the first copy then, unless its stream ends by a length or chunks.
 
         Returns:
             The outcome for the log; "moved" on success.
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -259,8 +259,8 @@
     async def find_state(self, choice: Choice) -> RunnerState:
         """Return whether a runner answers, or leaves as planned.
 
-        Takes two round trips, for answers whose end does not show whether it
-        is their runner's end as well.
+        For answers whose end does not show whether it is their runner's end as
+        well. Takes two round trips, and longer if the runner gives no answer.
         """
         entry = self._view.entries.get(choice.endpoint.id)
         known = entry.endpoint if entry is not None else None
--- a/lagoonpost/systems/stop_order.py
+++ b/lagoonpost/systems/stop_order.py
@@ -48,7 +48,8 @@
     Unreached: StopStep(StopState.UNKNOWN, True),
 }
 """Steps once the answer to an order was lost, which may have been carried out
-or be in progress."""
+or be in progress. A runner that doesn't know the run any more may have
+forgotten it after it was stopped."""
 
 
 def read_stop_answer(before: StopState, answer: CopyOutcome) -> StopStep:
--- a/lagoonpost/tables/answer_end.py
+++ b/lagoonpost/tables/answer_end.py
@@ -42,9 +42,9 @@
 
     Attributes:
         UNKNOWN: Nothing; it was not asked.
-        UP: It accepts connections.
-        LEAVING: It accepts none, and has announced that it leaves.
-        DOWN: It accepts none, or was started again.
+        UP: It answered a health check, or keeps one waiting.
+        LEAVING: It accepts no connections, and has announced that it leaves.
+        DOWN: It answers no health check, or another process does.
     """
 
     UNKNOWN = "unknown"
