--- a/soak/faults.py
+++ b/soak/faults.py
@@ -581,6 +581,8 @@
     if slot is None:
         return ""
     runner = slot.runner
+    # No other fault stops the runner meanwhile; its entry says "ready" still.
+    slot.state = "unreported"
     runner.pause = RECLAIMED_EVENT_SECONDS
     runner.framed = rng.random() < 0.3
     runner.move_fault = rng.choice(_STOP_FAULTS)
