--- a/test/test_unreadable_messages.py
+++ b/test/test_unreadable_messages.py
@@ -219,7 +219,9 @@
     left = list(bodies)
 
     async def call(*args: object, **more: object) -> Response:
-        return Response(200, (), left.pop(0))
+        answer = left.pop(0)
+        length = ("content-length", str(len(answer)))
+        return Response(200, (length,), answer)
 
     return SimpleNamespace(call=call)
 
