--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -113,6 +113,11 @@
             await self.register()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    @property
+    def running(self) -> bool:
+        """Whether the process runs."""
+        return self._server is not None and self._server.is_serving()
+
     def end(self) -> None:
         """End the process; the kernel closes all its connections."""
         if self._heartbeat is not None:
