--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -46,6 +46,8 @@
         state: State in its entry.
         born: Start of its process in ms since the epoch.
         received: Requests that it got and that named it, in order.
+        registered: Address in its entry; None for its own.
+        address: Address on which it listens.
     """
 
     def __init__(
@@ -69,27 +71,30 @@
         self._zone = zone
         self._slots = slots
         self._seq = 0
-        self._address = Address("127.0.0.1", 0)
+        self.registered: Address | None = None
+        self.address = Address("127.0.0.1", 0)
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
         self._heartbeat: asyncio.Task[None] | None = None
 
     async def start(self, entry_after: float = 0.0) -> None:
         """Start the process; its entry is written after some seconds."""
-        self._server = await asyncio.start_server(self._serve, *self._address)
+        self._server = await asyncio.start_server(self._serve, *self.address)
         host, port = self._server.sockets[0].getsockname()
-        self._address = Address(host, port)
+        self.address = Address(host, port)
         self.born = int(time.time() * 1000)
         self._seq = 0
         self._record.note("runner starts", runner=self.id, born=self.born)
-        self._heartbeat = asyncio.create_task(self._renew(entry_after))
+        self._heartbeat = asyncio.create_task(
+            self._start_heartbeats(entry_after)
+        )
 
     async def register(self) -> None:
         """Write the entry."""
         self._seq += 1
         entry = {
             "service": self._service,
-            "address": str(self._address),
+            "address": str(self.registered or self.address),
             "zone": self._zone,
             "version": "v1",
             "slots": self._slots,
@@ -107,11 +112,16 @@
                 born=self.born,
             )
 
-    async def _renew(self, pause: float) -> None:
-        await asyncio.sleep(pause)
+    async def renew(self) -> None:
+        """Write the entry at each heartbeat, until cancelled."""
         while True:
-            await self.register()
             await asyncio.sleep(HEARTBEAT_SECONDS)
+            await self.register()
+
+    async def _start_heartbeats(self, pause: float) -> None:
+        await asyncio.sleep(pause)
+        await self.register()
+        await self.renew()
 
     @property
     def running(self) -> bool:
