Take as an answer only what shows that it is the request's own

Cause: whose answer a head is was asked in three places, each by one field, and a missing field counted as fine. `is_answer_to` took an answer without an id for any request's, and nothing read the signature or the encoding. What came back without an id also spoke for the runner and its version, and against verdicts on what crashes runners.

Evidence: tests with each shape alone tell the hypotheses apart. An answer with the own id and no signature passed, one with a signature and no id passed, one with a body encoded by nobody's wish passed, another's id did not.

Change: systems/answer_head.py judges by one table over what the head shows (own, refused, foreign); platform/ only decodes it. A foreign answer is a lost one: it may have run, what may repeat goes on elsewhere, the rest ends with 502. It is evidence of nothing. Lines of requests, explain and the counter lagoonpost_foreign_answers have the reason. Each answer to a caller and its evidence passes the table now.

The stand-in's refusals and endless answers bear the id and signature that the platform's bear.

--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -43,6 +43,7 @@
     "whole": "answered whole",
     "began": "began a stream",
     "notrun": "said that it did not run it",
+    "foreign": "sent something that is no answer to the request",
     "broken": "ended the connection before a whole answer",
     "silent": "sent nothing for so long that it was considered lost",
     "unreachable": "could not be connected to",
@@ -63,6 +64,14 @@
     "rest": "it waited until a runner's rest was over",
     "no_budget": "the budget of repeats was used up: many failed at once",
 }
+_FOREIGN_REASONS = {
+    "other_id": "the id of another request",
+    "conflicting_ids": "ids that differ",
+    "no_id": "no id of a request",
+    "encoded": "an encoded body",
+    "no_signature": "a success without a signature",
+    "conflicting_signatures": "signatures that differ",
+}
 ORDER_STEP, ORDER_FIELDS = "order:", 7
 _ORDER_ACTIONS = {
     "send": "sent among those in time",
@@ -101,6 +110,8 @@
 HOMES_PREFIX = "homes "
 """Beginning of the step that tells how many runners are to cache the shared
 parts of a prompt, if there are several."""
+FOREIGN_PREFIX = "foreign "
+"""Beginning of the step that tells why what came back was no answer."""
 MOVED_TYPE = "lagoonpost:forwarding:moved"
 
 
@@ -196,6 +207,10 @@
     if step.startswith(HOMES_PREFIX):
         count = step.removeprefix(HOMES_PREFIX)
         return f"{count} runners were to cache its shared parts, as many asked"
+    if step.startswith(FOREIGN_PREFIX):
+        status, reason = step.removeprefix(FOREIGN_PREFIX).split()
+        shown = _FOREIGN_REASONS.get(reason, reason)
+        return f"what came back had status {status} and {shown}"
     if outcome not in _OFFERS:
         return _STEPS.get(step, step)
     predicted = f"predicted to begin in {seconds} s"
--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -16,10 +16,10 @@
 from lagoonpost.http.running_time import limit_running_time
 from lagoonpost.platform.headers import (
     AddedHeaders,
-    is_answer_to,
-    is_not_run,
     make_request_headers,
+    read_head,
 )
+from lagoonpost.systems.answer_head import HeadVerdict, judge_head
 from lagoonpost.tables.answer_end import UploadState
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.kv_copy import KvCopy
@@ -65,6 +65,20 @@
     headers: Headers
 
 
+class Foreign(NamedTuple):
+    """What came back is no answer to the request, which may have run.
+
+    It tells nothing of the runner that the request was sent to.
+
+    Attributes:
+        status: HTTP status of what came back.
+        reason: Why it is no answer to the request.
+    """
+
+    status: int
+    reason: str
+
+
 class Broken(NamedTuple):
     """The request was sent without a complete answer: it may have run.
 
@@ -130,6 +144,7 @@
     | Withheld
     | OverQuota
     | NotRun
+    | Foreign
     | Broken
     | Silent
     | Whole
@@ -257,8 +272,9 @@
             name the time that is left, of which connecting takes a part.
         find_obstacle: Returns why the request must not be sent, or None.
             Asked right before its first byte leaves.
-        on_head: Called with the status and the headers of the answer to this
-            request as soon as they are read, whatever becomes of its body.
+        on_head: Called with the status and the headers of the answer as soon
+            as they are read, whatever becomes of its body; not for what is no
+            answer to this request.
         first_byte_timeout: Seconds to wait for the head of the answer, and
             again for the first bytes of a stream, or for each part of any
             other body; None for no timeout.
@@ -294,9 +310,12 @@
     try:
         async with limit_running_time(first_byte_timeout):
             await stream.receive_head()
-        if is_answer_to(stream.headers, request_id):
+        decided = _check_head(stream, request_id)
+        if not isinstance(decided, Foreign):
             on_head(stream.status, stream.headers)
-        outcome = await _read_start(stream, request_id, first_byte_timeout)
+        if decided is not None:
+            return decided
+        outcome = await _read_start(stream, first_byte_timeout)
         keep_open = isinstance(outcome, Began) or (
             isinstance(outcome, Whole) and outcome.call is not None
         )
@@ -314,13 +333,21 @@
             stream.close()
 
 
-async def _read_start(
-    stream: Stream, request_id: str, first_byte_timeout: float | None
-) -> Outcome:
-    if is_not_run(stream.status, stream.headers):
+def _check_head(stream: Stream, request_id: str) -> NotRun | Foreign | None:
+    """Return the outcome if the head decides it; None for an own answer."""
+    verdict, reason = judge_head(
+        read_head(stream.status, stream.headers), request_id
+    )
+    if verdict is HeadVerdict.FOREIGN:
+        return Foreign(stream.status, reason)
+    if verdict is HeadVerdict.REFUSED:
         return NotRun(stream.status, stream.headers)
-    if not is_answer_to(stream.headers, request_id):
-        return Broken("the answer is to another request")
+    return None
+
+
+async def _read_start(
+    stream: Stream, first_byte_timeout: float | None
+) -> Broken | Silent | Whole | Began:
     call = RunnerCall(stream)
     if is_event_stream(stream.headers) and stream.status == 200:
         first = await call.read(first_byte_timeout)
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -7,6 +7,7 @@
     Barred,
     Began,
     Broken,
+    Foreign,
     Moved,
     NotRun,
     Outcome,
@@ -95,6 +96,8 @@
         status: HTTP status of the answer; 0 before there is one.
         steps: Steps taken, for the log.
         outcomes: Outcome of each offer to a runner.
+        foreign_reasons: Why what came back was no answer to the request, for
+            each time.
         ends: How the answers ended that began, in order, for the log.
         may_have_run: Whether a runner may have started to run the request.
         causes: What may make the request crash its runner, from the most to
@@ -143,6 +146,7 @@
         self.status = 0
         self.steps: list[str] = []
         self.outcomes: list[str] = []
+        self.foreign_reasons: list[str] = []
         self.ends: list[AnswerEnd] = []
         self.may_have_run = False
         self._in_flight = False
@@ -280,16 +284,23 @@
             case NotRun():
                 self.reached_count += 1
                 self.note_no_room()
+            case Foreign(status, reason):
+                self.foreign_reasons.append(reason)
+                self.note(f"foreign {status} {reason}")
+                self._note_lost()
             case Broken() | Silent():
-                self.reached_count += 1
-                self.run_count += 1
-                self.may_have_run = True
-                self.last_refusal = ANSWER_LOST
+                self._note_lost()
             case Whole() | Began() | Moved():
                 self.reached_count += 1
                 self.run_count += 1
                 self.may_have_run = True
 
+    def _note_lost(self) -> None:
+        self.reached_count += 1
+        self.run_count += 1
+        self.may_have_run = True
+        self.last_refusal = ANSWER_LOST
+
     def note_end(
         self, choice: Choice, evidence: EndEvidence, verdict: EndVerdict
     ) -> None:
--- a/lagoonpost/forwarding/metrics.py
+++ b/lagoonpost/forwarding/metrics.py
@@ -98,6 +98,12 @@
             ("outcome",),
             registry=registry,
         )
+        self._foreign = Counter(
+            "lagoonpost_foreign_answers",
+            "What came back from runners and answered no request, by reason.",
+            ("reason",),
+            registry=registry,
+        )
         self._shares = Counter(
             "lagoonpost_share_checks",
             "Requests while their service was short, by share.",
@@ -199,6 +205,8 @@
             ).inc()
         for outcome in exchange.outcomes:
             self._offers.labels(outcome).inc()
+        for reason in exchange.foreign_reasons:
+            self._foreign.labels(reason).inc()
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer a scrape."""
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -7,6 +7,7 @@
     Barred,
     Began,
     Broken,
+    Foreign,
     NotRun,
     Outcome,
     OverQuota,
@@ -300,7 +301,7 @@
                 state.note_outcome(False)
         # One that was late has been counted.
         if took <= exchange.target and not isinstance(
-            outcome, Unreachable | Barred | Withheld | NotRun
+            outcome, Unreachable | Barred | Withheld | NotRun | Foreign
         ):
             self._note_answer(exchange, choice, _has_failed(outcome), False)
         if isinstance(outcome, Whole | Began):
--- a/lagoonpost/platform/headers.py
+++ b/lagoonpost/platform/headers.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from lagoonpost.http.message import Address, Headers, find_header
+from lagoonpost.tables.answer_head import AnswerHead
 from lagoonpost.tables.kv_copy import KvCopy
 from lagoonpost.tables.metadata import PromptPart, RequestMetadata, TokenCount
 from lagoonpost.tables.runner_notice import RunnerNotice
@@ -18,6 +19,7 @@
 RUNNER_ID = "instance-id"
 NOT_EXECUTED = "not-executed"
 SIGNATURE = "response-signature"
+ENCODING = "content-encoding"
 TOKEN_COUNT = "token-count"
 PROMPT_PREFIX = "prompt-prefix"
 MODEL = "model"
@@ -134,11 +136,20 @@
     return _drop(headers, _FRAMING)
 
 
-def is_not_run(status: int, headers: Headers) -> bool:
-    """Return whether the response states that the request was not run."""
-    if status == MISDIRECTED:
-        return True
-    return find_header(headers, NOT_EXECUTED) is not None
+def read_head(status: int, headers: Headers) -> AnswerHead:
+    """Return what the head of an answer shows of whose answer it is."""
+    stated = find_header(headers, NOT_EXECUTED) is not None
+    return AnswerHead(
+        ids=_list_values(headers, REQUEST_ID),
+        signatures=_list_values(headers, SIGNATURE),
+        encoded=find_header(headers, ENCODING) is not None,
+        success=200 <= status < 300,
+        refuses=stated or status == MISDIRECTED,
+    )
+
+
+def _list_values(headers: Headers, name: str) -> frozenset[str]:
+    return frozenset(value for key, value in headers if key == name and value)
 
 
 def make_health_headers(runner: str) -> Headers:
@@ -157,7 +168,7 @@
     rest = find_header(headers, RETRY_AFTER)
     limits = _read_limit(headers, RATE_LIMIT), _read_limit(headers, BRITTLE)
     return RunnerNotice(
-        refused=is_not_run(status, headers),
+        refused=read_head(status, headers).refuses,
         leaving=find_header(headers, LEAVING) not in (None, "0"),
         rest=_read_number(rest) if status == UNAVAILABLE and rest else None,
         limits=StatedLimits(*limits),
@@ -177,12 +188,6 @@
         return math.nan
 
 
-def is_answer_to(headers: Headers, request_id: str) -> bool:
-    """Return whether a response echoes this request id or none."""
-    echoed = find_header(headers, REQUEST_ID)
-    return echoed is None or echoed == request_id
-
-
 def _drop(headers: Headers, names: frozenset[str]) -> Headers:
     """Return the headers without these and those named by ``connection``."""
     named = ",".join(value for name, value in headers if name == "connection")
--- /dev/null
+++ b/lagoonpost/tables/answer_head.py
@@ -0,0 +1,21 @@
+"""What the head of an answer shows of whose answer it is."""
+
+from typing import NamedTuple
+
+
+class AnswerHead(NamedTuple):
+    """What the head of an answer shows of whose answer it is.
+
+    Attributes:
+        ids: Ids of requests that it repeats.
+        signatures: Signatures that it has.
+        encoded: Whether its body is encoded, though none was asked for.
+        success: Whether its status is one of success.
+        refuses: Whether it states that the request has not run.
+    """
+
+    ids: frozenset[str]
+    signatures: frozenset[str]
+    encoded: bool
+    success: bool
+    refuses: bool
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -318,16 +318,20 @@
 
     def _refuse(self, request: Request) -> Response | None:
         expected = request.header("target-instance")
+        refused = (
+            ("attempt-id", request.header("attempt-id") or ""),
+            ("not-executed", "1"),
+        )
         if expected not in (None, self.id):
-            return Response(421, (("instance-id", self.id),))
+            return Response(421, (("instance-id", self.id), *refused))
         if self.fault == "full" or self._rng.random() < self.turned_away:
             rest = (("retry-after", self.rest),) if self.rest else ()
-            return Response(503, (("not-executed", "1"), *rest, *self._tell()))
+            return Response(503, (*refused, *rest, *self._tell()))
         if not self._has_copy(request):
-            return Response(503, (("not-executed", "1"), *self._tell()))
+            return Response(503, (*refused, *self._tell()))
         if self.brittle and self._accepted >= self.room:
             self._note_refusal()
-            return Response(503, (("not-executed", "1"), *self._tell()))
+            return Response(503, (*refused, *self._tell()))
         return None
 
     def _tell(self) -> Headers:
@@ -478,7 +482,10 @@
         await send_endless(
             responder._writer,
             ENDLESS_ANSWERS[shape],
-            f"attempt-id: {attempt}\r\n".encode("latin-1"),
+            f"attempt-id: {attempt}\r\n"
+            f"response-signature: signed-{self.id}-{attempt}\r\n".encode(
+                "latin-1"
+            ),
             slow=self.fault == "trickle",
         )
 
--- a/test/test_statuses.py
+++ b/test/test_statuses.py
@@ -37,6 +37,9 @@
     "server-brittle: 1",
     "not-executed: 1",
 )
+OWN_ID = b"OWN-ID"
+"""Stands for the id of the request that a runner answers."""
+OWN = ("attempt-id: OWN-ID", "response-signature: s-1")
 BODY = b"id: 9\ndata: foreign\n\n"
 PATHS = pytest.mark.parametrize(
     "tunneled", [False, True], ids=["direct", "tunneled"]
@@ -195,7 +198,8 @@
     """Return what the caller of a stream gets that is broken off midway.
 
     Args:
-        raw: What runners answer to the request to go on with it.
+        raw: What runners answer to the request to go on with it, with its id
+            in place of ``OWN_ID``.
         tunneled: Whether runners are reached through another gateway.
         others: Number of runners that answer so; a third one goes on.
     """
@@ -212,7 +216,9 @@
                     return None
                 runner.fault = "none"
                 asked.append(runner.id)
-                return raw if len(asked) <= others else None
+                own = (request.header("attempt-id") or "").encode()
+                named = raw.replace(OWN_ID, own)
+                return named if len(asked) <= others else None
 
             return answer
 
@@ -238,14 +244,14 @@
 FOREIGN = pytest.mark.parametrize(
     "raw",
     [
-        make_raw("500", "text/plain"),
-        make_raw("500", "text/event-stream"),
-        make_raw("404", "text/plain"),
-        make_raw("200", "text/plain"),
-        make_raw("200"),
-        make_raw("200", "text/plain", False),
-        make_raw("302", "text/event-stream"),
-        make_raw("204", "", False),
+        make_raw("500", "text/plain", True, *OWN),
+        make_raw("500", "text/event-stream", True, *OWN),
+        make_raw("404", "text/plain", True, *OWN),
+        make_raw("200", "text/plain", True, *OWN),
+        make_raw("200", "", True, *OWN),
+        make_raw("200", "text/plain", False, *OWN),
+        make_raw("302", "text/event-stream", True, *OWN),
+        make_raw("204", "", False, *OWN),
     ],
     ids=[
         "500",
