Believe a refusal only if it is the request's own

A booking ran at two runners: the first one had run it, and a 503 that said "not run" with the id of another request came back on its connection, so the gateway sent the booking to the next runner (TWICE).

Cause: `is_not_run` was asked before `is_answer_to`, and a 421 counted by its status alone. That the runner had not begun is ruled out, as the stand-in counts the run before it sends what is foreign.

Change: in the table of systems/answer_head.py the id decides first. A refusal with another's id, several or none, an encoded one, and a success that says that it has not run are foreign: the request may have run, gets 502 unless it may repeat, keeps its charge, and its runner's rest, limit or leaving isn't read from it.

--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -69,6 +69,7 @@
     "conflicting_ids": "ids that differ",
     "no_id": "no id of a request",
     "encoded": "an encoded body",
+    "success_not_run": "a success that says that it has not run",
     "no_signature": "a success without a signature",
     "conflicting_signatures": "signatures that differ",
 }
--- a/lagoonpost/systems/answer_head.py
+++ b/lagoonpost/systems/answer_head.py
@@ -3,7 +3,8 @@
 What arrives on the connection of a request need not be the answer to it: a
 faulty runner sends bytes that belong to no request, or the answer to another
 one, and a proxy answers in its place. Passed on, they give the caller a
-success that nobody vouches for.
+success that nobody vouches for; believed as a refusal, they make work run a
+second time that the runner has begun.
 
 So a head is nobody's until it shows the opposite. The request may have run
 then, and nothing else is learned: neither of the runner and its version nor of
@@ -110,11 +111,12 @@
 
 
 _RULES = (
-    _Rule(_REFUSED, refuses=True),
     _Rule(_reject("other_id"), id=IdState.OTHER),
     _Rule(_reject("conflicting_ids"), id=IdState.CONFLICTING),
     _Rule(_reject("no_id"), id=IdState.MISSING),
     _Rule(_reject("encoded"), encoded=True),
+    _Rule(_reject("success_not_run"), success=True, refuses=True),
+    _Rule(_REFUSED, refuses=True),
     # A failure need not be signed.
     _Rule(_OWN, success=False),
     _Rule(_OWN, signature=SignatureState.ONE),
--- a/test/test_foreign_answers.py
+++ b/test/test_foreign_answers.py
@@ -105,7 +105,24 @@
     "another's failure": make_spoiled(500, SIGNED, ids=(OTHER_ID,)),
     "not found": make_spoiled(404),
 }
-EACH = pytest.mark.parametrize("spoil", SPOILED.values(), ids=SPOILED.keys())
+REFUSALS: dict[str, Spoil] = {
+    "another's": make_spoiled(503, REFUSED, ids=(OTHER_ID,)),
+    "no id": make_spoiled(503, REFUSED),
+    "two ids": make_spoiled(503, REFUSED, ids=(OTHER_ID, "own")),
+    "encoded": make_spoiled(
+        503, REFUSED, ("content-encoding", "gzip"), ids=("own",)
+    ),
+    "success": make_spoiled(200, REFUSED, SIGNED, ids=("own",)),
+    "misdirected": make_spoiled(421, ids=(OTHER_ID,)),
+    "misdirected, no id": make_spoiled(421),
+    "bad request": make_spoiled(400, REFUSED),
+    "too many": make_spoiled(429, REFUSED),
+}
+ALL = {
+    **SPOILED,
+    **{f"refusal, {name}": spoil for name, spoil in REFUSALS.items()},
+}
+EACH = pytest.mark.parametrize("spoil", ALL.values(), ids=ALL.keys())
 ONCE = pytest.mark.parametrize(
     ("path", "more"), [("/book/1", ()), ("/reply/1", make_prompt())]
 )
@@ -226,7 +243,7 @@
                 runner.make_raw_answer = make(runner)
             return await ask(stack, "/draft/1", make_prompt()), len(asked)
 
-        for spoil in SPOILED.values():
+        for spoil in ALL.values():
             answer, asked = play(
                 lambda stack, spoil=spoil: scenario(stack, spoil),
                 configuration=make_configuration(routes=[route]),
@@ -429,9 +446,9 @@
             is_own = head.ids == {"a"} and not head.encoded
             vouched = len(head.signatures) == 1 or not head.success
             expected = HeadVerdict.FOREIGN
-            if head.refuses:
+            if is_own and head.refuses and not head.success:
                 expected = HeadVerdict.REFUSED
-            elif is_own and vouched:
+            elif is_own and vouched and not head.refuses:
                 expected = HeadVerdict.OWN
             assert verdict is expected, head
             assert bool(reason) == (verdict is HeadVerdict.FOREIGN)
