Hear statements of runners in answers to requests only

A sound runner got no more requests until its next start, as bytes of nobody said `leaving`, or rested for as long as they said: on two paths nobody asked whose the head was.

Change: the id comes with the request for a tunnel, and the gateway between judges the head by the same table. Without an id, as from an older gateway or for a call, it hears nothing. Calls are made to runners that are known to leave, so nothing is lost there; `Client.on_head` goes, as nobody else used it.

--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -137,7 +137,7 @@
         migrations = Migrations(
             view,
             self.placement,
-            KvCacheClient(RunnerClient(self.paths, self.notices.note_call)),
+            KvCacheClient(RunnerClient(self.paths)),
             self._chooser.find_waits,
             self.permits,
             self.retries.acquire,
--- a/lagoonpost/forwarding/notice_reader.py
+++ b/lagoonpost/forwarding/notice_reader.py
@@ -1,4 +1,9 @@
-"""Records what runners say of themselves in the heads of their answers."""
+"""Records what runners say of themselves in the heads of their answers.
+
+Only answers to requests are heard, as they repeat the request's id. Answers to
+the calls that move runs have none; they come from runners that are known to
+leave.
+"""
 
 from collections.abc import Callable
 
@@ -9,9 +14,10 @@
     log_notice,
     log_stated_limits,
 )
-from lagoonpost.http.message import Address, Headers
-from lagoonpost.platform.headers import MISDIRECTED, read_notice
+from lagoonpost.http.message import Headers
+from lagoonpost.platform.headers import MISDIRECTED, read_head, read_notice
 from lagoonpost.store.clock import read_clock
+from lagoonpost.systems.answer_head import HeadVerdict, judge_head
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.runner_notice import Departure, RunnerNotice
 from lagoonpost.tables.stated_limits import NO_LIMITS
@@ -63,26 +69,27 @@
         self._note_limits(endpoint, notice, sent_at)
 
     def note_passing_head(
-        self, endpoint: Endpoint, status: int, headers: Headers
+        self,
+        endpoint: Endpoint,
+        status: int,
+        headers: Headers,
+        request_id: str,
     ) -> None:
-        """Record the head of an answer that isn't to a request from here.
+        """Record the head of what comes back to another gateway's request.
 
         Args:
             endpoint: The runner.
             status: HTTP status of the answer.
             headers: Headers of the answer.
+            request_id: Id of the request; empty if nothing can show whose
+                answer it is.
         """
-        if status != MISDIRECTED:
+        if not request_id or status == MISDIRECTED:
+            return
+        ruling = judge_head(read_head(status, headers), request_id)
+        if ruling.verdict is not HeadVerdict.FOREIGN:
             self._note(endpoint, read_notice(status, headers))
 
-    def note_call(
-        self, address: Address, status: int, headers: Headers
-    ) -> None:
-        """Record the head of an answer to a call to an address."""
-        endpoint = self._view.find_by_address(address)
-        if endpoint is not None:
-            self.note_passing_head(endpoint, status, headers)
-
     def merge(self, departure: Departure, source: str = "peer") -> None:
         """Record another gateway's news of a runner that leaves."""
         self._view.note_leaving(departure.runner, departure.born, source)
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -153,7 +153,12 @@
             outcome = await send_request(
                 self._client,
                 choice.endpoint,
-                lambda: self._paths.connect(choice.endpoint, choice.indirect),
+                lambda: self._paths.connect(
+                    choice.endpoint,
+                    choice.indirect,
+                    "requests",
+                    exchange.arrival.id,
+                ),
                 exchange.request,
                 exchange.arrival.id,
                 lambda: self._make_instructions(exchange, choice, saved),
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -15,7 +15,9 @@
     DENIED,
     GATEWAY_UNABLE,
     KEY_HEADER,
+    MAX_ID_BYTES,
     PURPOSE_HEADER,
+    REQUEST_HEADER,
     RUNNER_UNREACHABLE,
     TunnelPurpose,
 )
@@ -167,6 +169,7 @@
         endpoint: Endpoint,
         indirect: bool,
         purpose: TunnelPurpose = "requests",
+        request_id: str = "",
     ) -> Socket:
         """Open a connection to a runner.
 
@@ -174,12 +177,16 @@
             endpoint: The runner.
             indirect: Whether to go through another gateway.
             purpose: What the connection is for.
+            request_id: Id of the request that is to be sent, by which another
+                gateway tells the answer to it; empty for none.
 
         Raises:
             CallFailedError: If it cannot be opened; nothing was sent.
         """
         if indirect:
-            return await self._connect_through_peer(endpoint.id, purpose)
+            return await self._connect_through_peer(
+                endpoint.id, purpose, request_id
+            )
         try:
             socket = await self._client.connect(
                 endpoint.address, CONNECT_TIMEOUT_SECONDS
@@ -206,16 +213,16 @@
         return await self._client.connect(address, seconds)
 
     async def _connect_through_peer(
-        self, runner: str, purpose: TunnelPurpose
+        self, runner: str, purpose: TunnelPurpose, request_id: str = ""
     ) -> Socket:
         began = self._now()
-        request = TunnelRequest(
-            runner,
-            (
-                (KEY_HEADER, self._key.current or ""),
-                (PURPOSE_HEADER, purpose),
-            ),
+        headers: Headers = (
+            (KEY_HEADER, self._key.current or ""),
+            (PURPOSE_HEADER, purpose),
         )
+        if 0 < len(request_id) <= MAX_ID_BYTES:
+            headers += ((REQUEST_HEADER, request_id),)
+        request = TunnelRequest(runner, headers)
         peers = self._peer_choice.choose(
             self._list_peers(began), began, self._rng
         )
@@ -414,16 +421,10 @@
 
     Args:
         paths: Opens the connections.
-        on_head: Called with the address, status and headers of each answer.
     """
 
-    def __init__(
-        self,
-        paths: RunnerPaths,
-        on_head: Callable[[Address, int, Headers], None],
-    ) -> None:
+    def __init__(self, paths: RunnerPaths) -> None:
         super().__init__(max_buffered=MAX_CONTROL_BYTES)
-        self.on_head = on_head
         self._paths = paths
 
     async def connect(self, address: Address, seconds: float) -> Socket:
--- a/lagoonpost/forwarding/tunnel_server.py
+++ b/lagoonpost/forwarding/tunnel_server.py
@@ -40,6 +40,10 @@
 
 KEY_HEADER = "peer-key"
 PURPOSE_HEADER = "purpose"
+REQUEST_HEADER = "request"
+"""Id of the request that is to be sent."""
+MAX_ID_BYTES = 1024
+"""Longest id that is passed on, so that it fits beside the other headers."""
 CONNECT_TIMEOUT_SECONDS = 0.3
 """Connect timeout: 50 round trips between the failure domains of one region.
 A runner that disappears without a reset delays the request by as much."""
@@ -166,12 +170,13 @@
             return
         try:
             await send_tunnel_answer(connection, near.writer, OPENED)
+            request_id = find_header(request.headers, REQUEST_HEADER) or ""
             # To the runner, this gateway is the one that it answers.
             await relay_tunnel(
                 near,
                 result.socket,
                 lambda status, headers: self._notices.note_passing_head(
-                    result.endpoint, status, headers
+                    result.endpoint, status, headers, request_id
                 ),
             )
         finally:
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -209,7 +209,6 @@
         except h11.RemoteProtocolError as error:
             raise CallFailedError(str(error), sent=True) from error
         self._body_start = self.received
-        self._client.on_head(self._address, self.status, self.headers)
 
     @property
     def ends_with_connection(self) -> bool:
@@ -391,8 +390,6 @@
 
     Attributes:
         budget: What is kept of unfinished answers.
-        on_head: Called with the address, status and headers of each response
-            as soon as its head is read.
     """
 
     def __init__(
@@ -401,8 +398,6 @@
         max_buffered: int = MAX_BUFFERED_BYTES,
     ) -> None:
         self.budget = BufferBudget(max_buffered)
-        self.on_head: Callable[[Address, int, Headers], None]
-        self.on_head = lambda address, status, headers: None
         self._idle: dict[Address, list[_IdleSocket]] = {}
         self._idle_seconds = idle_seconds
 
