Take a health check as answered only by whom the answer names

An answer without length or chunks that its runner had cut passed for whole, as a 200 of nobody answered the health check that has to prove its end: `is_other_runner` took an answer without an id for the runner's own.

Now `judge_health` decides by what the head shows: the id of the runner proves that it lives, another id that it is gone, none or several prove nothing, and the check is made again, up to three times as for a reset one.

The tests of runners that serve no check answered without an id; they name the runner now, with the same statuses.

--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -29,7 +29,8 @@
     TunnelRequest,
     open_tunnel,
 )
-from lagoonpost.platform.headers import is_other_runner, make_health_headers
+from lagoonpost.platform.headers import make_health_headers, read_health_head
+from lagoonpost.systems.answer_head import judge_health
 from lagoonpost.systems.placement import Choice
 from lagoonpost.systems.reach import (
     DIRECT_PATH,
@@ -301,7 +302,8 @@
         its last one, and another process may listen at the address by then.
 
         Returns:
-            UNKNOWN if the connection ended without an answer.
+            UNKNOWN if the connection ended without an answer, or with one that
+            doesn't name its sender.
         """
         stream = self._client.send(
             socket,
@@ -321,9 +323,8 @@
             return RunnerState.UNKNOWN
         finally:
             stream.close()
-        if is_other_runner(stream.status, stream.headers, endpoint.id):
-            return RunnerState.DOWN
-        return RunnerState.UP
+        head = read_health_head(stream.status, stream.headers)
+        return judge_health(head, endpoint.id)
 
     # Background checks of paths
 
--- a/lagoonpost/platform/headers.py
+++ b/lagoonpost/platform/headers.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from lagoonpost.http.message import Address, Headers, find_header
-from lagoonpost.tables.answer_head import AnswerHead
+from lagoonpost.tables.answer_head import AnswerHead, HealthHead
 from lagoonpost.tables.kv_copy import KvCopy
 from lagoonpost.tables.metadata import PromptPart, RequestMetadata, TokenCount
 from lagoonpost.tables.runner_notice import RunnerNotice
@@ -157,10 +157,9 @@
     return ((EXPECTED_RUNNER, runner),)
 
 
-def is_other_runner(status: int, headers: Headers, runner: str) -> bool:
-    """Return whether a health check was answered by another runner."""
-    named = find_header(headers, RUNNER_ID)
-    return status == MISDIRECTED or named not in (None, runner)
+def read_health_head(status: int, headers: Headers) -> HealthHead:
+    """Return what the head of an answer to a health check shows."""
+    return HealthHead(_list_values(headers, RUNNER_ID), status == MISDIRECTED)
 
 
 def read_notice(status: int, headers: Headers) -> RunnerNotice:
--- a/lagoonpost/systems/answer_head.py
+++ b/lagoonpost/systems/answer_head.py
@@ -14,16 +14,17 @@
 from enum import Enum
 from typing import NamedTuple
 
-from lagoonpost.tables.answer_head import AnswerHead
+from lagoonpost.tables.answer_end import RunnerState
+from lagoonpost.tables.answer_head import AnswerHead, HealthHead
 
 
 class IdState(Enum):
-    """How the id that an answer repeats compares with the request's.
+    """How the id that an answer names compares with the expected one.
 
     Attributes:
-        OWN: It is the id of the request, or the request has none to repeat.
-        OTHER: It is the id of another request.
-        MISSING: The answer repeats no id.
+        OWN: It is the expected one, or none is expected.
+        OTHER: It is another one.
+        MISSING: The answer names no id.
         CONFLICTING: The answer names several ids.
     """
 
@@ -149,10 +150,29 @@
     return _UNSIGNED
 
 
-def _compare_ids(ids: frozenset[str], request_id: str) -> IdState:
+def judge_health(head: HealthHead, runner: str) -> RunnerState:
+    """Return what an answer to a health check tells of the runner.
+
+    Args:
+        head: Its head.
+        runner: Id of the runner that was asked.
+
+    Returns:
+        UNKNOWN if nothing shows whose answer it is.
+    """
+    states = {
+        (IdState.OWN, False): RunnerState.UP,
+        (IdState.OTHER, False): RunnerState.DOWN,
+        (IdState.OTHER, True): RunnerState.DOWN,
+    }
+    named = _compare_ids(head.runners, runner)
+    return states.get((named, head.misdirected), RunnerState.UNKNOWN)
+
+
+def _compare_ids(ids: frozenset[str], expected: str) -> IdState:
     if len(ids) > 1:
         return IdState.CONFLICTING
-    if ids == {request_id} or not (ids or request_id):
+    if ids == {expected} or not (ids or expected):
         return IdState.OWN
     return IdState.OTHER if ids else IdState.MISSING
 
--- a/lagoonpost/tables/answer_head.py
+++ b/lagoonpost/tables/answer_head.py
@@ -19,3 +19,15 @@
     encoded: bool
     success: bool
     refuses: bool
+
+
+class HealthHead(NamedTuple):
+    """What the head of an answer to a health check shows.
+
+    Attributes:
+        runners: Ids of runners that it names as its sender.
+        misdirected: Whether it states that another runner was meant.
+    """
+
+    runners: frozenset[str]
+    misdirected: bool
--- a/test/test_end_checks.py
+++ b/test/test_end_checks.py
@@ -17,7 +17,7 @@
 from test_crashing_parts import make_stream
 from test_migration import wait_for_busy_runner
 
-from lagoonpost.http.message import Request, Response
+from lagoonpost.http.message import Headers, Request, Response
 from lagoonpost.http.responder import Responder
 from lagoonpost.systems.migration import MIN_PROMPT_TOKENS
 from lagoonpost.systems.permit_issuer import Denied
@@ -48,7 +48,7 @@
         if left >= 0:
             responder._writer.transport.abort()
         else:
-            await responder.send(Response(200))
+            await responder.send(Response(200, name_runner(request)))
 
     return check
 
@@ -57,11 +57,22 @@
     await asyncio.sleep(PATIENCE)
 
 
-def answer_with(status: int) -> Check:
-    """Return a health check with a status and nothing else."""
+def name_runner(request: Request) -> Headers:
+    """Return the header that names the runner that was asked."""
+    return (("instance-id", request.header("target-instance") or ""),)
+
+
+def answer_with(status: int, *headers: tuple[str, str]) -> Check:
+    """Return a health check with a status and the runner's id.
+
+    Args:
+        status: The status.
+        *headers: What it has in place of the id; without any, the id.
+    """
 
     async def answer(request: Request, responder: Responder) -> None:
-        await responder.send(Response(status))
+        named = headers or name_runner(request)
+        await responder.send(Response(status, named))
 
     return answer
 
@@ -115,6 +126,25 @@
         answer, runs = play_bare("/book/1", "POST", reset_first(1000))
         assert (answer.status, runs) == (502, 1)
 
+    @pytest.mark.parametrize("status", [200, 404, 421, 500, 503])
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            (("x", "y"),),
+            (("instance-id", ""),),
+            (("instance-id", "other"),),
+            (("instance-id", "desk-1"), ("instance-id", "desk-2")),
+        ],
+        ids=["none", "empty", "other", "two"],
+    )
+    def test_an_answer_that_does_not_name_it_proves_nothing(
+        self, status, headers
+    ):
+        """Guards against bytes of nobody that clear a crashed runner."""
+        check = answer_with(status, *headers)
+        answer, runs = play_bare("/book/1", "POST", check)
+        assert (answer.status, runs) == (502, 1)
+
     @pytest.mark.parametrize("check", [reset_first(2), hang])
     def test_a_runner_that_lives_keeps_its_stream_whole(self, check):
         """Guards against sound streams of runners that serve no check now."""
