Prove a bare end by the start of the process that answered

In the soak parts of streams of reclaimed runners passed for whole.

Cause: the health check after the end asks whether a process under the id lives, not whether it is the one that answered; and a check that wasn't answered within 0.1 s counted as life even where the entry was gone.

Change: a model runner's report names the start of its process and needs no slot; it is asked first, and the same start is proof at once. A check that is kept waiting counts as life only if the runner's entry stands and names no time of its end.

--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -179,6 +179,11 @@
         """Whether only the end of the connection marks the answer's end."""
         return self._stream.ends_with_connection
 
+    @property
+    def longest_wait(self) -> float:
+        """Longest time until the next bytes of the answer, in seconds."""
+        return self._stream.longest_wait
+
     async def read(
         self, idle_timeout: float | None
     ) -> bytes | Broken | Silent:
--- a/lagoonpost/forwarding/cluster_state.py
+++ b/lagoonpost/forwarding/cluster_state.py
@@ -438,6 +438,11 @@
         services = self.routes.configuration.services if self.routes else {}
         return services.get(service, Service(service)).health_path
 
+    def is_engine(self, service: str) -> bool:
+        """Return whether the runners of a service serve language models."""
+        services = self.routes.configuration.services if self.routes else {}
+        return services.get(service, Service(service)).engine
+
     def find_all_runners(self, service: str) -> list[Endpoint]:
         """Return all runners of a service, including leaving ones."""
         return list(self._services.get(service, {}).values())
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -45,7 +45,7 @@
 from lagoonpost.store.clock import read_clock
 from lagoonpost.systems.answer_end import EndVerdict
 from lagoonpost.systems.placement import Choice, Placement
-from lagoonpost.tables.answer_end import EndEvidence, UploadState
+from lagoonpost.tables.answer_end import EndEvidence, RunnerState, UploadState
 from lagoonpost.tables.kv_copy import KvCopy
 
 MIN_FIRST_BYTE_TIMEOUT_SECONDS = STREAM_IDLE_TIMEOUT_SECONDS
@@ -193,7 +193,9 @@
                     outcome,
                     responder,
                     self._migrations,
-                    lambda: self._paths.find_state(choice),
+                    lambda call: self._paths.find_state(
+                        choice, call.longest_wait, exchange.patience
+                    ),
                     sampler,
                     lambda: self._note_failure(choice),
                     lambda: self._has_other(exchange, choice),
@@ -224,6 +226,12 @@
                 return UploadState.UNKNOWN
             return await call.find_upload(exchange.patience)
 
+        async def find_runner() -> RunnerState:
+            waited = call.longest_wait if call is not None else 0.0
+            return await self._paths.find_state(
+                choice, waited, exchange.patience
+            )
+
         try:
             verdict = await check_end(
                 exchange,
@@ -235,7 +243,7 @@
                     late=exchange.is_deadline_near(),
                 ),
                 find_upload,
-                lambda: self._paths.find_state(choice),
+                find_runner,
             )
         finally:
             if call is not None:
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -36,7 +36,7 @@
     began: Began,
     responder: Responder,
     migrations: Migrations,
-    find_state: Callable[[], Awaitable[RunnerState]],
+    find_state: Callable[[RunnerCall], Awaitable[RunnerState]],
     sampler: SpeedSampler,
     note_failure: Callable[[], None],
     has_other: Callable[[], bool],
@@ -84,7 +84,7 @@
                 stop=run.stop,
             ),
             lambda: call.find_upload(exchange.patience),
-            find_state,
+            lambda: find_state(call),
         )
         if verdict is EndVerdict.STOPPED:
             return migrations.resume(run)
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -3,7 +3,13 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Coroutine, Iterable, Sequence
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Coroutine,
+    Iterable,
+    Sequence,
+)
 from typing import Any, NamedTuple
 
 import eliot
@@ -21,7 +27,7 @@
     RUNNER_UNREACHABLE,
     TunnelPurpose,
 )
-from lagoonpost.http.client import CallFailedError, Client, Socket
+from lagoonpost.http.client import CallFailedError, Client, Socket, Stream
 from lagoonpost.http.message import Address, Headers, parse_address
 from lagoonpost.http.running_time import limit_running_time
 from lagoonpost.http.tunnel import (
@@ -29,7 +35,12 @@
     TunnelRequest,
     open_tunnel,
 )
-from lagoonpost.platform.headers import make_health_headers, read_health_head
+from lagoonpost.platform.endpoint import read_start
+from lagoonpost.platform.headers import (
+    REPORT_PATH,
+    make_health_headers,
+    read_health_head,
+)
 from lagoonpost.systems.answer_head import judge_health
 from lagoonpost.systems.placement import Choice
 from lagoonpost.systems.reach import (
@@ -51,6 +62,18 @@
 HEALTH_TIMEOUT_SECONDS = END_OF_PROCESS_SECONDS
 """Longest wait for the answer to a health check. The answer to a request waits
 meanwhile, and the check waits for a slot."""
+REPORT_TIMEOUT_SECONDS = 0.5
+"""Longest wait for a runner's report, which needs no slot."""
+MAX_REPORT_BYTES = 1024 * 1024
+"""Longest report: a model runner has some hundred runs, of 100 bytes each."""
+RESTART_SECONDS = 0.5
+"""Least time after which a runner that crashed answers again: it is back after
+some seconds, with its libraries loaded."""
+NEWS_SECONDS = 1.5
+"""Longest wait for news of another start: runners write their entries every
+second or so."""
+NEWS_PAUSE_SECONDS = 0.02
+"""Pause between looks for them."""
 ANSWER_TIMEOUT_SECONDS = CONNECT_TIMEOUT_SECONDS + 0.2
 """Longest wait for a peer's answer: it may need the whole connect timeout."""
 MAX_SEARCH_SECONDS = 0.8
@@ -264,20 +287,47 @@
         self._peer_choice.note(peer.name, result not in _UNABLE, self._now())
         return result
 
-    async def find_state(self, choice: Choice) -> RunnerState:
-        """Return whether a runner answers, or leaves as planned.
+    async def find_state(
+        self, choice: Choice, waited: float = 0.0, patience: float = 0.0
+    ) -> RunnerState:
+        """Return whether a runner lives on, or leaves as planned.
 
         For answers whose end does not show whether it is their runner's end as
         well. Takes two round trips, and longer if the runner gives no answer.
+
+        A runner that crashes behind a cut may be back under its id before the
+        end of its answer arrives. A model runner's report names its start;
+        without one, news of another start are waited for.
+
+        Args:
+            choice: The runner.
+            waited: Longest time until the next bytes of the answer, in
+                seconds.
+            patience: Longest wait for news, in seconds.
         """
-        entry = self._view.entries.get(choice.endpoint.id)
-        known = entry.endpoint if entry is not None else None
-        if known and _is_other_process(known, choice.endpoint):
-            return RunnerState.DOWN
-        leaving = known is not None and known.leaving
-        for check in range(HEALTH_CHECKS):
-            if check:
+        endpoint = choice.endpoint
+        if endpoint.born and self._view.is_engine(endpoint.service):
+            state = await self._repeat(choice, self._check_start)
+            if state is not None:
+                return state
+        state = await self._repeat(choice, self._check_health)
+        state = state or RunnerState.UNKNOWN
+        if state is RunnerState.UP and waited >= RESTART_SECONDS:
+            return await self._wait_for_news(endpoint, patience)
+        return state
+
+    async def _repeat(
+        self,
+        choice: Choice,
+        check: Callable[[Socket, Endpoint], Awaitable[RunnerState | None]],
+    ) -> RunnerState | None:
+        """Check a runner until the result is not UNKNOWN, and return it."""
+        for number in range(HEALTH_CHECKS):
+            if number:
                 await asyncio.sleep(END_OF_PROCESS_SECONDS)
+            known = self._find_known(choice.endpoint)
+            if known and _is_other_process(known, choice.endpoint):
+                return RunnerState.DOWN
             try:
                 socket = await self.connect(
                     choice.endpoint, choice.indirect, "control"
@@ -285,14 +335,43 @@
             except CallFailedError:
                 # One whose host is reclaimed is cut off at the time that its
                 # entry names; others may end their answers as planned.
-                if known and leaving and known.leaves_in_seconds is None:
+                if known and known.leaving and known.leaves_in_seconds is None:
                     return RunnerState.LEAVING
                 return RunnerState.DOWN
-            state = await self._check_health(socket, choice.endpoint)
+            state = await check(socket, choice.endpoint)
             if state is not RunnerState.UNKNOWN:
                 return state
         return RunnerState.DOWN
 
+    def _find_known(self, endpoint: Endpoint) -> Endpoint | None:
+        entry = self._view.entries.get(endpoint.id)
+        return entry.endpoint if entry is not None else None
+
+    async def _check_start(
+        self, socket: Socket, endpoint: Endpoint
+    ) -> RunnerState | None:
+        """Return whether the process that answers is the one that is meant.
+
+        Returns:
+            UNKNOWN if there is no answer; None if it doesn't tell.
+        """
+        stream = self._send_check(socket, endpoint, REPORT_PATH)
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_SECONDS):
+                await stream.receive_head()
+                report = await stream.read(MAX_REPORT_BYTES)
+        except (TimeoutError, CallFailedError):
+            return RunnerState.UNKNOWN
+        finally:
+            stream.close()
+        head = read_health_head(report.status, report.headers)
+        if judge_health(head, endpoint.id) is RunnerState.DOWN:
+            return RunnerState.DOWN
+        start = read_start(report.body) if report.status == 200 else 0
+        if not start:
+            return None
+        return RunnerState.UP if start == endpoint.born else RunnerState.DOWN
+
     async def _check_health(
         self, socket: Socket, endpoint: Endpoint
     ) -> RunnerState:
@@ -305,20 +384,17 @@
             UNKNOWN if the connection ended without an answer, or with one that
             doesn't name its sender.
         """
-        stream = self._client.send(
-            socket,
-            endpoint.address,
-            "GET",
-            self._view.find_health_path(endpoint.service),
-            headers=make_health_headers(endpoint.id),
-            reusable=False,
-        )
+        path = self._view.find_health_path(endpoint.service)
+        stream = self._send_check(socket, endpoint, path)
         try:
             async with limit_running_time(HEALTH_TIMEOUT_SECONDS):
                 await stream.receive_head()
         except TimeoutError:
-            # A check waits for a slot, like any other request.
-            return RunnerState.UP
+            # A check waits for a slot, like any other request. One that is
+            # gone, or is cut off at a time that its entry names, has none.
+            known = self._find_known(endpoint)
+            is_expected = known and known.leaves_in_seconds is None
+            return RunnerState.UP if is_expected else RunnerState.UNKNOWN
         except CallFailedError:
             return RunnerState.UNKNOWN
         finally:
@@ -326,6 +402,31 @@
         head = read_health_head(stream.status, stream.headers)
         return judge_health(head, endpoint.id)
 
+    def _send_check(
+        self, socket: Socket, endpoint: Endpoint, path: str
+    ) -> Stream:
+        return self._client.send(
+            socket,
+            endpoint.address,
+            "GET",
+            path,
+            headers=make_health_headers(endpoint.id),
+            reusable=False,
+        )
+
+    async def _wait_for_news(
+        self, endpoint: Endpoint, patience: float
+    ) -> RunnerState:
+        """Wait for an entry that names another start of a runner."""
+        end = self._now() + min(patience, NEWS_SECONDS)
+        while True:
+            known = self._find_known(endpoint)
+            if known and _is_other_process(known, endpoint):
+                return RunnerState.DOWN
+            if self._now() >= end:
+                return RunnerState.UP
+            await asyncio.sleep(NEWS_PAUSE_SECONDS)
+
     # Background checks of paths
 
     def check(self, choice: Choice) -> None:
--- a/lagoonpost/http/client.py
+++ b/lagoonpost/http/client.py
@@ -156,6 +156,7 @@
             connection be reused.
         received: Bytes received, those of the framing included.
         content: Bytes of the body read, without its framing.
+        longest_wait: Longest time until the next bytes, in seconds.
     """
 
     def __init__(
@@ -180,6 +181,7 @@
         self.complete = False
         self.received = 0
         self.content = 0
+        self.longest_wait = 0.0
         self._body_start = 0
         self._held = 0
         self._events = 0
@@ -361,7 +363,7 @@
                 if event is not h11.NEED_DATA:
                     return event  # type: ignore[return-value]
                 self._check_framing()
-                data = await self._socket.reader.read(READ_BYTES)
+                data = await self._read()
                 self.received += len(data)
                 self._connection.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -371,6 +373,13 @@
         except OSError as error:
             raise CallFailedError(str(error), sent=True) from error
 
+    async def _read(self) -> bytes:
+        now = asyncio.get_running_loop().time
+        began = now()
+        data = await self._socket.reader.read(READ_BYTES)
+        self.longest_wait = max(self.longest_wait, now() - began)
+        return data
+
     def _check_framing(self) -> None:
         if not self._body_start:
             return
--- a/lagoonpost/http/message.py
+++ b/lagoonpost/http/message.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses shared by server, client and handlers."""
 
+import math
 from typing import NamedTuple
 
 import msgspec
@@ -23,6 +24,19 @@
     return None
 
 
+def list_values(headers: Headers, name: str) -> frozenset[str]:
+    """Return the different values of a header, without empty ones."""
+    return frozenset(value for key, value in headers if key == name and value)
+
+
+def read_number(text: str) -> float:
+    """Return the number in a header's value; not a number if it has none."""
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
+
+
 class Request(NamedTuple):
     """A request whose body has been read completely.
 
--- a/lagoonpost/platform/endpoint.py
+++ b/lagoonpost/platform/endpoint.py
@@ -45,6 +45,12 @@
     )
 
 
+def read_start(report: bytes) -> int:
+    """Return the start that a runner's report names; 0 if it names none."""
+    answer = read_json(report, _Sequence)
+    return answer.born if answer else 0
+
+
 def decode_endpoint(key: str, body: bytes) -> Endpoint:
     """Decode the entry of the runner with id ``key``.
 
--- a/lagoonpost/platform/headers.py
+++ b/lagoonpost/platform/headers.py
@@ -3,7 +3,13 @@
 import math
 from typing import NamedTuple
 
-from lagoonpost.http.message import Address, Headers, find_header
+from lagoonpost.http.message import (
+    Address,
+    Headers,
+    find_header,
+    list_values,
+    read_number,
+)
 from lagoonpost.tables.answer_head import AnswerHead, HealthHead
 from lagoonpost.tables.kv_copy import KvCopy
 from lagoonpost.tables.metadata import PromptPart, RequestMetadata, TokenCount
@@ -32,6 +38,7 @@
 RATE_LIMIT = "server-limit"
 LEAVING = "server-leaving"
 RETRY_AFTER = "retry-after"
+REPORT_PATH = "/v1/report"
 READY_PATH = "/v1/ready"
 RESOLVE_PATH = "/v1/resolve"
 MISDIRECTED, UNAVAILABLE = 421, 503
@@ -140,18 +147,14 @@
     """Return what the head of an answer shows of whose answer it is."""
     stated = find_header(headers, NOT_EXECUTED) is not None
     return AnswerHead(
-        ids=_list_values(headers, REQUEST_ID),
-        signatures=_list_values(headers, SIGNATURE),
+        ids=list_values(headers, REQUEST_ID),
+        signatures=list_values(headers, SIGNATURE),
         encoded=find_header(headers, ENCODING) is not None,
         success=200 <= status < 300,
         refuses=stated or status == MISDIRECTED,
     )
 
 
-def _list_values(headers: Headers, name: str) -> frozenset[str]:
-    return frozenset(value for key, value in headers if key == name and value)
-
-
 def make_health_headers(runner: str) -> Headers:
     """Return the headers of a health check that only one runner answers."""
     return ((EXPECTED_RUNNER, runner),)
@@ -159,7 +162,7 @@
 
 def read_health_head(status: int, headers: Headers) -> HealthHead:
     """Return what the head of an answer to a health check shows."""
-    return HealthHead(_list_values(headers, RUNNER_ID), status == MISDIRECTED)
+    return HealthHead(list_values(headers, RUNNER_ID), status == MISDIRECTED)
 
 
 def read_notice(status: int, headers: Headers) -> RunnerNotice:
@@ -169,24 +172,17 @@
     return RunnerNotice(
         refused=read_head(status, headers).refuses,
         leaving=find_header(headers, LEAVING) not in (None, "0"),
-        rest=_read_number(rest) if status == UNAVAILABLE and rest else None,
+        rest=read_number(rest) if status == UNAVAILABLE and rest else None,
         limits=StatedLimits(*limits),
     )
 
 
 def _read_limit(headers: Headers, name: str) -> float | None:
     """Return a header's number; None if it is no limit that can be kept."""
-    limit = _read_number(find_header(headers, name) or "")
+    limit = read_number(find_header(headers, name) or "")
     return limit if math.isfinite(limit) and limit >= 0 else None
 
 
-def _read_number(text: str) -> float:
-    try:
-        return float(text)
-    except ValueError:
-        return math.nan
-
-
 def _drop(headers: Headers, names: frozenset[str]) -> Headers:
     """Return the headers without these and those named by ``connection``."""
     named = ",".join(value for name, value in headers if name == "connection")
@@ -195,7 +191,7 @@
 
 
 def _read_milliseconds(text: str | None) -> float | None:
-    number = _read_number(text or "")
+    number = read_number(text or "")
     return None if math.isnan(number) else number / 1000
 
 
--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -179,6 +179,8 @@
         crash_path: Path of requests that crash it in the same way; empty for
             none.
         down_seconds: Time for which it is down after a crash.
+        born: Start of its process, which its report names; 0 to make no
+            reports, as plain services do.
         on_return: Called when it listens again after a crash.
         crashes: Times of its crashes, in seconds of the monotonic clock.
     """
@@ -222,6 +224,7 @@
         self.crash_part = ""
         self.crash_path = ""
         self.down_seconds = 0.5
+        self.born = 0
         self.on_return: Callable[[RunnerStandin], Awaitable[None]] | None
         self.on_return = None
         self.crashes: list[float] = []
@@ -249,6 +252,7 @@
 
     async def _restart(self) -> None:
         await self._server.close(0.0)
+        self.born += bool(self.born)
         await asyncio.sleep(self.down_seconds)
         self._server = Server(self.handle, cancel_on_disconnect=True)
         await self.start()
@@ -277,6 +281,9 @@
         if request.path == "/health":
             await responder.send(self._check_health(request))
             return
+        if request.path == "/v1/report":
+            await responder.send(self._make_report(request))
+            return
         attempt = request.header("attempt-id") or ""
         refusal = self._refuse(request)
         self.received.append(
@@ -316,6 +323,14 @@
             return Response(421, headers)
         return Response(503 if self.leaving else 200, headers)
 
+    def _make_report(self, request: Request) -> Response:
+        expected = request.header("target-instance")
+        if expected not in (None, self.id):
+            return Response(421, (("instance-id", self.id),))
+        if not self.born:
+            return Response(400, (("not-executed", "1"),))
+        return make_json_response(200, {"born": self.born, "seq": 0})
+
     def _refuse(self, request: Request) -> Response | None:
         expected = request.header("target-instance")
         refused = (
--- a/soak/system.py
+++ b/soak/system.py
@@ -345,6 +345,7 @@
             born=len(slot.previous) + crashes + 1,
             slots=SLOTS,
         )
+        slot.runner.born = entry["born"] if slot.service == "chat" else 0
         if slot.leaves_ms is not None:
             entry |= {"spot": True, "leaves_ms": slot.leaves_ms}
         await self.store.put("servers", slot.runner.id, entry)
--- a/test/forwarding_stack.py
+++ b/test/forwarding_stack.py
@@ -128,7 +128,9 @@
             runner.address,
             DOMAINS[(number - 1) % len(DOMAINS)],
         )
-        await self.store.put("servers", id_, entry | more)
+        entry |= more
+        runner.born = entry["born"] if entry["service"] == "chat" else 0
+        await self.store.put("servers", id_, entry)
 
     async def add_gateway(self) -> ForwardingDaemon:
         """Start one more gateway."""
--- a/test/test_end_checks.py
+++ b/test/test_end_checks.py
@@ -16,28 +16,37 @@
 )
 from test_crashing_parts import make_stream
 from test_migration import wait_for_busy_runner
+from test_partition import cut_path
 
+from lagoonpost.forwarding import runner_paths
+from lagoonpost.http.client import CallFailedError
 from lagoonpost.http.message import Headers, Request, Response
 from lagoonpost.http.responder import Responder
 from lagoonpost.systems.migration import MIN_PROMPT_TOKENS
 from lagoonpost.systems.permit_issuer import Denied
+from lagoonpost.systems.placement import Choice
+from lagoonpost.tables.answer_end import RunnerState
 from lagoonpost_standins.runner import RunnerStandin
 
 Check = Callable[[Request, Responder], Awaitable[None]]
 EVENTS = 40
 
 
-def change_health(runner: RunnerStandin, check: Check) -> None:
-    """Serve a runner's health checks by another function."""
+def change_path(runner: RunnerStandin, path: str, serve: Check) -> None:
+    """Serve one path of a runner by another function."""
     before = runner._server._handler
 
     async def handle(request: Request, responder: Responder) -> None:
-        serve = check if request.path == "/health" else before
-        await serve(request, responder)
+        await (serve if request.path == path else before)(request, responder)
 
     runner._server._handler = handle
 
 
+def change_health(runner: RunnerStandin, check: Check) -> None:
+    """Serve a runner's health checks by another function."""
+    change_path(runner, "/health", check)
+
+
 def reset_first(count: int) -> Check:
     """Return a health check that resets its first connections."""
     left = count
@@ -181,6 +190,171 @@
         assert play(scenario, configuration=configuration) == (200, [False])
 
 
+def find_state(
+    id_: str,
+    change: Callable[[RunnerStandin], None] | None = None,
+    news: dict[str, Any] | None = None,
+    gone: bool = False,
+    waited: float = 0.0,
+    patience: float = 1.0,
+) -> RunnerState:
+    """Return what is found out of a runner after its answer has ended.
+
+    Args:
+        id_: Id of the runner.
+        change: Changes the runner before.
+        news: Fields of its entry that change a little after the end.
+        gone: Whether its entry is deleted before.
+        waited: Longest time until the next bytes of its answer, in seconds.
+        patience: Longest wait for news, in seconds.
+    """
+
+    async def scenario(stack: Stack) -> RunnerState:
+        daemon = stack.gateways[0]
+        endpoint = daemon.view.entries[id_].endpoint
+        assert endpoint is not None
+        if change is not None:
+            change(stack.runners[id_])
+        if gone:
+            await stack.store.delete("servers", id_)
+            await wait_until(lambda: not daemon.view.is_known(id_))
+        paths = daemon._forwarder.paths
+        choice = Choice(endpoint, 0.0, 0, False, False)
+        finding = asyncio.create_task(
+            paths.find_state(choice, waited, patience)
+        )
+        if news is not None:
+            await asyncio.sleep(0.2)
+            await stack.register(id_, seq=2, **news)
+        async with asyncio.timeout(PATIENCE):
+            return await finding
+
+    return play(scenario)
+
+
+class TestStarts:
+    """A runner that is back under its id has not ended its last answer."""
+
+    @pytest.mark.parametrize("tunnel", [False, True])
+    def test_a_runner_that_is_back_at_once_ends_no_stream(self, tunnel):
+        """Guards against a new process that vouches for a killed one.
+
+        The news of its start come after the end of the stream.
+        """
+
+        async def scenario(stack: Stack) -> Response | CallFailedError:
+            for runner in stack.runners.values():
+                runner.framed, runner.crash_midway = False, True
+                runner.down_seconds = 0.0
+            if tunnel:
+                cut_path(stack, stack.gateways[0], "refuse")
+            try:
+                return await stack.call(
+                    "/reply/1", "POST", headers=make_prompt()
+                )
+            except CallFailedError as error:
+                return error
+
+        assert isinstance(play(scenario, gateways=2), CallFailedError)
+
+    def test_a_report_of_the_same_start_is_proof(self, monkeypatch):
+        """Guards against streams that wait for news of a sound runner."""
+        monkeypatch.setattr(runner_paths, "NEWS_SECONDS", 2 * PATIENCE)
+        found = find_state("chat-1", waited=9.0, patience=2 * PATIENCE)
+        assert found is RunnerState.UP
+
+    def test_a_report_of_another_start_is_none(self):
+        def restart(runner: RunnerStandin) -> None:
+            runner.born += 1
+
+        assert find_state("chat-1", restart) is RunnerState.DOWN
+
+    def test_a_report_of_another_runner_is_none(self):
+        def replace(runner: RunnerStandin) -> None:
+            runner.id = "chat-9"
+
+        assert find_state("chat-1", replace) is RunnerState.DOWN
+
+    def test_a_report_that_never_comes_is_none(self):
+        """Guards against an address behind which nobody answers."""
+
+        def silence(runner: RunnerStandin) -> None:
+            change_path(runner, "/v1/report", hang)
+
+        assert find_state("chat-1", silence) is RunnerState.DOWN
+
+    @pytest.mark.parametrize("status", [200, 400, 404, 503])
+    def test_without_reports_the_health_check_decides(self, status):
+        """Guards against streams of runners that make no reports."""
+
+        def refuse(runner: RunnerStandin) -> None:
+            change_path(runner, "/v1/report", answer_with(status))
+
+        assert find_state("chat-1", refuse) is RunnerState.UP
+
+    @pytest.mark.parametrize("id_", ["desk-1", "chat-1"])
+    def test_news_of_another_start_are_waited_for(self, id_):
+        """Guards against a runner that crashed behind a cut and is back."""
+
+        def refuse(runner: RunnerStandin) -> None:
+            change_path(runner, "/v1/report", answer_with(400))
+
+        found = find_state(id_, refuse, {"born": 2000}, waited=2.0)
+        assert found is RunnerState.DOWN
+
+    def test_other_news_are_no_other_start(self):
+        found = find_state("desk-1", None, {"slots": 3}, waited=2.0)
+        assert found is RunnerState.UP
+
+    def test_without_a_long_wait_there_was_no_restart(self, monkeypatch):
+        """Guards against answers that all wait for news."""
+        monkeypatch.setattr(runner_paths, "NEWS_SECONDS", 2 * PATIENCE)
+        found = find_state("desk-1", waited=0.1, patience=2 * PATIENCE)
+        assert found is RunnerState.UP
+
+
+class TestPendingChecks:
+    """A check that is not answered soon, as if it waited for a slot."""
+
+    @pytest.mark.parametrize(
+        ("gone", "news", "state"),
+        [
+            (False, None, RunnerState.UP),
+            (False, {"state": "draining"}, RunnerState.UP),
+            (True, None, RunnerState.DOWN),
+        ],
+        ids=["known", "leaving", "gone"],
+    )
+    def test_it_is_life_only_of_a_runner_that_is_expected(
+        self, gone, news, state
+    ):
+        """Guards against a dead address that counts as a full runner."""
+
+        def fill(runner: RunnerStandin) -> None:
+            change_health(runner, hang)
+
+        assert find_state("desk-1", fill, news, gone) is state
+
+    def test_it_is_no_life_of_a_runner_that_is_reclaimed(self):
+        """Guards against a part that a reclaimed host cut off."""
+
+        async def scenario(stack: Stack) -> RunnerState:
+            daemon = stack.gateways[0]
+            change_health(stack.runners["desk-1"], hang)
+            before = daemon.view.entries["desk-1"].endpoint
+            assert before is not None
+            await stack.register(
+                "desk-1", seq=2, state="draining", spot=True, leaves_ms=900
+            )
+            await wait_until(
+                lambda: daemon.view.entries["desk-1"].endpoint != before
+            )
+            paths = daemon._forwarder.paths
+            return await paths.find_state(Choice(before, 0.0, 0, False, False))
+
+        assert play(scenario) is RunnerState.DOWN
+
+
 class TestMediumUploads:
     @pytest.mark.parametrize("size", [4000, 5000])
     def test_a_whole_answer_reaches_a_caller_with_little_time(self, size):
