Keep a silent runner's stream until another one has taken it

Cause: after a silence the runner was given up if any other one hadn't been tried. Whether that one takes the stream was learned only afterwards. The stop is ruled out: without one the same happens if the other runner is full, can't be reached, breaks off, sends what is foreign, or if no retry is left.

Change: the call to the silent runner is kept while the next one is asked, and whoever sends something first goes on; the other one is closed at once. A retry is taken before. Nothing is given up for a runner that refuses.

--- a/lagoonpost/cli/explain.py
+++ b/lagoonpost/cli/explain.py
@@ -43,6 +43,7 @@
     "whole": "answered whole",
     "began": "began a stream",
     "notrun": "said that it did not run it",
+    "withdrawn": "was to go on for a silent runner, which went on first",
     "foreign": "sent something that is no answer to the request",
     "broken": "ended the connection before a whole answer",
     "silent": "sent nothing for so long that it was considered lost",
--- a/lagoonpost/forwarding/attempt.py
+++ b/lagoonpost/forwarding/attempt.py
@@ -179,6 +179,12 @@
         """Whether only the end of the connection marks the answer's end."""
         return self._stream.ends_with_connection
 
+    def next_part(self) -> asyncio.Future[bytes]:
+        """Return the future of the next part, which `read` returns."""
+        if self._next is None:
+            self._next = asyncio.ensure_future(anext(self._parts))
+        return self._next
+
     @property
     def longest_wait(self) -> float:
         """Longest time until the next bytes of the answer, in seconds."""
@@ -199,8 +205,7 @@
             The next bytes, empty at the end of the body, or how the call
             failed.
         """
-        part = self._next or asyncio.ensure_future(anext(self._parts))
-        self._next = part
+        part = self.next_part()
         try:
             done, _ = await asyncio.wait({part}, timeout=idle_timeout)
             if not done:
--- a/lagoonpost/forwarding/exchange.py
+++ b/lagoonpost/forwarding/exchange.py
@@ -22,6 +22,7 @@
     Refusal,
     make_over_quota,
 )
+from lagoonpost.forwarding.successor import Successor
 from lagoonpost.http.events import RawEvent
 from lagoonpost.http.message import Request, Response
 from lagoonpost.systems.answer_end import EndVerdict
@@ -110,6 +111,7 @@
         first_byte: Seconds until the caller's first byte, if there was one.
         waited_before: Seconds that its caller has probably waited since it
             was refused before.
+        successor: Run that takes over from a silent runner.
         decision: Whether it is sent, in which class, and why; None where
             requests have no order.
     """
@@ -157,6 +159,7 @@
         self.first_byte: float | None = None
         self._began = False
         self.waited_before = 0.0
+        self.successor: Successor | None = None
         self.decision: Decision | None = None
 
     # Properties of the request
@@ -307,6 +310,14 @@
         """Record how an answer ended and what it was taken for."""
         self.ends.append(AnswerEnd(choice.endpoint.id, evidence, verdict))
 
+    def note_withdrawn(self, choice: Choice) -> None:
+        """Record that a run was ended, as the run before it has gone on."""
+        self.outcomes.append("withdrawn")
+        self.note(f"{choice.endpoint.id}:withdrawn:{choice.seconds:.3f}")
+        self.tried_runners.add(choice.endpoint.id)
+        self.reached_count += 1
+        self.run_count += 1
+
     def note_barred(self, refusal: Refusal) -> None:
         """Record that the request is sent to no runner, as it crashes them."""
         self.last_refusal = ANSWER_LOST if self.may_have_run else refusal
--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -147,7 +147,7 @@
             lambda: self._bounds.drain_seconds,
             rng,
         )
-        self.offers = Offers(
+        self.offers = offers = Offers(
             client,
             self.paths,
             self.placement,
@@ -161,6 +161,7 @@
             admission.charge,
             admission.refund,
         )
+        offers.choose_next = self._choose_next
         self._loads = ServiceLoads(view, self.placement, admission.shares)
         self._configuration_deadline: float | None = None
         self.scheduling = NO_PARTS
@@ -290,6 +291,8 @@
             )
             return await self._give_up(exchange, responder)
         finally:
+            if exchange.successor is not None:
+                exchange.successor.cancel()
             self.admission.release(exchange)
 
     async def _try_runners(
@@ -297,9 +300,15 @@
     ) -> Refusal | None:
         moved: Moved | None = None
         while True:
+            successor, exchange.successor = exchange.successor, None
             # A move takes its permit and its retry before it stops the run.
             if moved is not None:
+                if successor is not None:
+                    successor.cancel()
+                    successor = None
                 choice = self._chooser.make_moved(moved.target)
+            elif successor is not None:
+                choice = successor.choice
             else:
                 found = await self._choose(exchange, responder)
                 if found is None:
@@ -310,9 +319,12 @@
                     exchange.note_barred(refusal)
                     return await self._give_up(exchange, responder)
             saved = moved.saved if moved else None
-            outcome = await self.offers.send(
-                exchange, choice, responder, saved
-            )
+            if successor is not None:
+                outcome = await successor.finish()
+            else:
+                outcome = await self.offers.send(
+                    exchange, choice, responder, saved
+                )
             exchange.note_outcome(choice, outcome)
             moved = outcome if isinstance(outcome, Moved) else None
             if moved:
@@ -352,6 +364,17 @@
         exchange.note("no_budget")
         return None
 
+    async def _choose_next(
+        self, exchange: Exchange, responder: Responder
+    ) -> Choice | None:
+        """Choose a runner to go on for one that is silent, or None."""
+        choice = await self._chooser.choose(exchange, responder.started)
+        if choice is None or not self._crashes.may_send(exchange):
+            return None
+        if await self.retries.acquire(exchange.requirements.service):
+            return choice
+        return None
+
     async def _give_up(
         self, exchange: Exchange, responder: Responder
     ) -> Refusal | None:
--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -11,6 +11,7 @@
     NotRun,
     Outcome,
     OverQuota,
+    RunnerCall,
     Silent,
     Unreachable,
     Whole,
@@ -33,6 +34,7 @@
 from lagoonpost.forwarding.request_ordering import RequestOrdering
 from lagoonpost.forwarding.runner_paths import RunnerPaths
 from lagoonpost.forwarding.speed_sampler import SpeedSampler
+from lagoonpost.forwarding.successor import Gate, Successor
 from lagoonpost.forwarding.usage_counter import UsageCounter
 from lagoonpost.forwarding.version_shifts import VersionShifts
 from lagoonpost.http.client import Client
@@ -81,6 +83,8 @@
         refund: Returns the units of the last run, which has not begun.
 
     Attributes:
+        choose_next: Chooses a runner for one more run, for which it takes a
+            retry; None if there is none.
         shifts: Services that shift to another version.
         prompt_tokens: Prompt tokens sent to runners that were not in their
             caches, by service.
@@ -113,6 +117,9 @@
         self._migrations = migrations
         self._usage = usage
         self._crashes = crashes
+        self.choose_next: Callable[
+            [Exchange, Responder], Awaitable[Choice | None]
+        ]
         self.shifts: VersionShifts
         self.prompt_tokens: dict[str, int] = {}
 
@@ -122,6 +129,7 @@
         choice: Choice,
         responder: Responder,
         saved: KvCopy | None,
+        gate: Gate | None = None,
     ) -> Outcome:
         """Offer a request to a runner for which it has a permit.
 
@@ -130,6 +138,7 @@
             choice: The runner.
             responder: Passes the answer on to the caller.
             saved: Saved state of the run to resume, or None.
+            gate: Where to wait before the answer is passed on, or None.
         """
         exchange.note_sent(choice)
         self.shifts.note_sent(choice.endpoint)
@@ -185,6 +194,8 @@
             self._record_outcome(exchange, choice, outcome, took)
             began = isinstance(outcome, Began | Whole)
             began_at = exchange.now()
+            if gate is not None:
+                await gate.pass_through(outcome)
             if isinstance(outcome, Began):
                 watched.note_first_byte()
                 outcome = await relay(
@@ -198,7 +209,9 @@
                     ),
                     sampler,
                     lambda: self._note_failure(choice),
-                    lambda: self._has_other(exchange, choice),
+                    lambda call: self._take_over(
+                        exchange, choice, responder, call
+                    ),
                 )
             ended = outcome
             if isinstance(outcome, Whole) and responder.started:
@@ -215,6 +228,43 @@
             if began:
                 self._ordering.note_ended(exchange, exchange.now() - began_at)
 
+    async def _take_over(
+        self,
+        exchange: Exchange,
+        choice: Choice,
+        responder: Responder,
+        call: RunnerCall,
+    ) -> bool:
+        """Return whether another runner goes on for one that is silent.
+
+        Args:
+            exchange: The request.
+            choice: The silent runner.
+            responder: Passes the answer on to the caller.
+            call: The call to the silent runner. If it goes on before the other
+                one has begun, the other one is withdrawn.
+        """
+        if not self._has_other(exchange, choice):
+            return False
+        exchange.tried_runners.add(choice.endpoint.id)
+        other = await self.choose_next(exchange, responder)
+        if other is None or call.next_part().done():
+            return False
+        successor = Successor(
+            other,
+            lambda gate: self.send(exchange, other, responder, None, gate),
+        )
+        exchange.successor = successor
+        if await successor.overtakes(call):
+            return True
+        exchange.successor = None
+        outcome = await successor.withdraw()
+        if outcome is None:
+            exchange.note_withdrawn(other)
+        else:
+            exchange.note_outcome(other, outcome)
+        return False
+
     async def _confirm_end(
         self, exchange: Exchange, choice: Choice, outcome: Whole
     ) -> Whole | Broken:
--- a/lagoonpost/forwarding/relay.py
+++ b/lagoonpost/forwarding/relay.py
@@ -39,7 +39,7 @@
     find_state: Callable[[RunnerCall], Awaitable[RunnerState]],
     sampler: SpeedSampler,
     note_failure: Callable[[], None],
-    has_other: Callable[[], bool],
+    take_over: Callable[[RunnerCall], Awaitable[bool]],
 ) -> Outcome:
     """Pass on each complete event of a stream as it arrives.
 
@@ -53,8 +53,8 @@
             ended a stream that ends with its connection.
         sampler: Measures the runner's pace.
         note_failure: Called if the runner sends bytes without events.
-        has_other: Tells whether the stream could go on at another runner; a
-            silent runner is not given up without one.
+        take_over: Tries to let another runner go on while this one is silent;
+            returns whether it does. Until then it is not given up.
 
     Returns:
         ``began`` if the stream was passed on to its end, otherwise the
@@ -65,7 +65,7 @@
     progress = StreamProgress(exchange.now(), STREAM_IDLE_TIMEOUT_SECONDS)
     try:
         outcome = await _relay_events(
-            exchange, began, responder, sampler, progress, has_other
+            exchange, began, responder, sampler, progress, take_over
         )
         late = exchange.is_deadline_near()
         if progress.is_stalled(exchange.now()) or (
@@ -112,7 +112,7 @@
     responder: Responder,
     sampler: SpeedSampler,
     progress: StreamProgress,
-    has_other: Callable[[], bool],
+    take_over: Callable[[RunnerCall], Awaitable[bool]],
 ) -> Began | Broken | Silent:
     call = began.call
     cutter = EventSplitter()
@@ -133,7 +133,7 @@
         data = _find_excess(call, cutter, size) or await call.read(
             idle_timeout
         )
-        while isinstance(data, Silent) and not has_other():
+        while isinstance(data, Silent) and not await take_over(call):
             data = await call.read(idle_timeout)
     if not isinstance(data, bytes):
         return data
