Tell gateways again that a service's runners are brittle

Cause: brittleness is forgotten 10 s after the last answer that says so, and other gateways are told only of changes, though they had an answer that says so every 50 ms. That the room is divided wrongly is ruled out: without the quiet time no runner falls.

Change: while answers say it, it is told again every 2.5 s by the same way as changes, first to the issuer of the runner that answered, then to all. Whoever has heard it within that time doesn't tell.

--- a/lagoonpost/systems/runner_limits.py
+++ b/lagoonpost/systems/runner_limits.py
@@ -21,9 +21,12 @@
 
 A gateway that is told of a limit tells the issuer, and the issuer tells all
 others when a limit begins or ends: otherwise each would find out by sending a
-request of its own.
+request of its own. That a service is brittle is forgotten some seconds after
+the last answer that says so, and told again before: a gateway that had no
+request of the service meanwhile would send the next ones all at once.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from random import Random
 from typing import NamedTuple
@@ -39,7 +42,7 @@
     PermitIssuer,
     find_longest_reservation,
 )
-from lagoonpost.systems.statements import Statements
+from lagoonpost.systems.statements import BRITTLE_SECONDS, Statements
 from lagoonpost.tables.endpoint import Endpoint
 from lagoonpost.tables.permit import (
     LimitNews,
@@ -55,6 +58,9 @@
 """Share of a gateway's equal part that it may use without the issuer."""
 SILENCE_SECONDS = 0.5
 """How long an issuer that did not answer is not asked again."""
+RENEWAL_SECONDS = BRITTLE_SECONDS / 4
+"""Time after which gateways are told again that a service is brittle, so that
+two messages in a row may be lost."""
 VIEW_SECONDS = 0.2
 """How long a gateway that says that it doesn't issue the permits isn't asked
 again: views of who is running converge within some tenths of a second."""
@@ -110,6 +116,7 @@
         self._earliest: dict[str, float] = {}
         self._silent_until: dict[str, float] = {}
         self._told: dict[str, tuple[bool, bool]] = {}
+        self._renewed: dict[str, float] = {}
         self._tells: list[Tell] = []
         self._numbers = 0
 
@@ -188,12 +195,31 @@
             Whether the runner names other limits than before.
         """
         changed = self._statements.note_answer(endpoint, limits, sent_at, now)
-        if changed and self.group.is_issuer(endpoint.id):
-            self._tell_all(endpoint.id, now)
-        elif changed:
+        renews = self._renew(endpoint.service, limits, now)
+        if not (changed or renews):
+            return changed
+        if self.group.is_issuer(endpoint.id):
+            self._tell_all(endpoint.id, now, renews)
+        else:
             self._tell(self.group.find_issuer(endpoint.id), endpoint.id, now)
         return changed
 
+    def _renew(self, service: str, limits: StatedLimits, now: float) -> bool:
+        """Return whether it is time to tell again that a service is brittle.
+
+        Args:
+            service: The service.
+            limits: Limits that one of its runners has just named.
+            now: Time in seconds.
+        """
+        if limits.refusals is None:
+            return False
+        latest = self._renewed.get(service, -math.inf)
+        if now < latest + RENEWAL_SECONDS:
+            return False
+        self._renewed[service] = now
+        return True
+
     def note_refused(self, endpoint: Endpoint, now: float) -> None:
         """Record that a runner turned a request away for want of room."""
         refusals = self._statements.find_limits(endpoint, now).refusals
@@ -208,15 +234,16 @@
         """Record what another gateway knows of runners."""
         for statement in news.statements:
             changed = self._statements.note_news(statement, now)
-            if changed and self.group.is_issuer(statement.runner):
-                self._tell_all(statement.runner, now)
+            renews = self._renew(statement.service, statement.limits, now)
+            if self.group.is_issuer(statement.runner) and (changed or renews):
+                self._tell_all(statement.runner, now, renews)
 
-    def _tell_all(self, runner: str, now: float) -> None:
-        """Tell all gateways if a limit has begun or ended."""
+    def _tell_all(self, runner: str, now: float, renews: bool = False) -> None:
+        """Tell all gateways if a limit has begun or ended, or to renew it."""
         statement = self._statements.find_statement(runner, now)
         limits = statement.limits if statement else NO_LIMITS
         kinds = limits.rate is not None, limits.refusals is not None
-        if self._told.get(runner, (False, False)) != kinds:
+        if renews or self._told.get(runner, (False, False)) != kinds:
             self._told[runner] = kinds
             self._tell(None, runner, now)
 
--- a/test/test_runner_limits.py
+++ b/test/test_runner_limits.py
@@ -21,7 +21,11 @@
     Granted,
     PermitIssuer,
 )
-from lagoonpost.systems.runner_limits import Ask, RunnerLimits
+from lagoonpost.systems.runner_limits import (
+    RENEWAL_SECONDS,
+    Ask,
+    RunnerLimits,
+)
 from lagoonpost.tables.permit import LimitNews, Statement
 from lagoonpost.tables.stated_limits import NO_LIMITS, StatedLimits
 
@@ -207,6 +211,76 @@
         assert limits.find_rate(DESK, 30.0, 2.0) == 8.0
 
 
+class TestRenewal:
+    """Gateways that are quiet while the others hear of brittle runners."""
+
+    GATEWAYS = 5
+    END = 40.0
+    """Time in seconds; answers say so in its first half."""
+
+    def play(
+        self, loss: float = 0.0
+    ) -> tuple[list[RunnerLimits], list[float], int]:
+        """Let all gateways but the last have answers all the time.
+
+        Returns:
+            The gateways; the times at which the last one took the service for
+            sound while answers said otherwise; the messages sent.
+        """
+        rng = Random(1)
+        fleet = [
+            make_limits(f"gateway-{n}", self.GATEWAYS)
+            for n in range(self.GATEWAYS)
+        ]
+        runners = [make_endpoint(n) for n in range(3)]
+        unaware, sent = [], 0
+        for step in range(int(self.END / 0.1)):
+            now = step * 0.1
+            limits = BRITTLE if now < self.END / 2 else NO_LIMITS
+            for limited in fleet[:-1]:
+                limited.note_answer(rng.choice(runners), limits, now, now)
+            for _ in range(2):
+                for source in fleet:
+                    for tell in source.take_tells():
+                        for number, target in enumerate(fleet):
+                            name = f"gateway-{number}"
+                            if target is source or tell.gateway not in (
+                                None,
+                                name,
+                            ):
+                                continue
+                            sent += 1
+                            if rng.random() >= loss:
+                                target.handle_news(tell.news, now)
+            if 1.0 < now < self.END / 2 and any(
+                fleet[-1].has_room(each, 1000, now) for each in runners
+            ):
+                unaware.append(now)
+        return fleet, unaware, sent
+
+    @pytest.mark.parametrize("loss", [0.0, 0.3])
+    def test_a_quiet_gateway_knows_of_them(self, loss):
+        """Guards against a rush at brittle runners after a quiet time."""
+        _, unaware, _ = self.play(loss)
+        assert unaware == []
+
+    def test_it_takes_few_messages(self):
+        """Guards against news with each of many answers."""
+        _, _, sent = self.play()
+        renewals = self.END / 2 / RENEWAL_SECONDS
+        # At each renewal every gateway may tell an issuer, which tells all.
+        assert sent <= (renewals + 3) * 3 * 2 * self.GATEWAYS
+
+    def test_the_end_is_heard(self):
+        """Guards against limits that outlast the runners' trouble."""
+        fleet, _, _ = self.play()
+        assert all(
+            limits.has_room(make_endpoint(n), 1000, self.END)
+            for limits in fleet
+            for n in range(3)
+        )
+
+
 class TestSilentIssuer:
     def test_each_gateway_uses_half_of_its_own_part(self):
         """Guards against a runner without requests, or with too many."""
