Answer HEAD requests without a body

Cause: the gateway's own answers have a body, for which h11 raises if the request was HEAD. The status has no part in it: any such answer fails, also a rejection and one in chunks.

Change: the reader of requests keeps whether a body is wanted, and the responder leaves it out; its length is told.

Four new tests failed before, all pass now.

--- a/lagoonpost/http/request_reader.py
+++ b/lagoonpost/http/request_reader.py
@@ -139,6 +139,8 @@
 
     Attributes:
         connection: State of the request and its response.
+        wants_body: Whether the last request asks for a body, and not for the
+            head of its answer only.
     """
 
     def __init__(
@@ -166,6 +168,7 @@
         self._closed = False
         self._reported = 0
         self.connection: h11.Connection
+        self.wants_body = True
         reader.on_unread = self._note_unread
         account.watch(holding, self._drop)
 
@@ -176,6 +179,7 @@
             limits: Limits that apply to it.
         """
         self._limits = limits
+        self.wants_body = True
         if self._decoder is not None or not hasattr(self, "connection"):
             self.connection = h11.Connection(
                 h11.SERVER, max_incomplete_event_size=limits.head
@@ -228,6 +232,7 @@
         if head is None:
             return None
         self._account.enter(self._holding, "reading")
+        self.wants_body = head.method != b"HEAD"
         length = _find_length(head)
         if length > self._limits.body:
             raise _reject(413, _BODY_TOO_LARGE)
--- a/lagoonpost/http/responder.py
+++ b/lagoonpost/http/responder.py
@@ -55,6 +55,7 @@
             memory for them.
 
     Attributes:
+        bodiless: Whether the request asks for the head only.
         started: Whether the head was sent.
         finished: Whether the end of the response was sent.
     """
@@ -74,6 +75,7 @@
         self._limits = limits
         self._is_closing = is_closing
         self._chunked = False
+        self.bodiless = False
         self.started = False
         self.finished = False
 
@@ -86,6 +88,8 @@
         """
         body = response.body
         length = ("content-length", str(len(body)))
+        if self.bodiless:
+            body = b""
         # The head and a short body go together: each write is a system call
         # here and an event at the client.
         head = self._make_head(response.status, (*response.headers, length))
@@ -124,6 +128,8 @@
         10 us per chunk, a fourteenth of the cost of relaying a token. h11
         still tracks the state of the connection.
         """
+        if self.bodiless:
+            return
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         await self._write(data)
--- a/lagoonpost/http/server.py
+++ b/lagoonpost/http/server.py
@@ -235,6 +235,7 @@
         request = await requests.read()
         if request is None:
             return False
+        responder.bodiless = not requests.wants_body
         if isinstance(request, Rejected):
             if requests.connection.our_state in _MAY_RESPOND:
                 await responder.send(_make_rejection(request))
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -75,6 +75,55 @@
         assert b'"not_run"' in answer.body
 
 
+class TestHeadRequests:
+    """Requests for the head of an answer only (RFC 9110, section 9.3.2)."""
+
+    def ask(self, *requests: bytes, limit: int = 100) -> bytes:
+        """Return what a server sends on one connection, until it closes."""
+
+        async def handle(request: Request, responder: Responder) -> None:
+            if request.path == "/chunks":
+                await responder.start(200, ())
+                await responder.write(b"body")
+                await responder.finish()
+            else:
+                await responder.send(Response(503, (), b"body"))
+
+        async def scenario() -> bytes:
+            server = Server(handle, Limits(body=limit))
+            address = await server.start(LOOPBACK)
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"".join(requests))
+            writer.write_eof()
+            async with asyncio.timeout(10):
+                answer = await reader.read()
+            writer.close()
+            await server.close(1.0)
+            return answer
+
+        return asyncio.run(scenario())
+
+    @pytest.mark.parametrize("path", [b"/", b"/chunks"])
+    def test_they_are_answered_without_a_body(self, path):
+        """Guards against connections that are closed without an answer."""
+        request = b"HEAD %b HTTP/1.1\r\nhost: x\r\n\r\n" % path
+        answer = self.ask(request, request)
+        assert answer.count(b"HTTP/1.1 ") == 2
+        assert b"body" not in answer
+        assert answer.endswith(b"\r\n\r\n")
+
+    def test_the_length_is_that_of_the_body(self):
+        answer = self.ask(b"HEAD / HTTP/1.1\r\nhost: x\r\n\r\n")
+        assert b"content-length: 4\r\n" in answer
+
+    def test_one_that_is_too_large_is_told_so(self):
+        """Guards against rejections that are lost for their body."""
+        request = b"HEAD / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n"
+        answer = self.ask(request, limit=5)
+        assert answer.startswith(b"HTTP/1.1 413 ")
+        assert answer.endswith(b"\r\n\r\n")
+
+
 class TestKeptConnections:
     def test_all_fall_silent_at_once(self) -> None:
         """All pooled connections go silent at the same time.
