Keep a rest that a new start asked for before its entry

Cause: the rest was filed under the start that was known as the request was sent, and dropped as a former one's when the entry with the new start came. That it isn't heard is ruled out: the log has it.

Change: a rest keeps the time at which it was told, and holds for every start up to that time. By a time of day that is wrong by seconds it is dropped as before, or held for a start too many.

--- a/lagoonpost/forwarding/notice_reader.py
+++ b/lagoonpost/forwarding/notice_reader.py
@@ -5,9 +5,11 @@
 leave.
 """
 
+import time
 from collections.abc import Callable
 
 from lagoonpost.forwarding.cluster_state import ClusterState
+from lagoonpost.forwarding.news_fact import MS_PER_SECOND
 from lagoonpost.forwarding.permits import Permits
 from lagoonpost.forwarding.request_log import (
     log_brittle_refusal,
@@ -101,6 +103,7 @@
                 notice.rest,
                 self._count_open(endpoint.id),
                 read_clock(),
+                time.time() * MS_PER_SECOND,
             )
             log_notice(endpoint, notice.leaving, rest)
         if notice.leaving and self._view.note_leaving(
--- a/lagoonpost/systems/runner_notices.py
+++ b/lagoonpost/systems/runner_notices.py
@@ -48,9 +48,17 @@
 
 
 class _Rest(NamedTuple):
-    """A rest, in seconds of the steady clock."""
+    """A rest.
+
+    Attributes:
+        born: Start of the runner as it was known when the request was sent, in
+            milliseconds since the epoch.
+        told: When the runner asked for it, in milliseconds since the epoch.
+        until: Its end, in seconds of the steady clock.
+    """
 
     born: int
+    told: float
     until: float
 
 
@@ -86,7 +94,12 @@
         return True
 
     def note_rest(
-        self, endpoint: Endpoint, seconds: float, requests: int, now: float
+        self,
+        endpoint: Endpoint,
+        seconds: float,
+        requests: int,
+        now: float,
+        told: float = 0.0,
     ) -> float:
         """Record that a runner wants no requests from this gateway.
 
@@ -95,6 +108,7 @@
             seconds: Length of the rest, as read; may be any number or none.
             requests: Its open requests, as far as is known here.
             now: Time in seconds at which the answer was read.
+            told: The same in milliseconds since the epoch.
 
         Returns:
             The seconds for which it now rests.
@@ -107,7 +121,7 @@
             return 0.0
         if known is not None and known.born == endpoint.born:
             until = max(until, known.until)
-        self._rests[endpoint.id] = _Rest(endpoint.born, until)
+        self._rests[endpoint.id] = _Rest(endpoint.born, told, until)
         if requests >= endpoint.slots:
             self._full[endpoint.id] = _Full(endpoint.born, now)
         return until - now
@@ -145,7 +159,8 @@
     def find_rest(self, endpoint: Endpoint, now: float) -> float:
         """Return the seconds for which a runner wants no requests."""
         rest = self._rests.get(endpoint.id)
-        if rest is None or rest.born < endpoint.born:
+        # A new start may ask for a rest before its entry is known here.
+        if rest is None or max(rest.born, rest.told) < endpoint.born:
             return 0.0
         return max(0.0, rest.until - now)
 
--- a/test/test_notice_decisions.py
+++ b/test/test_notice_decisions.py
@@ -88,6 +88,14 @@
         notices.note_rest(RUNNER, 9.0, 0, 2.0)
         assert notices.find_rest(RESTARTED, 2.0) == 2.0
 
+    def test_a_new_start_may_ask_before_its_entry_is_known(self):
+        """Guards against rests that are forgotten when the entry comes."""
+        notices = RunnerNotices()
+        notices.note_rest(RUNNER, 3.0, 0, 0.0, told=2500.0)
+        assert notices.find_rest(RESTARTED, 1.0) == 2.0
+        notices.note_rest(RUNNER, 3.0, 0, 0.0, told=1500.0)
+        assert notices.find_rest(RESTARTED, 1.0) == 0.0
+
     def test_they_are_forgotten_when_they_are_over(self):
         notices = RunnerNotices()
         notices.note_rest(RUNNER, 3.0, 0, 0.0)
