Keep the port of a stopped runner for its test

Runners have the same ids in all tests, so naming the intended one doesn't tell them apart.

Cause, as far as it is shown: a runner that stops or crashes gives its port back while its gateways go on sending to it, and the kernel gives the port to the next process that asks for any, as a runner of another test does. Ports of gateways are ruled out: they are locked, and released only after the gateways have ended.

--- a/lagoonpost_standins/runner.py
+++ b/lagoonpost_standins/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable
@@ -229,15 +230,24 @@
         self.on_return = None
         self.crashes: list[float] = []
         self._crashing: asyncio.Task[None] | None = None
+        self._reservation: socket.socket | None = None
         self._server = Server(self.handle, cancel_on_disconnect=True)
 
     async def start(self) -> Address:
         """Listen on a free port and return the address."""
-        self.address = await self._server.start(self.address)
-        return self.address
+        if self._reservation is None:
+            self._reservation = _reserve(self.address)
+            self.address = Address(*self._reservation.getsockname())
+        return await self._server.start(self.address)
+
+    def release(self) -> None:
+        """Let others listen at the address, once no gateway knows it."""
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
 
     async def close(self) -> None:
-        """Stop and cut all connections."""
+        """Stop and cut all connections; the address stays reserved."""
         for task in self._tasks:
             task.cancel()
         if self._crashing is not None:
@@ -597,6 +607,18 @@
         self.crash()
 
 
+def _reserve(address: Address) -> socket.socket:
+    """Bind a port, so that the kernel gives it to nobody else meanwhile.
+
+    Gateways go on sending to a runner that has stopped or crashed, and would
+    reach one of another test, which has the same id.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind(address)
+    return reservation
+
+
 def make_body(request: Request) -> bytes:
     """Return the answer to a plain request, derived from its bytes."""
     text = f"{request.method} {request.target} ".encode("latin-1")
--- a/test/forwarding_stack.py
+++ b/test/forwarding_stack.py
@@ -105,6 +105,7 @@
         self._exit.push_async_callback(store.close, 0.0)
         self._exit.push_async_callback(cloud.close, 0.0)
         for runner in self.runners.values():
+            self._exit.callback(runner.release)
             await runner.start()
             self._exit.push_async_callback(runner.close)
         await self.store.put("op", "config", self._first)
