Count no answer for a request that the quota held back

A version under trial was credited with a good answer for a request that never reached its runner, as its workspace's quota had no room right before the sending. Found on the way, on a path related to answers of nobody: what is no answer must not speak for a version.

Cause: `OverQuota` lacked among the outcomes that are no answers. The new test failed before and passes now.

--- a/lagoonpost/forwarding/offers.py
+++ b/lagoonpost/forwarding/offers.py
@@ -64,6 +64,10 @@
 by the resolution of their clock."""
 
 
+_Unanswered = Unreachable | Barred | Withheld | OverQuota | NotRun | Foreign
+"""Outcomes without an answer of the runner to the request."""
+
+
 class Offers:
     """Offers requests to runners.
 
@@ -363,9 +367,7 @@
                 reach.note_answered(choice.endpoint.id)
                 state.note_outcome(False)
         # One that was late has been counted.
-        if took <= exchange.target and not isinstance(
-            outcome, Unreachable | Barred | Withheld | NotRun | Foreign
-        ):
+        if took <= exchange.target and not isinstance(outcome, _Unanswered):
             self._note_answer(exchange, choice, _has_failed(outcome), False)
         if isinstance(outcome, Whole | Began):
             self._placement.note_first_byte(
--- a/test/test_foreign_answers.py
+++ b/test/test_foreign_answers.py
@@ -319,6 +319,21 @@
         play(scenario)
         assert noted == []
 
+    def test_a_request_that_was_not_sent_is_no_answer(self):
+        """Guards against versions that are cleared by requests never sent."""
+        noted: list[Any] = []
+
+        async def refuse(*args: object) -> float:
+            return 1.0
+
+        async def scenario(stack: Stack) -> int:
+            offers = stack.gateways[0]._forwarder.offers
+            offers.shifts.note_answer = lambda *args, **more: noted.append(1)
+            offers._charge = refuse
+            return (await ask(stack, "/check/1", ())).status
+
+        assert (play(scenario), noted) == (429, [])
+
     def test_the_own_answer_counts(self):
         """Guards against evidence that is lost with the foreign answers."""
         noted: list[Any] = []
