Renew brittleness by when all were told, not when one was asked

A played fleet shows a way: two gateways that have answers of each other's runners at the same times ask one another, as issuers, to tell all. Each took its own asking for told, so neither told the third, which forgot that the runners are brittle after 10 s.

Change: gateways keep apart when all were told and when an issuer was asked, and only the first suppresses a renewal.

The new test failed before (the third gateway is unaware from 10.0 s on), 93 of 93 in the files of limits pass now.

--- a/lagoonpost/systems/runner_limits.py
+++ b/lagoonpost/systems/runner_limits.py
@@ -117,6 +117,7 @@
         self._silent_until: dict[str, float] = {}
         self._told: dict[str, tuple[bool, bool]] = {}
         self._renewed: dict[str, float] = {}
+        self._asked: dict[str, float] = {}
         self._tells: list[Tell] = []
         self._numbers = 0
 
@@ -195,30 +196,31 @@
             Whether the runner names other limits than before.
         """
         changed = self._statements.note_answer(endpoint, limits, sent_at, now)
-        renews = self._renew(endpoint.service, limits, now)
-        if not (changed or renews):
-            return changed
+        renews = self._is_renewal_due(endpoint.service, limits, now)
         if self.group.is_issuer(endpoint.id):
-            self._tell_all(endpoint.id, now, renews)
-        else:
+            if changed or renews:
+                self._tell_all(endpoint.id, now, renews)
+        elif changed or (renews and self._may_ask(endpoint.service, now)):
+            self._asked[endpoint.service] = now
             self._tell(self.group.find_issuer(endpoint.id), endpoint.id, now)
         return changed
 
-    def _renew(self, service: str, limits: StatedLimits, now: float) -> bool:
-        """Return whether it is time to tell again that a service is brittle.
+    def _is_renewal_due(
+        self, service: str, limits: StatedLimits, now: float
+    ) -> bool:
+        """Return whether all have to be told again that a service is brittle.
 
         Args:
             service: The service.
             limits: Limits that one of its runners has just named.
             now: Time in seconds.
         """
-        if limits.refusals is None:
-            return False
         latest = self._renewed.get(service, -math.inf)
-        if now < latest + RENEWAL_SECONDS:
-            return False
-        self._renewed[service] = now
-        return True
+        return limits.refusals is not None and now >= latest + RENEWAL_SECONDS
+
+    def _may_ask(self, service: str, now: float) -> bool:
+        """Return whether an issuer may be asked again to tell all."""
+        return now >= self._asked.get(service, -math.inf) + RENEWAL_SECONDS
 
     def note_refused(self, endpoint: Endpoint, now: float) -> None:
         """Record that a runner turned a request away for want of room."""
@@ -234,9 +236,13 @@
         """Record what another gateway knows of runners."""
         for statement in news.statements:
             changed = self._statements.note_news(statement, now)
-            renews = self._renew(statement.service, statement.limits, now)
-            if self.group.is_issuer(statement.runner) and (changed or renews):
-                self._tell_all(statement.runner, now, renews)
+            limits, service = statement.limits, statement.service
+            if self.group.is_issuer(statement.runner):
+                renews = self._is_renewal_due(service, limits, now)
+                if changed or renews:
+                    self._tell_all(statement.runner, now, renews)
+            elif limits.refusals is not None:
+                self._renewed[service] = now
 
     def _tell_all(self, runner: str, now: float, renews: bool = False) -> None:
         """Tell all gateways if a limit has begun or ended, or to renew it."""
@@ -246,6 +252,8 @@
         if renews or self._told.get(runner, (False, False)) != kinds:
             self._told[runner] = kinds
             self._tell(None, runner, now)
+            if statement is not None and kinds[1]:
+                self._renewed[statement.service] = now
 
     def _tell(self, gateway: str | None, runner: str, now: float) -> None:
         statement = self._statements.find_statement(runner, now)
--- a/test/test_runner_limits.py
+++ b/test/test_runner_limits.py
@@ -264,6 +264,44 @@
         _, unaware, _ = self.play(loss)
         assert unaware == []
 
+    def test_two_that_tell_each_other_tell_all(self):
+        """Guards against two issuers that each take the other's for told.
+
+        Each has answers of the other one's runners only, at the same times.
+        """
+        fleet = [make_limits(f"gateway-{n}", 3) for n in range(3)]
+        runners = [make_endpoint(n) for n in range(100)]
+        by_issuer = {
+            name: next(
+                each
+                for each in runners
+                if fleet[0].group.find_issuer(each.id) == name
+            )
+            for name in ("gateway-0", "gateway-1")
+        }
+        unaware = []
+        for step in range(200):
+            now = step * 0.1
+            fleet[0].note_answer(by_issuer["gateway-1"], BRITTLE, now, now)
+            fleet[1].note_answer(by_issuer["gateway-0"], BRITTLE, now, now)
+            for _ in range(2):
+                tells = [
+                    (source, tell)
+                    for source in fleet
+                    for tell in source.take_tells()
+                ]
+                for source, tell in tells:
+                    for number, target in enumerate(fleet):
+                        name = f"gateway-{number}"
+                        if target is not source and tell.gateway in (
+                            None,
+                            name,
+                        ):
+                            target.handle_news(tell.news, now)
+            if fleet[2].has_room(by_issuer["gateway-0"], 1000, now):
+                unaware.append(now)
+        assert unaware == []
+
     def test_it_takes_few_messages(self):
         """Guards against news with each of many answers."""
         _, _, sent = self.play()
