--- a/lagoonpost/forwarding/forwarder.py
+++ b/lagoonpost/forwarding/forwarder.py
@@ -147,7 +147,7 @@
             lambda: self._bounds.drain_seconds,
             rng,
         )
-        self.offers = offers = Offers(
+        self.offers = Offers(
             client,
             self.paths,
             self.placement,
@@ -161,7 +161,7 @@
             admission.charge,
             admission.refund,
         )
-        offers.choose_next = self._choose_next
+        self.offers.choose_next = self._choose_next
         self._loads = ServiceLoads(view, self.placement, admission.shares)
         self._configuration_deadline: float | None = None
         self.scheduling = NO_PARTS
--- a/lagoonpost/forwarding/runner_paths.py
+++ b/lagoonpost/forwarding/runner_paths.py
@@ -357,7 +357,7 @@
         """
         stream = self._send_check(socket, endpoint, REPORT_PATH)
         try:
-            async with asyncio.timeout(REPORT_TIMEOUT_SECONDS):
+            async with limit_running_time(REPORT_TIMEOUT_SECONDS):
                 await stream.receive_head()
                 report = await stream.read(MAX_REPORT_BYTES)
         except (TimeoutError, CallFailedError):
--- a/lagoonpost/systems/answer_head.py
+++ b/lagoonpost/systems/answer_head.py
@@ -128,6 +128,12 @@
 )
 """The first rule that fits decides."""
 _UNSIGNED = _reject("no_signature")
+_HEALTH_STATES = {
+    (IdState.OWN, False): RunnerState.UP,
+    (IdState.OTHER, False): RunnerState.DOWN,
+    (IdState.OTHER, True): RunnerState.DOWN,
+}
+"""What the runner's id and a statement that another one was meant show."""
 
 
 def judge_head(head: AnswerHead, request_id: str) -> HeadRuling:
@@ -160,13 +166,8 @@
     Returns:
         UNKNOWN if nothing shows whose answer it is.
     """
-    states = {
-        (IdState.OWN, False): RunnerState.UP,
-        (IdState.OTHER, False): RunnerState.DOWN,
-        (IdState.OTHER, True): RunnerState.DOWN,
-    }
     named = _compare_ids(head.runners, runner)
-    return states.get((named, head.misdirected), RunnerState.UNKNOWN)
+    return _HEALTH_STATES.get((named, head.misdirected), RunnerState.UNKNOWN)
 
 
 def _compare_ids(ids: frozenset[str], expected: str) -> IdState:
