--- a/lagoonpost/systems/answer_head.py
+++ b/lagoonpost/systems/answer_head.py
@@ -12,6 +12,7 @@
 """
 
 from enum import Enum
+from functools import cache
 from typing import NamedTuple
 
 from lagoonpost.tables.answer_end import RunnerState
@@ -150,6 +151,12 @@
         refuses=head.refuses,
         signature=_find_signature(head.signatures),
     )
+    return _judge(evidence)
+
+
+@cache
+def _judge(evidence: HeadEvidence) -> HeadRuling:
+    """Return the ruling; it is kept, as each answer asks for one of a few."""
     for rule in _RULES:
         if _fits(rule, evidence):
             return rule.ruling
